--- /dev/null
+++ b/crates/config/src/error.rs
@@ -0,0 +1,98 @@
+//! Faults found in a file, each with its place and what was expected.
+
+use std::{fmt, path::PathBuf};
+
+use thiserror::Error;
+
+/// What is wrong at one place.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Problem {
+    /// A key that must be there is not.
+    #[error("is missing; expected {expected}")]
+    Missing {
+        /// What should stand there.
+        expected: &'static str,
+    },
+    /// A value cannot be read or is out of range.
+    #[error("is `{found}`; expected {expected}")]
+    Invalid {
+        /// The text found.
+        found: String,
+        /// What should stand there.
+        expected: &'static str,
+    },
+    /// A key or section that nothing reads.
+    #[error("is not known here")]
+    Unknown,
+    /// A name refers to something that is not defined.
+    #[error("refers to `{name}`, which no section defines")]
+    Undefined {
+        /// The name that is not defined.
+        name: String,
+    },
+    /// A template uses a parameter that the workspace does not give.
+    #[error("needs the parameter `{name}`, which the workspace does not give")]
+    NoParameter {
+        /// The parameter.
+        name: String,
+    },
+}
+
+/// One fault with its section and key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Section name, empty for the part above all sections.
+    pub section: String,
+    /// Key name, empty for the section itself.
+    pub key: String,
+    /// What is wrong.
+    pub problem: Problem,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "[{}]", self.section)?;
+        if !self.key.is_empty() {
+            write!(f, " {}", self.key)?;
+        }
+        write!(f, " {}", self.problem)
+    }
+}
+
+/// Why a file was refused.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The file cannot be read.
+    #[error("{}: cannot be read: {source}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The text is not INI.
+    #[error("{}:{line}: is not INI: {reason}", path.display())]
+    NotIni {
+        /// The file.
+        path: PathBuf,
+        /// Line number, from 1.
+        line: usize,
+        /// The parser's reason.
+        reason: String,
+    },
+    /// The content has faults.
+    #[error("{}", list(path, faults))]
+    Faults {
+        /// The file.
+        path: PathBuf,
+        /// All faults found.
+        faults: Vec<Fault>,
+    },
+}
+
+fn list(path: &std::path::Path, faults: &[Fault]) -> String {
+    let lines = faults
+        .iter()
+        .map(|fault| format!("{}: {fault}", path.display()));
+    lines.collect::<Vec<_>>().join("\n")
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,68 @@
+//! Settings and policy files: INI text to checked types.
+//!
+//! Every file is read into [`raw::RawFile`], which keeps track of the keys that were used, and
+//! then converted with `TryFrom` into one checked type. All faults of a file are reported.
+
+pub mod agent;
+pub mod entry;
+pub mod error;
+pub mod limits;
+pub mod policy;
+pub mod raw;
+pub mod record;
+pub mod replay;
+pub mod shared;
+
+pub use agent::AgentSettings;
+pub use entry::EntrySettings;
+pub use error::{ConfigError, Fault, Problem};
+pub use policy::policy_from_ini;
+pub use raw::RawFile;
+pub use record::{HEAD_KEY, PolicyRecord};
+pub use replay::{Outcome, Outcomes, ReplaySettings};
+
+use std::path::Path;
+
+/// What kind of file a name or content points to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FileKind {
+    /// Settings of an entry process.
+    Entry,
+    /// Settings of an agent process.
+    Agent,
+    /// Settings of a replay, which hold a policy too.
+    Replay,
+    /// Stated outcomes of a replay.
+    Outcomes,
+    /// Templates, workspaces and versions.
+    Policy,
+}
+
+/// Tells from its sections what a file is for.
+pub fn kind_of(file: &RawFile) -> FileKind {
+    if file.has_section("entry") {
+        FileKind::Entry
+    } else if file.has_section("agent") {
+        FileKind::Agent
+    } else if file.has_section("replay") {
+        FileKind::Replay
+    } else if file.has_section("outcome") {
+        FileKind::Outcomes
+    } else {
+        FileKind::Policy
+    }
+}
+
+/// Reads a file and checks it as what it appears to be.
+pub fn check_file(path: &Path) -> Result<FileKind, ConfigError> {
+    let file = RawFile::load(path)?;
+    let kind = kind_of(&file);
+    match kind {
+        FileKind::Entry => EntrySettings::try_from(file).map(drop)?,
+        FileKind::Agent => AgentSettings::try_from(file).map(drop)?,
+        FileKind::Replay => ReplaySettings::try_from(file).map(drop)?,
+        FileKind::Outcomes => Outcomes::try_from(file).map(drop)?,
+        FileKind::Policy => policy_from_ini(file).map(drop)?,
+    }
+    Ok(kind)
+}
--- /dev/null
+++ b/crates/config/src/policy.rs
@@ -0,0 +1,342 @@
+//! Policy files: versions, services, roll-outs, templates and workspaces.
+//!
+//! A template holds a workspace's keys with `${NAME}` where a parameter goes; a workspace names
+//! its template, gives `param.NAME` values, and may state any of the template's keys itself.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pondwalk_types::{
+    Policy, Price, RollOut, SessionOnWithdrawal, TaskPolicy, VersionSpec, VersionState,
+    WorkspacePolicy, policy::ALL_SERVICES,
+};
+
+use crate::{
+    error::{ConfigError, Problem},
+    raw::RawFile,
+};
+
+const PARAMETER_PREFIX: &str = "param.";
+/// Ends a section name that prices all versions of a model.
+const ANY_VERSION: &str = "/*";
+const TASK_PREFIX: &str = "task.";
+
+/// Reads a file that holds nothing but a policy.
+pub fn policy_from_ini(mut file: RawFile) -> Result<Policy, ConfigError> {
+    let policy = read_policy(&mut file);
+    file.finish(Some(policy))
+}
+
+/// Reads the policy's sections out of a file that may hold others too.
+pub fn read_policy(file: &mut RawFile) -> Policy {
+    let mut policy = Policy::default();
+    for name in file.names_of("version") {
+        let spec = read_version(file, &format!("version {name}"));
+        match name.strip_suffix(ANY_VERSION) {
+            Some(model) => drop(policy.model_prices.insert(model.to_owned(), spec.price)),
+            None => drop(policy.versions.insert(name, spec)),
+        }
+    }
+    policy.services = file.names_of("service").into_iter().collect();
+    for name in file.names_of("roll_out") {
+        read_roll_out(file, name, &mut policy);
+    }
+    check_templates(file);
+    for name in file.names_of("workspace") {
+        let workspace = read_workspace(file, &name, &policy);
+        policy.workspaces.insert(name, workspace);
+    }
+    add_allowed_versions(&mut policy);
+    for service in policy.services.clone() {
+        policy.add_service(&service);
+    }
+    policy
+}
+
+/// Adds the versions that workspaces name and only their model prices.
+fn add_allowed_versions(policy: &mut Policy) {
+    let workspaces = policy.workspaces.values();
+    let named: BTreeSet<String> = workspaces
+        .flat_map(|workspace| workspace.allowed_versions.iter().cloned())
+        .collect();
+    for version in named {
+        policy.add_version(&version);
+    }
+}
+
+fn read_version(file: &mut RawFile, section: &str) -> VersionSpec {
+    let expected = "a price of zero or more per thousand tokens";
+    let bounds = (0.0, 1e9);
+    let prompt_per_1k_tokens =
+        file.within(section, "prompt_price_per_1k_tokens", expected, bounds, 0.0);
+    let output_per_1k_tokens =
+        file.within(section, "output_price_per_1k_tokens", expected, bounds, 0.0);
+    let found = file.text(section, "state").unwrap_or_else(|| "live".into());
+    let state = match found.as_str() {
+        "live" => VersionState::Live,
+        "retiring" => VersionState::Retiring,
+        "withdrawn" => VersionState::Withdrawn,
+        _ => {
+            let expected = "live, retiring or withdrawn";
+            file.fault(section, "state", Problem::Invalid { found, expected });
+            VersionState::Live
+        }
+    };
+    VersionSpec {
+        price: Price {
+            prompt_per_1k_tokens,
+            output_per_1k_tokens,
+        },
+        state,
+    }
+}
+
+fn read_roll_out(file: &mut RawFile, version: String, policy: &mut Policy) {
+    let section = format!("roll_out {version}");
+    let expected = "the version that it replaces";
+    let Some(replaces) = file.required::<String>(&section, "replaces", expected) else {
+        return;
+    };
+    for name in [&version, &replaces] {
+        if !policy.add_version(name) {
+            file.fault(
+                &section,
+                "replaces",
+                Problem::Undefined { name: name.clone() },
+            );
+        }
+    }
+    policy.roll_outs.push(RollOut { version, replaces });
+}
+
+/// Marks the keys of templates as used; their values are checked where workspaces use them.
+fn check_templates(file: &mut RawFile) {
+    for name in file.names_of("template") {
+        let section = format!("template {name}");
+        for (key, _) in file.pairs(&section) {
+            if is_workspace_key(&key) {
+                file.mark_used(&section, &key);
+            }
+        }
+    }
+}
+
+fn is_workspace_key(key: &str) -> bool {
+    const KEYS: [&str; 8] = [
+        "allowed_versions",
+        "allowed_services",
+        "only_listed_tasks",
+        "spend_cap",
+        "priority",
+        "share_weight",
+        "on_withdrawal",
+        "keys_sha256",
+    ];
+    KEYS.contains(&key) || task_key(key).is_some()
+}
+
+/// Splits `task.NAME.FIELD`.
+fn task_key(key: &str) -> Option<(&str, &str)> {
+    let (task, field) = key.strip_prefix(TASK_PREFIX)?.rsplit_once('.')?;
+    matches!(field, "quality_target" | "target_share").then_some((task, field))
+}
+
+/// A workspace's keys after its template and parameters are filled in, with their origin.
+struct Filled {
+    section: String,
+    values: BTreeMap<String, String>,
+}
+
+impl Filled {
+    fn number(
+        &self,
+        file: &mut RawFile,
+        key: &str,
+        expected: &'static str,
+        bounds: (f64, f64),
+    ) -> Option<f64> {
+        let found = self.values.get(key)?;
+        match found.trim().parse::<f64>() {
+            Ok(value) if value >= bounds.0 && value <= bounds.1 => Some(value),
+            _ => {
+                file.fault(
+                    &self.section,
+                    key,
+                    Problem::Invalid {
+                        found: found.clone(),
+                        expected,
+                    },
+                );
+                None
+            }
+        }
+    }
+
+    fn names(&self, key: &str) -> BTreeSet<String> {
+        let text = self.values.get(key).map(String::as_str).unwrap_or_default();
+        RawFile::items(text).into_iter().collect()
+    }
+}
+
+fn read_workspace(file: &mut RawFile, name: &str, policy: &Policy) -> WorkspacePolicy {
+    let filled = fill(file, format!("workspace {name}"));
+    let mut workspace = WorkspacePolicy {
+        allowed_versions: filled.names("allowed_versions"),
+        allowed_services: filled.names("allowed_services"),
+        tasks: read_tasks(file, &filled),
+        keys_sha256: filled.names("keys_sha256"),
+        ..WorkspacePolicy::default()
+    };
+    check_names(file, &filled, &workspace, policy);
+    workspace.spend_cap =
+        filled.number(file, "spend_cap", "an amount of zero or more", (0.0, 1e12));
+    if let Some(priority) =
+        filled.number(file, "priority", "a whole number from 0 to 9", (0.0, 9.0))
+    {
+        workspace.priority = priority as u8;
+    }
+    if let Some(weight) = filled.number(
+        file,
+        "share_weight",
+        "a number from 0.01 to 1000",
+        (0.01, 1000.0),
+    ) {
+        workspace.share_weight = weight;
+    }
+    workspace.only_listed_tasks =
+        choice(file, &filled, "only_listed_tasks", "true or false", |t| {
+            t.parse().ok()
+        })
+        .unwrap_or(false);
+    workspace.on_withdrawal =
+        choice(
+            file,
+            &filled,
+            "on_withdrawal",
+            "restart or refuse",
+            |t| match t {
+                "restart" => Some(SessionOnWithdrawal::Restart),
+                "refuse" => Some(SessionOnWithdrawal::Refuse),
+                _ => None,
+            },
+        )
+        .unwrap_or_default();
+    workspace
+}
+
+fn choice<T>(
+    file: &mut RawFile,
+    filled: &Filled,
+    key: &str,
+    expected: &'static str,
+    read: impl Fn(&str) -> Option<T>,
+) -> Option<T> {
+    let found = filled.values.get(key)?;
+    let value = read(found.trim());
+    if value.is_none() {
+        file.fault(
+            &filled.section,
+            key,
+            Problem::Invalid {
+                found: found.clone(),
+                expected,
+            },
+        );
+    }
+    value
+}
+
+/// Merges the template's keys with the workspace's own and fills in parameters.
+fn fill(file: &mut RawFile, section: String) -> Filled {
+    let mut values = BTreeMap::new();
+    if let Some(template) = file.text(&section, "template") {
+        let template_section = format!("template {template}");
+        if !file.has_section(&template_section) {
+            file.fault(&section, "template", Problem::Undefined { name: template });
+        }
+        values.extend(file.pairs(&template_section));
+    }
+    let mut parameters = BTreeMap::new();
+    for (key, value) in file.pairs(&section) {
+        if let Some(parameter) = key.strip_prefix(PARAMETER_PREFIX) {
+            file.mark_used(&section, &key);
+            parameters.insert(parameter.to_owned(), value);
+        } else if is_workspace_key(&key) {
+            file.mark_used(&section, &key);
+            values.insert(key, value);
+        }
+    }
+    for (key, value) in &mut values {
+        match substitute(value, &parameters) {
+            Ok(filled) => *value = filled,
+            Err(name) => file.fault(&section, key, Problem::NoParameter { name }),
+        }
+    }
+    Filled { section, values }
+}
+
+/// Replaces each `${NAME}`; the error names a parameter that is not given.
+fn substitute(text: &str, parameters: &BTreeMap<String, String>) -> Result<String, String> {
+    let mut filled = String::new();
+    let mut rest = text;
+    while let Some((before, after)) = rest.split_once("${") {
+        let (name, tail) = after.split_once('}').unwrap_or((after, ""));
+        let value = parameters.get(name).ok_or_else(|| name.to_owned())?;
+        filled.push_str(before);
+        filled.push_str(value);
+        rest = tail;
+    }
+    filled.push_str(rest);
+    Ok(filled)
+}
+
+fn read_tasks(file: &mut RawFile, filled: &Filled) -> BTreeMap<String, TaskPolicy> {
+    let names: BTreeSet<String> = filled
+        .values
+        .keys()
+        .filter_map(|key| Some(task_key(key)?.0.to_owned()))
+        .collect();
+    let mut tasks = BTreeMap::new();
+    for name in names {
+        let expected = "a number from 0 to 1";
+        let mut read = |field: &str, default: f64| {
+            let key = format!("{TASK_PREFIX}{name}.{field}");
+            filled
+                .number(file, &key, expected, (0.0, 1.0))
+                .unwrap_or(default)
+        };
+        let task = TaskPolicy {
+            quality_target: read("quality_target", 0.0),
+            target_share: read("target_share", 0.9),
+        };
+        tasks.insert(name, task);
+    }
+    tasks
+}
+
+fn check_names(file: &mut RawFile, filled: &Filled, workspace: &WorkspacePolicy, policy: &Policy) {
+    for name in &workspace.allowed_versions {
+        if policy.price_of(name).is_none() {
+            let problem = Problem::Undefined { name: name.clone() };
+            file.fault(&filled.section, "allowed_versions", problem);
+        }
+    }
+    for name in &workspace.allowed_services {
+        if name != ALL_SERVICES && !policy.services.contains(name) {
+            let problem = Problem::Undefined { name: name.clone() };
+            file.fault(&filled.section, "allowed_services", problem);
+        }
+    }
+    for digest in &workspace.keys_sha256 {
+        let hex = digest
+            .bytes()
+            .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+        if digest.len() != 64 || !hex {
+            let expected = "64 lower-case hex digits";
+            let problem = Problem::Invalid {
+                found: digest.clone(),
+                expected,
+            };
+            file.fault(&filled.section, "keys_sha256", problem);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/estimate.rs
@@ -0,0 +1,246 @@
+//! What is known of each version: quality, service time, length and failures by task.
+
+use std::{collections::HashMap, time::Duration};
+
+use pondwalk_types::{Price, TokenUsage};
+
+use crate::{
+    histogram::{QualityHistogram, TimeHistogram},
+    intern::{TaskIx, VersionIx},
+    tuning::{
+        MEAN_GAIN, OUTPUT_PRIOR_TOKENS, QUALITY_PRIOR_CHEAPEST, QUALITY_PRIOR_DEAREST,
+        QUALITY_PRIOR_WEIGHT, SERVICE_PRIOR_MS, TIME_PRIOR_ON_TIME, TIME_PRIOR_WEIGHT,
+    },
+};
+
+/// A running mean that starts at its first observation.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RunningMean {
+    value: f64,
+    count: u32,
+}
+
+impl RunningMean {
+    /// Takes in an observation.
+    pub fn add(&mut self, value: f64) {
+        self.count = self.count.saturating_add(1);
+        let gain = MEAN_GAIN.max(1.0 / f64::from(self.count));
+        self.value += gain * (value - self.value);
+    }
+
+    /// The mean, or `prior` before the first observation.
+    pub fn or(&self, prior: f64) -> f64 {
+        if self.count == 0 { prior } else { self.value }
+    }
+}
+
+/// How often something happened out of how many times, with slow forgetting.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Rate {
+    hits: f64,
+    total: f64,
+}
+
+impl Rate {
+    /// Takes in one case.
+    pub fn add(&mut self, hit: bool) {
+        const WINDOW: f64 = 1_000.0;
+        if self.total >= WINDOW {
+            self.hits *= 0.5;
+            self.total *= 0.5;
+        }
+        self.total += 1.0;
+        self.hits += f64::from(u8::from(hit));
+    }
+
+    /// The rate, given a prior rate that counts as `weight` cases.
+    pub fn with_prior(&self, prior: f64, weight: f64) -> f64 {
+        (self.hits + prior * weight) / (self.total + weight)
+    }
+}
+
+/// What is known of one version on one task.
+#[derive(Debug, Clone, Default)]
+pub struct VersionTask {
+    /// Ratings of its answers.
+    pub quality: QualityHistogram,
+    /// Times its runs took on a server.
+    pub service: TimeHistogram,
+    /// Mean of those times, in milliseconds.
+    pub service_ms: RunningMean,
+    /// Tokens in its answers.
+    pub output_tokens: RunningMean,
+    /// Runs that failed.
+    pub failures: Rate,
+    /// Answers that came after their deadline.
+    pub late: Rate,
+}
+
+/// What is known of one version on all tasks.
+#[derive(Debug, Clone)]
+struct Version {
+    price: Price,
+    /// Place in the order of prices, from 0 for the cheapest to 1 for the dearest.
+    price_rank: f64,
+    service_ms: RunningMean,
+    tasks: Vec<VersionTask>,
+}
+
+/// What is known of all versions.
+#[derive(Debug, Default)]
+pub struct Estimates {
+    versions: Vec<Option<Version>>,
+    /// Whether the second version met the target after the first had missed it.
+    rescues: HashMap<(VersionIx, VersionIx, TaskIx), Rate>,
+    blank: VersionTask,
+}
+
+impl Estimates {
+    /// Sets prices; what was learned of a version stays as long as its name does.
+    pub fn set_prices(&mut self, prices: &[(VersionIx, Price)]) {
+        let mut order: Vec<(VersionIx, f64)> = prices
+            .iter()
+            .map(|(version, price)| (*version, reference_cost(price)))
+            .collect();
+        order.sort_by(|a, b| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)));
+        let last = order.len().saturating_sub(1).max(1) as f64;
+        for (version, price) in prices {
+            let place = order
+                .iter()
+                .position(|(other, _)| other == version)
+                .unwrap_or(0);
+            let entry = self.version_mut(*version);
+            entry.price = *price;
+            entry.price_rank = place as f64 / last;
+        }
+    }
+
+    /// The price of a version.
+    pub fn price(&self, version: VersionIx) -> Price {
+        self.version(version)
+            .map(|known| known.price)
+            .unwrap_or_default()
+    }
+
+    /// What is known of a version on a task.
+    pub fn of(&self, version: VersionIx, task: TaskIx) -> &VersionTask {
+        self.version(version)
+            .and_then(|known| known.tasks.get(task))
+            .unwrap_or(&self.blank)
+    }
+
+    /// The same, to take in observations.
+    pub fn of_mut(&mut self, version: VersionIx, task: TaskIx) -> &mut VersionTask {
+        let known = self.version_mut(version);
+        if known.tasks.len() <= task {
+            known.tasks.resize_with(task + 1, VersionTask::default);
+        }
+        &mut known.tasks[task]
+    }
+
+    /// Probability that an answer meets the target.
+    pub fn meets(&self, version: VersionIx, task: TaskIx, target: f64) -> f64 {
+        let quality = &self.of(version, task).quality;
+        let rank = self.version(version).map_or(0.5, |known| known.price_rank);
+        let span = QUALITY_PRIOR_DEAREST - QUALITY_PRIOR_CHEAPEST;
+        let prior = QUALITY_PRIOR_CHEAPEST + span * rank;
+        let hits = quality.at_least(target) + prior * QUALITY_PRIOR_WEIGHT;
+        hits / (quality.total() + QUALITY_PRIOR_WEIGHT)
+    }
+
+    /// Probability that `second` meets the target where `first` has missed it.
+    pub fn rescues(&self, first: VersionIx, second: VersionIx, task: TaskIx, target: f64) -> f64 {
+        const PRIOR_WEIGHT: f64 = 6.0;
+        let alone = self.meets(second, task, target);
+        match self.rescues.get(&(first, second, task)) {
+            Some(rate) => rate.with_prior(alone, PRIOR_WEIGHT),
+            None => alone,
+        }
+    }
+
+    /// Takes in whether `second` met the target where `first` had missed it.
+    pub fn add_rescue(&mut self, first: VersionIx, second: VersionIx, task: TaskIx, met: bool) {
+        self.rescues
+            .entry((first, second, task))
+            .or_default()
+            .add(met);
+    }
+
+    /// Probability that a run ends within `limit`.
+    pub fn within(&self, version: VersionIx, task: TaskIx, limit: Duration) -> f64 {
+        let service = &self.of(version, task).service;
+        let hits = service.within(limit) + TIME_PRIOR_ON_TIME * TIME_PRIOR_WEIGHT;
+        hits / (service.total() + TIME_PRIOR_WEIGHT)
+    }
+
+    /// Expected cost of a run.
+    pub fn cost(&self, version: VersionIx, task: TaskIx, prompt_tokens: u64) -> f64 {
+        let output = self.of(version, task).output_tokens.or(OUTPUT_PRIOR_TOKENS);
+        let usage = TokenUsage {
+            prompt_tokens,
+            output_tokens: output as u64,
+        };
+        self.price(version).cost(usage)
+    }
+
+    /// Mean service time of a version over all tasks, in milliseconds.
+    pub fn service_ms(&self, version: VersionIx) -> f64 {
+        self.version(version).map_or(SERVICE_PRIOR_MS, |known| {
+            known.service_ms.or(SERVICE_PRIOR_MS)
+        })
+    }
+
+    /// Mean service time of a version on one task, in milliseconds.
+    pub fn service_ms_on(&self, version: VersionIx, task: TaskIx) -> f64 {
+        self.of(version, task)
+            .service_ms
+            .or(self.service_ms(version))
+    }
+
+    /// Takes in a run that ended whole.
+    pub fn add_run(&mut self, version: VersionIx, task: TaskIx, tokens: u64, service: Duration) {
+        let known = self.of_mut(version, task);
+        known.service.add(service);
+        known.service_ms.add(service.as_secs_f64() * 1e3);
+        known.output_tokens.add(tokens as f64);
+        known.failures.add(false);
+        self.version_mut(version)
+            .service_ms
+            .add(service.as_secs_f64() * 1e3);
+    }
+
+    /// Forgets a version, so that a name used again starts anew.
+    pub fn forget(&mut self, version: VersionIx) {
+        if let Some(Some(known)) = self.versions.get_mut(version) {
+            known.tasks.clear();
+            known.service_ms = RunningMean::default();
+        }
+        self.rescues
+            .retain(|(first, second, _), _| *first != version && *second != version);
+    }
+
+    fn version(&self, version: VersionIx) -> Option<&Version> {
+        self.versions.get(version)?.as_ref()
+    }
+
+    fn version_mut(&mut self, version: VersionIx) -> &mut Version {
+        if self.versions.len() <= version {
+            self.versions.resize_with(version + 1, || None);
+        }
+        self.versions[version].get_or_insert_with(|| Version {
+            price: Price::default(),
+            price_rank: 0.5,
+            service_ms: RunningMean::default(),
+            tasks: Vec::new(),
+        })
+    }
+}
+
+/// Cost of a run of ordinary size, for ordering versions by price.
+pub fn reference_cost(price: &Price) -> f64 {
+    const USAGE: TokenUsage = TokenUsage {
+        prompt_tokens: 1_000,
+        output_tokens: 300,
+    };
+    price.cost(USAGE)
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/replay/src/simulation/fleet.rs
@@ -0,0 +1,102 @@
+//! The servers of a replay: slots, and the agents' queues before them.
+
+use std::{collections::HashMap, time::Duration};
+
+use pondwalk_decide::{AdmissionQueue, QueuedWork};
+use pondwalk_types::{Policy, ServerId, WorkspacePolicy};
+
+use super::book::{Live, Run};
+use crate::events::RunIx;
+
+/// Service time that agents expect of any run; queues go by shares, not by lengths.
+const EXPECTED_SERVICE: Duration = Duration::from_secs(1);
+
+/// One server.
+pub struct SimulatedServer {
+    pub name: ServerId,
+    pub queue: AdmissionQueue<RunIx>,
+    pub leaving_since: Option<Duration>,
+}
+
+impl SimulatedServer {
+    /// Forgets all that ran and waited.
+    pub fn close(&mut self) {
+        self.queue = AdmissionQueue::new(0, 0);
+    }
+}
+
+/// All servers by index.
+pub struct Fleet {
+    queue_limit: u32,
+    indices: HashMap<ServerId, usize>,
+    servers: Vec<SimulatedServer>,
+}
+
+impl Fleet {
+    pub fn new(queue_limit: u32) -> Self {
+        Fleet {
+            queue_limit,
+            indices: HashMap::new(),
+            servers: Vec::new(),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    pub fn find(&self, name: &str) -> Option<usize> {
+        self.indices.get(name).copied()
+    }
+
+    pub fn get_mut(&mut self, server: usize) -> &mut SimulatedServer {
+        &mut self.servers[server]
+    }
+
+    /// Adds a server, or changes the slots of a known one.
+    pub fn put(&mut self, name: &str, slots: u32) {
+        if let Some(known) = self.find(name) {
+            let server = &mut self.servers[known];
+            server.leaving_since = None;
+            server.queue.set_limits(slots, self.queue_limit);
+            return;
+        }
+        self.indices.insert(name.to_owned(), self.servers.len());
+        let queue = AdmissionQueue::new(slots, self.queue_limit);
+        self.servers.push(SimulatedServer {
+            name: name.to_owned(),
+            queue,
+            leaving_since: None,
+        });
+    }
+
+    /// A run as its agent's queue sees it.
+    pub fn work(
+        &self,
+        ticket: RunIx,
+        run: &Run,
+        live: &Live<'_>,
+        policy: &Policy,
+    ) -> QueuedWork<RunIx> {
+        let recorded = live.recorded;
+        let fallback = WorkspacePolicy::default();
+        let workspace = policy
+            .workspaces
+            .get(&recorded.workspace)
+            .unwrap_or(&fallback);
+        let expected_service = if run.is_service {
+            Duration::from_millis(10)
+        } else {
+            EXPECTED_SERVICE
+        };
+        QueuedWork {
+            ticket,
+            workspace: recorded.workspace.clone(),
+            priority: workspace.priority,
+            share_weight: workspace.share_weight,
+            expected_service,
+            deadline: live.arrived + recorded.deadline,
+            stated_deadline: recorded.deadline,
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/client.rs
@@ -0,0 +1,244 @@
+//! The store's operations in the project's own terms.
+
+use std::{fmt, future::Future, pin::Pin, sync::Arc, time::Duration};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use serde::{Serialize, de::DeserializeOwned};
+use thiserror::Error;
+
+use crate::gateway::{
+    Compare, KeyValue, LEASE_GRANT_PATH, LEASE_KEEP_ALIVE_PATH, LeaseReply, LeaseRequest,
+    PutRequest, RANGE_PATH, RangeReply, RangeRequest, TXN_PATH, TxnOp, TxnReply, TxnRequest,
+    WATCH_PATH, WatchCreate, WatchReply, WatchRequest,
+};
+
+/// Failures of the store, told apart by what the caller may conclude.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum StoreError {
+    /// A condition did not hold; nothing was written.
+    #[error("another writer was first")]
+    Conflict,
+    /// The call did not reach the store; nothing was written.
+    #[error("the store cannot be reached")]
+    Unreachable,
+    /// The answer was lost; a write may have taken effect.
+    #[error("the store's answer was lost")]
+    AnswerLost,
+    /// The store answered with something that cannot be read.
+    #[error("the store's answer cannot be read")]
+    Malformed,
+    /// The lease has lapsed.
+    #[error("the lease has lapsed")]
+    LeaseLapsed,
+}
+
+/// Future of one call: the reply's JSON text.
+pub type CallFuture = Pin<Box<dyn Future<Output = Result<String, StoreError>> + Send>>;
+
+/// Carries a path, a JSON body and a time limit to the store.
+pub type Transport = Arc<dyn Fn(&'static str, String, Duration) -> CallFuture + Send + Sync>;
+
+/// A value read, with the revision to compare with on the next write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fetched {
+    /// Full key.
+    pub key: String,
+    /// Value.
+    pub value: Vec<u8>,
+    /// Revision of the last change.
+    pub revision: u64,
+}
+
+/// What must hold of a key for a write to happen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Expect {
+    /// The key does not exist.
+    Absent,
+    /// The key's last change has this revision.
+    Revision(u64),
+}
+
+/// One conditional write.
+#[derive(Debug, Clone)]
+pub struct Change {
+    /// Full key.
+    pub key: String,
+    /// New value.
+    pub value: Vec<u8>,
+    /// Condition.
+    pub expect: Expect,
+    /// Lease that owns the key, if any.
+    pub lease: Option<u64>,
+}
+
+/// What a watch brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Watched {
+    /// The keys that changed.
+    Changed(Vec<Fetched>),
+    /// Nothing changed within the wait.
+    Quiet,
+}
+
+/// Handle on the platform's key-value service.
+#[derive(Clone)]
+pub struct Store {
+    transport: Transport,
+    timeout: Duration,
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store")
+            .field("timeout", &self.timeout)
+            .finish()
+    }
+}
+
+impl Store {
+    /// Builds a handle that gives up on a call after `timeout`.
+    pub fn new(transport: Transport, timeout: Duration) -> Self {
+        Store { transport, timeout }
+    }
+
+    /// Reads one key.
+    pub async fn get(&self, key: &str) -> Result<Option<Fetched>, StoreError> {
+        Ok(self.range(key, String::new()).await?.pop())
+    }
+
+    /// Reads all keys that start with `prefix`, in key order.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<Fetched>, StoreError> {
+        self.range(prefix, prefix_end(prefix)).await
+    }
+
+    /// Writes all changes or none; returns the revision they got.
+    pub async fn commit(&self, changes: Vec<Change>) -> Result<u64, StoreError> {
+        let request = TxnRequest {
+            compare: changes.iter().map(compare).collect(),
+            success: changes.iter().map(put).collect(),
+        };
+        let reply: TxnReply = self.call(TXN_PATH, &request, self.timeout).await?;
+        if !reply.succeeded {
+            return Err(StoreError::Conflict);
+        }
+        number(&reply.header.revision)
+    }
+
+    /// Takes out a lease; returns its id.
+    pub async fn grant_lease(&self, ttl: Duration) -> Result<u64, StoreError> {
+        let request = LeaseRequest {
+            ttl_s: ttl.as_secs().to_string(),
+            id: "0".into(),
+        };
+        let reply: LeaseReply = self.call(LEASE_GRANT_PATH, &request, self.timeout).await?;
+        number(&reply.id)
+    }
+
+    /// Renews a lease.
+    pub async fn renew_lease(&self, lease: u64) -> Result<(), StoreError> {
+        let request = LeaseRequest {
+            ttl_s: String::new(),
+            id: lease.to_string(),
+        };
+        let reply: LeaseReply = self
+            .call(LEASE_KEEP_ALIVE_PATH, &request, self.timeout)
+            .await?;
+        if number(&reply.ttl_s)? == 0 {
+            return Err(StoreError::LeaseLapsed);
+        }
+        Ok(())
+    }
+
+    /// Waits until a key under `prefix` changes after `revision`, at most for `wait`.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<Watched, StoreError> {
+        let create_request = WatchCreate {
+            key: STANDARD.encode(prefix),
+            range_end: STANDARD.encode(prefix_end(prefix)),
+            start_revision: (revision + 1).to_string(),
+        };
+        let body = WatchRequest { create_request };
+        match self.call::<_, WatchReply>(WATCH_PATH, &body, wait).await {
+            Ok(reply) => {
+                let kvs = reply.result.events.iter().map(|event| fetched(&event.kv));
+                Ok(Watched::Changed(kvs.collect::<Result<_, _>>()?))
+            }
+            Err(StoreError::AnswerLost) => Ok(Watched::Quiet),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn range(&self, key: &str, end: String) -> Result<Vec<Fetched>, StoreError> {
+        let request = RangeRequest {
+            key: STANDARD.encode(key),
+            range_end: STANDARD.encode(end),
+        };
+        let reply: RangeReply = self.call(RANGE_PATH, &request, self.timeout).await?;
+        reply.kvs.iter().map(fetched).collect()
+    }
+
+    async fn call<B: Serialize, R: DeserializeOwned>(
+        &self,
+        path: &'static str,
+        body: &B,
+        wait: Duration,
+    ) -> Result<R, StoreError> {
+        let text = serde_json::to_string(body).map_err(|_| StoreError::Malformed)?;
+        let reply = (self.transport)(path, text, wait).await?;
+        serde_json::from_str(&reply).map_err(|_| StoreError::Malformed)
+    }
+}
+
+/// The first key after all keys that start with `prefix`.
+fn prefix_end(prefix: &str) -> String {
+    let mut end = prefix.to_owned();
+    // NB: keys are ASCII and never end in the last ASCII character.
+    if let Some(last) = end.pop() {
+        end.push(char::from(last as u8 + 1));
+    }
+    end
+}
+
+fn compare(change: &Change) -> Compare {
+    let revision = match change.expect {
+        Expect::Absent => 0,
+        Expect::Revision(revision) => revision,
+    };
+    Compare {
+        key: STANDARD.encode(&change.key),
+        target: "MOD".into(),
+        result: "EQUAL".into(),
+        mod_revision: revision.to_string(),
+    }
+}
+
+fn put(change: &Change) -> TxnOp {
+    TxnOp {
+        request_put: PutRequest {
+            key: STANDARD.encode(&change.key),
+            value: STANDARD.encode(&change.value),
+            lease: change.lease.unwrap_or(0).to_string(),
+        },
+    }
+}
+
+fn fetched(kv: &KeyValue) -> Result<Fetched, StoreError> {
+    let key = STANDARD
+        .decode(&kv.key)
+        .map_err(|_| StoreError::Malformed)?;
+    Ok(Fetched {
+        key: String::from_utf8(key).map_err(|_| StoreError::Malformed)?,
+        value: STANDARD
+            .decode(&kv.value)
+            .map_err(|_| StoreError::Malformed)?,
+        revision: number(&kv.mod_revision)?,
+    })
+}
+
+fn number(text: &str) -> Result<u64, StoreError> {
+    text.parse().map_err(|_| StoreError::Malformed)
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,14 @@
+//! Identifiers, units and the checked policy that all of pondwalk shares.
+
+pub mod answer;
+pub mod ids;
+pub mod policy;
+pub mod refusal;
+
+pub use answer::{TokenUsage, Work};
+pub use ids::*;
+pub use policy::{
+    Policy, Price, RollOut, SessionOnWithdrawal, TaskPolicy, VersionSpec, VersionState,
+    WorkspacePolicy,
+};
+pub use refusal::{Ran, Refusal};
