--- /dev/null
+++ b/crates/agent/src/control.rs
@@ -0,0 +1,104 @@
+//! The control thread: late work, silent entries, and bills that their entry left behind.
+
+use std::{
+    io,
+    sync::{Arc, Mutex},
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use pondwalk_ledger::{Bill, BillBook, bills};
+use pondwalk_store::Store;
+use pondwalk_types::Incarnation;
+use tokio::{
+    sync::oneshot,
+    time::{MissedTickBehavior, interval},
+};
+
+use crate::{
+    core::{Core, lock},
+    runs::{self, SHED_EVERY},
+};
+
+/// How often silent entries are looked for, and bills left behind are written.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+
+/// The agent's control thread.
+#[derive(Debug)]
+pub struct ControlThread {
+    stop: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl ControlThread {
+    /// Starts the thread.
+    pub fn start(core: Arc<Core>, store: Store) -> io::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let (stop, stopped) = oneshot::channel();
+        let thread = std::thread::Builder::new()
+            .name("agent-control".into())
+            .spawn(move || {
+                runtime.block_on(async {
+                    tokio::select! {
+                        () = shed(&core) => {}
+                        () = sweep(&core, &store) => {}
+                        _ = stopped => {}
+                    }
+                });
+            })?;
+        Ok(ControlThread { stop, thread })
+    }
+
+    /// Ends the thread.
+    pub fn stop(self) {
+        // NB: the thread may have ended already, and then there is nobody to tell.
+        let _ = self.stop.send(());
+        let _ = self.thread.join();
+    }
+}
+
+async fn shed(core: &Arc<Core>) {
+    let mut ticks = interval(SHED_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        runs::shed_late(core);
+    }
+}
+
+async fn sweep(core: &Arc<Core>, store: &Store) {
+    let book = Mutex::new(BillBook::new(core.incarnation));
+    let mut ticks = interval(SWEEP_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        for entry in core.outboxes.drop_silent(core.settings.retain) {
+            spdlog::warn!("entry fell silent", kv: { entry });
+            runs::cancel_all(core, entry);
+            adopt_bills(core, &book, entry);
+        }
+        if lock(&book).backlog() > 0 && bills::flush(&book, store).await.is_err() {
+            core.count("bills.flush_failed");
+        }
+    }
+}
+
+/// Takes over the bills of an entry that is gone; one written twice is merged when read.
+fn adopt_bills(core: &Core, book: &Mutex<BillBook>, entry: Incarnation) {
+    let mut held = lock(&core.bills);
+    let left: Vec<String> = held
+        .values()
+        .filter(|bill| bill.entry == entry)
+        .map(|bill| bill.request.clone())
+        .collect();
+    for request in left {
+        let bill = held.remove(&request);
+        let bill = bill.and_then(|held| serde_json::from_slice::<Bill>(&held.bill).ok());
+        if let Some(bill) = bill {
+            lock(book).add(bill);
+            core.count("bills.adopted");
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/core.rs
@@ -0,0 +1,201 @@
+//! What all parts of an agent share.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use cadence::{CountedExt, StatsdClient};
+use pondwalk_config::AgentSettings;
+use pondwalk_decide::AdmissionQueue;
+use pondwalk_types::{Incarnation, Policy, Refusal, VersionState, WorkspacePolicy};
+use pondwalk_wire::{AgentNews, Configuration, HeldBill, RunKey, StartRequest};
+use tokio::{runtime::Handle, time::Instant};
+
+use crate::{backend::Backend, outbox::Outboxes, runs::Runs, trials::Trials};
+
+/// State shared by the agent's traffic and control threads.
+#[derive(Debug)]
+pub struct Core {
+    /// Checked settings.
+    pub settings: AgentSettings,
+    /// Tells this process from its restarts.
+    pub incarnation: Incarnation,
+    /// The backend server.
+    pub backend: Backend,
+    /// Requests running and waiting.
+    pub queue: Mutex<AdmissionQueue<RunKey>>,
+    /// Runs by name.
+    pub runs: Mutex<Runs>,
+    /// Frames for entries.
+    pub outboxes: Outboxes,
+    /// Tests of versions on trial.
+    pub trials: Mutex<Trials>,
+    /// Bills held for entries.
+    pub bills: Mutex<HashMap<String, HeldBill>>,
+    /// Counters.
+    pub metrics: StatsdClient,
+    /// Where runs are executed.
+    pub traffic: Handle,
+    configuration: Mutex<Option<Arc<Configuration>>>,
+    draining: AtomicBool,
+    started: Instant,
+}
+
+impl Core {
+    /// The state of a new agent process.
+    pub fn new(settings: AgentSettings, metrics: StatsdClient, traffic: Handle) -> Self {
+        Core {
+            incarnation: rand::random(),
+            backend: Backend::new(&settings),
+            queue: Mutex::new(AdmissionQueue::new(settings.slots, settings.queue)),
+            runs: Mutex::default(),
+            outboxes: Outboxes::default(),
+            trials: Mutex::default(),
+            bills: Mutex::default(),
+            metrics,
+            traffic,
+            configuration: Mutex::default(),
+            draining: AtomicBool::new(false),
+            started: Instant::now(),
+            settings,
+        }
+    }
+
+    /// Time since the process started, as the pure decision code wants it.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        lock(&self.configuration).clone()
+    }
+
+    /// Puts a configuration in force if it is newer; returns the generation in force.
+    pub fn configure(&self, configuration: Configuration) -> u64 {
+        let mut current = lock(&self.configuration);
+        let generation = current.as_ref().map_or(0, |current| current.generation);
+        if configuration.generation <= generation {
+            return generation;
+        }
+        let generation = configuration.generation;
+        spdlog::info!("configuration in force", kv: { generation });
+        lock(&self.trials).install(&configuration.policy);
+        *current = Some(Arc::new(configuration));
+        drop(current);
+        self.drop_withdrawn();
+        generation
+    }
+
+    /// What the agent says of itself.
+    pub fn news(&self) -> AgentNews {
+        AgentNews {
+            incarnation: self.incarnation,
+            generation: self.configuration().map_or(0, |current| current.generation),
+            load: lock(&self.queue).load(),
+            draining: self.is_draining(),
+            tripped: lock(&self.trials).tripped(),
+        }
+    }
+
+    /// Takes no new work from now on.
+    pub fn begin_drain(&self) {
+        if !self.draining.swap(true, Ordering::SeqCst) {
+            spdlog::info!("draining", kv: { server = self.settings.server.as_str() });
+            self.outboxes.wake_all();
+        }
+    }
+
+    /// Whether new work is refused.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Whether nothing runs, waits or is yet to be fetched.
+    pub fn is_idle(&self) -> bool {
+        lock(&self.queue).load() == 0 && self.outboxes.is_empty()
+    }
+
+    /// Checks a run against the configuration and the agent's own state.
+    pub fn check(&self, request: &StartRequest) -> Result<WorkspacePolicy, Refusal> {
+        if self.is_draining() {
+            return Err(Refusal::Draining);
+        }
+        let configuration = self.configuration().ok_or(Refusal::NoConfiguration)?;
+        if configuration.generation < request.generation {
+            let (decided, current) = (request.generation, configuration.generation);
+            return Err(Refusal::StaleGeneration { decided, current });
+        }
+        let policy = &configuration.policy;
+        let workspace = policy
+            .workspaces
+            .get(&request.workspace)
+            .ok_or(Refusal::UnknownCaller)?;
+        self.check_version(policy, workspace, request)?;
+        Ok(workspace.clone())
+    }
+
+    fn check_version(
+        &self,
+        policy: &Policy,
+        workspace: &WorkspacePolicy,
+        request: &StartRequest,
+    ) -> Result<(), Refusal> {
+        let version = request.work.version();
+        if !self.settings.versions.contains(version) {
+            return Err(Refusal::NoServer);
+        }
+        let state = policy.versions.get(version).map(|spec| spec.state);
+        if state == Some(VersionState::Withdrawn) || lock(&self.trials).is_tripped(version) {
+            return Err(Refusal::VersionWithdrawn(version.clone()));
+        }
+        if state == Some(VersionState::Retiring) && !request.old_session {
+            return Err(Refusal::VersionRetiring(version.clone()));
+        }
+        if !policy.may_run(workspace, version) {
+            return Err(Refusal::VersionNotAllowed(version.clone()));
+        }
+        Ok(())
+    }
+
+    /// Gives up waiting runs of versions that may not run any more.
+    fn drop_withdrawn(&self) {
+        let Some(configuration) = self.configuration() else {
+            return;
+        };
+        let runs = lock(&self.runs);
+        let withdrawn = |run: &RunKey| {
+            let state = runs
+                .version(run)
+                .and_then(|version| configuration.policy.versions.get(version))
+                .map(|spec| spec.state);
+            state == Some(VersionState::Withdrawn)
+        };
+        let out = lock(&self.queue).withdraw_where(withdrawn);
+        drop(runs);
+        for run in out {
+            let version = lock(&self.runs)
+                .remove(&run)
+                .map(|waiting| waiting.version());
+            let refusal = Refusal::VersionWithdrawn(version.unwrap_or_default());
+            self.outboxes
+                .push(run, pondwalk_wire::FrameKind::NotRun(refusal));
+        }
+    }
+
+    /// Adds one to a counter.
+    pub fn count(&self, name: &str) {
+        // NB: a counter that cannot be sent is not worth failing for.
+        let _ = self.metrics.incr(name);
+    }
+}
+
+/// Locks a mutex; a panic elsewhere does not spread.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/agent/src/serve.rs
@@ -0,0 +1,116 @@
+//! The calls that entries make.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::StreamExt;
+use pondwalk_types::{Generation, RequestId};
+use pondwalk_wire::{
+    Agent, AgentStatus, Configuration, FrameBatch, HeldBill, RatingReport, RunKey, StartReply,
+    StartRequest, TakeFrames, channel,
+};
+use tarpc::{context::Context, server::Channel};
+use tokio::net::TcpListener;
+
+use crate::{
+    core::{Core, lock},
+    runs,
+};
+
+/// Longest wait of one call for frames.
+const LONGEST_TAKE: Duration = Duration::from_secs(30);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves calls on every connection that is accepted.
+pub async fn serve(listener: TcpListener, core: Arc<Core>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            core.count("accept.failed");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(channel) = channel(stream) else {
+            continue;
+        };
+        let calls = channel.execute(Server { core: core.clone() }.serve());
+        tokio::spawn(calls.for_each(|call| async {
+            tokio::spawn(call);
+        }));
+    }
+}
+
+#[derive(Clone)]
+struct Server {
+    core: Arc<Core>,
+}
+
+impl Agent for Server {
+    async fn start(self, _: Context, request: StartRequest) -> StartReply {
+        let refusal = runs::admit(&self.core, request).err();
+        if refusal.is_some() {
+            self.core.count("runs.refused");
+        }
+        StartReply {
+            refusal,
+            news: self.core.news(),
+        }
+    }
+
+    async fn take(self, _: Context, request: TakeFrames) -> FrameBatch {
+        let request = TakeFrames {
+            wait: request.wait.min(LONGEST_TAKE),
+            ..request
+        };
+        let frames = self.core.outboxes.take(request).await;
+        FrameBatch {
+            news: self.core.news(),
+            frames,
+        }
+    }
+
+    async fn cancel(self, _: Context, run: RunKey) {
+        runs::cancel(&self.core, run);
+    }
+
+    async fn hold_bill(self, _: Context, bill: HeldBill) {
+        lock(&self.core.bills).insert(bill.request.clone(), bill);
+    }
+
+    async fn release_bills(self, _: Context, requests: Vec<RequestId>) {
+        let mut bills = lock(&self.core.bills);
+        for request in requests {
+            bills.remove(&request);
+        }
+    }
+
+    async fn rate(self, _: Context, report: RatingReport) {
+        let version = &report.version;
+        let before = lock(&self.core.trials).is_tripped(version);
+        lock(&self.core.trials).rate(self.core.now(), &report);
+        if !before && lock(&self.core.trials).is_tripped(version) {
+            spdlog::warn!("version tripped", kv: { version = version.as_str() });
+            self.core.outboxes.wake_all();
+        }
+    }
+
+    async fn status(self, _: Context) -> AgentStatus {
+        let settings = &self.core.settings;
+        AgentStatus {
+            server: settings.server.clone(),
+            data_centre: settings.data_centre.clone(),
+            versions: settings.versions.clone(),
+            slots: settings.slots,
+            news: self.core.news(),
+        }
+    }
+
+    async fn configure(self, _: Context, configuration: Configuration) -> Generation {
+        self.core.configure(configuration)
+    }
+
+    async fn configuration(self, _: Context) -> Option<Configuration> {
+        self.core
+            .configuration()
+            .map(|current| Configuration::clone(&current))
+    }
+}
--- a/crates/config/src/agent.rs
+++ b/crates/config/src/agent.rs
@@ -84,8 +84,6 @@
     pub drain: Duration,
     /// How long an answer that no entry fetches is kept.
     pub retain: Duration,
-    /// How long the last confirmed configuration may be acted on.
-    pub config_bound: Duration,
     /// The platform's key-value service.
     pub store: StoreSettings,
     /// Counters, spans and logs.
@@ -122,7 +120,6 @@
     let order_check = file.or(BACKEND, "order_check", "fence or none", OrderCheck::None);
     let drain = file.millis(SECTION, "drain_ms", 120_000);
     let retain = file.millis(SECTION, "retain_ms", 30_000);
-    let config_bound = file.millis(SECTION, "config_bound_ms", 3_600_000);
     let store = StoreSettings::read(file);
     let telemetry = TelemetrySettings::read(file);
     Some(AgentSettings {
@@ -139,7 +136,6 @@
         order_check,
         drain,
         retain,
-        config_bound,
         store: store?,
         telemetry,
     })
--- a/crates/config/src/entry.rs
+++ b/crates/config/src/entry.rs
@@ -40,10 +40,12 @@
     pub rating: Option<SocketAddr>,
     /// Share of answers sent to it, from 0 to 1.
     pub rating_share: f64,
+    /// How long the entry is unready before it stops accepting, on a planned stop.
+    pub unready_notice: Duration,
     /// How often an agent that carried no traffic is asked for its load.
     pub heartbeat: Duration,
-    /// How long the last confirmed configuration may be acted on.
-    pub config_bound: Duration,
+    /// How long the last confirmed configuration may be acted on; without limit if absent.
+    pub config_bound: Option<Duration>,
     /// Limits towards callers.
     pub limits: Limits,
     /// Counters, spans and logs.
@@ -82,8 +84,9 @@
     let instances_every = file.millis("instances", "every_ms", 2_000);
     let rating = file.optional("rating", "address", ADDRESS);
     let rating_share = file.within("rating", "share", "a number from 0 to 1", (0.0, 1.0), 1.0);
+    let unready_notice = file.millis(SECTION, "unready_notice_ms", 2_000);
     let heartbeat = file.millis(SECTION, "heartbeat_ms", 1_000);
-    let config_bound = file.millis(SECTION, "config_bound_ms", 3_600_000);
+    let config_bound = file.optional_millis(SECTION, "config_bound_ms");
     let limits = Limits::read(file);
     let telemetry = TelemetrySettings::read(file);
     Some(EntrySettings {
@@ -98,6 +101,7 @@
         instances_every,
         rating,
         rating_share,
+        unready_notice,
         heartbeat,
         config_bound,
         limits,
--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -145,6 +145,12 @@
         Duration::from_millis(self.within(section, key, expected, bounds, default_ms))
     }
 
+    /// A time in milliseconds of at least one, or nothing.
+    pub fn optional_millis(&mut self, section: &str, key: &str) -> Option<Duration> {
+        self.text(section, key)?;
+        Some(self.millis(section, key, 1))
+    }
+
     /// A value that must be there; `None` once the fault is recorded.
     pub fn required<T: FromStr>(
         &mut self,
--- a/crates/decide/src/flight.rs
+++ b/crates/decide/src/flight.rs
@@ -29,6 +29,8 @@
     pub(crate) avoid: Vec<ServerIx>,
     pub(crate) refusals: usize,
     pub(crate) run: Option<Run>,
+    /// Whether the newest run started with no answer in hand and nothing to wait for.
+    pub(crate) shown_at_once: bool,
     pub(crate) answer: Option<Answer>,
     /// The rated answer that was in hand before it.
     pub(crate) former: Option<Answer>,
@@ -83,6 +85,11 @@
         self.tried.len()
     }
 
+    /// Whether the answer in hand came from the first run and was not to be held.
+    pub fn shown_at_once(&self) -> bool {
+        self.shown_at_once
+    }
+
     /// Number of the run whose answer is to be delivered, from zero, if one is in hand.
     pub fn answer_run(&self) -> Option<usize> {
         self.answer.map(|answer| answer.run)
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -30,4 +30,4 @@
 pub use flight::{Flight, Receipt};
 pub use request::{Finished, Next, Request, ServerReport, Step};
 pub use router::{Router, RouterCounters};
-pub use trial::{Trial, TrialStage, Trip};
+pub use trial::{Baseline, Reference, Trial, TrialStage, Trip};
--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -131,6 +131,14 @@
             .map(|r| &r.trial)
     }
 
+    /// Takes over a trip that an agent reported; no effect on versions that are not on trial.
+    pub fn trip(&mut self, now: Duration, version: &str, cause: Trip) {
+        let version = self.versions.find(version);
+        if let Some(roll_out) = version.and_then(|version| self.roll_out_mut(version)) {
+            roll_out.trial.trip(now, cause);
+        }
+    }
+
     /// Versions that have tripped, with the cause.
     pub fn trips(&self) -> Vec<(VersionId, Trip)> {
         let tripped = self
--- a/crates/decide/src/router/steps.rs
+++ b/crates/decide/src/router/steps.rs
@@ -206,6 +206,7 @@
             avoid: Vec::new(),
             refusals: 0,
             run: None,
+            shown_at_once: false,
             answer: None,
             former: None,
             booked: None,
@@ -558,6 +559,7 @@
             workspace.spend.reserve(choice.cost);
         }
         flight.tried.push(version);
+        flight.shown_at_once = !choice.hold && flight.answer.is_none();
         flight.run = Some(Run {
             version,
             server,
--- a/crates/decide/src/trial.rs
+++ b/crates/decide/src/trial.rs
@@ -26,6 +26,8 @@
     Failures,
     /// Too many answers were late.
     Lateness,
+    /// An agent's own test stopped it.
+    Agent,
 }
 
 /// How far a trial has come.
@@ -60,6 +62,41 @@
     }
 }
 
+/// Ratings of one version on one task, gathered to serve as a reference.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Baseline {
+    ratings: f64,
+    sum: f64,
+    sum_of_squares: f64,
+}
+
+impl Baseline {
+    /// Takes in a rating.
+    pub fn add(&mut self, quality: f64) {
+        const WINDOW: f64 = 600.0;
+        if self.ratings >= WINDOW {
+            self.ratings *= 0.5;
+            self.sum *= 0.5;
+            self.sum_of_squares *= 0.5;
+        }
+        self.ratings += 1.0;
+        self.sum += quality;
+        self.sum_of_squares += quality * quality;
+    }
+
+    /// What later ratings of another version are compared with.
+    pub fn reference(&self) -> Reference {
+        let ratings = self.ratings.max(1.0);
+        let mean = self.sum / ratings;
+        let variance = (self.sum_of_squares / ratings - mean * mean).max(0.0);
+        Reference {
+            ratings: self.ratings,
+            mean,
+            deviation: variance.sqrt(),
+        }
+    }
+}
+
 /// State of one version's trial.
 #[derive(Debug, Clone, Copy)]
 pub struct Trial {
@@ -191,7 +228,8 @@
         };
     }
 
-    fn trip(&mut self, now: Duration, cause: Trip) {
+    /// Stops the version for good, unless it is stopped already.
+    pub fn trip(&mut self, now: Duration, cause: Trip) {
         if !matches!(self.stage, TrialStage::Tripped(_)) {
             self.stage = TrialStage::Tripped(cause);
             self.tripped_at = Some(now);
--- /dev/null
+++ b/crates/demo/src/deployment.rs
@@ -0,0 +1,355 @@
+//! A deployment: stand-ins, agents and entries.
+
+use std::{collections::BTreeMap, io, net::SocketAddr, path::Path, time::Duration};
+
+use cadence::{NopMetricSink, StatsdClient};
+use pondwalk_agent::{AgentError, RunningAgent};
+use pondwalk_config::{
+    AgentSettings, ConfigError, EntrySettings, PolicyRecord, RawFile, policy_from_ini,
+};
+use pondwalk_entry::{EntryError, RunningEntry};
+use pondwalk_generations::{ChangeError, OnRace, change, replace};
+use pondwalk_standin::{
+    Engine, InstanceList, KvStore, ListedInstance, PlainService, RatingService, VersionProfile,
+    kv::KvServer,
+};
+use pondwalk_store::{Store, http_transport};
+use thiserror::Error;
+
+/// Delay of the list of instances.
+const LIST_LAG: Duration = Duration::from_millis(500);
+/// Time that the store may take.
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time that a rating takes.
+const RATING_DELAY: Duration = Duration::from_millis(20);
+/// Key that signs session pins in these deployments.
+const SIGNING_KEY: &str = "a key for loopback only";
+
+/// Why a deployment could not be started.
+#[derive(Debug, Error)]
+pub enum DeploymentError {
+    /// A stand-in could not listen.
+    #[error("a stand-in cannot listen: {0}")]
+    Standin(#[from] io::Error),
+    /// Settings were refused.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// An agent could not start.
+    #[error(transparent)]
+    Agent(#[from] AgentError),
+    /// An entry could not start.
+    #[error(transparent)]
+    Entry(#[from] EntryError),
+    /// The policy was not accepted.
+    #[error(transparent)]
+    Change(#[from] ChangeError),
+}
+
+/// One backend server of a plan.
+#[derive(Debug, Clone)]
+pub struct ServerPlan {
+    /// Its name.
+    pub server: String,
+    /// Where it is.
+    pub data_centre: String,
+    /// Versions hosted, with how they answer; empty for a plain service.
+    pub versions: BTreeMap<String, VersionProfile>,
+    /// Name of the plain service, if it is one.
+    pub service: Option<String>,
+    /// Requests run at a time.
+    pub slots: u32,
+}
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Backend servers.
+    pub servers: Vec<ServerPlan>,
+    /// Number of entries.
+    pub entries: usize,
+    /// Policy in INI.
+    pub policy_ini: String,
+    /// Further lines for the settings of entries.
+    pub entry_ini: String,
+}
+
+/// A backend server with its agent.
+#[derive(Debug)]
+pub struct ServerUnit {
+    /// Its name.
+    pub server: String,
+    /// The engine, unless it is a plain service.
+    pub engine: Option<Engine>,
+    /// The plain service, if it is one.
+    pub service: Option<PlainService>,
+    /// The agent; `None` once it was stopped.
+    pub agent: Option<RunningAgent>,
+    settings: AgentSettings,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The platform's key-value service.
+    pub kv: KvServer,
+    /// The list of instances.
+    pub instances: InstanceList,
+    /// The rating service.
+    pub rating: RatingService,
+    /// Backend servers and agents.
+    pub servers: Vec<ServerUnit>,
+    /// Entries; `None` once one was stopped.
+    pub entries: Vec<Option<RunningEntry>>,
+    entry_ini: String,
+}
+
+impl Deployment {
+    /// Starts everything and applies the policy.
+    pub async fn start(plan: &Plan) -> Result<Self, DeploymentError> {
+        let kv = KvStore::default().listen().await?;
+        let rating = RatingService::start(RATING_DELAY).await?;
+        let mut servers = Vec::with_capacity(plan.servers.len());
+        for server in &plan.servers {
+            servers.push(start_server(server, kv.address()).await?);
+        }
+        let listed = servers
+            .iter()
+            .zip(&plan.servers)
+            .map(|(unit, plan)| listed(unit, plan));
+        let instances = InstanceList::start(LIST_LAG, listed.collect()).await?;
+        let mut deployment = Deployment {
+            kv,
+            instances,
+            rating,
+            servers,
+            entries: Vec::new(),
+            entry_ini: plan.entry_ini.clone(),
+        };
+        deployment.apply(&plan.policy_ini).await?;
+        for _ in 0..plan.entries {
+            deployment.add_entry().await?;
+        }
+        Ok(deployment)
+    }
+
+    /// Starts one more entry.
+    pub async fn add_entry(&mut self) -> Result<(), DeploymentError> {
+        let number = self.entries.len();
+        let text = format!(
+            "[entry]\ninstance = entry-{number}\ndata_centre = dc{}\nlisten = 127.0.0.1:0\n\
+             heartbeat_ms = 200\nunready_notice_ms = 200\n\
+             [sessions]\nsigning_key = {SIGNING_KEY}\n\
+             [store]\naddress = {}\n[instances]\naddress = {}\nevery_ms = 300\n\
+             [rating]\naddress = {}\n{}\n",
+            number % 3 + 1,
+            self.kv.address(),
+            self.instances.address(),
+            self.rating.address(),
+            self.entry_ini,
+        );
+        let settings = EntrySettings::try_from(RawFile::parse(Path::new("entry.ini"), &text)?)?;
+        let store = Store::new(http_transport(self.kv.address()), STORE_TIMEOUT);
+        // NB: roles own runtimes, which must not be made on a thread that runs one.
+        let entry =
+            tokio::task::spawn_blocking(move || RunningEntry::start(settings, store, no_metrics()));
+        self.entries
+            .push(Some(entry.await.map_err(io::Error::other)??));
+        Ok(())
+    }
+
+    /// Makes a policy the next generation.
+    pub async fn apply(&self, policy_ini: &str) -> Result<PolicyRecord, DeploymentError> {
+        let policy = policy_from_ini(RawFile::parse(Path::new("policy.ini"), policy_ini)?)?;
+        let edit = |current: &_| Ok(replace(current, &policy, &[]));
+        Ok(change(&self.store(), rand::random(), OnRace::Report, edit).await?)
+    }
+
+    /// A handle on the platform's store.
+    pub fn store(&self) -> Store {
+        Store::new(self.kv.store.transport(), STORE_TIMEOUT)
+    }
+
+    /// Addresses of the entries that run.
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        self.entries
+            .iter()
+            .flatten()
+            .map(RunningEntry::address)
+            .collect()
+    }
+
+    /// Whether every entry would be sent callers by the balancer.
+    pub fn is_ready(&self) -> bool {
+        self.entries.iter().flatten().all(RunningEntry::is_ready)
+    }
+
+    /// Waits until all entries are ready and connected to all agents, at most for `limit`.
+    pub async fn wait_ready(&self, limit: Duration) -> bool {
+        const POLL: Duration = Duration::from_millis(20);
+        let agents = self
+            .servers
+            .iter()
+            .filter(|unit| unit.agent.is_some())
+            .count();
+        let ready = async {
+            for address in self.entry_addresses() {
+                while connected_agents(address).await < agents {
+                    tokio::time::sleep(POLL).await;
+                }
+            }
+            while !self.is_ready() {
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        tokio::time::timeout(limit, ready).await.is_ok()
+    }
+
+    /// Stops an agent as planned; returns whether it ended cleanly.
+    pub async fn drain_agent(&mut self, server: usize) -> bool {
+        let unit = &mut self.servers[server];
+        match unit.agent.take() {
+            Some(agent) => agent.drain().await,
+            None => true,
+        }
+    }
+
+    /// Stops an agent at once, as a failure would.
+    pub async fn kill_agent(&mut self, server: usize) {
+        if let Some(agent) = self.servers[server].agent.take() {
+            // NB: dropping joins a thread, so not on this one.
+            let _ = tokio::task::spawn_blocking(move || drop(agent)).await;
+        }
+    }
+
+    /// Starts an agent again beside its backend server, at a new address.
+    pub async fn restart_agent(&mut self, server: usize) -> Result<(), DeploymentError> {
+        let unit = &mut self.servers[server];
+        let agent = start_agent(unit.settings.clone(), self.kv.address()).await?;
+        let address = agent.address();
+        unit.agent = Some(agent);
+        let name = unit.server.clone();
+        self.instances.change(|list| {
+            for instance in list.iter_mut().filter(|instance| instance.instance == name) {
+                instance.address = address;
+            }
+        });
+        Ok(())
+    }
+
+    /// Stops an entry at once, as a failure would.
+    pub async fn kill_entry(&mut self, entry: usize) {
+        if let Some(entry) = self.entries[entry].take() {
+            // NB: dropping joins a thread, so not on this one.
+            let _ = tokio::task::spawn_blocking(move || drop(entry)).await;
+        }
+    }
+
+    /// Stops an entry as planned; returns whether it ended cleanly.
+    pub async fn drain_entry(&mut self, entry: usize) -> bool {
+        match self.entries[entry].take() {
+            Some(entry) => entry.drain().await,
+            None => true,
+        }
+    }
+
+    /// Ids of all requests that any backend server ran, with the version that ran them.
+    pub fn runs(&self) -> Vec<(String, String)> {
+        let mut runs = Vec::new();
+        for unit in &self.servers {
+            if let Some(engine) = &unit.engine {
+                runs.extend(
+                    engine
+                        .log()
+                        .into_iter()
+                        .map(|line| (line.request, line.version)),
+                );
+            }
+            if let Some(service) = &unit.service {
+                let name = unit.settings.versions[0].clone();
+                runs.extend(
+                    service
+                        .log()
+                        .into_iter()
+                        .map(|request| (request, name.clone())),
+                );
+            }
+        }
+        runs
+    }
+}
+
+/// Agents that an entry is connected to.
+async fn connected_agents(entry: SocketAddr) -> usize {
+    let status = reqwest::get(format!("http://{entry}/status")).await;
+    let Ok(status) = status else {
+        return 0;
+    };
+    let status: serde_json::Value = status.json().await.unwrap_or_default();
+    let agents = status["agents"]
+        .as_array()
+        .map(Vec::as_slice)
+        .unwrap_or_default();
+    agents
+        .iter()
+        .filter(|agent| agent["connected"] == true)
+        .count()
+}
+
+async fn start_server(plan: &ServerPlan, kv: SocketAddr) -> Result<ServerUnit, DeploymentError> {
+    const SERVICE_TIME: Duration = Duration::from_millis(5);
+    let (engine, service, backend, kind, versions) = match &plan.service {
+        Some(name) => {
+            let service = PlainService::start(SERVICE_TIME).await?;
+            let address = service.address();
+            (None, Some(service), address, "service", name.clone())
+        }
+        None => {
+            let engine = Engine::start(plan.versions.clone()).await?;
+            let address = engine.address();
+            let versions: Vec<&str> = plan.versions.keys().map(String::as_str).collect();
+            (Some(engine), None, address, "engine", versions.join(", "))
+        }
+    };
+    let text = format!(
+        "[agent]\nserver = {}\ndata_centre = {}\nlisten = 127.0.0.1:0\nretain_ms = 10000\n\
+         [backend_server]\naddress = {backend}\nkind = {kind}\nversions = {versions}\nslots = {}\n\
+         [store]\naddress = {kv}\n",
+        plan.server, plan.data_centre, plan.slots,
+    );
+    let settings = AgentSettings::try_from(RawFile::parse(Path::new("agent.ini"), &text)?)?;
+    let agent = start_agent(settings.clone(), kv).await?;
+    let server = plan.server.clone();
+    Ok(ServerUnit {
+        server,
+        engine,
+        service,
+        agent: Some(agent),
+        settings,
+    })
+}
+
+async fn start_agent(
+    settings: AgentSettings,
+    kv: SocketAddr,
+) -> Result<RunningAgent, DeploymentError> {
+    let store = Store::new(http_transport(kv), STORE_TIMEOUT);
+    // NB: roles own runtimes, which must not be made on a thread that runs one.
+    let agent =
+        tokio::task::spawn_blocking(move || RunningAgent::start(settings, store, no_metrics()));
+    Ok(agent.await.map_err(io::Error::other)??)
+}
+
+fn listed(unit: &ServerUnit, plan: &ServerPlan) -> ListedInstance {
+    let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+    ListedInstance {
+        instance: unit.server.clone(),
+        role: "agent".to_owned(),
+        data_centre: plan.data_centre.clone(),
+        address: unit.agent.as_ref().map_or(unset, RunningAgent::address),
+        state: "live".to_owned(),
+    }
+}
+
+fn no_metrics() -> StatsdClient {
+    StatsdClient::from_sink("pondwalk", NopMetricSink)
+}
--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,208 @@
+//! The control thread: configurations, instances, heartbeats, trips and bills.
+
+use std::{collections::HashSet, io, sync::Arc, thread::JoinHandle, time::Duration};
+
+use pondwalk_config::PolicyRecord;
+use pondwalk_generations::{ChangeError, OnRace, change, read_head, withdraw};
+use pondwalk_store::Watched;
+use pondwalk_types::VersionState;
+use pondwalk_wire::Configuration;
+use tokio::{
+    sync::oneshot,
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+use crate::{
+    bills,
+    core::{Core, lock},
+    instances::{Instance, InstanceState, Role, read_list},
+    link::Link,
+};
+
+/// How often bills are written.
+const BILLS_EVERY: Duration = Duration::from_millis(500);
+/// How often trips are looked for.
+const TRIPS_EVERY: Duration = Duration::from_millis(200);
+/// Pause after the store failed.
+const STORE_PAUSE: Duration = Duration::from_millis(500);
+
+/// The entry's control thread.
+#[derive(Debug)]
+pub struct ControlThread {
+    stop: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl ControlThread {
+    /// Starts the thread.
+    pub fn start(core: Arc<Core>) -> io::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let (stop, stopped) = oneshot::channel();
+        let thread = std::thread::Builder::new()
+            .name("entry-control".into())
+            .spawn(move || {
+                runtime.block_on(async {
+                    tokio::select! {
+                        () = watch_configuration(&core) => {}
+                        () = watch_instances(&core) => {}
+                        () = exchange_generations(&core) => {}
+                        () = publish_trips(&core) => {}
+                        () = write_bills(&core) => {}
+                        _ = stopped => {}
+                    }
+                });
+            })?;
+        Ok(ControlThread { stop, thread })
+    }
+
+    /// Ends the thread.
+    pub fn stop(self) {
+        // NB: the thread may have ended already, and then there is nobody to tell.
+        let _ = self.stop.send(());
+        let _ = self.thread.join();
+    }
+}
+
+/// Follows the head record of the store.
+async fn watch_configuration(core: &Arc<Core>) {
+    let mut revision = 0;
+    loop {
+        match follow_head(core, revision).await {
+            Ok(seen) => revision = seen,
+            Err(_) => {
+                core.count("store.failed");
+                sleep(STORE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads the head, installs it, and waits for the next change; returns the revision seen.
+async fn follow_head(core: &Arc<Core>, known: u64) -> Result<u64, ChangeError> {
+    let head = read_head(&core.store).await?;
+    core.confirm();
+    let revision = head.revision.unwrap_or(known);
+    let PolicyRecord {
+        generation, policy, ..
+    } = head.record;
+    if core.install(Configuration { generation, policy }) {
+        offer_to_all(core);
+    }
+    let wait = core.settings.store.watch_wait;
+    let watched = core
+        .store
+        .watch(pondwalk_config::HEAD_KEY, revision, wait)
+        .await?;
+    if watched == Watched::Quiet {
+        core.confirm();
+    }
+    Ok(revision)
+}
+
+/// Offers the configuration in force to every agent that is behind.
+fn offer_to_all(core: &Arc<Core>) {
+    let Some(installed) = core.installed() else {
+        return;
+    };
+    let generation = installed.configuration.generation;
+    for link in core.fleet.all() {
+        if link.is_connected() && link.generation() < generation {
+            let configuration = installed.configuration.clone();
+            core.traffic
+                .spawn(async move { link.configure(configuration).await });
+        }
+    }
+}
+
+/// Takes newer configurations over from agents, and hands them to those behind.
+async fn exchange_generations(core: &Arc<Core>) {
+    let mut ticks = interval(core.settings.heartbeat);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let ahead = core
+            .fleet
+            .all()
+            .into_iter()
+            .find(|l| l.generation() > core.generation());
+        if let Some(client) = ahead.and_then(|link| link.client())
+            && let Ok(Some(newer)) = client.configuration(Link::call_context()).await
+        {
+            core.install(newer);
+        }
+        offer_to_all(core);
+    }
+}
+
+/// Follows the list of instances.
+async fn watch_instances(core: &Arc<Core>) {
+    let client = reqwest::Client::new();
+    let mut ticks = interval(core.settings.instances_every);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        match read_list(&client, core.settings.instances).await {
+            Ok(list) => take_in(core, &list),
+            Err(_) => core.count("instances.failed"),
+        }
+    }
+}
+
+fn take_in(core: &Arc<Core>, list: &[Instance]) {
+    let agents = list.iter().filter(|instance| instance.role == Role::Agent);
+    let mut listed = HashSet::new();
+    for agent in agents {
+        listed.insert(agent.instance.clone());
+        core.fleet.open(core, &agent.instance, agent.address);
+        if agent.state == InstanceState::Leaving {
+            lock(&core.router).server_leaving(&agent.instance);
+        }
+    }
+    core.fleet.close_unlisted(&listed);
+}
+
+/// Withdraws, for everyone, versions that a test has stopped.
+async fn publish_trips(core: &Arc<Core>) {
+    let mut ticks = interval(TRIPS_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let trips = lock(&core.router).trips();
+        for (version, cause) in trips {
+            let withdrawn = core.installed().is_some_and(|installed| {
+                let spec = installed.configuration.policy.versions.get(&version);
+                spec.is_some_and(|spec| spec.state == VersionState::Withdrawn)
+            });
+            if withdrawn {
+                continue;
+            }
+            let edit = |policy: &_| withdraw(policy, &version);
+            match change(&core.store, rand::random(), OnRace::Repeat, edit).await {
+                Ok(record) => {
+                    let cause = format!("{cause:?}");
+                    spdlog::warn!("version stopped", kv: { version = version.as_str(), cause = cause.as_str() });
+                    let PolicyRecord {
+                        generation, policy, ..
+                    } = record;
+                    core.install(Configuration { generation, policy });
+                    offer_to_all(core);
+                }
+                Err(_) => core.count("trips.unpublished"),
+            }
+        }
+    }
+}
+
+/// Writes bills while there are any.
+async fn write_bills(core: &Arc<Core>) {
+    let mut ticks = interval(BILLS_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if bills::flush(core).await.is_err() {
+            core.count("bills.flush_failed");
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,151 @@
-//! placeholder
+//! The entry: the process that callers reach.
+//!
+//! It checks who calls, decides which version and backend server answer, hands the work to that
+//! server's agent, streams or holds the answer, and bills it once. Nothing that must last is kept
+//! here: sessions carry their own pins, and bills are held by an agent too until they are durable.
+
+mod answer;
+mod bills;
+mod claim;
+mod control;
+mod core;
+mod fleet;
+mod http;
+mod incoming;
+pub mod instances;
+mod link;
+mod pins;
+mod rating;
+mod serve;
+mod step;
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use cadence::StatsdClient;
+use pondwalk_config::EntrySettings;
+use pondwalk_store::Store;
+use thiserror::Error;
+use tokio::{runtime::Runtime, sync::oneshot, task::JoinHandle};
+
+use crate::core::Core;
+
+/// Why an entry could not start.
+#[derive(Debug, Error)]
+pub enum EntryError {
+    /// Its address cannot be listened on.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// Threads could not be started.
+    #[error("cannot start threads: {0}")]
+    Threads(io::Error),
+}
+
+/// A running entry; dropping it stops it at once, as a failure would.
+#[derive(Debug)]
+pub struct RunningEntry {
+    address: SocketAddr,
+    core: Arc<Core>,
+    traffic: Option<Runtime>,
+    control: Option<control::ControlThread>,
+    close: Option<oneshot::Sender<()>>,
+    server: Option<JoinHandle<io::Result<()>>>,
+}
+
+impl RunningEntry {
+    /// Starts an entry on threads of its own.
+    pub fn start(
+        settings: EntrySettings,
+        store: Store,
+        metrics: StatsdClient,
+    ) -> Result<Self, EntryError> {
+        let address = settings.listen;
+        let traffic = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(settings.threads)
+            .thread_name("entry-traffic")
+            .enable_all()
+            .build()
+            .map_err(EntryError::Threads)?;
+        let guard = traffic.enter();
+        let core = Arc::new(Core::new(
+            settings,
+            store,
+            metrics,
+            traffic.handle().clone(),
+        ));
+        drop(guard);
+        let listening = traffic.block_on(http::bind(core.clone()));
+        let listening = listening.map_err(|source| EntryError::Listen { address, source })?;
+        let address = listening.address;
+        let (close, closed) = oneshot::channel();
+        let server = traffic.spawn(listening.run(closed));
+        let control = control::ControlThread::start(core.clone()).map_err(EntryError::Threads)?;
+        spdlog::info!("entry started", kv: { instance = core.settings.instance.as_str() });
+        Ok(RunningEntry {
+            address,
+            core,
+            traffic: Some(traffic),
+            control: Some(control),
+            close: Some(close),
+            server: Some(server),
+        })
+    }
+
+    /// Where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether a configuration is in force and some server is connected.
+    pub fn is_ready(&self) -> bool {
+        self.core.is_ready()
+    }
+
+    /// Tells the balancer to send no more, finishes what is under way, and stops.
+    ///
+    /// Returns whether all of it ended within the settings' limit.
+    pub async fn drain(mut self) -> bool {
+        self.core.begin_drain();
+        tokio::time::sleep(self.core.settings.unready_notice).await;
+        let limit = self.core.settings.limits.drain;
+        if let Some(close) = self.close.take() {
+            // NB: the server may have failed already, and then there is nothing to close.
+            let _ = close.send(());
+        }
+        let ended = match self.server.take() {
+            Some(server) => tokio::time::timeout(limit, server).await.is_ok(),
+            None => true,
+        };
+        let billed = tokio::time::timeout(limit, self.write_bills())
+            .await
+            .is_ok();
+        self.stop();
+        ended && billed
+    }
+
+    async fn write_bills(&self) {
+        const POLL: Duration = Duration::from_millis(20);
+        while self.core.bills.backlog() > 0 {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    fn stop(&mut self) {
+        if let Some(control) = self.control.take() {
+            control.stop();
+        }
+        if let Some(traffic) = self.traffic.take() {
+            traffic.shutdown_background();
+        }
+    }
+}
+
+impl Drop for RunningEntry {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,1 +1,10 @@
-//! placeholder
+//! What must be counted exactly once, over a store that may be down or lose its answers: bills,
+//! and claims on idempotency keys.
+
+pub mod bills;
+pub mod claims;
+mod commit;
+
+pub use bills::{Bill, BillBook, BillItem, Ledger, read_ledger};
+pub use claims::{ClaimTicket, Claims};
+pub use commit::{CreateOutcome, create_once};
--- /dev/null
+++ b/crates/pondwalk/src/commands/change.rs
@@ -0,0 +1,106 @@
+//! `pondwalk apply`, `roll-out` and `withdraw`: changes of the configuration.
+
+use pondwalk_config::{PolicyRecord, RawFile, policy_from_ini};
+use pondwalk_generations::{
+    EditError, OnRace, add_roll_out, change, replace, withdraw as withdraw_edit,
+};
+use pondwalk_types::{Policy, RollOut};
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::{
+    block_on,
+    status::{ProcessStatus, processes},
+    store,
+};
+use crate::{
+    exit::Exit,
+    options::{ApplyOptions, ChangeOptions, RollOutOptions, WithdrawOptions},
+};
+
+/// Makes a policy file the next generation.
+pub fn apply(options: &ApplyOptions) -> anyhow::Result<Exit> {
+    let file = policy_from_ini(RawFile::load(&options.policy)?)?;
+    let edit = |current: &Policy| Ok(replace(current, &file, &options.reinstate));
+    make(&options.change, OnRace::Report, edit)
+}
+
+/// Starts a roll-out.
+pub fn roll_out(options: &RollOutOptions) -> anyhow::Result<Exit> {
+    let roll_out = RollOut {
+        version: options.version.clone(),
+        replaces: options.replaces.clone(),
+    };
+    make(&options.change, OnRace::Repeat, |current| {
+        add_roll_out(current, &roll_out)
+    })
+}
+
+/// Withdraws a version.
+pub fn withdraw(options: &WithdrawOptions) -> anyhow::Result<Exit> {
+    make(&options.change, OnRace::Repeat, |current| {
+        withdraw_edit(current, &options.version)
+    })
+}
+
+fn make(
+    options: &ChangeOptions,
+    on_race: OnRace,
+    edit: impl Fn(&Policy) -> Result<Policy, EditError>,
+) -> anyhow::Result<Exit> {
+    block_on(async {
+        let record = change(&store(options.store), rand::random(), on_race, edit).await?;
+        let behind = wait_in_force(options, &record).await;
+        print(options, &record, &behind);
+        Ok(if behind.is_empty() {
+            Exit::Success
+        } else {
+            Exit::Unmet
+        })
+    })
+}
+
+/// Waits until every live process has the generation; returns those that do not in time.
+async fn wait_in_force(options: &ChangeOptions, record: &PolicyRecord) -> Vec<ProcessStatus> {
+    const POLL: std::time::Duration = std::time::Duration::from_millis(50);
+    let Some(instances) = options.wait_for else {
+        return Vec::new();
+    };
+    let until = Instant::now() + options.wait_limit;
+    loop {
+        let behind = match processes(instances).await {
+            Ok(all) => all
+                .into_iter()
+                .filter(|process| !process.has(record.generation))
+                .collect(),
+            Err(_) => vec![ProcessStatus::list_unreadable()],
+        };
+        if behind.is_empty() || Instant::now() >= until {
+            return behind;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+fn print(options: &ChangeOptions, record: &PolicyRecord, behind: &[ProcessStatus]) {
+    let waited = options.wait_for.is_some();
+    let in_force = waited.then_some(behind.is_empty());
+    if options.json {
+        let names: Vec<&String> = behind.iter().map(|process| &process.instance).collect();
+        let body = json!({
+            "generation": record.generation, "in_force": in_force, "behind": names,
+        });
+        println!("{body}");
+        return;
+    }
+    println!("accepted as generation {}", record.generation);
+    match in_force {
+        Some(true) => println!("in force everywhere"),
+        Some(false) => {
+            for process in behind {
+                eprintln!("not in force at {process}");
+            }
+        }
+        None => {}
+    }
+}
--- /dev/null
+++ b/crates/pondwalk/src/commands/status.rs
@@ -0,0 +1,165 @@
+//! `pondwalk status`: the configuration in force, and what each process has.
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use pondwalk_entry::instances::{Instance, ListError, Role, read_list};
+use pondwalk_generations::{Head, read_head};
+use pondwalk_types::Generation;
+use pondwalk_wire::connect;
+use serde_json::{Value, json};
+
+use super::{block_on, store};
+use crate::{exit::Exit, options::StatusOptions};
+
+/// Longest time of one question to a process.
+const ASK_LIMIT: Duration = Duration::from_secs(1);
+
+/// What one process has in force.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ProcessStatus {
+    /// Its name.
+    pub instance: String,
+    /// Its role, or what stands in the way of knowing more.
+    pub role: &'static str,
+    /// Generation in force; `None` if it does not answer.
+    pub generation: Option<Generation>,
+    /// Requests running and waiting, where it says so.
+    pub load: Option<u32>,
+}
+
+impl ProcessStatus {
+    /// Whether a generation, or a later one, is in force there.
+    pub fn has(&self, generation: Generation) -> bool {
+        self.generation.is_some_and(|current| current >= generation)
+    }
+
+    /// Stands for all processes while the list of instances cannot be read.
+    pub fn list_unreadable() -> Self {
+        ProcessStatus {
+            instance: "(all)".to_owned(),
+            role: "instance list unreadable",
+            generation: None,
+            load: None,
+        }
+    }
+}
+
+impl fmt::Display for ProcessStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:<8} {:<20}", self.role, self.instance)?;
+        match self.generation {
+            Some(generation) => write!(f, " generation {generation}")?,
+            None => write!(f, " no answer")?,
+        }
+        match self.load {
+            Some(load) => write!(f, ", load {load}"),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Shows what is in force; fails if a process does not answer or is behind.
+pub fn run(options: &StatusOptions) -> anyhow::Result<Exit> {
+    block_on(async {
+        let head = read_head(&store(options.store)).await?;
+        let processes = match options.instances {
+            Some(instances) => processes(instances).await?,
+            None => Vec::new(),
+        };
+        let generation = head.record.generation;
+        if options.json {
+            println!("{}", to_json(&head, &processes));
+        } else {
+            print(&head, &processes);
+        }
+        let behind = processes.iter().any(|process| !process.has(generation));
+        Ok(if behind { Exit::Unmet } else { Exit::Success })
+    })
+}
+
+/// Asks every listed process what it has in force.
+pub async fn processes(instances: SocketAddr) -> Result<Vec<ProcessStatus>, ListError> {
+    let client = reqwest::Client::new();
+    let list = read_list(&client, instances).await?;
+    let asked = list.into_iter().map(|instance| ask(&client, instance));
+    Ok(futures::future::join_all(asked).await)
+}
+
+async fn ask(client: &reqwest::Client, instance: Instance) -> ProcessStatus {
+    let role = match instance.role {
+        Role::Entry => "entry",
+        Role::Agent => "agent",
+    };
+    let answer = async {
+        match instance.role {
+            Role::Entry => ask_entry(client, instance.address).await,
+            Role::Agent => ask_agent(instance.address).await,
+        }
+    };
+    let answer = tokio::time::timeout(ASK_LIMIT, answer).await.ok().flatten();
+    let (generation, load) = match answer {
+        Some((generation, load)) => (Some(generation), load),
+        None => (None, None),
+    };
+    ProcessStatus {
+        instance: instance.instance,
+        role,
+        generation,
+        load,
+    }
+}
+
+async fn ask_entry(
+    client: &reqwest::Client,
+    address: SocketAddr,
+) -> Option<(Generation, Option<u32>)> {
+    let reply = client
+        .get(format!("http://{address}/status"))
+        .send()
+        .await
+        .ok()?;
+    let status: Value = reply.json().await.ok()?;
+    Some((status["generation"].as_u64()?, None))
+}
+
+async fn ask_agent(address: SocketAddr) -> Option<(Generation, Option<u32>)> {
+    let agent = connect(address).await.ok()?;
+    let status = agent.status(tarpc::context::current()).await.ok()?;
+    Some((status.news.generation, Some(status.news.load)))
+}
+
+fn to_json(head: &Head, processes: &[ProcessStatus]) -> Value {
+    let processes: Vec<Value> = processes
+        .iter()
+        .map(|process| {
+            json!({
+                "instance": process.instance,
+                "role": process.role,
+                "generation": process.generation,
+                "load": process.load,
+            })
+        })
+        .collect();
+    json!({
+        "generation": head.record.generation,
+        "versions": head.record.policy.versions,
+        "roll_outs": head.record.policy.roll_outs,
+        "processes": processes,
+    })
+}
+
+fn print(head: &Head, processes: &[ProcessStatus]) {
+    println!("generation {}", head.record.generation);
+    for (version, spec) in &head.record.policy.versions {
+        println!("version  {version:<20} {:?}", spec.state);
+    }
+    for roll_out in &head.record.policy.roll_outs {
+        println!(
+            "roll-out {:<20} replaces {}",
+            roll_out.version, roll_out.replaces
+        );
+    }
+    for process in processes {
+        println!("{process}");
+    }
+}
--- a/crates/pondwalk/src/main.rs
+++ b/crates/pondwalk/src/main.rs
@@ -3,11 +3,12 @@
 mod commands;
 mod exit;
 mod options;
+mod telemetry;
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match options::parse().and_then(commands::run) {
+    match commands::run(options::parse()) {
         Ok(exit) => exit.into(),
         Err(error) => exit::report(&error),
     }
--- a/crates/pondwalk/src/options.rs
+++ b/crates/pondwalk/src/options.rs
@@ -1,47 +1,63 @@
 //! The command line, parsed and checked.
 
+mod operate;
+mod replay;
+mod run;
+
 use std::path::PathBuf;
 
-use clap::{Arg, ArgMatches, Command, builder::PossibleValuesParser, value_parser};
-use pondwalk_replay::PolicyName;
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+pub use operate::{
+    ApplyOptions, ChangeOptions, LedgerOptions, RollOutOptions, StatusOptions, WithdrawOptions,
+};
+pub use replay::ReplayOptions;
+pub use run::{BenchOptions, DemoOptions};
 
 /// What the user asked for.
 #[derive(Debug, Clone)]
 pub enum Options {
+    /// Run an entry with these settings.
+    Entry(PathBuf),
+    /// Run an agent with these settings.
+    Agent(PathBuf),
     /// Check files.
     Check(Vec<PathBuf>),
+    /// Make a policy the next generation.
+    Apply(ApplyOptions),
+    /// Show what is in force.
+    Status(StatusOptions),
+    /// Start a roll-out.
+    RollOut(RollOutOptions),
+    /// Withdraw a version.
+    Withdraw(WithdrawOptions),
+    /// List and total the bills.
+    Ledger(LedgerOptions),
     /// Replay a trace.
     Replay(ReplayOptions),
-}
-
-/// Options of `replay`.
-#[derive(Debug, Clone)]
-pub struct ReplayOptions {
-    /// Which policy decides.
-    pub policy: PolicyName,
-    /// Seed of the policy's random numbers.
-    pub seed: u64,
-    /// Settings.
-    pub settings: PathBuf,
-    /// Stated outcomes, if any.
-    pub outcomes: Option<PathBuf>,
-    /// The trace.
-    pub trace: PathBuf,
+    /// Play a day on stand-ins.
+    Demo(DemoOptions),
+    /// Measure what the way through entry and agent adds.
+    Bench(BenchOptions),
 }
 
 /// Parses the program's arguments; `clap` itself ends the program on `--help` and on misuse.
-pub fn parse() -> anyhow::Result<Options> {
+pub fn parse() -> Options {
     from_matches(&command().get_matches())
 }
 
-fn command() -> Command {
+/// The whole command line.
+pub fn command() -> Command {
     Command::new("pondwalk")
         .version(clap::crate_version!())
         .about("A model-aware router for versions and cascades")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommands(run::role_commands())
         .subcommand(check_command())
-        .subcommand(replay_command())
+        .subcommands(operate::commands())
+        .subcommand(replay::command())
+        .subcommands(run::trial_commands())
 }
 
 fn check_command() -> Command {
@@ -55,34 +71,6 @@
         )
 }
 
-fn replay_command() -> Command {
-    Command::new("replay")
-        .about("Replay a recorded trace through the decision code, in virtual time")
-        .after_help(
-            "Example:\n  pondwalk replay --settings sample_configs/replay/franchise.ini trace.jsonl\n\n\
-             Exit code 0 when all stated outcomes hold, 1 when one does not, 2 on bad input.",
-        )
-        .arg(
-            Arg::new("policy")
-                .long("policy")
-                .value_name("NAME")
-                .help("Policy that decides")
-                .value_parser(PossibleValuesParser::new(PolicyName::NAMES))
-                .default_value(PolicyName::NAMES[0]),
-        )
-        .arg(
-            Arg::new("seed")
-                .long("seed")
-                .value_name("N")
-                .help("Seed of the policy's random numbers")
-                .value_parser(value_parser!(u64))
-                .default_value("1"),
-        )
-        .arg(file("settings", "FILE.ini", "Settings of the replay").long("settings").required(true))
-        .arg(file("outcomes", "FILE.ini", "Outcomes to check after the run").long("outcomes"))
-        .arg(file("trace", "TRACE.jsonl", "The trace").required(true))
-}
-
 fn file(id: &'static str, name: &'static str, help: &'static str) -> Arg {
     Arg::new(id)
         .value_name(name)
@@ -90,27 +78,26 @@
         .value_parser(value_parser!(PathBuf))
 }
 
-fn from_matches(matches: &ArgMatches) -> anyhow::Result<Options> {
+fn path(matches: &ArgMatches, id: &str) -> PathBuf {
+    matches.get_one(id).cloned().unwrap_or_default()
+}
+
+fn from_matches(matches: &ArgMatches) -> Options {
     match matches.subcommand() {
+        Some(("entry", matches)) => Options::Entry(path(matches, "settings")),
+        Some(("agent", matches)) => Options::Agent(path(matches, "settings")),
         Some(("check", matches)) => {
             let files = matches.get_many::<PathBuf>("files").into_iter().flatten();
-            Ok(Options::Check(files.cloned().collect()))
+            Options::Check(files.cloned().collect())
         }
-        Some(("replay", matches)) => Ok(Options::Replay(replay_options(matches))),
+        Some(("apply", matches)) => Options::Apply(operate::apply(matches)),
+        Some(("status", matches)) => Options::Status(operate::status(matches)),
+        Some(("roll-out", matches)) => Options::RollOut(operate::roll_out(matches)),
+        Some(("withdraw", matches)) => Options::Withdraw(operate::withdraw(matches)),
+        Some(("ledger", matches)) => Options::Ledger(operate::ledger(matches)),
+        Some(("replay", matches)) => Options::Replay(replay::options(matches)),
+        Some(("demo", matches)) => Options::Demo(run::demo(matches)),
+        Some(("bench", matches)) => Options::Bench(run::bench(matches)),
         _ => unreachable!("a subcommand is required and all are listed"),
     }
 }
-
-fn replay_options(matches: &ArgMatches) -> ReplayOptions {
-    let policy = matches
-        .get_one::<String>("policy")
-        .and_then(|name| PolicyName::parse(name));
-    let path = |id| matches.get_one::<PathBuf>(id).cloned();
-    ReplayOptions {
-        policy: policy.unwrap_or(PolicyName::Pondwalk),
-        seed: matches.get_one("seed").copied().unwrap_or_default(),
-        settings: path("settings").unwrap_or_default(),
-        outcomes: path("outcomes"),
-        trace: path("trace").unwrap_or_default(),
-    }
-}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,197 @@
+//! A model engine: chat completions over HTTP with server-sent events.
+//!
+//! Its answers start with the quality that they are to be rated with, as `[0.83]`, so that the
+//! stand-in of the rating service can tell.
+
+mod answer;
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use futures::stream;
+use poem::{
+    Body, EndpointExt, Request, Response, Route, handler,
+    http::{StatusCode, header},
+    post,
+    web::Data,
+};
+use serde_json::Value;
+
+use crate::listen::{Listening, listen};
+use answer::Answer;
+
+/// Header that carries the request's id.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// How a version answers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct VersionProfile {
+    /// Time to the first token.
+    pub first_token: Duration,
+    /// Time between tokens.
+    pub token: Duration,
+    /// Tokens of an ordinary answer.
+    pub tokens: u64,
+    /// Mean quality of its answers, from 0 to 1.
+    pub quality: f64,
+}
+
+/// How the engine misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineFaults {
+    /// Factor on all times.
+    pub slowness: f64,
+    /// Factor on the quality of answers.
+    pub quality: f64,
+    /// Answers are refused with 503.
+    pub refuse: bool,
+    /// Answers fail with 500.
+    pub fail: bool,
+    /// Answers break off after this many tokens.
+    pub cut_after: Option<u64>,
+}
+
+impl Default for EngineFaults {
+    fn default() -> Self {
+        EngineFaults {
+            slowness: 1.0,
+            quality: 1.0,
+            refuse: false,
+            fail: false,
+            cut_after: None,
+        }
+    }
+}
+
+/// What became of a request at the engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineEnd {
+    /// It is still running, or its caller went away.
+    Open,
+    /// It ended whole.
+    Whole,
+    /// It failed or broke off.
+    Broken,
+}
+
+/// One line of the engine's own log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineLogLine {
+    /// Id of the request.
+    pub request: String,
+    /// Version that ran it.
+    pub version: String,
+    /// What became of it.
+    pub end: EngineEnd,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    profiles: Mutex<BTreeMap<String, VersionProfile>>,
+    faults: Mutex<EngineFaults>,
+    log: Mutex<Vec<EngineLogLine>>,
+}
+
+/// A listening engine.
+#[derive(Debug)]
+pub struct Engine {
+    shared: Arc<Shared>,
+    listening: Listening,
+}
+
+impl Engine {
+    /// Starts an engine that hosts the given versions.
+    pub async fn start(profiles: BTreeMap<String, VersionProfile>) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            profiles: Mutex::new(profiles),
+            ..Shared::default()
+        });
+        let route = Route::new()
+            .at("/v1/chat/completions", post(complete))
+            .data(shared.clone());
+        Ok(Engine {
+            shared,
+            listening: listen(route).await?,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listening.address
+    }
+
+    /// Changes how it misbehaves.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        *lock(&self.shared.faults) = faults;
+    }
+
+    /// Its own log so far.
+    pub fn log(&self) -> Vec<EngineLogLine> {
+        lock(&self.shared.log).clone()
+    }
+}
+
+#[handler]
+async fn complete(request: &Request, body: Body, shared: Data<&Arc<Shared>>) -> Response {
+    let faults = *lock(&shared.faults);
+    if faults.refuse {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let body: Value = body.into_json().await.unwrap_or_default();
+    let version = body["model"].as_str().unwrap_or_default().to_owned();
+    let Some(profile) = lock(&shared.profiles).get(&version).copied() else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let id = request
+        .header(REQUEST_ID_HEADER)
+        .unwrap_or_default()
+        .to_owned();
+    let line = log_start(&shared, id, version.clone());
+    if faults.fail {
+        log_end(&shared, line, EngineEnd::Broken);
+        return status(StatusCode::INTERNAL_SERVER_ERROR);
+    }
+    let answer = Answer::new(&body, version, profile, faults);
+    let shared = Arc::clone(&shared);
+    let events = stream::unfold(Some(answer), move |answer| {
+        let shared = shared.clone();
+        async move {
+            let mut answer = answer?;
+            let event = answer.next_event().await;
+            if let Some(end) = answer.end() {
+                log_end(&shared, line, end);
+            }
+            Some((event?, Some(answer)))
+        }
+    });
+    Response::builder()
+        .header(header::CONTENT_TYPE, "text/event-stream")
+        .body(Body::from_bytes_stream(events))
+}
+
+fn log_start(shared: &Shared, request: String, version: String) -> usize {
+    let mut log = lock(&shared.log);
+    log.push(EngineLogLine {
+        request,
+        version,
+        end: EngineEnd::Open,
+    });
+    log.len() - 1
+}
+
+fn log_end(shared: &Shared, line: usize, end: EngineEnd) {
+    lock(&shared.log)[line].end = end;
+}
+
+fn status(status: StatusCode) -> Response {
+    Response::builder().status(status).finish()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standin/src/kv.rs
@@ -0,0 +1,227 @@
+//! The platform's key-value service: compare-and-swap, leases and watches in memory.
+
+mod state;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use poem::{
+    Body, Endpoint, EndpointExt, Response, Route, handler,
+    http::{StatusCode, Uri},
+    post,
+    web::Data,
+};
+use pondwalk_store::{
+    StoreError, Transport,
+    gateway::{
+        LEASE_GRANT_PATH, LEASE_KEEP_ALIVE_PATH, RANGE_PATH, TXN_PATH, WATCH_PATH, WatchReply,
+        WatchRequest,
+    },
+};
+use tokio::{sync::Notify, time::Instant};
+
+use crate::listen::{Listening, listen};
+use state::KvState;
+
+/// How the service misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KvFaults {
+    /// It cannot be reached.
+    pub down: bool,
+    /// Each call takes this much longer.
+    pub delay: Duration,
+    /// This many of the next writes take effect without their answer getting through.
+    pub lost_answers: u32,
+}
+
+/// Calls counted by what the platform charges for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KvCounts {
+    /// Reads, watches included.
+    pub reads: u64,
+    /// Writes, lease calls included.
+    pub writes: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<KvState>,
+    faults: Mutex<KvFaults>,
+    counts: Mutex<KvCounts>,
+    changed: Notify,
+}
+
+/// Handle on the stand-in; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct KvStore {
+    shared: Arc<Shared>,
+}
+
+/// A service that listens on HTTP.
+#[derive(Debug)]
+pub struct KvServer {
+    /// The service's inside.
+    pub store: KvStore,
+    listening: Listening,
+}
+
+impl KvServer {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listening.address
+    }
+}
+
+impl KvStore {
+    /// Listens on a free loopback port.
+    pub async fn listen(&self) -> io::Result<KvServer> {
+        let listening = listen(routes(self.clone())).await?;
+        Ok(KvServer {
+            store: self.clone(),
+            listening,
+        })
+    }
+
+    /// A transport that reaches the service without a network.
+    pub fn transport(&self) -> Transport {
+        let store = self.clone();
+        Arc::new(move |path, body, wait| {
+            let store = store.clone();
+            Box::pin(async move {
+                let call = store.call(path, body);
+                tokio::time::timeout(wait, call)
+                    .await
+                    .unwrap_or(Err(StoreError::AnswerLost))
+            })
+        })
+    }
+
+    /// Changes how it misbehaves.
+    pub fn set_faults(&self, faults: KvFaults) {
+        *lock(&self.shared.faults) = faults;
+    }
+
+    /// Calls counted since the start.
+    pub fn counts(&self) -> KvCounts {
+        *lock(&self.shared.counts)
+    }
+
+    /// Ends a lease at once, as when its holder is paused for too long.
+    pub fn lapse_lease(&self, lease: u64) {
+        lock(&self.shared.state).lapse(lease);
+        self.shared.changed.notify_waiters();
+    }
+
+    async fn call(&self, path: &str, body: String) -> Result<String, StoreError> {
+        let faults = *lock(&self.shared.faults);
+        self.count(path);
+        if !faults.delay.is_zero() {
+            tokio::time::sleep(faults.delay).await;
+        }
+        if faults.down {
+            return Err(StoreError::Unreachable);
+        }
+        if path == WATCH_PATH {
+            return self.watch(&body).await;
+        }
+        let (reply, wrote) = self.answer(path, &body)?;
+        if wrote {
+            self.shared.changed.notify_waiters();
+            return self.unless_lost(reply);
+        }
+        Ok(reply)
+    }
+
+    fn answer(&self, path: &str, body: &str) -> Result<(String, bool), StoreError> {
+        let mut state = lock(&self.shared.state);
+        state.expire(Instant::now());
+        match path {
+            RANGE_PATH => Ok((encode(&state.range(&decode(body)?))?, false)),
+            TXN_PATH => Ok((encode(&state.transact(&decode(body)?))?, true)),
+            LEASE_GRANT_PATH => Ok((encode(&state.grant(&decode(body)?, Instant::now()))?, true)),
+            LEASE_KEEP_ALIVE_PATH => {
+                Ok((encode(&state.renew(&decode(body)?, Instant::now()))?, true))
+            }
+            _ => Err(StoreError::Malformed),
+        }
+    }
+
+    fn unless_lost(&self, reply: String) -> Result<String, StoreError> {
+        let mut faults = lock(&self.shared.faults);
+        if faults.lost_answers == 0 {
+            return Ok(reply);
+        }
+        faults.lost_answers -= 1;
+        Err(StoreError::AnswerLost)
+    }
+
+    async fn watch(&self, body: &str) -> Result<String, StoreError> {
+        let request: WatchRequest = decode(body)?;
+        loop {
+            let changed = self.shared.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if lock(&self.shared.faults).down {
+                return Err(StoreError::Unreachable);
+            }
+            let reply: Option<WatchReply> = lock(&self.shared.state).changes(&request);
+            if let Some(reply) = reply {
+                return encode(&reply).map(|line| line + "\n");
+            }
+            changed.await;
+        }
+    }
+
+    fn count(&self, path: &str) {
+        let mut counts = lock(&self.shared.counts);
+        match path {
+            RANGE_PATH | WATCH_PATH => counts.reads += 1,
+            _ => counts.writes += 1,
+        }
+    }
+}
+
+fn routes(store: KvStore) -> impl Endpoint {
+    let paths = [
+        RANGE_PATH,
+        TXN_PATH,
+        LEASE_GRANT_PATH,
+        LEASE_KEEP_ALIVE_PATH,
+        WATCH_PATH,
+    ];
+    let route = paths.iter().fold(Route::new(), |route, path| {
+        route.at(*path, post(serve_call))
+    });
+    route.data(store)
+}
+
+#[handler]
+async fn serve_call(uri: &Uri, body: Body, store: Data<&KvStore>) -> Response {
+    let body = body.into_string().await.unwrap_or_default();
+    match store.call(uri.path(), body).await {
+        Ok(text) => Response::builder().body(text),
+        Err(StoreError::Unreachable) => status(StatusCode::SERVICE_UNAVAILABLE),
+        Err(StoreError::Malformed) => status(StatusCode::BAD_REQUEST),
+        Err(_) => status(StatusCode::GATEWAY_TIMEOUT),
+    }
+}
+
+fn status(status: StatusCode) -> Response {
+    Response::builder().status(status).finish()
+}
+
+fn decode<T: serde::de::DeserializeOwned>(body: &str) -> Result<T, StoreError> {
+    serde_json::from_str(body).map_err(|_| StoreError::Malformed)
+}
+
+fn encode<T: serde::Serialize>(reply: &T) -> Result<String, StoreError> {
+    serde_json::to_string(reply).map_err(|_| StoreError::Malformed)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
