--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -74,10 +74,7 @@
 
     /// Time that a run of a version is expected to take.
     pub fn expected_service(&self, version: &VersionId) -> Duration {
-        lock(&self.service_times)
-            .get(version)
-            .copied()
-            .unwrap_or(FIRST_SERVICE)
+        lock(&self.service_times).get(version).copied().unwrap_or(FIRST_SERVICE)
     }
 
     /// Takes in the time that a run took.
@@ -135,8 +132,5 @@
     let mut headers = Headers::default();
     let context = tracing::Span::current().context();
     global::get_text_map_propagator(|p| p.inject_context(&context, &mut headers));
-    headers
-        .0
-        .into_iter()
-        .fold(request, |request, (key, value)| request.header(key, value))
+    headers.0.into_iter().fold(request, |request, (key, value)| request.header(key, value))
 }
--- a/crates/agent/src/backend/chat.rs
+++ b/crates/agent/src/backend/chat.rs
@@ -37,8 +37,7 @@
             Ok(_) => return BackendEnd::Broken(Refusal::BackendFailed),
             Err(end) => return end,
         };
-        self.relay(response, request.prompt_tokens, started, emit)
-            .await
+        self.relay(response, request.prompt_tokens, started, emit).await
     }
 
     async fn relay(
@@ -50,10 +49,7 @@
     ) -> BackendEnd {
         let mut stream = response.bytes_stream();
         let mut events = Events::default();
-        let mut usage = UsageCount {
-            prompt_tokens,
-            ..UsageCount::default()
-        };
+        let mut usage = UsageCount { prompt_tokens, ..UsageCount::default() };
         loop {
             let chunk = match tokio::time::timeout(self.idle_timeout, stream.next()).await {
                 Ok(Some(Ok(chunk))) => chunk,
@@ -72,10 +68,7 @@
 }
 
 fn whole(usage: UsageCount, service: Duration) -> BackendEnd {
-    BackendEnd::Whole {
-        usage: usage.total(),
-        service,
-    }
+    BackendEnd::Whole { usage: usage.total(), service }
 }
 
 /// The caller's body with streaming and usage switched on and the version filled in.
@@ -84,10 +77,7 @@
     let fields = body.as_object_mut()?;
     fields.insert("model".into(), request.work.version().as_str().into());
     fields.insert("stream".into(), true.into());
-    fields.insert(
-        "stream_options".into(),
-        serde_json::json!({ "include_usage": true }),
-    );
+    fields.insert("stream_options".into(), serde_json::json!({ "include_usage": true }));
     serde_json::to_vec(&body).ok()
 }
 
@@ -112,10 +102,7 @@
     }
 
     fn total(self) -> TokenUsage {
-        let counted = TokenUsage {
-            prompt_tokens: self.prompt_tokens,
-            output_tokens: self.events,
-        };
+        let counted = TokenUsage { prompt_tokens: self.prompt_tokens, output_tokens: self.events };
         self.reported.unwrap_or(counted)
     }
 }
--- a/crates/agent/src/backend/service.rs
+++ b/crates/agent/src/backend/service.rs
@@ -28,14 +28,9 @@
             Err(end) => return end,
         };
         let content_type = response.headers().get(CONTENT_TYPE);
-        let content_type = content_type
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or_default();
+        let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
         let status = response.status().as_u16();
-        emit(FrameKind::Head {
-            status,
-            content_type: content_type.to_owned(),
-        });
+        emit(FrameKind::Head { status, content_type: content_type.to_owned() });
         let mut body = response.bytes_stream();
         loop {
             match tokio::time::timeout(self.idle_timeout, body.next()).await {
@@ -44,9 +39,6 @@
                 _ => return BackendEnd::Broken(Refusal::Cut),
             }
         }
-        BackendEnd::Whole {
-            usage: TokenUsage::default(),
-            service: started.elapsed(),
-        }
+        BackendEnd::Whole { usage: TokenUsage::default(), service: started.elapsed() }
     }
 }
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -33,21 +33,17 @@
 impl ControlThread {
     /// Starts the thread.
     pub fn start(core: Arc<Core>, store: Store) -> io::Result<Self> {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let (stop, stopped) = oneshot::channel();
-        let thread = std::thread::Builder::new()
-            .name("agent-control".into())
-            .spawn(move || {
-                runtime.block_on(async {
-                    tokio::select! {
-                        () = shed(&core) => {}
-                        () = sweep(&core, &store) => {}
-                        _ = stopped => {}
-                    }
-                });
-            })?;
+        let thread = std::thread::Builder::new().name("agent-control".into()).spawn(move || {
+            runtime.block_on(async {
+                tokio::select! {
+                    () = shed(&core) => {}
+                    () = sweep(&core, &store) => {}
+                    _ = stopped => {}
+                }
+            });
+        })?;
         Ok(ControlThread { stop, thread })
     }
 
@@ -88,11 +84,8 @@
 /// Takes over the bills of an entry that is gone; one written twice is merged when read.
 fn adopt_bills(core: &Core, book: &Mutex<BillBook>, entry: Incarnation) {
     let mut held = lock(&core.bills);
-    let left: Vec<String> = held
-        .values()
-        .filter(|bill| bill.entry == entry)
-        .map(|bill| bill.request.clone())
-        .collect();
+    let left: Vec<String> =
+        held.values().filter(|bill| bill.entry == entry).map(|bill| bill.request.clone()).collect();
     for request in left {
         let bill = held.remove(&request);
         let bill = bill.and_then(|held| serde_json::from_slice::<Bill>(&held.bill).ok());
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -132,10 +132,7 @@
             return Err(Refusal::StaleGeneration { decided, current });
         }
         let policy = &configuration.policy;
-        let workspace = policy
-            .workspaces
-            .get(&request.workspace)
-            .ok_or(Refusal::UnknownCaller)?;
+        let workspace = policy.workspaces.get(&request.workspace).ok_or(Refusal::UnknownCaller)?;
         self.check_version(policy, workspace, request)?;
         Ok(workspace.clone())
     }
@@ -179,12 +176,9 @@
         let out = lock(&self.queue).withdraw_where(withdrawn);
         drop(runs);
         for run in out {
-            let version = lock(&self.runs)
-                .remove(&run)
-                .map(|waiting| waiting.version());
+            let version = lock(&self.runs).remove(&run).map(|waiting| waiting.version());
             let refusal = Refusal::VersionWithdrawn(version.unwrap_or_default());
-            self.outboxes
-                .push(run, pondwalk_wire::FrameKind::NotRun(refusal));
+            self.outboxes.push(run, pondwalk_wire::FrameKind::NotRun(refusal));
         }
     }
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -66,19 +66,13 @@
         let listener = traffic
             .block_on(TcpListener::bind(address))
             .map_err(|source| AgentError::Listen { address, source })?;
-        let address = listener
-            .local_addr()
-            .map_err(|source| AgentError::Listen { address, source })?;
+        let address =
+            listener.local_addr().map_err(|source| AgentError::Listen { address, source })?;
         traffic.spawn(serve::serve(listener, core.clone()));
         let control =
             control::ControlThread::start(core.clone(), store).map_err(AgentError::Threads)?;
         spdlog::info!("agent started", kv: { server = core.settings.server.as_str() });
-        Ok(RunningAgent {
-            address,
-            core,
-            traffic: Some(traffic),
-            control: Some(control),
-        })
+        Ok(RunningAgent { address, core, traffic: Some(traffic), control: Some(control) })
     }
 
     /// Where entries connect.
--- a/crates/agent/src/outbox.rs
+++ b/crates/agent/src/outbox.rs
@@ -1,26 +1,38 @@
 //! Frames that wait to be fetched, one outbox for each entry process.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     sync::{Arc, Mutex},
     time::Duration,
 };
 
-use pondwalk_types::Incarnation;
+use pondwalk_types::{AttemptId, Incarnation};
 use pondwalk_wire::{Frame, FrameKind, RunKey, TakeFrames};
-use tokio::{sync::Notify, time::Instant};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout},
+};
 
 use crate::core::lock;
 
 /// Most frames returned at a time.
 const BATCH_LIMIT: usize = 1_024;
+/// How long tokens in mid-answer wait for others, so that one reply carries many.
+///
+/// NB: the first token of an answer and its end never wait.
+const GATHER: Duration = Duration::from_millis(1);
 
 #[derive(Debug)]
 struct Outbox {
     frames: VecDeque<Frame>,
     next_sequence: u64,
     fetched: Instant,
+    /// Attempts whose first data frame is out.
+    flowing: HashSet<AttemptId>,
+    /// Fires for any frame.
     added: Arc<Notify>,
+    /// Fires for frames that must not wait.
+    urgent: Arc<Notify>,
 }
 
 impl Default for Outbox {
@@ -29,7 +41,23 @@
             frames: VecDeque::new(),
             next_sequence: 1,
             fetched: Instant::now(),
+            flowing: HashSet::new(),
             added: Arc::new(Notify::new()),
+            urgent: Arc::new(Notify::new()),
+        }
+    }
+}
+
+impl Outbox {
+    fn must_not_wait(&mut self, attempt: AttemptId, kind: &FrameKind) -> bool {
+        match kind {
+            FrameKind::Began => false,
+            FrameKind::Data(_) => self.flowing.insert(attempt),
+            FrameKind::Head { .. } => true,
+            FrameKind::NotRun(_) | FrameKind::Ended { .. } | FrameKind::Failed(_) => {
+                self.flowing.remove(&attempt);
+                true
+            }
         }
     }
 }
@@ -47,11 +75,10 @@
         let outbox = boxes.entry(run.entry).or_default();
         let sequence = outbox.next_sequence;
         outbox.next_sequence += 1;
-        outbox.frames.push_back(Frame {
-            sequence,
-            attempt: run.attempt,
-            kind,
-        });
+        if outbox.must_not_wait(run.attempt, &kind) {
+            outbox.urgent.notify_one();
+        }
+        outbox.frames.push_back(Frame { sequence, attempt: run.attempt, kind });
         outbox.added.notify_one();
     }
 
@@ -59,55 +86,47 @@
     ///
     /// Returns early, and perhaps without frames, when there is other news to tell.
     pub async fn take(&self, request: TakeFrames) -> Vec<Frame> {
-        let until = Instant::now() + request.wait;
-        let (frames, added) = self.take_now(request);
-        if !frames.is_empty() {
-            return frames;
+        let (frames, added, urgent) = self.take_now(request);
+        if frames.is_empty() && timeout(request.wait, added.notified()).await.is_err() {
+            return Vec::new();
         }
-        match tokio::time::timeout_at(until, added.notified()).await {
-            Ok(()) => self.take_now(request).0,
-            Err(_) => Vec::new(),
+        if frames.len() < BATCH_LIMIT {
+            // NB: over means that nothing urgent came, and then the gathered frames go.
+            let _ = timeout(GATHER, urgent.notified()).await;
         }
+        self.take_now(request).0
     }
 
     /// Answers all waiting calls, so that entries hear news that is not about a run.
     pub fn wake_all(&self) {
-        lock(&self.boxes)
-            .values()
-            .for_each(|outbox| outbox.added.notify_one());
+        for outbox in lock(&self.boxes).values() {
+            outbox.added.notify_one();
+            outbox.urgent.notify_one();
+        }
     }
 
-    fn take_now(&self, request: TakeFrames) -> (Vec<Frame>, Arc<Notify>) {
+    fn take_now(&self, request: TakeFrames) -> (Vec<Frame>, Arc<Notify>, Arc<Notify>) {
         let mut boxes = lock(&self.boxes);
         let outbox = boxes.entry(request.entry).or_default();
         outbox.fetched = Instant::now();
-        while outbox
-            .frames
-            .front()
-            .is_some_and(|f| f.sequence <= request.acknowledged)
-        {
+        while outbox.frames.front().is_some_and(|f| f.sequence <= request.acknowledged) {
             outbox.frames.pop_front();
         }
         let frames = outbox.frames.iter().take(BATCH_LIMIT).cloned().collect();
-        (frames, outbox.added.clone())
+        (frames, outbox.added.clone(), outbox.urgent.clone())
     }
 
     /// Whether no frame waits.
     pub fn is_empty(&self) -> bool {
-        lock(&self.boxes)
-            .values()
-            .all(|outbox| outbox.frames.is_empty())
+        lock(&self.boxes).values().all(|outbox| outbox.frames.is_empty())
     }
 
     /// Drops the outboxes of entries that have fetched nothing for `retain`; returns the entries.
     pub fn drop_silent(&self, retain: Duration) -> Vec<Incarnation> {
         let mut boxes = lock(&self.boxes);
         let silent = |outbox: &Outbox| outbox.fetched.elapsed() > retain;
-        let gone: Vec<_> = boxes
-            .iter()
-            .filter(|(_, outbox)| silent(outbox))
-            .map(|(entry, _)| *entry)
-            .collect();
+        let gone: Vec<_> =
+            boxes.iter().filter(|(_, outbox)| silent(outbox)).map(|(entry, _)| *entry).collect();
         boxes.retain(|entry, _| !gone.contains(entry));
         gone
     }
--- a/crates/agent/src/runs.rs
+++ b/crates/agent/src/runs.rs
@@ -57,11 +57,7 @@
     }
 
     fn of_entry(&self, entry: Incarnation) -> Vec<RunKey> {
-        self.runs
-            .keys()
-            .filter(|run| run.entry == entry)
-            .copied()
-            .collect()
+        self.runs.keys().filter(|run| run.entry == entry).copied().collect()
     }
 }
 
@@ -81,13 +77,8 @@
     };
     lock(&core.trials).admit(version)?;
     let run = request.run;
-    let waiting = WaitingRun {
-        request,
-        span: Span::current(),
-    };
-    lock(&core.runs)
-        .runs
-        .insert(run, Stage::Waiting(Box::new(waiting)));
+    let waiting = WaitingRun { request, span: Span::current() };
+    lock(&core.runs).runs.insert(run, Stage::Waiting(Box::new(waiting)));
     let admission = lock(&core.queue).offer(now, work);
     match admission {
         Admission::Start => start(core, run),
@@ -133,9 +124,7 @@
         return;
     };
     let span = waiting.span.clone();
-    let task = core
-        .traffic
-        .spawn(execute(core.clone(), run, waiting.request).instrument(span));
+    let task = core.traffic.spawn(execute(core.clone(), run, waiting.request).instrument(span));
     runs.runs.insert(run, Stage::Running(task.abort_handle()));
 }
 
@@ -143,10 +132,7 @@
     let version = request.work.version().clone();
     core.outboxes.push(run, FrameKind::Began);
     let outboxes = &core.outboxes;
-    let end = core
-        .backend
-        .run(&request, |kind| outboxes.push(run, kind))
-        .await;
+    let end = core.backend.run(&request, |kind| outboxes.push(run, kind)).await;
     let was_open = lock(&core.runs).runs.remove(&run).is_some();
     if !was_open {
         return;
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -50,22 +50,13 @@
         if refusal.is_some() {
             self.core.count("runs.refused");
         }
-        StartReply {
-            refusal,
-            news: self.core.news(),
-        }
+        StartReply { refusal, news: self.core.news() }
     }
 
     async fn take(self, _: Context, request: TakeFrames) -> FrameBatch {
-        let request = TakeFrames {
-            wait: request.wait.min(LONGEST_TAKE),
-            ..request
-        };
+        let request = TakeFrames { wait: request.wait.min(LONGEST_TAKE), ..request };
         let frames = self.core.outboxes.take(request).await;
-        FrameBatch {
-            news: self.core.news(),
-            frames,
-        }
+        FrameBatch { news: self.core.news(), frames }
     }
 
     async fn cancel(self, _: Context, run: RunKey) {
@@ -109,8 +100,6 @@
     }
 
     async fn configuration(self, _: Context) -> Option<Configuration> {
-        self.core
-            .configuration()
-            .map(|current| Configuration::clone(&current))
+        self.core.configuration().map(|current| Configuration::clone(&current))
     }
 }
--- a/crates/agent/src/trials.rs
+++ b/crates/agent/src/trials.rs
@@ -73,10 +73,6 @@
 
     /// Versions that have tripped.
     pub fn tripped(&self) -> Vec<VersionId> {
-        self.trials
-            .keys()
-            .filter(|version| self.is_tripped(version))
-            .cloned()
-            .collect()
+        self.trials.keys().filter(|version| self.is_tripped(version)).cloned().collect()
     }
 }
--- a/crates/config/src/agent.rs
+++ b/crates/config/src/agent.rs
@@ -104,13 +104,7 @@
     let server = file.required(SECTION, "server", "a name");
     let data_centre = file.required(SECTION, "data_centre", "a name");
     let listen = file.required(SECTION, "listen", ADDRESS);
-    let threads = file.within(
-        SECTION,
-        "threads",
-        "a whole number from 1 to 256",
-        (1, 256),
-        1,
-    );
+    let threads = file.within(SECTION, "threads", "a whole number from 1 to 256", (1, 256), 1);
     let backend = file.required(BACKEND, "address", ADDRESS);
     let kind = file.or(BACKEND, "kind", "engine or service", BackendKind::Engine);
     let versions = versions(file);
@@ -146,14 +140,7 @@
     let text: String = file.required(BACKEND, "versions", expected)?;
     let versions = RawFile::items(&text);
     if versions.is_empty() {
-        file.fault(
-            BACKEND,
-            "versions",
-            Problem::Invalid {
-                found: text,
-                expected,
-            },
-        );
+        file.fault(BACKEND, "versions", Problem::Invalid { found: text, expected });
         return None;
     }
     Some(versions)
--- a/crates/config/src/entry.rs
+++ b/crates/config/src/entry.rs
@@ -66,13 +66,7 @@
     let instance = file.required(SECTION, "instance", "a name");
     let data_centre = file.required(SECTION, "data_centre", "a name");
     let listen = file.required(SECTION, "listen", ADDRESS);
-    let threads = file.within(
-        SECTION,
-        "threads",
-        "a whole number from 1 to 256",
-        (1, 256),
-        2,
-    );
+    let threads = file.within(SECTION, "threads", "a whole number from 1 to 256", (1, 256), 2);
     let signing_key = signing_key(file, "signing_key");
     if signing_key.is_none() && file.text("sessions", "signing_key").is_none() {
         let expected = "at least 16 characters";
@@ -115,14 +109,7 @@
         return Some(text);
     }
     let expected = "at least 16 characters";
-    file.fault(
-        "sessions",
-        key,
-        Problem::Invalid {
-            found: "a shorter key".into(),
-            expected,
-        },
-    );
+    file.fault("sessions", key, Problem::Invalid { found: "a shorter key".into(), expected });
     None
 }
 
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -91,8 +91,6 @@
 }
 
 fn list(path: &std::path::Path, faults: &[Fault]) -> String {
-    let lines = faults
-        .iter()
-        .map(|fault| format!("{}: {fault}", path.display()));
+    let lines = faults.iter().map(|fault| format!("{}: {fault}", path.display()));
     lines.collect::<Vec<_>>().join("\n")
 }
--- a/crates/config/src/policy.rs
+++ b/crates/config/src/policy.rs
@@ -55,9 +55,8 @@
 /// Adds the versions that workspaces name and only their model prices.
 fn add_allowed_versions(policy: &mut Policy) {
     let workspaces = policy.workspaces.values();
-    let named: BTreeSet<String> = workspaces
-        .flat_map(|workspace| workspace.allowed_versions.iter().cloned())
-        .collect();
+    let named: BTreeSet<String> =
+        workspaces.flat_map(|workspace| workspace.allowed_versions.iter().cloned()).collect();
     for version in named {
         policy.add_version(&version);
     }
@@ -81,13 +80,7 @@
             VersionState::Live
         }
     };
-    VersionSpec {
-        price: Price {
-            prompt_per_1k_tokens,
-            output_per_1k_tokens,
-        },
-        state,
-    }
+    VersionSpec { price: Price { prompt_per_1k_tokens, output_per_1k_tokens }, state }
 }
 
 fn read_roll_out(file: &mut RawFile, version: String, policy: &mut Policy) {
@@ -98,11 +91,7 @@
     };
     for name in [&version, &replaces] {
         if !policy.add_version(name) {
-            file.fault(
-                &section,
-                "replaces",
-                Problem::Undefined { name: name.clone() },
-            );
+            file.fault(&section, "replaces", Problem::Undefined { name: name.clone() });
         }
     }
     policy.roll_outs.push(RollOut { version, replaces });
@@ -158,14 +147,7 @@
         match found.trim().parse::<f64>() {
             Ok(value) if value >= bounds.0 && value <= bounds.1 => Some(value),
             _ => {
-                file.fault(
-                    &self.section,
-                    key,
-                    Problem::Invalid {
-                        found: found.clone(),
-                        expected,
-                    },
-                );
+                file.fault(&self.section, key, Problem::Invalid { found: found.clone(), expected });
                 None
             }
         }
@@ -194,31 +176,20 @@
     {
         workspace.priority = priority as u8;
     }
-    if let Some(weight) = filled.number(
-        file,
-        "share_weight",
-        "a number from 0.01 to 1000",
-        (0.01, 1000.0),
-    ) {
+    if let Some(weight) =
+        filled.number(file, "share_weight", "a number from 0.01 to 1000", (0.01, 1000.0))
+    {
         workspace.share_weight = weight;
     }
     workspace.only_listed_tasks =
-        choice(file, &filled, "only_listed_tasks", "true or false", |t| {
-            t.parse().ok()
-        })
-        .unwrap_or(false);
+        choice(file, &filled, "only_listed_tasks", "true or false", |t| t.parse().ok())
+            .unwrap_or(false);
     workspace.on_withdrawal =
-        choice(
-            file,
-            &filled,
-            "on_withdrawal",
-            "restart or refuse",
-            |t| match t {
-                "restart" => Some(SessionOnWithdrawal::Restart),
-                "refuse" => Some(SessionOnWithdrawal::Refuse),
-                _ => None,
-            },
-        )
+        choice(file, &filled, "on_withdrawal", "restart or refuse", |t| match t {
+            "restart" => Some(SessionOnWithdrawal::Restart),
+            "refuse" => Some(SessionOnWithdrawal::Refuse),
+            _ => None,
+        })
         .unwrap_or_default();
     workspace
 }
@@ -233,14 +204,7 @@
     let found = filled.values.get(key)?;
     let value = read(found.trim());
     if value.is_none() {
-        file.fault(
-            &filled.section,
-            key,
-            Problem::Invalid {
-                found: found.clone(),
-                expected,
-            },
-        );
+        file.fault(&filled.section, key, Problem::Invalid { found: found.clone(), expected });
     }
     value
 }
@@ -290,19 +254,14 @@
 }
 
 fn read_tasks(file: &mut RawFile, filled: &Filled) -> BTreeMap<String, TaskPolicy> {
-    let names: BTreeSet<String> = filled
-        .values
-        .keys()
-        .filter_map(|key| Some(task_key(key)?.0.to_owned()))
-        .collect();
+    let names: BTreeSet<String> =
+        filled.values.keys().filter_map(|key| Some(task_key(key)?.0.to_owned())).collect();
     let mut tasks = BTreeMap::new();
     for name in names {
         let expected = "a number from 0 to 1";
         let mut read = |field: &str, default: f64| {
             let key = format!("{TASK_PREFIX}{name}.{field}");
-            filled
-                .number(file, &key, expected, (0.0, 1.0))
-                .unwrap_or(default)
+            filled.number(file, &key, expected, (0.0, 1.0)).unwrap_or(default)
         };
         let task = TaskPolicy {
             quality_target: read("quality_target", 0.0),
@@ -327,15 +286,10 @@
         }
     }
     for digest in &workspace.keys_sha256 {
-        let hex = digest
-            .bytes()
-            .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+        let hex = digest.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
         if digest.len() != 64 || !hex {
             let expected = "64 lower-case hex digits";
-            let problem = Problem::Invalid {
-                found: digest.clone(),
-                expected,
-            };
+            let problem = Problem::Invalid { found: digest.clone(), expected };
             file.fault(&filled.section, "keys_sha256", problem);
         }
     }
--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -23,30 +23,20 @@
 impl RawFile {
     /// Reads a file.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Unreadable {
-            path: path.to_owned(),
-            source,
-        })?;
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| ConfigError::Unreadable { path: path.to_owned(), source })?;
         Self::parse(path, &text)
     }
 
     /// Reads text as if it stood in the file `path`.
     pub fn parse(path: &Path, text: &str) -> Result<Self, ConfigError> {
-        let options = ParseOption {
-            enabled_escape: false,
-            ..ParseOption::default()
-        };
+        let options = ParseOption { enabled_escape: false, ..ParseOption::default() };
         let ini = Ini::load_from_str_opt(text, options).map_err(|error| ConfigError::NotIni {
             path: path.to_owned(),
             line: error.line + 1,
             reason: error.msg.into_owned(),
         })?;
-        Ok(RawFile {
-            path: path.to_owned(),
-            ini,
-            used: BTreeSet::new(),
-            faults: Vec::new(),
-        })
+        Ok(RawFile { path: path.to_owned(), ini, used: BTreeSet::new(), faults: Vec::new() })
     }
 
     /// Whether a section is there.
@@ -64,12 +54,8 @@
     /// Keys and values of a section, in file order.
     pub fn pairs(&self, section: &str) -> Vec<(String, String)> {
         let properties = self.ini.section(Some(section));
-        let pairs = properties
-            .into_iter()
-            .flat_map(|properties| properties.iter());
-        pairs
-            .map(|(key, value)| (key.to_owned(), value.to_owned()))
-            .collect()
+        let pairs = properties.into_iter().flat_map(|properties| properties.iter());
+        pairs.map(|(key, value)| (key.to_owned(), value.to_owned())).collect()
     }
 
     /// A value's text, if the key is there.
@@ -85,11 +71,7 @@
 
     /// Records a fault.
     pub fn fault(&mut self, section: &str, key: &str, problem: Problem) {
-        self.faults.push(Fault {
-            section: section.to_owned(),
-            key: key.to_owned(),
-            problem,
-        });
+        self.faults.push(Fault { section: section.to_owned(), key: key.to_owned(), problem });
     }
 
     /// A value that may be absent; a value that cannot be read is a fault.
@@ -169,19 +151,13 @@
         self.find_unknown();
         match value {
             Some(value) if self.faults.is_empty() => Ok(value),
-            _ => Err(ConfigError::Faults {
-                path: self.path,
-                faults: self.faults,
-            }),
+            _ => Err(ConfigError::Faults { path: self.path, faults: self.faults }),
         }
     }
 
     /// Splits a comma-separated list, leaving out empty items.
     pub fn items(text: &str) -> Vec<String> {
-        let items = text
-            .split(',')
-            .map(str::trim)
-            .filter(|item| !item.is_empty());
+        let items = text.split(',').map(str::trim).filter(|item| !item.is_empty());
         items.map(str::to_owned).collect()
     }
 
--- a/crates/config/src/replay.rs
+++ b/crates/config/src/replay.rs
@@ -127,11 +127,7 @@
             file.mark_used("outcome", &path);
             match comparison(&found) {
                 Some((comparison, bound)) => {
-                    outcomes.push(Outcome {
-                        path,
-                        comparison,
-                        bound,
-                    });
+                    outcomes.push(Outcome { path, comparison, bound });
                 }
                 None => {
                     let expected = "a comparison and a number, such as `<= 10`";
--- a/crates/config/src/shared.rs
+++ b/crates/config/src/shared.rs
@@ -24,11 +24,7 @@
         let address = file.required("store", "address", ADDRESS);
         let timeout = file.millis("store", "timeout_ms", 1_000);
         let watch_wait = file.millis("store", "watch_wait_ms", 30_000);
-        Some(StoreSettings {
-            address: address?,
-            timeout,
-            watch_wait,
-        })
+        Some(StoreSettings { address: address?, timeout, watch_wait })
     }
 }
 
--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -120,10 +120,7 @@
 
     /// Starts the next waiting request if a slot is free, and sheds what is late.
     pub fn admit(&mut self, now: Duration) -> Admitted<T> {
-        let mut admitted = Admitted {
-            start: None,
-            shed: self.shed_late(now),
-        };
+        let mut admitted = Admitted { start: None, shed: self.shed_late(now) };
         if self.running >= self.slots {
             return admitted;
         }
@@ -140,16 +137,14 @@
     /// Takes a waiting request out; true if it was there, so that it has not run.
     pub fn withdraw(&mut self, ticket: &T) -> bool {
         let before = self.waiting.len();
-        self.waiting
-            .retain(|waiting| waiting.work.ticket != *ticket);
+        self.waiting.retain(|waiting| waiting.work.ticket != *ticket);
         self.waiting.len() < before
     }
 
     /// Takes out all waiting requests for which `leaves` holds; none of them has run.
     pub fn withdraw_where(&mut self, leaves: impl Fn(&T) -> bool) -> Vec<T> {
-        let (out, stay) = std::mem::take(&mut self.waiting)
-            .into_iter()
-            .partition(|w| leaves(&w.work.ticket));
+        let (out, stay) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|w| leaves(&w.work.ticket));
         self.waiting = stay;
         let out: Vec<Waiting<T>> = out;
         out.into_iter().map(|waiting| waiting.work.ticket).collect()
@@ -166,10 +161,7 @@
         self.forget_idle();
         let weight = work.share_weight * f64::from(1_u32 << work.priority.min(9));
         let length = work.expected_service.as_secs_f64().max(1e-3) / weight;
-        let clock = self
-            .clocks
-            .entry(work.workspace.clone())
-            .or_insert(self.clock);
+        let clock = self.clocks.entry(work.workspace.clone()).or_insert(self.clock);
         let tag = clock.max(self.clock);
         *clock = tag + length;
         tag
@@ -204,9 +196,7 @@
         match last {
             Some(last) if self.waiting[last].tag > tag => {
                 let out = std::mem::replace(&mut self.waiting[last], Waiting { work, tag });
-                Admission::Queued {
-                    displaced: Some((out.work.ticket, overloaded)),
-                }
+                Admission::Queued { displaced: Some((out.work.ticket, overloaded)) }
             }
             _ => Admission::Refused(overloaded),
         }
@@ -219,19 +209,14 @@
     }
 
     fn shed_late(&mut self, now: Duration) -> Vec<(T, Refusal)> {
-        let (late, stay) = std::mem::take(&mut self.waiting)
-            .into_iter()
-            .partition(|w| now >= w.work.deadline);
+        let (late, stay) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|w| now >= w.work.deadline);
         self.waiting = stay;
         let late: Vec<Waiting<T>> = late;
-        late.into_iter()
-            .map(|w| (w.work.ticket.clone(), too_late(&w.work)))
-            .collect()
+        late.into_iter().map(|w| (w.work.ticket.clone(), too_late(&w.work))).collect()
     }
 }
 
 fn too_late<T>(work: &QueuedWork<T>) -> Refusal {
-    Refusal::TooLate {
-        deadline_ms: work.stated_deadline.as_millis() as u64,
-    }
+    Refusal::TooLate { deadline_ms: work.stated_deadline.as_millis() as u64 }
 }
--- a/crates/decide/src/budget.rs
+++ b/crates/decide/src/budget.rs
@@ -10,9 +10,7 @@
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        RetryBudget {
-            tokens: RETRY_SAVINGS,
-        }
+        RetryBudget { tokens: RETRY_SAVINGS }
     }
 }
 
@@ -50,8 +48,7 @@
 
     /// Whether a run of this cost still fits.
     pub fn affords(&self, cost: f64) -> bool {
-        self.limit
-            .is_none_or(|limit| self.spent + self.reserved + cost <= limit)
+        self.limit.is_none_or(|limit| self.spent + self.reserved + cost <= limit)
     }
 
     /// Sets money aside for a run that is about to start.
--- a/crates/decide/src/estimate.rs
+++ b/crates/decide/src/estimate.rs
@@ -98,17 +98,12 @@
 impl Estimates {
     /// Sets prices; what was learned of a version stays as long as its name does.
     pub fn set_prices(&mut self, prices: &[(VersionIx, Price)]) {
-        let mut order: Vec<(VersionIx, f64)> = prices
-            .iter()
-            .map(|(version, price)| (*version, reference_cost(price)))
-            .collect();
+        let mut order: Vec<(VersionIx, f64)> =
+            prices.iter().map(|(version, price)| (*version, reference_cost(price))).collect();
         order.sort_by(|a, b| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)));
         let last = order.len().saturating_sub(1).max(1) as f64;
         for (version, price) in prices {
-            let place = order
-                .iter()
-                .position(|(other, _)| other == version)
-                .unwrap_or(0);
+            let place = order.iter().position(|(other, _)| other == version).unwrap_or(0);
             let entry = self.version_mut(*version);
             entry.price = *price;
             entry.price_rank = place as f64 / last;
@@ -117,16 +112,12 @@
 
     /// The price of a version.
     pub fn price(&self, version: VersionIx) -> Price {
-        self.version(version)
-            .map(|known| known.price)
-            .unwrap_or_default()
+        self.version(version).map(|known| known.price).unwrap_or_default()
     }
 
     /// What is known of a version on a task.
     pub fn of(&self, version: VersionIx, task: TaskIx) -> &VersionTask {
-        self.version(version)
-            .and_then(|known| known.tasks.get(task))
-            .unwrap_or(&self.blank)
+        self.version(version).and_then(|known| known.tasks.get(task)).unwrap_or(&self.blank)
     }
 
     /// The same, to take in observations.
@@ -160,10 +151,7 @@
 
     /// Takes in whether `second` met the target where `first` had missed it.
     pub fn add_rescue(&mut self, first: VersionIx, second: VersionIx, task: TaskIx, met: bool) {
-        self.rescues
-            .entry((first, second, task))
-            .or_default()
-            .add(met);
+        self.rescues.entry((first, second, task)).or_default().add(met);
     }
 
     /// Probability that a run ends within `limit`.
@@ -176,25 +164,19 @@
     /// Expected cost of a run.
     pub fn cost(&self, version: VersionIx, task: TaskIx, prompt_tokens: u64) -> f64 {
         let output = self.of(version, task).output_tokens.or(OUTPUT_PRIOR_TOKENS);
-        let usage = TokenUsage {
-            prompt_tokens,
-            output_tokens: output as u64,
-        };
+        let usage = TokenUsage { prompt_tokens, output_tokens: output as u64 };
         self.price(version).cost(usage)
     }
 
     /// Mean service time of a version over all tasks, in milliseconds.
     pub fn service_ms(&self, version: VersionIx) -> f64 {
-        self.version(version).map_or(SERVICE_PRIOR_MS, |known| {
-            known.service_ms.or(SERVICE_PRIOR_MS)
-        })
+        self.version(version)
+            .map_or(SERVICE_PRIOR_MS, |known| known.service_ms.or(SERVICE_PRIOR_MS))
     }
 
     /// Mean service time of a version on one task, in milliseconds.
     pub fn service_ms_on(&self, version: VersionIx, task: TaskIx) -> f64 {
-        self.of(version, task)
-            .service_ms
-            .or(self.service_ms(version))
+        self.of(version, task).service_ms.or(self.service_ms(version))
     }
 
     /// Takes in a run that ended whole.
@@ -204,9 +186,7 @@
         known.service_ms.add(service.as_secs_f64() * 1e3);
         known.output_tokens.add(tokens as f64);
         known.failures.add(false);
-        self.version_mut(version)
-            .service_ms
-            .add(service.as_secs_f64() * 1e3);
+        self.version_mut(version).service_ms.add(service.as_secs_f64() * 1e3);
     }
 
     /// Forgets a version, so that a name used again starts anew.
@@ -215,8 +195,7 @@
             known.tasks.clear();
             known.service_ms = RunningMean::default();
         }
-        self.rescues
-            .retain(|(first, second, _), _| *first != version && *second != version);
+        self.rescues.retain(|(first, second, _), _| *first != version && *second != version);
     }
 
     fn version(&self, version: VersionIx) -> Option<&Version> {
@@ -238,9 +217,6 @@
 
 /// Cost of a run of ordinary size, for ordering versions by price.
 pub fn reference_cost(price: &Price) -> f64 {
-    const USAGE: TokenUsage = TokenUsage {
-        prompt_tokens: 1_000,
-        output_tokens: 300,
-    };
+    const USAGE: TokenUsage = TokenUsage { prompt_tokens: 1_000, output_tokens: 300 };
     price.cost(USAGE)
 }
--- a/crates/decide/src/histogram.rs
+++ b/crates/decide/src/histogram.rs
@@ -19,12 +19,7 @@
 
 impl Default for QualityHistogram {
     fn default() -> Self {
-        QualityHistogram {
-            bins: [0.0; QUALITY_BINS],
-            total: 0.0,
-            sum: 0.0,
-            sum_of_squares: 0.0,
-        }
+        QualityHistogram { bins: [0.0; QUALITY_BINS], total: 0.0, sum: 0.0, sum_of_squares: 0.0 }
     }
 }
 
@@ -82,10 +77,7 @@
 
 impl Default for TimeHistogram {
     fn default() -> Self {
-        TimeHistogram {
-            bins: [0.0; TIME_BINS],
-            total: 0.0,
-        }
+        TimeHistogram { bins: [0.0; TIME_BINS], total: 0.0 }
     }
 }
 
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -67,10 +67,7 @@
     /// The best first run of a request that is not bound to a version.
     pub fn first(&self, flight: &Flight, now: Duration) -> Option<Choice> {
         let reference = self.reference_cost(flight);
-        let choices = self
-            .candidates
-            .iter()
-            .filter(|c| !flight.tried.contains(&c.version));
+        let choices = self.candidates.iter().filter(|c| !flight.tried.contains(&c.version));
         let choices = choices.map(|candidate| self.assess(flight, now, *candidate, reference));
         choices.min_by(|a, b| a.value.total_cmp(&b.value))
     }
@@ -82,8 +79,7 @@
         let reference = self.reference_cost(flight);
         let keep = reference * self.account.penalty(task, false);
         let left = flight.time_left(now);
-        self.best_rescue(flight, poor, task, left, reference)
-            .filter(|choice| choice.value < keep)
+        self.best_rescue(flight, poor, task, left, reference).filter(|choice| choice.value < keep)
     }
 
     /// The version for a new session, given what its workspace's sessions ask for.
@@ -93,22 +89,15 @@
     where
         I: Iterator<Item = (TaskIx, f64, TaskPolicy, Account)> + Clone,
     {
-        let choices = self
-            .candidates
-            .iter()
-            .filter(|c| !flight.tried.contains(&c.version));
+        let choices = self.candidates.iter().filter(|c| !flight.tried.contains(&c.version));
         let choices = choices.map(|candidate| {
             let mut choice = self.single(flight, now, *candidate, self.reference_cost(flight));
             // NB: decides alone where no task of the sessions has a target.
             let tie_break = choice.cost * 1e-3;
             let costs = mix.clone().map(|(task, requests, policy, account)| {
                 let reference = self.reference_cost_of(task, flight.prompt_tokens);
-                let cost = self
-                    .estimates
-                    .cost(candidate.version, task, flight.prompt_tokens);
-                let meets = self
-                    .estimates
-                    .meets(candidate.version, task, policy.quality_target);
+                let cost = self.estimates.cost(candidate.version, task, flight.prompt_tokens);
+                let meets = self.estimates.meets(candidate.version, task, policy.quality_target);
                 let late = self.estimates.of(candidate.version, task).late;
                 let late = LATE_PENALTY * late.with_prior(0.01, 4.0);
                 let penalty = account.expected_penalty(policy, meets, requests);
@@ -150,27 +139,16 @@
         let Candidate { version, wait_ms } = candidate;
         let left = flight.time_left(now).saturating_sub(from_ms(wait_ms));
         let on_time = self.estimates.within(version, flight.task, left);
-        let cost = self
-            .estimates
-            .cost(version, flight.task, flight.prompt_tokens);
+        let cost = self.estimates.cost(version, flight.task, flight.prompt_tokens);
         let (meets, penalty) = match flight.target {
             Some(task) => {
-                let meets = self
-                    .estimates
-                    .meets(version, flight.task, task.quality_target);
+                let meets = self.estimates.meets(version, flight.task, task.quality_target);
                 (meets, self.account.expected_penalty(task, meets, 1.0))
             }
             None => (1.0, 0.0),
         };
         let value = cost + reference * (penalty + LATE_PENALTY * (1.0 - on_time));
-        Choice {
-            version,
-            hold: false,
-            meets,
-            on_time,
-            cost,
-            value,
-        }
+        Choice { version, hold: false, meets, on_time, cost, value }
     }
 
     /// The same run with its answer held for a rating and a second run where it is poor.
@@ -202,12 +180,7 @@
         let miss = 1.0 - direct.meets;
         let value = direct.cost + direct.meets * met + miss * rescue.value + reference * late;
         let meets = direct.meets + miss * rescue.meets;
-        Some(Choice {
-            hold: true,
-            value,
-            meets,
-            ..direct
-        })
+        Some(Choice { hold: true, value, meets, ..direct })
     }
 
     /// The best second run, valued with what it leaves behind.
@@ -229,22 +202,11 @@
             let version = candidate.version;
             let usable = left.saturating_sub(from_ms(candidate.wait_ms) + DELIVERY_MARGIN);
             let on_time = self.estimates.within(version, flight.task, usable);
-            let rescued = self
-                .estimates
-                .rescues(poor, version, flight.task, task.quality_target)
-                * on_time;
-            let cost = self
-                .estimates
-                .cost(version, flight.task, flight.prompt_tokens);
+            let rescued =
+                self.estimates.rescues(poor, version, flight.task, task.quality_target) * on_time;
+            let cost = self.estimates.cost(version, flight.task, flight.prompt_tokens);
             let value = cost + rescued * met + (1.0 - rescued) * missed;
-            Choice {
-                version,
-                hold: true,
-                meets: rescued,
-                on_time,
-                cost,
-                value,
-            }
+            Choice { version, hold: true, meets: rescued, on_time, cost, value }
         });
         choices.min_by(|a, b| a.value.total_cmp(&b.value))
     }
@@ -263,10 +225,8 @@
     }
 
     fn reference_cost_of(&self, task: TaskIx, prompt_tokens: u64) -> f64 {
-        let costs = self
-            .candidates
-            .iter()
-            .map(|c| self.estimates.cost(c.version, task, prompt_tokens));
+        let costs =
+            self.candidates.iter().map(|c| self.estimates.cost(c.version, task, prompt_tokens));
         costs.fold(1e-9, f64::max)
     }
 }
--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -107,10 +107,7 @@
 
     /// What a workspace has spent at this process.
     pub fn spent(&self, workspace: &str) -> f64 {
-        let workspace = self
-            .workspace_names
-            .find(workspace)
-            .and_then(|ix| self.workspace(ix));
+        let workspace = self.workspace_names.find(workspace).and_then(|ix| self.workspace(ix));
         workspace.map_or(0.0, |workspace| workspace.spend.spent())
     }
 
@@ -125,10 +122,7 @@
     /// The trial of a version, if it is being rolled out.
     pub fn trial(&self, version: &str) -> Option<&Trial> {
         let version = self.versions.find(version)?;
-        self.roll_outs
-            .iter()
-            .find(|r| r.version == version)
-            .map(|r| &r.trial)
+        self.roll_outs.iter().find(|r| r.version == version).map(|r| &r.trial)
     }
 
     /// Takes over a trip that an agent reported; no effect on versions that are not on trial.
@@ -141,15 +135,12 @@
 
     /// Versions that have tripped, with the cause.
     pub fn trips(&self) -> Vec<(VersionId, Trip)> {
-        let tripped = self
-            .roll_outs
-            .iter()
-            .filter_map(|roll_out| match roll_out.trial.stage() {
-                TrialStage::Tripped(cause) => {
-                    Some((self.versions.name(roll_out.version).to_owned(), cause))
-                }
-                _ => None,
-            });
+        let tripped = self.roll_outs.iter().filter_map(|roll_out| match roll_out.trial.stage() {
+            TrialStage::Tripped(cause) => {
+                Some((self.versions.name(roll_out.version).to_owned(), cause))
+            }
+            _ => None,
+        });
         tripped.collect()
     }
 
@@ -162,11 +153,7 @@
             self.set_state(version, spec.state);
         }
         self.estimates.set_prices(&prices);
-        self.services = policy
-            .services
-            .iter()
-            .map(|name| self.versions.intern(name))
-            .collect();
+        self.services = policy.services.iter().map(|name| self.versions.intern(name)).collect();
     }
 
     fn set_state(&mut self, version: VersionIx, state: VersionState) {
@@ -189,11 +176,7 @@
                     Trial::default()
                 }
             };
-            roll_outs.push(RollOutTrial {
-                version,
-                replaces,
-                trial,
-            });
+            roll_outs.push(RollOutTrial { version, replaces, trial });
         }
         self.roll_outs = roll_outs;
     }
@@ -202,10 +185,7 @@
         let mut former = std::mem::take(&mut self.workspaces);
         for (name, workspace) in &policy.workspaces {
             let ix = self.workspace_names.intern(name);
-            let kept = former
-                .get_mut(ix)
-                .and_then(Option::take)
-                .unwrap_or_default();
+            let kept = former.get_mut(ix).and_then(Option::take).unwrap_or_default();
             let resolved = self.resolve(workspace, kept);
             if self.workspaces.len() <= ix {
                 self.workspaces.resize_with(ix + 1, || None);
@@ -215,10 +195,7 @@
     }
 
     fn resolve(&mut self, policy: &WorkspacePolicy, kept: Workspace) -> Workspace {
-        let names = policy
-            .allowed_versions
-            .iter()
-            .chain(&policy.allowed_services);
+        let names = policy.allowed_versions.iter().chain(&policy.allowed_services);
         let allowed = names.map(|name| self.versions.intern(name)).collect();
         let mut tasks = Vec::new();
         for (name, task) in &policy.tasks {
@@ -232,13 +209,7 @@
         if policy.spend_cap != kept.policy.spend_cap {
             spend.set_limit(policy.spend_cap);
         }
-        Workspace {
-            policy: policy.clone(),
-            allowed,
-            tasks,
-            accounts: kept.accounts,
-            spend,
-        }
+        Workspace { policy: policy.clone(), allowed, tasks, accounts: kept.accounts, spend }
     }
 
     fn workspace(&self, ix: WorkspaceIx) -> Option<&Workspace> {
@@ -250,15 +221,11 @@
     }
 
     fn roll_out(&self, version: VersionIx) -> Option<&RollOutTrial> {
-        self.roll_outs
-            .iter()
-            .find(|roll_out| roll_out.version == version)
+        self.roll_outs.iter().find(|roll_out| roll_out.version == version)
     }
 
     fn roll_out_mut(&mut self, version: VersionIx) -> Option<&mut RollOutTrial> {
-        self.roll_outs
-            .iter_mut()
-            .find(|roll_out| roll_out.version == version)
+        self.roll_outs.iter_mut().find(|roll_out| roll_out.version == version)
     }
 
     fn is_tripped(&self, version: VersionIx) -> bool {
@@ -280,10 +247,7 @@
 
     fn account(&self, workspace: WorkspaceIx, task: TaskIx) -> Account {
         let accounts = self.workspace(workspace).map(|w| w.accounts.as_slice());
-        accounts
-            .and_then(|accounts| accounts.get(task))
-            .copied()
-            .unwrap_or_default()
+        accounts.and_then(|accounts| accounts.get(task)).copied().unwrap_or_default()
     }
 
     fn account_mut(&mut self, workspace: WorkspaceIx, task: TaskIx) -> Option<&mut Account> {
--- a/crates/decide/src/router/learn.rs
+++ b/crates/decide/src/router/learn.rs
@@ -17,10 +17,7 @@
     pub fn delivered(&mut self, now: Duration, flight: &mut Flight) -> Option<Receipt> {
         let answer = flight.answer?;
         let late = now > flight.deadline;
-        self.estimates
-            .of_mut(answer.version, flight.task)
-            .late
-            .add(late);
+        self.estimates.of_mut(answer.version, flight.task).late.add(late);
         self.count_lateness(now, answer.version, flight.task, late);
         self.book(flight, answer.meets);
         flight.booked = None;
@@ -106,11 +103,7 @@
         let Some(replaces) = self.roll_out(version).map(|roll_out| roll_out.replaces) else {
             return;
         };
-        let old_rate = self
-            .estimates
-            .of(replaces, task)
-            .failures
-            .with_prior(0.0, 20.0);
+        let old_rate = self.estimates.of(replaces, task).failures.with_prior(0.0, 20.0);
         if let Some(roll_out) = self.roll_out_mut(version) {
             roll_out.trial.ended(now, failed, old_rate);
         }
@@ -132,9 +125,7 @@
         task: TaskIx,
         target: Option<TaskPolicy>,
     ) -> f64 {
-        target.map_or(1.0, |target| {
-            self.estimates.meets(version, task, target.quality_target)
-        })
+        target.map_or(1.0, |target| self.estimates.meets(version, task, target.quality_target))
     }
 
     fn count_lateness(&mut self, now: Duration, version: VersionIx, task: TaskIx, late: bool) {
@@ -150,10 +141,6 @@
     fn reference(&self, version: VersionIx, task: TaskIx) -> Reference {
         let quality = &self.estimates.of(version, task).quality;
         let (mean, deviation) = quality.moments();
-        Reference {
-            ratings: quality.total(),
-            mean,
-            deviation,
-        }
+        Reference { ratings: quality.total(), mean, deviation }
     }
 }
--- a/crates/decide/src/router/members.rs
+++ b/crates/decide/src/router/members.rs
@@ -9,11 +9,8 @@
     /// Takes in what a server, or the instance list, says of a server that is live.
     pub fn server_seen(&mut self, now: Duration, report: &ServerReport) {
         let ix = self.server_names.intern(&report.server);
-        let versions: Vec<_> = report
-            .versions
-            .iter()
-            .map(|name| self.versions.intern(name))
-            .collect();
+        let versions: Vec<_> =
+            report.versions.iter().map(|name| self.versions.intern(name)).collect();
         self.listed_at.insert(ix, now);
         let unchanged = self.servers.get(ix).is_some_and(|known| {
             known.open
@@ -22,8 +19,7 @@
                 && known.data_centre == report.data_centre
         });
         if !unchanged {
-            self.servers
-                .put(ix, &report.data_centre, versions, report.slots);
+            self.servers.put(ix, &report.data_centre, versions, report.slots);
         }
         if let Some(load) = report.load {
             self.servers.report(ix, now, load);
@@ -50,12 +46,8 @@
     /// NB: only for use while the list itself answers; its outage says nothing of servers.
     pub fn close_unlisted(&mut self, now: Duration) {
         let silent = |seen: &Duration| now.saturating_sub(*seen) > LIST_SILENCE;
-        let gone: Vec<_> = self
-            .listed_at
-            .iter()
-            .filter(|(_, seen)| silent(seen))
-            .map(|(ix, _)| *ix)
-            .collect();
+        let gone: Vec<_> =
+            self.listed_at.iter().filter(|(_, seen)| silent(seen)).map(|(ix, _)| *ix).collect();
         for ix in gone {
             self.servers.close(ix);
             self.listed_at.remove(&ix);
--- a/crates/decide/src/router/steps.rs
+++ b/crates/decide/src/router/steps.rs
@@ -105,8 +105,7 @@
         let cost = self.estimates.price(run.version).cost(usage);
         self.release(flight, cost);
         self.servers.succeeded(run.server);
-        self.estimates
-            .add_run(run.version, flight.task, done.output_tokens, done.service);
+        self.estimates.add_run(run.version, flight.task, done.output_tokens, done.service);
         self.count_end(now, run.version, flight.task, false);
         let held = flight.answer;
         let meets = match (held, flight.target) {
@@ -119,12 +118,7 @@
             _ => self.meets(run.version, flight.task, flight.target),
         };
         flight.former = held;
-        let answer = Answer {
-            run: flight.runs() - 1,
-            version: run.version,
-            rating: None,
-            meets,
-        };
+        let answer = Answer { run: flight.runs() - 1, version: run.version, rating: None, meets };
         flight.answer = Some(answer);
         if !run.hold || !self.worth_holding(now, flight) {
             return Next::Deliver;
@@ -152,11 +146,7 @@
         let met = quality >= target.quality_target;
         self.learn_rescue(flight, answer.version, met);
         let meets = f64::from(u8::from(met));
-        let rated = Answer {
-            rating: Some(quality),
-            meets,
-            ..answer
-        };
+        let rated = Answer { rating: Some(quality), meets, ..answer };
         let better = flight.former.filter(|former| former.rating > rated.rating);
         flight.answer = Some(better.unwrap_or(rated));
         self.book(flight, meets);
@@ -185,9 +175,8 @@
             return Err(Refusal::NoConfiguration);
         }
         let workspace = self.workspace_names.find(request.workspace);
-        let workspace = workspace
-            .filter(|ix| self.workspace(*ix).is_some())
-            .ok_or(Refusal::UnknownCaller)?;
+        let workspace =
+            workspace.filter(|ix| self.workspace(*ix).is_some()).ok_or(Refusal::UnknownCaller)?;
         let task = self.tasks.intern(request.task);
         let mut flight = Flight {
             workspace,
@@ -217,9 +206,7 @@
             None => self.admit_chat(now, request, &mut flight)?,
         }
         if now >= flight.deadline {
-            return Err(Refusal::TooLate {
-                deadline_ms: flight.stated_deadline_ms(),
-            });
+            return Err(Refusal::TooLate { deadline_ms: flight.stated_deadline_ms() });
         }
         Ok(flight)
     }
@@ -227,9 +214,7 @@
     fn service(&self, workspace: WorkspaceIx, service: &str) -> Result<VersionIx, Refusal> {
         let refusal = || Refusal::VersionNotAllowed(service.to_owned());
         let version = self.versions.find(service).ok_or_else(refusal)?;
-        let allowed = self
-            .workspace(workspace)
-            .is_some_and(|w| w.allowed.contains(&version));
+        let allowed = self.workspace(workspace).is_some_and(|w| w.allowed.contains(&version));
         if !allowed || !self.services.contains(&version) {
             return Err(refusal());
         }
@@ -243,9 +228,8 @@
         flight: &mut Flight,
     ) -> Result<(), Refusal> {
         flight.target = self.target(flight.workspace, flight.task);
-        let only_listed = self
-            .workspace(flight.workspace)
-            .is_some_and(|w| w.policy.only_listed_tasks);
+        let only_listed =
+            self.workspace(flight.workspace).is_some_and(|w| w.policy.only_listed_tasks);
         if only_listed && flight.target.is_none() {
             return Err(Refusal::TaskNotAllowed);
         }
@@ -255,10 +239,7 @@
         if let Some(session) = request.session {
             self.sessions.count(flight.workspace, flight.task);
             let remembered = || self.sessions.pin(flight.workspace, session, now);
-            let pin = request
-                .pin
-                .and_then(|pin| self.versions.find(pin))
-                .or_else(remembered);
+            let pin = request.pin.and_then(|pin| self.versions.find(pin)).or_else(remembered);
             if let Some(pin) = pin {
                 self.apply_pin(flight, pin)?;
             }
@@ -267,21 +248,14 @@
     }
 
     fn target(&self, workspace: WorkspaceIx, task: usize) -> Option<TaskPolicy> {
-        self.workspace(workspace)?
-            .tasks
-            .get(task)
-            .copied()
-            .flatten()
+        self.workspace(workspace)?.tasks.get(task).copied().flatten()
     }
 
     /// The version that the caller insists on.
     fn insisted(&self, workspace: WorkspaceIx, name: &str) -> Result<VersionIx, Refusal> {
         let refusal = || Refusal::VersionNotAllowed(name.to_owned());
         let version = self.versions.find(name).ok_or_else(refusal)?;
-        if !self
-            .workspace(workspace)
-            .is_some_and(|w| w.allowed.contains(&version))
-        {
+        if !self.workspace(workspace).is_some_and(|w| w.allowed.contains(&version)) {
             return Err(refusal());
         }
         match self.state(version) {
@@ -294,9 +268,7 @@
 
     /// Binds a request to its session's version, or ends the session if that version is gone.
     fn apply_pin(&mut self, flight: &mut Flight, pin: VersionIx) -> Result<(), Refusal> {
-        let allowed = self
-            .workspace(flight.workspace)
-            .is_some_and(|w| w.allowed.contains(&pin));
+        let allowed = self.workspace(flight.workspace).is_some_and(|w| w.allowed.contains(&pin));
         if allowed && self.serves_sessions(pin) {
             if flight.only.is_some_and(|insisted| insisted != pin) {
                 return Err(Refusal::BadSessionPin);
@@ -305,9 +277,7 @@
             return Ok(());
         }
         if !self.restart_allowed(flight.workspace) {
-            return Err(Refusal::VersionWithdrawn(
-                self.versions.name(pin).to_owned(),
-            ));
+            return Err(Refusal::VersionWithdrawn(self.versions.name(pin).to_owned()));
         }
         flight.session_restarted = true;
         self.counters.session_restarts += 1;
@@ -324,8 +294,7 @@
         let (choice, server) = self.choose(now, rng, flight)?;
         if flight.in_session {
             if let Some(session) = session {
-                self.sessions
-                    .keep(flight.workspace, session, choice.version, now);
+                self.sessions.keep(flight.workspace, session, choice.version, now);
             }
             flight.only = Some(choice.version);
         }
@@ -370,13 +339,9 @@
             let Some(choice) = self.choose_version(now, flight, &candidates) else {
                 break;
             };
-            let waits = candidates
-                .iter()
-                .any(|c| c.version == choice.version && c.wait_ms > 0.0);
+            let waits = candidates.iter().any(|c| c.version == choice.version && c.wait_ms > 0.0);
             if waits && choice.on_time < HOPELESS {
-                return Err(Refusal::TooLate {
-                    deadline_ms: flight.stated_deadline_ms(),
-                });
+                return Err(Refusal::TooLate { deadline_ms: flight.stated_deadline_ms() });
             }
             let choice = self.on_trial_instead(rng, flight, choice);
             if let Some(server) = self.server_for(now, rng, flight, choice.version) {
@@ -395,25 +360,15 @@
     ) -> Option<Choice> {
         let planner = self.planner(flight, candidates);
         if flight.only.is_some() {
-            return candidates
-                .first()
-                .map(|candidate| planner.only(flight, now, *candidate));
+            return candidates.first().map(|candidate| planner.only(flight, now, *candidate));
         }
         if !flight.in_session {
             return planner.first(flight, now);
         }
-        let mix = self
-            .sessions
-            .mix(flight.workspace)
-            .filter_map(|(task, share)| {
-                let target = self.target(flight.workspace, task)?;
-                Some((
-                    task,
-                    share * SESSION_REQUESTS,
-                    target,
-                    self.account(flight.workspace, task),
-                ))
-            });
+        let mix = self.sessions.mix(flight.workspace).filter_map(|(task, share)| {
+            let target = self.target(flight.workspace, task)?;
+            Some((task, share * SESSION_REQUESTS, target, self.account(flight.workspace, task)))
+        });
         planner.session(flight, now, mix)
     }
 
@@ -437,9 +392,7 @@
             let hosted = self.servers.hosts(only).then(|| candidate(only));
             return hosted.map(|only| vec![only]).ok_or(Refusal::NoServer);
         }
-        let workspace = self
-            .workspace(flight.workspace)
-            .ok_or(Refusal::UnknownCaller)?;
+        let workspace = self.workspace(flight.workspace).ok_or(Refusal::UnknownCaller)?;
         let open = workspace.allowed.iter().filter(|version| {
             self.serves_new(**version)
                 && self.servers.hosts(**version)
@@ -450,17 +403,11 @@
             return Err(Refusal::NoServer);
         }
         let affordable = |candidate: &Candidate| {
-            let cost = self
-                .estimates
-                .cost(candidate.version, flight.task, flight.prompt_tokens);
+            let cost = self.estimates.cost(candidate.version, flight.task, flight.prompt_tokens);
             workspace.spend.affords(cost)
         };
         let candidates: Vec<Candidate> = candidates.into_iter().filter(affordable).collect();
-        if candidates.is_empty() {
-            Err(Refusal::SpendCap)
-        } else {
-            Ok(candidates)
-        }
+        if candidates.is_empty() { Err(Refusal::SpendCap) } else { Ok(candidates) }
     }
 
     /// Whether a version on trial gets work only in place of the version that it replaces.
@@ -486,9 +433,7 @@
             return choice;
         };
         let new = roll_out.version;
-        let allowed = self
-            .workspace(flight.workspace)
-            .is_some_and(|w| w.allowed.contains(&new));
+        let allowed = self.workspace(flight.workspace).is_some_and(|w| w.allowed.contains(&new));
         let fits = if flight.in_session || !flight.repeatable {
             roll_out.trial.takes_sessions()
         } else {
@@ -505,11 +450,7 @@
         if rng.random::<f64>() >= share {
             return choice;
         }
-        Choice {
-            version: new,
-            hold: choice.hold || self.may_judge(flight),
-            ..choice
-        }
+        Choice { version: new, hold: choice.hold || self.may_judge(flight), ..choice }
     }
 
     /// Whether an answer of a version on trial should be rated before it is shown.
@@ -533,9 +474,7 @@
             prefix: flight.prefix,
             avoid: &flight.avoid,
         };
-        self.servers
-            .choose(now, rng, wanted)
-            .map(|(server, _)| server)
+        self.servers.choose(now, rng, wanted).map(|(server, _)| server)
     }
 
     /// Books a run and makes the step out of it.
@@ -560,12 +499,7 @@
         }
         flight.tried.push(version);
         flight.shown_at_once = !choice.hold && flight.answer.is_none();
-        flight.run = Some(Run {
-            version,
-            server,
-            reserved: choice.cost,
-            hold: choice.hold,
-        });
+        flight.run = Some(Run { version, server, reserved: choice.cost, hold: choice.hold });
         self.book(flight, choice.meets);
         Step {
             version: self.versions.name(version).to_owned(),
@@ -602,10 +536,7 @@
         };
         let outlook = self.rating_outlook();
         outlook.up
-            && self
-                .planner(flight, &candidates)
-                .rescue(flight, now + outlook.delay)
-                .is_some()
+            && self.planner(flight, &candidates).rescue(flight, now + outlook.delay).is_some()
     }
 
     /// Longest wait for a rating: a few times the usual delay.
--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -148,9 +148,7 @@
 
     /// Whether any open server hosts a version.
     pub fn hosts(&self, version: VersionIx) -> bool {
-        self.by_version
-            .get(version)
-            .is_some_and(|servers| !servers.is_empty())
+        self.by_version.get(version).is_some_and(|servers| !servers.is_empty())
     }
 
     /// Share of a version's servers, from 0 to 1, that also host another version.
@@ -172,26 +170,17 @@
         let servers = self.by_version.get(wanted.version)?;
         let mut best = Best::default();
         if servers.len() <= FULL_SCAN_SERVERS {
-            servers
-                .iter()
-                .for_each(|ix| best.consider(self, *ix, now, wanted));
+            servers.iter().for_each(|ix| best.consider(self, *ix, now, wanted));
             return best.found;
         }
         if let Some(prefix) = wanted.prefix {
             best.consider(self, self.home_of(prefix, servers), now, wanted);
         }
         for _ in 0..SAMPLED_SERVERS {
-            best.consider(
-                self,
-                servers[rng.random_range(0..servers.len())],
-                now,
-                wanted,
-            );
+            best.consider(self, servers[rng.random_range(0..servers.len())], now, wanted);
         }
         if best.found.is_none() {
-            servers
-                .iter()
-                .for_each(|ix| best.consider(self, *ix, now, wanted));
+            servers.iter().for_each(|ix| best.consider(self, *ix, now, wanted));
         }
         best.found
     }
@@ -202,14 +191,10 @@
             return f64::INFINITY;
         };
         let step = (servers.len() / FULL_SCAN_SERVERS).max(1);
-        let waits = servers
-            .iter()
-            .step_by(step)
-            .take(FULL_SCAN_SERVERS)
-            .filter_map(|ix| {
-                let server = self.get(*ix)?;
-                (server.closed_until <= now).then(|| server.wait_ms(now, service_ms))
-            });
+        let waits = servers.iter().step_by(step).take(FULL_SCAN_SERVERS).filter_map(|ix| {
+            let server = self.get(*ix)?;
+            (server.closed_until <= now).then(|| server.wait_ms(now, service_ms))
+        });
         waits.fold(f64::INFINITY, f64::min)
     }
 
@@ -221,11 +206,7 @@
         let first = servers[(mix(prefix) % servers.len() as u64) as usize];
         let second = servers[(mix(prefix ^ u64::MAX) % servers.len() as u64) as usize];
         let weight = |ix: ServerIx| self.get(ix).map_or(0, |server| mix(server.hash ^ prefix));
-        if weight(first) >= weight(second) {
-            first
-        } else {
-            second
-        }
+        if weight(first) >= weight(second) { first } else { second }
     }
 
     fn get_mut(&mut self, ix: ServerIx) -> Option<&mut Server> {
@@ -240,9 +221,7 @@
     }
 
     fn unlist(&mut self, ix: ServerIx) {
-        self.by_version
-            .iter_mut()
-            .for_each(|servers| servers.retain(|other| *other != ix));
+        self.by_version.iter_mut().for_each(|servers| servers.retain(|other| *other != ix));
     }
 }
 
--- a/crates/decide/src/session.rs
+++ b/crates/decide/src/session.rs
@@ -42,11 +42,7 @@
         now: Duration,
     ) {
         let key = (workspace, Box::from(session));
-        if self
-            .pins
-            .insert(key.clone(), Pin { version, used: now })
-            .is_none()
-        {
+        if self.pins.insert(key.clone(), Pin { version, used: now }).is_none() {
             self.order.push_back(key);
         }
         while self.order.len() > SESSION_LIMIT {
@@ -67,11 +63,7 @@
 
     /// Shares of the tasks in a workspace's sessions; empty before the first.
     pub fn mix(&self, workspace: WorkspaceIx) -> impl Iterator<Item = (TaskIx, f64)> + Clone + '_ {
-        let tasks = self
-            .mix
-            .get(workspace)
-            .map(Vec::as_slice)
-            .unwrap_or_default();
+        let tasks = self.mix.get(workspace).map(Vec::as_slice).unwrap_or_default();
         let total: f64 = tasks.iter().sum();
         let present = tasks.iter().enumerate().filter(|(_, count)| **count > 0.0);
         present.map(move |(task, count)| (task, count / total))
--- a/crates/decide/src/trial.rs
+++ b/crates/decide/src/trial.rs
@@ -89,11 +89,7 @@
         let ratings = self.ratings.max(1.0);
         let mean = self.sum / ratings;
         let variance = (self.sum_of_squares / ratings - mean * mean).max(0.0);
-        Reference {
-            ratings: self.ratings,
-            mean,
-            deviation: variance.sqrt(),
-        }
+        Reference { ratings: self.ratings, mean, deviation: variance.sqrt() }
     }
 }
 
@@ -241,9 +237,5 @@
 fn event_score(happened: bool, base: f64, bad: f64) -> f64 {
     let base = base.min(0.98);
     let bad = bad.min(0.99);
-    if happened {
-        (bad / base).ln()
-    } else {
-        ((1.0 - bad) / (1.0 - base)).ln()
-    }
+    if happened { (bad / base).ln() } else { ((1.0 - bad) / (1.0 - base)).ln() }
 }
--- a/crates/demo/src/bench.rs
+++ b/crates/demo/src/bench.rs
@@ -95,25 +95,15 @@
     const VERSION: &str = "bench/1";
     const WARM_UP: Duration = Duration::from_secs(1);
     let deployment = start(plan, VERSION).await?;
-    let engine = deployment.servers[0]
-        .engine
-        .as_ref()
-        .map(|engine| engine.address());
+    let engine = deployment.servers[0].engine.as_ref().map(|engine| engine.address());
     let engine = engine.ok_or(DemoError::NotReady)?;
     let entry = deployment.entry_addresses()[0];
-    let warm_up = BenchPlan {
-        length: WARM_UP,
-        ..*plan
-    };
+    let warm_up = BenchPlan { length: WARM_UP, ..*plan };
     drive(&warm_up, engine, VERSION).await?;
     drive(&warm_up, entry, VERSION).await?;
     let direct = drive(plan, engine, VERSION).await?;
     let routed = drive(plan, entry, VERSION).await?;
-    Ok(BenchFigures {
-        direct,
-        routed,
-        tokens: plan.tokens,
-    })
+    Ok(BenchFigures { direct, routed, tokens: plan.tokens })
 }
 
 async fn start(plan: &BenchPlan, version: &str) -> Result<Deployment, BenchError> {
@@ -135,12 +125,7 @@
         "[version {version}]\n[workspace bench]\nallowed_versions = {version}\n\
          keys_sha256 = {digest}\n"
     );
-    let plan = Plan {
-        servers: vec![server],
-        entries: 1,
-        policy_ini,
-        entry_ini: String::new(),
-    };
+    let plan = Plan { servers: vec![server], entries: 1, policy_ini, entry_ini: String::new() };
     let deployment = Deployment::start(&plan).await.map_err(DemoError::from)?;
     if !deployment.wait_ready(Duration::from_secs(10)).await {
         return Err(DemoError::NotReady.into());
@@ -154,9 +139,7 @@
     address: SocketAddr,
     version: &str,
 ) -> Result<WayFigures, BenchError> {
-    let client = reqwest::Client::builder()
-        .pool_max_idle_per_host(1_000)
-        .build();
+    let client = reqwest::Client::builder().pool_max_idle_per_host(1_000).build();
     let client = client.unwrap_or_default();
     let body = json!({
         "model": version,
@@ -191,12 +174,7 @@
     if failed > 0 {
         return Err(BenchError::NotWhole { failed, sent });
     }
-    Ok(WayFigures {
-        whole_us,
-        first_us,
-        cpu,
-        sent,
-    })
+    Ok(WayFigures { whole_us, first_us, cpu, sent })
 }
 
 /// Times to the first token and to the end of one answer; `None` if it is not whole.
@@ -226,7 +204,9 @@
 
 fn histogram() -> Histogram<u64> {
     const DIGITS: u8 = 3;
-    Histogram::new(DIGITS).unwrap_or_else(|_| unreachable!("three digits are valid"))
+    const LONGEST_US: u64 = 600_000_000;
+    Histogram::new_with_bounds(1, LONGEST_US, DIGITS)
+        .unwrap_or_else(|_| unreachable!("the bounds are constant and valid"))
 }
 
 /// Processor time of this process so far, from the kernel's scheduler accounting.
--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -67,9 +67,7 @@
     request: &CallerRequest,
 ) -> CallerReply {
     let started = Instant::now();
-    let mut reply = exchange(client, entry, request, started)
-        .await
-        .unwrap_or_default();
+    let mut reply = exchange(client, entry, request, started).await.unwrap_or_default();
     reply.latency = started.elapsed();
     reply
 }
@@ -82,11 +80,7 @@
 ) -> Option<CallerReply> {
     let response = build(client, entry, request).send().await.ok()?;
     let header = |name: &str| {
-        response
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned)
+        response.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
     };
     let mut reply = CallerReply {
         status: response.status().as_u16(),
@@ -99,10 +93,7 @@
         let body: Value = response.json().await.unwrap_or_default();
         reply.ran = Some(body["ran"].clone());
         reply.code = body["error"]["code"].as_str().map(str::to_owned);
-        reply.text = body["error"]["message"]
-            .as_str()
-            .unwrap_or_default()
-            .to_owned();
+        reply.text = body["error"]["message"].as_str().unwrap_or_default().to_owned();
         return Some(reply);
     }
     if request.streaming && request.service.is_none() {
@@ -122,11 +113,7 @@
         Some((service, path)) => format!("/v1/services/{service}{path}"),
         None => "/v1/chat/completions".to_owned(),
     };
-    let model = if request.model.is_empty() {
-        "auto"
-    } else {
-        &request.model
-    };
+    let model = if request.model.is_empty() { "auto" } else { &request.model };
     let body = json!({
         "model": model,
         "stream": request.streaming,
@@ -137,10 +124,7 @@
         .header("authorization", format!("Bearer {}", request.key))
         .header("x-request-id", &request.request)
         .header("pondwalk-task", &request.task)
-        .header(
-            "pondwalk-deadline-ms",
-            request.deadline.as_millis().to_string(),
-        )
+        .header("pondwalk-deadline-ms", request.deadline.as_millis().to_string())
         .header("pondwalk-repeatable", request.repeatable.to_string())
         .json(&body);
     if let Some(key) = &request.idempotency_key {
@@ -162,14 +146,8 @@
     let Ok(value) = serde_json::from_slice::<Value>(&body) else {
         return;
     };
-    let content = value
-        .pointer("/choices/0/message/content")
-        .and_then(Value::as_str);
-    reply.text = if service {
-        value.to_string()
-    } else {
-        content.unwrap_or_default().to_owned()
-    };
+    let content = value.pointer("/choices/0/message/content").and_then(Value::as_str);
+    reply.text = if service { value.to_string() } else { content.unwrap_or_default().to_owned() };
     reply.whole = service || value.pointer("/choices/0/finish_reason") == Some(&json!("stop"));
 }
 
@@ -196,10 +174,7 @@
         reply.code = Some(code.to_owned());
         reply.ran = Some(value["ran"].clone());
     }
-    if let Some(content) = value
-        .pointer("/choices/0/delta/content")
-        .and_then(Value::as_str)
-    {
+    if let Some(content) = value.pointer("/choices/0/delta/content").and_then(Value::as_str) {
         if reply.text.is_empty() {
             reply.first_token = started.elapsed();
         }
--- a/crates/demo/src/day.rs
+++ b/crates/demo/src/day.rs
@@ -62,9 +62,7 @@
 impl DemoReport {
     /// Whether every promise held.
     pub fn is_good(&self) -> bool {
-        self.promises
-            .iter()
-            .all(|promise| promise.broken.is_empty())
+        self.promises.iter().all(|promise| promise.broken.is_empty())
     }
 }
 
@@ -161,10 +159,7 @@
         progress: &impl Fn(&str),
     ) -> Result<(), DemoError> {
         progress(&format!("rolling out {} for {}", day.new, day.old));
-        let roll_out = RollOut {
-            version: day.new.to_owned(),
-            replaces: day.old.to_owned(),
-        };
+        let roll_out = RollOut { version: day.new.to_owned(), replaces: day.old.to_owned() };
         let edit = |policy: &_| add_roll_out(policy, &roll_out);
         let record = change(&deployment.store(), rand::random(), OnRace::Repeat, edit).await?;
         self.await_in_force(deployment, record.generation).await;
@@ -238,27 +233,15 @@
             ledger,
             runs_after_withdrawal: vec![day.old.to_owned(); late_old],
             runs_after_leaving: vec![deployment.servers[day.stopped].server.clone(); late_leaving],
-            generations: self
-                .generations
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .clone(),
+            generations: self.generations.lock().unwrap_or_else(PoisonError::into_inner).clone(),
             in_force_ms: self.in_force_ms.clone(),
         };
-        DemoReport {
-            table,
-            promises: evidence.check(),
-        }
+        DemoReport { table, promises: evidence.check() }
     }
 }
 
 async fn status_of(entry: std::net::SocketAddr) -> Option<serde_json::Value> {
-    reqwest::get(format!("http://{entry}/status"))
-        .await
-        .ok()?
-        .json()
-        .await
-        .ok()
+    reqwest::get(format!("http://{entry}/status")).await.ok()?.json().await.ok()
 }
 
 async fn everywhere(deployment: &Deployment, generation: u64) -> bool {
@@ -267,10 +250,7 @@
             return false;
         };
         let entry = status["generation"].as_u64().unwrap_or(0) >= generation;
-        let agents = status["agents"]
-            .as_array()
-            .map(Vec::as_slice)
-            .unwrap_or_default();
+        let agents = status["agents"].as_array().map(Vec::as_slice).unwrap_or_default();
         let agents = agents.iter().filter(|agent| agent["connected"] == true);
         let behind =
             |agent: &&serde_json::Value| agent["generation"].as_u64().unwrap_or(0) < generation;
@@ -295,11 +275,7 @@
 }
 
 fn runs_of(deployment: &Deployment, version: &str) -> usize {
-    deployment
-        .runs()
-        .iter()
-        .filter(|(_, ran)| ran == version)
-        .count()
+    deployment.runs().iter().filter(|(_, ran)| ran == version).count()
 }
 
 fn runs_on(deployment: &Deployment, server: usize) -> usize {
--- a/crates/demo/src/day/plans.rs
+++ b/crates/demo/src/day/plans.rs
@@ -62,10 +62,7 @@
     pub fn allowed(&self) -> HashMap<String, BTreeSet<String>> {
         let all = [SMALL, MEDIUM, NEW_MEDIUM, LARGE, self.service];
         let versions: BTreeSet<String> = all.iter().map(|name| (*name).to_owned()).collect();
-        let names = self
-            .workspaces
-            .iter()
-            .map(|workspace| workspace.workspace.clone());
+        let names = self.workspaces.iter().map(|workspace| workspace.workspace.clone());
         names.map(|name| (name, versions.clone())).collect()
     }
 }
@@ -82,17 +79,10 @@
     let tasks = vec![
         task("quote", 4.0, 1_200, 0.6),
         task("briefing", 3.0, 4_000, 0.6),
-        TaskPlan {
-            repeatable: false,
-            ..task("order_note", 2.0, 4_000, 0.6)
-        },
+        TaskPlan { repeatable: false, ..task("order_note", 2.0, 4_000, 0.6) },
         service_task("quote_feed", 2.0, "market-data"),
     ];
-    let targets = [
-        ("quote", 0.70, 0.85),
-        ("briefing", 0.70, 0.90),
-        ("order_note", 0.70, 0.90),
-    ];
+    let targets = [("quote", 0.70, 0.85), ("briefing", 0.70, 0.90), ("order_note", 0.70, 0.90)];
     day("branch", "market-data", tasks, &targets)
 }
 
@@ -100,17 +90,10 @@
     let tasks = vec![
         task("draft", 3.0, 6_000, 0.6),
         task("classification", 2.5, 1_500, 0.6),
-        TaskPlan {
-            repeatable: false,
-            ..task("dispute", 1.5, 6_000, 0.5)
-        },
+        TaskPlan { repeatable: false, ..task("dispute", 1.5, 6_000, 0.5) },
         service_task("rate_lookup", 3.0, "rating"),
     ];
-    let targets = [
-        ("draft", 0.75, 0.90),
-        ("classification", 0.75, 0.90),
-        ("dispute", 0.75, 0.90),
-    ];
+    let targets = [("draft", 0.75, 0.90), ("classification", 0.75, 0.90), ("dispute", 0.75, 0.90)];
     day("carrier", "rating", tasks, &targets)
 }
 
@@ -153,21 +136,8 @@
         .collect();
     let policy_ini = policy_ini(service, &workspaces, targets);
     let servers = servers(service);
-    let plan = Plan {
-        servers,
-        entries: 2,
-        policy_ini,
-        entry_ini: String::new(),
-    };
-    DayPlan {
-        plan,
-        new: NEW_MEDIUM,
-        old: MEDIUM,
-        stopped: 0,
-        tasks,
-        workspaces,
-        service,
-    }
+    let plan = Plan { servers, entries: 2, policy_ini, entry_ini: String::new() };
+    DayPlan { plan, new: NEW_MEDIUM, old: MEDIUM, stopped: 0, tasks, workspaces, service }
 }
 
 fn servers(service: &str) -> Vec<ServerPlan> {
@@ -181,10 +151,7 @@
     let large = profile(150, 10, 40, 0.94);
     let kinds: [(usize, &[(&str, VersionProfile)]); 4] = [
         (SMALL_SERVERS, &[(SMALL, small)]),
-        (
-            MEDIUM_SERVERS,
-            &[(MEDIUM, medium), (NEW_MEDIUM, new_medium)],
-        ),
+        (MEDIUM_SERVERS, &[(MEDIUM, medium), (NEW_MEDIUM, new_medium)]),
         (LARGE_SERVERS, &[(LARGE, large)]),
         (SERVICE_SERVERS, &[]),
     ];
@@ -192,9 +159,7 @@
     for (count, versions) in kinds {
         for _ in 0..count {
             let number = servers.len() + 1;
-            let hosted = versions
-                .iter()
-                .map(|(name, profile)| ((*name).to_owned(), *profile));
+            let hosted = versions.iter().map(|(name, profile)| ((*name).to_owned(), *profile));
             servers.push(ServerPlan {
                 server: format!("b{number}"),
                 data_centre: format!("dc{}", number % 3 + 1),
@@ -238,8 +203,5 @@
 
 /// Digest of a caller's key, as policies hold it.
 pub fn key_digest(key: &str) -> String {
-    Sha256::digest(key.as_bytes())
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect()
+    Sha256::digest(key.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
 }
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -112,10 +112,7 @@
         for server in &plan.servers {
             servers.push(start_server(server, kv.address()).await?);
         }
-        let listed = servers
-            .iter()
-            .zip(&plan.servers)
-            .map(|(unit, plan)| listed(unit, plan));
+        let listed = servers.iter().zip(&plan.servers).map(|(unit, plan)| listed(unit, plan));
         let instances = InstanceList::start(LIST_LAG, listed.collect()).await?;
         let mut deployment = Deployment {
             kv,
@@ -152,8 +149,7 @@
         // NB: roles own runtimes, which must not be made on a thread that runs one.
         let entry =
             tokio::task::spawn_blocking(move || RunningEntry::start(settings, store, no_metrics()));
-        self.entries
-            .push(Some(entry.await.map_err(io::Error::other)??));
+        self.entries.push(Some(entry.await.map_err(io::Error::other)??));
         Ok(())
     }
 
@@ -171,11 +167,7 @@
 
     /// Addresses of the entries that run.
     pub fn entry_addresses(&self) -> Vec<SocketAddr> {
-        self.entries
-            .iter()
-            .flatten()
-            .map(RunningEntry::address)
-            .collect()
+        self.entries.iter().flatten().map(RunningEntry::address).collect()
     }
 
     /// Whether every entry would be sent callers by the balancer.
@@ -186,11 +178,7 @@
     /// Waits until all entries are ready and connected to all agents, at most for `limit`.
     pub async fn wait_ready(&self, limit: Duration) -> bool {
         const POLL: Duration = Duration::from_millis(20);
-        let agents = self
-            .servers
-            .iter()
-            .filter(|unit| unit.agent.is_some())
-            .count();
+        let agents = self.servers.iter().filter(|unit| unit.agent.is_some()).count();
         let ready = async {
             for address in self.entry_addresses() {
                 while connected_agents(address).await < agents {
@@ -257,21 +245,11 @@
         let mut runs = Vec::new();
         for unit in &self.servers {
             if let Some(engine) = &unit.engine {
-                runs.extend(
-                    engine
-                        .log()
-                        .into_iter()
-                        .map(|line| (line.request, line.version)),
-                );
+                runs.extend(engine.log().into_iter().map(|line| (line.request, line.version)));
             }
             if let Some(service) = &unit.service {
                 let name = unit.settings.versions[0].clone();
-                runs.extend(
-                    service
-                        .log()
-                        .into_iter()
-                        .map(|request| (request, name.clone())),
-                );
+                runs.extend(service.log().into_iter().map(|request| (request, name.clone())));
             }
         }
         runs
@@ -285,14 +263,8 @@
         return 0;
     };
     let status: serde_json::Value = status.json().await.unwrap_or_default();
-    let agents = status["agents"]
-        .as_array()
-        .map(Vec::as_slice)
-        .unwrap_or_default();
-    agents
-        .iter()
-        .filter(|agent| agent["connected"] == true)
-        .count()
+    let agents = status["agents"].as_array().map(Vec::as_slice).unwrap_or_default();
+    agents.iter().filter(|agent| agent["connected"] == true).count()
 }
 
 async fn start_server(plan: &ServerPlan, kv: SocketAddr) -> Result<ServerUnit, DeploymentError> {
@@ -319,13 +291,7 @@
     let settings = AgentSettings::try_from(RawFile::parse(Path::new("agent.ini"), &text)?)?;
     let agent = start_agent(settings.clone(), kv).await?;
     let server = plan.server.clone();
-    Ok(ServerUnit {
-        server,
-        engine,
-        service,
-        agent: Some(agent),
-        settings,
-    })
+    Ok(ServerUnit { server, engine, service, agent: Some(agent), settings })
 }
 
 async fn start_agent(
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -65,26 +65,17 @@
 impl Asks {
     /// Adds one.
     pub fn push(&self, asked: Asked) {
-        self.asked
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(asked);
+        self.asked.lock().unwrap_or_else(PoisonError::into_inner).push(asked);
     }
 
     /// All so far.
     pub fn all(&self) -> Vec<Asked> {
-        self.asked
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.asked.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// How many so far.
     pub fn len(&self) -> usize {
-        self.asked
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .len()
+        self.asked.lock().unwrap_or_else(PoisonError::into_inner).len()
     }
 
     /// Whether nothing was asked yet.
@@ -140,12 +131,7 @@
                 let sent = Instant::now();
                 let reply = call(&client, entry, &request).await;
                 give_back(&conversations, &workspace.workspace, &request, &reply);
-                asks.push(Asked {
-                    workspace: workspace.workspace,
-                    request,
-                    reply,
-                    sent,
-                });
+                asks.push(Asked { workspace: workspace.workspace, request, reply, sent });
             });
         }
         while calls.join_next().await.is_some() {}
@@ -172,9 +158,7 @@
             idempotency_key: (!task.repeatable).then(|| format!("key-{request}")),
             streaming: rng.random::<f64>() < task.streaming,
             model: String::new(),
-            service: task
-                .service
-                .map(|service| (service.to_owned(), "/v1/quote".to_owned())),
+            service: task.service.map(|service| (service.to_owned(), "/v1/quote".to_owned())),
             request,
         }
     }
@@ -187,9 +171,7 @@
     conversations: &Conversations,
 ) -> (String, Option<String>) {
     let mut conversations = conversations.lock().unwrap_or_else(PoisonError::into_inner);
-    let waiting = conversations
-        .entry(workspace.workspace.clone())
-        .or_default();
+    let waiting = conversations.entry(workspace.workspace.clone()).or_default();
     let next = waiting.pop().unwrap_or_else(|| Conversation {
         name: format!("{}-s{number}", workspace.workspace),
         pin: None,
@@ -214,13 +196,7 @@
     // NB: one turn in eight ends a conversation, which keeps its mean length near the users'.
     let ends = request.request.bytes().map(u32::from).sum::<u32>() % MEAN_TURNS == 0;
     if !ends {
-        waiting.insert(
-            0,
-            Conversation {
-                name: name.clone(),
-                pin,
-            },
-        );
+        waiting.insert(0, Conversation { name: name.clone(), pin });
     }
 }
 
--- a/crates/demo/src/promises.rs
+++ b/crates/demo/src/promises.rs
@@ -64,15 +64,9 @@
         let broken = self.asked.iter().filter(|asked| {
             let allowed = self.allowed.get(&asked.workspace);
             let ran = versions.get(asked.request.request.as_str());
-            ran.into_iter()
-                .flatten()
-                .any(|v| !allowed.is_some_and(|a| a.contains(*v)))
+            ran.into_iter().flatten().any(|v| !allowed.is_some_and(|a| a.contains(*v)))
         });
-        promise(
-            "a request runs only on an allowed version",
-            self.runs.len(),
-            ids(broken),
-        )
+        promise("a request runs only on an allowed version", self.runs.len(), ids(broken))
     }
 
     fn withdrawn(&self) -> Promise {
@@ -103,19 +97,12 @@
         let answered = self.asked.iter().filter(|asked| asked.reply.whole);
         let answered: BTreeSet<&String> = answered.map(|asked| &asked.request.request).collect();
         let billed: BTreeSet<&String> = self.ledger.bills.keys().collect();
-        let wrong = answered
-            .symmetric_difference(&billed)
-            .map(|id| (*id).clone())
-            .collect();
+        let wrong = answered.symmetric_difference(&billed).map(|id| (*id).clone()).collect();
         promise("each request is billed exactly once", answered.len(), wrong)
     }
 
     fn own_answers(&self) -> Promise {
-        let chats = || {
-            self.asked
-                .iter()
-                .filter(|a| a.reply.whole && a.request.service.is_none())
-        };
+        let chats = || self.asked.iter().filter(|a| a.reply.whole && a.request.service.is_none());
         let crossed = chats().filter(|asked| {
             let mark = format!("<ref:{}>", asked.request.request);
             !asked.reply.text.contains(&mark)
@@ -126,25 +113,16 @@
 
     fn true_refusals(&self) -> Promise {
         let runs = self.runs_by_request();
-        let refused = || {
-            self.asked
-                .iter()
-                .filter(|a| a.reply.ran == Some(json!(false)))
-        };
+        let refused = || self.asked.iter().filter(|a| a.reply.ran == Some(json!(false)));
         let lies = refused().filter(|a| runs.contains_key(a.request.request.as_str()));
-        promise(
-            "a refusal that says \"not run\" is true",
-            refused().count(),
-            ids(lies),
-        )
+        promise("a refusal that says \"not run\" is true", refused().count(), ids(lies))
     }
 
     fn at_most_once(&self) -> Promise {
         let runs = self.runs_by_request();
         let single = || self.asked.iter().filter(|asked| !asked.request.repeatable);
         let twice = single().filter(|asked| {
-            runs.get(asked.request.request.as_str())
-                .is_some_and(|versions| versions.len() > 1)
+            runs.get(asked.request.request.as_str()).is_some_and(|versions| versions.len() > 1)
         });
         let name = "a request that may not be repeated runs at most once";
         promise(name, single().count(), ids(twice))
@@ -158,18 +136,9 @@
     fn no_cuts(&self) -> Promise {
         let cut = self.asked.iter().filter(|asked| {
             let opened = asked.reply.status == 200 && !asked.reply.whole;
-            opened
-                || asked
-                    .reply
-                    .ran
-                    .as_ref()
-                    .is_some_and(|ran| *ran != json!(false))
+            opened || asked.reply.ran.as_ref().is_some_and(|ran| *ran != json!(false))
         });
-        promise(
-            "a planned stop cuts no request in flight",
-            self.asked.len(),
-            ids(cut),
-        )
+        promise("a planned stop cuts no request in flight", self.asked.len(), ids(cut))
     }
 
     fn configuration(&self) -> Promise {
@@ -187,11 +156,7 @@
                 broken.push(format!("in force only after {ms} ms"));
             }
         }
-        promise(
-            "a configuration is in force within seconds and never reverts",
-            tried,
-            broken,
-        )
+        promise("a configuration is in force within seconds and never reverts", tried, broken)
     }
 
     fn runs_by_request(&self) -> HashMap<&str, Vec<&str>> {
@@ -214,9 +179,5 @@
 }
 
 fn promise(name: &'static str, tried: usize, broken: Vec<String>) -> Promise {
-    Promise {
-        name,
-        tried: tried as u64,
-        broken,
-    }
+    Promise { name, tried: tried as u64, broken }
 }
--- a/crates/demo/src/table.rs
+++ b/crates/demo/src/table.rs
@@ -29,24 +29,14 @@
     pub fn new(asked: &[Asked], ledger: &Ledger) -> Self {
         let mut table = Table::default();
         for asked in asked {
-            let version = asked
-                .reply
-                .version
-                .clone()
-                .unwrap_or_else(|| "-".to_owned());
-            let row = table
-                .rows
-                .entry((asked.request.task.clone(), version))
-                .or_default();
+            let version = asked.reply.version.clone().unwrap_or_else(|| "-".to_owned());
+            let row = table.rows.entry((asked.request.task.clone(), version)).or_default();
             let reply = &asked.reply;
             row.requests += 1;
             row.whole += u64::from(reply.whole);
             row.on_time += u64::from(reply.whole && reply.latency <= asked.request.deadline);
             row.refused += u64::from(!reply.whole);
-            row.cost += ledger
-                .bills
-                .get(&asked.request.request)
-                .map_or(0.0, |bill| bill.cost());
+            row.cost += ledger.bills.get(&asked.request.request).map_or(0.0, |bill| bill.cost());
             if let Some(quality) = quality_of(&reply.text).filter(|_| reply.whole) {
                 row.quality_sum += quality;
                 row.rated += 1;
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -42,10 +42,7 @@
 impl Failure {
     /// A refusal of something that has truly not run.
     pub fn not_run(refusal: Refusal) -> Self {
-        Failure {
-            refusal,
-            ran: Ran::No,
-        }
+        Failure { refusal, ran: Ran::No }
     }
 }
 
@@ -68,9 +65,7 @@
     /// The generated text, for rating.
     pub fn text(&self) -> String {
         let whole = assemble(&self.parts);
-        let content = whole
-            .pointer("/choices/0/message/content")
-            .and_then(Value::as_str);
+        let content = whole.pointer("/choices/0/message/content").and_then(Value::as_str);
         content.unwrap_or_default().to_owned()
     }
 }
@@ -87,9 +82,7 @@
             continue;
         };
         if let Some(Value::Array(deltas)) = event.remove("choices") {
-            deltas
-                .into_iter()
-                .for_each(|delta| merge_choice(&mut choices, delta));
+            deltas.into_iter().for_each(|delta| merge_choice(&mut choices, delta));
         }
         whole.extend(event.into_iter().filter(|(_, value)| !value.is_null()));
     }
--- a/crates/entry/src/bills.rs
+++ b/crates/entry/src/bills.rs
@@ -25,10 +25,7 @@
 impl Bills {
     /// No bills yet.
     pub fn new(writer: Incarnation) -> Self {
-        Bills {
-            book: Mutex::new(BillBook::new(writer)),
-            holders: Mutex::default(),
-        }
+        Bills { book: Mutex::new(BillBook::new(writer)), holders: Mutex::default() }
     }
 
     /// Bills not known to be durable.
@@ -43,11 +40,7 @@
     // NB: a bill is a plain tree of numbers and texts, which always has a JSON form.
     let text = serde_json::to_vec(&bill).unwrap_or_default();
     lock(&core.bills.book).add(bill);
-    let held = HeldBill {
-        entry: core.incarnation,
-        request: request.clone(),
-        bill: text,
-    };
+    let held = HeldBill { entry: core.incarnation, request: request.clone(), bill: text };
     let client = core.fleet.get(server).and_then(|link| link.client());
     let copied = match client {
         Some(client) => client.hold_bill(Link::call_context(), held).await.is_ok(),
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -10,9 +10,7 @@
     let (false, Some(key)) = (incoming.repeatable, &incoming.idempotency_key) else {
         return Ok(None);
     };
-    let ticket = core
-        .claims
-        .claim(&incoming.workspace, key, &incoming.request, rand::random());
+    let ticket = core.claims.claim(&incoming.workspace, key, &incoming.request, rand::random());
     ticket.await.map(Some)
 }
 
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -36,24 +36,20 @@
 impl ControlThread {
     /// Starts the thread.
     pub fn start(core: Arc<Core>) -> io::Result<Self> {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let (stop, stopped) = oneshot::channel();
-        let thread = std::thread::Builder::new()
-            .name("entry-control".into())
-            .spawn(move || {
-                runtime.block_on(async {
-                    tokio::select! {
-                        () = watch_configuration(&core) => {}
-                        () = watch_instances(&core) => {}
-                        () = exchange_generations(&core) => {}
-                        () = publish_trips(&core) => {}
-                        () = write_bills(&core) => {}
-                        _ = stopped => {}
-                    }
-                });
-            })?;
+        let thread = std::thread::Builder::new().name("entry-control".into()).spawn(move || {
+            runtime.block_on(async {
+                tokio::select! {
+                    () = watch_configuration(&core) => {}
+                    () = watch_instances(&core) => {}
+                    () = exchange_generations(&core) => {}
+                    () = publish_trips(&core) => {}
+                    () = write_bills(&core) => {}
+                    _ = stopped => {}
+                }
+            });
+        })?;
         Ok(ControlThread { stop, thread })
     }
 
@@ -84,17 +80,12 @@
     let head = read_head(&core.store).await?;
     core.confirm();
     let revision = head.revision.unwrap_or(known);
-    let PolicyRecord {
-        generation, policy, ..
-    } = head.record;
+    let PolicyRecord { generation, policy, .. } = head.record;
     if core.install(Configuration { generation, policy }) {
         offer_to_all(core);
     }
     let wait = core.settings.store.watch_wait;
-    let watched = core
-        .store
-        .watch(pondwalk_config::HEAD_KEY, revision, wait)
-        .await?;
+    let watched = core.store.watch(pondwalk_config::HEAD_KEY, revision, wait).await?;
     if watched == Watched::Quiet {
         core.confirm();
     }
@@ -110,8 +101,7 @@
     for link in core.fleet.all() {
         if link.is_connected() && link.generation() < generation {
             let configuration = installed.configuration.clone();
-            core.traffic
-                .spawn(async move { link.configure(configuration).await });
+            core.traffic.spawn(async move { link.configure(configuration).await });
         }
     }
 }
@@ -122,11 +112,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let ahead = core
-            .fleet
-            .all()
-            .into_iter()
-            .find(|l| l.generation() > core.generation());
+        let ahead = core.fleet.all().into_iter().find(|l| l.generation() > core.generation());
         if let Some(client) = ahead.and_then(|link| link.client())
             && let Ok(Some(newer)) = client.configuration(Link::call_context()).await
         {
@@ -183,9 +169,7 @@
                 Ok(record) => {
                     let cause = format!("{cause:?}");
                     spdlog::warn!("version stopped", kv: { version = version.as_str(), cause = cause.as_str() });
-                    let PolicyRecord {
-                        generation, policy, ..
-                    } = record;
+                    let PolicyRecord { generation, policy, .. } = record;
                     core.install(Configuration { generation, policy });
                     offer_to_all(core);
                 }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -32,10 +32,7 @@
 impl Installed {
     /// The price of a version.
     pub fn price(&self, version: &str) -> Price {
-        self.configuration
-            .policy
-            .price_of(version)
-            .unwrap_or_default()
+        self.configuration.policy.price_of(version).unwrap_or_default()
     }
 }
 
@@ -84,10 +81,7 @@
             incarnation,
             router: Mutex::new(Router::new(&settings.data_centre)),
             fleet: Fleet::default(),
-            pins: PinSigner::new(
-                &settings.signing_key,
-                settings.former_signing_key.as_deref(),
-            ),
+            pins: PinSigner::new(&settings.signing_key, settings.former_signing_key.as_deref()),
             claims: Claims::spawn(store.clone()),
             bills: Bills::new(incarnation),
             rating: settings.rating.map(RatingClient::new),
@@ -126,9 +120,7 @@
     /// Generation in force; zero before the first.
     pub fn generation(&self) -> u64 {
         let installed = lock(&self.installed);
-        installed
-            .as_ref()
-            .map_or(0, |installed| installed.configuration.generation)
+        installed.as_ref().map_or(0, |installed| installed.configuration.generation)
     }
 
     /// Puts a configuration in force if it is newer; tells whether it was.
@@ -141,10 +133,7 @@
         let generation = configuration.generation;
         lock(&self.router).install(generation, &configuration.policy);
         let keys = keys(&configuration);
-        *installed = Some(Arc::new(Installed {
-            configuration,
-            keys,
-        }));
+        *installed = Some(Arc::new(Installed { configuration, keys }));
         spdlog::info!("configuration in force", kv: { generation });
         true
     }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -1,6 +1,5 @@
 //! The callers' side: HTTP.
 
-mod acceptor;
 mod auth;
 mod chat;
 mod errors;
@@ -10,45 +9,32 @@
 
 use std::{io, net::SocketAddr, sync::Arc};
 
-use poem::{
-    EndpointExt, Route, Server, get,
-    listener::{Acceptor, Listener, TcpListener},
-    post,
-};
+use poem::{EndpointExt, Route, Server, get, post};
+use pondwalk_listen::LimitedAcceptor;
 use tokio::sync::oneshot;
 
 use crate::core::Core;
-use acceptor::LimitedAcceptor;
 
 /// Time that a planned stop leaves to connections without a request under way.
 const CLOSE_IDLE: std::time::Duration = std::time::Duration::from_secs(1);
 
 /// A bound address that is not served yet.
-pub struct Bound<A> {
+pub struct Bound {
     /// The address.
     pub address: SocketAddr,
-    acceptor: A,
+    acceptor: LimitedAcceptor,
     core: Arc<Core>,
 }
 
 /// Binds the settings' address.
-pub async fn bind(core: Arc<Core>) -> io::Result<Bound<impl Acceptor + 'static>> {
-    let listener = TcpListener::bind(core.settings.listen.to_string());
-    let acceptor = listener.into_acceptor().await?;
-    let address = acceptor
-        .local_addr()
-        .first()
-        .and_then(|a| a.as_socket_addr().copied());
-    let address = address.ok_or(io::ErrorKind::AddrNotAvailable)?;
-    let acceptor = LimitedAcceptor::new(acceptor, core.settings.limits.connections);
-    Ok(Bound {
-        address,
-        acceptor,
-        core,
-    })
+pub async fn bind(core: Arc<Core>) -> io::Result<Bound> {
+    let connections = core.settings.limits.connections;
+    let acceptor = LimitedAcceptor::bind(core.settings.listen, connections).await?;
+    let address = acceptor.address();
+    Ok(Bound { address, acceptor, core })
 }
 
-impl<A: Acceptor + 'static> Bound<A> {
+impl Bound {
     /// Serves callers until `closed`, then finishes what is under way.
     pub async fn run(self, closed: oneshot::Receiver<()>) -> io::Result<()> {
         let limit = self.core.settings.limits.drain;
--- a/crates/entry/src/http/auth.rs
+++ b/crates/entry/src/http/auth.rs
@@ -15,11 +15,7 @@
     let installed = core.installed().ok_or(Refusal::NoConfiguration)?;
     let header = request.header(header::AUTHORIZATION).unwrap_or_default();
     let key = header.strip_prefix(SCHEME).ok_or(Refusal::UnknownCaller)?;
-    installed
-        .keys
-        .get(&digest(key))
-        .cloned()
-        .ok_or(Refusal::UnknownCaller)
+    installed.keys.get(&digest(key)).cloned().ok_or(Refusal::UnknownCaller)
 }
 
 /// SHA-256 in lower-case hex.
--- a/crates/entry/src/http/chat.rs
+++ b/crates/entry/src/http/chat.rs
@@ -43,10 +43,7 @@
 
 /// What a caller gets when serving its request ended without a word.
 pub fn cut() -> Failure {
-    Failure {
-        refusal: pondwalk_types::Refusal::Cut,
-        ran: pondwalk_types::Ran::Unknown,
-    }
+    Failure { refusal: pondwalk_types::Refusal::Cut, ran: pondwalk_types::Ran::Unknown }
 }
 
 /// Headers that come with every answer.
@@ -76,10 +73,7 @@
     let head = answer_head(StatusCode::OK, &taken.request, opening)
         .content_type("text/event-stream")
         .header(header::CACHE_CONTROL, "no-cache");
-    head.body(Body::from_bytes_stream(events(
-        taken.pieces,
-        taken.wants_usage,
-    )))
+    head.body(Body::from_bytes_stream(events(taken.pieces, taken.wants_usage)))
 }
 
 /// The answer as server-sent events: only a whole one ends in `[DONE]`.
@@ -101,16 +95,13 @@
             None => (failed(&cut()), None),
         })
     });
-    events
-        .filter(|event| std::future::ready(!event.is_empty()))
-        .map(Ok)
+    events.filter(|event| std::future::ready(!event.is_empty())).map(Ok)
 }
 
 /// Whether an event carries usage only, which callers get when they ask for it.
 fn is_usage(data: &[u8]) -> bool {
     const EMPTY_CHOICES: &[u8] = b"\"choices\":[]";
-    data.windows(EMPTY_CHOICES.len())
-        .any(|window| window == EMPTY_CHOICES)
+    data.windows(EMPTY_CHOICES.len()).any(|window| window == EMPTY_CHOICES)
 }
 
 fn failed(failure: &Failure) -> Bytes {
--- a/crates/entry/src/http/errors.rs
+++ b/crates/entry/src/http/errors.rs
@@ -32,9 +32,7 @@
 /// The failure as an HTTP response.
 pub fn response(failure: &Failure) -> Response {
     let status = status(&failure.refusal, failure.ran);
-    let mut builder = Response::builder()
-        .status(status)
-        .content_type("application/json");
+    let mut builder = Response::builder().status(status).content_type("application/json");
     if status == StatusCode::SERVICE_UNAVAILABLE {
         let seconds = retry_after_ms(&failure.refusal).div_ceil(1_000);
         builder = builder.header(header::RETRY_AFTER, seconds.to_string());
--- a/crates/entry/src/http/health.rs
+++ b/crates/entry/src/http/health.rs
@@ -39,11 +39,8 @@
         })
         .collect();
     let counters = lock(&core.router).counters();
-    let trips: Vec<_> = lock(&core.router)
-        .trips()
-        .into_iter()
-        .map(|(version, _)| version)
-        .collect();
+    let trips: Vec<_> =
+        lock(&core.router).trips().into_iter().map(|(version, _)| version).collect();
     let body = json!({
         "instance": core.settings.instance,
         "data_centre": core.settings.data_centre,
@@ -57,7 +54,5 @@
         "tripped": trips,
         "agents": agents,
     });
-    Response::builder()
-        .content_type("application/json")
-        .body(body.to_string())
+    Response::builder().content_type("application/json").body(body.to_string())
 }
--- a/crates/entry/src/http/intake.rs
+++ b/crates/entry/src/http/intake.rs
@@ -21,15 +21,8 @@
 };
 
 /// Headers that pondwalk reads.
-const HEADERS: [&str; 7] = [
-    REQUEST_ID,
-    SESSION,
-    SESSION_PIN,
-    TASK,
-    DEADLINE_MS,
-    REPEATABLE,
-    IDEMPOTENCY_KEY,
-];
+const HEADERS: [&str; 7] =
+    [REQUEST_ID, SESSION, SESSION_PIN, TASK, DEADLINE_MS, REPEATABLE, IDEMPOTENCY_KEY];
 
 /// A request that has been taken in, with the pieces of its answer to come.
 pub struct Taken {
@@ -52,18 +45,11 @@
 ) -> Result<Taken, Failure> {
     let span = tracing::info_span!("caller", path = request.uri().path());
     set_parent(&span, request);
-    let incoming = read(core, request, body, service)
-        .await
-        .map_err(Failure::not_run)?;
+    let incoming = read(core, request, body, service).await.map_err(Failure::not_run)?;
     let id = incoming.request.clone();
     let (streaming, wants_usage) = (incoming.streaming, incoming.wants_usage);
     let pieces = span.in_scope(|| serve(core.clone(), incoming));
-    Ok(Taken {
-        request: id,
-        streaming,
-        wants_usage,
-        pieces,
-    })
+    Ok(Taken { request: id, streaming, wants_usage, pieces })
 }
 
 async fn read(
@@ -78,10 +64,7 @@
     let raw = RawRequest {
         workspace,
         headers: headers(request)?,
-        content_type: request
-            .content_type()
-            .unwrap_or("application/octet-stream")
-            .to_owned(),
+        content_type: request.content_type().unwrap_or("application/octet-stream").to_owned(),
         body,
         service,
         default_deadline: core.settings.limits.default_deadline,
@@ -97,11 +80,7 @@
         return Ok(());
     };
     let pin = core.pins.check(text, &incoming.workspace)?;
-    if incoming
-        .session
-        .as_ref()
-        .is_some_and(|session| *session != pin.session)
-    {
+    if incoming.session.as_ref().is_some_and(|session| *session != pin.session) {
         return Err(Refusal::BadSessionPin);
     }
     incoming.session = Some(pin.session.clone());
@@ -110,10 +89,7 @@
 }
 
 fn check_header_size(core: &Core, request: &Request) -> Result<(), Refusal> {
-    let sizes = request
-        .headers()
-        .iter()
-        .map(|(name, value)| name.as_str().len() + value.len());
+    let sizes = request.headers().iter().map(|(name, value)| name.as_str().len() + value.len());
     if sizes.sum::<usize>() > core.settings.limits.header_bytes {
         return Err(Refusal::BadRequest(BadRequest::Header("(all)".to_owned())));
     }
--- a/crates/entry/src/http/service.rs
+++ b/crates/entry/src/http/service.rs
@@ -24,11 +24,7 @@
     body: Body,
     core: Data<&Arc<Core>>,
 ) -> Response {
-    let query = request
-        .uri()
-        .query()
-        .map(|query| format!("?{query}"))
-        .unwrap_or_default();
+    let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
     let target = (service, format!("/{path}{query}"));
     let mut taken = match intake::take(&core, request, body, Some(target)).await {
         Ok(taken) => taken,
--- a/crates/entry/src/incoming.rs
+++ b/crates/entry/src/incoming.rs
@@ -101,12 +101,8 @@
         let session = raw.text(SESSION, HEADER_LIMIT)?;
         let prefix = prefix(session.as_deref(), &chat);
         Ok(Incoming {
-            request: raw
-                .text(REQUEST_ID, HEADER_LIMIT)?
-                .unwrap_or_else(new_request_id),
-            task: raw
-                .text(TASK, HEADER_LIMIT)?
-                .unwrap_or_else(|| DEFAULT_TASK.to_owned()),
+            request: raw.text(REQUEST_ID, HEADER_LIMIT)?.unwrap_or_else(new_request_id),
+            task: raw.text(TASK, HEADER_LIMIT)?.unwrap_or_else(|| DEFAULT_TASK.to_owned()),
             pin_text: raw.text(SESSION_PIN, PIN_LIMIT)?,
             pin: None,
             deadline: raw.deadline()?,
@@ -142,12 +138,8 @@
         let Some(text) = self.text(DEADLINE_MS, HEADER_LIMIT)? else {
             return Ok(self.default_deadline);
         };
-        let ms = text
-            .parse()
-            .ok()
-            .filter(|ms| (1..=LONGEST_DEADLINE_MS).contains(ms));
-        ms.map(Duration::from_millis)
-            .ok_or_else(|| BadRequest::Header(DEADLINE_MS.to_owned()))
+        let ms = text.parse().ok().filter(|ms| (1..=LONGEST_DEADLINE_MS).contains(ms));
+        ms.map(Duration::from_millis).ok_or_else(|| BadRequest::Header(DEADLINE_MS.to_owned()))
     }
 
     fn repeatable(&self) -> Result<bool, BadRequest> {
@@ -175,29 +167,19 @@
 
     fn try_from(body: &[u8]) -> Result<Self, BadRequest> {
         let body: Value = serde_json::from_slice(body).map_err(|_| BadRequest::Body)?;
-        let messages = body
-            .get("messages")
-            .and_then(Value::as_array)
-            .ok_or(BadRequest::Body)?;
-        let model = body
-            .get("model")
-            .and_then(Value::as_str)
-            .ok_or(BadRequest::Body)?;
+        let messages = body.get("messages").and_then(Value::as_array).ok_or(BadRequest::Body)?;
+        let model = body.get("model").and_then(Value::as_str).ok_or(BadRequest::Body)?;
         if messages.is_empty() {
             return Err(BadRequest::Body);
         }
-        let length: usize = messages
-            .iter()
-            .map(|message| message["content"].to_string().len())
-            .sum();
+        let length: usize =
+            messages.iter().map(|message| message["content"].to_string().len()).sum();
         let system = messages.first().filter(|first| first["role"] == "system");
         Ok(ChatFields {
             version: version(model)?,
             prompt_tokens: length as u64 / BYTES_PER_TOKEN,
             streaming: body.get("stream").and_then(Value::as_bool).unwrap_or(false),
-            wants_usage: body["stream_options"]["include_usage"]
-                .as_bool()
-                .unwrap_or(false),
+            wants_usage: body["stream_options"]["include_usage"].as_bool().unwrap_or(false),
             system: system.map(|first| first["content"].to_string()),
         })
     }
@@ -211,9 +193,7 @@
     if model.contains('/') && model.len() <= HEADER_LIMIT {
         return Ok(Some(model.to_owned()));
     }
-    Err(BadRequest::UnknownModel(
-        model.chars().take(HEADER_LIMIT).collect(),
-    ))
+    Err(BadRequest::UnknownModel(model.chars().take(HEADER_LIMIT).collect()))
 }
 
 /// The session's turns share their beginning; so do requests with the same system message.
--- a/crates/entry/src/instances.rs
+++ b/crates/entry/src/instances.rs
@@ -57,8 +57,6 @@
     client: &reqwest::Client,
     address: SocketAddr,
 ) -> Result<Vec<Instance>, ListError> {
-    let call = client
-        .get(format!("http://{address}{LIST_PATH}"))
-        .timeout(LIST_TIMEOUT);
+    let call = client.get(format!("http://{address}{LIST_PATH}")).timeout(LIST_TIMEOUT);
     Ok(call.send().await?.error_for_status()?.json().await?)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -71,12 +71,7 @@
             .build()
             .map_err(EntryError::Threads)?;
         let guard = traffic.enter();
-        let core = Arc::new(Core::new(
-            settings,
-            store,
-            metrics,
-            traffic.handle().clone(),
-        ));
+        let core = Arc::new(Core::new(settings, store, metrics, traffic.handle().clone()));
         drop(guard);
         let listening = traffic.block_on(http::bind(core.clone()));
         let listening = listening.map_err(|source| EntryError::Listen { address, source })?;
@@ -120,9 +115,7 @@
             Some(server) => tokio::time::timeout(limit, server).await.is_ok(),
             None => true,
         };
-        let billed = tokio::time::timeout(limit, self.write_bills())
-            .await
-            .is_ok();
+        let billed = tokio::time::timeout(limit, self.write_bills()).await.is_ok();
         self.stop();
         ended && billed
     }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -221,26 +221,14 @@
         let entry = self.core.upgrade()?.incarnation;
         let state = lock(&self.state);
         let acknowledged = state.acknowledged;
-        Some((
-            state.client.clone()?,
-            TakeFrames {
-                entry,
-                acknowledged,
-                wait: TAKE_WAIT,
-            },
-        ))
+        Some((state.client.clone()?, TakeFrames { entry, acknowledged, wait: TAKE_WAIT }))
     }
 
     fn dispatch(&self, batch: FrameBatch) {
         let mut late = 0;
         {
             let mut state = lock(&self.state);
-            for Frame {
-                sequence,
-                attempt,
-                kind,
-            } in batch.frames
-            {
+            for Frame { sequence, attempt, kind } in batch.frames {
                 state.acknowledged = state.acknowledged.max(sequence);
                 match state.attempts.get(&attempt) {
                     Some(frames) => late += u64::from(frames.send(kind).is_err()),
--- a/crates/entry/src/pins.rs
+++ b/crates/entry/src/pins.rs
@@ -39,10 +39,7 @@
 impl PinSigner {
     /// A signer with its keys.
     pub fn new(current: &str, former: Option<&str>) -> Self {
-        PinSigner {
-            current: keyed(current),
-            former: former.map(keyed),
-        }
+        PinSigner { current: keyed(current), former: former.map(keyed) }
     }
 
     /// The pin as a header value.
@@ -52,21 +49,13 @@
         let mut mac = self.current.clone();
         mac.update(&payload);
         let signature = mac.finalize().into_bytes();
-        format!(
-            "{}.{}",
-            URL_SAFE_NO_PAD.encode(&payload),
-            URL_SAFE_NO_PAD.encode(signature)
-        )
+        format!("{}.{}", URL_SAFE_NO_PAD.encode(&payload), URL_SAFE_NO_PAD.encode(signature))
     }
 
     /// Checks a pin; one that was altered, or issued to another workspace, is refused.
     pub fn check(&self, text: &str, workspace: &str) -> Result<Pin, Refusal> {
         let pin = self.verified(text).ok_or(Refusal::BadSessionPin)?;
-        if pin.workspace == workspace {
-            Ok(pin)
-        } else {
-            Err(Refusal::BadSessionPin)
-        }
+        if pin.workspace == workspace { Ok(pin) } else { Err(Refusal::BadSessionPin) }
     }
 
     fn verified(&self, text: &str) -> Option<Pin> {
@@ -79,11 +68,7 @@
             mac.update(&payload);
             mac.verify_slice(&signature).is_ok()
         });
-        if valid {
-            serde_json::from_slice(&payload).ok()
-        } else {
-            None
-        }
+        if valid { serde_json::from_slice(&payload).ok() } else { None }
     }
 }
 
--- a/crates/entry/src/rating.rs
+++ b/crates/entry/src/rating.rs
@@ -38,22 +38,13 @@
     /// A client of the service at `address`.
     pub fn new(address: SocketAddr) -> Self {
         let url = format!("http://{address}{RATE_PATH}");
-        RatingClient {
-            url,
-            client: reqwest::Client::new(),
-        }
+        RatingClient { url, client: reqwest::Client::new() }
     }
 
     /// The rating of an answer from 0 to 1, or `None` if the service gives none within `wait`.
     pub async fn rate(&self, request: &RatingRequest, wait: Duration) -> Option<f64> {
         let call = async {
-            let reply = self
-                .client
-                .post(&self.url)
-                .json(request)
-                .send()
-                .await
-                .ok()?;
+            let reply = self.client.post(&self.url).json(request).send().await.ok()?;
             let reply: RatingReply = reply.error_for_status().ok()?.json().await.ok()?;
             Some(reply.quality)
         };
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -35,14 +35,7 @@
     );
     let arrived = core.now();
     let traffic = core.traffic.clone();
-    let serving = Serving {
-        core,
-        incoming,
-        out,
-        arrived,
-        answers: Vec::new(),
-        began: Ran::No,
-    };
+    let serving = Serving { core, incoming, out, arrived, answers: Vec::new(), began: Ran::No };
     traffic.spawn(tracing::Instrument::instrument(serving.run(), span));
     pieces
 }
@@ -92,8 +85,7 @@
     }
 
     async fn fail(&self, failure: Failure) {
-        self.core
-            .count(&format!("requests.refused.{}", failure.refusal.code()));
+        self.core.count(&format!("requests.refused.{}", failure.refusal.code()));
         // NB: a caller that went away needs no reason.
         let _ = self.out.send(Piece::Fail(failure)).await;
     }
@@ -123,10 +115,7 @@
             task: &incoming.task,
             session: incoming.session.as_deref(),
             pin: incoming.pin.as_ref().map(|pin| pin.version.as_str()),
-            service: incoming
-                .service
-                .as_ref()
-                .map(|(service, _)| service.as_str()),
+            service: incoming.service.as_ref().map(|(service, _)| service.as_str()),
             version: incoming.version.as_deref(),
             prompt_tokens: incoming.prompt_tokens,
             prefix: incoming.prefix,
@@ -149,22 +138,14 @@
             step,
             arrived: self.arrived,
             show: (may_show && wants).then_some((&self.out, opening)),
-            old_session: self
-                .incoming
-                .pin
-                .as_ref()
-                .is_some_and(|p| p.version == step.version),
+            old_session: self.incoming.pin.as_ref().is_some_and(|p| p.version == step.version),
         };
         run.run(&self.out).await
     }
 
     /// What the caller is told when an answer of a version starts.
     fn opening(&self, flight: &Flight, version: &str) -> Opening {
-        let session = self
-            .incoming
-            .session
-            .as_ref()
-            .filter(|_| self.incoming.service.is_none());
+        let session = self.incoming.session.as_ref().filter(|_| self.incoming.service.is_none());
         let pin = session.map(|session| {
             self.core.pins.sign(&Pin {
                 workspace: self.incoming.workspace.clone(),
@@ -194,16 +175,8 @@
                 Ok(next)
             }
             StepEnd::NotRun(refusal) => Ok(router.refused(now, &mut rng, flight, refusal)),
-            StepEnd::Broken {
-                refusal,
-                ran,
-                shown,
-            } => {
-                self.began = if self.began == Ran::Yes {
-                    Ran::Yes
-                } else {
-                    ran
-                };
+            StepEnd::Broken { refusal, ran, shown } => {
+                self.began = if self.began == Ran::Yes { Ran::Yes } else { ran };
                 let next = router.failed(now, &mut rng, flight, ran, 0.0, refusal.clone());
                 if shown {
                     // NB: the caller has part of the answer, so another run cannot continue it.
@@ -232,10 +205,7 @@
                 Next::Run(step) => return Ok(step),
                 Next::Deliver => return Err(self.deliver(flight).await),
                 Next::Refuse(refusal) => {
-                    return Err(Outcome::Failed(Failure {
-                        refusal,
-                        ran: self.began,
-                    }));
+                    return Err(Outcome::Failed(Failure { refusal, ran: self.began }));
                 }
                 Next::AwaitRating(wait) => {
                     let rating = self.rate_held(wait).await;
@@ -271,10 +241,7 @@
         let answer = number.and_then(|number| self.answers.get_mut(number)?.take());
         let Some(answer) = answer else {
             let refusal = Refusal::Cut;
-            return Outcome::Failed(Failure {
-                refusal,
-                ran: self.began,
-            });
+            return Outcome::Failed(Failure { refusal, ran: self.began });
         };
         let bill = self.bill(&answer);
         bills::hold(&self.core, bill, &answer.server).await;
@@ -282,10 +249,7 @@
         let shown = self.was_shown(flight, &answer);
         if !shown {
             let opening = self.opening(flight, &answer.version);
-            let opening = Opening {
-                head: answer.head.clone(),
-                ..opening
-            };
+            let opening = Opening { head: answer.head.clone(), ..opening };
             let _ = self.out.send(Piece::Open(opening)).await;
             for part in &answer.parts {
                 let _ = self.out.send(Piece::Data(part.clone())).await;
@@ -304,15 +268,9 @@
 
     fn bill(&self, delivered: &Answer) -> Bill {
         let installed = self.core.installed();
-        let ended = self
-            .answers
-            .iter()
-            .flatten()
-            .chain(std::iter::once(delivered));
+        let ended = self.answers.iter().flatten().chain(std::iter::once(delivered));
         let items = ended.map(|answer| {
-            let price = installed
-                .as_ref()
-                .map(|installed| installed.price(&answer.version));
+            let price = installed.as_ref().map(|installed| installed.price(&answer.version));
             BillItem {
                 version: answer.version.clone(),
                 prompt_tokens: answer.usage.prompt_tokens,
@@ -355,18 +313,10 @@
 
 /// Tells the agent whose server gave an answer how it was rated.
 fn report_rating(core: &Core, answer: &Answer, task: &str, quality: f64) {
-    let Some(client) = core
-        .fleet
-        .get(&answer.server)
-        .and_then(|link| link.client())
-    else {
+    let Some(client) = core.fleet.get(&answer.server).and_then(|link| link.client()) else {
         return;
     };
-    let report = RatingReport {
-        version: answer.version.clone(),
-        task: task.to_owned(),
-        quality,
-    };
+    let report = RatingReport { version: answer.version.clone(), task: task.to_owned(), quality };
     core.traffic.spawn(async move {
         // NB: a rating lost is one sample less.
         let _ = client.rate(Link::call_context(), report).await;
--- a/crates/entry/src/step.rs
+++ b/crates/entry/src/step.rs
@@ -59,10 +59,7 @@
         let Some(link) = self.core.fleet.get(&self.step.server) else {
             return StepEnd::NotRun(Refusal::NoServer);
         };
-        let run = RunKey {
-            entry: self.core.incarnation,
-            attempt: self.core.attempt(),
-        };
+        let run = RunKey { entry: self.core.incarnation, attempt: self.core.attempt() };
         let frames = link.expect(run.attempt);
         let end = tokio::select! {
             end = self.start_and_follow(&link, run, frames) => end,
@@ -70,10 +67,7 @@
             () = gone.closed() => StepEnd::CallerGone,
         };
         link.forget(run.attempt);
-        if matches!(
-            end,
-            StepEnd::HeldDue | StepEnd::CallerGone | StepEnd::Broken { .. }
-        ) {
+        if matches!(end, StepEnd::HeldDue | StepEnd::CallerGone | StepEnd::Broken { .. }) {
             link.cancel(run).await;
         }
         end
@@ -98,10 +92,7 @@
             None => return Ok(()),
             Some(refusal) => refusal,
         };
-        let behind = matches!(
-            refusal,
-            Refusal::StaleGeneration { .. } | Refusal::NoConfiguration
-        );
+        let behind = matches!(refusal, Refusal::StaleGeneration { .. } | Refusal::NoConfiguration);
         let installed = self.core.installed().filter(|_| behind);
         if let Some(installed) = installed
             && link.configure(installed.configuration.clone()).await
@@ -130,10 +121,7 @@
     fn start_request(&self, run: RunKey) -> StartRequest {
         let incoming = self.incoming;
         let work = match &incoming.service {
-            Some((service, path)) => Work::Service {
-                service: service.clone(),
-                path: path.clone(),
-            },
+            Some((service, path)) => Work::Service { service: service.clone(), path: path.clone() },
             None => Work::Chat(self.step.version.clone()),
         };
         StartRequest {
@@ -164,10 +152,7 @@
             match frame {
                 FrameKind::Began => began = true,
                 FrameKind::NotRun(refusal) => return StepEnd::NotRun(refusal),
-                FrameKind::Head {
-                    status,
-                    content_type,
-                } => {
+                FrameKind::Head { status, content_type } => {
                     answer.head = Some((status, content_type));
                 }
                 FrameKind::Data(data) => {
@@ -177,32 +162,17 @@
                 }
                 FrameKind::Ended { usage, service } => {
                     answer.usage = usage;
-                    let done = Finished {
-                        output_tokens: usage.output_tokens,
-                        service,
-                    };
+                    let done = Finished { output_tokens: usage.output_tokens, service };
                     return StepEnd::Whole(answer, done);
                 }
                 FrameKind::Failed(refusal) => {
                     let lost = refusal == Refusal::ContactLost;
-                    let ran = if began && !lost {
-                        Ran::Yes
-                    } else {
-                        Ran::Unknown
-                    };
-                    return StepEnd::Broken {
-                        refusal,
-                        ran,
-                        shown,
-                    };
+                    let ran = if began && !lost { Ran::Yes } else { Ran::Unknown };
+                    return StepEnd::Broken { refusal, ran, shown };
                 }
             }
         }
-        StepEnd::Broken {
-            refusal: Refusal::ContactLost,
-            ran: Ran::Unknown,
-            shown,
-        }
+        StepEnd::Broken { refusal: Refusal::ContactLost, ran: Ran::Unknown, shown }
     }
 
     async fn show(&self, shown: &mut bool, answer: &Answer, data: Bytes) {
@@ -211,10 +181,7 @@
         };
         if !*shown {
             *shown = true;
-            let opening = Opening {
-                head: answer.head.clone(),
-                ..opening.clone()
-            };
+            let opening = Opening { head: answer.head.clone(), ..opening.clone() };
             // NB: a caller that went away is noticed by the one who runs the step.
             let _ = out.send(Piece::Open(opening)).await;
         }
--- a/crates/generations/src/edits.rs
+++ b/crates/generations/src/edits.rs
@@ -28,10 +28,7 @@
         }
     }
     for roll_out in &current.roll_outs {
-        let named = next
-            .roll_outs
-            .iter()
-            .any(|known| known.version == roll_out.version);
+        let named = next.roll_outs.iter().any(|known| known.version == roll_out.version);
         if !named && next.add_version(&roll_out.version) && next.add_version(&roll_out.replaces) {
             next.roll_outs.push(roll_out.clone());
         }
@@ -45,8 +42,7 @@
     let spec = next.versions.get_mut(version);
     let spec = spec.ok_or_else(|| EditError::UnknownVersion(version.clone()))?;
     spec.state = VersionState::Withdrawn;
-    next.roll_outs
-        .retain(|roll_out| roll_out.version != *version);
+    next.roll_outs.retain(|roll_out| roll_out.version != *version);
     Ok(next)
 }
 
@@ -67,8 +63,7 @@
             workspace.allowed_versions.insert(roll_out.version.clone());
         }
     }
-    next.roll_outs
-        .retain(|known| known.version != roll_out.version);
+    next.roll_outs.retain(|known| known.version != roll_out.version);
     next.roll_outs.push(roll_out.clone());
     Ok(next)
 }
--- a/crates/generations/src/lib.rs
+++ b/crates/generations/src/lib.rs
@@ -57,10 +57,7 @@
         return Ok(Head::default());
     };
     let record = serde_json::from_slice(&fetched.value).map_err(|_| ChangeError::Unreadable)?;
-    Ok(Head {
-        record,
-        revision: Some(fetched.revision),
-    })
+    Ok(Head { record, revision: Some(fetched.revision) })
 }
 
 /// Makes an edit the next generation; returns the record accepted.
@@ -88,11 +85,7 @@
         }
         decided_on = Some(generation);
         let policy = edit(&head.record.policy)?;
-        let next = PolicyRecord {
-            generation: generation + 1,
-            change_id,
-            policy,
-        };
+        let next = PolicyRecord { generation: generation + 1, change_id, policy };
         match write(store, &head, &next).await {
             Ok(()) => return Ok(next),
             Err(error) => last = error.into(),
@@ -104,11 +97,6 @@
 async fn write(store: &Store, head: &Head, next: &PolicyRecord) -> Result<(), StoreError> {
     let value = serde_json::to_vec(next).map_err(|_| StoreError::Malformed)?;
     let expect = head.revision.map_or(Expect::Absent, Expect::Revision);
-    let change = Change {
-        key: HEAD_KEY.to_owned(),
-        value,
-        expect,
-        lease: None,
-    };
+    let change = Change { key: HEAD_KEY.to_owned(), value, expect, lease: None };
     store.commit(vec![change]).await.map(drop)
 }
--- a/crates/ledger/src/bills.rs
+++ b/crates/ledger/src/bills.rs
@@ -64,12 +64,7 @@
 impl BillBook {
     /// An empty book of the process with this incarnation.
     pub fn new(writer: Incarnation) -> Self {
-        BillBook {
-            writer,
-            next_batch: 0,
-            pending: VecDeque::new(),
-            in_doubt: None,
-        }
+        BillBook { writer, next_batch: 0, pending: VecDeque::new(), in_doubt: None }
     }
 
     /// Adds a bill.
@@ -79,11 +74,7 @@
 
     /// Bills not known to be durable.
     pub fn backlog(&self) -> usize {
-        self.pending.len()
-            + self
-                .in_doubt
-                .as_ref()
-                .map_or(0, |batch| batch.requests.len())
+        self.pending.len() + self.in_doubt.as_ref().map_or(0, |batch| batch.requests.len())
     }
 
     /// The batch to write next, if there is anything to write.
@@ -110,11 +101,7 @@
         }
         let key = format!("{BILLS_PREFIX}{:016x}/{:010}", self.writer, self.next_batch);
         self.next_batch += 1;
-        Batch {
-            key,
-            value,
-            requests,
-        }
+        Batch { key, value, requests }
     }
 }
 
@@ -125,13 +112,8 @@
     book: &std::sync::Mutex<BillBook>,
     store: &Store,
 ) -> Result<Vec<RequestId>, StoreError> {
-    let lock = || {
-        book.lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-    };
-    let Some((key, value)) = lock()
-        .batch()
-        .map(|batch| (batch.key.clone(), batch.value.clone()))
+    let lock = || book.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let Some((key, value)) = lock().batch().map(|batch| (batch.key.clone(), batch.value.clone()))
     else {
         return Ok(Vec::new());
     };
@@ -155,10 +137,7 @@
 impl Ledger {
     /// Adds the bills of one batch.
     pub fn merge(&mut self, value: &[u8]) {
-        for line in value
-            .split(|byte| *byte == b'\n')
-            .filter(|line| !line.is_empty())
-        {
+        for line in value.split(|byte| *byte == b'\n').filter(|line| !line.is_empty()) {
             match serde_json::from_slice::<Bill>(line) {
                 Ok(bill) => self.add(bill),
                 Err(_) => self.unreadable += 1,
--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -71,10 +71,7 @@
     /// Starts the writer on the current runtime; it ends with the last handle.
     pub fn spawn(store: Store) -> Self {
         let (waiting, queue) = mpsc::channel(WAITING_LIMIT);
-        let writer = Writer {
-            store: store.clone(),
-            lease: None,
-        };
+        let writer = Writer { store: store.clone(), lease: None };
         tokio::spawn(writer.run(queue));
         Claims { waiting, store }
     }
@@ -87,29 +84,16 @@
         request: &str,
         nonce: u64,
     ) -> Result<ClaimTicket, Refusal> {
-        let record = ClaimRecord {
-            request: request.to_owned(),
-            nonce,
-            state: ClaimState::Claimed,
-        };
+        let record = ClaimRecord { request: request.to_owned(), nonce, state: ClaimState::Claimed };
         let (done, outcome) = oneshot::channel();
-        let waiting = Waiting {
-            key: claim_key(workspace, idempotency_key),
-            record,
-            done,
-        };
-        self.waiting
-            .try_send(waiting)
-            .map_err(|_| Refusal::ClaimUnavailable)?;
+        let waiting = Waiting { key: claim_key(workspace, idempotency_key), record, done };
+        self.waiting.try_send(waiting).map_err(|_| Refusal::ClaimUnavailable)?;
         outcome.await.unwrap_or(Err(Refusal::ClaimUnavailable))
     }
 
     /// Gives a claim back, because it is sure that nothing ran.
     pub async fn release(&self, ticket: ClaimTicket) -> Result<(), StoreError> {
-        let record = ClaimRecord {
-            state: ClaimState::Released,
-            ..ticket.record
-        };
+        let record = ClaimRecord { state: ClaimState::Released, ..ticket.record };
         let change = Change {
             key: ticket.key,
             value: encode(&record),
@@ -122,11 +106,7 @@
 
 /// Keys may hold any text, so they are written in hex.
 fn claim_key(workspace: &str, idempotency_key: &str) -> String {
-    let hex = |text: &str| {
-        text.bytes()
-            .map(|byte| format!("{byte:02x}"))
-            .collect::<String>()
-    };
+    let hex = |text: &str| text.bytes().map(|byte| format!("{byte:02x}")).collect::<String>();
     format!("{CLAIMS_PREFIX}{}/{}", hex(workspace), hex(idempotency_key))
 }
 
@@ -227,11 +207,7 @@
 fn finish(waiting: Waiting, revision: u64) {
     let Waiting { key, record, done } = waiting;
     // NB: a caller that went away leaves its claim behind; its key then stays used.
-    let _ = done.send(Ok(ClaimTicket {
-        key,
-        record,
-        revision,
-    }));
+    let _ = done.send(Ok(ClaimTicket { key, record, revision }));
 }
 
 fn refuse(group: Vec<Waiting>) {
--- a/crates/ledger/src/commit.rs
+++ b/crates/ledger/src/commit.rs
@@ -24,12 +24,8 @@
     const TRIES: u32 = 3;
     let mut last = StoreError::AnswerLost;
     for _ in 0..TRIES {
-        let change = Change {
-            key: key.to_owned(),
-            value: value.to_vec(),
-            expect: Expect::Absent,
-            lease,
-        };
+        let change =
+            Change { key: key.to_owned(), value: value.to_vec(), expect: Expect::Absent, lease };
         match store.commit(vec![change]).await {
             Ok(revision) => return Ok(CreateOutcome::Ours(revision)),
             Err(StoreError::Conflict) => return who_holds(store, key, value).await,
--- a/crates/pondwalk/src/commands.rs
+++ b/crates/pondwalk/src/commands.rs
@@ -37,10 +37,7 @@
 
 /// Runs a command's future on this thread.
 fn block_on<T>(future: impl Future<Output = anyhow::Result<T>>) -> anyhow::Result<T> {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?
-        .block_on(future)
+    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(future)
 }
 
 fn store(address: SocketAddr) -> Store {
--- a/crates/pondwalk/src/commands/bench.rs
+++ b/crates/pondwalk/src/commands/bench.rs
@@ -23,10 +23,7 @@
 }
 
 fn print(figures: &BenchFigures) {
-    println!(
-        "{:<8} {:>10} {:>22} {:>22}",
-        "way", "requests", "first token us", "whole answer us"
-    );
+    println!("{:<8} {:>10} {:>22} {:>22}", "way", "requests", "first token us", "whole answer us");
     for (name, way) in [("direct", &figures.direct), ("routed", &figures.routed)] {
         for (quantile, q) in QUANTILES {
             println!(
--- a/crates/pondwalk/src/commands/change.rs
+++ b/crates/pondwalk/src/commands/change.rs
@@ -27,20 +27,13 @@
 
 /// Starts a roll-out.
 pub fn roll_out(options: &RollOutOptions) -> anyhow::Result<Exit> {
-    let roll_out = RollOut {
-        version: options.version.clone(),
-        replaces: options.replaces.clone(),
-    };
-    make(&options.change, OnRace::Repeat, |current| {
-        add_roll_out(current, &roll_out)
-    })
+    let roll_out = RollOut { version: options.version.clone(), replaces: options.replaces.clone() };
+    make(&options.change, OnRace::Repeat, |current| add_roll_out(current, &roll_out))
 }
 
 /// Withdraws a version.
 pub fn withdraw(options: &WithdrawOptions) -> anyhow::Result<Exit> {
-    make(&options.change, OnRace::Repeat, |current| {
-        withdraw_edit(current, &options.version)
-    })
+    make(&options.change, OnRace::Repeat, |current| withdraw_edit(current, &options.version))
 }
 
 fn make(
@@ -52,11 +45,7 @@
         let record = change(&store(options.store), rand::random(), on_race, edit).await?;
         let behind = wait_in_force(options, &record).await;
         print(options, &record, &behind);
-        Ok(if behind.is_empty() {
-            Exit::Success
-        } else {
-            Exit::Unmet
-        })
+        Ok(if behind.is_empty() { Exit::Success } else { Exit::Unmet })
     })
 }
 
@@ -69,10 +58,7 @@
     let until = Instant::now() + options.wait_limit;
     loop {
         let behind = match processes(instances).await {
-            Ok(all) => all
-                .into_iter()
-                .filter(|process| !process.has(record.generation))
-                .collect(),
+            Ok(all) => all.into_iter().filter(|process| !process.has(record.generation)).collect(),
             Err(_) => vec![ProcessStatus::list_unreadable()],
         };
         if behind.is_empty() || Instant::now() >= until {
--- a/crates/pondwalk/src/commands/demo.rs
+++ b/crates/pondwalk/src/commands/demo.rs
@@ -17,19 +17,11 @@
     for promise in &report.promises {
         print(promise);
     }
-    Ok(if report.is_good() {
-        Exit::Success
-    } else {
-        Exit::Unmet
-    })
+    Ok(if report.is_good() { Exit::Success } else { Exit::Unmet })
 }
 
 fn print(promise: &Promise) {
-    let verdict = if promise.broken.is_empty() {
-        "held"
-    } else {
-        "BROKEN"
-    };
+    let verdict = if promise.broken.is_empty() { "held" } else { "BROKEN" };
     println!(
         "{verdict:<7} {:<72} tried {:>5}, broken {}",
         promise.name,
--- a/crates/pondwalk/src/commands/ledger.rs
+++ b/crates/pondwalk/src/commands/ledger.rs
@@ -14,28 +14,16 @@
     } else {
         print(&ledger, options.list);
     }
-    Ok(if ledger.unreadable == 0 {
-        Exit::Success
-    } else {
-        Exit::Unmet
-    })
+    Ok(if ledger.unreadable == 0 { Exit::Success } else { Exit::Unmet })
 }
 
 fn print(ledger: &Ledger, list: bool) {
     if list {
         for bill in ledger.bills.values() {
-            println!(
-                "{:<34} {:<16} {:>12.6}",
-                bill.request,
-                bill.workspace,
-                bill.cost()
-            );
+            println!("{:<34} {:<16} {:>12.6}", bill.request, bill.workspace, bill.cost());
         }
     }
-    println!(
-        "{:<16} {:<16} {:>8} {:>12}",
-        "workspace", "version", "runs", "cost"
-    );
+    println!("{:<16} {:<16} {:>8} {:>12}", "workspace", "version", "runs", "cost");
     for ((workspace, version), (runs, cost)) in ledger.totals() {
         println!("{workspace:<16} {version:<16} {runs:>8} {cost:>12.6}");
     }
--- a/crates/pondwalk/src/commands/replay.rs
+++ b/crates/pondwalk/src/commands/replay.rs
@@ -20,9 +20,5 @@
     for outcome in &unmet {
         eprintln!("{outcome}");
     }
-    Ok(if unmet.is_empty() {
-        Exit::Success
-    } else {
-        Exit::Unmet
-    })
+    Ok(if unmet.is_empty() { Exit::Success } else { Exit::Unmet })
 }
--- a/crates/pondwalk/src/commands/status.rs
+++ b/crates/pondwalk/src/commands/status.rs
@@ -101,23 +101,14 @@
         Some((generation, load)) => (Some(generation), load),
         None => (None, None),
     };
-    ProcessStatus {
-        instance: instance.instance,
-        role,
-        generation,
-        load,
-    }
+    ProcessStatus { instance: instance.instance, role, generation, load }
 }
 
 async fn ask_entry(
     client: &reqwest::Client,
     address: SocketAddr,
 ) -> Option<(Generation, Option<u32>)> {
-    let reply = client
-        .get(format!("http://{address}/status"))
-        .send()
-        .await
-        .ok()?;
+    let reply = client.get(format!("http://{address}/status")).send().await.ok()?;
     let status: Value = reply.json().await.ok()?;
     Some((status["generation"].as_u64()?, None))
 }
@@ -154,10 +145,7 @@
         println!("version  {version:<20} {:?}", spec.state);
     }
     for roll_out in &head.record.policy.roll_outs {
-        println!(
-            "roll-out {:<20} replaces {}",
-            roll_out.version, roll_out.replaces
-        );
+        println!("roll-out {:<20} replaces {}", roll_out.version, roll_out.replaces);
     }
     for process in processes {
         println!("{process}");
--- a/crates/pondwalk/src/exit.rs
+++ b/crates/pondwalk/src/exit.rs
@@ -30,9 +30,5 @@
 pub fn report(error: &anyhow::Error) -> ExitCode {
     eprintln!("{error:#}");
     let bad_input = error.is::<ConfigError>() || error.is::<TraceError>();
-    if bad_input {
-        ExitCode::from(BAD_INPUT)
-    } else {
-        ExitCode::FAILURE
-    }
+    if bad_input { ExitCode::from(BAD_INPUT) } else { ExitCode::FAILURE }
 }
--- a/crates/pondwalk/src/options.rs
+++ b/crates/pondwalk/src/options.rs
@@ -64,18 +64,11 @@
     Command::new("check")
         .about("Check settings, policy and outcome files; exit code 2 if any has a fault")
         .after_help("Example:\n  pondwalk check sample_configs/franchise/*.ini")
-        .arg(
-            file("files", "FILE", "Files to check")
-                .num_args(1..)
-                .required(true),
-        )
+        .arg(file("files", "FILE", "Files to check").num_args(1..).required(true))
 }
 
 fn file(id: &'static str, name: &'static str, help: &'static str) -> Arg {
-    Arg::new(id)
-        .value_name(name)
-        .help(help)
-        .value_parser(value_parser!(PathBuf))
+    Arg::new(id).value_name(name).help(help).value_parser(value_parser!(PathBuf))
 }
 
 fn path(matches: &ArgMatches, id: &str) -> PathBuf {
--- a/crates/pondwalk/src/options/operate.rs
+++ b/crates/pondwalk/src/options/operate.rs
@@ -155,18 +155,11 @@
 }
 
 fn address(id: &'static str, help: &'static str) -> Arg {
-    Arg::new(id)
-        .long(id)
-        .value_name("IP:PORT")
-        .help(help)
-        .value_parser(value_parser!(SocketAddr))
+    Arg::new(id).long(id).value_name("IP:PORT").help(help).value_parser(value_parser!(SocketAddr))
 }
 
 fn version(id: &'static str, help: &'static str) -> Arg {
-    Arg::new(id)
-        .value_name("MODEL/VERSION")
-        .help(help)
-        .required(true)
+    Arg::new(id).value_name("MODEL/VERSION").help(help).required(true)
 }
 
 fn change_options(matches: &ArgMatches) -> ChangeOptions {
@@ -190,10 +183,7 @@
 }
 
 pub fn apply(matches: &ArgMatches) -> ApplyOptions {
-    let reinstate = matches
-        .get_many::<String>("reinstate")
-        .into_iter()
-        .flatten();
+    let reinstate = matches.get_many::<String>("reinstate").into_iter().flatten();
     ApplyOptions {
         change: change_options(matches),
         policy: path(matches, "policy"),
@@ -210,10 +200,7 @@
 }
 
 pub fn withdraw(matches: &ArgMatches) -> WithdrawOptions {
-    WithdrawOptions {
-        change: change_options(matches),
-        version: text(matches, "version"),
-    }
+    WithdrawOptions { change: change_options(matches), version: text(matches, "version") }
 }
 
 pub fn status(matches: &ArgMatches) -> StatusOptions {
--- a/crates/pondwalk/src/options/replay.rs
+++ b/crates/pondwalk/src/options/replay.rs
@@ -55,9 +55,7 @@
 }
 
 pub fn options(matches: &ArgMatches) -> ReplayOptions {
-    let policy = matches
-        .get_one::<String>("policy")
-        .and_then(|name| PolicyName::parse(name));
+    let policy = matches.get_one::<String>("policy").and_then(|name| PolicyName::parse(name));
     ReplayOptions {
         policy: policy.unwrap_or(PolicyName::Pondwalk),
         seed: matches.get_one("seed").copied().unwrap_or_default(),
--- a/crates/pondwalk/src/options/run.rs
+++ b/crates/pondwalk/src/options/run.rs
@@ -84,21 +84,14 @@
 }
 
 pub fn json_flag() -> Arg {
-    Arg::new("json")
-        .long("json")
-        .help("Print JSON")
-        .action(ArgAction::SetTrue)
+    Arg::new("json").long("json").help("Print JSON").action(ArgAction::SetTrue)
 }
 
 pub fn demo(matches: &ArgMatches) -> DemoOptions {
-    let association = matches
-        .get_one::<String>("deployment")
-        .is_some_and(|name| name == "association");
-    let deployment = if association {
-        DemoDeployment::Association
-    } else {
-        DemoDeployment::Franchise
-    };
+    let association =
+        matches.get_one::<String>("deployment").is_some_and(|name| name == "association");
+    let deployment =
+        if association { DemoDeployment::Association } else { DemoDeployment::Franchise };
     DemoOptions { deployment }
 }
 
@@ -110,8 +103,5 @@
         tokens: number("tokens").into(),
         token: Duration::from_millis(number("token-ms").into()),
     };
-    BenchOptions {
-        plan,
-        json: matches.get_flag("json"),
-    }
+    BenchOptions { plan, json: matches.get_flag("json") }
 }
--- a/crates/pondwalk/src/telemetry.rs
+++ b/crates/pondwalk/src/telemetry.rs
@@ -75,10 +75,7 @@
     let socket = UdpSocket::bind("0.0.0.0:0").context("cannot open a socket for counters")?;
     socket.set_nonblocking(true)?;
     let sink = UdpMetricSink::from(receiver, socket)?;
-    Ok(StatsdClient::from_sink(
-        &prefix,
-        QueuingMetricSink::from(sink),
-    ))
+    Ok(StatsdClient::from_sink(&prefix, QueuingMetricSink::from(sink)))
 }
 
 fn start_spans(endpoint: &str, role: &str) -> anyhow::Result<SdkTracerProvider> {
@@ -87,20 +84,14 @@
         .with_protocol(Protocol::HttpBinary)
         .with_endpoint(endpoint)
         .build()?;
-    let resource = Resource::builder()
-        .with_service_name(format!("pondwalk-{role}"))
-        .build();
-    let provider = SdkTracerProvider::builder()
-        .with_batch_exporter(exporter)
-        .with_resource(resource)
-        .build();
+    let resource = Resource::builder().with_service_name(format!("pondwalk-{role}")).build();
+    let provider =
+        SdkTracerProvider::builder().with_batch_exporter(exporter).with_resource(resource).build();
     let tracer = provider.tracer("pondwalk");
     // NB: libraries below open spans of their own, which are no hops.
     let hops = Targets::new().with_target("pondwalk", tracing::Level::INFO);
     let hops = hops.with_target("tarpc", tracing::Level::INFO);
-    let layer = tracing_opentelemetry::layer()
-        .with_tracer(tracer)
-        .with_filter(hops);
+    let layer = tracing_opentelemetry::layer().with_tracer(tracer).with_filter(hops);
     tracing_subscriber::registry().with(layer).init();
     Ok(provider)
 }
--- a/crates/replay/src/baseline.rs
+++ b/crates/replay/src/baseline.rs
@@ -55,12 +55,7 @@
 impl Baseline {
     /// A baseline with no servers yet.
     pub fn new(kind: BaselineKind) -> Self {
-        Baseline {
-            kind,
-            policy: Policy::default(),
-            hosts: BTreeMap::new(),
-            turn: 0,
-        }
+        Baseline { kind, policy: Policy::default(), hosts: BTreeMap::new(), turn: 0 }
     }
 
     /// Takes over a configuration.
@@ -72,27 +67,19 @@
     pub fn server_seen(&mut self, server: &str, versions: &[VersionId]) {
         self.server_leaving(server);
         for version in versions {
-            self.hosts
-                .entry(version.clone())
-                .or_default()
-                .push(server.to_owned());
+            self.hosts.entry(version.clone()).or_default().push(server.to_owned());
         }
     }
 
     /// A server gets no new work.
     pub fn server_leaving(&mut self, server: &str) {
-        self.hosts
-            .values_mut()
-            .for_each(|hosts| hosts.retain(|host| host != server));
+        self.hosts.values_mut().for_each(|hosts| hosts.retain(|host| host != server));
     }
 
     /// Plans a request.
     pub fn begin(&mut self, request: &RecordedRequest) -> Result<(BaselineFlight, Step), Refusal> {
-        let workspace = self
-            .policy
-            .workspaces
-            .get(&request.workspace)
-            .ok_or(Refusal::UnknownCaller)?;
+        let workspace =
+            self.policy.workspaces.get(&request.workspace).ok_or(Refusal::UnknownCaller)?;
         let versions = match &request.service {
             Some(service) => {
                 if !workspace.allowed_services.contains(service) {
@@ -102,12 +89,7 @@
             }
             None => self.plan(request, workspace),
         };
-        let mut flight = BaselineFlight {
-            versions,
-            next: 0,
-            run: 0,
-            avoid: Vec::new(),
-        };
+        let mut flight = BaselineFlight { versions, next: 0, run: 0, avoid: Vec::new() };
         let step = self.step(&mut flight)?;
         Ok((flight, step))
     }
@@ -144,11 +126,8 @@
 
     /// Versions to run, one after the other while answers are poor.
     fn plan(&self, request: &RecordedRequest, workspace: &WorkspacePolicy) -> Vec<VersionId> {
-        let mut open: Vec<&VersionId> = workspace
-            .allowed_versions
-            .iter()
-            .filter(|version| self.is_open(version))
-            .collect();
+        let mut open: Vec<&VersionId> =
+            workspace.allowed_versions.iter().filter(|version| self.is_open(version)).collect();
         open.sort_by(|a, b| self.reference_cost(a).total_cmp(&self.reference_cost(b)));
         let chosen: Vec<&VersionId> = match self.kind {
             BaselineKind::Best => open.last().into_iter().copied().collect(),
@@ -161,39 +140,19 @@
     }
 
     fn is_open(&self, version: &VersionId) -> bool {
-        let live = self
-            .policy
-            .versions
-            .get(version)
-            .is_some_and(|spec| spec.state == VersionState::Live);
-        live && self
-            .hosts
-            .get(version)
-            .is_some_and(|hosts| !hosts.is_empty())
+        let live =
+            self.policy.versions.get(version).is_some_and(|spec| spec.state == VersionState::Live);
+        live && self.hosts.get(version).is_some_and(|hosts| !hosts.is_empty())
     }
 
     fn reference_cost(&self, version: &VersionId) -> f64 {
-        let usage = pondwalk_types::TokenUsage {
-            prompt_tokens: 1_000,
-            output_tokens: 300,
-        };
-        self.policy
-            .price_of(version)
-            .unwrap_or_default()
-            .cost(usage)
+        let usage = pondwalk_types::TokenUsage { prompt_tokens: 1_000, output_tokens: 300 };
+        self.policy.price_of(version).unwrap_or_default().cost(usage)
     }
 
     fn step(&mut self, flight: &mut BaselineFlight) -> Result<Step, Refusal> {
-        let version = flight
-            .versions
-            .get(flight.next)
-            .ok_or(Refusal::NoServer)?
-            .clone();
-        let hosts = self
-            .hosts
-            .get(&version)
-            .map(Vec::as_slice)
-            .unwrap_or_default();
+        let version = flight.versions.get(flight.next).ok_or(Refusal::NoServer)?.clone();
+        let hosts = self.hosts.get(&version).map(Vec::as_slice).unwrap_or_default();
         let open: Vec<&ServerId> = hosts.iter().filter(|h| !flight.avoid.contains(h)).collect();
         if open.is_empty() {
             return Err(Refusal::NoServer);
@@ -202,13 +161,7 @@
         self.turn += 1;
         flight.next += 1;
         let hold = (flight.next < flight.versions.len()).then_some(CASCADE_PATIENCE);
-        Ok(Step {
-            version,
-            server,
-            hold,
-            on_trial: false,
-            deliver_held_at: None,
-        })
+        Ok(Step { version, server, hold, on_trial: false, deliver_held_at: None })
     }
 }
 
@@ -218,10 +171,7 @@
     workspace: &WorkspacePolicy,
     open: &[&'a VersionId],
 ) -> Option<&'a VersionId> {
-    let target = workspace
-        .tasks
-        .get(&request.task)
-        .map_or(0.0, |task| task.quality_target);
+    let target = workspace.tasks.get(&request.task).map_or(0.0, |task| task.quality_target);
     let find = |in_time: bool, meets: bool| {
         open.iter().copied().find(|version| {
             request.outcomes.get(*version).is_some_and(|outcome| {
--- a/crates/replay/src/driver.rs
+++ b/crates/replay/src/driver.rs
@@ -77,10 +77,7 @@
             PolicyName::Pondwalk => Chosen::Pondwalk(Box::new(Router::new("replay"))),
             PolicyName::Baseline(kind) => Chosen::Baseline(Baseline::new(kind)),
         };
-        Driver {
-            chosen,
-            rng: Pcg64Mcg::new(u128::from(seed) | 1 << 64),
-        }
+        Driver { chosen, rng: Pcg64Mcg::new(u128::from(seed) | 1 << 64) }
     }
 
     /// Pondwalk's router, if it is what decides.
@@ -261,7 +258,5 @@
 fn fingerprint(text: &str) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
-    text.bytes().fold(OFFSET, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-    })
+    text.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
 }
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -82,8 +82,7 @@
 impl Tally {
     /// Counts an answer's latency.
     pub fn add_latency(&mut self, latency: Duration) {
-        self.latency_ms
-            .saturating_record(latency.as_millis() as u64);
+        self.latency_ms.saturating_record(latency.as_millis() as u64);
     }
 
     fn fields(&self) -> Map<String, Value> {
@@ -163,11 +162,7 @@
 
 impl fmt::Display for Unmet {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Outcome {
-            path,
-            comparison,
-            bound,
-        } = &self.outcome;
+        let Outcome { path, comparison, bound } = &self.outcome;
         write!(f, "{path}: stated {comparison} {bound}, ")?;
         match self.seen {
             Some(seen) => write!(f, "seen {seen}"),
@@ -203,10 +198,7 @@
         for outcome in &outcomes.0 {
             let seen = figure(&report, &outcome.path);
             if !seen.is_some_and(|seen| outcome.holds(seen)) {
-                unmet.push(Unmet {
-                    outcome: outcome.clone(),
-                    seen,
-                });
+                unmet.push(Unmet { outcome: outcome.clone(), seen });
             }
         }
         unmet
@@ -214,9 +206,7 @@
 }
 
 fn blocks(tallies: &BTreeMap<String, Tally>) -> Value {
-    let blocks = tallies
-        .iter()
-        .map(|(name, tally)| (name.clone(), tally.block()));
+    let blocks = tallies.iter().map(|(name, tally)| (name.clone(), tally.block()));
     Value::Object(blocks.collect())
 }
 
--- a/crates/replay/src/simulation.rs
+++ b/crates/replay/src/simulation.rs
@@ -68,11 +68,7 @@
         for (index, line) in trace.lines.iter().enumerate() {
             events.push(line.at, Event::Line(index));
         }
-        let report = Report {
-            policy: name.name(),
-            seed,
-            ..Report::default()
-        };
+        let report = Report { policy: name.name(), seed, ..Report::default() };
         Simulation {
             trace,
             settings,
@@ -110,10 +106,7 @@
             let tripped = self.driver.tripped(version);
             self.report.tripped_at.insert(version.clone(), tripped);
         }
-        let escalations = self
-            .driver
-            .router()
-            .map(|router| router.counters().escalations);
+        let escalations = self.driver.router().map(|router| router.counters().escalations);
         if let Some(escalations) = escalations {
             debug_assert_eq!(escalations, self.report.total.escalations);
         }
@@ -124,12 +117,7 @@
         let trace = self.trace;
         match &trace.lines[index].event {
             TraceEvent::Request(request) => self.arrive(now, request),
-            TraceEvent::Server {
-                server,
-                data_centre,
-                versions,
-                slots,
-            } => {
+            TraceEvent::Server { server, data_centre, versions, slots } => {
                 self.fleet.put(server, *slots);
                 let report = ServerReport {
                     server: server.clone(),
@@ -150,10 +138,7 @@
             TraceEvent::Gone(server) => self.gone(now, server),
             TraceEvent::RollOut { version, replaces } => self.roll_out(version, replaces),
             TraceEvent::Withdraw(version) => self.withdraw(now, version),
-            TraceEvent::Allow {
-                workspace,
-                versions,
-            } => {
+            TraceEvent::Allow { workspace, versions } => {
                 if let Some(workspace) = self.policy.workspaces.get_mut(workspace) {
                     workspace.allowed_versions = versions.iter().cloned().collect();
                 }
@@ -171,27 +156,16 @@
 
     fn roll_out(&mut self, version: &VersionId, replaces: &VersionId) {
         self.policy.add_version(version);
-        let roll_out = pondwalk_types::RollOut {
-            version: version.clone(),
-            replaces: replaces.clone(),
-        };
-        self.policy
-            .roll_outs
-            .retain(|known| known.version != *version);
+        let roll_out =
+            pondwalk_types::RollOut { version: version.clone(), replaces: replaces.clone() };
+        self.policy.roll_outs.retain(|known| known.version != *version);
         self.policy.roll_outs.push(roll_out);
-        self.report
-            .exposed_requests
-            .entry(version.clone())
-            .or_default();
+        self.report.exposed_requests.entry(version.clone()).or_default();
         self.install();
     }
 
     fn withdraw(&mut self, now: Duration, version: &VersionId) {
-        self.policy
-            .versions
-            .entry(version.clone())
-            .or_default()
-            .state = VersionState::Withdrawn;
+        self.policy.versions.entry(version.clone()).or_default().state = VersionState::Withdrawn;
         self.install();
         for server in 0..self.fleet.len() {
             let runs = &self.runs;
@@ -220,9 +194,7 @@
         self.driver.server_leaving(name);
         self.fleet.get_mut(server).close();
         let there = |run: &Run| run.server == server && run.is_open();
-        let cut: Vec<RunIx> = (0..self.runs.len())
-            .filter(|run| there(&self.runs[*run]))
-            .collect();
+        let cut: Vec<RunIx> = (0..self.runs.len()).filter(|run| there(&self.runs[*run])).collect();
         for run in cut {
             let spent = self.close_run(now, run);
             self.failed(now, run, Ran::Unknown, spent, Refusal::ContactLost);
@@ -291,20 +263,15 @@
             return;
         };
         let run = self.runs.len();
-        self.runs
-            .push(Run::new(request, step.version, server, recorded));
+        self.runs.push(Run::new(request, step.version, server, recorded));
         self.requests[request].runs.push(run);
         if let Some(at) = step.deliver_held_at {
             self.events.push(at, Event::DeliverHeld(run));
         }
-        let work = self
-            .fleet
-            .work(run, &self.runs[run], &self.requests[request], &self.policy);
+        let work = self.fleet.work(run, &self.runs[run], &self.requests[request], &self.policy);
         match self.fleet.get_mut(server).queue.offer(now, work) {
             Admission::Start => self.start(now, run),
-            Admission::Queued {
-                displaced: Some((out, refusal)),
-            } => {
+            Admission::Queued { displaced: Some((out, refusal)) } => {
                 self.refused(now, out, refusal);
             }
             Admission::Queued { displaced: None } => {}
@@ -314,9 +281,7 @@
 
     fn start(&mut self, now: Duration, run: RunIx) {
         self.runs[run].state = RunState::Running { since: now };
-        let Run {
-            request, server, ..
-        } = self.runs[run];
+        let Run { request, server, .. } = self.runs[run];
         self.count_start(now, run);
         let ends = now + self.runs[run].outcome.service;
         self.events.push(ends, Event::RunEnds(run));
@@ -334,11 +299,7 @@
 
     /// Counts what a started run says of the policy's promises.
     fn count_start(&mut self, _now: Duration, run: RunIx) {
-        let Run {
-            request,
-            ref version,
-            ..
-        } = self.runs[run];
+        let Run { request, ref version, .. } = self.runs[run];
         let version = version.clone();
         let recorded = self.requests[request].recorded;
         let workspace = self.policy.workspaces.get(&recorded.workspace);
@@ -384,14 +345,10 @@
         let rated = !self.runs[run].is_service
             && self.sampling.random::<f64>() < self.settings.rating_share;
         if rated {
-            self.events
-                .push(now + self.settings.rating_delay, Event::Rating(run));
+            self.events.push(now + self.settings.rating_delay, Event::Rating(run));
         }
         let outcome = &self.runs[run].outcome;
-        let done = Finished {
-            output_tokens: outcome.output_tokens,
-            service: outcome.service,
-        };
+        let done = Finished { output_tokens: outcome.output_tokens, service: outcome.service };
         self.requests[request].has_answer = true;
         let Some(mut flight) = self.requests[request].flight.take() else {
             return;
@@ -466,13 +423,7 @@
 
     /// Closes a run and counts its cost, in proportion if it did not end.
     fn close_run(&mut self, now: Duration, run: RunIx) -> f64 {
-        let Run {
-            request,
-            state,
-            ref version,
-            ref outcome,
-            ..
-        } = self.runs[run];
+        let Run { request, state, ref version, ref outcome, .. } = self.runs[run];
         let share = match state {
             RunState::Running { since } => {
                 let whole = outcome.service.as_secs_f64().max(1e-9);
@@ -485,11 +436,7 @@
             output_tokens: (outcome.output_tokens as f64 * share.unwrap_or(0.0)) as u64,
         };
         let price = self.policy.price_of(version).unwrap_or_default();
-        let cost = if share.is_some() {
-            price.cost(usage)
-        } else {
-            0.0
-        };
+        let cost = if share.is_some() { price.cost(usage) } else { 0.0 };
         self.runs[run].state = RunState::Closed;
         self.count(request, |tally| tally.cost += cost);
         cost
--- a/crates/replay/src/simulation/book.rs
+++ b/crates/replay/src/simulation/book.rs
@@ -87,14 +87,7 @@
         };
         let outcome = recorded.outcomes.get(&version).cloned().unwrap_or(unknown);
         let is_service = recorded.service.is_some();
-        Run {
-            request,
-            version,
-            server,
-            outcome,
-            is_service,
-            state: RunState::Waiting,
-        }
+        Run { request, version, server, outcome, is_service, state: RunState::Waiting }
     }
 
     pub fn is_open(&self) -> bool {
@@ -113,12 +106,7 @@
     pub fn count(&mut self, request: RequestIx, change: impl Fn(&mut Tally)) {
         let recorded = self.requests[request].recorded;
         change(&mut self.report.total);
-        change(
-            self.report
-                .workspaces
-                .entry(recorded.workspace.clone())
-                .or_default(),
-        );
+        change(self.report.workspaces.entry(recorded.workspace.clone()).or_default());
         change(self.report.tasks.entry(recorded.task.clone()).or_default());
     }
 
@@ -179,10 +167,7 @@
 
     fn count_session(&mut self, request: RequestIx, run: RunIx) {
         let recorded = self.requests[request].recorded;
-        let Some(session) = recorded
-            .session
-            .as_deref()
-            .filter(|_| recorded.service.is_none())
+        let Some(session) = recorded.session.as_deref().filter(|_| recorded.service.is_none())
         else {
             return;
         };
--- a/crates/replay/src/simulation/fleet.rs
+++ b/crates/replay/src/simulation/fleet.rs
@@ -34,11 +34,7 @@
 
 impl Fleet {
     pub fn new(queue_limit: u32) -> Self {
-        Fleet {
-            queue_limit,
-            indices: HashMap::new(),
-            servers: Vec::new(),
-        }
+        Fleet { queue_limit, indices: HashMap::new(), servers: Vec::new() }
     }
 
     pub fn len(&self) -> usize {
@@ -63,11 +59,7 @@
         }
         self.indices.insert(name.to_owned(), self.servers.len());
         let queue = AdmissionQueue::new(slots, self.queue_limit);
-        self.servers.push(SimulatedServer {
-            name: name.to_owned(),
-            queue,
-            leaving_since: None,
-        });
+        self.servers.push(SimulatedServer { name: name.to_owned(), queue, leaving_since: None });
     }
 
     /// A run as its agent's queue sees it.
@@ -80,15 +72,9 @@
     ) -> QueuedWork<RunIx> {
         let recorded = live.recorded;
         let fallback = WorkspacePolicy::default();
-        let workspace = policy
-            .workspaces
-            .get(&recorded.workspace)
-            .unwrap_or(&fallback);
-        let expected_service = if run.is_service {
-            Duration::from_millis(10)
-        } else {
-            EXPECTED_SERVICE
-        };
+        let workspace = policy.workspaces.get(&recorded.workspace).unwrap_or(&fallback);
+        let expected_service =
+            if run.is_service { Duration::from_millis(10) } else { EXPECTED_SERVICE };
         QueuedWork {
             ticket,
             workspace: recorded.workspace.clone(),
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -186,12 +186,7 @@
             let line = index + 1;
             let error = |(field, problem)| {
                 let file = file.to_owned();
-                TraceError::Line {
-                    file,
-                    line,
-                    field,
-                    problem,
-                }
+                TraceError::Line { file, line, field, problem }
             };
             let (at, event) = read_line(text).map_err(error)?;
             if lines.last().is_some_and(|last| at < last.at) {
--- a/crates/replay/src/trace/fields.rs
+++ b/crates/replay/src/trace/fields.rs
@@ -17,10 +17,7 @@
     /// Reads a line.
     pub fn parse(text: &str) -> Result<Self, FieldError> {
         match serde_json::from_str(text) {
-            Ok(Value::Object(map)) => Ok(Fields {
-                path: String::new(),
-                map,
-            }),
+            Ok(Value::Object(map)) => Ok(Fields { path: String::new(), map }),
             _ => Err(("line".into(), TraceProblem::NotAnObject)),
         }
     }
@@ -28,26 +25,17 @@
     /// A text that is not empty.
     pub fn text(&self, name: &str) -> Result<String, FieldError> {
         let text = self.value(name)?.as_str().filter(|text| !text.is_empty());
-        text.map(str::to_owned)
-            .ok_or_else(|| self.invalid(name, "a text"))
+        text.map(str::to_owned).ok_or_else(|| self.invalid(name, "a text"))
     }
 
     /// A text or null.
     pub fn optional_text(&self, name: &str) -> Result<Option<String>, FieldError> {
-        if self.value(name)?.is_null() {
-            Ok(None)
-        } else {
-            self.text(name).map(Some)
-        }
+        if self.value(name)?.is_null() { Ok(None) } else { self.text(name).map(Some) }
     }
 
     /// A text, null or nothing at all.
     pub fn optional_text_or_absent(&self, name: &str) -> Result<Option<String>, FieldError> {
-        if self.map.contains_key(name) {
-            self.optional_text(name)
-        } else {
-            Ok(None)
-        }
+        if self.map.contains_key(name) { self.optional_text(name) } else { Ok(None) }
     }
 
     /// A list of texts.
@@ -56,24 +44,17 @@
         let items = self.value(name)?.as_array();
         let items = items.ok_or_else(|| self.invalid(name, expected))?;
         let texts = items.iter().map(|item| item.as_str().map(str::to_owned));
-        texts
-            .collect::<Option<_>>()
-            .ok_or_else(|| self.invalid(name, expected))
+        texts.collect::<Option<_>>().ok_or_else(|| self.invalid(name, expected))
     }
 
     /// True or false.
     pub fn flag(&self, name: &str) -> Result<bool, FieldError> {
-        self.value(name)?
-            .as_bool()
-            .ok_or_else(|| self.invalid(name, "true or false"))
+        self.value(name)?.as_bool().ok_or_else(|| self.invalid(name, "true or false"))
     }
 
     /// A whole number of zero or more.
     pub fn whole(&self, name: &str) -> Result<u64, FieldError> {
-        let number = self
-            .value(name)?
-            .as_u64()
-            .filter(|number| *number <= LARGEST);
+        let number = self.value(name)?.as_u64().filter(|number| *number <= LARGEST);
         number.ok_or_else(|| self.invalid(name, "a whole number of zero or more"))
     }
 
@@ -99,10 +80,7 @@
 
     /// A number from 0 to 1.
     pub fn unit(&self, name: &str) -> Result<f64, FieldError> {
-        let number = self
-            .value(name)?
-            .as_f64()
-            .filter(|number| (0.0..=1.0).contains(number));
+        let number = self.value(name)?.as_f64().filter(|number| (0.0..=1.0).contains(number));
         number.ok_or_else(|| self.invalid(name, "a number from 0 to 1"))
     }
 
@@ -114,26 +92,15 @@
         for (key, value) in object {
             let path = format!("{}.", self.field(&format!("{name}.{key}")));
             let Value::Object(map) = value else {
-                return Err((
-                    path.trim_end_matches('.').to_owned(),
-                    TraceProblem::NotAnObject,
-                ));
+                return Err((path.trim_end_matches('.').to_owned(), TraceProblem::NotAnObject));
             };
-            found.push((
-                key.clone(),
-                Fields {
-                    path,
-                    map: map.clone(),
-                },
-            ));
+            found.push((key.clone(), Fields { path, map: map.clone() }));
         }
         Ok(found)
     }
 
     fn value(&self, name: &str) -> Result<&Value, FieldError> {
-        self.map
-            .get(name)
-            .ok_or_else(|| (self.field(name), TraceProblem::Missing))
+        self.map.get(name).ok_or_else(|| (self.field(name), TraceProblem::Missing))
     }
 
     fn invalid(&self, name: &str, expected: &'static str) -> FieldError {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -58,13 +58,7 @@
 
 impl Default for EngineFaults {
     fn default() -> Self {
-        EngineFaults {
-            slowness: 1.0,
-            quality: 1.0,
-            refuse: false,
-            fail: false,
-            cut_after: None,
-        }
+        EngineFaults { slowness: 1.0, quality: 1.0, refuse: false, fail: false, cut_after: None }
     }
 }
 
@@ -107,17 +101,9 @@
 impl Engine {
     /// Starts an engine that hosts the given versions.
     pub async fn start(profiles: BTreeMap<String, VersionProfile>) -> io::Result<Self> {
-        let shared = Arc::new(Shared {
-            profiles: Mutex::new(profiles),
-            ..Shared::default()
-        });
-        let route = Route::new()
-            .at("/v1/chat/completions", post(complete))
-            .data(shared.clone());
-        Ok(Engine {
-            shared,
-            listening: listen(route).await?,
-        })
+        let shared = Arc::new(Shared { profiles: Mutex::new(profiles), ..Shared::default() });
+        let route = Route::new().at("/v1/chat/completions", post(complete)).data(shared.clone());
+        Ok(Engine { shared, listening: listen(route).await? })
     }
 
     /// Where it listens.
@@ -147,10 +133,7 @@
     let Some(profile) = lock(&shared.profiles).get(&version).copied() else {
         return status(StatusCode::NOT_FOUND);
     };
-    let id = request
-        .header(REQUEST_ID_HEADER)
-        .unwrap_or_default()
-        .to_owned();
+    let id = request.header(REQUEST_ID_HEADER).unwrap_or_default().to_owned();
     let line = log_start(&shared, id, version.clone());
     if faults.fail {
         log_end(&shared, line, EngineEnd::Broken);
@@ -176,11 +159,7 @@
 
 fn log_start(shared: &Shared, request: String, version: String) -> usize {
     let mut log = lock(&shared.log);
-    log.push(EngineLogLine {
-        request,
-        version,
-        end: EngineEnd::Open,
-    });
+    log.push(EngineLogLine { request, version, end: EngineEnd::Open });
     log.len() - 1
 }
 
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -81,11 +81,7 @@
     }
 
     async fn pause(&self) {
-        let pause = if self.sent == 0 {
-            self.profile.first_token
-        } else {
-            self.profile.token
-        };
+        let pause = if self.sent == 0 { self.profile.first_token } else { self.profile.token };
         if !pause.is_zero() {
             tokio::time::sleep(pause.mul_f64(self.faults.slowness)).await;
         }
@@ -122,9 +118,7 @@
 /// The mark `<ref:...>` in a prompt, or nothing.
 fn reference(prompt: &str) -> String {
     let start = prompt.find("<ref:").unwrap_or(prompt.len());
-    let end = prompt[start..]
-        .find('>')
-        .map_or(start, |end| start + end + 1);
+    let end = prompt[start..].find('>').map_or(start, |end| start + end + 1);
     prompt[start..end].to_owned()
 }
 
--- a/crates/standin/src/instances.rs
+++ b/crates/standin/src/instances.rs
@@ -46,18 +46,10 @@
     /// Starts a list that shows changes after `lag`.
     pub async fn start(lag: Duration, instances: Vec<ListedInstance>) -> io::Result<Self> {
         let long_ago = Instant::now().checked_sub(lag).unwrap_or_else(Instant::now);
-        let shared = Shared {
-            lag,
-            versions: Mutex::new(vec![(long_ago, instances)]),
-        };
+        let shared = Shared { lag, versions: Mutex::new(vec![(long_ago, instances)]) };
         let shared = Arc::new(shared);
-        let route = Route::new()
-            .at("/v1/instances", get(show_list))
-            .data(shared.clone());
-        Ok(InstanceList {
-            shared,
-            listening: listen(route).await?,
-        })
+        let route = Route::new().at("/v1/instances", get(show_list)).data(shared.clone());
+        Ok(InstanceList { shared, listening: listen(route).await? })
     }
 
     /// Where it listens.
@@ -67,15 +59,8 @@
 
     /// Changes the list; readers see it after the lag.
     pub fn change(&self, change: impl FnOnce(&mut Vec<ListedInstance>)) {
-        let mut versions = self
-            .shared
-            .versions
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let mut newest = versions
-            .last()
-            .map(|(_, list)| list.clone())
-            .unwrap_or_default();
+        let mut versions = self.shared.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut newest = versions.last().map(|(_, list)| list.clone()).unwrap_or_default();
         change(&mut newest);
         versions.push((Instant::now(), newest));
     }
@@ -83,15 +68,9 @@
 
 #[handler]
 fn show_list(shared: Data<&Arc<Shared>>) -> Response {
-    let versions = shared
-        .versions
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
+    let versions = shared.versions.lock().unwrap_or_else(PoisonError::into_inner);
     let now = Instant::now();
-    let visible = versions
-        .iter()
-        .rev()
-        .find(|(since, _)| *since + shared.lag <= now);
+    let visible = versions.iter().rev().find(|(since, _)| *since + shared.lag <= now);
     let list = visible.map(|(_, list)| list.as_slice()).unwrap_or_default();
     Response::builder()
         .content_type("application/json")
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -80,10 +80,7 @@
     /// Listens on a free loopback port.
     pub async fn listen(&self) -> io::Result<KvServer> {
         let listening = listen(routes(self.clone())).await?;
-        Ok(KvServer {
-            store: self.clone(),
-            listening,
-        })
+        Ok(KvServer { store: self.clone(), listening })
     }
 
     /// A transport that reaches the service without a network.
@@ -93,9 +90,7 @@
             let store = store.clone();
             Box::pin(async move {
                 let call = store.call(path, body);
-                tokio::time::timeout(wait, call)
-                    .await
-                    .unwrap_or(Err(StoreError::AnswerLost))
+                tokio::time::timeout(wait, call).await.unwrap_or(Err(StoreError::AnswerLost))
             })
         })
     }
@@ -186,16 +181,8 @@
 }
 
 fn routes(store: KvStore) -> impl Endpoint {
-    let paths = [
-        RANGE_PATH,
-        TXN_PATH,
-        LEASE_GRANT_PATH,
-        LEASE_KEEP_ALIVE_PATH,
-        WATCH_PATH,
-    ];
-    let route = paths.iter().fold(Route::new(), |route, path| {
-        route.at(*path, post(serve_call))
-    });
+    let paths = [RANGE_PATH, TXN_PATH, LEASE_GRANT_PATH, LEASE_KEEP_ALIVE_PATH, WATCH_PATH];
+    let route = paths.iter().fold(Route::new(), |route, path| route.at(*path, post(serve_call)));
     route.data(store)
 }
 
--- a/crates/standin/src/kv/state.rs
+++ b/crates/standin/src/kv/state.rs
@@ -40,23 +40,14 @@
 impl KvState {
     /// Reads a key or a range.
     pub fn range(&self, request: &RangeRequest) -> RangeReply {
-        let kvs = self
-            .matching(&request.key, &request.range_end)
-            .map(key_value)
-            .collect();
-        RangeReply {
-            header: self.header(),
-            kvs,
-        }
+        let kvs = self.matching(&request.key, &request.range_end).map(key_value).collect();
+        RangeReply { header: self.header(), kvs }
     }
 
     /// Writes all or nothing.
     pub fn transact(&mut self, request: &TxnRequest) -> TxnReply {
         let holds = request.compare.iter().all(|compare| {
-            let current = self
-                .keys
-                .get(&raw(&compare.key))
-                .map_or(0, |stored| stored.revision);
+            let current = self.keys.get(&raw(&compare.key)).map_or(0, |stored| stored.revision);
             current.to_string() == compare.mod_revision
         });
         let leases_live = request.success.iter().all(|op| {
@@ -77,54 +68,31 @@
                 self.keys.insert(raw(&put.key), stored);
             }
         }
-        TxnReply {
-            header: self.header(),
-            succeeded,
-        }
+        TxnReply { header: self.header(), succeeded }
     }
 
     /// Grants a lease.
     pub fn grant(&mut self, request: &LeaseRequest, now: Instant) -> LeaseReply {
         let ttl = Duration::from_secs(request.ttl_s.parse().unwrap_or(1));
         self.next_lease += 1;
-        self.leases.insert(
-            self.next_lease,
-            Lease {
-                ttl,
-                expires: now + ttl,
-            },
-        );
-        LeaseReply {
-            ttl_s: request.ttl_s.clone(),
-            id: self.next_lease.to_string(),
-        }
+        self.leases.insert(self.next_lease, Lease { ttl, expires: now + ttl });
+        LeaseReply { ttl_s: request.ttl_s.clone(), id: self.next_lease.to_string() }
     }
 
     /// Renews a lease, if it has not lapsed.
     pub fn renew(&mut self, request: &LeaseRequest, now: Instant) -> LeaseReply {
-        let lease = request
-            .id
-            .parse()
-            .ok()
-            .and_then(|id: u64| self.leases.get_mut(&id));
+        let lease = request.id.parse().ok().and_then(|id: u64| self.leases.get_mut(&id));
         let ttl_s = lease.map_or(0, |lease| {
             lease.expires = now + lease.ttl;
             lease.ttl.as_secs()
         });
-        LeaseReply {
-            ttl_s: ttl_s.to_string(),
-            id: request.id.clone(),
-        }
+        LeaseReply { ttl_s: ttl_s.to_string(), id: request.id.clone() }
     }
 
     /// Ends leases whose time is over, with their keys.
     pub fn expire(&mut self, now: Instant) {
-        let lapsed: Vec<u64> = self
-            .leases
-            .iter()
-            .filter(|(_, l)| l.expires <= now)
-            .map(|(id, _)| *id)
-            .collect();
+        let lapsed: Vec<u64> =
+            self.leases.iter().filter(|(_, l)| l.expires <= now).map(|(id, _)| *id).collect();
         lapsed.into_iter().for_each(|lease| self.lapse(lease));
     }
 
@@ -143,36 +111,22 @@
         let start: u64 = create.start_revision.parse().unwrap_or(0);
         let changed = self.matching(&create.key, &create.range_end);
         let changed = changed.filter(|stored| stored.revision >= start);
-        let events: Vec<WatchEvent> = changed
-            .map(|stored| WatchEvent {
-                kv: key_value(stored),
-            })
-            .collect();
+        let events: Vec<WatchEvent> =
+            changed.map(|stored| WatchEvent { kv: key_value(stored) }).collect();
         if events.is_empty() {
             return None;
         }
-        Some(WatchReply {
-            result: WatchResult {
-                header: self.header(),
-                events,
-            },
-        })
+        Some(WatchReply { result: WatchResult { header: self.header(), events } })
     }
 
     fn matching(&self, key: &str, end: &str) -> impl Iterator<Item = &Stored> {
         let start = raw(key);
-        let end = if end.is_empty() {
-            [start.as_slice(), &[0]].concat()
-        } else {
-            raw(end)
-        };
+        let end = if end.is_empty() { [start.as_slice(), &[0]].concat() } else { raw(end) };
         self.keys.range(start..end).map(|(_, stored)| stored)
     }
 
     fn header(&self) -> Header {
-        Header {
-            revision: self.revision.to_string(),
-        }
+        Header { revision: self.revision.to_string() }
     }
 }
 
--- a/crates/standin/src/listen.rs
+++ b/crates/standin/src/listen.rs
@@ -2,10 +2,8 @@
 
 use std::{io, net::SocketAddr};
 
-use poem::{
-    IntoEndpoint, Server,
-    listener::{Acceptor, Listener, TcpListener},
-};
+use poem::{IntoEndpoint, Server};
+use pondwalk_listen::LimitedAcceptor;
 use tokio::task::JoinHandle;
 
 /// A listening stand-in; stops when dropped.
@@ -28,12 +26,10 @@
     E: IntoEndpoint + Send + 'static,
     E::Endpoint: Send + Sync + 'static,
 {
-    let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await?;
-    let address = acceptor
-        .local_addr()
-        .first()
-        .and_then(|address| address.as_socket_addr().copied());
-    let address = address.ok_or(io::ErrorKind::AddrNotAvailable)?;
+    const CONNECTIONS: usize = 100_000;
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let acceptor = LimitedAcceptor::bind(any_port, CONNECTIONS).await?;
+    let address = acceptor.address();
     let server = Server::new_with_acceptor(acceptor);
     let task = tokio::spawn(async move {
         // NB: ends with the task; a failed accept is not the stand-in's concern.
--- a/crates/standin/src/rating.rs
+++ b/crates/standin/src/rating.rs
@@ -38,16 +38,9 @@
     /// Starts a service that takes `delay` for each rating.
     pub async fn start(delay: Duration) -> io::Result<Self> {
         let up = AtomicBool::new(true);
-        let shared = Arc::new(Shared {
-            delay,
-            up,
-            rated: AtomicU64::new(0),
-        });
+        let shared = Arc::new(Shared { delay, up, rated: AtomicU64::new(0) });
         let route = Route::new().at("/v1/rate", post(rate)).data(shared.clone());
-        Ok(RatingService {
-            shared,
-            listening: listen(route).await?,
-        })
+        Ok(RatingService { shared, listening: listen(route).await? })
     }
 
     /// Where it listens.
@@ -69,15 +62,11 @@
 #[handler]
 async fn rate(body: Json<Value>, shared: Data<&Arc<Shared>>) -> Response {
     if !shared.up.load(Ordering::Relaxed) {
-        return Response::builder()
-            .status(StatusCode::SERVICE_UNAVAILABLE)
-            .finish();
+        return Response::builder().status(StatusCode::SERVICE_UNAVAILABLE).finish();
     }
     tokio::time::sleep(shared.delay).await;
     let Some(quality) = quality_of(body["answer"].as_str().unwrap_or_default()) else {
-        return Response::builder()
-            .status(StatusCode::UNPROCESSABLE_ENTITY)
-            .finish();
+        return Response::builder().status(StatusCode::UNPROCESSABLE_ENTITY).finish();
     };
     shared.rated.fetch_add(1, Ordering::Relaxed);
     Response::builder().body(json!({ "quality": quality }).to_string())
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -31,15 +31,9 @@
 impl PlainService {
     /// Starts a service that takes `delay` for each call.
     pub async fn start(delay: Duration) -> io::Result<Self> {
-        let shared = Arc::new(Shared {
-            delay,
-            log: Mutex::default(),
-        });
+        let shared = Arc::new(Shared { delay, log: Mutex::default() });
         let route = Route::new().at("/*path", answer).data(shared.clone());
-        Ok(PlainService {
-            shared,
-            listening: listen(route).await?,
-        })
+        Ok(PlainService { shared, listening: listen(route).await? })
     }
 
     /// Where it listens.
@@ -49,28 +43,15 @@
 
     /// Ids of the requests that it ran.
     pub fn log(&self) -> Vec<String> {
-        self.shared
-            .log
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.shared.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
 
 #[handler]
 async fn answer(request: &Request, shared: Data<&Arc<Shared>>) -> Response {
-    let id = request
-        .header(REQUEST_ID_HEADER)
-        .unwrap_or_default()
-        .to_owned();
-    shared
-        .log
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .push(id);
+    let id = request.header(REQUEST_ID_HEADER).unwrap_or_default().to_owned();
+    shared.log.lock().unwrap_or_else(PoisonError::into_inner).push(id);
     tokio::time::sleep(shared.delay).await;
     let body = json!({ "path": request.uri().path(), "value": 42 });
-    Response::builder()
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(body.to_string())
+    Response::builder().header(header::CONTENT_TYPE, "application/json").body(body.to_string())
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -89,9 +89,7 @@
 
 impl fmt::Debug for Store {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Store")
-            .field("timeout", &self.timeout)
-            .finish()
+        f.debug_struct("Store").field("timeout", &self.timeout).finish()
     }
 }
 
@@ -126,23 +124,15 @@
 
     /// Takes out a lease; returns its id.
     pub async fn grant_lease(&self, ttl: Duration) -> Result<u64, StoreError> {
-        let request = LeaseRequest {
-            ttl_s: ttl.as_secs().to_string(),
-            id: "0".into(),
-        };
+        let request = LeaseRequest { ttl_s: ttl.as_secs().to_string(), id: "0".into() };
         let reply: LeaseReply = self.call(LEASE_GRANT_PATH, &request, self.timeout).await?;
         number(&reply.id)
     }
 
     /// Renews a lease.
     pub async fn renew_lease(&self, lease: u64) -> Result<(), StoreError> {
-        let request = LeaseRequest {
-            ttl_s: String::new(),
-            id: lease.to_string(),
-        };
-        let reply: LeaseReply = self
-            .call(LEASE_KEEP_ALIVE_PATH, &request, self.timeout)
-            .await?;
+        let request = LeaseRequest { ttl_s: String::new(), id: lease.to_string() };
+        let reply: LeaseReply = self.call(LEASE_KEEP_ALIVE_PATH, &request, self.timeout).await?;
         if number(&reply.ttl_s)? == 0 {
             return Err(StoreError::LeaseLapsed);
         }
@@ -173,10 +163,7 @@
     }
 
     async fn range(&self, key: &str, end: String) -> Result<Vec<Fetched>, StoreError> {
-        let request = RangeRequest {
-            key: STANDARD.encode(key),
-            range_end: STANDARD.encode(end),
-        };
+        let request = RangeRequest { key: STANDARD.encode(key), range_end: STANDARD.encode(end) };
         let reply: RangeReply = self.call(RANGE_PATH, &request, self.timeout).await?;
         reply.kvs.iter().map(fetched).collect()
     }
@@ -227,14 +214,10 @@
 }
 
 fn fetched(kv: &KeyValue) -> Result<Fetched, StoreError> {
-    let key = STANDARD
-        .decode(&kv.key)
-        .map_err(|_| StoreError::Malformed)?;
+    let key = STANDARD.decode(&kv.key).map_err(|_| StoreError::Malformed)?;
     Ok(Fetched {
         key: String::from_utf8(key).map_err(|_| StoreError::Malformed)?,
-        value: STANDARD
-            .decode(&kv.value)
-            .map_err(|_| StoreError::Malformed)?,
+        value: STANDARD.decode(&kv.value).map_err(|_| StoreError::Malformed)?,
         revision: number(&kv.mod_revision)?,
     })
 }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -35,9 +35,7 @@
         }
         reply.text().await.map_err(|_| StoreError::AnswerLost)
     };
-    tokio::time::timeout(wait, exchange)
-        .await
-        .unwrap_or(Err(StoreError::AnswerLost))
+    tokio::time::timeout(wait, exchange).await.unwrap_or(Err(StoreError::AnswerLost))
 }
 
 /// Reads a watch's stream up to the first line that carries a change.
--- a/crates/types/src/policy.rs
+++ b/crates/types/src/policy.rs
@@ -147,10 +147,7 @@
         let Some(price) = self.price_of(version) else {
             return false;
         };
-        let spec = VersionSpec {
-            price,
-            state: VersionState::Live,
-        };
+        let spec = VersionSpec { price, state: VersionState::Live };
         self.versions.entry(version.to_owned()).or_insert(spec);
         true
     }
@@ -170,10 +167,8 @@
         if self.services.contains(version) {
             return workspace.allowed_services.contains(version);
         }
-        let withdrawn = self
-            .versions
-            .get(version)
-            .is_none_or(|spec| spec.state == VersionState::Withdrawn);
+        let withdrawn =
+            self.versions.get(version).is_none_or(|spec| spec.state == VersionState::Withdrawn);
         !withdrawn && workspace.allowed_versions.contains(version)
     }
 }
