Price quality by a bounded penalty on the shortfall, and plan runs in threes

Cause: with a penalty that grows exponentially below the target share, one miss early on sent whole sessions to the dearest version. Change: the penalty is linear below a small reserve and fades above it; a new session commits its expected effect to the accounts; versions that another one beats in cost, quality and time are left out; a held first run may be followed by two more.

--- a/crates/decide/src/account.rs
+++ b/crates/decide/src/account.rs
@@ -2,17 +2,21 @@
 //!
 //! Each answer that meets the target earns `1 - share`, each that misses it costs `share`; an
 //! answer not rated yet counts by its expectation. A balance of zero or more means that the
-//! share is met. The penalty grows exponentially as the balance falls, so that quality is bought
-//! dearly when it is short and saved on when there is plenty.
+//! share is met. What a missing answer is worth rises from nothing, when there is plenty, to a fixed
+//! price below a small reserve, so that quality is bought when it is short and saved on otherwise.
 
 use pondwalk_types::TaskPolicy;
 
-use crate::tuning::{ACCOUNT_LIMIT, SHORTFALL_DECAY, SHORTFALL_SCALE};
+use crate::tuning::{
+    ACCOUNT_LIMIT, BALANCE_RESERVE, BALANCE_SOFTNESS, SESSION_REQUESTS, SHORTFALL_PENALTY,
+};
 
 /// One workspace's account for one task.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Account {
     balance: f64,
+    /// Change of the balance that sessions under way are expected to bring.
+    committed: f64,
 }
 
 impl Account {
@@ -38,17 +42,28 @@
 
     /// Penalty after one answer, in runs of the dearest version.
     pub fn penalty(&self, task: TaskPolicy, met: bool) -> f64 {
-        self.standing() * growth(task, met)
+        let change = f64::from(u8::from(met)) - task.target_share;
+        shortfall_penalty(self.expected() + change)
     }
 
-    /// Expected penalty after `answers` that each meet the target with probability `meets`.
-    pub fn expected_penalty(&self, task: TaskPolicy, meets: f64, answers: f64) -> f64 {
-        let growth = meets * growth(task, true) + (1.0 - meets) * growth(task, false);
-        self.standing() * growth.powf(answers)
+    /// Penalty once a session has brought `answers` that meet the target with that probability.
+    pub fn penalty_after(&self, task: TaskPolicy, meets: f64, answers: f64) -> f64 {
+        shortfall_penalty(self.expected() + answers * (meets - task.target_share))
     }
 
-    fn standing(&self) -> f64 {
-        SHORTFALL_SCALE * (-SHORTFALL_DECAY * self.balance).exp()
+    /// Counts on a new session to bring `answers` that meet the target with that probability.
+    pub fn commit(&mut self, task: TaskPolicy, meets: f64, answers: f64) {
+        let drift = answers * (meets - task.target_share);
+        self.committed = (self.committed + drift).clamp(-ACCOUNT_LIMIT, ACCOUNT_LIMIT);
+    }
+
+    /// Notes that one request of a session has come: a part of what was expected is past.
+    pub fn redeem(&mut self) {
+        self.committed *= 1.0 - 1.0 / SESSION_REQUESTS;
+    }
+
+    fn expected(&self) -> f64 {
+        self.balance + self.committed
     }
 
     fn shift(&mut self, change: f64) {
@@ -56,8 +71,10 @@
     }
 }
 
-/// Factor by which one answer changes the penalty.
-fn growth(task: TaskPolicy, met: bool) -> f64 {
-    let change = f64::from(u8::from(met)) - task.target_share;
-    (-SHORTFALL_DECAY * change).exp()
+/// Penalty of standing at a balance: linear below the reserve, and fading to nothing above it.
+fn shortfall_penalty(balance: f64) -> f64 {
+    let short = (BALANCE_RESERVE - balance) / BALANCE_SOFTNESS;
+    // NB: the logarithm of 1 + e^x in a form that does not overflow.
+    let softplus = short.max(0.0) + (-short.abs()).exp().ln_1p();
+    SHORTFALL_PENALTY * BALANCE_SOFTNESS * softplus
 }
--- a/crates/decide/src/estimate.rs
+++ b/crates/decide/src/estimate.rs
@@ -133,8 +133,9 @@
     pub fn meets(&self, version: VersionIx, task: TaskIx, target: f64) -> f64 {
         let quality = &self.of(version, task).quality;
         let rank = self.version(version).map_or(0.5, |known| known.price_rank);
+        // NB: quality rises fast with the first step up in price, and slowly after that.
         let span = QUALITY_PRIOR_DEAREST - QUALITY_PRIOR_CHEAPEST;
-        let prior = QUALITY_PRIOR_CHEAPEST + span * rank;
+        let prior = QUALITY_PRIOR_DEAREST - span * (1.0 - rank).powi(2);
         let hits = quality.at_least(target) + prior * QUALITY_PRIOR_WEIGHT;
         hits / (quality.total() + QUALITY_PRIOR_WEIGHT)
     }
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -2,7 +2,8 @@
 //!
 //! All terms are in the workspace's currency. Quality and lateness are priced in runs of the
 //! dearest version that the workspace may use, so that the balance between money and quality
-//! does not depend on the price level.
+//! does not depend on the price level. Versions that another one beats in both cost and quality
+//! are left out first, so that pairs of versions stay few.
 
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
     estimate::Estimates,
     flight::Flight,
     intern::{TaskIx, VersionIx},
-    tuning::{DELIVERY_MARGIN, FIRST_TOKEN_BOUND, HOLD_PENALTY, LATE_PENALTY},
+    tuning::{DELIVERY_MARGIN, FIRST_TOKEN_BOUND, FRONTIER_LIMIT, HOLD_PENALTY, LATE_PENALTY},
 };
 
 /// A version that may run now.
@@ -51,6 +52,25 @@
     pub value: f64,
 }
 
+/// A version with what is expected of it for the request at hand.
+#[derive(Debug, Clone, Copy)]
+struct Assessed {
+    candidate: Candidate,
+    cost: f64,
+    meets: f64,
+    on_time: f64,
+    /// Expected time on a server, in milliseconds.
+    service_ms: f64,
+}
+
+/// What an answer is worth that meets the target, and one that misses it.
+#[derive(Debug, Clone, Copy)]
+struct Stakes {
+    met: f64,
+    missed: f64,
+    reference: f64,
+}
+
 /// Everything that the comparison of options reads.
 pub struct Planner<'a> {
     /// What is known of versions.
@@ -66,20 +86,27 @@
 impl Planner<'_> {
     /// The best first run of a request that is not bound to a version.
     pub fn first(&self, flight: &Flight, now: Duration) -> Option<Choice> {
-        let reference = self.reference_cost(flight);
-        let choices = self.candidates.iter().filter(|c| !flight.tried.contains(&c.version));
-        let choices = choices.map(|candidate| self.assess(flight, now, *candidate, reference));
+        let stakes = self.stakes(flight);
+        let frontier = self.frontier(flight, now);
+        let choices = frontier.iter().map(|first| {
+            let direct = direct(first, stakes);
+            match self.held(flight, now, first, stakes, &frontier) {
+                Some(held) if held.value < direct.value => held,
+                _ => direct,
+            }
+        });
         choices.min_by(|a, b| a.value.total_cmp(&b.value))
     }
 
     /// The run worth making after an answer that missed its target, if any is.
     pub fn rescue(&self, flight: &Flight, now: Duration) -> Option<Choice> {
         let poor = flight.answer?.version;
-        let task = flight.target?;
-        let reference = self.reference_cost(flight);
-        let keep = reference * self.account.penalty(task, false);
+        let target = flight.target?;
+        let stakes = self.stakes(flight);
+        let frontier = self.frontier(flight, now);
         let left = flight.time_left(now);
-        self.best_rescue(flight, poor, task, left, reference).filter(|choice| choice.value < keep)
+        let best = self.best_rescue(flight, target, poor, left, stakes, &frontier)?;
+        (best.value < stakes.missed).then_some(best)
     }
 
     /// The version for a new session, given what its workspace's sessions ask for.
@@ -89,19 +116,20 @@
     where
         I: Iterator<Item = (TaskIx, f64, TaskPolicy, Account)> + Clone,
     {
-        let choices = self.candidates.iter().filter(|c| !flight.tried.contains(&c.version));
-        let choices = choices.map(|candidate| {
-            let mut choice = self.single(flight, now, *candidate, self.reference_cost(flight));
+        let untried = self.candidates.iter().filter(|c| !flight.tried.contains(&c.version));
+        let choices = untried.map(|candidate| {
+            let assessed = self.assess(flight, now, *candidate);
+            let mut choice = direct(&assessed, self.stakes(flight));
             // NB: decides alone where no task of the sessions has a target.
             let tie_break = choice.cost * 1e-3;
             let costs = mix.clone().map(|(task, requests, policy, account)| {
-                let reference = self.reference_cost_of(task, flight.prompt_tokens);
-                let cost = self.estimates.cost(candidate.version, task, flight.prompt_tokens);
-                let meets = self.estimates.meets(candidate.version, task, policy.quality_target);
-                let late = self.estimates.of(candidate.version, task).late;
-                let late = LATE_PENALTY * late.with_prior(0.01, 4.0);
-                let penalty = account.expected_penalty(policy, meets, requests);
-                requests * (cost + late * reference) + reference * penalty
+                let reference = self.reference_cost(task, flight.prompt_tokens);
+                let version = candidate.version;
+                let cost = self.estimates.cost(version, task, flight.prompt_tokens);
+                let meets = self.estimates.meets(version, task, policy.quality_target);
+                let late = self.estimates.of(version, task).late.with_prior(0.01, 4.0);
+                let penalty = account.penalty_after(policy, meets, requests);
+                requests * (cost + LATE_PENALTY * late * reference) + reference * penalty
             });
             choice.value = tie_break + costs.sum::<f64>();
             choice
@@ -111,126 +139,152 @@
 
     /// Assesses the only version that may run.
     pub fn only(&self, flight: &Flight, now: Duration, candidate: Candidate) -> Choice {
-        self.single(flight, now, candidate, self.reference_cost(flight))
+        direct(&self.assess(flight, now, candidate), self.stakes(flight))
     }
 
-    /// The better of delivering a version's answer at once and holding it for its rating.
-    fn assess(
-        &self,
-        flight: &Flight,
-        now: Duration,
-        candidate: Candidate,
-        reference: f64,
-    ) -> Choice {
-        let direct = self.single(flight, now, candidate, reference);
-        match self.held(flight, now, direct, candidate, reference) {
-            Some(held) if held.value < direct.value => held,
-            _ => direct,
+    /// Versions not tried yet that no other one beats in cost, quality and time, cheapest first.
+    fn frontier(&self, flight: &Flight, now: Duration) -> Vec<Assessed> {
+        let untried = self.candidates.iter().filter(|c| !flight.tried.contains(&c.version));
+        let mut all: Vec<Assessed> =
+            untried.map(|candidate| self.assess(flight, now, *candidate)).collect();
+        all.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let mut kept: Vec<Assessed> = Vec::with_capacity(FRONTIER_LIMIT);
+        for next in all {
+            let beaten = kept.iter().any(|k| k.meets >= next.meets && k.on_time >= next.on_time);
+            if beaten {
+                continue;
+            }
+            if kept.len() == FRONTIER_LIMIT {
+                kept.pop();
+            }
+            kept.push(next);
         }
+        kept
     }
 
-    fn single(
-        &self,
-        flight: &Flight,
-        now: Duration,
-        candidate: Candidate,
-        reference: f64,
-    ) -> Choice {
+    fn assess(&self, flight: &Flight, now: Duration, candidate: Candidate) -> Assessed {
         let Candidate { version, wait_ms } = candidate;
         let left = flight.time_left(now).saturating_sub(from_ms(wait_ms));
-        let on_time = self.estimates.within(version, flight.task, left);
-        let cost = self.estimates.cost(version, flight.task, flight.prompt_tokens);
-        let (meets, penalty) = match flight.target {
-            Some(task) => {
-                let meets = self.estimates.meets(version, flight.task, task.quality_target);
-                (meets, self.account.expected_penalty(task, meets, 1.0))
-            }
-            None => (1.0, 0.0),
-        };
-        let value = cost + reference * (penalty + LATE_PENALTY * (1.0 - on_time));
-        Choice { version, hold: false, meets, on_time, cost, value }
+        let meets = flight.target.map_or(1.0, |target| {
+            self.estimates.meets(version, flight.task, target.quality_target)
+        });
+        Assessed {
+            candidate,
+            cost: self.estimates.cost(version, flight.task, flight.prompt_tokens),
+            meets,
+            on_time: self.estimates.within(version, flight.task, left),
+            service_ms: self.estimates.service_ms_on(version, flight.task),
+        }
     }
 
-    /// The same run with its answer held for a rating and a second run where it is poor.
+    /// A run with its answer held for a rating, and further runs where it is poor.
     fn held(
         &self,
         flight: &Flight,
         now: Duration,
-        direct: Choice,
-        candidate: Candidate,
-        reference: f64,
+        first: &Assessed,
+        stakes: Stakes,
+        frontier: &[Assessed],
     ) -> Option<Choice> {
-        let task = flight.target?;
-        if !flight.repeatable || !self.rating.up || !self.may_hold(flight, candidate) {
+        let target = flight.target?;
+        if !flight.repeatable || !self.rating.up || !self.may_hold(flight, first) {
             return None;
         }
-        let first_ms =
-            candidate.wait_ms + self.estimates.service_ms_on(candidate.version, flight.task);
-        let spent = from_ms(first_ms) + self.rating.delay;
+        let spent = from_ms(first.candidate.wait_ms + first.service_ms) + self.rating.delay;
         let left = flight.time_left(now).checked_sub(spent)?;
-        let poor = reference * self.account.penalty(task, false);
-        let rescue = self.best_rescue(flight, direct.version, task, left, reference)?;
-        if rescue.value >= poor {
+        let version = first.candidate.version;
+        let rescue = self.best_rescue(flight, target, version, left, stakes, frontier)?;
+        if rescue.value >= stakes.missed {
             return None;
         }
         let share_of_deadline =
             self.rating.delay.as_secs_f64() / flight.time_left(now).as_secs_f64().max(1e-3);
-        let late = LATE_PENALTY * (1.0 - direct.on_time) + HOLD_PENALTY * share_of_deadline;
-        let met = reference * self.account.penalty(task, true);
-        let miss = 1.0 - direct.meets;
-        let value = direct.cost + direct.meets * met + miss * rescue.value + reference * late;
-        let meets = direct.meets + miss * rescue.meets;
-        Some(Choice { hold: true, value, meets, ..direct })
+        let late = LATE_PENALTY * (1.0 - first.on_time) + HOLD_PENALTY * share_of_deadline;
+        let miss = 1.0 - first.meets;
+        let value =
+            first.cost + first.meets * stakes.met + miss * rescue.value + stakes.reference * late;
+        let meets = first.meets + miss * rescue.meets;
+        Some(Choice { hold: true, meets, value, ..direct(first, stakes) })
     }
 
-    /// The best second run, valued with what it leaves behind.
+    /// The best further run after a poor answer, valued with what it leaves behind.
     fn best_rescue(
         &self,
         flight: &Flight,
+        target: TaskPolicy,
         poor: VersionIx,
-        task: TaskPolicy,
         left: Duration,
-        reference: f64,
+        stakes: Stakes,
+        frontier: &[Assessed],
     ) -> Option<Choice> {
-        let met = reference * self.account.penalty(task, true);
-        let missed = reference * self.account.penalty(task, false);
-        let untried = self
-            .candidates
-            .iter()
-            .filter(|c| c.version != poor && !flight.tried.contains(&c.version));
-        let choices = untried.map(|candidate| {
-            let version = candidate.version;
-            let usable = left.saturating_sub(from_ms(candidate.wait_ms) + DELIVERY_MARGIN);
-            let on_time = self.estimates.within(version, flight.task, usable);
-            let rescued =
-                self.estimates.rescues(poor, version, flight.task, task.quality_target) * on_time;
-            let cost = self.estimates.cost(version, flight.task, flight.prompt_tokens);
-            let value = cost + rescued * met + (1.0 - rescued) * missed;
-            Choice { version, hold: true, meets: rescued, on_time, cost, value }
+        let others = || frontier.iter().filter(move |other| other.candidate.version != poor);
+        let last = others().next_back()?;
+        let choices = others().map(|second| {
+            let mut choice = self.rescue_by(flight, target, poor, second, left, stakes);
+            let version = second.candidate.version;
+            let spent = from_ms(second.candidate.wait_ms + second.service_ms) + self.rating.delay;
+            let room = left.checked_sub(spent).filter(|_| last.candidate.version != version);
+            let third =
+                room.map(|room| self.rescue_by(flight, target, version, last, room, stakes));
+            // NB: a third run is at best the dearest version, so only that one is looked at.
+            if let Some(third) = third.filter(|third| third.value < stakes.missed) {
+                let miss = choice.on_time - choice.meets;
+                choice.value += miss * (third.value - stakes.missed);
+                choice.meets += miss * third.meets;
+            }
+            choice
         });
         choices.min_by(|a, b| a.value.total_cmp(&b.value))
     }
 
+    /// One further run after a poor answer, with nothing after it.
+    fn rescue_by(
+        &self,
+        flight: &Flight,
+        target: TaskPolicy,
+        poor: VersionIx,
+        second: &Assessed,
+        left: Duration,
+        stakes: Stakes,
+    ) -> Choice {
+        let version = second.candidate.version;
+        let usable = left.saturating_sub(from_ms(second.candidate.wait_ms) + DELIVERY_MARGIN);
+        let on_time = self.estimates.within(version, flight.task, usable);
+        let rescued = self.estimates.rescues(poor, version, flight.task, target.quality_target);
+        let meets = rescued * on_time;
+        let value = second.cost + meets * stakes.met + (1.0 - meets) * stakes.missed;
+        Choice { version, hold: true, meets, on_time, cost: second.cost, value }
+    }
+
     /// A caller that streams is promised its first token within a bound.
-    fn may_hold(&self, flight: &Flight, candidate: Candidate) -> bool {
-        if !flight.streaming {
-            return true;
-        }
-        let service_ms = self.estimates.service_ms_on(candidate.version, flight.task);
-        from_ms(candidate.wait_ms + service_ms) + self.rating.delay <= FIRST_TOKEN_BOUND
+    fn may_hold(&self, flight: &Flight, first: &Assessed) -> bool {
+        let shown_after = from_ms(first.candidate.wait_ms + first.service_ms) + self.rating.delay;
+        !flight.streaming || shown_after <= FIRST_TOKEN_BOUND
     }
 
-    fn reference_cost(&self, flight: &Flight) -> f64 {
-        self.reference_cost_of(flight.task, flight.prompt_tokens)
+    fn stakes(&self, flight: &Flight) -> Stakes {
+        let reference = self.reference_cost(flight.task, flight.prompt_tokens);
+        let penalty =
+            |met| flight.target.map_or(0.0, |target| reference * self.account.penalty(target, met));
+        Stakes { met: penalty(true), missed: penalty(false), reference }
     }
 
-    fn reference_cost_of(&self, task: TaskIx, prompt_tokens: u64) -> f64 {
+    /// Cost of a run of the dearest candidate.
+    fn reference_cost(&self, task: TaskIx, prompt_tokens: u64) -> f64 {
         let costs =
             self.candidates.iter().map(|c| self.estimates.cost(c.version, task, prompt_tokens));
         costs.fold(1e-9, f64::max)
     }
 }
 
+/// A run whose answer is delivered at once.
+fn direct(run: &Assessed, stakes: Stakes) -> Choice {
+    let Assessed { candidate, cost, meets, on_time, .. } = *run;
+    let penalty = meets * stakes.met + (1.0 - meets) * stakes.missed;
+    let value = cost + penalty + stakes.reference * LATE_PENALTY * (1.0 - on_time);
+    Choice { version: candidate.version, hold: false, meets, on_time, cost, value }
+}
+
 /// Milliseconds as a time; an unlimited wait becomes a very long one.
 pub fn from_ms(ms: f64) -> Duration {
     const LONGEST_MS: f64 = 1e9;
--- a/crates/decide/src/router/steps.rs
+++ b/crates/decide/src/router/steps.rs
@@ -238,6 +238,9 @@
         }
         if let Some(session) = request.session {
             self.sessions.count(flight.workspace, flight.task);
+            if let Some(account) = self.account_mut(flight.workspace, flight.task) {
+                account.redeem();
+            }
             let remembered = || self.sessions.pin(flight.workspace, session, now);
             let pin = request.pin.and_then(|pin| self.versions.find(pin)).or_else(remembered);
             if let Some(pin) = pin {
@@ -293,6 +296,9 @@
     ) -> Result<Step, Refusal> {
         let (choice, server) = self.choose(now, rng, flight)?;
         if flight.in_session {
+            if flight.only.is_none() {
+                self.commit_session(flight.workspace, choice.version);
+            }
             if let Some(session) = session {
                 self.sessions.keep(flight.workspace, session, choice.version, now);
             }
@@ -301,6 +307,20 @@
         Ok(self.start(flight, choice, server, None))
     }
 
+    /// Expects of each task's account what a new session is likely to bring.
+    fn commit_session(&mut self, workspace: WorkspaceIx, version: VersionIx) {
+        let mix: Vec<_> = self.sessions.mix(workspace).collect();
+        for (task, share) in mix {
+            let Some(target) = self.target(workspace, task) else {
+                continue;
+            };
+            let meets = self.estimates.meets(version, task, target.quality_target);
+            if let Some(account) = self.account_mut(workspace, task) {
+                account.commit(target, meets, share * SESSION_REQUESTS);
+            }
+        }
+    }
+
     /// A further first run after a refusal or failure.
     fn again<R: Rng + ?Sized>(
         &mut self,
--- a/crates/decide/src/tuning.rs
+++ b/crates/decide/src/tuning.rs
@@ -21,12 +21,16 @@
 /// Service time assumed for a version not seen yet, in milliseconds.
 pub const SERVICE_PRIOR_MS: f64 = 1_000.0;
 
-/// Scale of the penalty for falling short of a target, in runs of the dearest version.
-pub const SHORTFALL_SCALE: f64 = 3.0;
-/// How fast the penalty falls as answers in hand above the target grow, per answer.
-pub const SHORTFALL_DECAY: f64 = 1.4;
+/// What an answer short of the target share costs, in runs of the dearest version.
+pub const SHORTFALL_PENALTY: f64 = 3.0;
+/// Balance above the target share that is kept in reserve, in answers.
+pub const BALANCE_RESERVE: f64 = 0.3;
+/// Width of the passage from no penalty to the full one, in answers.
+pub const BALANCE_SOFTNESS: f64 = 0.4;
 /// Most answers above or below the target that an account remembers.
 pub const ACCOUNT_LIMIT: f64 = 12.0;
+/// Versions compared in pairs for one request.
+pub const FRONTIER_LIMIT: usize = 5;
 /// Penalty of a late answer, in runs of the dearest version.
 pub const LATE_PENALTY: f64 = 4.0;
 /// Penalty of holding an answer for the whole of its deadline, in runs of the dearest version.
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -46,6 +46,8 @@
     pub target_met: u64,
     /// Sum of the recorded qualities of delivered answers.
     pub quality_sum: f64,
+    /// Answers delivered, by version.
+    pub answers_by_version: BTreeMap<VersionId, u64>,
     latency_ms: Histogram<u64>,
 }
 
@@ -74,6 +76,7 @@
             targeted: 0,
             target_met: 0,
             quality_sum: 0.0,
+            answers_by_version: BTreeMap::new(),
             latency_ms,
         }
     }
@@ -112,6 +115,7 @@
         let target_met_share = (self.targeted > 0).then(|| rounded(met));
         fields.insert("target_met_share".into(), json!(target_met_share));
         fields.insert("escalations".into(), json!(self.escalations));
+        fields.insert("answers_by_version".into(), json!(self.answers_by_version));
         fields
     }
 
--- a/crates/replay/src/simulation/book.rs
+++ b/crates/replay/src/simulation/book.rs
@@ -147,6 +147,7 @@
         let first_bill = live.bills == 1;
         let target = self.target_of(request);
         let met = target.is_some_and(|target| quality >= target);
+        let version = self.runs[run].version.clone();
         self.count(request, |tally| {
             tally.answered += 1;
             tally.answered_on_time += on_time;
@@ -155,6 +156,7 @@
             tally.quality_sum += quality;
             tally.targeted += u64::from(target.is_some());
             tally.target_met += u64::from(met);
+            *tally.answers_by_version.entry(version.clone()).or_default() += 1;
             tally.add_latency(latency);
         });
     }
