Let the price of quality come to rest, and count runs that were cut

Cause, by taking answers apart by task, session and version: balances were charged twice when a second run was weighed; runs cut at the deadline were never counted, so every dear version seemed in time; cheaper versions were tried after dearer ones; the trial version got runs only where its old one was used outside sessions, 4 to 8 in a whole trace, and one outage of the rating service blocked its trial for good. Change: a level of slack for each task moves until balances rest near a reserve; a cut run counts as longer than it lasted; times of a version not seen on a task are scaled from another; rescues go up in price only; the trial's share is counted in all runs of the old version, those in sessions included; ratings of other versions forgive missing ones.

--- a/crates/agent/src/trials.rs
+++ b/crates/agent/src/trials.rs
@@ -61,6 +61,8 @@
             let baseline = self.baselines.get(&key).copied().unwrap_or_default();
             trial.rate(now, report.quality, baseline.reference());
         }
+        let others = self.trials.iter_mut().filter(|(version, _)| **version != report.version);
+        others.for_each(|(_, (_, trial))| trial.others_rated());
         let key = (report.version.clone(), report.task.clone());
         self.baselines.entry(key).or_default().add(report.quality);
     }
--- a/crates/decide/src/estimate.rs
+++ b/crates/decide/src/estimate.rs
@@ -7,6 +7,7 @@
 use crate::{
     histogram::{QualityHistogram, TimeHistogram},
     intern::{TaskIx, VersionIx},
+    plan::from_ms,
     tuning::{
         MEAN_GAIN, OUTPUT_PRIOR_TOKENS, QUALITY_PRIOR_CHEAPEST, QUALITY_PRIOR_DEAREST,
         QUALITY_PRIOR_WEIGHT, SERVICE_PRIOR_MS, TIME_PRIOR_ON_TIME, TIME_PRIOR_WEIGHT,
@@ -28,6 +29,11 @@
         self.value += gain * (value - self.value);
     }
 
+    /// Whether anything was observed.
+    pub fn is_known(&self) -> bool {
+        self.count > 0
+    }
+
     /// The mean, or `prior` before the first observation.
     pub fn or(&self, prior: f64) -> f64 {
         if self.count == 0 { prior } else { self.value }
@@ -86,10 +92,19 @@
     tasks: Vec<VersionTask>,
 }
 
+/// What is known of one task whatever the version.
+#[derive(Debug, Clone, Default)]
+struct Task {
+    anchor: Option<VersionIx>,
+    deadline_ms: RunningMean,
+}
+
 /// What is known of all versions.
 #[derive(Debug, Default)]
 pub struct Estimates {
     versions: Vec<Option<Version>>,
+    /// By task: the version seen most often, and the usual deadline.
+    tasks: Vec<Task>,
     /// Whether the second version met the target after the first had missed it.
     rescues: HashMap<(VersionIx, VersionIx, TaskIx), Rate>,
     blank: VersionTask,
@@ -158,8 +173,53 @@
     /// Probability that a run ends within `limit`.
     pub fn within(&self, version: VersionIx, task: TaskIx, limit: Duration) -> f64 {
         let service = &self.of(version, task).service;
-        let hits = service.within(limit) + TIME_PRIOR_ON_TIME * TIME_PRIOR_WEIGHT;
-        hits / (service.total() + TIME_PRIOR_WEIGHT)
+        let prior = self.prior_within(version, task, limit);
+        (service.within(limit) + prior * TIME_PRIOR_WEIGHT) / (service.total() + TIME_PRIOR_WEIGHT)
+    }
+
+    /// Probability that an answer to a task of the usual deadline is late.
+    pub fn usually_late(&self, version: VersionIx, task: TaskIx) -> f64 {
+        let known = self.tasks.get(task).filter(|known| known.deadline_ms.is_known());
+        let deadline_ms = known.map(|known| known.deadline_ms.or(0.0));
+        deadline_ms.map_or(0.0, |ms| 1.0 - self.within(version, task, from_ms(ms)))
+    }
+
+    /// Takes in the time that a caller allowed.
+    pub fn add_deadline(&mut self, task: TaskIx, allowed: Duration) {
+        self.task_mut(task).deadline_ms.add(allowed.as_secs_f64() * 1e3);
+    }
+
+    /// What another version's times on the task say, scaled by how the two compare elsewhere.
+    fn prior_within(&self, version: VersionIx, task: TaskIx, limit: Duration) -> f64 {
+        let anchor = self.tasks.get(task).and_then(|known| known.anchor);
+        let Some(anchor) = anchor.filter(|anchor| *anchor != version) else {
+            return TIME_PRIOR_ON_TIME;
+        };
+        let slower = self.slower(version, anchor);
+        let service = &self.of(anchor, task).service;
+        let hits = service.within(limit.div_f64(slower)) + TIME_PRIOR_ON_TIME;
+        hits / (service.total() + 1.0)
+    }
+
+    /// How many times slower a version is than another one.
+    fn slower(&self, version: VersionIx, other: VersionIx) -> f64 {
+        // NB: times grow with about the cube root of prices where nothing better is known.
+        const PRICE_EXPONENT: f64 = 1.0 / 3.0;
+        let seen = |version| self.version(version).is_some_and(|v| v.service_ms.is_known());
+        let ratio = if seen(version) && seen(other) {
+            self.service_ms(version) / self.service_ms(other).max(1.0)
+        } else {
+            let cost = |version| reference_cost(&self.price(version)).max(1e-9);
+            (cost(version) / cost(other)).powf(PRICE_EXPONENT)
+        };
+        ratio.clamp(0.1, 10.0)
+    }
+
+    fn task_mut(&mut self, task: TaskIx) -> &mut Task {
+        if self.tasks.len() <= task {
+            self.tasks.resize_with(task + 1, Task::default);
+        }
+        &mut self.tasks[task]
     }
 
     /// Expected cost of a run.
@@ -188,6 +248,21 @@
         known.output_tokens.add(tokens as f64);
         known.failures.add(false);
         self.version_mut(version).service_ms.add(service.as_secs_f64() * 1e3);
+        self.choose_anchor(version, task);
+    }
+
+    fn choose_anchor(&mut self, version: VersionIx, task: TaskIx) {
+        let total = |version| self.of(version, task).service.total();
+        let current = self.tasks.get(task).and_then(|known| known.anchor);
+        if current.is_none_or(|anchor| total(version) > total(anchor)) {
+            self.task_mut(task).anchor = Some(version);
+        }
+    }
+
+    /// Takes in a run that was cut short after a time; it would have taken longer.
+    pub fn add_unfinished(&mut self, version: VersionIx, task: TaskIx, at_least: Duration) {
+        const LIKELY_FACTOR: f64 = 1.3;
+        self.of_mut(version, task).service.add(at_least.mul_f64(LIKELY_FACTOR));
     }
 
     /// Forgets a version, so that a name used again starts anew.
--- a/crates/decide/src/flight.rs
+++ b/crates/decide/src/flight.rs
@@ -44,6 +44,7 @@
 pub(crate) struct Run {
     pub version: VersionIx,
     pub server: ServerIx,
+    pub started: Duration,
     pub reserved: f64,
     pub hold: bool,
 }
--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -10,7 +10,7 @@
 use pondwalk_types::TaskPolicy;
 
 use crate::{
-    account::Account,
+    account::{Account, SlackLevel},
     estimate::Estimates,
     flight::Flight,
     intern::{TaskIx, VersionIx},
@@ -52,6 +52,21 @@
     pub value: f64,
 }
 
+/// What a new session is expected to ask of one task.
+#[derive(Debug, Clone, Copy)]
+pub struct SessionTask {
+    /// The task.
+    pub task: TaskIx,
+    /// Requests expected.
+    pub requests: f64,
+    /// The workspace's target.
+    pub policy: TaskPolicy,
+    /// The workspace's account.
+    pub account: Account,
+    /// The task's level of slack.
+    pub level: SlackLevel,
+}
+
 /// A version with what is expected of it for the request at hand.
 #[derive(Debug, Clone, Copy)]
 struct Assessed {
@@ -77,6 +92,8 @@
     pub estimates: &'a Estimates,
     /// The workspace's account for the task.
     pub account: Account,
+    /// The task's level of slack.
+    pub level: SlackLevel,
     /// How ratings are coming in.
     pub rating: RatingOutlook,
     /// Versions that may run.
@@ -111,10 +128,10 @@
 
     /// The version for a new session, given what its workspace's sessions ask for.
     ///
-    /// `mix` yields each task with its expected number of requests, target and account.
+    /// `mix` yields each task that has a target.
     pub fn session<I>(&self, flight: &Flight, now: Duration, mix: I) -> Option<Choice>
     where
-        I: Iterator<Item = (TaskIx, f64, TaskPolicy, Account)> + Clone,
+        I: Iterator<Item = SessionTask> + Clone,
     {
         let untried = self.candidates.iter().filter(|c| !flight.tried.contains(&c.version));
         let choices = untried.map(|candidate| {
@@ -122,15 +139,16 @@
             let mut choice = direct(&assessed, self.stakes(flight));
             // NB: decides alone where no task of the sessions has a target.
             let tie_break = choice.cost * 1e-3;
-            let costs = mix.clone().map(|(task, requests, policy, account)| {
-                let reference = self.reference_cost(task, flight.prompt_tokens);
-                let version = candidate.version;
-                let cost = self.estimates.cost(version, task, flight.prompt_tokens);
-                let meets = self.estimates.meets(version, task, policy.quality_target);
-                let late = self.estimates.of(version, task).late.with_prior(0.01, 4.0);
-                let penalty = account.penalty_after(policy, meets, requests);
-                requests * (cost + LATE_PENALTY * late * reference) + reference * penalty
-            });
+            let costs =
+                mix.clone().map(|SessionTask { task, requests, policy, account, level }| {
+                    let reference = self.reference_cost(task, flight.prompt_tokens);
+                    let version = candidate.version;
+                    let cost = self.estimates.cost(version, task, flight.prompt_tokens);
+                    let meets = self.estimates.meets(version, task, policy.quality_target);
+                    let late = self.estimates.usually_late(version, task);
+                    let penalty = account.penalty_after(policy, meets, requests, level);
+                    requests * (cost + LATE_PENALTY * late * reference) + reference * penalty
+                });
             choice.value = tie_break + costs.sum::<f64>();
             choice
         });
@@ -217,7 +235,9 @@
         stakes: Stakes,
         frontier: &[Assessed],
     ) -> Option<Choice> {
-        let others = || frontier.iter().filter(move |other| other.candidate.version != poor);
+        let poor_cost = self.estimates.cost(poor, flight.task, flight.prompt_tokens);
+        // NB: a cheaper version that might do better by luck only takes time from a dearer one.
+        let others = || frontier.iter().filter(move |other| other.cost > poor_cost);
         let last = others().next_back()?;
         let choices = others().map(|second| {
             let mut choice = self.rescue_by(flight, target, poor, second, left, stakes);
@@ -264,8 +284,11 @@
 
     fn stakes(&self, flight: &Flight) -> Stakes {
         let reference = self.reference_cost(flight.task, flight.prompt_tokens);
-        let penalty =
-            |met| flight.target.map_or(0.0, |target| reference * self.account.penalty(target, met));
+        let penalty = |met| {
+            flight
+                .target
+                .map_or(0.0, |target| reference * self.account.penalty(target, met, self.level))
+        };
         Stakes { met: penalty(true), missed: penalty(false), reference }
     }
 
--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    account::Account,
+    account::{Account, SlackLevel},
     budget::{RetryBudget, SpendBudget},
     estimate::{Estimates, RunningMean},
     intern::{Names, TaskIx, VersionIx, WorkspaceIx},
@@ -50,6 +50,8 @@
     version: VersionIx,
     replaces: VersionIx,
     trial: Trial,
+    /// Runs that the new version may still have for those that the old one had.
+    credit: f64,
 }
 
 /// Plans requests, follows them and learns from them.
@@ -65,6 +67,8 @@
     workspaces: Vec<Option<Workspace>>,
     roll_outs: Vec<RollOutTrial>,
     estimates: Estimates,
+    /// Levels of slack by task.
+    levels: Vec<SlackLevel>,
     servers: Servers,
     sessions: Sessions,
     retries: RetryBudget,
@@ -169,14 +173,14 @@
             let version = self.versions.intern(&roll_out.version);
             let replaces = self.versions.intern(&roll_out.replaces);
             let known = self.roll_outs.iter().find(|known| known.version == version);
-            let trial = match known {
-                Some(known) if known.replaces == replaces => known.trial,
+            let (trial, credit) = match known {
+                Some(known) if known.replaces == replaces => (known.trial, known.credit),
                 _ => {
                     self.estimates.forget(version);
-                    Trial::default()
+                    (Trial::default(), 0.0)
                 }
             };
-            roll_outs.push(RollOutTrial { version, replaces, trial });
+            roll_outs.push(RollOutTrial { version, replaces, trial, credit });
         }
         self.roll_outs = roll_outs;
     }
@@ -250,6 +254,10 @@
         accounts.and_then(|accounts| accounts.get(task)).copied().unwrap_or_default()
     }
 
+    fn level(&self, task: TaskIx) -> SlackLevel {
+        self.levels.get(task).copied().unwrap_or_default()
+    }
+
     fn account_mut(&mut self, workspace: WorkspaceIx, task: TaskIx) -> Option<&mut Account> {
         let accounts = &mut self.workspaces.get_mut(workspace)?.as_mut()?.accounts;
         if accounts.len() <= task {
--- a/crates/decide/src/router/learn.rs
+++ b/crates/decide/src/router/learn.rs
@@ -6,6 +6,7 @@
 
 use super::Router;
 use crate::{
+    account::SlackLevel,
     flight::{Flight, Receipt},
     intern::{TaskIx, VersionIx},
     trial::Reference,
@@ -21,6 +22,7 @@
         self.count_lateness(now, answer.version, flight.task, late);
         self.book(flight, answer.meets);
         flight.booked = None;
+        self.observe_level(flight);
         Some(Receipt {
             workspace: flight.workspace,
             task: flight.task,
@@ -62,6 +64,17 @@
         }
     }
 
+    fn observe_level(&mut self, flight: &Flight) {
+        if flight.target.is_none() {
+            return;
+        }
+        let balance = self.account(flight.workspace, flight.task).expected();
+        if self.levels.len() <= flight.task {
+            self.levels.resize(flight.task + 1, SlackLevel::default());
+        }
+        self.levels[flight.task].observe(balance);
+    }
+
     /// Takes back what was expected of a request that gets no answer.
     pub(super) fn unbook(&mut self, flight: &mut Flight) {
         let (Some(target), Some(before)) = (flight.target, flight.booked.take()) else {
@@ -79,6 +92,8 @@
         task: TaskIx,
         quality: f64,
     ) {
+        let others = self.roll_outs.iter_mut().filter(|roll_out| roll_out.version != version);
+        others.for_each(|roll_out| roll_out.trial.others_rated());
         if let Some(replaces) = self.roll_out(version).map(|roll_out| roll_out.replaces) {
             let reference = self.reference(replaces, task);
             if let Some(roll_out) = self.roll_out_mut(version) {
--- a/crates/decide/src/router/steps.rs
+++ b/crates/decide/src/router/steps.rs
@@ -5,17 +5,17 @@
 use pondwalk_types::{Ran, Refusal, TaskPolicy, VersionState};
 use rand::Rng;
 
-use super::Router;
+use super::{RollOutTrial, Router};
 use crate::{
+    estimate::reference_cost,
     flight::{Answer, Flight, Run},
     intern::{ServerIx, VersionIx, WorkspaceIx},
-    plan::{Candidate, Choice, Planner, from_ms},
+    plan::{Candidate, Choice, Planner, SessionTask, from_ms},
     request::{Finished, Next, Request, Step},
     servers::Wanted,
-    trial::TrialStage,
     tuning::{
         DELIVERY_MARGIN, HOPELESS, RATING_WAIT_PRIOR, REFUSALS_PER_REQUEST, RUNS_PER_REQUEST,
-        SESSION_REQUESTS,
+        SESSION_REQUESTS, TRIAL_CREDIT, TRIAL_OVERDUE,
     },
 };
 
@@ -120,7 +120,10 @@
         flight.former = held;
         let answer = Answer { run: flight.runs() - 1, version: run.version, rating: None, meets };
         flight.answer = Some(answer);
-        if !run.hold || !self.worth_holding(now, flight) {
+        self.unbook(flight);
+        let hold = run.hold && self.worth_holding(now, flight);
+        self.book(flight, meets);
+        if !hold {
             return Next::Deliver;
         }
         Next::AwaitRating(self.rating_wait(now, flight))
@@ -149,7 +152,8 @@
         let rated = Answer { rating: Some(quality), meets, ..answer };
         let better = flight.former.filter(|former| former.rating > rated.rating);
         flight.answer = Some(better.unwrap_or(rated));
-        self.book(flight, meets);
+        // NB: a further run is valued against the balance without this request.
+        self.unbook(flight);
         if met || flight.runs() >= RUNS_PER_REQUEST {
             return Next::Deliver;
         }
@@ -159,9 +163,21 @@
         }
     }
 
-    /// The caller went away, or the run under way is dropped for the answer in hand.
+    /// The run under way is dropped because the answer in hand is due.
     ///
     /// `spent` is what the run had cost by then.
+    pub fn cut_short(&mut self, now: Duration, flight: &mut Flight, spent: f64) {
+        if let Some(run) = flight.run {
+            // NB: left out, long runs would never be counted, and all would seem short.
+            let at_least = now.saturating_sub(run.started);
+            self.estimates.add_unfinished(run.version, flight.task, at_least);
+        }
+        self.release(flight, spent);
+    }
+
+    /// The caller went away.
+    ///
+    /// `spent` is what the run under way had cost by then.
     pub fn abandon(&mut self, flight: &mut Flight, spent: f64) {
         self.release(flight, spent);
         if flight.answer.is_none() {
@@ -228,6 +244,7 @@
         flight: &mut Flight,
     ) -> Result<(), Refusal> {
         flight.target = self.target(flight.workspace, flight.task);
+        self.estimates.add_deadline(flight.task, flight.time_left(flight.arrived));
         let only_listed =
             self.workspace(flight.workspace).is_some_and(|w| w.policy.only_listed_tasks);
         if only_listed && flight.target.is_none() {
@@ -304,7 +321,7 @@
             }
             flight.only = Some(choice.version);
         }
-        Ok(self.start(flight, choice, server, None))
+        Ok(self.start(now, flight, choice, server, None))
     }
 
     /// Expects of each task's account what a new session is likely to bring.
@@ -329,7 +346,7 @@
         flight: &mut Flight,
     ) -> Result<Step, Refusal> {
         let (choice, server) = self.choose(now, rng, flight)?;
-        Ok(self.start(flight, choice, server, None))
+        Ok(self.start(now, flight, choice, server, None))
     }
 
     fn rescue<R: Rng + ?Sized>(
@@ -340,11 +357,11 @@
     ) -> Option<Step> {
         let candidates = self.candidates(now, flight).ok()?;
         let choice = self.planner(flight, &candidates).rescue(flight, now)?;
-        let choice = self.on_trial_instead(rng, flight, choice);
+        let choice = self.on_trial_instead(flight, choice);
         let server = self.server_for(now, rng, flight, choice.version)?;
         self.counters.escalations += 1;
         let fallback = flight.deadline.saturating_sub(DELIVERY_MARGIN);
-        Some(self.start(flight, choice, server, Some(fallback)))
+        Some(self.start(now, flight, choice, server, Some(fallback)))
     }
 
     /// Chooses version and server for a run whose answer would be the first in hand.
@@ -363,7 +380,7 @@
             if waits && choice.on_time < HOPELESS {
                 return Err(Refusal::TooLate { deadline_ms: flight.stated_deadline_ms() });
             }
-            let choice = self.on_trial_instead(rng, flight, choice);
+            let choice = self.on_trial_instead(flight, choice);
             if let Some(server) = self.server_for(now, rng, flight, choice.version) {
                 return Ok((choice, server));
             }
@@ -387,7 +404,13 @@
         }
         let mix = self.sessions.mix(flight.workspace).filter_map(|(task, share)| {
             let target = self.target(flight.workspace, task)?;
-            Some((task, share * SESSION_REQUESTS, target, self.account(flight.workspace, task)))
+            Some(SessionTask {
+                task,
+                requests: share * SESSION_REQUESTS,
+                policy: target,
+                account: self.account(flight.workspace, task),
+                level: self.level(task),
+            })
         });
         planner.session(flight, now, mix)
     }
@@ -396,6 +419,7 @@
         Planner {
             estimates: &self.estimates,
             account: self.account(flight.workspace, flight.task),
+            level: self.level(flight.task),
             rating: self.rating_outlook(),
             candidates,
         }
@@ -439,38 +463,41 @@
         workspace.allowed.contains(&old) && self.serves_new(old) && self.servers.hosts(old)
     }
 
-    /// Puts a version on trial in the place of the one it replaces, within its share.
-    fn on_trial_instead<R: Rng + ?Sized>(
-        &self,
-        rng: &mut R,
-        flight: &Flight,
-        choice: Choice,
-    ) -> Choice {
-        if flight.only.is_some() {
-            return choice;
+    /// Puts a version on trial in the place of another, within its share.
+    ///
+    /// The share is counted in runs of the old version, those of sessions included, and given out
+    /// to requests that can be judged and repeated. Where too few of them would use the old
+    /// version anyway, some that would use a cheaper one go to the new version as well.
+    fn on_trial_instead(&self, flight: &Flight, choice: Choice) -> Choice {
+        let new = self.roll_outs.iter().find(|roll_out| self.takes_over(flight, choice, roll_out));
+        match new {
+            Some(roll_out) => Choice {
+                version: roll_out.version,
+                hold: choice.hold || self.may_judge(flight),
+                ..choice
+            },
+            None => choice,
+        }
+    }
+
+    fn takes_over(&self, flight: &Flight, choice: Choice, roll_out: &RollOutTrial) -> bool {
+        let RollOutTrial { version: new, replaces: old, ref trial, credit } = *roll_out;
+        if flight.only.is_some() || flight.tried.contains(&new) || trial.share() == 0.0 {
+            return false;
         }
-        let Some(roll_out) = self.roll_outs.iter().find(|r| r.replaces == choice.version) else {
-            return choice;
-        };
-        let new = roll_out.version;
         let allowed = self.workspace(flight.workspace).is_some_and(|w| w.allowed.contains(&new));
-        let fits = if flight.in_session || !flight.repeatable {
-            roll_out.trial.takes_sessions()
-        } else {
-            !flight.tried.contains(&new)
-        };
-        if !allowed || !fits || !self.serves_new(new) || !self.servers.hosts(new) {
-            return choice;
+        if !allowed || !self.serves_new(new) || !self.servers.hosts(new) {
+            return false;
         }
-        let share = roll_out.trial.share();
-        let share = match roll_out.trial.stage() {
-            TrialStage::Trying(_) => share,
-            _ => share * self.servers.overlap(choice.version, new).min(1.0),
-        };
-        if rng.random::<f64>() >= share {
-            return choice;
+        if flight.in_session || !flight.repeatable {
+            return choice.version == old && trial.takes_sessions() && credit >= 1.0;
         }
-        Choice { version: new, hold: choice.hold || self.may_judge(flight), ..choice }
+        let cheaper = || {
+            let cost = |version| reference_cost(&self.estimates.price(version));
+            cost(choice.version) < cost(old) && flight.answer.is_none() && self.may_judge(flight)
+        };
+        let overdue = credit >= TRIAL_OVERDUE && cheaper();
+        (choice.version == old && credit >= 1.0) || overdue
     }
 
     /// Whether an answer of a version on trial should be rated before it is shown.
@@ -500,6 +527,7 @@
     /// Books a run and makes the step out of it.
     fn start(
         &mut self,
+        now: Duration,
         flight: &mut Flight,
         choice: Choice,
         server: ServerIx,
@@ -507,19 +535,14 @@
     ) -> Step {
         let version = choice.version;
         self.servers.start(server);
-        let on_trial = match self.roll_out_mut(version) {
-            Some(roll_out) => {
-                roll_out.trial.start();
-                true
-            }
-            None => false,
-        };
+        let on_trial = self.count_on_trial(version);
         if let Some(Some(workspace)) = self.workspaces.get_mut(flight.workspace) {
             workspace.spend.reserve(choice.cost);
         }
         flight.tried.push(version);
         flight.shown_at_once = !choice.hold && flight.answer.is_none();
-        flight.run = Some(Run { version, server, reserved: choice.cost, hold: choice.hold });
+        let (reserved, hold) = (choice.cost, choice.hold);
+        flight.run = Some(Run { version, server, started: now, reserved, hold });
         self.book(flight, choice.meets);
         Step {
             version: self.versions.name(version).to_owned(),
@@ -530,6 +553,22 @@
         }
     }
 
+    /// Counts a run for the trial of its version, or of the version that is to replace it.
+    fn count_on_trial(&mut self, version: VersionIx) -> bool {
+        let mut on_trial = false;
+        for roll_out in &mut self.roll_outs {
+            if roll_out.version == version {
+                roll_out.trial.start();
+                roll_out.credit = (roll_out.credit - 1.0).max(0.0);
+                on_trial = true;
+            }
+            if roll_out.replaces == version {
+                roll_out.credit = (roll_out.credit + roll_out.trial.share()).min(TRIAL_CREDIT);
+            }
+        }
+        on_trial
+    }
+
     /// Closes the run under way, whatever came of it.
     fn release(&mut self, flight: &mut Flight, spent: f64) -> Option<Run> {
         let run = flight.run.take()?;
--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -151,15 +151,6 @@
         self.by_version.get(version).is_some_and(|servers| !servers.is_empty())
     }
 
-    /// Share of a version's servers, from 0 to 1, that also host another version.
-    pub fn overlap(&self, version: VersionIx, other: VersionIx) -> f64 {
-        let (Some(all), Some(both)) = (self.by_version.get(version), self.by_version.get(other))
-        else {
-            return 0.0;
-        };
-        both.len() as f64 / all.len().max(1) as f64
-    }
-
     /// Chooses a server; also returns the wait expected there, in milliseconds.
     pub fn choose<R: Rng + ?Sized>(
         &self,
--- a/crates/decide/src/trial.rs
+++ b/crates/decide/src/trial.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use crate::tuning::{
-    TRIAL_CLIP, TRIAL_EVENT_LIMIT, TRIAL_FAILURE_BAD, TRIAL_FAILURE_FLOOR, TRIAL_LATE_BAD,
-    TRIAL_LATE_FLOOR, TRIAL_PRIOR_DEVIATION, TRIAL_PRIOR_RATINGS, TRIAL_QUICK_DRIFT,
-    TRIAL_QUICK_LIMIT, TRIAL_REFERENCE_RATINGS, TRIAL_SHARES, TRIAL_SLOW_DRIFT, TRIAL_SLOW_LIMIT,
-    TRIAL_STAGE_RATINGS, TRIAL_UNRATED,
+    TRIAL_CLIP, TRIAL_EVENT_LIMIT, TRIAL_FAILURE_BAD, TRIAL_FAILURE_FLOOR, TRIAL_FORGIVE_EVERY,
+    TRIAL_LATE_BAD, TRIAL_LATE_FLOOR, TRIAL_PRIOR_DEVIATION, TRIAL_PRIOR_RATINGS,
+    TRIAL_QUICK_DRIFT, TRIAL_QUICK_LIMIT, TRIAL_REFERENCE_RATINGS, TRIAL_SHARES, TRIAL_SLOW_DRIFT,
+    TRIAL_SLOW_LIMIT, TRIAL_STAGE_RATINGS, TRIAL_UNRATED,
 };
 
 /// What made a trial trip.
@@ -99,6 +99,7 @@
     stage: TrialStage,
     stage_ratings: u32,
     unrated: u32,
+    others_rated: u32,
     exposed: u64,
     quick: f64,
     slow: f64,
@@ -113,6 +114,7 @@
             stage: TrialStage::Trying(0),
             stage_ratings: 0,
             unrated: 0,
+            others_rated: 0,
             exposed: 0,
             quick: 0.0,
             slow: 0.0,
@@ -168,6 +170,14 @@
         self.unrated = self.unrated.saturating_sub(1);
     }
 
+    /// Notes that another version was rated: ratings come, so old ones still missing are lost.
+    pub fn others_rated(&mut self) {
+        self.others_rated += 1;
+        if self.others_rated.is_multiple_of(TRIAL_FORGIVE_EVERY) {
+            self.unrated = self.unrated.saturating_sub(1);
+        }
+    }
+
     /// Takes in a rating.
     pub fn rate(&mut self, now: Duration, quality: f64, reference: Reference) {
         self.unrated = self.unrated.saturating_sub(1);
--- a/crates/decide/src/tuning.rs
+++ b/crates/decide/src/tuning.rs
@@ -11,7 +11,7 @@
 /// Weight of a histogram at which its older half is forgotten.
 pub const HISTOGRAM_WINDOW: f32 = 600.0;
 /// Observations that the prior of a service time counts as.
-pub const TIME_PRIOR_WEIGHT: f64 = 1.0;
+pub const TIME_PRIOR_WEIGHT: f64 = 2.0;
 /// Prior probability that a run of unknown length is on time.
 pub const TIME_PRIOR_ON_TIME: f64 = 0.95;
 /// Output tokens assumed for a version and task not seen yet.
@@ -22,17 +22,23 @@
 pub const SERVICE_PRIOR_MS: f64 = 1_000.0;
 
 /// What an answer short of the target share costs, in runs of the dearest version.
-pub const SHORTFALL_PENALTY: f64 = 3.0;
+pub const SHORTFALL_PENALTY: f64 = 6.0;
 /// Balance above the target share that is kept in reserve, in answers.
-pub const BALANCE_RESERVE: f64 = 0.3;
+pub const BALANCE_RESERVE: f64 = 0.8;
 /// Width of the passage from no penalty to the full one, in answers.
-pub const BALANCE_SOFTNESS: f64 = 0.4;
+pub const BALANCE_SOFTNESS: f64 = 1.2;
+/// How fast the level of slack follows balances, per request.
+pub const SLACK_GAIN: f64 = 0.03;
+/// Level of slack at the start, in answers.
+pub const SLACK_START: f64 = -1.0;
+/// Bounds of the level of slack, in answers.
+pub const SLACK_LIMIT: f64 = 6.0;
 /// Most answers above or below the target that an account remembers.
 pub const ACCOUNT_LIMIT: f64 = 12.0;
 /// Versions compared in pairs for one request.
 pub const FRONTIER_LIMIT: usize = 5;
 /// Penalty of a late answer, in runs of the dearest version.
-pub const LATE_PENALTY: f64 = 4.0;
+pub const LATE_PENALTY: f64 = 8.0;
 /// Penalty of holding an answer for the whole of its deadline, in runs of the dearest version.
 pub const HOLD_PENALTY: f64 = 0.05;
 
@@ -84,10 +90,16 @@
 
 /// Share of the old version's runs that a new version gets, by stage.
 pub const TRIAL_SHARES: [f64; 3] = [0.10, 0.30, 1.0];
+/// Most runs that a version on trial may save up.
+pub const TRIAL_CREDIT: f64 = 4.0;
+/// Saved-up runs from which on requests for cheaper versions are used for the trial too.
+pub const TRIAL_OVERDUE: f64 = 2.0;
 /// Ratings without a trip that end each stage.
 pub const TRIAL_STAGE_RATINGS: [u32; 3] = [30, 120, 400];
 /// Answers of a version on trial that may be without a rating.
 pub const TRIAL_UNRATED: u32 = 16;
+/// Ratings of other versions after which one missing rating is given up.
+pub const TRIAL_FORGIVE_EVERY: u32 = 8;
 /// Ratings of the old version and task needed before a rating is compared.
 pub const TRIAL_REFERENCE_RATINGS: f64 = 8.0;
 /// Drift allowed by the quick test, in standard deviations.
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -186,7 +186,7 @@
                 Ok(next)
             }
             StepEnd::HeldDue => {
-                router.abandon(flight, 0.0);
+                router.cut_short(now, flight, 0.0);
                 Ok(Next::Deliver)
             }
             StepEnd::CallerGone => {
--- a/crates/replay/src/driver.rs
+++ b/crates/replay/src/driver.rs
@@ -201,11 +201,11 @@
     }
 
     /// The run under way is dropped for the answer in hand.
-    pub fn abandon(&mut self, flight: &mut DriverFlight, spent: f64) {
+    pub fn cut_short(&mut self, now: Duration, flight: &mut DriverFlight, spent: f64) {
         if let (Chosen::Pondwalk(router), DriverFlight::Pondwalk(flight)) =
             (&mut self.chosen, flight)
         {
-            router.abandon(flight, spent);
+            router.cut_short(now, flight, spent);
         }
     }
 
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -30,7 +30,7 @@
     pub disallowed_runs: u64,
     /// Runs started on a version after it was withdrawn.
     pub withdrawn_runs: u64,
-    /// Answers of a session from another version than the one before, which could still serve.
+    /// Runs of a session on another version than the run before, which could still serve.
     pub session_moves: u64,
     /// Sessions that went on with another version because theirs was withdrawn or stopped.
     pub session_restarts: u64,
--- a/crates/replay/src/simulation.rs
+++ b/crates/replay/src/simulation.rs
@@ -265,6 +265,7 @@
         let run = self.runs.len();
         self.runs.push(Run::new(request, step.version, server, recorded));
         self.requests[request].runs.push(run);
+        self.count_session(request, run);
         if let Some(at) = step.deliver_held_at {
             self.events.push(at, Event::DeliverHeld(run));
         }
@@ -416,7 +417,7 @@
         }
         let request = self.runs[run].request;
         if let Some(flight) = &mut self.requests[request].flight {
-            self.driver.abandon(flight, spent);
+            self.driver.cut_short(now, flight, spent);
         }
         self.deliver(now, request);
     }
--- a/crates/replay/src/simulation/book.rs
+++ b/crates/replay/src/simulation/book.rs
@@ -95,7 +95,7 @@
     }
 }
 
-/// The version that last answered each session.
+/// The version that each session was last run on.
 #[derive(Default)]
 pub struct Sessions<'a> {
     last: HashMap<(&'a str, &'a str), VersionId>,
@@ -126,7 +126,6 @@
         live.receipt = receipt;
         live.bills += 1;
         self.count_answer(now, request, run);
-        self.count_session(request, run);
     }
 
     /// Ends a request without an answer.
@@ -167,7 +166,8 @@
         Some(workspace.tasks.get(&recorded.task)?.quality_target)
     }
 
-    fn count_session(&mut self, request: RequestIx, run: RunIx) {
+    /// Counts a run of a session on another version than its run before.
+    pub fn count_session(&mut self, request: RequestIx, run: RunIx) {
         let recorded = self.requests[request].recorded;
         let Some(session) = recorded.session.as_deref().filter(|_| recorded.service.is_none())
         else {
