--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -10,8 +10,8 @@
 use pondwalk_entry::{EntryError, RunningEntry};
 use pondwalk_generations::{ChangeError, OnRace, change, replace};
 use pondwalk_standin::{
-    Engine, InstanceList, KvStore, ListedInstance, PlainService, RatingService, VersionProfile,
-    kv::KvServer,
+    ANY_PORT, Engine, InstanceList, KvStore, ListedInstance, PlainService, RatingService,
+    VersionProfile, kv::KvServer,
 };
 use pondwalk_store::{Store, http_transport};
 use thiserror::Error;
@@ -106,14 +106,14 @@
 impl Deployment {
     /// Starts everything and applies the policy.
     pub async fn start(plan: &Plan) -> Result<Self, DeploymentError> {
-        let kv = KvStore::default().listen().await?;
-        let rating = RatingService::start(RATING_DELAY).await?;
+        let kv = KvStore::default().listen(ANY_PORT).await?;
+        let rating = RatingService::start(ANY_PORT, RATING_DELAY).await?;
         let mut servers = Vec::with_capacity(plan.servers.len());
         for server in &plan.servers {
             servers.push(start_server(server, kv.address()).await?);
         }
         let listed = servers.iter().zip(&plan.servers).map(|(unit, plan)| listed(unit, plan));
-        let instances = InstanceList::start(LIST_LAG, listed.collect()).await?;
+        let instances = InstanceList::start(ANY_PORT, LIST_LAG, listed.collect()).await?;
         let mut deployment = Deployment {
             kv,
             instances,
@@ -271,12 +271,12 @@
     const SERVICE_TIME: Duration = Duration::from_millis(5);
     let (engine, service, backend, kind, versions) = match &plan.service {
         Some(name) => {
-            let service = PlainService::start(SERVICE_TIME).await?;
+            let service = PlainService::start(ANY_PORT, SERVICE_TIME).await?;
             let address = service.address();
             (None, Some(service), address, "service", name.clone())
         }
         None => {
-            let engine = Engine::start(plan.versions.clone()).await?;
+            let engine = Engine::start(ANY_PORT, plan.versions.clone()).await?;
             let address = engine.address();
             let versions: Vec<&str> = plan.versions.keys().map(String::as_str).collect();
             (Some(engine), None, address, "engine", versions.join(", "))
--- a/crates/pondwalk/src/commands.rs
+++ b/crates/pondwalk/src/commands.rs
@@ -7,6 +7,7 @@
 mod ledger;
 mod replay;
 mod role;
+mod stand_ins;
 mod status;
 
 use std::{future::Future, net::SocketAddr, time::Duration};
@@ -31,6 +32,7 @@
         Options::Ledger(options) => ledger::run(&options),
         Options::Replay(options) => replay::run(&options),
         Options::Demo(options) => demo::run(&options),
+        Options::StandIns => stand_ins::run(),
         Options::Bench(options) => bench::run(&options),
     }
 }
--- a/crates/pondwalk/src/options.rs
+++ b/crates/pondwalk/src/options.rs
@@ -37,6 +37,8 @@
     Replay(ReplayOptions),
     /// Play a day on stand-ins.
     Demo(DemoOptions),
+    /// Run stand-ins of the systems around pondwalk, to try it by hand.
+    StandIns,
     /// Measure what the way through entry and agent adds.
     Bench(BenchOptions),
 }
@@ -90,6 +92,7 @@
         Some(("ledger", matches)) => Options::Ledger(operate::ledger(matches)),
         Some(("replay", matches)) => Options::Replay(replay::options(matches)),
         Some(("demo", matches)) => Options::Demo(run::demo(matches)),
+        Some(("stand-ins", _)) => Options::StandIns,
         Some(("bench", matches)) => Options::Bench(run::bench(matches)),
         _ => unreachable!("a subcommand is required and all are listed"),
     }
--- a/crates/pondwalk/src/options/run.rs
+++ b/crates/pondwalk/src/options/run.rs
@@ -45,8 +45,8 @@
     ]
 }
 
-pub fn trial_commands() -> [Command; 2] {
-    [demo_command(), bench_command()]
+pub fn trial_commands() -> [Command; 3] {
+    [demo_command(), bench_command(), stand_ins_command()]
 }
 
 fn demo_command() -> Command {
@@ -63,6 +63,14 @@
         )
 }
 
+fn stand_ins_command() -> Command {
+    Command::new("stand-ins")
+        .about(
+            "Run stand-ins of the systems around pondwalk at the addresses of sample_configs/local",
+        )
+        .after_help("Example:\n  pondwalk stand-ins")
+}
+
 fn bench_command() -> Command {
     Command::new("bench")
         .about("Send the same load to a stand-in engine directly and through entry and agent")
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -99,11 +99,14 @@
 }
 
 impl Engine {
-    /// Starts an engine that hosts the given versions.
-    pub async fn start(profiles: BTreeMap<String, VersionProfile>) -> io::Result<Self> {
+    /// Starts an engine at an address that hosts the given versions.
+    pub async fn start(
+        address: SocketAddr,
+        profiles: BTreeMap<String, VersionProfile>,
+    ) -> io::Result<Self> {
         let shared = Arc::new(Shared { profiles: Mutex::new(profiles), ..Shared::default() });
         let route = Route::new().at("/v1/chat/completions", post(complete)).data(shared.clone());
-        Ok(Engine { shared, listening: listen(route).await? })
+        Ok(Engine { shared, listening: listen(address, route).await? })
     }
 
     /// Where it listens.
--- a/crates/standin/src/instances.rs
+++ b/crates/standin/src/instances.rs
@@ -43,13 +43,17 @@
 }
 
 impl InstanceList {
-    /// Starts a list that shows changes after `lag`.
-    pub async fn start(lag: Duration, instances: Vec<ListedInstance>) -> io::Result<Self> {
+    /// Starts a list at an address that shows changes after `lag`.
+    pub async fn start(
+        address: SocketAddr,
+        lag: Duration,
+        instances: Vec<ListedInstance>,
+    ) -> io::Result<Self> {
         let long_ago = Instant::now().checked_sub(lag).unwrap_or_else(Instant::now);
         let shared = Shared { lag, versions: Mutex::new(vec![(long_ago, instances)]) };
         let shared = Arc::new(shared);
         let route = Route::new().at("/v1/instances", get(show_list)).data(shared.clone());
-        Ok(InstanceList { shared, listening: listen(route).await? })
+        Ok(InstanceList { shared, listening: listen(address, route).await? })
     }
 
     /// Where it listens.
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -77,9 +77,9 @@
 }
 
 impl KvStore {
-    /// Listens on a free loopback port.
-    pub async fn listen(&self) -> io::Result<KvServer> {
-        let listening = listen(routes(self.clone())).await?;
+    /// Listens at an address.
+    pub async fn listen(&self, address: SocketAddr) -> io::Result<KvServer> {
+        let listening = listen(address, routes(self.clone())).await?;
         Ok(KvServer { store: self.clone(), listening })
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,5 +13,6 @@
 pub use engine::{Engine, EngineFaults, VersionProfile};
 pub use instances::{InstanceList, ListedInstance};
 pub use kv::{KvFaults, KvStore};
+pub use listen::ANY_PORT;
 pub use rating::RatingService;
 pub use service::PlainService;
--- a/crates/standin/src/listen.rs
+++ b/crates/standin/src/listen.rs
@@ -1,6 +1,9 @@
-//! Serving on a loopback port until the handle is dropped.
+//! Serving at an address until the handle is dropped.
 
-use std::{io, net::SocketAddr};
+use std::{
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+};
 
 use poem::{IntoEndpoint, Server};
 use pondwalk_listen::LimitedAcceptor;
@@ -20,15 +23,17 @@
     }
 }
 
-/// Serves an endpoint on a free loopback port.
-pub async fn listen<E>(endpoint: E) -> io::Result<Listening>
+/// A loopback port that the system chooses.
+pub const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Serves an endpoint at an address.
+pub async fn listen<E>(address: SocketAddr, endpoint: E) -> io::Result<Listening>
 where
     E: IntoEndpoint + Send + 'static,
     E::Endpoint: Send + Sync + 'static,
 {
     const CONNECTIONS: usize = 100_000;
-    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    let acceptor = LimitedAcceptor::bind(any_port, CONNECTIONS).await?;
+    let acceptor = LimitedAcceptor::bind(address, CONNECTIONS).await?;
     let address = acceptor.address();
     let server = Server::new_with_acceptor(acceptor);
     let task = tokio::spawn(async move {
--- a/crates/standin/src/rating.rs
+++ b/crates/standin/src/rating.rs
@@ -35,12 +35,12 @@
 }
 
 impl RatingService {
-    /// Starts a service that takes `delay` for each rating.
-    pub async fn start(delay: Duration) -> io::Result<Self> {
+    /// Starts a service at an address that takes `delay` for each rating.
+    pub async fn start(address: SocketAddr, delay: Duration) -> io::Result<Self> {
         let up = AtomicBool::new(true);
         let shared = Arc::new(Shared { delay, up, rated: AtomicU64::new(0) });
         let route = Route::new().at("/v1/rate", post(rate)).data(shared.clone());
-        Ok(RatingService { shared, listening: listen(route).await? })
+        Ok(RatingService { shared, listening: listen(address, route).await? })
     }
 
     /// Where it listens.
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -29,11 +29,11 @@
 }
 
 impl PlainService {
-    /// Starts a service that takes `delay` for each call.
-    pub async fn start(delay: Duration) -> io::Result<Self> {
+    /// Starts a service at an address that takes `delay` for each call.
+    pub async fn start(address: SocketAddr, delay: Duration) -> io::Result<Self> {
         let shared = Arc::new(Shared { delay, log: Mutex::default() });
         let route = Route::new().at("/*path", answer).data(shared.clone());
-        Ok(PlainService { shared, listening: listen(route).await? })
+        Ok(PlainService { shared, listening: listen(address, route).await? })
     }
 
     /// Where it listens.
