--- /dev/null
+++ b/crates/config/tests/accepts_sample_files.rs
@@ -0,0 +1,49 @@
+//! Every sample file is accepted as what it is meant to be.
+
+use std::path::{Path, PathBuf};
+
+use pondwalk_config::{FileKind, RawFile, check_file, policy_from_ini};
+
+fn samples() -> Vec<PathBuf> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../sample_configs");
+    let mut files = Vec::new();
+    for folder in std::fs::read_dir(root).expect("sample_configs is there") {
+        let folder = folder.expect("a folder").path();
+        let inner = std::fs::read_dir(folder).expect("a folder of samples");
+        files.extend(inner.map(|file| file.expect("a file").path()));
+    }
+    files.sort();
+    files
+}
+
+#[test]
+fn each_sample_is_accepted_by_its_name() {
+    let files = samples();
+    assert!(files.len() >= 12, "samples of both users, for trying out and for replays");
+    for file in files {
+        let name = file.file_name().and_then(|name| name.to_str()).expect("a name");
+        let expected = match name {
+            "entry.ini" => FileKind::Entry,
+            "agent.ini" | "agent-service.ini" => FileKind::Agent,
+            "policy.ini" => FileKind::Policy,
+            "outcomes.ini" => FileKind::Outcomes,
+            _ => FileKind::Replay,
+        };
+        assert_eq!(check_file(&file).expect(name), expected, "{}", file.display());
+    }
+}
+
+#[test]
+fn templates_are_filled_in_for_each_workspace() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../sample_configs");
+    let file = RawFile::load(&root.join("franchise/policy.ini")).expect("readable");
+    let policy = policy_from_ini(file).expect("accepted");
+    assert_eq!(policy.workspaces.len(), 10);
+    let first = &policy.workspaces["branch-1"];
+    assert_eq!(first.spend_cap, Some(800.0));
+    assert_eq!(first.priority, 6);
+    assert_eq!(first.tasks["briefing"].quality_target, 0.70);
+    assert!(!policy.workspaces["branch-8"].allowed_versions.contains("large/7"));
+    let new = policy.price_of("medium/9").expect("priced by its model");
+    assert_eq!(new.prompt_per_1k_tokens, 0.5);
+}
--- /dev/null
+++ b/crates/config/tests/rejects_faulty_files.rs
@@ -0,0 +1,89 @@
+//! Faulty files are rejected with every fault's section, key and expectation.
+
+use std::path::Path;
+
+use pondwalk_config::{
+    AgentSettings, ConfigError, EntrySettings, Outcomes, Problem, RawFile, policy_from_ini,
+};
+
+fn raw(text: &str) -> RawFile {
+    RawFile::parse(Path::new("x.ini"), text).expect("INI")
+}
+
+fn faults<T: std::fmt::Debug>(result: Result<T, ConfigError>) -> Vec<(String, String, Problem)> {
+    match result {
+        Err(ConfigError::Faults { faults, .. }) => {
+            faults.into_iter().map(|fault| (fault.section, fault.key, fault.problem)).collect()
+        }
+        other => panic!("expected faults, got {other:?}"),
+    }
+}
+
+#[test]
+fn all_faults_of_an_entry_are_listed() {
+    let text = "[entry]\ninstance = e\nlisten = nowhere\nthreads = 0\n[sessions]\n\
+                signing_key = short\n[store]\naddress = 127.0.0.1:1\ntimeot_ms = 5\n";
+    let faults = faults(EntrySettings::try_from(raw(text)));
+    let places: Vec<(&str, &str)> =
+        faults.iter().map(|(section, key, _)| (section.as_str(), key.as_str())).collect();
+    for expected in [
+        ("entry", "data_centre"),
+        ("entry", "listen"),
+        ("entry", "threads"),
+        ("sessions", "signing_key"),
+        ("instances", "address"),
+        ("store", "timeot_ms"),
+    ] {
+        assert!(places.contains(&expected), "{expected:?} in {places:?}");
+    }
+}
+
+#[test]
+fn an_agent_must_host_something() {
+    let text = "[agent]\nserver = b\ndata_centre = d\nlisten = 127.0.0.1:1\n[backend_server]\n\
+                address = 127.0.0.1:2\nversions = ,\n[store]\naddress = 127.0.0.1:3\n";
+    let faults = faults(AgentSettings::try_from(raw(text)));
+    assert_eq!(faults.len(), 1);
+    assert_eq!((faults[0].0.as_str(), faults[0].1.as_str()), ("backend_server", "versions"));
+}
+
+#[test]
+fn a_policy_may_not_name_what_is_not_defined() {
+    let text = "[version small/1]\nstate = resting\n[roll_out small/2]\nreplaces = small/1\n\
+                [workspace w]\ntemplate = t\nallowed_versions = small/1, large/1\n\
+                allowed_services = quotes\npriority = 10\nkeys_sha256 = ABC\n";
+    let faults = faults(policy_from_ini(raw(text)));
+    let undefined: Vec<&str> = faults
+        .iter()
+        .filter_map(|(_, _, problem)| match problem {
+            Problem::Undefined { name } => Some(name.as_str()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(undefined, ["small/2", "t", "large/1", "quotes"]);
+    let keys: Vec<&str> = faults.iter().map(|(_, key, _)| key.as_str()).collect();
+    assert!(keys.contains(&"state") && keys.contains(&"priority") && keys.contains(&"keys_sha256"));
+}
+
+#[test]
+fn a_missing_parameter_is_named() {
+    let text = "[template t]\nspend_cap = ${daily}\n[workspace w]\ntemplate = t\n";
+    let faults = faults(policy_from_ini(raw(text)));
+    assert!(faults.iter().any(|(section, key, problem)| {
+        section == "workspace w"
+            && key == "spend_cap"
+            && *problem == Problem::NoParameter { name: "daily".to_owned() }
+    }));
+}
+
+#[test]
+fn an_outcome_needs_a_comparison() {
+    let faults = faults(Outcomes::try_from(raw("[outcome]\ncost = cheap\n")));
+    assert_eq!(faults[0].1, "cost");
+}
+
+#[test]
+fn text_that_is_not_ini_names_its_line() {
+    let error = RawFile::parse(Path::new("x.ini"), "[entry]\nno equals sign\n").unwrap_err();
+    assert!(matches!(error, ConfigError::NotIni { .. }), "{error}");
+}
--- a/crates/decide/src/estimate.rs
+++ b/crates/decide/src/estimate.rs
@@ -1,6 +1,6 @@
 //! What is known of each version: quality, service time, length and failures by task.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
 use pondwalk_types::{Price, TokenUsage};
 
@@ -10,7 +10,8 @@
     plan::from_ms,
     tuning::{
         MEAN_GAIN, OUTPUT_PRIOR_TOKENS, QUALITY_PRIOR_CHEAPEST, QUALITY_PRIOR_DEAREST,
-        QUALITY_PRIOR_WEIGHT, SERVICE_PRIOR_MS, TIME_PRIOR_ON_TIME, TIME_PRIOR_WEIGHT,
+        QUALITY_PRIOR_WEIGHT, SERVICE_PRIOR_MS, TIME_PRIOR_FADED, TIME_PRIOR_ON_TIME,
+        TIME_PRIOR_WEIGHT,
     },
 };
 
@@ -86,6 +87,8 @@
 #[derive(Debug, Clone)]
 struct Version {
     price: Price,
+    /// Factor on times that the price suggests where nothing better is known.
+    guessed_slowness: f64,
     /// Place in the order of prices, from 0 for the cheapest to 1 for the dearest.
     price_rank: f64,
     service_ms: RunningMean,
@@ -99,6 +102,14 @@
     deadline_ms: RunningMean,
 }
 
+/// How often a second version met the target after a first one had missed it.
+#[derive(Debug, Clone, Copy)]
+struct Rescue {
+    second: VersionIx,
+    task: TaskIx,
+    met: Rate,
+}
+
 /// What is known of all versions.
 #[derive(Debug, Default)]
 pub struct Estimates {
@@ -106,7 +117,9 @@
     /// By task: the version seen most often, and the usual deadline.
     tasks: Vec<Task>,
     /// Whether the second version met the target after the first had missed it.
-    rescues: HashMap<(VersionIx, VersionIx, TaskIx), Rate>,
+    ///
+    /// By the first version; the lists are short, as only a few versions are ever paired.
+    rescues: Vec<Vec<Rescue>>,
     blank: VersionTask,
 }
 
@@ -121,6 +134,8 @@
             let place = order.iter().position(|(other, _)| other == version).unwrap_or(0);
             let entry = self.version_mut(*version);
             entry.price = *price;
+            // NB: times grow with about the cube root of prices.
+            entry.guessed_slowness = reference_cost(price).max(1e-9).cbrt();
             entry.price_rank = place as f64 / last;
         }
     }
@@ -159,22 +174,38 @@
     pub fn rescues(&self, first: VersionIx, second: VersionIx, task: TaskIx, target: f64) -> f64 {
         const PRIOR_WEIGHT: f64 = 6.0;
         let alone = self.meets(second, task, target);
-        match self.rescues.get(&(first, second, task)) {
-            Some(rate) => rate.with_prior(alone, PRIOR_WEIGHT),
+        let known = self.rescues.get(first).into_iter().flatten();
+        match known.into_iter().find(|known| known.second == second && known.task == task) {
+            Some(known) => known.met.with_prior(alone, PRIOR_WEIGHT),
             None => alone,
         }
     }
 
     /// Takes in whether `second` met the target where `first` had missed it.
     pub fn add_rescue(&mut self, first: VersionIx, second: VersionIx, task: TaskIx, met: bool) {
-        self.rescues.entry((first, second, task)).or_default().add(met);
+        if self.rescues.len() <= first {
+            self.rescues.resize_with(first + 1, Vec::new);
+        }
+        let known = &mut self.rescues[first];
+        match known.iter_mut().find(|known| known.second == second && known.task == task) {
+            Some(known) => known.met.add(met),
+            None => {
+                let mut rate = Rate::default();
+                rate.add(met);
+                known.push(Rescue { second, task, met: rate });
+            }
+        }
     }
 
     /// Probability that a run ends within `limit`.
     pub fn within(&self, version: VersionIx, task: TaskIx, limit: Duration) -> f64 {
         let service = &self.of(version, task).service;
+        let total = service.total();
+        if total >= TIME_PRIOR_FADED {
+            return service.within(limit) / total;
+        }
         let prior = self.prior_within(version, task, limit);
-        (service.within(limit) + prior * TIME_PRIOR_WEIGHT) / (service.total() + TIME_PRIOR_WEIGHT)
+        (service.within(limit) + prior * TIME_PRIOR_WEIGHT) / (total + TIME_PRIOR_WEIGHT)
     }
 
     /// Probability that an answer to a task of the usual deadline is late.
@@ -203,14 +234,12 @@
 
     /// How many times slower a version is than another one.
     fn slower(&self, version: VersionIx, other: VersionIx) -> f64 {
-        // NB: times grow with about the cube root of prices where nothing better is known.
-        const PRICE_EXPONENT: f64 = 1.0 / 3.0;
         let seen = |version| self.version(version).is_some_and(|v| v.service_ms.is_known());
         let ratio = if seen(version) && seen(other) {
             self.service_ms(version) / self.service_ms(other).max(1.0)
         } else {
-            let cost = |version| reference_cost(&self.price(version)).max(1e-9);
-            (cost(version) / cost(other)).powf(PRICE_EXPONENT)
+            let guess = |version| self.version(version).map_or(1.0, |v| v.guessed_slowness);
+            guess(version) / guess(other)
         };
         ratio.clamp(0.1, 10.0)
     }
@@ -271,7 +300,10 @@
             known.tasks.clear();
             known.service_ms = RunningMean::default();
         }
-        self.rescues.retain(|(first, second, _), _| *first != version && *second != version);
+        if let Some(known) = self.rescues.get_mut(version) {
+            known.clear();
+        }
+        self.rescues.iter_mut().for_each(|known| known.retain(|k| k.second != version));
     }
 
     fn version(&self, version: VersionIx) -> Option<&Version> {
@@ -284,6 +316,7 @@
         }
         self.versions[version].get_or_insert_with(|| Version {
             price: Price::default(),
+            guessed_slowness: 1.0,
             price_rank: 0.5,
             service_ms: RunningMean::default(),
             tasks: Vec::new(),
--- a/crates/decide/src/flight.rs
+++ b/crates/decide/src/flight.rs
@@ -15,7 +15,8 @@
     pub(crate) target: Option<TaskPolicy>,
     /// The only version that may run, for sessions, services and callers that insist.
     pub(crate) only: Option<VersionIx>,
-    pub(crate) in_session: bool,
+    /// The conversation that it belongs to, if any.
+    pub(crate) session: Option<Box<str>>,
     pub(crate) session_restarted: bool,
     pub(crate) prompt_tokens: u64,
     pub(crate) prefix: Option<u64>,
--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -1,5 +1,7 @@
 //! The entry's side of the decision: one value that plans requests and learns from them.
 
+mod admit;
+mod choose;
 mod learn;
 mod members;
 mod steps;
--- a/crates/decide/src/router/steps.rs
+++ b/crates/decide/src/router/steps.rs
@@ -2,20 +2,17 @@
 
 use std::time::Duration;
 
-use pondwalk_types::{Ran, Refusal, TaskPolicy, VersionState};
+use pondwalk_types::{Ran, Refusal};
 use rand::Rng;
 
-use super::{RollOutTrial, Router};
+use super::Router;
 use crate::{
-    estimate::reference_cost,
     flight::{Answer, Flight, Run},
-    intern::{ServerIx, VersionIx, WorkspaceIx},
-    plan::{Candidate, Choice, Planner, SessionTask, from_ms},
+    intern::{ServerIx, VersionIx},
+    plan::{Choice, from_ms},
     request::{Finished, Next, Request, Step},
-    servers::Wanted,
     tuning::{
-        DELIVERY_MARGIN, HOPELESS, RATING_WAIT_PRIOR, REFUSALS_PER_REQUEST, RUNS_PER_REQUEST,
-        SESSION_REQUESTS, TRIAL_CREDIT, TRIAL_OVERDUE,
+        DELIVERY_MARGIN, RATING_WAIT_PRIOR, REFUSALS_PER_REQUEST, RUNS_PER_REQUEST, TRIAL_CREDIT,
     },
 };
 
@@ -30,7 +27,7 @@
         self.requests += 1;
         let mut flight = self.admit(now, request)?;
         self.retries.earn();
-        let step = self.first_step(now, rng, &mut flight, request.session)?;
+        let step = self.plan_run(now, rng, &mut flight)?;
         Ok((flight, step))
     }
 
@@ -56,7 +53,7 @@
         if give_up || !refusal.worth_another_server() {
             return self.give_up(flight, refusal);
         }
-        match self.again(now, rng, flight) {
+        match self.plan_run(now, rng, flight) {
             Ok(step) => Next::Run(step),
             Err(_) => self.give_up(flight, refusal),
         }
@@ -87,7 +84,7 @@
             return self.give_up(flight, refusal);
         }
         self.counters.retries += 1;
-        match self.again(now, rng, flight) {
+        match self.plan_run(now, rng, flight) {
             Ok(step) => Next::Run(step),
             Err(_) => self.give_up(flight, refusal),
         }
@@ -185,167 +182,16 @@
         }
     }
 
-    /// Checks a request against the policy and opens its flight.
-    fn admit(&mut self, now: Duration, request: &Request<'_>) -> Result<Flight, Refusal> {
-        if self.generation == 0 {
-            return Err(Refusal::NoConfiguration);
-        }
-        let workspace = self.workspace_names.find(request.workspace);
-        let workspace =
-            workspace.filter(|ix| self.workspace(*ix).is_some()).ok_or(Refusal::UnknownCaller)?;
-        let task = self.tasks.intern(request.task);
-        let mut flight = Flight {
-            workspace,
-            task,
-            target: None,
-            only: None,
-            in_session: request.session.is_some() && request.service.is_none(),
-            session_restarted: false,
-            prompt_tokens: request.prompt_tokens,
-            prefix: request.prefix,
-            arrived: request.arrived,
-            deadline: request.deadline,
-            repeatable: request.repeatable,
-            streaming: request.streaming,
-            tried: Vec::new(),
-            avoid: Vec::new(),
-            refusals: 0,
-            run: None,
-            shown_at_once: false,
-            answer: None,
-            former: None,
-            booked: None,
-            spent: 0.0,
-        };
-        match request.service {
-            Some(service) => flight.only = Some(self.service(workspace, service)?),
-            None => self.admit_chat(now, request, &mut flight)?,
-        }
-        if now >= flight.deadline {
-            return Err(Refusal::TooLate { deadline_ms: flight.stated_deadline_ms() });
-        }
-        Ok(flight)
-    }
-
-    fn service(&self, workspace: WorkspaceIx, service: &str) -> Result<VersionIx, Refusal> {
-        let refusal = || Refusal::VersionNotAllowed(service.to_owned());
-        let version = self.versions.find(service).ok_or_else(refusal)?;
-        let allowed = self.workspace(workspace).is_some_and(|w| w.allowed.contains(&version));
-        if !allowed || !self.services.contains(&version) {
-            return Err(refusal());
-        }
-        Ok(version)
-    }
-
-    fn admit_chat(
-        &mut self,
-        now: Duration,
-        request: &Request<'_>,
-        flight: &mut Flight,
-    ) -> Result<(), Refusal> {
-        flight.target = self.target(flight.workspace, flight.task);
-        self.estimates.add_deadline(flight.task, flight.time_left(flight.arrived));
-        let only_listed =
-            self.workspace(flight.workspace).is_some_and(|w| w.policy.only_listed_tasks);
-        if only_listed && flight.target.is_none() {
-            return Err(Refusal::TaskNotAllowed);
-        }
-        if let Some(name) = request.version {
-            flight.only = Some(self.insisted(flight.workspace, name)?);
-        }
-        if let Some(session) = request.session {
-            self.sessions.count(flight.workspace, flight.task);
-            if let Some(account) = self.account_mut(flight.workspace, flight.task) {
-                account.redeem();
-            }
-            let remembered = || self.sessions.pin(flight.workspace, session, now);
-            let pin = request.pin.and_then(|pin| self.versions.find(pin)).or_else(remembered);
-            if let Some(pin) = pin {
-                self.apply_pin(flight, pin)?;
-            }
-        }
-        Ok(())
-    }
-
-    fn target(&self, workspace: WorkspaceIx, task: usize) -> Option<TaskPolicy> {
-        self.workspace(workspace)?.tasks.get(task).copied().flatten()
-    }
-
-    /// The version that the caller insists on.
-    fn insisted(&self, workspace: WorkspaceIx, name: &str) -> Result<VersionIx, Refusal> {
-        let refusal = || Refusal::VersionNotAllowed(name.to_owned());
-        let version = self.versions.find(name).ok_or_else(refusal)?;
-        if !self.workspace(workspace).is_some_and(|w| w.allowed.contains(&version)) {
-            return Err(refusal());
-        }
-        match self.state(version) {
-            None => Err(refusal()),
-            Some(VersionState::Withdrawn) => Err(Refusal::VersionWithdrawn(name.to_owned())),
-            Some(_) if self.is_tripped(version) => Err(Refusal::VersionWithdrawn(name.to_owned())),
-            Some(_) => Ok(version),
-        }
-    }
-
-    /// Binds a request to its session's version, or ends the session if that version is gone.
-    fn apply_pin(&mut self, flight: &mut Flight, pin: VersionIx) -> Result<(), Refusal> {
-        let allowed = self.workspace(flight.workspace).is_some_and(|w| w.allowed.contains(&pin));
-        if allowed && self.serves_sessions(pin) {
-            if flight.only.is_some_and(|insisted| insisted != pin) {
-                return Err(Refusal::BadSessionPin);
-            }
-            flight.only = Some(pin);
-            return Ok(());
-        }
-        if !self.restart_allowed(flight.workspace) {
-            return Err(Refusal::VersionWithdrawn(self.versions.name(pin).to_owned()));
-        }
-        flight.session_restarted = true;
-        self.counters.session_restarts += 1;
-        Ok(())
-    }
-
-    fn first_step<R: Rng + ?Sized>(
-        &mut self,
-        now: Duration,
-        rng: &mut R,
-        flight: &mut Flight,
-        session: Option<&str>,
-    ) -> Result<Step, Refusal> {
-        let (choice, server) = self.choose(now, rng, flight)?;
-        if flight.in_session {
-            if flight.only.is_none() {
-                self.commit_session(flight.workspace, choice.version);
-            }
-            if let Some(session) = session {
-                self.sessions.keep(flight.workspace, session, choice.version, now);
-            }
-            flight.only = Some(choice.version);
-        }
-        Ok(self.start(now, flight, choice, server, None))
-    }
-
-    /// Expects of each task's account what a new session is likely to bring.
-    fn commit_session(&mut self, workspace: WorkspaceIx, version: VersionIx) {
-        let mix: Vec<_> = self.sessions.mix(workspace).collect();
-        for (task, share) in mix {
-            let Some(target) = self.target(workspace, task) else {
-                continue;
-            };
-            let meets = self.estimates.meets(version, task, target.quality_target);
-            if let Some(account) = self.account_mut(workspace, task) {
-                account.commit(target, meets, share * SESSION_REQUESTS);
-            }
-        }
-    }
-
-    /// A further first run after a refusal or failure.
-    fn again<R: Rng + ?Sized>(
+    /// A run whose answer would be the first in hand.
+    fn plan_run<R: Rng + ?Sized>(
         &mut self,
         now: Duration,
         rng: &mut R,
         flight: &mut Flight,
     ) -> Result<Step, Refusal> {
+        self.check_binding(now, flight)?;
         let (choice, server) = self.choose(now, rng, flight)?;
+        self.bind_session(now, flight, choice.version);
         Ok(self.start(now, flight, choice, server, None))
     }
 
@@ -364,166 +210,6 @@
         Some(self.start(now, flight, choice, server, Some(fallback)))
     }
 
-    /// Chooses version and server for a run whose answer would be the first in hand.
-    fn choose<R: Rng + ?Sized>(
-        &mut self,
-        now: Duration,
-        rng: &mut R,
-        flight: &Flight,
-    ) -> Result<(Choice, ServerIx), Refusal> {
-        let mut candidates = self.candidates(now, flight)?;
-        while !candidates.is_empty() {
-            let Some(choice) = self.choose_version(now, flight, &candidates) else {
-                break;
-            };
-            let waits = candidates.iter().any(|c| c.version == choice.version && c.wait_ms > 0.0);
-            if waits && choice.on_time < HOPELESS {
-                return Err(Refusal::TooLate { deadline_ms: flight.stated_deadline_ms() });
-            }
-            let choice = self.on_trial_instead(flight, choice);
-            if let Some(server) = self.server_for(now, rng, flight, choice.version) {
-                return Ok((choice, server));
-            }
-            candidates.retain(|candidate| candidate.version != choice.version);
-        }
-        Err(Refusal::NoServer)
-    }
-
-    fn choose_version(
-        &self,
-        now: Duration,
-        flight: &Flight,
-        candidates: &[Candidate],
-    ) -> Option<Choice> {
-        let planner = self.planner(flight, candidates);
-        if flight.only.is_some() {
-            return candidates.first().map(|candidate| planner.only(flight, now, *candidate));
-        }
-        if !flight.in_session {
-            return planner.first(flight, now);
-        }
-        let mix = self.sessions.mix(flight.workspace).filter_map(|(task, share)| {
-            let target = self.target(flight.workspace, task)?;
-            Some(SessionTask {
-                task,
-                requests: share * SESSION_REQUESTS,
-                policy: target,
-                account: self.account(flight.workspace, task),
-                level: self.level(task),
-            })
-        });
-        planner.session(flight, now, mix)
-    }
-
-    fn planner<'a>(&'a self, flight: &Flight, candidates: &'a [Candidate]) -> Planner<'a> {
-        Planner {
-            estimates: &self.estimates,
-            account: self.account(flight.workspace, flight.task),
-            level: self.level(flight.task),
-            rating: self.rating_outlook(),
-            candidates,
-        }
-    }
-
-    /// Versions that may run the request now.
-    fn candidates(&self, now: Duration, flight: &Flight) -> Result<Vec<Candidate>, Refusal> {
-        let candidate = |version: VersionIx| {
-            let service_ms = self.estimates.service_ms(version);
-            let wait_ms = self.servers.expected_wait_ms(now, version, service_ms);
-            Candidate { version, wait_ms }
-        };
-        if let Some(only) = flight.only {
-            let hosted = self.servers.hosts(only).then(|| candidate(only));
-            return hosted.map(|only| vec![only]).ok_or(Refusal::NoServer);
-        }
-        let workspace = self.workspace(flight.workspace).ok_or(Refusal::UnknownCaller)?;
-        let open = workspace.allowed.iter().filter(|version| {
-            self.serves_new(**version)
-                && self.servers.hosts(**version)
-                && !self.waits_for_evidence(workspace, **version)
-        });
-        let candidates: Vec<Candidate> = open.map(|version| candidate(*version)).collect();
-        if candidates.is_empty() {
-            return Err(Refusal::NoServer);
-        }
-        let affordable = |candidate: &Candidate| {
-            let cost = self.estimates.cost(candidate.version, flight.task, flight.prompt_tokens);
-            workspace.spend.affords(cost)
-        };
-        let candidates: Vec<Candidate> = candidates.into_iter().filter(affordable).collect();
-        if candidates.is_empty() { Err(Refusal::SpendCap) } else { Ok(candidates) }
-    }
-
-    /// Whether a version on trial gets work only in place of the version that it replaces.
-    fn waits_for_evidence(&self, workspace: &super::Workspace, version: VersionIx) -> bool {
-        let Some(roll_out) = self.roll_out(version) else {
-            return false;
-        };
-        let old = roll_out.replaces;
-        workspace.allowed.contains(&old) && self.serves_new(old) && self.servers.hosts(old)
-    }
-
-    /// Puts a version on trial in the place of another, within its share.
-    ///
-    /// The share is counted in runs of the old version, those of sessions included, and given out
-    /// to requests that can be judged and repeated. Where too few of them would use the old
-    /// version anyway, some that would use a cheaper one go to the new version as well.
-    fn on_trial_instead(&self, flight: &Flight, choice: Choice) -> Choice {
-        let new = self.roll_outs.iter().find(|roll_out| self.takes_over(flight, choice, roll_out));
-        match new {
-            Some(roll_out) => Choice {
-                version: roll_out.version,
-                hold: choice.hold || self.may_judge(flight),
-                ..choice
-            },
-            None => choice,
-        }
-    }
-
-    fn takes_over(&self, flight: &Flight, choice: Choice, roll_out: &RollOutTrial) -> bool {
-        let RollOutTrial { version: new, replaces: old, ref trial, credit } = *roll_out;
-        if flight.only.is_some() || flight.tried.contains(&new) || trial.share() == 0.0 {
-            return false;
-        }
-        let allowed = self.workspace(flight.workspace).is_some_and(|w| w.allowed.contains(&new));
-        if !allowed || !self.serves_new(new) || !self.servers.hosts(new) {
-            return false;
-        }
-        if flight.in_session || !flight.repeatable {
-            return choice.version == old && trial.takes_sessions() && credit >= 1.0;
-        }
-        let cheaper = || {
-            let cost = |version| reference_cost(&self.estimates.price(version));
-            cost(choice.version) < cost(old) && flight.answer.is_none() && self.may_judge(flight)
-        };
-        let overdue = credit >= TRIAL_OVERDUE && cheaper();
-        (choice.version == old && credit >= 1.0) || overdue
-    }
-
-    /// Whether an answer of a version on trial should be rated before it is shown.
-    fn may_judge(&self, flight: &Flight) -> bool {
-        flight.repeatable
-            && !flight.streaming
-            && flight.target.is_some()
-            && self.rating_outlook().up
-    }
-
-    fn server_for<R: Rng + ?Sized>(
-        &self,
-        now: Duration,
-        rng: &mut R,
-        flight: &Flight,
-        version: VersionIx,
-    ) -> Option<ServerIx> {
-        let wanted = Wanted {
-            version,
-            service_ms: self.estimates.service_ms(version),
-            prefix: flight.prefix,
-            avoid: &flight.avoid,
-        };
-        self.servers.choose(now, rng, wanted).map(|(server, _)| server)
-    }
-
     /// Books a run and makes the step out of it.
     fn start(
         &mut self,
@@ -588,16 +274,6 @@
         Next::Refuse(refusal)
     }
 
-    /// Whether a rating could still change what is delivered.
-    fn worth_holding(&self, now: Duration, flight: &Flight) -> bool {
-        let Ok(candidates) = self.candidates(now, flight) else {
-            return false;
-        };
-        let outlook = self.rating_outlook();
-        outlook.up
-            && self.planner(flight, &candidates).rescue(flight, now + outlook.delay).is_some()
-    }
-
     /// Longest wait for a rating: a few times the usual delay.
     fn rating_patience(&self) -> Duration {
         (self.rating_outlook().delay * 3).max(RATING_WAIT_PRIOR)
--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -181,8 +181,8 @@
         let Some(servers) = self.by_version.get(version) else {
             return f64::INFINITY;
         };
-        let step = (servers.len() / FULL_SCAN_SERVERS).max(1);
-        let waits = servers.iter().step_by(step).take(FULL_SCAN_SERVERS).filter_map(|ix| {
+        let step = (servers.len() / SAMPLED_SERVERS).max(1);
+        let waits = servers.iter().step_by(step).take(SAMPLED_SERVERS).filter_map(|ix| {
             let server = self.get(*ix)?;
             (server.closed_until <= now).then(|| server.wait_ms(now, service_ms))
         });
--- a/crates/decide/src/tuning.rs
+++ b/crates/decide/src/tuning.rs
@@ -12,6 +12,8 @@
 pub const HISTOGRAM_WINDOW: f32 = 600.0;
 /// Observations that the prior of a service time counts as.
 pub const TIME_PRIOR_WEIGHT: f64 = 2.0;
+/// Observations from which on that prior is left out.
+pub const TIME_PRIOR_FADED: f64 = 64.0;
 /// Prior probability that a run of unknown length is on time.
 pub const TIME_PRIOR_ON_TIME: f64 = 0.95;
 /// Output tokens assumed for a version and task not seen yet.
@@ -109,7 +111,7 @@
 /// Drift allowed by the slow test, in standard deviations.
 pub const TRIAL_SLOW_DRIFT: f64 = 0.35;
 /// Threshold of the slow test.
-pub const TRIAL_SLOW_LIMIT: f64 = 22.0;
+pub const TRIAL_SLOW_LIMIT: f64 = 28.0;
 /// Largest standardised rating difference that counts.
 pub const TRIAL_CLIP: f64 = 4.0;
 /// Standard deviation of ratings assumed before any was seen.
