--- /dev/null
+++ b/crates/generations/tests/survives_store_faults.rs
@@ -0,0 +1,115 @@
+//! One line of generations, whatever the store does and whoever races.
+
+use std::time::Duration;
+
+use pondwalk_generations::{
+    ChangeError, EditError, OnRace, add_roll_out, change, read_head, replace, withdraw,
+};
+use pondwalk_standin::{KvFaults, KvStore};
+use pondwalk_store::{Store, StoreError};
+use pondwalk_types::{Policy, RollOut, VersionSpec, VersionState, WorkspacePolicy};
+
+fn store(kv: &KvStore) -> Store {
+    Store::new(kv.transport(), Duration::from_secs(1))
+}
+
+fn policy(versions: &[&str]) -> Policy {
+    let mut policy = Policy::default();
+    for version in versions {
+        policy.versions.insert((*version).to_owned(), VersionSpec::default());
+    }
+    policy
+}
+
+async fn apply(store: &Store, id: u64, policy: &Policy) -> Result<u64, ChangeError> {
+    let edit = |current: &Policy| Ok(replace(current, policy, &[]));
+    change(store, id, OnRace::Report, edit).await.map(|record| record.generation)
+}
+
+#[tokio::test(start_paused = true)]
+async fn generations_follow_each_other() {
+    let kv = KvStore::default();
+    let store = store(&kv);
+    for expected in 1..=5 {
+        assert_eq!(apply(&store, expected, &policy(&["m/1"])).await, Ok(expected));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_makes_one_generation_and_not_two() {
+    let kv = KvStore::default();
+    let store = store(&kv);
+    kv.set_faults(KvFaults { lost_answers: 1, ..KvFaults::default() });
+    assert_eq!(apply(&store, 7, &policy(&["m/1"])).await, Ok(1));
+    assert_eq!(read_head(&store).await.map(|head| head.record.generation), Ok(1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_store_that_is_down_accepts_nothing() {
+    let kv = KvStore::default();
+    let store = store(&kv);
+    kv.set_faults(KvFaults { down: true, ..KvFaults::default() });
+    let refused = apply(&store, 1, &policy(&["m/1"])).await;
+    assert_eq!(refused, Err(ChangeError::Store(StoreError::Unreachable)));
+    kv.set_faults(KvFaults::default());
+    assert_eq!(read_head(&store).await.map(|head| head.record.generation), Ok(0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_operators_one_is_told_of_the_race() {
+    let kv = KvStore::default();
+    let slow = KvFaults { delay: Duration::from_millis(50), ..KvFaults::default() };
+    kv.set_faults(slow);
+    let store = store(&kv);
+    let (one, other) = (policy(&["m/1"]), policy(&["m/2"]));
+    let (a, b) = tokio::join!(apply(&store, 1, &one), apply(&store, 2, &other));
+    let raced = Err(ChangeError::Raced { generation: 1 });
+    assert!((a == Ok(1) && b == raced) || (b == Ok(1) && a == raced), "{a:?} {b:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn withdrawals_that_race_both_take_effect() {
+    let kv = KvStore::default();
+    let store = store(&kv);
+    apply(&store, 1, &policy(&["m/1", "m/2"])).await.expect("accepted");
+    kv.set_faults(KvFaults { delay: Duration::from_millis(50), ..KvFaults::default() });
+    let take = |id, version: &'static str| {
+        let store = store.clone();
+        async move {
+            let edit = |policy: &Policy| withdraw(policy, &version.to_owned());
+            change(&store, id, OnRace::Repeat, edit).await.map(|record| record.generation)
+        }
+    };
+    let (a, b) = tokio::join!(take(2, "m/1"), take(3, "m/2"));
+    let mut generations = [a.expect("accepted"), b.expect("accepted")];
+    generations.sort_unstable();
+    assert_eq!(generations, [2, 3]);
+    let head = read_head(&store).await.expect("readable").record.policy;
+    assert!(head.versions.values().all(|spec| spec.state == VersionState::Withdrawn));
+}
+
+#[test]
+fn a_file_does_not_undo_a_withdrawal_unless_told() {
+    let file = policy(&["m/1", "m/2"]);
+    let withdrawn = withdraw(&file, &"m/1".to_owned()).expect("known");
+    let kept = replace(&withdrawn, &file, &[]);
+    assert_eq!(kept.versions["m/1"].state, VersionState::Withdrawn);
+    let back = replace(&withdrawn, &file, &["m/1".to_owned()]);
+    assert_eq!(back.versions["m/1"].state, VersionState::Live);
+}
+
+#[test]
+fn a_roll_out_reaches_the_workspaces_of_the_old_version_only() {
+    let mut policy = policy(&["m/1", "m/2"]);
+    let mut user = WorkspacePolicy::default();
+    user.allowed_versions.insert("m/1".to_owned());
+    policy.workspaces.insert("user".to_owned(), user);
+    policy.workspaces.insert("stranger".to_owned(), WorkspacePolicy::default());
+    let roll_out = RollOut { version: "m/2".to_owned(), replaces: "m/1".to_owned() };
+    let next = add_roll_out(&policy, &roll_out).expect("accepted");
+    assert!(next.workspaces["user"].allowed_versions.contains("m/2"));
+    assert!(next.workspaces["stranger"].allowed_versions.is_empty());
+    let gone = withdraw(&next, &"m/2".to_owned()).expect("known");
+    let again = add_roll_out(&gone, &roll_out);
+    assert_eq!(again, Err(EditError::Withdrawn("m/2".to_owned())));
+}
