Watch the store by lease, write bills at the fleet's pace, bring faults about

Found by them: a request whose only version had failed on one server was not tried on another, and a version whose servers were all being left alone after failures was refused for up to 15 s although they had healed. A few entries in each data centre watch the configuration under leases; the others take it over from agents. Bills are written at a rate shared by all entries.

--- a/crates/decide/src/plan.rs
+++ b/crates/decide/src/plan.rs
@@ -104,7 +104,11 @@
     /// The best first run of a request that is not bound to a version.
     pub fn first(&self, flight: &Flight, now: Duration) -> Option<Choice> {
         let stakes = self.stakes(flight);
-        let frontier = self.frontier(flight, now);
+        let mut frontier = self.frontier(flight, now, &flight.tried);
+        if frontier.is_empty() {
+            // NB: all have failed on some server; the same version may do better on another.
+            frontier = self.frontier(flight, now, &[]);
+        }
         let choices = frontier.iter().map(|first| {
             let direct = direct(first, stakes);
             match self.held(flight, now, first, stakes, &frontier) {
@@ -120,7 +124,7 @@
         let poor = flight.answer?.version;
         let target = flight.target?;
         let stakes = self.stakes(flight);
-        let frontier = self.frontier(flight, now);
+        let frontier = self.frontier(flight, now, &flight.tried);
         let left = flight.time_left(now);
         let best = self.best_rescue(flight, target, poor, left, stakes, &frontier)?;
         (best.value < stakes.missed).then_some(best)
@@ -133,8 +137,7 @@
     where
         I: Iterator<Item = SessionTask> + Clone,
     {
-        let untried = self.candidates.iter().filter(|c| !flight.tried.contains(&c.version));
-        let choices = untried.map(|candidate| {
+        let choices = self.candidates.iter().map(|candidate| {
             let assessed = self.assess(flight, now, *candidate);
             let mut choice = direct(&assessed, self.stakes(flight));
             // NB: decides alone where no task of the sessions has a target.
@@ -160,9 +163,9 @@
         direct(&self.assess(flight, now, candidate), self.stakes(flight))
     }
 
-    /// Versions not tried yet that no other one beats in cost, quality and time, cheapest first.
-    fn frontier(&self, flight: &Flight, now: Duration) -> Vec<Assessed> {
-        let untried = self.candidates.iter().filter(|c| !flight.tried.contains(&c.version));
+    /// Versions that are not among those tried and that no other one beats in cost, quality and time, cheapest first.
+    fn frontier(&self, flight: &Flight, now: Duration, tried: &[VersionIx]) -> Vec<Assessed> {
+        let untried = self.candidates.iter().filter(|c| !tried.contains(&c.version));
         let mut all: Vec<Assessed> =
             untried.map(|candidate| self.assess(flight, now, *candidate)).collect();
         all.sort_by(|a, b| a.cost.total_cmp(&b.cost));
--- a/crates/decide/src/servers.rs
+++ b/crates/decide/src/servers.rs
@@ -152,6 +152,8 @@
     }
 
     /// Chooses a server; also returns the wait expected there, in milliseconds.
+    ///
+    /// Where every server is being left alone after failures, one of them is tried all the same.
     pub fn choose<R: Rng + ?Sized>(
         &self,
         now: Duration,
@@ -159,19 +161,20 @@
         wanted: Wanted<'_>,
     ) -> Option<(ServerIx, f64)> {
         let servers = self.by_version.get(wanted.version)?;
-        let mut best = Best::default();
-        if servers.len() <= FULL_SCAN_SERVERS {
-            servers.iter().for_each(|ix| best.consider(self, *ix, now, wanted));
-            return best.found;
-        }
-        if let Some(prefix) = wanted.prefix {
-            best.consider(self, self.home_of(prefix, servers), now, wanted);
-        }
-        for _ in 0..SAMPLED_SERVERS {
-            best.consider(self, servers[rng.random_range(0..servers.len())], now, wanted);
+        let mut best = Best::new(Pauses::Respect);
+        if servers.len() > FULL_SCAN_SERVERS {
+            if let Some(prefix) = wanted.prefix {
+                best.consider(self, self.home_of(prefix, servers), now, wanted);
+            }
+            for _ in 0..SAMPLED_SERVERS {
+                best.consider(self, servers[rng.random_range(0..servers.len())], now, wanted);
+            }
         }
-        if best.found.is_none() {
-            servers.iter().for_each(|ix| best.consider(self, *ix, now, wanted));
+        for pauses in [Pauses::Respect, Pauses::Ignore] {
+            if best.found.is_none() {
+                best = Best::new(pauses);
+                servers.iter().for_each(|ix| best.consider(self, *ix, now, wanted));
+            }
         }
         best.found
     }
@@ -182,11 +185,15 @@
             return f64::INFINITY;
         };
         let step = (servers.len() / SAMPLED_SERVERS).max(1);
-        let waits = servers.iter().step_by(step).take(SAMPLED_SERVERS).filter_map(|ix| {
-            let server = self.get(*ix)?;
-            (server.closed_until <= now).then(|| server.wait_ms(now, service_ms))
+        let sample = servers.iter().step_by(step).take(SAMPLED_SERVERS);
+        let sample = sample.filter_map(|ix| self.get(*ix));
+        let waits = sample.map(|server| {
+            let pause = server.closed_until.saturating_sub(now).as_secs_f64() * 1e3;
+            (pause > 0.0, server.wait_ms(now, service_ms))
         });
-        waits.fold(f64::INFINITY, f64::min)
+        // NB: a server left alone counts only if there is no other; `false` sorts before `true`.
+        let least = waits.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        least.map_or(f64::INFINITY, |(_, wait_ms)| wait_ms)
     }
 
     /// The server that a prefix's cache is most likely on.
@@ -230,18 +237,30 @@
     }
 }
 
-#[derive(Default)]
+/// Whether servers are passed over that are being left alone after failures.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Pauses {
+    Respect,
+    Ignore,
+}
+
 struct Best {
+    pauses: Pauses,
     found: Option<(ServerIx, f64)>,
     score: f64,
 }
 
 impl Best {
+    fn new(pauses: Pauses) -> Self {
+        Best { pauses, found: None, score: f64::INFINITY }
+    }
+
     fn consider(&mut self, servers: &Servers, ix: ServerIx, now: Duration, wanted: Wanted<'_>) {
         let Some(server) = servers.get(ix) else {
             return;
         };
-        if !server.open || server.closed_until > now || wanted.avoid.contains(&ix) {
+        let paused = server.closed_until > now && self.pauses == Pauses::Respect;
+        if !server.open || paused || wanted.avoid.contains(&ix) {
             return;
         }
         let wait_ms = server.wait_ms(now, wanted.service_ms);
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -10,7 +10,7 @@
 use pondwalk_entry::{EntryError, RunningEntry};
 use pondwalk_generations::{ChangeError, OnRace, change, replace};
 use pondwalk_standin::{
-    ANY_PORT, Engine, InstanceList, KvStore, ListedInstance, PlainService, RatingService,
+    ANY_PORT, Engine, InstanceList, KvFaults, KvStore, ListedInstance, PlainService, RatingService,
     VersionProfile, kv::KvServer,
 };
 use pondwalk_store::{Store, http_transport};
@@ -133,13 +133,26 @@
 
     /// Starts one more entry.
     pub async fn add_entry(&mut self) -> Result<(), DeploymentError> {
+        let store = Store::new(http_transport(self.kv.address()), STORE_TIMEOUT);
+        self.add_entry_with(store).await
+    }
+
+    /// Starts one more entry that cannot reach the store.
+    pub async fn add_entry_without_store(&mut self) -> Result<(), DeploymentError> {
+        let store = KvStore::default();
+        store.set_faults(KvFaults { down: true, ..KvFaults::default() });
+        self.add_entry_with(Store::new(store.transport(), STORE_TIMEOUT)).await
+    }
+
+    async fn add_entry_with(&mut self, store: Store) -> Result<(), DeploymentError> {
         let number = self.entries.len();
         let text = format!(
-            "[entry]\ninstance = entry-{number}\ndata_centre = dc{}\nlisten = 127.0.0.1:0\n\
+            "[entry]\ninstance = {}\ndata_centre = dc{}\nlisten = 127.0.0.1:0\n\
              heartbeat_ms = 200\nunready_notice_ms = 200\n\
              [sessions]\nsigning_key = {SIGNING_KEY}\n\
              [store]\naddress = {}\n[instances]\naddress = {}\nevery_ms = 300\n\
              [rating]\naddress = {}\n{}\n",
+            entry_name(number),
             number % 3 + 1,
             self.kv.address(),
             self.instances.address(),
@@ -147,11 +160,19 @@
             self.entry_ini,
         );
         let settings = EntrySettings::try_from(RawFile::parse(Path::new("entry.ini"), &text)?)?;
-        let store = Store::new(http_transport(self.kv.address()), STORE_TIMEOUT);
         // NB: roles own runtimes, which must not be made on a thread that runs one.
         let entry =
             tokio::task::spawn_blocking(move || RunningEntry::start(settings, store, no_metrics()));
-        self.entries.push(Some(entry.await.map_err(io::Error::other)??));
+        let entry = entry.await.map_err(io::Error::other)??;
+        let listed = ListedInstance {
+            instance: entry_name(number),
+            role: "entry".to_owned(),
+            data_centre: format!("dc{}", number % 3 + 1),
+            address: entry.address(),
+            state: "live".to_owned(),
+        };
+        self.instances.change(|list| list.push(listed));
+        self.entries.push(Some(entry));
         Ok(())
     }
 
@@ -228,14 +249,21 @@
 
     /// Stops an entry at once, as a failure would.
     pub async fn kill_entry(&mut self, entry: usize) {
+        self.unlist_entry(entry);
         if let Some(entry) = self.entries[entry].take() {
             // NB: dropping joins a thread, so not on this one.
             let _ = tokio::task::spawn_blocking(move || drop(entry)).await;
         }
     }
 
+    fn unlist_entry(&self, entry: usize) {
+        let name = entry_name(entry);
+        self.instances.change(|list| list.retain(|instance| instance.instance != name));
+    }
+
     /// Stops an entry as planned; returns whether it ended cleanly.
     pub async fn drain_entry(&mut self, entry: usize) -> bool {
+        self.unlist_entry(entry);
         match self.entries[entry].take() {
             Some(entry) => entry.drain().await,
             None => true,
@@ -258,6 +286,10 @@
     }
 }
 
+fn entry_name(number: usize) -> String {
+    format!("entry-{number}")
+}
+
 /// Agents that an entry is connected to.
 async fn connected_agents(entry: SocketAddr) -> usize {
     let status = reqwest::get(format!("http://{entry}/status")).await;
@@ -286,7 +318,7 @@
         }
     };
     let text = format!(
-        "[agent]\nserver = {}\ndata_centre = {}\nlisten = 127.0.0.1:0\nretain_ms = 10000\n\
+        "[agent]\nserver = {}\ndata_centre = {}\nlisten = 127.0.0.1:0\nretain_ms = 3000\n\
          [backend_server]\naddress = {backend}\nkind = {kind}\nversions = {versions}\nslots = {}\n\
          [store]\naddress = {kv}\n",
         plan.server, plan.data_centre, plan.slots,
--- /dev/null
+++ b/crates/demo/src/faults/orders.rs
@@ -0,0 +1,78 @@
+//! Fenced orders, and roll-outs that outlive their conductor.
+
+use std::time::Duration;
+
+use pondwalk_generations::{OnRace, add_roll_out, change};
+use pondwalk_types::RollOut;
+use pondwalk_wire::{Order, OrderKind, OrderRefusal, connect};
+use tarpc::context;
+
+use super::{Finding, eventually, plan};
+use crate::{day::DemoError, deployment::Deployment};
+
+/// Longest wait for a roll-out; the lease of a dead conductor must lapse first.
+const ROLL_OUT_LIMIT: Duration = Duration::from_secs(40);
+
+/// A holder whose lease lapsed gives an order: the agent refuses it, whatever the server checks.
+pub async fn stale_orders(deployment: &Deployment) -> Result<Finding, DemoError> {
+    let mut finding =
+        Finding::new("orders with an old fence, or whose time is over: not carried out");
+    for unit in &deployment.servers {
+        let Some(agent) = &unit.agent else { continue };
+        let client = connect(agent.address()).await.map_err(crate::DeploymentError::from)?;
+        let order = |fence, valid_ms| Order {
+            fence,
+            valid_for: Duration::from_millis(valid_ms),
+            kind: OrderKind::Load(plan::NEW.to_owned()),
+        };
+        let expired = client.order(context::current(), order(5, 0)).await;
+        finding.expect(matches!(expired, Ok(Err(OrderRefusal::Expired))), || {
+            format!("{}: expired order: {expired:?}", unit.server)
+        });
+        let stale = client.order(context::current(), order(4, 5_000)).await;
+        let refused = matches!(stale, Ok(Err(OrderRefusal::StaleFence { seen: 5 })));
+        finding.expect(refused, || format!("{}: stale order: {stale:?}", unit.server));
+        let carried_out = unit.engine.as_ref().map_or(0, |engine| engine.orders().len());
+        finding.expect(carried_out == 0, || format!("{}: {carried_out} orders", unit.server));
+        let good = client.order(context::current(), order(6, 5_000)).await;
+        finding.expect(matches!(good, Ok(Ok(_))), || format!("{}: {good:?}", unit.server));
+    }
+    Ok(finding)
+}
+
+/// The conductor dies in mid-roll-out: another goes on, with a higher fence.
+pub async fn conductor_killed(deployment: &mut Deployment) -> Result<Finding, DemoError> {
+    let mut finding =
+        Finding::new("the conductor of a roll-out killed halfway: another one finishes it");
+    let roll_out = RollOut { version: plan::NEW.to_owned(), replaces: plan::OLD.to_owned() };
+    let edit = |policy: &_| add_roll_out(policy, &roll_out);
+    change(&deployment.store(), rand::random(), OnRace::Repeat, edit).await?;
+    let begun = eventually(ROLL_OUT_LIMIT, async || loaded(deployment) >= 1).await;
+    finding.expect(begun, || "the roll-out never began".to_owned());
+    let halfway = loaded(deployment) < deployment.servers.len();
+    finding.expect(halfway, || "the roll-out ended before it could be disturbed".to_owned());
+    // NB: which entry conducts is not told, so both are replaced.
+    for entry in 0..2 {
+        deployment.kill_entry(entry).await;
+    }
+    deployment.add_entry().await?;
+    let all = deployment.servers.len();
+    let done = eventually(ROLL_OUT_LIMIT, async || loaded(deployment) == all).await;
+    let seen = loaded(deployment);
+    finding.expect(done, || format!("loaded on {seen} of {all} servers"));
+    let fences: Vec<u64> = deployment
+        .servers
+        .iter()
+        .filter_map(|unit| unit.engine.as_ref()?.orders().first().map(|order| order.fence))
+        .collect();
+    let lowest = fences.iter().min().copied().unwrap_or(0);
+    let highest = fences.iter().max().copied().unwrap_or(0);
+    finding.expect(highest > lowest, || format!("fences did not grow: {fences:?}"));
+    Ok(finding)
+}
+
+/// Servers whose engine was told to load the new version.
+fn loaded(deployment: &Deployment) -> usize {
+    let engines = deployment.servers.iter().filter_map(|unit| unit.engine.as_ref());
+    engines.filter(|engine| !engine.orders().is_empty()).count()
+}
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod day;
 pub mod deployment;
+pub mod faults;
 pub mod load;
 pub mod promises;
 pub mod table;
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -170,11 +170,11 @@
 fn with_mistakes(number: u32, request: CallerRequest) -> Vec<CallerRequest> {
     const FORBIDDEN_EVERY: u32 = 40;
     const TWICE_EVERY: u32 = 7;
-    if number % FORBIDDEN_EVERY == 0 && request.service.is_none() {
+    if number.is_multiple_of(FORBIDDEN_EVERY) && request.service.is_none() {
         let model = "huge/1".to_owned();
         return vec![CallerRequest { model, session: None, ..request }];
     }
-    if number % TWICE_EVERY == 0 && request.idempotency_key.is_some() {
+    if number.is_multiple_of(TWICE_EVERY) && request.idempotency_key.is_some() {
         let again = CallerRequest {
             request: format!("{}-again", request.request),
             session: None,
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -3,8 +3,7 @@
 use std::{collections::HashSet, io, sync::Arc, thread::JoinHandle, time::Duration};
 
 use pondwalk_config::PolicyRecord;
-use pondwalk_generations::{ChangeError, OnRace, change, read_head, withdraw};
-use pondwalk_store::Watched;
+use pondwalk_generations::{OnRace, change, withdraw};
 use pondwalk_types::VersionState;
 use pondwalk_wire::Configuration;
 use tokio::{
@@ -17,14 +16,17 @@
     core::{Core, lock},
     instances::{Instance, InstanceState, Role, read_list},
     link::Link,
+    watcher,
 };
 
-/// How often bills are written.
+/// How often a lone entry writes its bills.
 const BILLS_EVERY: Duration = Duration::from_millis(500);
+/// Writes of bills a second by all entries together, whatever their number.
+const BILL_WRITES_PER_SECOND: f64 = 30.0;
+/// Time by which publications of a trip are spread, for each entry, in milliseconds.
+const TRIP_SPREAD_MS: u64 = 10;
 /// How often trips are looked for.
 const TRIPS_EVERY: Duration = Duration::from_millis(200);
-/// Pause after the store failed.
-const STORE_PAUSE: Duration = Duration::from_millis(500);
 
 /// The entry's control thread.
 #[derive(Debug)]
@@ -41,7 +43,7 @@
         let thread = std::thread::Builder::new().name("entry-control".into()).spawn(move || {
             runtime.block_on(async {
                 tokio::select! {
-                    () = watch_configuration(&core) => {}
+                    () = watcher::watch(&core) => {}
                     () = watch_instances(&core) => {}
                     () = exchange_generations(&core) => {}
                     () = publish_trips(&core) => {}
@@ -62,39 +64,8 @@
     }
 }
 
-/// Follows the head record of the store.
-async fn watch_configuration(core: &Arc<Core>) {
-    let mut revision = 0;
-    loop {
-        match follow_head(core, revision).await {
-            Ok(seen) => revision = seen,
-            Err(_) => {
-                core.count("store.failed");
-                sleep(STORE_PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Reads the head, installs it, and waits for the next change; returns the revision seen.
-async fn follow_head(core: &Arc<Core>, known: u64) -> Result<u64, ChangeError> {
-    let head = read_head(&core.store).await?;
-    core.confirm();
-    let revision = head.revision.unwrap_or(known);
-    let PolicyRecord { generation, policy, .. } = head.record;
-    if core.install(Configuration { generation, policy }) {
-        offer_to_all(core);
-    }
-    let wait = core.settings.store.watch_wait;
-    let watched = core.store.watch(pondwalk_config::HEAD_KEY, revision, wait).await?;
-    if watched == Watched::Quiet {
-        core.confirm();
-    }
-    Ok(revision)
-}
-
 /// Offers the configuration in force to every agent that is behind.
-fn offer_to_all(core: &Arc<Core>) {
+pub fn offer_to_all(core: &Arc<Core>) {
     let Some(installed) = core.installed() else {
         return;
     };
@@ -138,6 +109,9 @@
 }
 
 fn take_in(core: &Arc<Core>, list: &[Instance]) {
+    let entries = list.iter().filter(|instance| instance.role == Role::Entry);
+    let near = |entry: &&Instance| entry.data_centre == core.settings.data_centre;
+    core.fleet.count_entries(entries.clone().count(), entries.filter(near).count());
     let agents = list.iter().filter(|instance| instance.role == Role::Agent);
     let mut listed = HashSet::new();
     for agent in agents {
@@ -157,6 +131,11 @@
     loop {
         ticks.tick().await;
         let trips = lock(&core.router).trips();
+        if !trips.is_empty() {
+            // NB: all entries hear of a trip at about the same time, and one of them is enough.
+            let spread = core.fleet.entries() as u64 * TRIP_SPREAD_MS;
+            sleep(Duration::from_millis(rand::random_range(0..=spread))).await;
+        }
         for (version, cause) in trips {
             let withdrawn = core.installed().is_some_and(|installed| {
                 let spec = installed.configuration.policy.versions.get(&version);
@@ -182,10 +161,10 @@
 
 /// Writes bills while there are any.
 async fn write_bills(core: &Arc<Core>) {
-    let mut ticks = interval(BILLS_EVERY);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        // NB: until then each bill is held by two processes.
+        let share = core.fleet.entries() as f64 / BILL_WRITES_PER_SECOND;
+        sleep(BILLS_EVERY.max(Duration::from_secs_f64(share))).await;
         if bills::flush(core).await.is_err() {
             core.count("bills.flush_failed");
         }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::{BTreeMap, HashSet},
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 use pondwalk_types::ServerId;
@@ -17,6 +20,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     links: Mutex<BTreeMap<ServerId, Arc<Link>>>,
+    entries: AtomicUsize,
+    near_entries: AtomicUsize,
 }
 
 impl Fleet {
@@ -25,6 +30,22 @@
         lock(&self.links).get(server).cloned()
     }
 
+    /// Entries on the list of instances, at least this one.
+    pub fn entries(&self) -> usize {
+        self.entries.load(Ordering::Relaxed).max(1)
+    }
+
+    /// Entries of this data centre on the list, at least this one.
+    pub fn near_entries(&self) -> usize {
+        self.near_entries.load(Ordering::Relaxed).max(1)
+    }
+
+    /// Takes in how many entries the list of instances names.
+    pub fn count_entries(&self, all: usize, near: usize) {
+        self.entries.store(all, Ordering::Relaxed);
+        self.near_entries.store(near, Ordering::Relaxed);
+    }
+
     /// All links.
     pub fn all(&self) -> Vec<Arc<Link>> {
         lock(&self.links).values().cloned().collect()
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod serve;
 mod spend;
 mod step;
+mod watcher;
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
--- a/crates/pondwalk/src/options/run.rs
+++ b/crates/pondwalk/src/options/run.rs
@@ -12,6 +12,8 @@
 pub struct DemoOptions {
     /// Whose day is played.
     pub deployment: DemoDeployment,
+    /// Whether faults are brought about in place of a day.
+    pub faults: bool,
 }
 
 /// Options of `bench`.
@@ -52,7 +54,13 @@
 fn demo_command() -> Command {
     Command::new("demo")
         .about("Play a user's day on loopback with stand-ins, and check the promises")
-        .after_help("Example:\n  pondwalk demo --deployment association")
+        .after_help("Examples:\n  pondwalk demo --deployment association\n  pondwalk demo --faults")
+        .arg(
+            Arg::new("faults")
+                .long("faults")
+                .help("Bring faults about in place of a day, and check what must hold")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("deployment")
                 .long("deployment")
@@ -100,7 +108,7 @@
         matches.get_one::<String>("deployment").is_some_and(|name| name == "association");
     let deployment =
         if association { DemoDeployment::Association } else { DemoDeployment::Franchise };
-    DemoOptions { deployment }
+    DemoOptions { deployment, faults: matches.get_flag("faults") }
 }
 
 pub fn bench(matches: &ArgMatches) -> BenchOptions {
