Do not take an idle entry for gone, nor number frames anew for it

An entry with nothing to do asks for frames every 5 s, the agents of that deployment dropped outboxes not asked for in 3 s while the call was still waiting, and the new outbox counted from one, so the entry's acknowledgement swallowed its frames. Ruled out on the way: the store's leases (the control thread ran on) and the listener (the connections were accepted). Change: a waiting call keeps its outbox, and all outboxes share one count that never starts anew. Callers of the demo and the bench wait for a bounded time.

--- a/crates/agent/src/outbox.rs
+++ b/crates/agent/src/outbox.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -25,8 +28,9 @@
 #[derive(Debug)]
 struct Outbox {
     frames: VecDeque<Frame>,
-    next_sequence: u64,
     fetched: Instant,
+    /// Calls for frames that are waiting.
+    waiting: u32,
     /// Attempts whose first data frame is out.
     flowing: HashSet<AttemptId>,
     /// Fires for any frame.
@@ -39,8 +43,8 @@
     fn default() -> Self {
         Outbox {
             frames: VecDeque::new(),
-            next_sequence: 1,
             fetched: Instant::now(),
+            waiting: 0,
             flowing: HashSet::new(),
             added: Arc::new(Notify::new()),
             urgent: Arc::new(Notify::new()),
@@ -62,10 +66,35 @@
     }
 }
 
+/// Marks an outbox as asked for, for as long as the call waits.
+struct Waiting<'a> {
+    outboxes: &'a Outboxes,
+    entry: Incarnation,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(outboxes: &'a Outboxes, entry: Incarnation) -> Self {
+        lock(&outboxes.boxes).entry(entry).or_default().waiting += 1;
+        Waiting { outboxes, entry }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Some(outbox) = lock(&self.outboxes.boxes).get_mut(&self.entry) {
+            outbox.waiting = outbox.waiting.saturating_sub(1);
+            outbox.fetched = Instant::now();
+        }
+    }
+}
+
 /// Outboxes by entry.
 #[derive(Debug, Default)]
 pub struct Outboxes {
     boxes: Mutex<HashMap<Incarnation, Outbox>>,
+    /// Counts the frames of all outboxes, so that numbers never come again for an entry whose
+    /// outbox was dropped and made anew.
+    sequence: AtomicU64,
 }
 
 impl Outboxes {
@@ -73,8 +102,7 @@
     pub fn push(&self, run: RunKey, kind: FrameKind) {
         let mut boxes = lock(&self.boxes);
         let outbox = boxes.entry(run.entry).or_default();
-        let sequence = outbox.next_sequence;
-        outbox.next_sequence += 1;
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         if outbox.must_not_wait(run.attempt, &kind) {
             outbox.urgent.notify_one();
         }
@@ -87,6 +115,7 @@
     /// Returns early, and perhaps without frames, when there is other news to tell.
     pub async fn take(&self, request: TakeFrames) -> Vec<Frame> {
         let (frames, added, urgent) = self.take_now(request);
+        let _waiting = Waiting::new(self, request.entry);
         if frames.is_empty() && timeout(request.wait, added.notified()).await.is_err() {
             return Vec::new();
         }
@@ -124,7 +153,7 @@
     /// Drops the outboxes of entries that have fetched nothing for `retain`; returns the entries.
     pub fn drop_silent(&self, retain: Duration) -> Vec<Incarnation> {
         let mut boxes = lock(&self.boxes);
-        let silent = |outbox: &Outbox| outbox.fetched.elapsed() > retain;
+        let silent = |outbox: &Outbox| outbox.waiting == 0 && outbox.fetched.elapsed() > retain;
         let gone: Vec<_> =
             boxes.iter().filter(|(_, outbox)| silent(outbox)).map(|(entry, _)| *entry).collect();
         boxes.retain(|entry, _| !gone.contains(entry));
--- a/crates/demo/src/bench.rs
+++ b/crates/demo/src/bench.rs
@@ -14,6 +14,8 @@
     deployment::{Deployment, Plan, ServerPlan},
 };
 
+/// Longest wait for one answer.
+const PATIENCE: Duration = Duration::from_secs(30);
 /// How the names of the roles' threads begin.
 const ROLE_THREADS: [&str; 2] = ["entry-", "agent-"];
 
@@ -158,7 +160,8 @@
     while started.elapsed() < plan.length {
         tokio::time::sleep_until(started + gap * sent).await;
         sent += 1;
-        calls.spawn(timed(client.clone(), address, body.clone()));
+        let call = timed(client.clone(), address, body.clone());
+        calls.spawn(async move { tokio::time::timeout(PATIENCE, call).await.ok().flatten() });
     }
     let mut whole_us = histogram();
     let mut first_us = histogram();
--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -67,7 +67,10 @@
     request: &CallerRequest,
 ) -> CallerReply {
     let started = Instant::now();
-    let mut reply = exchange(client, entry, request, started).await.unwrap_or_default();
+    // NB: no caller waits for ever, and a demo or test least of all.
+    let patience = request.deadline + Duration::from_secs(10);
+    let exchanged = tokio::time::timeout(patience, exchange(client, entry, request, started)).await;
+    let mut reply = exchanged.ok().flatten().unwrap_or_default();
     reply.latency = started.elapsed();
     reply
 }
--- a/crates/demo/src/faults.rs
+++ b/crates/demo/src/faults.rs
@@ -73,11 +73,13 @@
     StaleOrders,
     /// A roll-out whose conductor died.
     ConductorKilled,
+    /// An entry that has nothing to do for longer than agents keep answers.
+    IdleEntry,
 }
 
 impl Fault {
     /// All faults, in the order of the demo.
-    pub const ALL: [Fault; 11] = [
+    pub const ALL: [Fault; 12] = [
         Fault::RepeatedKeys,
         Fault::AgentKilled,
         Fault::StoreDown,
@@ -89,6 +91,7 @@
         Fault::CutAnswers,
         Fault::StaleOrders,
         Fault::ConductorKilled,
+        Fault::IdleEntry,
     ];
 
     /// Brings the fault about on a deployment of its own.
@@ -108,6 +111,7 @@
             Fault::PlannedStops => leaving::planned_stops(&mut deployment).await,
             Fault::CutAnswers => streams::cut_answers(&deployment).await,
             Fault::StaleOrders => orders::stale_orders(&deployment).await,
+            Fault::IdleEntry => leaving::idle_entry(&deployment).await,
             Fault::ConductorKilled => orders::conductor_killed(&mut deployment).await,
         }
     }
--- a/crates/demo/src/faults/leaving.rs
+++ b/crates/demo/src/faults/leaving.rs
@@ -1,8 +1,25 @@
 //! Planned stops under load.
 
-use super::{Finding, ask_later, request};
+use super::{Finding, ask, ask_later, request};
 use crate::{caller::CallerRequest, day::DemoError, deployment::Deployment};
 
+/// An entry has nothing to do for longer than agents keep answers: they know that it is there.
+pub async fn idle_entry(deployment: &Deployment) -> Result<Finding, DemoError> {
+    const IDLE: std::time::Duration = std::time::Duration::from_millis(4_500);
+    let mut finding =
+        Finding::new("an entry idle for longer than agents keep answers: not taken for gone");
+    for round in 0..2 {
+        for n in 0..6 {
+            let reply = ask(deployment, n, &request(&format!("idle{round}-{n}"))).await;
+            finding.expect(reply.whole, || format!("idle{round}-{n}: {reply:?}"));
+        }
+        if round == 0 {
+            tokio::time::sleep(IDLE).await;
+        }
+    }
+    Ok(finding)
+}
+
 /// An agent and an entry are stopped as planned while answers stream: none is cut.
 pub async fn planned_stops(deployment: &mut Deployment) -> Result<Finding, DemoError> {
     const STREAMS: usize = 24;
--- a/crates/demo/tests/survives_faults.rs
+++ b/crates/demo/tests/survives_faults.rs
@@ -30,5 +30,6 @@
     planned_stops_cut_nothing => PlannedStops,
     a_cut_answer_is_repeated_or_told => CutAnswers,
     stale_orders_are_not_carried_out => StaleOrders,
+    an_idle_entry_is_not_taken_for_gone => IdleEntry,
     a_roll_out_outlives_its_conductor => ConductorKilled,
 }
