--- a/crates/replay/src/baseline.rs
+++ b/crates/replay/src/baseline.rs
@@ -2,12 +2,14 @@
 //!
 //! They choose servers in turn, know each server's state at once, and make no retries.
 
+mod hindsight;
+
 use std::collections::BTreeMap;
 
 use pondwalk_decide::{Finished, Next, Step};
 use pondwalk_types::{Policy, Refusal, ServerId, VersionId, VersionState, WorkspacePolicy};
 
-use crate::trace::RecordedRequest;
+use crate::trace::{RecordedRequest, Trace};
 
 /// Quality at which the fixed cascade is content.
 const CASCADE_THRESHOLD: f64 = 0.7;
@@ -25,6 +27,8 @@
     Cascade,
     /// The cheapest version whose recorded quality meets the target in time.
     Oracle,
+    /// The same, but each session keeps the cheapest version that meets its tasks' shares.
+    PinnedOracle,
 }
 
 /// A baseline and what it knows of the fleet.
@@ -34,6 +38,8 @@
     policy: Policy,
     hosts: BTreeMap<VersionId, Vec<ServerId>>,
     turn: usize,
+    /// In hindsight, the version for each session; by workspace and session.
+    pins: BTreeMap<(String, String), VersionId>,
 }
 
 /// A request under way.
@@ -55,7 +61,15 @@
 impl Baseline {
     /// A baseline with no servers yet.
     pub fn new(kind: BaselineKind) -> Self {
-        Baseline { kind, policy: Policy::default(), hosts: BTreeMap::new(), turn: 0 }
+        let (policy, hosts, pins) = (Policy::default(), BTreeMap::new(), BTreeMap::new());
+        Baseline { kind, policy, hosts, turn: 0, pins }
+    }
+
+    /// Looks at the whole trace to choose each session's version.
+    pub fn foresee(&mut self, trace: &Trace, policy: &Policy) {
+        if self.kind == BaselineKind::PinnedOracle {
+            self.pins = hindsight::pins(trace, policy);
+        }
     }
 
     /// Takes over a configuration.
@@ -134,11 +148,23 @@
             BaselineKind::Cheapest => open.first().into_iter().copied().collect(),
             BaselineKind::Cascade if request.repeatable => open,
             BaselineKind::Cascade => open.first().into_iter().copied().collect(),
-            BaselineKind::Oracle => hindsight(request, workspace, &open).into_iter().collect(),
+            BaselineKind::Oracle => {
+                hindsight::version(request, workspace, &open).into_iter().collect()
+            }
+            BaselineKind::PinnedOracle => {
+                let pinned = self.pinned(request).filter(|pin| open.contains(pin));
+                let free = || hindsight::version(request, workspace, &open);
+                pinned.or_else(free).into_iter().collect()
+            }
         };
         chosen.into_iter().cloned().collect()
     }
 
+    fn pinned(&self, request: &RecordedRequest) -> Option<&VersionId> {
+        let session = request.session.clone()?;
+        self.pins.get(&(request.workspace.clone(), session))
+    }
+
     fn is_open(&self, version: &VersionId) -> bool {
         let live =
             self.policy.versions.get(version).is_some_and(|spec| spec.state == VersionState::Live);
@@ -164,25 +190,3 @@
         Ok(Step { version, server, hold, on_trial: false, deliver_held_at: None })
     }
 }
-
-/// The cheapest version that meets the target in time, or else the least bad one.
-fn hindsight<'a>(
-    request: &RecordedRequest,
-    workspace: &WorkspacePolicy,
-    open: &[&'a VersionId],
-) -> Option<&'a VersionId> {
-    let target = workspace.tasks.get(&request.task).map_or(0.0, |task| task.quality_target);
-    let find = |in_time: bool, meets: bool| {
-        open.iter().copied().find(|version| {
-            request.outcomes.get(*version).is_some_and(|outcome| {
-                !outcome.failed
-                    && (!in_time || outcome.service <= request.deadline)
-                    && (!meets || outcome.quality >= target)
-            })
-        })
-    };
-    find(true, true)
-        .or_else(|| find(true, false))
-        .or_else(|| find(false, false))
-        .or_else(|| open.first().copied())
-}
--- a/crates/replay/src/driver.rs
+++ b/crates/replay/src/driver.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     baseline::{Baseline, BaselineFlight, BaselineKind},
-    trace::RecordedRequest,
+    trace::{RecordedRequest, Trace},
 };
 
 /// Which policy decides.
@@ -22,7 +22,8 @@
 
 impl PolicyName {
     /// All names that [`PolicyName::parse`] knows.
-    pub const NAMES: [&'static str; 5] = ["pondwalk", "best", "cheapest", "cascade", "oracle"];
+    pub const NAMES: [&'static str; 6] =
+        ["pondwalk", "best", "cheapest", "cascade", "oracle", "pinned-oracle"];
 
     /// Reads a name.
     pub fn parse(name: &str) -> Option<Self> {
@@ -32,6 +33,7 @@
             "cheapest" => Some(PolicyName::Baseline(BaselineKind::Cheapest)),
             "cascade" => Some(PolicyName::Baseline(BaselineKind::Cascade)),
             "oracle" => Some(PolicyName::Baseline(BaselineKind::Oracle)),
+            "pinned-oracle" => Some(PolicyName::Baseline(BaselineKind::PinnedOracle)),
             _ => None,
         }
     }
@@ -44,6 +46,7 @@
             PolicyName::Baseline(BaselineKind::Cheapest) => "cheapest",
             PolicyName::Baseline(BaselineKind::Cascade) => "cascade",
             PolicyName::Baseline(BaselineKind::Oracle) => "oracle",
+            PolicyName::Baseline(BaselineKind::PinnedOracle) => "pinned-oracle",
         }
     }
 }
@@ -80,6 +83,13 @@
         Driver { chosen, rng: Pcg64Mcg::new(u128::from(seed) | 1 << 64) }
     }
 
+    /// Lets an oracle look at the whole trace.
+    pub fn foresee(&mut self, trace: &Trace, policy: &Policy) {
+        if let Chosen::Baseline(baseline) = &mut self.chosen {
+            baseline.foresee(trace, policy);
+        }
+    }
+
     /// Pondwalk's router, if it is what decides.
     pub fn router(&self) -> Option<&Router> {
         match &self.chosen {
--- a/crates/replay/src/simulation.rs
+++ b/crates/replay/src/simulation.rs
@@ -64,6 +64,7 @@
     ) -> Self {
         let mut driver = Driver::new(name, seed);
         driver.install(1, &policy);
+        driver.foresee(trace, &policy);
         let mut events = EventQueue::default();
         for (index, line) in trace.lines.iter().enumerate() {
             events.push(line.at, Event::Line(index));
