Share the threads of both roles, and write bills at four a second in all

Change: one crate starts traffic and control threads; the pace of bills that all entries share went from 30 writes a second to 4, as each bill is held by two processes meanwhile. The line of an INI syntax error was one too high.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -1,19 +1,14 @@
 //! The control thread: late work, silent entries, and bills that their entry left behind.
 
 use std::{
-    io,
     sync::{Arc, Mutex},
-    thread::JoinHandle,
     time::Duration,
 };
 
 use pondwalk_ledger::{Bill, BillBook, bills};
 use pondwalk_store::Store;
 use pondwalk_types::Incarnation;
-use tokio::{
-    sync::oneshot,
-    time::{MissedTickBehavior, interval},
-};
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::{
     core::{Core, lock},
@@ -23,36 +18,9 @@
 /// How often silent entries are looked for, and bills left behind are written.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
-/// The agent's control thread.
-#[derive(Debug)]
-pub struct ControlThread {
-    stop: oneshot::Sender<()>,
-    thread: JoinHandle<()>,
-}
-
-impl ControlThread {
-    /// Starts the thread.
-    pub fn start(core: Arc<Core>, store: Store) -> io::Result<Self> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let (stop, stopped) = oneshot::channel();
-        let thread = std::thread::Builder::new().name("agent-control".into()).spawn(move || {
-            runtime.block_on(async {
-                tokio::select! {
-                    () = shed(&core) => {}
-                    () = sweep(&core, &store) => {}
-                    _ = stopped => {}
-                }
-            });
-        })?;
-        Ok(ControlThread { stop, thread })
-    }
-
-    /// Ends the thread.
-    pub fn stop(self) {
-        // NB: the thread may have ended already, and then there is nobody to tell.
-        let _ = self.stop.send(());
-        let _ = self.thread.join();
-    }
+/// Does the control thread's work; never ends by itself.
+pub async fn run(core: Arc<Core>, store: Store) {
+    tokio::join!(shed(&core), sweep(&core, &store));
 }
 
 async fn shed(core: &Arc<Core>) {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -14,39 +14,23 @@
 mod serve;
 mod trials;
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use cadence::StatsdClient;
 use pondwalk_config::AgentSettings;
 use pondwalk_store::Store;
-use thiserror::Error;
+use pondwalk_threads::{ControlThread, StartError, traffic_threads};
 use tokio::{net::TcpListener, runtime::Runtime};
 
 use crate::core::Core;
 
-/// Why an agent could not start.
-#[derive(Debug, Error)]
-pub enum AgentError {
-    /// Its address cannot be listened on.
-    #[error("cannot listen on {address}: {source}")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The cause.
-        source: io::Error,
-    },
-    /// Threads could not be started.
-    #[error("cannot start threads: {0}")]
-    Threads(io::Error),
-}
-
 /// A running agent; dropping it stops it at once, as a failure would.
 #[derive(Debug)]
 pub struct RunningAgent {
     address: SocketAddr,
     core: Arc<Core>,
     traffic: Option<Runtime>,
-    control: Option<control::ControlThread>,
+    control: Option<ControlThread>,
 }
 
 impl RunningAgent {
@@ -55,23 +39,17 @@
         settings: AgentSettings,
         store: Store,
         metrics: StatsdClient,
-    ) -> Result<Self, AgentError> {
+    ) -> Result<Self, StartError> {
         let address = settings.listen;
-        let traffic = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(settings.threads)
-            .thread_name("agent-traffic")
-            .enable_all()
-            .build()
-            .map_err(AgentError::Threads)?;
+        let traffic = traffic_threads("agent-traffic", settings.threads)?;
         let core = Arc::new(Core::new(settings, metrics, traffic.handle().clone()));
         let listener = traffic
             .block_on(TcpListener::bind(address))
-            .map_err(|source| AgentError::Listen { address, source })?;
+            .map_err(|source| StartError::Listen { address, source })?;
         let address =
-            listener.local_addr().map_err(|source| AgentError::Listen { address, source })?;
+            listener.local_addr().map_err(|source| StartError::Listen { address, source })?;
         traffic.spawn(serve::serve(listener, core.clone()));
-        let control =
-            control::ControlThread::start(core.clone(), store).map_err(AgentError::Threads)?;
+        let control = ControlThread::start("agent-control", control::run(core.clone(), store))?;
         spdlog::info!("agent started", kv: { server = core.settings.server.as_str() });
         Ok(RunningAgent { address, core, traffic: Some(traffic), control: Some(control) })
     }
--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -33,7 +33,7 @@
         let options = ParseOption { enabled_escape: false, ..ParseOption::default() };
         let ini = Ini::load_from_str_opt(text, options).map_err(|error| ConfigError::NotIni {
             path: path.to_owned(),
-            line: error.line + 1,
+            line: error.line,
             reason: error.msg.into_owned(),
         })?;
         Ok(RawFile { path: path.to_owned(), ini, used: BTreeSet::new(), faults: Vec::new() })
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -3,17 +3,18 @@
 use std::{collections::BTreeMap, io, net::SocketAddr, path::Path, time::Duration};
 
 use cadence::{NopMetricSink, StatsdClient};
-use pondwalk_agent::{AgentError, RunningAgent};
+use pondwalk_agent::RunningAgent;
 use pondwalk_config::{
     AgentSettings, ConfigError, EntrySettings, PolicyRecord, RawFile, policy_from_ini,
 };
-use pondwalk_entry::{EntryError, RunningEntry};
+use pondwalk_entry::RunningEntry;
 use pondwalk_generations::{ChangeError, OnRace, change, replace};
 use pondwalk_standin::{
     ANY_PORT, Engine, InstanceList, KvFaults, KvStore, ListedInstance, PlainService, RatingService,
     VersionProfile, kv::KvServer,
 };
 use pondwalk_store::{Store, http_transport};
+use pondwalk_threads::StartError;
 use thiserror::Error;
 
 /// Delay of the list of instances.
@@ -34,12 +35,9 @@
     /// Settings were refused.
     #[error(transparent)]
     Config(#[from] ConfigError),
-    /// An agent could not start.
+    /// A role could not start.
     #[error(transparent)]
-    Agent(#[from] AgentError),
-    /// An entry could not start.
-    #[error(transparent)]
-    Entry(#[from] EntryError),
+    Role(#[from] StartError),
     /// The policy was not accepted.
     #[error(transparent)]
     Change(#[from] ChangeError),
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,15 +1,12 @@
 //! The control thread: configurations, instances, heartbeats, trips and bills.
 
-use std::{collections::HashSet, io, sync::Arc, thread::JoinHandle, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use pondwalk_config::PolicyRecord;
 use pondwalk_generations::{OnRace, change, withdraw};
 use pondwalk_types::VersionState;
 use pondwalk_wire::Configuration;
-use tokio::{
-    sync::oneshot,
-    time::{MissedTickBehavior, interval, sleep},
-};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::{
     bills, conductor,
@@ -22,46 +19,22 @@
 /// How often a lone entry writes its bills.
 const BILLS_EVERY: Duration = Duration::from_millis(500);
 /// Writes of bills a second by all entries together, whatever their number.
-const BILL_WRITES_PER_SECOND: f64 = 30.0;
+const BILL_WRITES_PER_SECOND: f64 = 4.0;
 /// Time by which publications of a trip are spread, for each entry, in milliseconds.
 const TRIP_SPREAD_MS: u64 = 10;
 /// How often trips are looked for.
 const TRIPS_EVERY: Duration = Duration::from_millis(200);
 
-/// The entry's control thread.
-#[derive(Debug)]
-pub struct ControlThread {
-    stop: oneshot::Sender<()>,
-    thread: JoinHandle<()>,
-}
-
-impl ControlThread {
-    /// Starts the thread.
-    pub fn start(core: Arc<Core>) -> io::Result<Self> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let (stop, stopped) = oneshot::channel();
-        let thread = std::thread::Builder::new().name("entry-control".into()).spawn(move || {
-            runtime.block_on(async {
-                tokio::select! {
-                    () = watcher::watch(&core) => {}
-                    () = watch_instances(&core) => {}
-                    () = exchange_generations(&core) => {}
-                    () = publish_trips(&core) => {}
-                    () = write_bills(&core) => {}
-                    () = conductor::conduct(&core) => {}
-                    _ = stopped => {}
-                }
-            });
-        })?;
-        Ok(ControlThread { stop, thread })
-    }
-
-    /// Ends the thread.
-    pub fn stop(self) {
-        // NB: the thread may have ended already, and then there is nobody to tell.
-        let _ = self.stop.send(());
-        let _ = self.thread.join();
-    }
+/// Does the control thread's work; never ends by itself.
+pub async fn run(core: Arc<Core>) {
+    tokio::join!(
+        watcher::watch(&core),
+        watch_instances(&core),
+        exchange_generations(&core),
+        publish_trips(&core),
+        write_bills(&core),
+        conductor::conduct(&core),
+    );
 }
 
 /// Offers the configuration in force to every agent that is behind.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,34 +28,18 @@
 use cadence::StatsdClient;
 use pondwalk_config::EntrySettings;
 use pondwalk_store::Store;
-use thiserror::Error;
+use pondwalk_threads::{ControlThread, StartError, traffic_threads};
 use tokio::{runtime::Runtime, sync::oneshot, task::JoinHandle};
 
 use crate::core::Core;
 
-/// Why an entry could not start.
-#[derive(Debug, Error)]
-pub enum EntryError {
-    /// Its address cannot be listened on.
-    #[error("cannot listen on {address}: {source}")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The cause.
-        source: io::Error,
-    },
-    /// Threads could not be started.
-    #[error("cannot start threads: {0}")]
-    Threads(io::Error),
-}
-
 /// A running entry; dropping it stops it at once, as a failure would.
 #[derive(Debug)]
 pub struct RunningEntry {
     address: SocketAddr,
     core: Arc<Core>,
     traffic: Option<Runtime>,
-    control: Option<control::ControlThread>,
+    control: Option<ControlThread>,
     close: Option<oneshot::Sender<()>>,
     server: Option<JoinHandle<io::Result<()>>>,
 }
@@ -66,23 +50,18 @@
         settings: EntrySettings,
         store: Store,
         metrics: StatsdClient,
-    ) -> Result<Self, EntryError> {
+    ) -> Result<Self, StartError> {
         let address = settings.listen;
-        let traffic = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(settings.threads)
-            .thread_name("entry-traffic")
-            .enable_all()
-            .build()
-            .map_err(EntryError::Threads)?;
+        let traffic = traffic_threads("entry-traffic", settings.threads)?;
         let guard = traffic.enter();
         let core = Arc::new(Core::new(settings, store, metrics, traffic.handle().clone()));
         drop(guard);
         let listening = traffic.block_on(http::bind(core.clone()));
-        let listening = listening.map_err(|source| EntryError::Listen { address, source })?;
+        let listening = listening.map_err(|source| StartError::Listen { address, source })?;
         let address = listening.address;
         let (close, closed) = oneshot::channel();
         let server = traffic.spawn(listening.run(closed));
-        let control = control::ControlThread::start(core.clone()).map_err(EntryError::Threads)?;
+        let control = ControlThread::start("entry-control", control::run(core.clone()))?;
         spdlog::info!("entry started", kv: { instance = core.settings.instance.as_str() });
         Ok(RunningEntry {
             address,
