--- a/crates/demo/examples/capacity.rs
+++ b/crates/demo/examples/capacity.rs
@@ -17,8 +17,10 @@
     faults::fault_plan,
     load::{Asks, Load, TaskPlan, WorkspacePlan},
 };
+use pondwalk_ledger::{Bill, BillBook, BillItem};
 use pondwalk_standin::VersionProfile;
 use pondwalk_types::{Policy, Price, TaskPolicy, VersionSpec, VersionState, WorkspacePolicy};
+use pondwalk_wire::{AgentNews, Configuration, FrameBatch, TakeFrames};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -30,6 +32,7 @@
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     state_of_the_router();
     configurations();
+    bills_and_messages();
     let runtime = tokio::runtime::Runtime::new()?;
     runtime.block_on(processor_time())?;
     runtime.block_on(store_calls())?;
@@ -157,6 +160,46 @@
     }
 }
 
+fn bills_and_messages() {
+    const BILLS: usize = 20_000;
+    let bill = |n: usize| Bill {
+        request: format!("{n:032x}"),
+        workspace: "workspace-17".to_owned(),
+        items: vec![BillItem {
+            version: "medium/2".to_owned(),
+            prompt_tokens: 900,
+            output_tokens: 260,
+            cost: 0.84,
+        }],
+    };
+    let book = bytes_of(|| {
+        let mut book = BillBook::new(1);
+        (0..BILLS).for_each(|n| book.add(bill(n)));
+        book
+    });
+    println!("bills and messages, bytes");
+    println!("  each bill waiting at an entry          {:>12.0}", book / BILLS as f64);
+    let text = serde_json::to_vec(&bill(1)).unwrap_or_default().len();
+    println!("  each bill in the store                 {text:>12}");
+    let news = AgentNews {
+        incarnation: 1,
+        generation: 1,
+        load: 1,
+        hosting_changes: 0,
+        draining: false,
+        tripped: Vec::new(),
+    };
+    let batch = FrameBatch { news, frames: Vec::new() };
+    let take = TakeFrames { entry: 1, acknowledged: 1, wait: Duration::from_secs(5) };
+    let size = |bytes: Result<u64, _>| bytes.unwrap_or_default();
+    let both = size(bincode::serialized_size(&batch)) + size(bincode::serialized_size(&take));
+    println!("  a call for frames and its empty reply  {both:>12}  (without tarpc's own some 90)");
+    let policy = policy(15, 400);
+    let configuration = Configuration { generation: 1, policy };
+    let pushed = size(bincode::serialized_size(&configuration));
+    println!("  a configuration of 400 workspaces      {pushed:>12}");
+}
+
 async fn processor_time() -> Result<(), bench::BenchError> {
     println!("processor time of entry and agent together, us");
     let plan = |tokens, rate| BenchPlan {
