--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -63,7 +63,7 @@
 #[derive(Debug, Error)]
 pub enum ConfigError {
     /// The file cannot be read.
-    #[error("{}: cannot be read: {source}", path.display())]
+    #[error("{}: cannot be read", path.display())]
     Unreadable {
         /// The file.
         path: PathBuf,
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -145,7 +145,7 @@
 #[derive(Debug, Error)]
 pub enum TraceError {
     /// The file cannot be read.
-    #[error("{file}: cannot be read: {source}")]
+    #[error("{file}: cannot be read")]
     Unreadable {
         /// The file.
         file: String,
--- a/crates/threads/src/lib.rs
+++ b/crates/threads/src/lib.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, Error)]
 pub enum StartError {
     /// Its address cannot be listened on.
-    #[error("cannot listen on {address}: {source}")]
+    #[error("cannot listen on {address}")]
     Listen {
         /// The address.
         address: SocketAddr,
