--- a/crates/decide/src/router.rs
+++ b/crates/decide/src/router.rs
@@ -6,7 +6,7 @@
 mod members;
 mod steps;
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
 use pondwalk_types::{
     Generation, Policy, SessionOnWithdrawal, TaskPolicy, VersionId, VersionState, WorkspacePolicy,
@@ -77,7 +77,6 @@
     rating_delay_ms: RunningMean,
     rating_misses: u32,
     requests: u64,
-    listed_at: HashMap<usize, Duration>,
     counters: RouterCounters,
 }
 
--- a/crates/decide/src/router/members.rs
+++ b/crates/decide/src/router/members.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::Router;
-use crate::{request::ServerReport, tuning::LIST_SILENCE};
+use crate::request::ServerReport;
 
 impl Router {
     /// Takes in what a server, or the instance list, says of a server that is live.
@@ -11,7 +11,6 @@
         let ix = self.server_names.intern(&report.server);
         let versions: Vec<_> =
             report.versions.iter().map(|name| self.versions.intern(name)).collect();
-        self.listed_at.insert(ix, now);
         let unchanged = self.servers.get(ix).is_some_and(|known| {
             known.open
                 && known.slots == report.slots
@@ -37,20 +36,6 @@
     pub fn server_leaving(&mut self, server: &str) {
         if let Some(ix) = self.server_names.find(server) {
             self.servers.close(ix);
-            self.listed_at.remove(&ix);
-        }
-    }
-
-    /// Closes servers that the instance list has not named for a while.
-    ///
-    /// NB: only for use while the list itself answers; its outage says nothing of servers.
-    pub fn close_unlisted(&mut self, now: Duration) {
-        let silent = |seen: &Duration| now.saturating_sub(*seen) > LIST_SILENCE;
-        let gone: Vec<_> =
-            self.listed_at.iter().filter(|(_, seen)| silent(seen)).map(|(ix, _)| *ix).collect();
-        for ix in gone {
-            self.servers.close(ix);
-            self.listed_at.remove(&ix);
         }
     }
 }
--- a/crates/decide/src/tuning.rs
+++ b/crates/decide/src/tuning.rs
@@ -78,8 +78,6 @@
 pub const SERVER_BACKOFF: Duration = Duration::from_millis(500);
 /// Longest such pause.
 pub const SERVER_BACKOFF_LIMIT: Duration = Duration::from_secs(15);
-/// Age after which an instance missing from the list is taken for gone.
-pub const LIST_SILENCE: Duration = Duration::from_secs(10);
 
 /// Retries earned by each first attempt.
 pub const RETRIES_PER_REQUEST: f64 = 0.1;
--- a/crates/demo/src/day.rs
+++ b/crates/demo/src/day.rs
@@ -85,7 +85,7 @@
         let entries = entries.clone();
         tokio::spawn(async move { load.run(ACT * 4, &asks, || entries.clone()).await })
     };
-    let mut stage = Stage::new(&deployment, &day);
+    let mut stage = Stage::new(&deployment);
     act(&asks, &progress, "an ordinary morning").await;
     stage.roll_out(&deployment, &day, &progress).await?;
     act(&asks, &progress, "the new version takes over step by step").await;
@@ -133,7 +133,7 @@
 }
 
 impl Stage {
-    fn new(deployment: &Deployment, _day: &DayPlan) -> Self {
+    fn new(deployment: &Deployment) -> Self {
         let generations: Arc<Mutex<BTreeMap<String, Vec<u64>>>> = Arc::default();
         for address in deployment.entry_addresses() {
             let seen = generations.clone();
--- a/crates/replay/src/baseline.rs
+++ b/crates/replay/src/baseline.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use pondwalk_decide::{Finished, Next, Step};
+use pondwalk_decide::{Next, Step};
 use pondwalk_types::{Policy, Refusal, ServerId, VersionId, VersionState, WorkspacePolicy};
 
 use crate::trace::{RecordedRequest, Trace};
@@ -119,7 +119,7 @@
     }
 
     /// The run ended whole.
-    pub fn finished(&self, flight: &mut BaselineFlight, _done: Finished) -> Next {
+    pub fn finished(&self, flight: &mut BaselineFlight) -> Next {
         flight.run = flight.next - 1;
         if flight.next < flight.versions.len() {
             return Next::AwaitRating(CASCADE_PATIENCE);
--- a/crates/replay/src/driver.rs
+++ b/crates/replay/src/driver.rs
@@ -186,7 +186,7 @@
                 router.finished(now, flight, done)
             }
             (Chosen::Baseline(baseline), DriverFlight::Baseline(flight)) => {
-                baseline.finished(flight, done)
+                baseline.finished(flight)
             }
             _ => Next::Deliver,
         }
--- a/crates/replay/src/simulation.rs
+++ b/crates/replay/src/simulation.rs
@@ -284,7 +284,7 @@
     fn start(&mut self, now: Duration, run: RunIx) {
         self.runs[run].state = RunState::Running { since: now };
         let Run { request, server, .. } = self.runs[run];
-        self.count_start(now, run);
+        self.count_start(run);
         let ends = now + self.runs[run].outcome.service;
         self.events.push(ends, Event::RunEnds(run));
         self.requests[request].starts += 1;
@@ -300,7 +300,7 @@
     }
 
     /// Counts what a started run says of the policy's promises.
-    fn count_start(&mut self, _now: Duration, run: RunIx) {
+    fn count_start(&mut self, run: RunIx) {
         let Run { request, ref version, .. } = self.runs[run];
         let version = version.clone();
         let recorded = self.requests[request].recorded;
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -105,12 +105,6 @@
         *lock(&self.shared.counts)
     }
 
-    /// Ends a lease at once, as when its holder is paused for too long.
-    pub fn lapse_lease(&self, lease: u64) {
-        lock(&self.shared.state).lapse(lease);
-        self.shared.changed.notify_waiters();
-    }
-
     async fn call(&self, path: &str, body: String) -> Result<String, StoreError> {
         let faults = *lock(&self.shared.faults);
         self.count(path);
--- a/crates/standin/src/kv/state.rs
+++ b/crates/standin/src/kv/state.rs
@@ -97,7 +97,7 @@
     }
 
     /// Ends a lease, with its keys.
-    pub fn lapse(&mut self, lease: u64) {
+    fn lapse(&mut self, lease: u64) {
         if self.leases.remove(&lease).is_some() {
             let before = self.keys.len();
             self.keys.retain(|_, stored| stored.lease != lease);
