--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -11,7 +11,7 @@
 mod sessions;
 mod window_budget;
 
-pub use cascade::{Cascade, Rung};
+pub use cascade::{Cascade, ModelNumber};
 pub use fleet::{Ask, Fleet, PromptPart, ServerFacts, ServerIndex, Ticket, VersionRule};
 pub use freshness::Freshness;
 pub use roll_out::{Evidence, Move, RollOut, Stage};
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -115,9 +115,18 @@
     pub server: ServerId,
     /// Time until its answer was expected to begin, in milliseconds, with nothing before it.
     pub expected_ms: f64,
+    /// What this entry had waiting there before it, in milliseconds.
+    pub ahead_ms: f64,
     waiting: bool,
 }
 
+impl Ticket {
+    /// Time until its answer was expected to begin with all that was known, in milliseconds.
+    pub fn due_ms(&self) -> f64 {
+        (self.expected_ms + self.ahead_ms).max(1.0)
+    }
+}
+
 #[derive(Debug)]
 struct Server {
     facts: ServerFacts,
@@ -210,9 +219,10 @@
         }
         let (_, index, expected_ms) = best?;
         let server = self.servers[index].as_mut()?;
+        let ahead_ms = server.waiting_ms;
         server.admit(ask, expected_ms, now);
         let id = server.facts.id.clone();
-        Some(Ticket { index, server: id, expected_ms, waiting: true })
+        Some(Ticket { index, server: id, expected_ms, ahead_ms, waiting: true })
     }
 
     /// The answer began after `took_ms`.
@@ -220,9 +230,8 @@
         let waiting = std::mem::replace(&mut ticket.waiting, false);
         let Some(server) = self.server_of(ticket) else { return };
         if waiting {
-            let ahead_ms = (server.waiting_ms - ticket.expected_ms).max(0.0);
-            server.waiting_ms = ahead_ms;
-            let ratio = took_ms / (ticket.expected_ms + ahead_ms).max(1.0);
+            server.waiting_ms = (server.waiting_ms - ticket.expected_ms).max(0.0);
+            let ratio = took_ms / ticket.due_ms();
             let ratio = ratio.clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1);
             server.slowness += SLOWNESS_GAIN * (ratio - server.slowness);
         }
--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -79,8 +79,8 @@
     pub server: &'a str,
     /// Whether it was a failure.
     pub failed: bool,
-    /// Time until it began, in milliseconds.
-    pub took_ms: f64,
+    /// Time until it began, as a multiple of what was expected with the load known.
+    pub slowness: f64,
 }
 
 /// Whether the latest answers were faulty in one way, and whose they were.
@@ -93,7 +93,7 @@
 #[derive(Debug, Default)]
 struct Record {
     failed: Latest,
-    times_ms: VecDeque<f64>,
+    slowness: VecDeque<f64>,
 }
 
 /// One order with what this entry knows of it.
@@ -203,7 +203,7 @@
             record.note(evidence);
         }
         let was_tripped = self.tripped;
-        if of_target && !self.tripped {
+        if of_target && !self.tripped && self.known_stage != Some(Stage::Completed) {
             self.tripped = self.is_bad(evidence.kind);
         }
         self.tripped && !was_tripped
@@ -211,8 +211,8 @@
 
     /// Whether an answer is slower than nearly all of the old version's, if those are known.
     fn is_slow(&self, evidence: &Evidence<'_>) -> Option<bool> {
-        let bound = self.old.get(evidence.kind)?.slow_from_ms()?;
-        Some(!evidence.failed && evidence.took_ms > bound)
+        let bound = self.old.get(evidence.kind)?.slow_from()?;
+        Some(!evidence.failed && evidence.slowness > bound)
     }
 
     /// What should be made known next, if anything.
@@ -254,18 +254,18 @@
         if evidence.failed {
             return;
         }
-        if self.times_ms.len() == OLD_TIMES {
-            self.times_ms.pop_front();
+        if self.slowness.len() == OLD_TIMES {
+            self.slowness.pop_front();
         }
-        self.times_ms.push_back(evidence.took_ms);
+        self.slowness.push_back(evidence.slowness);
     }
 
-    /// Time from which an answer is slower than nearly all of these.
-    fn slow_from_ms(&self) -> Option<f64> {
-        if self.times_ms.len() < MIN_OLD_TIMES {
+    /// Slowness beyond that of nearly all of these.
+    fn slow_from(&self) -> Option<f64> {
+        if self.slowness.len() < MIN_OLD_TIMES {
             return None;
         }
-        let mut times: Vec<f64> = self.times_ms.iter().copied().collect();
+        let mut times: Vec<f64> = self.slowness.iter().copied().collect();
         times.sort_by(f64::total_cmp);
         let rank = (SLOW_QUANTILE * (times.len() - 1) as f64).ceil() as usize;
         times.get(rank).copied()
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -71,8 +71,8 @@
     pub sessions: Sessions,
     /// Budgets of further sends, by service.
     pub budgets: HashMap<ServiceId, WindowBudget>,
-    /// When answers of smaller models are kept.
-    pub cascade: Cascade,
+    /// Which models are asked, by service.
+    pub cascades: HashMap<ServiceId, Cascade>,
     /// Source of random numbers.
     pub rng: SmallRng,
     limits: WindowLimits,
@@ -121,7 +121,7 @@
             roll_outs: HashMap::new(),
             sessions: Sessions::new(std::time::Duration::from_secs_f64(memory_s)),
             budgets: HashMap::new(),
-            cascade: Cascade::default(),
+            cascades: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             limits: WindowLimits {
                 ratio: retries.ratio,
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -22,6 +22,10 @@
 /// Longest such pause; keeps a store that comes back from being found late.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// Pause after a watch that brought changes, so that a burst of them costs a few calls only. It
+/// is a small part of the time in which a change must be in force.
+const GATHER_PAUSE: Duration = Duration::from_millis(350);
+
 /// A change of what the process believes.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -88,6 +92,9 @@
                 }
                 let next = next.max(revision);
                 self.confirm(sent, next);
+                if !events.is_empty() {
+                    sleep(GATHER_PAUSE).await;
+                }
                 Some(next)
             }
             Ok(WatchReply::HistoryGone) => {
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -161,7 +161,7 @@
             if !run.take_further_send(0.0) {
                 return None;
             }
-            let placement = Placement::find(&run.core, &run.job, run.rung, &run.avoid)?;
+            let placement = Placement::find(&run.core, &run.job, run.model, &run.avoid)?;
             let until = run.job.give_up;
             match run.send(&placement, until, self.last_id.as_deref()).await {
                 Ok(exchange) if goes_on(run, &exchange) => {
--- a/crates/direct/src/http/report.rs
+++ b/crates/direct/src/http/report.rs
@@ -30,7 +30,14 @@
         after_ms: u64,
     },
     /// A smaller model's answer was dropped for a stronger model's.
-    Escalated { request: &'a str, server: &'a str, confidence: Option<u8>, after_ms: u64 },
+    Escalated {
+        request: &'a str,
+        server: &'a str,
+        from_model: u8,
+        to_model: u8,
+        confidence: Option<u8>,
+        after_ms: u64,
+    },
     /// A stream goes on at another backend server.
     StreamResumed { request: &'a str, server: &'a str, last_event_id: Option<&'a str>, after_ms: u64 },
     /// A stream was cut; the caller can tell.
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -9,7 +9,7 @@
     header::{HOST, HeaderName, HeaderValue},
     http::response::Parts,
 };
-use pondwalk_decide::direct::Rung;
+use pondwalk_decide::direct::ModelNumber;
 use pondwalk_types::ServerId;
 use tokio::time::timeout_at;
 
@@ -93,8 +93,10 @@
     pub sends: u32,
     /// Servers that are not asked again.
     pub avoid: Vec<ServerId>,
-    /// Model of the next send.
-    pub rung: Rung,
+    /// Model of the next send, among the route's.
+    pub model: ModelNumber,
+    /// Model and confidence of the answer that was dropped last.
+    dropped: Option<(ModelNumber, u8)>,
     may_have_run: bool,
     _under_way: UnderWay,
 }
@@ -108,7 +110,8 @@
             job: Rc::new(job),
             sends: 0,
             avoid: Vec::new(),
-            rung: Rung::First,
+            model: 0,
+            dropped: None,
             may_have_run: false,
             _under_way: under_way,
         }
@@ -121,7 +124,7 @@
                     if self.may_have_run { Refusal::TimedOut } else { Refusal::ExpiredUnsent };
                 return self.refuse(refusal);
             }
-            let found = Placement::find(&self.core, &self.job, self.rung, &self.avoid);
+            let found = Placement::find(&self.core, &self.job, self.model, &self.avoid);
             let Some(placement) = found else { return self.refuse(self.no_server()) };
             match self.attempt(placement).await {
                 Verdict::Pass(response) => return response,
@@ -286,32 +289,48 @@
         }
     }
 
-    /// Drops a smaller model's answer if it is not confident and a stronger model may be asked.
+    /// Drops a smaller model's answer if it is not confident and a larger model may be asked.
     fn should_escalate(&mut self, response: &Response<Incoming>, placement: &Placement) -> bool {
-        let job = &self.job;
-        if !job.chooses_model || self.rung == Rung::Last || job.route.models.len() < 2 {
+        if !self.job.chooses_model {
             return false;
         }
         let confidence = self.confidence(response.headers());
-        if self.core.state.borrow().cascade.keeps(self.rung, confidence) {
-            return false;
-        }
+        let Some(next) = self.next_model(confidence) else { return false };
         if !self.take_further_send(RETRY_RESERVE) {
             return false;
         }
         self.may_have_run = true;
-        self.rung = Rung::Last;
+        self.dropped = confidence.map(|confidence| (self.model, confidence));
         self.core.metrics.count(Counter::Escalations);
         let event = RequestEvent::Escalated {
             request: &self.job.id,
             server: placement.server(),
+            from_model: self.model,
+            to_model: next,
             confidence,
             after_ms: self.after_ms(),
         };
         self.core.journal.note(Rank::Success, &event);
+        self.model = next;
         true
     }
 
+    /// Learns from an answer's confidence, and tells the model to ask next, if any.
+    fn next_model(&self, confidence: Option<u8>) -> Option<ModelNumber> {
+        let job = &self.job;
+        let prices = job.prices();
+        let part = self.after_ms() as f64 / job.route.objective.as_millis().max(1) as f64;
+        let mut state = self.core.state.borrow_mut();
+        let cascade = state.cascades.entry(job.service.name.clone()).or_default();
+        if let (Some(dropped), Some(confidence)) = (self.dropped, confidence) {
+            cascade.learn(dropped, (self.model, confidence));
+        }
+        if usize::from(self.model) + 1 == prices.len() {
+            cascade.note_strain(part);
+        }
+        cascade.next_model(self.model, confidence, &prices)
+    }
+
     fn pass_stream(&self, exchange: Exchange, placement: Placement) -> Response<AnswerBody> {
         let (parts, body) = exchange.response.into_parts();
         let head_ms = self.after_ms();
@@ -329,7 +348,8 @@
             job: Rc::clone(&self.job),
             sends: self.sends,
             avoid: self.avoid.clone(),
-            rung: self.rung,
+            model: self.model,
+            dropped: None,
             may_have_run: true,
             _under_way: UnderWay::enter(&self.core),
         };
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{Ask, Evidence, Rung, Ticket, VersionRule};
+use pondwalk_decide::direct::{Ask, Evidence, ModelNumber, Ticket, VersionRule};
 use pondwalk_types::{ModelId, ServerId, VersionId};
 use rand::{Rng, rngs::SmallRng};
 
@@ -33,7 +33,12 @@
 
 impl Placement {
     /// Finds a place for a job, if any server may take it.
-    pub fn find(core: &Rc<Core>, job: &Rc<Job>, rung: Rung, avoid: &[ServerId]) -> Option<Self> {
+    pub fn find(
+        core: &Rc<Core>,
+        job: &Rc<Job>,
+        number: ModelNumber,
+        avoid: &[ServerId],
+    ) -> Option<Self> {
         let now = core.clock.now();
         let mut state = core.state.borrow_mut();
         let State { fleets, roll_outs, sessions, rng, .. } = &mut *state;
@@ -42,7 +47,8 @@
         let pinned = job.session.and_then(|session| sessions.version(session, now));
         let roll_out = roll_outs.get(&job.service.name);
         let rule = roll_out.map_or(VersionRule::Any, |one| one.rule(session, pinned, now));
-        let (model, number) = model_for(job, rung);
+        let model = if job.chooses_model { job.route.models.get(usize::from(number)) } else { None };
+        let model = model.cloned();
         let ask = Ask {
             parts: &job.prompt.parts,
             model: number,
@@ -109,8 +115,8 @@
             Some(model) => format!("{}/{model}", self.job.route.name),
             None => self.job.route.name.clone(),
         };
-        let took_ms = self.elapsed().as_secs_f64() * 1_000.0;
-        let evidence = Evidence { kind: &kind, server: &self.ticket.server, failed, took_ms };
+        let slowness = self.elapsed().as_secs_f64() * 1_000.0 / self.ticket.due_ms();
+        let evidence = Evidence { kind: &kind, server: &self.ticket.server, failed, slowness };
         roll_out.note(&self.version, &evidence)
     }
 
@@ -171,20 +177,7 @@
     }
 }
 
-/// The model of a rung with its number among the route's models.
-fn model_for(job: &Job, rung: Rung) -> (Option<ModelId>, u8) {
-    if !job.chooses_model {
-        return (None, 0);
-    }
-    let last = job.route.models.len().saturating_sub(1);
-    let index = match rung {
-        Rung::First => 0,
-        Rung::Last => last,
-    };
-    (job.route.models.get(index).cloned(), index as u8)
-}
-
-fn read_ms_per_token(job: &Job, number: u8) -> f64 {
+fn read_ms_per_token(job: &Job, number: ModelNumber) -> f64 {
     let last = job.route.models.len().saturating_sub(1);
     let per_k = match usize::from(number) {
         0 if last > 0 => READ_MS_PER_K[0],
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -174,6 +174,18 @@
     pub catalog_version: u64,
 }
 
+impl Job {
+    /// Prices of the route's models, smallest first; zero for one that the service lacks.
+    pub fn prices(&self) -> Vec<f64> {
+        let listed = self.service.engine.as_ref().map_or(&[][..], |engine| &engine.models);
+        let price = |model: &String| {
+            let found = listed.iter().find(|entry| entry.model == *model);
+            found.map_or(0.0, |entry| entry.price)
+        };
+        self.route.models.iter().map(price).collect()
+    }
+}
+
 /// What the head tells of the prompt.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Prompt {
