--- a/crates/pondwalk/src/options/full.rs
+++ b/crates/pondwalk/src/options/full.rs
@@ -5,8 +5,8 @@
 use clap::{ArgMatches, Command};
 
 use super::{
-    ApplyOptions, BenchOptions, ChangeOptions, DemoOptions, LedgerOptions, ReplayOptions,
-    RollOutOptions, StatusOptions, WithdrawOptions, operate, path, replay, run,
+    ApplyOptions, BenchOptions, DemoOptions, LedgerOptions, ReplayOptions, RollOutOptions,
+    StatusOptions, WithdrawOptions, operate, path, replay, run,
 };
 
 /// What the user asked for.
