Compare a version's times only while both versions run, and share doubts

Two entries in doubt, told by one store write each, now call it together. Ruled out: a higher bound alone.

--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -6,7 +6,7 @@
 //! sees the new version fail goes back to the old one at once.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -17,7 +17,7 @@
 /// Part of the order's time that the trial takes; sessions may be moved only after half of it.
 const TRIAL_PART: f64 = 0.53;
 /// Time in which the share widens from that of the trial to the whole.
-const WIDENING: Duration = Duration::from_secs(3);
+const WIDENING: Duration = Duration::from_secs(4);
 /// Part of the order's time after which the roll-out is told complete.
 const COMPLETE_PART: f64 = 0.82;
 /// Latest answers that are looked at.
@@ -36,6 +36,10 @@
 const MIN_OLD_TIMES: usize = 20;
 /// Share of the old version's answers that are faster than a slow one.
 const SLOW_QUANTILE: f64 = 0.95;
+/// Share of them that are faster than an ordinary one, and how many times slower a slow one is.
+/// This bears a change of load that moves all answers by less than that.
+const ORDINARY_QUANTILE: f64 = 0.7;
+const SLOW_FACTOR: f64 = 2.5;
 /// Slow answers among the latest of all kinds from which a version is called bad. Of an equal
 /// version 1 in 20 is slow; with 7, 6 of 1,000 equal versions were called bad after 60 answers.
 const MIN_SLOW: usize = 8;
@@ -43,6 +47,10 @@
 /// one had little load and its servers had not yet to read every shared part.
 // NB: with 7, four of four calm days with a good version went back (ptfs-ops, quiet-1).
 const MIN_SLOW_WIDENING: usize = 13;
+/// Part of those from which an entry makes its doubt known.
+const DOUBT_PART: f64 = 0.5;
+/// Entries in doubt that together call a version bad.
+const MIN_DOUBTS: usize = 2;
 
 /// How far a roll-out has come among the entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -66,6 +74,8 @@
     Widen,
     /// That it is complete.
     Complete,
+    /// That this entry finds the new version slow, though not surely.
+    Doubt,
     /// That the new version is bad.
     Revert,
 }
@@ -110,6 +120,9 @@
     new: HashMap<String, Record>,
     /// Slow answers of the new version, of all kinds.
     slow: Latest,
+    /// Entries that have made their doubt known, this one included.
+    doubts: BTreeSet<String>,
+    own_doubt_told: bool,
 }
 
 impl RollOut {
@@ -126,6 +139,8 @@
             old: HashMap::new(),
             new: HashMap::new(),
             slow: Latest::default(),
+            doubts: BTreeSet::new(),
+            own_doubt_told: false,
         }
     }
 
@@ -152,6 +167,15 @@
         self.known_stage = self.known_stage.max(Some(stage));
     }
 
+    /// Learns that an entry is in doubt; enough of them call the version bad.
+    pub fn learn_doubt(&mut self, entry: &str, is_own: bool) {
+        self.doubts.insert(entry.to_owned());
+        self.own_doubt_told |= is_own;
+        if self.doubts.len() >= MIN_DOUBTS && self.known_stage != Some(Stage::Completed) {
+            self.tripped = true;
+        }
+    }
+
     /// Share of sessions that belong on the new version now.
     pub fn share(&self, now: Duration) -> f64 {
         match self.known_stage {
@@ -186,9 +210,14 @@
     }
 
     /// Takes an answer of either version into account; true if the new one is bad by it.
-    pub fn note(&mut self, version: &str, evidence: &Evidence<'_>) -> bool {
+    pub fn note(&mut self, version: &str, evidence: &Evidence<'_>, now: Duration) -> bool {
         let of_target = version == self.target;
-        if of_target && let Some(slow) = self.is_slow(evidence) {
+        // NB: with the whole share on the new version, the old one's times are of another load.
+        let comparable = self.share(now) < 1.0;
+        if of_target
+            && comparable
+            && let Some(slow) = self.is_slow(evidence)
+        {
             self.slow.push(slow, evidence.server);
         }
         let records = if of_target { &mut self.new } else { &mut self.old };
@@ -218,11 +247,12 @@
             Some(Stage::Completed | Stage::Reverted) => None,
             _ if self.tripped => Some(Move::Revert),
             None => Some(Move::Begin),
+            Some(_) if self.is_in_doubt() && !self.own_doubt_told => Some(Move::Doubt),
             Some(Stage::Trial) if elapsed >= self.within.mul_f64(TRIAL_PART) => Some(Move::Widen),
             Some(Stage::Trial) => None,
             Some(Stage::Widening) => {
                 let since = self.widening_since.unwrap_or(now);
-                let whole = now.saturating_sub(since) >= WIDENING + WIDENING / 3;
+                let whole = now.saturating_sub(since) >= WIDENING + WIDENING / 8;
                 let due = elapsed >= self.within.mul_f64(COMPLETE_PART);
                 (whole && due).then_some(Move::Complete)
             }
@@ -236,11 +266,21 @@
             && new.failed.servers() >= MIN_SERVERS
             && new.failed.share() >= MIN_FAILURE_SHARE
             && new.failed.share() >= FAILURE_RATIO * old_share;
+        fails || self.is_slow_in(1.0)
+    }
+
+    fn is_in_doubt(&self) -> bool {
+        self.is_slow_in(DOUBT_PART)
+    }
+
+    /// Whether at least this part of the slow answers needed to call the version bad is there.
+    fn is_slow_in(&self, part: f64) -> bool {
         let min_slow = match self.known_stage {
             Some(Stage::Widening) => MIN_SLOW_WIDENING,
             _ => MIN_SLOW,
         };
-        fails || (self.slow.count() >= min_slow && self.slow.servers() >= MIN_SERVERS)
+        let enough = self.slow.count() as f64 >= part * min_slow as f64;
+        enough && self.slow.servers() >= MIN_SERVERS
     }
 }
 
@@ -261,10 +301,13 @@
         if self.slowness.len() < MIN_OLD_TIMES {
             return None;
         }
-        let mut times: Vec<f64> = self.slowness.iter().copied().collect();
-        times.sort_by(f64::total_cmp);
-        let rank = (SLOW_QUANTILE * (times.len() - 1) as f64).ceil() as usize;
-        times.get(rank).copied()
+        let mut sorted: Vec<f64> = self.slowness.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        let at = |quantile: f64| {
+            let rank = (quantile * (sorted.len() - 1) as f64).ceil() as usize;
+            sorted.get(rank).copied()
+        };
+        Some(at(SLOW_QUANTILE)?.max(SLOW_FACTOR * at(ORDINARY_QUANTILE)?))
     }
 }
 
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -23,6 +23,8 @@
 
 /// Where the entries keep how far a roll-out has come, by service.
 const STAGE_PREFIX: &str = "pondwalk/roll-out/";
+/// Where each entry keeps its doubt about a roll-out, by service and entry.
+const DOUBT_PREFIX: &str = "pondwalk/doubt/";
 /// Longest time between two looks at what is due.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time over which entries spread their first try at a step, so that mostly one makes it.
@@ -120,6 +122,11 @@
         if let Some(service) = key.strip_prefix(STAGE_PREFIX) {
             self.learn_stage(service, &entry.value);
         }
+        if let Some((service, name)) =
+            key.strip_prefix(DOUBT_PREFIX).and_then(|rest| rest.split_once('/'))
+        {
+            self.learn_doubt(service, name, &entry.value);
+        }
     }
 
     /// Learns of an order, or that it was taken back.
@@ -206,6 +213,7 @@
             Move::Widen => (Stage::Widening, Outcome::InProgress),
             Move::Complete => (Stage::Completed, Outcome::Completed),
             Move::Revert => (Stage::Reverted, Outcome::Reverted),
+            Move::Doubt => return self.tell_doubt(service, &target).await,
         };
         let progress = Progress { service: service.clone(), target: target.clone(), outcome };
         let (progress_key, progress_value) = (self.port.write_progress)(&progress);
@@ -228,6 +236,29 @@
         }
     }
 
+    async fn tell_doubt(&self, service: &ServiceId, target: &str) {
+        let name = &self.core.settings.name;
+        let key = format!("{DOUBT_PREFIX}{service}/{name}");
+        let changes = vec![self.change(key, target.as_bytes().to_vec())];
+        self.core.metrics.count(Counter::StoreCalls);
+        let written = (self.port.store.commit)(changes).await;
+        self.note_written(service, Move::Doubt, &written);
+        if written.is_err() {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        } else {
+            self.learn_doubt(service, name, target.as_bytes());
+        }
+    }
+
+    fn learn_doubt(&self, service: &str, name: &str, target: &[u8]) {
+        let is_own = name == self.core.settings.name;
+        let mut state = self.core.state.borrow_mut();
+        let roll_out = state.roll_outs.get_mut(service);
+        if let Some(roll_out) = roll_out.filter(|one| one.target().as_bytes() == target) {
+            roll_out.learn_doubt(name, is_own);
+        }
+    }
+
     fn note_written(&self, service: &str, step: Move, written: &Result<u64, StoreError>) {
         let step = format!("{step:?}");
         let event = match written {
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -113,6 +113,7 @@
     }
 
     fn note_evidence(&self, failed: bool) -> bool {
+        let now = self.core.clock.now();
         let mut state = self.core.state.borrow_mut();
         let Some(roll_out) = state.roll_outs.get_mut(&self.job.service.name) else { return false };
         let kind = match &self.model {
@@ -121,7 +122,7 @@
         };
         let slowness = self.elapsed().as_secs_f64() * 1_000.0 / self.ticket.due_ms();
         let evidence = Evidence { kind: &kind, server: &self.ticket.server, failed, slowness };
-        roll_out.note(&self.version, &evidence)
+        roll_out.note(&self.version, &evidence, now)
     }
 
     /// The connection broke, or no answer came; this is evidence about the server alone.
