--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -18,7 +18,7 @@
 /// Time that one running request adds to the cost of a server, in milliseconds.
 const RUNNING_MS: f64 = 4.0;
 /// Cost of a server in another data centre, in milliseconds.
-const REMOTE_MS: f64 = 15.0;
+const REMOTE_MS: f64 = 150.0;
 /// Chance that the server that hashing names for a shared part holds it, by another entry's doing.
 const NAMED_HOLDS: f64 = 0.7;
 /// Price of reading a part again, as a time in milliseconds for a thousand tokens.
