Let entries ask one another for changes, so that few watch the store

Now the first in an order that all work out alike (1 + a sixteenth of the entries) watch, the others ask one of them every 600 ms and count freshness from before they asked. Ruled out: pushing datagrams (one read late would make state look fresh), a lease for the watcher (calls, and nothing to protect).

--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -24,6 +24,8 @@
     pub readiness: SocketAddr,
     /// Where counters are told, if anywhere.
     pub metrics: Option<SocketAddr>,
+    /// Where other entries ask for changes; without it, this entry watches the store itself.
+    pub peers: Option<SocketAddr>,
     /// The platform's store.
     pub store: StoreSettings,
     /// Longest time a key may be honoured after the last confirmation by the store.
@@ -75,6 +77,7 @@
     let callers = file.required("direct", "callers", ADDRESS);
     let readiness = file.required("direct", "readiness", ADDRESS);
     let metrics = file.optional("direct", "metrics", ADDRESS);
+    let peers = file.optional("direct", "peers", ADDRESS);
     let key_bound = file.millis("direct", "key_bound_ms", 5_000);
     let grace = file.seconds("direct", "grace_s", 8.0);
     let session_ttl = file.seconds("direct", "session_ttl_s", 5.0);
@@ -90,6 +93,7 @@
         callers: callers?,
         readiness: readiness?,
         metrics,
+        peers,
         store: store?,
         key_bound: key_bound.mul_f64(1.0 - KEY_BOUND_MARGIN),
         retries,
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -19,6 +19,7 @@
     facts::{Outcome, Port, Progress, RollOutOrder},
     journal::Rank,
     metrics::Counter,
+    peers::ENTRY_PREFIX,
 };
 
 /// Where the entries keep how far a roll-out has come, by service.
@@ -92,6 +93,7 @@
     revisions: RefCell<HashMap<String, u64>>,
     stages: RefCell<HashMap<ServiceId, StageRecord>>,
     told: RefCell<HashMap<ServiceId, Progress>>,
+    own_values: RefCell<HashMap<String, String>>,
 }
 
 impl Conductor {
@@ -104,6 +106,7 @@
             revisions: RefCell::default(),
             stages: RefCell::default(),
             told: RefCell::default(),
+            own_values: RefCell::default(),
         }
     }
 
@@ -119,6 +122,10 @@
             return;
         };
         self.revisions.borrow_mut().insert(key.to_owned(), entry.revision);
+        if key.strip_prefix(ENTRY_PREFIX) == Some(&self.core.settings.name) {
+            let value = String::from_utf8_lossy(&entry.value).into_owned();
+            self.own_values.borrow_mut().insert(key.to_owned(), value);
+        }
         if let Some(service) = key.strip_prefix(STAGE_PREFIX) {
             self.learn_stage(service, &entry.value);
         }
@@ -236,6 +243,24 @@
         }
     }
 
+    /// Writes a key of this entry's own, unless it holds the value already.
+    pub async fn write_if_changed(&self, key: String, value: String) {
+        let held = self.own_values.borrow().get(&key) == Some(&value);
+        if held {
+            return;
+        }
+        self.core.metrics.count(Counter::StoreCalls);
+        let changes = vec![self.change(key.clone(), value.clone().into_bytes())];
+        match (self.port.store.commit)(changes).await {
+            Ok(_) => {
+                self.own_values.borrow_mut().insert(key, value);
+            }
+            // NB: an entry that is not listed watches the store itself, and tries again when it
+            // next reads everything.
+            Err(_) => self.core.metrics.count(Counter::StoreFailures),
+        }
+    }
+
     async fn tell_doubt(&self, service: &ServiceId, target: &str) {
         let name = &self.core.settings.name;
         let key = format!("{DOUBT_PREFIX}{service}/{name}");
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -19,6 +19,7 @@
     dialect::Dialect,
     journal::Journal,
     metrics::Metrics,
+    peers::{History, Peers},
     upstream::Connect,
 };
 
@@ -52,6 +53,8 @@
     pub metrics: Metrics,
     /// Whether the process is to end.
     pub stopping: Cell<Stopping>,
+    /// Other entries.
+    pub peers: Peers,
     /// Requests under way.
     pub under_way: Cell<usize>,
     /// What changes.
@@ -64,6 +67,10 @@
     pub catalog: Option<Rc<Catalog>>,
     /// How long ago the store confirmed it.
     pub freshness: Freshness,
+    /// Revision of the store that is known.
+    pub revision: u64,
+    /// Latest changes, for other entries.
+    pub history: History,
     /// Backend servers by service.
     pub fleets: HashMap<ServiceId, Fleet>,
     /// Service of each backend server.
@@ -93,6 +100,7 @@
         seed: u64,
     ) -> Self {
         let state = State::new(&settings, seed);
+        let peers = Peers::new(&settings.name);
         Core {
             settings,
             dialect,
@@ -101,6 +109,7 @@
             journal,
             metrics: Metrics::default(),
             stopping: Cell::new(Stopping::No),
+            peers,
             under_way: Cell::new(0),
             state: RefCell::new(state),
         }
@@ -121,6 +130,8 @@
         State {
             catalog: None,
             freshness: Freshness::new(settings.key_bound),
+            revision: 0,
+            history: History::default(),
             fleets: HashMap::new(),
             service_of: HashMap::new(),
             roll_outs: HashMap::new(),
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -15,6 +15,7 @@
     facts::{Fact, Port},
     journal::Rank,
     metrics::Counter,
+    peers::{AskError, ENTRY_PREFIX, PeerClient},
 };
 
 /// First pause after a failed call; doubles with each in a row.
@@ -26,6 +27,13 @@
 /// is a small part of the time in which a change must be in force.
 const GATHER_PAUSE: Duration = Duration::from_millis(350);
 
+/// Time between two questions to another entry. With the age of that entry's own confirmation
+/// it stays well under the bound on keys.
+const ASK_INTERVAL: Duration = Duration::from_millis(600);
+/// Oldest confirmation that another entry's answer may rest on. A watch is answered within its
+/// wait, so an older one means that the entry has lost the store.
+const OLDEST_TOLD: Duration = Duration::from_millis(3_600);
+
 /// A change of what the process believes.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -37,15 +45,26 @@
     EntryUnreadable { key: &'a str, reason: &'a str },
     StoreLost { error: String, freshness_ms: Option<u64> },
     StoreRegained { revision: u64 },
+    SourceChanged { entry: Option<&'a str> },
+    SourceFailed { entry: &'a str, error: String },
     HistoryGone { revision: u64 },
 }
 
 /// Follows the store for as long as the process runs.
 pub async fn follow(core: Rc<Core>, port: Port, conductor: Rc<Conductor>) {
-    let mut follower = Follower { core, port, conductor, lost: false, pause: FIRST_PAUSE };
+    let mut follower = Follower {
+        core,
+        port,
+        conductor,
+        lost: false,
+        pause: FIRST_PAUSE,
+        client: PeerClient::default(),
+        source: None,
+    };
     loop {
         let Some(mut revision) = follower.read_all().await else { continue };
-        while let Some(next) = follower.watch(revision).await {
+        follower.list_itself().await;
+        while let Some(next) = follower.next(revision).await {
             revision = next;
         }
     }
@@ -57,9 +76,66 @@
     conductor: Rc<Conductor>,
     lost: bool,
     pause: Duration,
+    client: PeerClient,
+    /// Entry that was asked last, if any.
+    source: Option<String>,
 }
 
 impl Follower {
+    /// Learns what changed after `revision`, from another entry or from the store; `None` if
+    /// all must be read anew.
+    async fn next(&mut self, revision: u64) -> Option<u64> {
+        let Some((name, address)) = self.core.peers.source(self.core.clock.now()) else {
+            self.note_source(None);
+            return self.watch(revision).await;
+        };
+        self.note_source(Some(&name));
+        let sent = self.core.clock.now();
+        let told = self.client.ask(&self.core.connect, address, revision).await;
+        let told = told.and_then(|told| match told.confirmed_age < OLDEST_TOLD {
+            true => Ok(told),
+            false => Err(AskError::Failed("its confirmation is old".to_owned())),
+        });
+        self.core.peers.note(&name, told.is_ok(), self.core.clock.now());
+        match told {
+            Ok(told) => {
+                let next = told.revision.max(revision);
+                self.take_changes(&told.events, next);
+                self.confirm(sent.saturating_sub(told.confirmed_age), next);
+                sleep(ASK_INTERVAL).await;
+                Some(next)
+            }
+            Err(error) => {
+                let event = Learned::SourceFailed { entry: &name, error: error.to_string() };
+                self.core.journal.note(Rank::State, &event);
+                Some(revision)
+            }
+        }
+    }
+
+    fn note_source(&mut self, entry: Option<&str>) {
+        if self.source.as_deref() != entry {
+            self.source = entry.map(str::to_owned);
+            self.core.journal.note(Rank::State, &Learned::SourceChanged { entry });
+        }
+    }
+
+    /// Lists this entry in the store, so that others may ask it.
+    async fn list_itself(&mut self) {
+        let Some(address) = self.core.settings.peers else { return };
+        let key = format!("{ENTRY_PREFIX}{}", self.core.settings.name);
+        self.conductor.write_if_changed(key, address.to_string()).await;
+    }
+
+    fn take_changes(&self, events: &[StoreEvent], revision: u64) {
+        for event in events {
+            self.learn(event);
+        }
+        let mut state = self.core.state.borrow_mut();
+        state.history.extend(events, revision);
+        state.revision = revision;
+    }
+
     /// Reads everything; `None` after a failure and a pause.
     async fn read_all(&mut self) -> Option<u64> {
         let sent = self.core.clock.now();
@@ -70,6 +146,10 @@
                 for entry in &listing.entries {
                     self.learn_written(entry);
                 }
+                let mut state = self.core.state.borrow_mut();
+                state.history.restart(listing.revision);
+                state.revision = listing.revision;
+                drop(state);
                 self.confirm(sent, listing.revision);
                 Some(listing.revision)
             }
@@ -87,10 +167,8 @@
         self.core.metrics.count(Counter::StoreCalls);
         match (self.port.store.watch)(String::new(), revision, wait).await {
             Ok(WatchReply::Changes(events, next)) => {
-                for event in &events {
-                    self.learn(event);
-                }
                 let next = next.max(revision);
+                self.take_changes(&events, next);
                 self.confirm(sent, next);
                 if !events.is_empty() {
                     sleep(GATHER_PAUSE).await;
@@ -138,6 +216,7 @@
 
     fn learn_written(&self, entry: &Fetched) {
         self.conductor.learn_revision(&entry.key, Some(entry));
+        self.learn_peer(&entry.key, Some(&entry.value));
         match self.port.read_entry(entry) {
             Ok(fact) => self.take_in(fact, entry.revision),
             Err(error) => {
@@ -147,8 +226,15 @@
         }
     }
 
+    fn learn_peer(&self, key: &str, value: Option<&[u8]>) {
+        let Some(name) = key.strip_prefix(ENTRY_PREFIX) else { return };
+        let address = value.and_then(|value| std::str::from_utf8(value).ok()?.parse().ok());
+        self.core.peers.learn(name, address);
+    }
+
     fn learn_removed(&self, key: &str) {
         self.conductor.learn_revision(key, None);
+        self.learn_peer(key, None);
         match (self.port.read)(key, None) {
             Ok(fact) => self.take_in(fact, 0),
             Err(error) => {
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -10,4 +10,4 @@
 mod sides;
 
 pub use listen::{Gate, accept, connection};
-pub use sides::{serve_metrics, serve_readiness};
+pub use sides::{serve_metrics, serve_peers, serve_readiness};
--- a/crates/direct/src/http/sides.rs
+++ b/crates/direct/src/http/sides.rs
@@ -1,4 +1,4 @@
-//! The readiness question of the balancer, and the counters for operators.
+//! The readiness question of the balancer, the counters for operators, and other entries.
 
 use std::{convert::Infallible, rc::Rc};
 
@@ -12,7 +12,7 @@
 };
 
 use super::body::AnswerBody;
-use crate::core::Core;
+use crate::{core::Core, peers};
 
 /// Path under which counters are told.
 const METRICS_PATH: &str = "/metrics";
@@ -30,6 +30,18 @@
     serve(core, listener, metrics).await;
 }
 
+/// Answers other entries.
+pub async fn serve_peers(core: Rc<Core>, listener: TcpListener) {
+    loop {
+        // NB: a failed accept leaves nothing to do; whoever asks tries again.
+        if let Ok((stream, _)) = listener.accept().await {
+            spawn_local(peers::serve(Rc::clone(&core), stream));
+        } else {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
 async fn serve(core: Rc<Core>, listener: TcpListener, answer: Answer) {
     loop {
         // NB: a failed accept leaves nothing to do; whoever asks tries again.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,6 +17,7 @@
 mod http;
 pub mod journal;
 mod metrics;
+pub mod peers;
 mod placement;
 mod request;
 mod run;
--- /dev/null
+++ b/crates/direct/src/peers.rs
@@ -0,0 +1,132 @@
+//! What entries tell one another, so that few of them need to watch the store.
+//!
+//! Each entry lists itself in the store. The first few, in an order that all entries work out
+//! alike, watch the store; the others ask one of them, several times in a few seconds, for the
+//! changes after the revision they hold. The answer tells how old its confirmation by the store
+//! is, and the asker counts from before it asked: however late an answer is read, it never makes
+//! the asker's state look fresher than it is. Whoever gets no answer, or an old one, goes on to
+//! the next entry in order, and at last to the store itself.
+
+mod client;
+mod history;
+mod server;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::Duration,
+};
+
+use pondwalk_decide::direct::session_key;
+use serde::{Deserialize, Serialize};
+
+pub use client::{AskError, PeerClient, Told};
+pub use history::History;
+pub use server::serve;
+
+/// Where entries list themselves, by name.
+pub const ENTRY_PREFIX: &str = "pondwalk/entries/";
+/// Entries for each one that watches the store, beyond the first.
+const ENTRIES_PER_WATCHER: usize = 16;
+/// First time for which an entry that did not answer is passed over; doubles with each in a row.
+const FIRST_PASS_OVER: Duration = Duration::from_secs(4);
+/// Longest such time.
+const LONGEST_PASS_OVER: Duration = Duration::from_secs(60);
+
+/// Changes that one entry tells another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Changes {
+    /// Age of the confirmation by the store when the answer was made.
+    pub confirmed_age_ms: u64,
+    /// Revision that these changes lead to.
+    pub revision: u64,
+    /// The changes in order; absent if not all of them are remembered.
+    pub changes: Option<Vec<KeyChange>>,
+}
+
+/// One change of a key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyChange {
+    /// The key.
+    pub key: String,
+    /// Its value in base64; absent if the key was removed.
+    pub value: Option<String>,
+    /// Revision of the change.
+    pub revision: u64,
+}
+
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+    passed_over_until: Duration,
+    failures: u32,
+}
+
+/// The entries that are listed.
+#[derive(Debug)]
+pub struct Peers {
+    own_name: String,
+    listed: RefCell<BTreeMap<(u64, String), Peer>>,
+    own_listed: Cell<bool>,
+}
+
+impl Peers {
+    /// Knows of none.
+    pub fn new(own_name: &str) -> Self {
+        Peers {
+            own_name: own_name.to_owned(),
+            listed: RefCell::default(),
+            own_listed: Cell::new(false),
+        }
+    }
+
+    /// Learns of an entry, or that it is no longer listed.
+    pub fn learn(&self, name: &str, address: Option<SocketAddr>) {
+        let place = (session_key(name), name.to_owned());
+        if name == self.own_name {
+            self.own_listed.set(address.is_some());
+        }
+        let mut listed = self.listed.borrow_mut();
+        match address {
+            Some(address) => {
+                let fresh = Peer { address, passed_over_until: Duration::ZERO, failures: 0 };
+                listed.insert(place, fresh);
+            }
+            None => {
+                listed.remove(&place);
+            }
+        }
+    }
+
+    /// The entry to ask for changes; `None` if this one is to watch the store.
+    pub fn source(&self, now: Duration) -> Option<(String, SocketAddr)> {
+        if !self.own_listed.get() {
+            return None;
+        }
+        let listed = self.listed.borrow();
+        let watchers = 1 + listed.len() / ENTRIES_PER_WATCHER;
+        let able = listed.iter().filter(|(_, peer)| peer.passed_over_until <= now);
+        let first: Vec<_> = able.take(watchers).collect();
+        if first.is_empty() || first.iter().any(|((_, name), _)| *name == self.own_name) {
+            return None;
+        }
+        let choice = session_key(&self.own_name) as usize % first.len();
+        let ((_, name), peer) = first[choice];
+        Some((name.clone(), peer.address))
+    }
+
+    /// An entry answered, or did not; one that did not is passed over for a while.
+    pub fn note(&self, name: &str, answered: bool, now: Duration) {
+        let place = (session_key(name), name.to_owned());
+        if let Some(peer) = self.listed.borrow_mut().get_mut(&place) {
+            if answered {
+                peer.failures = 0;
+                return;
+            }
+            let time = FIRST_PASS_OVER * 2u32.pow(peer.failures.min(6));
+            peer.passed_over_until = now + time.min(LONGEST_PASS_OVER);
+            peer.failures += 1;
+        }
+    }
+}
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -68,6 +68,10 @@
         Some(address) => Some(listen(address).await?),
         None => None,
     };
+    let peers = match settings.peers {
+        Some(address) => Some(listen(address).await?),
+        None => None,
+    };
     let entry = Entry::new(settings, dialect, port, upstream::over_tcp(), journal, rand::random());
     let core = entry.core();
     let event = LifeEvent::Started {
@@ -81,6 +85,9 @@
     if let Some(listener) = metrics {
         spawn_local(http::serve_metrics(Rc::clone(core), listener));
     }
+    if let Some(listener) = peers {
+        spawn_local(http::serve_peers(Rc::clone(core), listener));
+    }
     spawn_local(http::accept(entry.clone(), callers));
     wait_for_stop(&entry).await?;
     entry.drain().await;
