Leave a source whose confirmation is a second old

The entry that others rest on now watches for 450 ms at a time, tells at once that the store failed it, and is left once its confirmation is a second old.

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -67,6 +67,8 @@
     pub catalog: Option<Rc<Catalog>>,
     /// How long ago the store confirmed it.
     pub freshness: Freshness,
+    /// Whether the last call to the store failed.
+    pub source_lost: bool,
     /// Revision of the store that is known.
     pub revision: u64,
     /// Latest changes, for other entries.
@@ -130,6 +132,7 @@
         State {
             catalog: None,
             freshness: Freshness::new(settings.key_bound),
+            source_lost: false,
             revision: 0,
             history: History::default(),
             fleets: HashMap::new(),
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -27,12 +27,14 @@
 /// is a small part of the time in which a change must be in force.
 const GATHER_PAUSE: Duration = Duration::from_millis(350);
 
-/// Time between two questions to another entry. With the age of that entry's own confirmation
-/// it stays well under the bound on keys.
-const ASK_INTERVAL: Duration = Duration::from_millis(600);
-/// Oldest confirmation that another entry's answer may rest on. A watch is answered within its
-/// wait, so an older one means that the entry has lost the store.
-const OLDEST_TOLD: Duration = Duration::from_millis(3_600);
+/// Time between two questions to another entry.
+const ASK_INTERVAL: Duration = Duration::from_millis(350);
+/// Wait of a watch on which other entries rest. It bounds how old their confirmations are.
+const SHARED_WAIT: Duration = Duration::from_millis(450);
+/// Oldest confirmation that another entry's answer may rest on: two such waits and their ways.
+/// An entry that is cut off silently is left after this and a question, well within the two
+/// seconds in which a change must be in force.
+const OLDEST_TOLD: Duration = Duration::from_millis(1_000);
 
 /// A change of what the process believes.
 #[derive(Debug, Serialize)]
@@ -164,6 +166,7 @@
     async fn watch(&mut self, revision: u64) -> Option<u64> {
         let sent = self.core.clock.now();
         let wait = self.core.settings.store.watch_wait;
+        let wait = if self.core.peers.rest_on_this_one() { wait.min(SHARED_WAIT) } else { wait };
         self.core.metrics.count(Counter::StoreCalls);
         match (self.port.store.watch)(String::new(), revision, wait).await {
             Ok(WatchReply::Changes(events, next)) => {
@@ -187,7 +190,10 @@
     }
 
     fn confirm(&mut self, sent: Duration, revision: u64) {
-        self.core.state.borrow_mut().freshness.confirm(sent);
+        let mut state = self.core.state.borrow_mut();
+        state.freshness.confirm(sent);
+        state.source_lost = false;
+        drop(state);
         self.pause = FIRST_PAUSE;
         if std::mem::replace(&mut self.lost, false) {
             self.core.journal.note(Rank::State, &Learned::StoreRegained { revision });
@@ -197,6 +203,7 @@
 
     async fn note_failure(&mut self, error: &StoreError) {
         self.core.metrics.count(Counter::StoreFailures);
+        self.core.state.borrow_mut().source_lost = true;
         if !std::mem::replace(&mut self.lost, true) {
             let age = self.core.state.borrow().freshness.age(self.core.clock.now());
             let freshness_ms = age.map(|age| age.as_millis() as u64);
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -116,6 +116,14 @@
         Some((name.clone(), peer.address))
     }
 
+    /// Whether this entry is among the first, so that others ask it.
+    pub fn rest_on_this_one(&self) -> bool {
+        let listed = self.listed.borrow();
+        let watchers = 1 + listed.len() / ENTRIES_PER_WATCHER;
+        let others = listed.len() > 1;
+        others && listed.keys().take(watchers).any(|(_, name)| *name == self.own_name)
+    }
+
     /// An entry answered, or did not; one that did not is passed over for a while.
     pub fn note(&self, name: &str, answered: bool, now: Duration) {
         let place = (session_key(name), name.to_owned());
--- a/crates/direct/src/peers/client.rs
+++ b/crates/direct/src/peers/client.rs
@@ -19,7 +19,7 @@
 
 /// Longest time for an answer. One takes a few milliseconds; an entry that is busy or paused for
 /// longer than this is of no use as a source.
-const ASK_LIMIT: Duration = Duration::from_millis(300);
+const ASK_LIMIT: Duration = Duration::from_millis(250);
 
 /// Why another entry told no changes.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
--- a/crates/direct/src/peers/server.rs
+++ b/crates/direct/src/peers/server.rs
@@ -41,9 +41,13 @@
     }
 }
 
-/// What this entry knows after a revision; `None` before it has read anything.
+/// What this entry knows after a revision; `None` before it has read anything, and while the
+/// store does not answer it.
 fn changes_after(core: &Core, after: u64) -> Option<Changes> {
     let state = core.state.borrow();
+    if state.source_lost {
+        return None;
+    }
     let age = state.freshness.age(core.clock.now())?;
     Some(Changes {
         // NB: rounded up, so that no answer makes the asker's state look fresher.
