Test entries that ask one another; make the first watch after a loss short

A test of the store's return failed by chance of its timing: after an outage keys were honoured only when the first watch had waited out its 1.5 s. It now waits 20 ms.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -19,6 +19,7 @@
     follow::follow,
     http::{self, Gate},
     journal::{Journal, Rank},
+    peers,
     upstream::Connect,
 };
 
@@ -89,11 +90,24 @@
         http::connection(Rc::clone(&self.core), io, Rc::clone(&self.gate)).await;
     }
 
+    /// Answers the questions on one connection from another entry.
+    pub async fn serve_peer<I>(&self, io: I)
+    where
+        I: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
+        peers::serve(Rc::clone(&self.core), io).await;
+    }
+
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         self.core.is_ready()
     }
 
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.core.settings.name
+    }
+
     /// Counters and histograms as text.
     pub fn metrics_text(&self) -> String {
         self.core.metrics.text()
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -31,6 +31,9 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(350);
 /// Wait of a watch on which other entries rest. It bounds how old their confirmations are.
 const SHARED_WAIT: Duration = Duration::from_millis(450);
+/// Wait of the first watch after the store was lost. Its answer confirms the state again, and
+/// until then keys may not be honoured.
+const WAIT_AFTER_LOSS: Duration = Duration::from_millis(20);
 /// Oldest confirmation that another entry's answer may rest on: two such waits and their ways.
 /// An entry that is cut off silently is left after this and a question, well within the two
 /// seconds in which a change must be in force.
@@ -167,6 +170,7 @@
         let sent = self.core.clock.now();
         let wait = self.core.settings.store.watch_wait;
         let wait = if self.core.peers.rest_on_this_one() { wait.min(SHARED_WAIT) } else { wait };
+        let wait = if self.lost { WAIT_AFTER_LOSS } else { wait };
         self.core.metrics.count(Counter::StoreCalls);
         match (self.port.store.watch)(String::new(), revision, wait).await {
             Ok(WatchReply::Changes(events, next)) => {
--- a/crates/direct/src/http/sides.rs
+++ b/crates/direct/src/http/sides.rs
@@ -12,7 +12,7 @@
 };
 
 use super::body::AnswerBody;
-use crate::{core::Core, peers};
+use crate::{core::Core, entry::Entry};
 
 /// Path under which counters are told.
 const METRICS_PATH: &str = "/metrics";
@@ -31,11 +31,12 @@
 }
 
 /// Answers other entries.
-pub async fn serve_peers(core: Rc<Core>, listener: TcpListener) {
+pub async fn serve_peers(entry: Entry, listener: TcpListener) {
     loop {
         // NB: a failed accept leaves nothing to do; whoever asks tries again.
         if let Ok((stream, _)) = listener.accept().await {
-            spawn_local(peers::serve(Rc::clone(&core), stream));
+            let entry = entry.clone();
+            spawn_local(async move { entry.serve_peer(stream).await });
         } else {
             tokio::task::yield_now().await;
         }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -116,6 +116,12 @@
         Some((name.clone(), peer.address))
     }
 
+    /// Position of the name that comes first in the order of entries.
+    pub fn first_of(names: &[&str]) -> usize {
+        let order = |(_, name): &(usize, &&str)| (session_key(name), (**name).to_owned());
+        names.iter().enumerate().min_by_key(order).map_or(0, |(position, _)| position)
+    }
+
     /// Whether this entry is among the first, so that others ask it.
     pub fn rest_on_this_one(&self) -> bool {
         let listed = self.listed.borrow();
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -86,7 +86,7 @@
         spawn_local(http::serve_metrics(Rc::clone(core), listener));
     }
     if let Some(listener) = peers {
-        spawn_local(http::serve_peers(Rc::clone(core), listener));
+        spawn_local(http::serve_peers(entry.clone(), listener));
     }
     spawn_local(http::accept(entry.clone(), callers));
     wait_for_stop(&entry).await?;
--- /dev/null
+++ b/crates/direct/tests/asks_other_entries.rs
@@ -0,0 +1,200 @@
+//! Entries that ask one another for changes: few store calls, and never a state that looks
+//! fresher than it is.
+
+mod common;
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use common::{World, catalog, catalog_with_keys, play, request, with};
+use pondwalk_direct::{
+    Entry,
+    peers::{Changes, History, Peers},
+    upstream::{BoxedDuplex, Connect, Opening},
+};
+use pondwalk_standin::{backends::Act, memory_store::Weather};
+use pondwalk_store::{Fetched, StoreEvent};
+use tokio::{io::duplex, task::spawn_local, time::sleep};
+
+/// Lets entries reach one another, as far as they are not cut off.
+#[derive(Clone, Default)]
+struct Net {
+    entries: Rc<RefCell<HashMap<SocketAddr, Entry>>>,
+    cut: Rc<RefCell<Vec<SocketAddr>>>,
+}
+
+fn peer_address(n: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 5_000 + n))
+}
+
+impl Net {
+    fn connect(&self, world: &World) -> Connect {
+        let net = self.clone();
+        let backends = world.backends.clone();
+        Rc::new(move |address| {
+            let (net, backends) = (net.clone(), backends.clone());
+            let opening = async move {
+                if net.cut.borrow().contains(&address) {
+                    std::future::pending::<()>().await;
+                }
+                let entry = net.entries.borrow().get(&address).cloned();
+                let Some(entry) = entry else {
+                    return Ok(Box::new(backends.connect(address)?) as BoxedDuplex);
+                };
+                let (near, far) = duplex(64 * 1024);
+                spawn_local(async move { entry.serve_peer(far).await });
+                Ok(Box::new(near) as BoxedDuplex)
+            };
+            Box::pin(opening) as Opening
+        })
+    }
+
+    /// Starts an entry with a way of its own to the store.
+    async fn start(&self, world: &World, n: u16) -> Entry {
+        let settings = common::settings(&format!("e{n}"), Some(peer_address(n)));
+        let entry = world.entry_with(settings, self.connect(world));
+        self.entries.borrow_mut().insert(peer_address(n), entry.clone());
+        entry.start();
+        sleep(Duration::from_millis(20)).await;
+        entry
+    }
+}
+
+async fn status(world: &World, entry: &Entry, key: &str) -> u16 {
+    let sent = with(request("/once/", "r"), "authorization", &format!("Bearer {key}"));
+    world.ask_at(entry, sent).await.status.as_u16()
+}
+
+async fn with_entries(world: &World, net: &Net, count: u16) -> Vec<Entry> {
+    world.configure(catalog(1));
+    world.start_server(1, "s", "v1", Act::Answer(200, "made".into()));
+    let mut entries = Vec::new();
+    for n in 0..count {
+        entries.push(net.start(world, n).await);
+    }
+    sleep(Duration::from_secs(3)).await;
+    entries
+}
+
+#[test]
+fn store_calls_hardly_grow_with_the_entries() {
+    let calls = |count: u16| {
+        let seen = Rc::new(RefCell::new(0));
+        let noted = Rc::clone(&seen);
+        play(|world| async move {
+            let net = Net::default();
+            let _entries = with_entries(&world, &net, count).await;
+            let before = world.store.calls();
+            sleep(Duration::from_secs(60)).await;
+            *noted.borrow_mut() = world.store.calls() - before;
+        });
+        seen.take()
+    };
+    let (few, many) = (calls(3), calls(15));
+    assert!(many <= few + few / 5, "{few} calls by 3 entries, {many} by 15");
+}
+
+#[test]
+fn a_change_is_in_force_at_every_entry_within_a_second() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = with_entries(&world, &net, 6).await;
+        world.configure(catalog_with_keys(2, &["k1"]));
+        sleep(Duration::from_secs(1)).await;
+        for entry in &entries {
+            assert_eq!(status(&world, entry, "k2").await, 401);
+            assert_eq!(status(&world, entry, "k1").await, 200);
+        }
+    });
+}
+
+#[test]
+fn a_source_that_is_cut_off_is_left_before_two_seconds_are_over() {
+    let silent = Weather::Silent(Duration::from_secs(30));
+    for weather in [silent, Weather::Refused] {
+        play(|world| async move {
+            let net = Net::default();
+            let entries = with_entries(&world, &net, 4).await;
+            let source = Peers::first_of(&["e0", "e1", "e2", "e3"]);
+            world.cut_store_for(&entries[source], weather);
+            world.configure(catalog_with_keys(2, &["k1"]));
+            sleep(Duration::from_millis(1_900)).await;
+            for (n, entry) in entries.iter().enumerate().filter(|(n, _)| *n != source) {
+                assert_eq!(status(&world, entry, "k2").await, 401, "entry {n}, {weather:?}");
+            }
+            sleep(Duration::from_secs(4)).await;
+            assert_eq!(status(&world, &entries[source], "k1").await, 503, "{weather:?}");
+        });
+    }
+}
+
+#[test]
+fn a_source_that_does_not_answer_is_passed_over() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = with_entries(&world, &net, 4).await;
+        let source = Peers::first_of(&["e0", "e1", "e2", "e3"]);
+        net.cut.borrow_mut().push(peer_address(source as u16));
+        // NB: kept connections stay open; those that are new hang.
+        sleep(Duration::from_secs(10)).await;
+        world.configure(catalog_with_keys(2, &["k1"]));
+        sleep(Duration::from_millis(1_900)).await;
+        for entry in &entries {
+            assert_eq!(status(&world, entry, "k2").await, 401);
+        }
+    });
+}
+
+#[test]
+fn a_store_that_is_away_makes_all_entries_refuse_keys_in_time() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = with_entries(&world, &net, 5).await;
+        world.store.set_weather(Weather::Refused);
+        sleep(Duration::from_secs(5)).await;
+        for entry in &entries {
+            assert_eq!(status(&world, entry, "k1").await, 503);
+        }
+        world.store.set_weather(Weather::Fair);
+        sleep(Duration::from_secs(2)).await;
+        for entry in &entries {
+            assert_eq!(status(&world, entry, "k1").await, 200);
+        }
+    });
+}
+
+fn written(key: &str, revision: u64) -> StoreEvent {
+    StoreEvent::Written(Fetched { key: key.to_owned(), value: b"v".to_vec(), revision })
+}
+
+#[test]
+fn history_tells_all_changes_after_a_revision_or_that_it_cannot() {
+    let mut history = History::default();
+    history.restart(10);
+    history.extend(&[written("a", 11), StoreEvent::Removed("b".to_owned())], 13);
+    history.extend(&[written("c", 15)], 15);
+    let keys = |after| {
+        let changes = history.after(after)?;
+        Some(changes.into_iter().map(|change| change.key).collect::<Vec<_>>())
+    };
+    assert_eq!(keys(9), None);
+    assert_eq!(keys(10).expect("all"), ["a", "b", "c"]);
+    assert_eq!(keys(11).expect("newer"), ["b", "c"]);
+    assert_eq!(keys(15).expect("none"), Vec::<String>::new());
+    for number in 0..400 {
+        history.extend(&[written("x", 16 + number)], 16 + number);
+    }
+    assert_eq!(history.after(15), None, "what was pushed out is not told as if it were whole");
+    assert_eq!(history.after(400).map(|changes| changes.len()), Some(15));
+}
+
+#[test]
+fn changes_travel_as_they_are() {
+    let mut history = History::default();
+    history.extend(&[written("a", 1), StoreEvent::Removed("b".to_owned())], 2);
+    let told = Changes { confirmed_age_ms: 7, revision: 2, changes: history.after(0) };
+    let text = serde_json::to_string(&told).expect("JSON");
+    let read: Changes = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(read, told);
+    let events: Vec<_> = read.changes.into_iter().flatten().map(|one| one.into_event()).collect();
+    assert_eq!(events, [Some(written("a", 1)), Some(StoreEvent::Removed("b".to_owned()))]);
+}
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -17,11 +17,11 @@
     },
     facts::{Outcome, Progress, RollOutOrder, UnreadableFact},
     journal::Journal,
-    upstream::BoxedDuplex,
+    upstream::{BoxedDuplex, Connect},
 };
 use pondwalk_standin::{
     backends::{Act, Backends, Names},
-    memory_store::MemoryStore,
+    memory_store::{MemoryStore, Weather},
 };
 use tokio::{
     io::duplex,
@@ -29,7 +29,7 @@
     time::sleep,
 };
 
-const SETTINGS: &str = "[direct]\nname=e1\ndata_centre=dc1\ncallers=127.0.0.1:1\n\
+const SETTINGS: &str = "\ndata_centre=dc1\ncallers=127.0.0.1:1\n\
     readiness=127.0.0.1:2\nkey_bound_ms=5000\ngrace_s=8\nsession_ttl_s=5\n\
     [retries]\nratio=0.9\nextra=40\nwindow_s=10\nentries=1\n[roll_out]\nexposure=0.1\n\
     [store]\naddress=127.0.0.1:3\ntimeout_ms=1000\nwatch_wait_ms=1500\n";
@@ -39,12 +39,30 @@
     SocketAddr::from(([127, 0, 0, 1], 1000 + n))
 }
 
+/// Settings of an entry.
+pub fn settings(name: &str, peers: Option<SocketAddr>) -> DirectSettings {
+    let peers = peers.map_or(String::new(), |address| format!("\npeers={address}"));
+    let text = format!("[direct]\nname={name}{peers}{SETTINGS}");
+    let file = RawFile::parse("test.ini".as_ref(), &text).expect("INI");
+    DirectSettings::try_from(file).expect("settings")
+}
+
 /// The world around one entry.
 pub struct World {
     pub store: MemoryStore,
     pub backends: Backends,
     pub entry: Entry,
     catalogs: Rc<RefCell<HashMap<u64, Catalog>>>,
+    ways: Rc<RefCell<HashMap<String, MemoryStore>>>,
+}
+
+fn port_of(store: &MemoryStore, catalogs: &Rc<RefCell<HashMap<u64, Catalog>>>) -> Port {
+    let known = Rc::clone(catalogs);
+    Port {
+        store: store.port(),
+        read: Rc::new(move |key, value| read(&known.borrow(), key, value)),
+        write_progress: Rc::new(write_progress),
+    }
 }
 
 /// Runs a test on paused time.
@@ -73,14 +91,8 @@
         });
         let store = MemoryStore::default();
         let catalogs = Rc::new(RefCell::new(HashMap::new()));
-        let file = RawFile::parse("test.ini".as_ref(), SETTINGS).expect("INI");
-        let settings = DirectSettings::try_from(file).expect("settings");
-        let known = Rc::clone(&catalogs);
-        let port = Port {
-            store: store.port(),
-            read: Rc::new(move |key, value| read(&known.borrow(), key, value)),
-            write_progress: Rc::new(write_progress),
-        };
+        let ways = Rc::new(RefCell::new(HashMap::new()));
+        let port = port_of(&store, &catalogs);
         let opened = backends.clone();
         let connect = Rc::new(move |address| {
             let opened = opened.clone();
@@ -88,8 +100,26 @@
             Box::pin(opening) as pondwalk_direct::upstream::Opening
         });
         let journal = Journal::silent("e1", 1_000);
-        let entry = Entry::new(settings, dialect, port, connect, journal, 7);
-        World { store, backends, entry, catalogs }
+        let entry = Entry::new(settings("e1", None), dialect, port, connect, journal, 7);
+        World { store, backends, entry, catalogs, ways }
+    }
+
+    /// Another entry in the same world, with a way of its own to the store.
+    pub fn entry_with(&self, settings: DirectSettings, connect: Connect) -> Entry {
+        let way = self.store.another_way();
+        let port = port_of(&way, &self.catalogs);
+        let journal = Journal::silent(&settings.name, 1_000);
+        let name = settings.name.clone();
+        let seed = name.len() as u64;
+        let entry = Entry::new(settings, Dialect::own(), port, connect, journal, seed);
+        self.ways.borrow_mut().insert(name, way);
+        entry
+    }
+
+    /// Lets the calls of one entry fare differently from the others'.
+    pub fn cut_store_for(&self, entry: &Entry, weather: Weather) {
+        let ways = self.ways.borrow();
+        ways.get(entry.name()).expect("an entry of this world").set_own_weather(weather);
     }
 
     /// Puts a configuration into the store.
@@ -119,7 +149,12 @@
 
     /// Sends one request on a connection of its own and reads the whole answer.
     pub async fn ask(&self, request: Request<Full<Bytes>>) -> Answer {
-        let response = self.send(request).await;
+        self.ask_at(&self.entry, request).await
+    }
+
+    /// The same at another entry.
+    pub async fn ask_at(&self, entry: &Entry, request: Request<Full<Bytes>>) -> Answer {
+        let response = send_to(entry, request).await;
         let status = response.status();
         let headers = response.headers().clone();
         let (body, whole) = read_body(response.into_body()).await;
@@ -128,15 +163,19 @@
 
     /// Sends one request and returns the head of the answer.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Response<Incoming> {
-        let (near, far) = duplex(64 * 1024);
-        let entry = self.entry.clone();
-        spawn_local(async move { entry.serve(far).await });
-        let (mut sender, connection) = http1::handshake(TokioIo::new(near)).await.expect("open");
-        spawn_local(async move { connection.await.unwrap_or_default() });
-        sender.send_request(request).await.expect("an answer")
+        send_to(&self.entry, request).await
     }
 }
 
+async fn send_to(entry: &Entry, request: Request<Full<Bytes>>) -> Response<Incoming> {
+    let (near, far) = duplex(64 * 1024);
+    let entry = entry.clone();
+    spawn_local(async move { entry.serve(far).await });
+    let (mut sender, connection) = http1::handshake(TokioIo::new(near)).await.expect("open");
+    spawn_local(async move { connection.await.unwrap_or_default() });
+    sender.send_request(request).await.expect("an answer")
+}
+
 /// An answer read to its end.
 #[derive(Debug)]
 pub struct Answer {
--- a/crates/standin/src/memory_store.rs
+++ b/crates/standin/src/memory_store.rs
@@ -4,7 +4,12 @@
 //! that wait. Calls can be kept from being answered, refused, slowed, or lose their answers
 //! after taking effect; the history can be dropped.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
 
 use pondwalk_store::{
     Change, Expect, Fetched, Listing, StoreError, StoreEvent, StorePort, WatchReply,
@@ -48,6 +53,8 @@
 pub struct MemoryStore {
     state: Rc<RefCell<State>>,
     changed: Rc<Notify>,
+    /// How the calls on this way fare, if otherwise than all calls.
+    own_weather: Rc<Cell<Option<Weather>>>,
 }
 
 impl MemoryStore {
@@ -76,6 +83,17 @@
         self.changed.notify_waiters();
     }
 
+    /// The same store on a way of its own, which can fare differently.
+    pub fn another_way(&self) -> MemoryStore {
+        MemoryStore { own_weather: Rc::default(), ..self.clone() }
+    }
+
+    /// Sets how calls on this way fare from now on.
+    pub fn set_own_weather(&self, weather: Weather) {
+        self.own_weather.set(Some(weather));
+        self.changed.notify_waiters();
+    }
+
     /// Writes a key, as operators and servers do, whatever the weather.
     pub fn put(&self, key: &str, value: &str) {
         self.state.borrow_mut().apply(key, Some(value.as_bytes().to_vec()));
@@ -138,8 +156,8 @@
                 let revision = self.state.borrow().revision;
                 return Ok(WatchReply::Changes(Vec::new(), revision));
             }
-            if !matches!(self.state.borrow().weather, Weather::Fair | Weather::AnswersLost) {
-                return Err(StoreError::AnswerLost);
+            if !matches!(self.weather(), Weather::Fair | Weather::AnswersLost) {
+                return self.meet_weather().await.and(Err(StoreError::AnswerLost));
             }
         }
     }
@@ -167,13 +185,13 @@
         if lost { Err(StoreError::AnswerLost) } else { Ok(revision) }
     }
 
+    fn weather(&self) -> Weather {
+        self.own_weather.get().unwrap_or(self.state.borrow().weather)
+    }
+
     async fn meet_weather(&self) -> Result<(), StoreError> {
-        let weather = {
-            let mut state = self.state.borrow_mut();
-            state.calls += 1;
-            state.weather
-        };
-        match weather {
+        self.state.borrow_mut().calls += 1;
+        match self.weather() {
             Weather::Fair | Weather::AnswersLost => Ok(()),
             Weather::Refused => Err(StoreError::Unreachable),
             Weather::Silent(time) => {
