Wait for a silent stream that cannot go on elsewhere; spare failed requests a bad version

Tests: both new ones failed before. Retries of what failed on a version that has failed twice now go to the old one.

--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -24,6 +24,9 @@
 const WINDOW: usize = 24;
 /// Failures among those of one kind from which a version may be called bad.
 const MIN_FAILURES: usize = 4;
+/// Failures of the new version, of all kinds, from which a request that failed there is tried
+/// again on the old one.
+const MIN_FAILURES_TO_SPARE: usize = 2;
 /// Share of failures among them from which it may be called bad.
 const MIN_FAILURE_SHARE: f64 = 0.25;
 /// How many times the old version's share of failures that must be.
@@ -192,13 +195,18 @@
         }
     }
 
-    /// Version for a request of a session that was last on `pinned`.
+    /// Version for a request of a session that was last on `pinned`, and that a server of the
+    /// version `failed` has failed before.
     pub fn rule(
         &self,
         session: SessionKey,
         pinned: Option<&VersionId>,
+        failed: Option<&str>,
         now: Duration,
     ) -> VersionRule<'_> {
+        if failed == Some(self.target.as_str()) && self.may_be_bad() {
+            return VersionRule::Except(&self.target);
+        }
         let share = self.share(now);
         let on_target = match (self.known_stage, pinned) {
             (Some(Stage::Trial), Some(pinned)) if share > 0.0 => *pinned == self.target,
@@ -269,6 +277,12 @@
         fails || self.is_slow_in(1.0)
     }
 
+    /// Whether the new version has failed often enough to spare requests a second try there.
+    fn may_be_bad(&self) -> bool {
+        let failures = self.new.values().map(|record| record.failed.count()).sum::<usize>();
+        self.known_stage != Some(Stage::Completed) && failures >= MIN_FAILURES_TO_SPARE
+    }
+
     fn is_in_doubt(&self) -> bool {
         self.is_slow_in(DOUBT_PART)
     }
--- a/crates/decide/src/direct/window_budget.rs
+++ b/crates/decide/src/direct/window_budget.rs
@@ -51,15 +51,20 @@
     /// Takes one further send out of the budget if, after it, the share `spare` of the budget
     /// is still left for more urgent uses.
     pub fn try_take(&mut self, now: Duration, spare: f64) -> bool {
+        let has_room = self.has_room(now, spare);
+        if has_room {
+            self.current(now).extras += 1;
+        }
+        has_room
+    }
+
+    /// Whether one further send could be taken.
+    pub fn has_room(&mut self, now: Duration, spare: f64) -> bool {
         self.current(now);
         let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
         let extras: u32 = self.slices.iter().map(|slice| slice.extras).sum();
         let allowed = USED_SHARE * (self.limits.ratio * f64::from(requests) + self.limits.extra);
-        if f64::from(extras) + 1.0 > allowed * (1.0 - spare) {
-            return false;
-        }
-        self.current(now).extras += 1;
-        true
+        f64::from(extras) + 1.0 <= allowed * (1.0 - spare)
     }
 
     fn current(&mut self, now: Duration) -> &mut Slice {
--- a/crates/decide/tests/direct.rs
+++ b/crates/decide/tests/direct.rs
@@ -282,15 +282,16 @@
 fn every_entry_puts_a_session_on_the_same_side_and_keeps_it_there() {
     let mut one = roll_out();
     one.learn_stage(Stage::Trial, ms(0));
-    let on_new =
-        |n: u32| one.rule(session_key(&format!("s{n}")), None, ms(1)) == VersionRule::Only("v2");
+    let on_new = |n: u32| {
+        one.rule(session_key(&format!("s{n}")), None, None, ms(1)) == VersionRule::Only("v2")
+    };
     let share = (0..2_000).filter(|n| on_new(*n)).count();
     assert!((140..=260).contains(&share), "{share} of 2000");
     let (old, new) = ("v1".to_owned(), "v2".to_owned());
     for n in 0..200 {
         let key = session_key(&format!("s{n}"));
-        assert_eq!(one.rule(key, Some(&new), ms(1)), VersionRule::Only("v2"));
-        assert_eq!(one.rule(key, Some(&old), ms(1)), VersionRule::Except("v2"));
+        assert_eq!(one.rule(key, Some(&new), None, ms(1)), VersionRule::Only("v2"));
+        assert_eq!(one.rule(key, Some(&old), None, ms(1)), VersionRule::Except("v2"));
     }
 }
 
@@ -310,6 +311,20 @@
     );
 }
 
+#[test]
+fn a_request_that_failed_on_a_doubtful_version_is_tried_on_the_old_one() {
+    let mut one = roll_out();
+    one.learn_stage(Stage::Trial, ms(0));
+    let new = "v2".to_owned();
+    let rule =
+        |one: &RollOut| one.rule(1, Some(&new), Some("v2"), ms(1)) == VersionRule::Only("v2");
+    one.note("v2", &evidence("s1", true, 1.0), ms(1));
+    assert!(rule(&one), "one failure may be the server's");
+    one.note("v2", &evidence("s2", true, 1.0), ms(1));
+    assert!(!rule(&one));
+    assert_eq!(one.rule(1, Some(&new), None, ms(1)), VersionRule::Only("v2"));
+}
+
 #[test]
 fn two_entries_in_doubt_call_a_version_bad_together() {
     let mut one = roll_out();
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -285,7 +285,7 @@
     }
 
     fn note_written(&self, service: &str, step: Move, written: &Result<u64, StoreError>) {
-        let step = format!("{step:?}");
+        let step = format!("{step:?}").to_lowercase();
         let event = match written {
             Ok(revision) => RollOutEvent::StepWritten { service, step, revision: *revision },
             Err(error) => {
@@ -347,7 +347,7 @@
         }
         let target = roll_out.target().clone();
         drop(state);
-        let stage = format!("{after:?}");
+        let stage = after.map_or(String::new(), |stage| format!("{stage:?}").to_lowercase());
         let event = RollOutEvent::Stage { service, target: &target, stage: &stage };
         self.core.journal.note(Rank::State, &event);
     }
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -119,10 +119,12 @@
         let job = Rc::clone(&self.follower.run.job);
         let clock = self.follower.run.core.clock;
         let silence = job.route.event_pause.unwrap_or(DEFAULT_PAUSE).mul_f64(SILENCE_PART);
-        let may_resume = job.route.kind.may_repeat();
+        let mut last_heard = clock.now();
         loop {
-            let now = clock.now();
-            let until = if may_resume { job.give_up.min(now + silence) } else { job.give_up };
+            // NB: with nowhere to go on, silence is no reason to end the answer.
+            let may_leave = source.placement.has_alternative && self.follower.run.may_go_on();
+            let until = if may_leave { last_heard + silence } else { clock.now() + silence };
+            let until = until.min(job.give_up);
             let frame = select! {
                 biased;
                 () = self.sender.closed() => return End::CallerLeft,
@@ -130,12 +132,14 @@
             };
             match frame {
                 Err(_) if clock.now() >= job.give_up => return End::TimedOut,
-                Err(_) => return End::Broken("silent"),
+                Err(_) if may_leave => return End::Broken("silent"),
+                Err(_) => {}
                 Ok(None) if splitter.has_rest() => return End::Broken("ended_within_an_event"),
                 Ok(None) => return End::Whole,
                 Ok(Some(Err(_))) => return End::Broken("connection_broken"),
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
+                    last_heard = clock.now();
                     splitter.push(&data);
                     if !self.deliver(&mut splitter).await {
                         return End::CallerLeft;
@@ -161,7 +165,7 @@
             if !run.take_further_send(0.0) {
                 return None;
             }
-            let placement = Placement::find(&run.core, &run.job, run.model, &run.avoid)?;
+            let placement = run.find_place()?;
             let until = run.job.give_up;
             match run.send(&placement, until, self.last_id.as_deref()).await {
                 Ok(exchange) if goes_on(run, &exchange) => {
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -10,7 +10,7 @@
     http::response::Parts,
 };
 use pondwalk_decide::direct::ModelNumber;
-use pondwalk_types::ServerId;
+use pondwalk_types::{ServerId, VersionId};
 use tokio::time::timeout_at;
 
 use super::{
@@ -97,6 +97,8 @@
     pub model: ModelNumber,
     /// Model and confidence of the answer that was dropped last.
     dropped: Option<(ModelNumber, u8)>,
+    /// Version whose server failed the request last.
+    failed_version: Option<VersionId>,
     may_have_run: bool,
     _under_way: UnderWay,
 }
@@ -112,6 +114,7 @@
             avoid: Vec::new(),
             model: 0,
             dropped: None,
+            failed_version: None,
             may_have_run: false,
             _under_way: under_way,
         }
@@ -124,7 +127,7 @@
                     if self.may_have_run { Refusal::TimedOut } else { Refusal::ExpiredUnsent };
                 return self.refuse(refusal);
             }
-            let found = Placement::find(&self.core, &self.job, self.model, &self.avoid);
+            let found = self.find_place();
             let Some(placement) = found else { return self.refuse(self.no_server()) };
             match self.attempt(placement).await {
                 Verdict::Pass(response) => return response,
@@ -154,6 +157,12 @@
         refuse(&self.core, &Refused { request, route, arrived, sends: self.sends }, refusal)
     }
 
+    /// A place for the next send.
+    pub fn find_place(&self) -> Option<Placement> {
+        let failed = self.failed_version.as_deref();
+        Placement::find(&self.core, &self.job, self.model, &self.avoid, failed)
+    }
+
     async fn attempt(&mut self, placement: Placement) -> Verdict {
         let until = self.patience(&placement);
         let job = Rc::clone(&self.job);
@@ -254,6 +263,15 @@
             && self.core.state.borrow_mut().budget(service).try_take(now, spare)
     }
 
+    /// Whether one more send could be taken.
+    pub fn may_go_on(&self) -> bool {
+        let now = self.core.clock.now();
+        let job = &self.job;
+        job.route.kind.may_repeat()
+            && self.sends < job.route.max_attempts
+            && self.core.state.borrow_mut().budget(&job.service.name).has_room(now, 0.0)
+    }
+
     async fn judge(&mut self, exchange: Exchange, mut placement: Placement) -> Verdict {
         let status = exchange.response.status();
         if self.says_not_run(&exchange.response) {
@@ -270,6 +288,7 @@
         if failed && self.job.route.kind.may_repeat() && self.take_further_send(0.0) {
             self.may_have_run = true;
             self.note_failed(&placement, "failed", status.to_string());
+            self.failed_version = Some(placement.version.clone());
             self.avoid.push(placement.server().clone());
             return Verdict::Next;
         }
@@ -364,6 +383,7 @@
             avoid: self.avoid.clone(),
             model: self.model,
             dropped: None,
+            failed_version: self.failed_version.clone(),
             may_have_run: true,
             _under_way: UnderWay::enter(&self.core),
         };
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -34,12 +34,14 @@
 }
 
 impl Placement {
-    /// Finds a place for a job, if any server may take it.
+    /// Finds a place for a job, if any server may take it; `failed` is the version whose server
+    /// failed it before.
     pub fn find(
         core: &Rc<Core>,
         job: &Rc<Job>,
         number: ModelNumber,
         avoid: &[ServerId],
+        failed: Option<&str>,
     ) -> Option<Self> {
         let now = core.clock.now();
         let mut state = core.state.borrow_mut();
@@ -48,7 +50,7 @@
         let session = job.session.unwrap_or_else(|| rng.random());
         let pinned = job.session.and_then(|session| sessions.version(session, now));
         let roll_out = roll_outs.get(&job.service.name);
-        let rule = roll_out.map_or(VersionRule::Any, |one| one.rule(session, pinned, now));
+        let rule = roll_out.map_or(VersionRule::Any, |one| one.rule(session, pinned, failed, now));
         let model =
             if job.chooses_model { job.route.models.get(usize::from(number)) } else { None };
         let model = model.cloned();
--- a/crates/direct/tests/survives_backend_faults.rs
+++ b/crates/direct/tests/survives_backend_faults.rs
@@ -186,6 +186,42 @@
     });
 }
 
+#[test]
+fn a_slow_stream_that_cannot_go_on_elsewhere_is_waited_for() {
+    play(|world| async move {
+        world.configure(catalog(1));
+        let gap = Duration::from_millis(1_500);
+        let slow = Act::Stream { last: 4, gap, confidence: None, cut_in: None };
+        world.start_server(1, "s", "v1", slow);
+        world.start().await;
+        let answer = world.ask(request("/stream/", "r1")).await;
+        assert_eq!((answer.body, answer.whole), (events(1..=4), true));
+    });
+}
+
+#[test]
+fn a_stream_that_has_used_up_its_sends_is_waited_for() {
+    play(|world| async move {
+        let gap = Duration::from_millis(1_500);
+        let slow = Act::Stream { last: 4, gap, confidence: None, cut_in: None };
+        world.configure(catalog(1));
+        for n in 1..=5 {
+            world.start_server(n, "s", "v1", slow.clone());
+            world.backends.script(address(n), [Act::Answer(500, String::new())]);
+        }
+        world.start().await;
+        // NB: three sends are allowed. The first requests use them up on failures.
+        let answers = [
+            world.ask(request("/stream/", "r1")).await,
+            world.ask(request("/stream/", "r2")).await,
+            world.ask(request("/stream/", "r3")).await,
+        ];
+        let whole = answers.iter().filter(|answer| answer.status == StatusCode::OK);
+        assert!(whole.clone().count() >= 1, "{answers:?}");
+        whole.for_each(|answer| assert!(answer.whole, "{answer:?}"));
+    });
+}
+
 #[test]
 fn a_stream_that_may_not_be_resumed_ends_so_that_the_caller_can_tell() {
     play(|world| async move {
