Tell other entries of a bad version that the store cannot be told of

Ruled out: writing more often (calls are priced, and refused). Test: a_bad_version_is_told_by_others_where_its_finder_cannot_write, failed before.

--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -179,6 +179,11 @@
         }
     }
 
+    /// Another entry has found the version bad.
+    pub fn learn_bad(&mut self) {
+        self.tripped |= self.known_stage != Some(Stage::Completed);
+    }
+
     /// Share of sessions that belong on the new version now.
     pub fn share(&self, now: Duration) -> f64 {
         match self.known_stage {
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -19,7 +19,7 @@
     facts::{Outcome, Port, Progress, RollOutOrder},
     journal::Rank,
     metrics::Counter,
-    peers::ENTRY_PREFIX,
+    peers::{BadVersion, ENTRY_PREFIX, PeerClient},
 };
 
 /// Where the entries keep how far a roll-out has come, by service.
@@ -81,6 +81,8 @@
     Stage { service: &'a str, target: &'a str, stage: &'a str },
     #[serde(rename = "roll_out_step_written")]
     StepWritten { service: &'a str, step: String, revision: u64 },
+    #[serde(rename = "bad_version_told")]
+    ToldBad { service: &'a str, entry: String, error: Option<String> },
     #[serde(rename = "roll_out_step_failed")]
     StepFailed { service: &'a str, step: String, error: String },
 }
@@ -234,6 +236,10 @@
         self.core.metrics.count(Counter::StoreCalls);
         let written = (self.port.store.commit)(changes).await;
         self.note_written(service, step, &written);
+        if step == Move::Revert && matches!(&written, Err(error) if *error != StoreError::Conflict)
+        {
+            self.tell_others(service).await;
+        }
         if written.is_err() {
             // NB: the watch brings what another entry wrote, and what an answer that was lost
             // left behind; until then the step counts as due.
@@ -243,6 +249,18 @@
         }
     }
 
+    /// Tells a few other entries of a bad version that the store could not be told of.
+    async fn tell_others(&self, service: &ServiceId) {
+        let Some(target) = self.target_of(service) else { return };
+        let bad = BadVersion { service: service.to_string(), target };
+        for address in self.core.peers.some_others(self.core.clock.now()) {
+            let told = PeerClient::tell_bad(&self.core.connect, address, &bad).await;
+            let error = told.err().map(|error| error.to_string());
+            let event = RollOutEvent::ToldBad { service, entry: address.to_string(), error };
+            self.core.journal.note(Rank::State, &event);
+        }
+    }
+
     /// Writes a key of this entry's own, unless it holds the value already.
     pub async fn write_if_changed(&self, key: String, value: String) {
         let held = self.own_values.borrow().get(&key) == Some(&value);
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -34,6 +34,22 @@
 /// Longest such time.
 const LONGEST_PASS_OVER: Duration = Duration::from_secs(60);
 
+/// Where an entry is asked for changes.
+const CHANGES_PATH: &str = "/changes";
+/// Where an entry is told of a bad version.
+const BAD_VERSION_PATH: &str = "/bad-version";
+/// Entries that are told of a bad version by one that cannot write to the store.
+const ENTRIES_TOLD: usize = 3;
+
+/// A version on trial that an entry has found bad.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BadVersion {
+    /// Service on whose backend servers it runs.
+    pub service: String,
+    /// The version.
+    pub target: String,
+}
+
 /// Changes that one entry tells another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes {
@@ -116,6 +132,15 @@
         Some((name.clone(), peer.address))
     }
 
+    /// A few other entries that answered when last asked.
+    pub fn some_others(&self, now: Duration) -> Vec<SocketAddr> {
+        let listed = self.listed.borrow();
+        let able = listed
+            .iter()
+            .filter(|((_, name), peer)| *name != self.own_name && peer.passed_over_until <= now);
+        able.take(ENTRIES_TOLD).map(|(_, peer)| peer.address).collect()
+    }
+
     /// Position of the name that comes first in the order of entries.
     pub fn first_of(names: &[&str]) -> usize {
         let order = |(_, name): &(usize, &&str)| (session_key(name), (**name).to_owned());
--- a/crates/direct/src/peers/client.rs
+++ b/crates/direct/src/peers/client.rs
@@ -14,7 +14,7 @@
 use thiserror::Error;
 use tokio::{task::spawn_local, time::timeout};
 
-use super::Changes;
+use super::{BAD_VERSION_PATH, BadVersion, CHANGES_PATH, Changes};
 use crate::upstream::Connect;
 
 /// Longest time for an answer. One takes a few milliseconds; an entry that is busy or paused for
@@ -76,6 +76,25 @@
         })
     }
 
+    /// Tells the entry at `address` that the version on trial at a service is bad.
+    pub async fn tell_bad(
+        connect: &Connect,
+        address: SocketAddr,
+        bad: &BadVersion,
+    ) -> Result<(), AskError> {
+        let body = serde_json::to_vec(bad).map_err(|_| AskError::Malformed)?;
+        let request = Request::post(BAD_VERSION_PATH).header(HOST, address.to_string());
+        let request = request.body(Full::from(body)).map_err(|_| AskError::Malformed)?;
+        let telling = async {
+            let answer = open(connect, address).await?.send_request(request).await;
+            match answer.map_err(failed)?.status() {
+                StatusCode::OK => Ok(()),
+                status => Err(AskError::Failed(status.to_string())),
+            }
+        };
+        timeout(ASK_LIMIT, telling).await.map_err(|_| AskError::Silent)?
+    }
+
     async fn exchange(
         &self,
         connect: &Connect,
@@ -88,7 +107,7 @@
             Some((_, sender)) => sender,
             None => open(connect, address).await?,
         };
-        let request = Request::get(format!("/changes?after={revision}"));
+        let request = Request::get(format!("{CHANGES_PATH}?after={revision}"));
         let request = request.header(HOST, address.to_string()).body(Full::default());
         let request = request.map_err(|_| AskError::Malformed)?;
         let answer = sender.send_request(request).await.map_err(failed)?;
--- a/crates/direct/tests/asks_other_entries.rs
+++ b/crates/direct/tests/asks_other_entries.rs
@@ -162,6 +162,29 @@
     });
 }
 
+#[test]
+fn a_bad_version_is_told_by_others_where_its_finder_cannot_write() {
+    play(|world| async move {
+        let net = Net::default();
+        world.configure(catalog(1));
+        for n in 1..=3 {
+            world.start_server(n, "s", "v1", Act::Answer(200, "old".into()));
+            world.start_server(10 + n, "s", "v2", Act::Answer(500, "bad".into()));
+        }
+        let (finder, _other) = (net.start(&world, 0).await, net.start(&world, 1).await);
+        world.store.put("order/s", "v2 20");
+        sleep(Duration::from_secs(2)).await;
+        world.cut_store_for(&finder, Weather::Refused);
+        for number in 0..60 {
+            let session = format!("a{number}");
+            let sent = with(request("/again/", "r"), "pondwalk-session", &session);
+            world.ask_at(&finder, sent).await;
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(world.store.value("progress/s").as_deref(), Some("v2 Reverted"));
+    });
+}
+
 fn written(key: &str, revision: u64) -> StoreEvent {
     StoreEvent::Written(Fetched { key: key.to_owned(), value: b"v".to_vec(), revision })
 }
