Count only lines written against the lines allowed; add timers

A test of ten times the load found failures unlogged: successes that were dropped used the budget up. New histograms: store calls, age of the configuration, time by which answers begin later than expected.

--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -18,7 +18,7 @@
     core::Core,
     facts::{Outcome, Port, Progress, RollOutOrder},
     journal::Rank,
-    metrics::Counter,
+    metrics::{Counter, Timer},
     peers::{BadVersion, ENTRY_PREFIX, PeerClient},
 };
 
@@ -81,6 +81,8 @@
     Stage { service: &'a str, target: &'a str, stage: &'a str },
     #[serde(rename = "roll_out_step_written")]
     StepWritten { service: &'a str, step: String, revision: u64 },
+    #[serde(rename = "entry_not_listed")]
+    NotListed { key: String, error: String },
     #[serde(rename = "bad_version_told")]
     ToldBad { service: &'a str, entry: String, error: Option<String> },
     #[serde(rename = "roll_out_step_failed")]
@@ -233,8 +235,7 @@
             self.change(format!("{STAGE_PREFIX}{service}"), stage_value),
             self.change(progress_key, progress_value),
         ];
-        self.core.metrics.count(Counter::StoreCalls);
-        let written = (self.port.store.commit)(changes).await;
+        let written = self.commit(changes).await;
         self.note_written(service, step, &written);
         if step == Move::Revert && matches!(&written, Err(error) if *error != StoreError::Conflict)
         {
@@ -267,15 +268,17 @@
         if held {
             return;
         }
-        self.core.metrics.count(Counter::StoreCalls);
         let changes = vec![self.change(key.clone(), value.clone().into_bytes())];
-        match (self.port.store.commit)(changes).await {
+        match self.commit(changes).await {
             Ok(_) => {
                 self.own_values.borrow_mut().insert(key, value);
             }
             // NB: an entry that is not listed watches the store itself, and tries again when it
             // next reads everything.
-            Err(_) => self.core.metrics.count(Counter::StoreFailures),
+            Err(error) => {
+                let event = RollOutEvent::NotListed { key, error: error.to_string() };
+                self.core.journal.note(Rank::State, &event);
+            }
         }
     }
 
@@ -283,8 +286,7 @@
         let name = &self.core.settings.name;
         let key = format!("{DOUBT_PREFIX}{service}/{name}");
         let changes = vec![self.change(key, target.as_bytes().to_vec())];
-        self.core.metrics.count(Counter::StoreCalls);
-        let written = (self.port.store.commit)(changes).await;
+        let written = self.commit(changes).await;
         self.note_written(service, Move::Doubt, &written);
         if written.is_err() {
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -306,14 +308,23 @@
         let step = format!("{step:?}").to_lowercase();
         let event = match written {
             Ok(revision) => RollOutEvent::StepWritten { service, step, revision: *revision },
-            Err(error) => {
-                self.core.metrics.count(Counter::StoreFailures);
-                RollOutEvent::StepFailed { service, step, error: error.to_string() }
-            }
+            Err(error) => RollOutEvent::StepFailed { service, step, error: error.to_string() },
         };
         self.core.journal.note(Rank::State, &event);
     }
 
+    /// Writes to the store, counted and timed.
+    async fn commit(&self, changes: Vec<Change>) -> Result<u64, StoreError> {
+        let sent = self.core.clock.now();
+        self.core.metrics.count(Counter::StoreCalls);
+        let written = (self.port.store.commit)(changes).await;
+        self.core.metrics.time(Timer::StoreCall, self.core.clock.now().saturating_sub(sent));
+        if written.is_err() {
+            self.core.metrics.count(Counter::StoreFailures);
+        }
+        written
+    }
+
     fn change(&self, key: String, value: Vec<u8>) -> Change {
         let revision = self.revisions.borrow().get(&key).copied();
         let expect = revision.map_or(Expect::Absent, Expect::Revision);
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -14,7 +14,7 @@
     core::Core,
     facts::{Fact, Port},
     journal::Rank,
-    metrics::Counter,
+    metrics::{Counter, Timer},
     peers::{AskError, ENTRY_PREFIX, PeerClient},
 };
 
@@ -145,7 +145,10 @@
     async fn read_all(&mut self) -> Option<u64> {
         let sent = self.core.clock.now();
         self.core.metrics.count(Counter::StoreCalls);
-        match (self.port.store.list)(String::new()).await {
+        let listed = (self.port.store.list)(String::new()).await;
+        let took = self.core.clock.now().saturating_sub(sent);
+        self.core.metrics.time(Timer::StoreCall, took);
+        match listed {
             Ok(listing) => {
                 self.forget_all_but(&listing.entries);
                 for entry in &listing.entries {
--- a/crates/direct/src/http/intake.rs
+++ b/crates/direct/src/http/intake.rs
@@ -16,6 +16,7 @@
 use crate::{
     catalog::{Catalog, Route, Service, Workspace},
     core::{Core, Stopping},
+    metrics::Timer,
     request::{Job, Prompt, Refusal, strip_connection_headers},
 };
 
@@ -50,6 +51,9 @@
     if core.stopping.get() == Stopping::Closed {
         return Err(Refusal::Closing);
     }
+    if let Some(age) = state.freshness.age(arrived) {
+        core.metrics.time(Timer::ConfigurationAge, age);
+    }
     // NB: what is refused for good below must not rest on an old configuration.
     if !state.freshness.holds(arrived) {
         return Err(Refusal::Stale);
--- a/crates/direct/src/journal.rs
+++ b/crates/direct/src/journal.rs
@@ -47,8 +47,7 @@
 struct Gathered {
     text: String,
     second: u64,
-    successes: u32,
-    failures: u32,
+    written: u32,
     dropped: u64,
 }
 
@@ -152,19 +151,15 @@
     fn admits(&mut self, rank: Rank, at: Duration, lines_per_s: u32) -> bool {
         if at.as_secs() != self.second {
             self.second = at.as_secs();
-            self.successes = 0;
-            self.failures = 0;
-        }
-        match rank {
-            Rank::State => true,
-            Rank::Failure => {
-                self.failures += 1;
-                self.failures + self.successes <= lines_per_s
-            }
-            Rank::Success => {
-                self.successes += 1;
-                f64::from(self.successes) <= f64::from(lines_per_s) * SUCCESS_SHARE
-            }
+            self.written = 0;
         }
+        let allowed = match rank {
+            Rank::State => return true,
+            Rank::Failure => f64::from(lines_per_s),
+            Rank::Success => f64::from(lines_per_s) * SUCCESS_SHARE,
+        };
+        let admitted = f64::from(self.written) < allowed;
+        self.written += u32::from(admitted);
+        admitted
     }
 }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -66,6 +66,12 @@
     FirstByte,
     /// From a request's arrival to the end of its answer.
     WholeAnswer,
+    /// One call to the store, watches left out.
+    StoreCall,
+    /// Age of the configuration's confirmation when a request arrives.
+    ConfigurationAge,
+    /// Time by which an answer began later than expected for its prompt and the load known.
+    ServerQueue,
 }
 
 impl Timer {
@@ -73,6 +79,9 @@
         match self {
             Timer::FirstByte => "first_byte_ms",
             Timer::WholeAnswer => "whole_answer_ms",
+            Timer::StoreCall => "store_call_ms",
+            Timer::ConfigurationAge => "configuration_age_ms",
+            Timer::ServerQueue => "server_queue_ms",
         }
     }
 }
