--- a/crates/config/tests/accepts_sample_files.rs
+++ b/crates/config/tests/accepts_sample_files.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use pondwalk_config::{FileKind, RawFile, check_file, policy_from_ini};
+use pondwalk_config::{DirectSettings, FileKind, RawFile, check_file, policy_from_ini};
 
 fn samples() -> Vec<PathBuf> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../sample_configs");
@@ -19,12 +19,13 @@
 #[test]
 fn each_sample_is_accepted_by_its_name() {
     let files = samples();
-    assert!(files.len() >= 12, "samples of both users, for trying out and for replays");
+    assert!(files.len() >= 13, "samples of both users, for trying out and for replays");
     for file in files {
         let name = file.file_name().and_then(|name| name.to_str()).expect("a name");
         let expected = match name {
             "entry.ini" => FileKind::Entry,
             "agent.ini" | "agent-service.ini" => FileKind::Agent,
+            "direct.ini" => FileKind::Direct,
             "policy.ini" => FileKind::Policy,
             "outcomes.ini" => FileKind::Outcomes,
             _ => FileKind::Replay,
@@ -47,3 +48,39 @@
     let new = policy.price_of("medium/9").expect("priced by its model");
     assert_eq!(new.prompt_per_1k_tokens, 0.5);
 }
+
+/// Fills the platform's template with plain values, as the platform does.
+fn filled_template() -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/entry.ini");
+    let mut text = std::fs::read_to_string(path).expect("the template");
+    let values = [
+        ("{{node_name}}", "edge-1"),
+        ("{{zone}}", "z1"),
+        ("{{ip}}", "10.1.0.40"),
+        ("{{listen.frontend}}", "10.1.0.40:8227"),
+        ("{{listen.readiness}}", "10.1.0.40:8220"),
+        ("{{port_range.0}}", "7340"),
+        ("{{platform.address}}", "10.200.1.7:8223"),
+        ("{{guarantees.revoke_timeout_ms}}", "5000"),
+        ("{{guarantees.grace_period_s}}", "8"),
+        ("{{guarantees.session_ttl_s}}", "5.5"),
+        ("{{guarantees.retry_budget_ratio}}", "0.9"),
+        ("{{guarantees.retry_min_extra}}", "54"),
+        ("{{guarantees.retry_window_s}}", "10"),
+    ];
+    for (gap, value) in values {
+        text = text.replace(gap, value);
+    }
+    text
+}
+
+#[test]
+fn the_deployed_template_is_accepted_once_filled() {
+    let text = filled_template();
+    assert!(!text.contains("{{"), "a gap without a value in\n{text}");
+    let file = RawFile::parse(Path::new("entry.ini"), &text).expect("INI");
+    let settings = DirectSettings::try_from(file).expect("accepted");
+    assert_eq!(settings.key_bound.as_millis(), 4_800);
+    assert_eq!(settings.session_ttl.as_millis(), 5_500);
+    assert!(settings.peers.is_some() && settings.metrics.is_some());
+}
--- a/crates/config/tests/rejects_faulty_files.rs
+++ b/crates/config/tests/rejects_faulty_files.rs
@@ -3,7 +3,8 @@
 use std::path::Path;
 
 use pondwalk_config::{
-    AgentSettings, ConfigError, EntrySettings, Outcomes, Problem, RawFile, policy_from_ini,
+    AgentSettings, ConfigError, DirectSettings, EntrySettings, Outcomes, Problem, RawFile,
+    policy_from_ini,
 };
 
 fn raw(text: &str) -> RawFile {
@@ -88,3 +89,24 @@
     // NB: the parser notices the missing sign at the end of the file.
     assert!(matches!(parsed, Err(ConfigError::NotIni { line: 3, .. })), "{parsed:?}");
 }
+
+#[test]
+fn all_faults_of_a_direct_entry_are_listed() {
+    let text = "[direct]\nname = e\ncallers = nowhere\ngrace_s = -1\nnew = 1\n\
+                [retries]\nratio = much\n[roll_out]\nexposure = 2\n";
+    let faults = faults(DirectSettings::try_from(raw(text)));
+    let places: Vec<(&str, &str)> =
+        faults.iter().map(|(section, key, _)| (section.as_str(), key.as_str())).collect();
+    for expected in [
+        ("direct", "data_centre"),
+        ("direct", "callers"),
+        ("direct", "readiness"),
+        ("direct", "grace_s"),
+        ("direct", "new"),
+        ("retries", "ratio"),
+        ("roll_out", "exposure"),
+        ("store", "address"),
+    ] {
+        assert!(places.contains(&expected), "{expected:?} in {places:?}");
+    }
+}
