Keep sessions that run already on the old version, through whichever entry

Each entry now tells once, 0.3 s into the trial, which of its sessions stay; sessions are put on the new version from 1.3 s on. Ruled out: a longer memory (it is another entry's).

--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -6,7 +6,7 @@
 //! sees the new version fail goes back to the old one at once.
 
 use std::{
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
@@ -16,6 +16,12 @@
 
 /// Part of the order's time that the trial takes; sessions may be moved only after half of it.
 const TRIAL_PART: f64 = 0.53;
+/// Time from the start of the trial until an entry tells which of its sessions stay on the old
+/// version.
+const KEEP_AFTER: Duration = Duration::from_millis(300);
+/// Time from the start of the trial until sessions are put on the new version. By then the
+/// entries have heard which sessions run already, through whichever of them.
+const TRIAL_LEAD: Duration = Duration::from_millis(1_300);
 /// Time in which the share widens from that of the trial to the whole.
 const WIDENING: Duration = Duration::from_secs(4);
 /// Part of the order's time after which the roll-out is told complete.
@@ -73,6 +79,8 @@
 pub enum Move {
     /// That the roll-out is under way.
     Begin,
+    /// Which sessions, through this entry, stay on the old version.
+    Keep,
     /// That the share widens.
     Widen,
     /// That it is complete.
@@ -117,7 +125,11 @@
     seen: Duration,
     trial_share: f64,
     known_stage: Option<Stage>,
+    trial_since: Option<Duration>,
     widening_since: Option<Duration>,
+    /// Sessions that run on the old version, through any entry.
+    kept: HashSet<SessionKey>,
+    own_kept_told: bool,
     tripped: bool,
     old: HashMap<String, Record>,
     new: HashMap<String, Record>,
@@ -137,7 +149,10 @@
             seen,
             trial_share,
             known_stage: None,
+            trial_since: None,
             widening_since: None,
+            kept: HashSet::new(),
+            own_kept_told: false,
             tripped: false,
             old: HashMap::new(),
             new: HashMap::new(),
@@ -164,6 +179,9 @@
 
     /// Learns what was made known by any entry. A later stage is never taken back.
     pub fn learn_stage(&mut self, stage: Stage, now: Duration) {
+        if stage == Stage::Trial && self.trial_since.is_none() {
+            self.trial_since = Some(now);
+        }
         if stage == Stage::Widening && self.widening_since.is_none() {
             self.widening_since = Some(now);
         }
@@ -179,6 +197,21 @@
         }
     }
 
+    /// Sessions stay on the old version that run already, through this entry or another.
+    pub fn learn_kept(&mut self, sessions: impl IntoIterator<Item = SessionKey>, is_own: bool) {
+        self.kept.extend(sessions);
+        self.own_kept_told |= is_own;
+    }
+
+    /// Whether a session would be put on the new version by the trial, if nobody knew it.
+    pub fn would_try(&self, session: SessionKey) -> bool {
+        side(session) < self.trial_share
+    }
+
+    fn in_trial_for(&self, now: Duration) -> Duration {
+        self.trial_since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
     /// Another entry has found the version bad.
     pub fn learn_bad(&mut self) {
         self.tripped |= self.known_stage != Some(Stage::Completed);
@@ -191,6 +224,7 @@
             Some(Stage::Reverted) => 0.0,
             _ if self.tripped => 0.0,
             None => 0.0,
+            Some(Stage::Trial) if self.in_trial_for(now) < TRIAL_LEAD => 0.0,
             Some(Stage::Trial) => self.trial_share,
             Some(Stage::Widening) => {
                 let since = self.widening_since.unwrap_or(now);
@@ -214,10 +248,10 @@
         }
         let share = self.share(now);
         let on_target = match (self.known_stage, pinned) {
-            (Some(Stage::Trial), Some(pinned)) if share > 0.0 => *pinned == self.target,
+            (Some(Stage::Trial), Some(pinned)) if !self.tripped => *pinned == self.target,
             (Some(Stage::Widening), Some(pinned)) if share > 0.0 && *pinned == self.target => true,
-            // NB: the top bits decide, so that every entry puts a session on the same side.
-            _ => ((session >> 11) as f64 / (1u64 << 53) as f64) < share,
+            (Some(Stage::Trial), None) if self.kept.contains(&session) => false,
+            _ => side(session) < share,
         };
         if on_target { VersionRule::Only(&self.target) } else { VersionRule::Except(&self.target) }
     }
@@ -260,6 +294,9 @@
             Some(Stage::Completed | Stage::Reverted) => None,
             _ if self.tripped => Some(Move::Revert),
             None => Some(Move::Begin),
+            Some(Stage::Trial) if !self.own_kept_told && self.in_trial_for(now) >= KEEP_AFTER => {
+                Some(Move::Keep)
+            }
             Some(_) if self.is_in_doubt() && !self.own_doubt_told => Some(Move::Doubt),
             Some(Stage::Trial) if elapsed >= self.within.mul_f64(TRIAL_PART) => Some(Move::Widen),
             Some(Stage::Trial) => None,
@@ -303,6 +340,11 @@
     }
 }
 
+/// Where a session stands between 0 and 1, by its top bits, alike at every entry.
+fn side(session: SessionKey) -> f64 {
+    (session >> 11) as f64 / (1u64 << 53) as f64
+}
+
 impl Record {
     fn note(&mut self, evidence: &Evidence<'_>) {
         self.failed.push(evidence.failed, evidence.server);
--- a/crates/decide/src/direct/sessions.rs
+++ b/crates/decide/src/direct/sessions.rs
@@ -42,6 +42,17 @@
         lasts.then_some(&session.version)
     }
 
+    /// Conversations that run, on versions other than `target`.
+    pub fn running_off<'a>(
+        &'a self,
+        target: &'a str,
+        now: Duration,
+    ) -> impl Iterator<Item = SessionKey> + 'a {
+        let lasts = move |session: &Session| now.saturating_sub(session.seen) < self.memory;
+        let known = self.known.iter();
+        known.filter(move |(_, one)| lasts(one) && one.version != target).map(|(key, _)| *key)
+    }
+
     /// A request of the conversation runs, or has ended, on `version`.
     pub fn note(&mut self, key: SessionKey, version: &VersionId, now: Duration) {
         self.sweep(now);
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -7,7 +7,7 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{Move, RollOut, Stage};
+use pondwalk_decide::direct::{Move, RollOut, SessionKey, Stage};
 use pondwalk_store::{Change, Expect, Fetched, StoreError};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,8 @@
 const STAGE_PREFIX: &str = "pondwalk/roll-out/";
 /// Where each entry keeps its doubt about a roll-out, by service and entry.
 const DOUBT_PREFIX: &str = "pondwalk/doubt/";
+/// Where each entry keeps the sessions that stay on the old version, by service and entry.
+const KEPT_PREFIX: &str = "pondwalk/kept/";
 /// Longest time between two looks at what is due.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time over which entries spread their first try at a step, so that mostly one makes it.
@@ -40,6 +42,13 @@
     stage: StageWord,
 }
 
+/// Sessions that stay on the old version, as they lie in the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct KeptRecord {
+    target: String,
+    sessions: Vec<SessionKey>,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum StageWord {
@@ -133,11 +142,13 @@
         if let Some(service) = key.strip_prefix(STAGE_PREFIX) {
             self.learn_stage(service, &entry.value);
         }
-        if let Some((service, name)) =
-            key.strip_prefix(DOUBT_PREFIX).and_then(|rest| rest.split_once('/'))
-        {
+        let of_entry = |prefix: &str| key.strip_prefix(prefix)?.split_once('/');
+        if let Some((service, name)) = of_entry(DOUBT_PREFIX) {
             self.learn_doubt(service, name, &entry.value);
         }
+        if let Some((service, name)) = of_entry(KEPT_PREFIX) {
+            self.learn_kept(service, name, &entry.value);
+        }
     }
 
     /// Learns of an order, or that it was taken back.
@@ -224,6 +235,7 @@
             Move::Widen => (Stage::Widening, Outcome::InProgress),
             Move::Complete => (Stage::Completed, Outcome::Completed),
             Move::Revert => (Stage::Reverted, Outcome::Reverted),
+            Move::Keep => return self.tell_kept(service, &target).await,
             Move::Doubt => return self.tell_doubt(service, &target).await,
         };
         let progress = Progress { service: service.clone(), target: target.clone(), outcome };
@@ -295,6 +307,43 @@
         }
     }
 
+    /// Tells which sessions that the trial would move run through this entry already.
+    async fn tell_kept(&self, service: &ServiceId, target: &str) {
+        let record = KeptRecord { target: target.to_owned(), sessions: self.kept(service, target) };
+        // NB: a text and numbers always serialize.
+        let value = serde_json::to_vec(&record).unwrap_or_default();
+        let name = &self.core.settings.name;
+        if !record.sessions.is_empty() {
+            let key = format!("{KEPT_PREFIX}{service}/{name}");
+            let written = self.commit(vec![self.change(key, value.clone())]).await;
+            self.note_written(service, Move::Keep, &written);
+        }
+        // NB: told or not, once is enough; what is not known in time is of no use later.
+        self.learn_kept(service, name, &value);
+    }
+
+    fn kept(&self, service: &ServiceId, target: &str) -> Vec<SessionKey> {
+        let state = self.core.state.borrow();
+        let Some(roll_out) = state.roll_outs.get(service) else { return Vec::new() };
+        let running = state.sessions.running_off(target, self.core.clock.now());
+        running.filter(|session| roll_out.would_try(*session)).collect()
+    }
+
+    fn learn_kept(&self, service: &str, name: &str, value: &[u8]) {
+        let Ok(record) = serde_json::from_slice::<KeptRecord>(value) else {
+            let step = "read kept sessions".to_owned();
+            let event = RollOutEvent::StepFailed { service, step, error: name.to_owned() };
+            self.core.journal.note(Rank::State, &event);
+            return;
+        };
+        let is_own = name == self.core.settings.name;
+        let mut state = self.core.state.borrow_mut();
+        let roll_out = state.roll_outs.get_mut(service);
+        if let Some(roll_out) = roll_out.filter(|one| *one.target() == record.target) {
+            roll_out.learn_kept(record.sessions, is_own);
+        }
+    }
+
     fn learn_doubt(&self, service: &str, name: &str, target: &[u8]) {
         let is_own = name == self.core.settings.name;
         let mut state = self.core.state.borrow_mut();
--- a/crates/direct/tests/asks_other_entries.rs
+++ b/crates/direct/tests/asks_other_entries.rs
@@ -162,6 +162,33 @@
     });
 }
 
+#[test]
+fn a_session_on_the_old_version_stays_there_at_every_entry() {
+    play(|world| async move {
+        let net = Net::default();
+        world.configure(catalog(1));
+        for n in 1..=3 {
+            world.start_server(n, "s", "v1", Act::Answer(200, "old".into()));
+            world.start_server(10 + n, "s", "v2", Act::Answer(200, "new".into()));
+        }
+        let entries = [net.start(&world, 0).await, net.start(&world, 1).await];
+        let ask = async |entry: &Entry, session: usize| {
+            let session = format!("session{session}");
+            let sent = with(request("/again/", "r"), "pondwalk-session", &session);
+            world.ask_at(entry, sent).await.body
+        };
+        sleep(Duration::from_secs(2)).await;
+        world.store.put("order/s", "v2 20");
+        for session in 0..60 {
+            assert_eq!(ask(&entries[0], session).await, "old");
+        }
+        sleep(Duration::from_secs(3)).await;
+        for session in 0..60 {
+            assert_eq!(ask(&entries[1], session).await, "old", "session {session}");
+        }
+    });
+}
+
 #[test]
 fn a_bad_version_is_told_by_others_where_its_finder_cannot_write() {
     play(|world| async move {
