Bound what is remembered of each server's parts by time

Cause: 2,048 parts for each of 1,600 servers would be over 100 MB an entry at the design size; now those that are over are swept out as the table doubles.

--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -39,8 +39,8 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
 /// Time for which a part is taken to stay in a server's memory after its last use.
 const PART_MEMORY: Duration = Duration::from_secs(20);
-/// Parts remembered for one server; beyond that the old half is forgotten.
-const PARTS_LIMIT: usize = 2_048;
+/// Parts remembered for one server before those that are over are looked for.
+const MIN_PARTS: usize = 64;
 /// Part of a failure share that is forgotten each second, so that a server is tried again.
 const FAILURE_DECAY_PER_S: f64 = 0.2;
 
@@ -145,6 +145,7 @@
     paused_until: Duration,
     slowness: f64,
     parts: HashMap<(u64, u8), Duration>,
+    sweep_parts_at: usize,
 }
 
 /// The backend servers of one service.
@@ -316,6 +317,7 @@
             paused_until: Duration::ZERO,
             slowness: 1.0,
             parts: HashMap::new(),
+            sweep_parts_at: MIN_PARTS,
         }
     }
 
@@ -356,8 +358,10 @@
     fn admit(&mut self, ask: &Ask<'_>, expected_ms: f64, now: Duration) {
         self.waiting_ms += expected_ms;
         self.running += 1;
-        if self.parts.len() + ask.parts.len() > PARTS_LIMIT {
-            self.parts.retain(|_, used| now.saturating_sub(*used) < PART_MEMORY / 2);
+        if self.parts.len() >= self.sweep_parts_at {
+            self.parts.retain(|_, used| now.saturating_sub(*used) < PART_MEMORY);
+            // NB: doubling keeps the work of sweeping in proportion to that of inserting.
+            self.sweep_parts_at = (2 * self.parts.len()).max(MIN_PARTS);
         }
         for part in ask.parts {
             self.parts.insert((part.id, ask.model), now);
--- a/crates/decide/tests/direct.rs
+++ b/crates/decide/tests/direct.rs
@@ -116,6 +116,28 @@
     assert!(places.iter().any(|server| *server != first.server), "load moves them on");
 }
 
+#[test]
+fn what_a_server_read_long_ago_is_read_again() {
+    let mut rng = Pcg64Mcg::seed_from_u64(5);
+    let mut fleet = fleet(1);
+    let mut place = |at: Duration, id: u64| {
+        let prompt = [PromptPart { id, tokens: 4_000 }, PromptPart { id: 99, tokens: 10 }];
+        let ticket = fleet.place(&ask(&prompt), at, &mut rng).expect("a place");
+        fleet.ended(&ticket);
+        ticket.expected_ms
+    };
+    let first = place(ms(0), 1);
+    (2..400).for_each(|id| {
+        place(ms(id * 100), id);
+    });
+    assert!(place(ms(39_950), 399) < first);
+    assert_eq!(
+        place(ms(40_000), 1),
+        first - 10.0 * 0.05,
+        "only the part used all the time is kept"
+    );
+}
+
 #[test]
 fn another_entry_names_the_same_server() {
     let mut rng = Pcg64Mcg::seed_from_u64(2);
