Hold on to a silent stream until another server has answered

Now the old one is kept until the new head is there, and for good if none comes. Test a_silent_stream_goes_on_where_it_is_if_no_other_server_takes_it.

--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -43,10 +43,20 @@
 /// Where a stream comes from.
 struct Source {
     body: Incoming,
+    splitter: EventSplitter,
+    /// Whether it may be left for another when it is silent.
+    may_be_left: bool,
     _connection: Connection,
     placement: Placement,
 }
 
+impl Source {
+    fn new(body: Incoming, connection: Connection, placement: Placement) -> Self {
+        let splitter = EventSplitter::default();
+        Source { body, splitter, may_be_left: true, _connection: connection, placement }
+    }
+}
+
 /// How a source ended.
 enum End {
     /// Whole.
@@ -55,6 +65,8 @@
     CallerLeft,
     /// Before it was whole, for this reason.
     Broken(&'static str),
+    /// It is silent, and another could be asked.
+    Silent,
     /// The time for the request is over.
     TimedOut,
 }
@@ -69,7 +81,7 @@
     let (sender, receiver) = channel(WAITING_PIECES);
     let last_id = follower.run.job.last_event_id.clone();
     let relay = Relay { follower, sender, last_id };
-    let source = Source { body, _connection: connection, placement };
+    let source = Source::new(body, connection, placement);
     spawn_local(relay.run(source));
     receiver
 }
@@ -97,6 +109,15 @@
                     self.cut(&source, "timed_out").await;
                     return;
                 }
+                End::Silent => {
+                    let run = &self.follower.run;
+                    run.note_failed(&source.placement, "stream_silent", String::new());
+                    // NB: it is held on to until another has answered, since it may go on yet.
+                    match self.resume(&source).await {
+                        Some(next) => source = next,
+                        None => source.may_be_left = false,
+                    }
+                }
                 End::Broken(reason) => {
                     source.placement.broke();
                     let run = &self.follower.run;
@@ -115,14 +136,15 @@
 
     /// Passes events on until the source ends.
     async fn pass(&mut self, source: &mut Source) -> End {
-        let mut splitter = EventSplitter::default();
         let job = Rc::clone(&self.follower.run.job);
         let clock = self.follower.run.core.clock;
         let silence = job.route.event_pause.unwrap_or(DEFAULT_PAUSE).mul_f64(SILENCE_PART);
         let mut last_heard = clock.now();
         loop {
             // NB: with nowhere to go on, silence is no reason to end the answer.
-            let may_leave = source.placement.has_alternative && self.follower.run.may_go_on();
+            let may_leave = source.may_be_left
+                && source.placement.has_alternative
+                && self.follower.run.may_go_on();
             let until = if may_leave { last_heard + silence } else { clock.now() + silence };
             let until = until.min(job.give_up);
             let frame = select! {
@@ -132,16 +154,18 @@
             };
             match frame {
                 Err(_) if clock.now() >= job.give_up => return End::TimedOut,
-                Err(_) if may_leave => return End::Broken("silent"),
+                Err(_) if may_leave => return End::Silent,
                 Err(_) => {}
-                Ok(None) if splitter.has_rest() => return End::Broken("ended_within_an_event"),
+                Ok(None) if source.splitter.has_rest() => {
+                    return End::Broken("ended_within_an_event");
+                }
                 Ok(None) => return End::Whole,
                 Ok(Some(Err(_))) => return End::Broken("connection_broken"),
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     last_heard = clock.now();
-                    splitter.push(&data);
-                    if !self.deliver(&mut splitter).await {
+                    source.splitter.push(&data);
+                    if !self.deliver(&mut source.splitter).await {
                         return End::CallerLeft;
                     }
                 }
@@ -224,6 +248,5 @@
 
 fn source_of(exchange: Exchange, mut placement: Placement) -> Source {
     placement.began();
-    let body = exchange.response.into_body();
-    Source { body, _connection: exchange.connection, placement }
+    Source::new(exchange.response.into_body(), exchange.connection, placement)
 }
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -31,9 +31,9 @@
 
 /// Part of the objective after which a repeatable request without an answer's beginning is
 /// tried elsewhere.
-const PATIENCE_PART: f64 = 0.4;
+const PATIENCE_PART: f64 = 0.55;
 /// Shortest such time for streams, whose prompts must be read first.
-const STREAM_PATIENCE: Duration = Duration::from_millis(700);
+const STREAM_PATIENCE: Duration = Duration::from_millis(1_100);
 /// How many times the expected time may pass before that.
 const PATIENCE_FACTOR: f64 = 4.0;
 /// Share of the budget of further sends that escalations leave to retries.
--- a/crates/direct/tests/survives_backend_faults.rs
+++ b/crates/direct/tests/survives_backend_faults.rs
@@ -199,6 +199,22 @@
     });
 }
 
+#[test]
+fn a_silent_stream_goes_on_where_it_is_if_no_other_server_takes_it() {
+    play(|world| async move {
+        world.configure(catalog(1));
+        let gap = Duration::from_millis(1_500);
+        let slow = Act::Stream { last: 4, gap, confidence: None, cut_in: None };
+        world.start_server(1, "s", "v1", slow);
+        world.start_server(2, "s", "v1", Act::NotRun(503));
+        world.start().await;
+        for number in 0..4 {
+            let answer = world.ask(request("/stream/", &format!("r{number}"))).await;
+            assert_eq!((answer.body, answer.whole), (events(1..=4), true));
+        }
+    });
+}
+
 #[test]
 fn a_stream_that_has_used_up_its_sends_is_waited_for() {
     play(|world| async move {
