--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -23,8 +23,9 @@
 
 /// Pieces that may wait for a slow caller before the backend server is held up.
 const WAITING_PIECES: usize = 16;
-/// Part of the longest pause in time after which a silent stream is resumed elsewhere.
-const SILENCE_PART: f64 = 0.8;
+/// Silence after which a stream is resumed elsewhere, as a multiple of the longest pause in time.
+/// Most streams that pause that long go on by themselves, so a shorter one wins nothing.
+const SILENCE_PART: f64 = 1.3;
 /// Longest silence of a stream whose route tells no pause.
 const DEFAULT_PAUSE: Duration = Duration::from_secs(2);
 
