--- a/crates/decide/src/direct/cascade.rs
+++ b/crates/decide/src/direct/cascade.rs
@@ -23,9 +23,9 @@
 /// Largest price of a middle model, as a share of the largest model's, at which it is tried.
 const MIDDLE_PRICE_SHARE: f64 = 0.7;
 /// Weight of the newest request in the strain.
-const STRAIN_GAIN: f64 = 0.08;
+const STRAIN_GAIN: f64 = 0.15;
 /// Strain up to which the threshold stays, and at which it has fallen all the way.
-const STRAIN_BOUNDS: (f64, f64) = (0.25, 0.6);
+const STRAIN_BOUNDS: (f64, f64) = (0.22, 0.45);
 /// How far the threshold falls under strain.
 const STRAIN_FALL: f64 = 50.0;
 
@@ -74,7 +74,7 @@
         *lift += LIFT_GAIN * (gained - *lift);
     }
 
-    /// An answer of the largest model began after this part of its objective.
+    /// An answer began after this part of its objective, as weighed for its model.
     pub fn note_strain(&mut self, part: f64) {
         self.strain += STRAIN_GAIN * (part.min(2.0) - self.strain);
     }
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -38,6 +38,9 @@
 const PATIENCE_FACTOR: f64 = 4.0;
 /// Share of the budget of further sends that escalations leave to retries.
 const RETRY_RESERVE: f64 = 0.15;
+/// How much more an answer of the smallest model that begins late tells of strain than one of the
+/// largest: it reads faster, so what it waited for was others' work.
+const SMALL_MODEL_STRAIN: f64 = 3.0;
 /// Time that is kept for an answer's way back to the caller.
 const WAY_BACK: Duration = Duration::from_millis(8);
 
@@ -353,7 +356,9 @@
         if let (Some(dropped), Some(confidence)) = (self.dropped, confidence) {
             cascade.learn(dropped, (self.model, confidence));
         }
-        if usize::from(self.model) + 1 == prices.len() {
+        if self.model == 0 {
+            cascade.note_strain(SMALL_MODEL_STRAIN * part);
+        } else if usize::from(self.model) + 1 == prices.len() {
             cascade.note_strain(part);
         }
         cascade.next_model(self.model, confidence, &prices)
