--- a/crates/decide/src/direct/cascade.rs
+++ b/crates/decide/src/direct/cascade.rs
@@ -23,7 +23,7 @@
 /// Largest price of a middle model, as a share of the largest model's, at which it is tried.
 const MIDDLE_PRICE_SHARE: f64 = 0.7;
 /// Weight of the newest request in the strain.
-const STRAIN_GAIN: f64 = 0.15;
+const STRAIN_GAIN: f64 = 0.06;
 /// Strain up to which the threshold stays, and at which it has fallen all the way.
 const STRAIN_BOUNDS: (f64, f64) = (0.22, 0.45);
 /// How far the threshold falls under strain.
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -40,7 +40,7 @@
 const RETRY_RESERVE: f64 = 0.15;
 /// How much more an answer of the smallest model that begins late tells of strain than one of the
 /// largest: it reads faster, so what it waited for was others' work.
-const SMALL_MODEL_STRAIN: f64 = 3.0;
+const SMALL_MODEL_STRAIN: f64 = 2.2;
 /// Time that is kept for an answer's way back to the caller.
 const WAY_BACK: Duration = Duration::from_millis(8);
 
