--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -5,14 +5,17 @@
 //! condition broken and reads what was written. An entry that restarts takes up where the store
 //! says the roll-out stands.
 
+mod records;
+
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use pondwalk_decide::direct::{Move, RollOut, SessionKey, Stage};
 use pondwalk_store::{Change, Expect, Fetched, StoreError};
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use tokio::{sync::Notify, time::timeout};
 
+use records::{KeptRecord, RollOutEvent, StageRecord};
+
 use crate::{
     catalog::ServiceId,
     core::Core,
@@ -35,69 +38,6 @@
 /// Pause after a step that could not be written.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// A stage as it lies in the store.
-#[derive(Debug, Serialize, Deserialize)]
-struct StageRecord {
-    target: String,
-    stage: StageWord,
-}
-
-/// Sessions that stay on the old version, as they lie in the store.
-#[derive(Debug, Serialize, Deserialize)]
-struct KeptRecord {
-    target: String,
-    sessions: Vec<SessionKey>,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum StageWord {
-    Trial,
-    Widening,
-    Completed,
-    Reverted,
-}
-
-impl From<Stage> for StageWord {
-    fn from(stage: Stage) -> Self {
-        match stage {
-            Stage::Trial => StageWord::Trial,
-            Stage::Widening => StageWord::Widening,
-            Stage::Completed => StageWord::Completed,
-            Stage::Reverted => StageWord::Reverted,
-        }
-    }
-}
-
-impl From<StageWord> for Stage {
-    fn from(word: StageWord) -> Self {
-        match word {
-            StageWord::Trial => Stage::Trial,
-            StageWord::Widening => Stage::Widening,
-            StageWord::Completed => Stage::Completed,
-            StageWord::Reverted => Stage::Reverted,
-        }
-    }
-}
-
-/// A change of a roll-out, under the name of the event.
-#[derive(Debug, Serialize)]
-#[serde(tag = "event")]
-enum RollOutEvent<'a> {
-    #[serde(rename = "roll_out_ordered")]
-    Ordered { service: &'a str, target: &'a str, within_ms: u64 },
-    #[serde(rename = "roll_out_stage")]
-    Stage { service: &'a str, target: &'a str, stage: &'a str },
-    #[serde(rename = "roll_out_step_written")]
-    StepWritten { service: &'a str, step: String, revision: u64 },
-    #[serde(rename = "entry_not_listed")]
-    NotListed { key: String, error: String },
-    #[serde(rename = "bad_version_told")]
-    ToldBad { service: &'a str, entry: String, error: Option<String> },
-    #[serde(rename = "roll_out_step_failed")]
-    StepFailed { service: &'a str, step: String, error: String },
-}
-
 /// Follows all roll-outs.
 pub struct Conductor {
     core: Rc<Core>,
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -6,6 +6,7 @@
 mod refuse;
 mod relay;
 mod report;
+mod run;
 mod serve;
 mod sides;
 
--- a/crates/direct/src/http/listen.rs
+++ b/crates/direct/src/http/listen.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     pin, select,
     sync::Notify,
     task::spawn_local,
@@ -60,21 +60,27 @@
     }
 }
 
-/// Accepts connections for as long as the process runs.
+/// Accepts callers' connections for as long as the process runs.
 pub async fn accept(entry: Entry, listener: TcpListener) {
+    let core = Rc::clone(entry.core());
+    accept_each(&core, listener, |stream| {
+        // NB: a socket that takes no options has been closed already; serving it finds that out.
+        let _ = stream.set_nodelay(true);
+        let _ = govern(&stream);
+        let entry = entry.clone();
+        spawn_local(async move { entry.serve(stream).await });
+    })
+    .await;
+}
+
+/// Hands each connection that arrives on; a failed accept is logged and tried again.
+pub async fn accept_each(core: &Core, listener: TcpListener, take: impl Fn(TcpStream)) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                // NB: a socket that takes no options has been closed already; serving it finds
-                // that out.
-                let _ = stream.set_nodelay(true);
-                let _ = govern(&stream);
-                let entry = entry.clone();
-                spawn_local(async move { entry.serve(stream).await });
-            }
+            Ok((stream, _)) => take(stream),
             Err(error) => {
                 let event = ListenEvent::AcceptFailed { error: error.to_string() };
-                entry.core().journal.note(Rank::State, &event);
+                core.journal.note(Rank::State, &event);
                 sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -12,7 +12,7 @@
     time::timeout_at,
 };
 
-use super::{body::Cut, report::RequestEvent, serve::Run};
+use super::{body::Cut, report::RequestEvent, run::Run};
 use crate::{
     events::EventSplitter,
     journal::Rank,
--- /dev/null
+++ b/crates/direct/src/http/run.rs
@@ -0,0 +1,273 @@
+//! One request under way: its sends, and what is told of them.
+
+use std::{rc::Rc, time::Duration};
+
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{HOST, HeaderName, HeaderValue},
+};
+use pondwalk_decide::direct::ModelNumber;
+use pondwalk_types::{ServerId, VersionId};
+
+use super::report::RequestEvent;
+use crate::{
+    core::Core,
+    journal::Rank,
+    metrics::{Counter, Timer},
+    placement::Placement,
+    request::{Job, key_still_holds},
+    upstream::{self, Exchange, SendError},
+};
+
+/// Time that is kept for an answer's way back to the caller.
+const WAY_BACK: Duration = Duration::from_millis(8);
+
+/// Counts a request as under way until it is dropped.
+pub struct UnderWay {
+    core: Rc<Core>,
+}
+
+impl UnderWay {
+    /// Counts one more.
+    pub fn enter(core: &Rc<Core>) -> Self {
+        core.under_way.set(core.under_way.get() + 1);
+        UnderWay { core: Rc::clone(core) }
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.core.under_way.set(self.core.under_way.get() - 1);
+    }
+}
+
+/// One request under way.
+pub struct Run {
+    /// What the process believes.
+    pub core: Rc<Core>,
+    /// The request.
+    pub job: Rc<Job>,
+    /// Sends that reached a backend server.
+    pub sends: u32,
+    /// Servers that are not asked again.
+    pub avoid: Vec<ServerId>,
+    /// Model of the next send, among the route's.
+    pub model: ModelNumber,
+    /// Model and confidence of the answer that was dropped last.
+    pub dropped: Option<(ModelNumber, u8)>,
+    /// Version whose server failed the request last.
+    pub failed_version: Option<VersionId>,
+    /// Whether any send may have run.
+    pub may_have_run: bool,
+    _under_way: UnderWay,
+}
+
+impl Run {
+    /// A request that has just been read.
+    pub fn new(core: &Rc<Core>, job: Job, under_way: UnderWay) -> Self {
+        let now = core.clock.now();
+        core.state.borrow_mut().budget(&job.service.name).note_request(now);
+        Run {
+            core: Rc::clone(core),
+            job: Rc::new(job),
+            sends: 0,
+            avoid: Vec::new(),
+            model: 0,
+            dropped: None,
+            failed_version: None,
+            may_have_run: false,
+            _under_way: under_way,
+        }
+    }
+
+    /// The run as the relay of its stream carries it on.
+    pub fn carried_on(&self) -> Run {
+        Run {
+            core: Rc::clone(&self.core),
+            job: Rc::clone(&self.job),
+            sends: self.sends,
+            avoid: self.avoid.clone(),
+            model: self.model,
+            dropped: None,
+            failed_version: self.failed_version.clone(),
+            may_have_run: true,
+            _under_way: UnderWay::enter(&self.core),
+        }
+    }
+
+    /// A place for the next send.
+    pub fn find_place(&self) -> Option<Placement> {
+        let failed = self.failed_version.as_deref();
+        Placement::find(&self.core, &self.job, self.model, &self.avoid, failed)
+    }
+
+    /// Sends the request to its place and waits for the head of the answer.
+    pub async fn send(
+        &mut self,
+        placement: &Placement,
+        until: Duration,
+        last_event_id: Option<&str>,
+    ) -> Result<Exchange, SendError> {
+        let request = self.outgoing(placement, last_event_id);
+        let until = self.core.clock.instant(until);
+        let connect = &self.core.connect;
+        let sent = upstream::send(connect, placement.address, request, until, || self.may_send());
+        let sent = sent.await;
+        if !matches!(sent, Err(SendError::NotSent(_))) {
+            self.sends += 1;
+            self.core.metrics.count(Counter::Sends);
+            if self.sends > 1 {
+                self.core.metrics.count(Counter::FurtherSends);
+            }
+        }
+        sent
+    }
+
+    /// Whether the request may still be sent: its key must be held by a state that is fresh.
+    pub fn may_send(&self) -> bool {
+        if self.job.key.is_none() {
+            return true;
+        }
+        let state = self.core.state.borrow();
+        let holds =
+            state.catalog.as_ref().is_some_and(|catalog| key_still_holds(&self.job, catalog));
+        holds && state.freshness.holds(self.core.clock.now())
+    }
+
+    /// Takes one more send out of the request's own limit and the shared budget.
+    pub fn take_further_send(&self, spare: f64) -> bool {
+        let now = self.core.clock.now();
+        let service = &self.job.service.name;
+        self.sends < self.job.route.max_attempts
+            && self.core.state.borrow_mut().budget(service).try_take(now, spare)
+    }
+
+    /// Whether one more send could be taken.
+    pub fn may_go_on(&self) -> bool {
+        let now = self.core.clock.now();
+        let job = &self.job;
+        job.route.kind.may_repeat()
+            && self.sends < job.route.max_attempts
+            && self.core.state.borrow_mut().budget(&job.service.name).has_room(now, 0.0)
+    }
+
+    /// The request as the backend server gets it.
+    fn outgoing(
+        &self,
+        placement: &Placement,
+        last_event_id: Option<&str>,
+    ) -> Request<Full<bytes::Bytes>> {
+        let job = &self.job;
+        let dialect = &self.core.dialect;
+        let mut request = Request::new(Full::from(job.body.clone()));
+        *request.method_mut() = job.method.clone();
+        // NB: the target was parsed as part of a URI before.
+        *request.uri_mut() = job.target.parse().unwrap_or_default();
+        let headers = request.headers_mut();
+        headers.clone_from(&job.headers);
+        if !headers.contains_key(HOST) {
+            put(headers, &HOST, &job.route.host);
+        }
+        let left = job.give_up.saturating_sub(self.core.clock.now()).saturating_sub(WAY_BACK);
+        put(headers, &dialect.deadline_ms, &left.as_millis().max(1).to_string());
+        put(headers, &dialect.expected_server, placement.server());
+        if let Some(workspace) = &job.workspace {
+            put(headers, &dialect.workspace, &workspace.name);
+        }
+        if let Some(model) = &placement.model {
+            put(headers, &dialect.model, model);
+        }
+        if let Some(id) = last_event_id {
+            put(headers, &dialect.last_event_id, id);
+        }
+        request
+    }
+
+    /// Whether the server says that it did not run the request.
+    pub fn says_not_run(&self, response: &Response<Incoming>) -> bool {
+        response.status() == StatusCode::MISDIRECTED_REQUEST
+            || response.headers().contains_key(&self.core.dialect.not_run)
+    }
+
+    /// Whether the answer is the server's own, to this request.
+    pub fn is_authentic(&self, response: &Response<Incoming>) -> bool {
+        let dialect = &self.core.dialect;
+        let id = response.headers().get(&dialect.request_id);
+        let its = id.is_some_and(|id| id.as_bytes() == self.job.id.as_bytes());
+        its && response.headers().contains_key(&dialect.signature)
+    }
+
+    /// The model's own opinion of its answer, 0 to 100, if it tells one.
+    pub fn confidence(&self, headers: &HeaderMap) -> Option<u8> {
+        let text = headers.get(&self.core.dialect.confidence)?.to_str().ok()?;
+        let confidence: f64 = text.trim().parse().ok()?;
+        Some(confidence.clamp(0.0, 100.0) as u8)
+    }
+
+    /// Time since the request arrived, in milliseconds.
+    pub fn after_ms(&self) -> u64 {
+        self.core.clock.now().saturating_sub(self.job.arrived).as_millis() as u64
+    }
+
+    /// Logs a send that brought no answer to pass on.
+    pub fn note_failed(&self, placement: &Placement, outcome: &'static str, detail: String) {
+        let event = RequestEvent::SendFailed {
+            request: &self.job.id,
+            route: &self.job.route.name,
+            server: placement.server(),
+            version: &placement.version,
+            model: placement.model.as_deref(),
+            outcome,
+            detail,
+            after_ms: self.after_ms(),
+        };
+        self.core.journal.note(Rank::Failure, &event);
+    }
+
+    /// Logs that an answer to this request made a version bad.
+    pub fn note_tripped(&self, placement: &Placement) {
+        let event = RequestEvent::VersionTripped {
+            request: &self.job.id,
+            service: &self.job.service.name,
+            version: &placement.version,
+        };
+        self.core.journal.note(Rank::State, &event);
+    }
+
+    /// Counts and logs an answer passed on.
+    pub fn note_answered(
+        &self,
+        placement: &Placement,
+        confidence: Option<u8>,
+        head_ms: u64,
+        status: StatusCode,
+    ) {
+        let after_ms = self.after_ms();
+        self.core.metrics.count(Counter::Answered);
+        self.core.metrics.time(Timer::WholeAnswer, Duration::from_millis(after_ms));
+        let event = RequestEvent::RequestAnswered {
+            request: &self.job.id,
+            route: &self.job.route.name,
+            server: placement.server(),
+            version: &placement.version,
+            model: placement.model.as_deref(),
+            status: status.as_u16(),
+            confidence,
+            configuration: self.job.catalog_version,
+            sends: self.sends,
+            head_ms,
+            expected_ms: placement.expected_ms() as u64,
+            after_ms,
+        };
+        self.core.journal.note(Rank::Success, &event);
+    }
+}
+
+/// Sets a header; a text that may not stand in one was checked where it came from.
+fn put(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- a/crates/direct/src/http/sides.rs
+++ b/crates/direct/src/http/sides.rs
@@ -11,7 +11,7 @@
     task::spawn_local,
 };
 
-use super::body::AnswerBody;
+use super::{body::AnswerBody, listen::accept_each};
 use crate::{core::Core, entry::Entry};
 
 /// Path under which counters are told.
@@ -32,26 +32,19 @@
 
 /// Answers other entries.
 pub async fn serve_peers(entry: Entry, listener: TcpListener) {
-    loop {
-        // NB: a failed accept leaves nothing to do; whoever asks tries again.
-        if let Ok((stream, _)) = listener.accept().await {
-            let entry = entry.clone();
-            spawn_local(async move { entry.serve_peer(stream).await });
-        } else {
-            tokio::task::yield_now().await;
-        }
-    }
+    let core = Rc::clone(entry.core());
+    accept_each(&core, listener, |stream| {
+        let entry = entry.clone();
+        spawn_local(async move { entry.serve_peer(stream).await });
+    })
+    .await;
 }
 
 async fn serve(core: Rc<Core>, listener: TcpListener, answer: Answer) {
-    loop {
-        // NB: a failed accept leaves nothing to do; whoever asks tries again.
-        if let Ok((stream, _)) = listener.accept().await {
-            spawn_local(connection(Rc::clone(&core), stream, answer));
-        } else {
-            tokio::task::yield_now().await;
-        }
-    }
+    accept_each(&core, listener, |stream| {
+        spawn_local(connection(Rc::clone(&core), stream, answer));
+    })
+    .await;
 }
 
 async fn connection(core: Rc<Core>, stream: TcpStream, answer: Answer) {
