Serve what needs no key while the store is away

Cause, found in reading: freshness was asked of every request, so callers of routes without keys were refused with the store away, though only keys may go stale. Unknown routes still get 503 then, no 404. Test what_needs_no_key_is_served_while_the_store_is_away failed before.

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -120,8 +120,10 @@
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        let holds = state.freshness.holds(self.clock.now());
-        self.stopping.get() == Stopping::No && state.catalog.is_some() && holds
+        let Some(catalog) = &state.catalog else { return false };
+        // NB: without keys there is nothing that an old configuration must not be trusted with.
+        let serves = !catalog.asks_for_keys() || state.freshness.holds(self.clock.now());
+        self.stopping.get() == Stopping::No && serves
     }
 }
 
--- a/crates/direct/src/http/intake.rs
+++ b/crates/direct/src/http/intake.rs
@@ -54,16 +54,18 @@
     if let Some(age) = state.freshness.age(arrived) {
         core.metrics.time(Timer::ConfigurationAge, age);
     }
-    // NB: what is refused for good below must not rest on an old configuration.
-    if !state.freshness.holds(arrived) {
-        return Err(Refusal::Stale);
-    }
+    let is_fresh = state.freshness.holds(arrived);
     let id = text(&parts.headers, &core.dialect.request_id).ok_or(Refusal::Malformed)?;
     let host = host_of(&parts.uri, &parts.headers).ok_or(Refusal::Malformed)?;
-    let route = catalog.route(&host, parts.uri.path()).cloned().ok_or(Refusal::NoRoute)?;
+    // NB: what is refused for good must not rest on an old configuration.
+    let absent = if is_fresh { Refusal::NoRoute } else { Refusal::Stale };
+    let route = catalog.route(&host, parts.uri.path()).cloned().ok_or(absent)?;
+    let needs_key = catalog.asks_for_keys() && !route.anonymous;
+    if needs_key && !is_fresh {
+        return Err(Refusal::Stale);
+    }
     let key = key_of(core, &parts.headers);
     let workspace = key.as_deref().and_then(|key| catalog.workspace_of(key)).cloned();
-    let needs_key = catalog.asks_for_keys() && !route.anonymous;
     if needs_key && workspace.is_none() {
         return Err(Refusal::UnknownKey);
     }
--- a/crates/direct/tests/survives_store_faults.rs
+++ b/crates/direct/tests/survives_store_faults.rs
@@ -39,6 +39,21 @@
     }
 }
 
+#[test]
+fn what_needs_no_key_is_served_while_the_store_is_away() {
+    play(|world| async move {
+        with_one_server(&world).await;
+        world.store.set_weather(Weather::Refused);
+        sleep(Duration::from_secs(30)).await;
+        let mut open = request("/open/", "r1");
+        open.headers_mut().remove("authorization");
+        assert_eq!(world.ask(open).await.status, StatusCode::OK);
+        // NB: the route may have been added meanwhile, so this is no 404.
+        let nowhere = world.ask(request("/nowhere/", "r2")).await;
+        assert_eq!(nowhere.status, StatusCode::SERVICE_UNAVAILABLE);
+    });
+}
+
 #[test]
 fn a_key_taken_away_is_refused_at_once_and_one_added_is_taken() {
     play(|world| async move {
