Share doubts about failures, and ask more of them where more entries share a trial

An entry with 2 failures of 2 servers, a quarter of what it saw, now tells its doubt; 2 and one more for every 10 entries call the version bad. Ruled out: fewer failures at one entry alone (sick servers of a good version). Tests: many_entries_..., a_few_failures_...

--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -3,7 +3,9 @@
 //!
 //! A trial at a small share lasts for half of the time that the order gives. Then the share
 //! widens to the whole, and at last the roll-out is told complete. At any moment an entry that
-//! sees the new version fail goes back to the old one at once.
+//! sees the new version fail goes back to the old one at once. What one entry sees of slowness may
+//! be too little, so entries tell one another of their doubts; and they tell which sessions run
+//! already, so that no session changes its version by coming through another entry.
 
 use std::{
     collections::{BTreeSet, HashMap, HashSet, VecDeque},
@@ -58,8 +60,13 @@
 const MIN_SLOW_WIDENING: usize = 13;
 /// Part of those from which an entry makes its doubt known.
 const DOUBT_PART: f64 = 0.5;
-/// Entries in doubt that together call a version bad.
+/// Failures of all kinds from which an entry makes its doubt known. Where many entries share the
+/// trial, each sees few.
+const DOUBT_FAILURES: usize = 2;
+/// Entries in doubt that together call a version bad, and entries for each one more. One sick
+/// server in seven puts up to 3 of 30 in doubt about a good version.
 const MIN_DOUBTS: usize = 2;
+const ENTRIES_PER_DOUBT: usize = 10;
 
 /// How far a roll-out has come among the entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -135,6 +142,8 @@
     new: HashMap<String, Record>,
     /// Slow answers of the new version, of all kinds.
     slow: Latest,
+    /// Failures of the new version, of all kinds.
+    failed: Latest,
     /// Entries that have made their doubt known, this one included.
     doubts: BTreeSet<String>,
     own_doubt_told: bool,
@@ -157,6 +166,7 @@
             old: HashMap::new(),
             new: HashMap::new(),
             slow: Latest::default(),
+            failed: Latest::default(),
             doubts: BTreeSet::new(),
             own_doubt_told: false,
         }
@@ -188,11 +198,12 @@
         self.known_stage = self.known_stage.max(Some(stage));
     }
 
-    /// Learns that an entry is in doubt; enough of them call the version bad.
-    pub fn learn_doubt(&mut self, entry: &str, is_own: bool) {
+    /// Learns that one of so many `entries` is in doubt; enough of them call the version bad.
+    pub fn learn_doubt(&mut self, entry: &str, is_own: bool, entries: usize) {
         self.doubts.insert(entry.to_owned());
         self.own_doubt_told |= is_own;
-        if self.doubts.len() >= MIN_DOUBTS && self.known_stage != Some(Stage::Completed) {
+        let needed = MIN_DOUBTS + entries / ENTRIES_PER_DOUBT;
+        if self.doubts.len() >= needed && self.known_stage != Some(Stage::Completed) {
             self.tripped = true;
         }
     }
@@ -267,6 +278,9 @@
         {
             self.slow.push(slow, evidence.server);
         }
+        if of_target {
+            self.failed.push(evidence.failed, evidence.server);
+        }
         let records = if of_target { &mut self.new } else { &mut self.old };
         if !records.contains_key(evidence.kind) {
             records.insert(evidence.kind.to_owned(), Record::default());
@@ -326,7 +340,15 @@
     }
 
     fn is_in_doubt(&self) -> bool {
-        self.is_slow_in(DOUBT_PART)
+        self.is_slow_in(DOUBT_PART) || self.fails_doubtfully()
+    }
+
+    fn fails_doubtfully(&self) -> bool {
+        let of_old = self.old.values().map(|record| record.failed.share()).fold(0.0, f64::max);
+        self.failed.count() >= DOUBT_FAILURES
+            && self.failed.servers() >= MIN_SERVERS
+            && self.failed.share() >= MIN_FAILURE_SHARE
+            && self.failed.share() >= FAILURE_RATIO * of_old
     }
 
     /// Whether at least this part of the slow answers needed to call the version bad is there.
--- a/crates/decide/tests/direct.rs
+++ b/crates/decide/tests/direct.rs
@@ -381,14 +381,40 @@
         one.note("v2", &evidence(&format!("s{}", n % 2), false, 9.0), ms(1));
     }
     assert_eq!(one.next_move(ms(1)), Some(Move::Doubt));
-    one.learn_doubt("e1", true);
+    one.learn_doubt("e1", true, 4);
     assert_eq!((one.next_move(ms(1)), one.is_tripped()), (None, false));
-    one.learn_doubt("e1", true);
+    one.learn_doubt("e1", true, 4);
     assert!(!one.is_tripped(), "one entry counts once");
-    one.learn_doubt("e2", false);
+    one.learn_doubt("e2", false, 4);
     assert_eq!(one.next_move(ms(1)), Some(Move::Revert));
 }
 
+#[test]
+fn many_entries_that_saw_two_failures_each_call_a_version_bad() {
+    let mut one = roll_out();
+    one.learn_stage(Stage::Trial, ms(0));
+    one.learn_kept([], true);
+    one.note("v2", &evidence("s1", true, 1.0), ms(1));
+    assert_eq!(one.next_move(ms(1)), None);
+    one.note("v2", &evidence("s2", true, 1.0), ms(1));
+    assert_eq!(one.next_move(ms(1)), Some(Move::Doubt));
+    (0..4).for_each(|n| one.learn_doubt(&format!("e{n}"), n == 0, 30));
+    assert!(!one.is_tripped(), "four of thirty may have met the same sick servers");
+    one.learn_doubt("e4", false, 30);
+    assert_eq!(one.next_move(ms(1)), Some(Move::Revert));
+}
+
+#[test]
+fn a_few_failures_among_many_answers_raise_no_doubt() {
+    let mut one = roll_out();
+    one.learn_stage(Stage::Trial, ms(0));
+    one.learn_kept([], true);
+    for n in 0..20 {
+        one.note("v2", &evidence(&format!("s{n}"), n % 10 == 9, 1.0), ms(1));
+        assert_eq!(one.next_move(ms(1)), None);
+    }
+}
+
 #[test]
 fn a_slow_version_trips_and_an_equal_one_hardly_ever() {
     let trips = |factor: f64, seed: u64| {
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -289,7 +289,7 @@
         let mut state = self.core.state.borrow_mut();
         let roll_out = state.roll_outs.get_mut(service);
         if let Some(roll_out) = roll_out.filter(|one| one.target().as_bytes() == target) {
-            roll_out.learn_doubt(name, is_own);
+            roll_out.learn_doubt(name, is_own, self.core.peers.count());
         }
     }
 
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -132,6 +132,11 @@
         Some((name.clone(), peer.address))
     }
 
+    /// Entries that are listed.
+    pub fn count(&self) -> usize {
+        self.listed.borrow().len()
+    }
+
     /// A few other entries that answered when last asked.
     pub fn some_others(&self, now: Duration) -> Vec<SocketAddr> {
         let listed = self.listed.borrow();
