Keep back half a second of the bound on keys, in place of a fifth

Entries there have down to 0.09 of a core: what lies between the last look at the stamp and the first byte may take longer than 200 ms on a slowed one. This is a precaution, not a proven mend; the finding stays open. The test of the deployed template asserts the new bound.

--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -9,7 +9,7 @@
 };
 
 /// Share of the key bound that is kept back for the way from this process to a backend server.
-const KEY_BOUND_MARGIN: f64 = 0.04;
+const KEY_BOUND_MARGIN: f64 = 0.1;
 
 /// Everything a direct entry learns from its file.
 #[derive(Debug, Clone)]
--- a/crates/config/tests/accepts_sample_files.rs
+++ b/crates/config/tests/accepts_sample_files.rs
@@ -80,7 +80,7 @@
     assert!(!text.contains("{{"), "a gap without a value in\n{text}");
     let file = RawFile::parse(Path::new("entry.ini"), &text).expect("INI");
     let settings = DirectSettings::try_from(file).expect("accepted");
-    assert_eq!(settings.key_bound.as_millis(), 4_800);
+    assert_eq!(settings.key_bound.as_millis(), 4_500);
     assert_eq!(settings.session_ttl.as_millis(), 5_500);
     assert!(settings.peers.is_some() && settings.metrics.is_some());
 }
