Leave a reverted version out of the next roll-out

"Not the new version" then took in the bad one's servers, which were still there. Ruled out: moved sessions (the logs show v1, v2 and v1 again within one request).

--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -153,12 +153,14 @@
 pub struct Fleet {
     home: DataCentreId,
     servers: Vec<Option<Server>>,
+    /// Versions that were found bad; their servers get nothing, whatever a rule allows.
+    bad_versions: Vec<VersionId>,
 }
 
 impl Fleet {
     /// No servers; `home` is the entry's own data centre.
     pub fn new(home: &str) -> Self {
-        Fleet { home: home.to_owned(), servers: Vec::new() }
+        Fleet { home: home.to_owned(), ..Fleet::default() }
     }
 
     /// Learns of a server, or of a change of it. A server once seen to leave stays so.
@@ -174,6 +176,28 @@
         }
     }
 
+    /// Leaves a version out from now on, as a roll-out of it was reverted.
+    pub fn leave_out(&mut self, version: &str) {
+        if !self.is_left_out(version) {
+            self.bad_versions.push(version.to_owned());
+        }
+    }
+
+    /// Lets a version in again, as it is to be rolled out anew.
+    pub fn let_in(&mut self, version: &str) {
+        self.bad_versions.retain(|bad| bad != version);
+    }
+
+    fn is_left_out(&self, version: &str) -> bool {
+        self.bad_versions.iter().any(|bad| bad == version)
+    }
+
+    /// Whether a server may get work by a rule.
+    fn may_serve(&self, server: &Server, versions: VersionRule<'_>) -> bool {
+        let version = &server.facts.version;
+        server.is_open() && versions.allows(version) && !self.is_left_out(version)
+    }
+
     /// Forgets a server.
     pub fn remove(&mut self, id: &str) {
         for slot in &mut self.servers {
@@ -208,7 +232,7 @@
         let mut best: Option<(f64, ServerIndex, f64)> = None;
         for (index, server) in self.servers.iter().enumerate() {
             let Some(server) = server else { continue };
-            let open = server.is_open() && ask.versions.allows(&server.facts.version);
+            let open = self.may_serve(server, ask.versions);
             if !open || ask.avoid.contains(&server.facts.id) {
                 continue;
             }
@@ -284,15 +308,14 @@
 
     fn open(&self, versions: VersionRule<'_>) -> impl Iterator<Item = &Server> {
         let servers = self.servers.iter().flatten();
-        servers.filter(move |server| server.is_open() && versions.allows(&server.facts.version))
+        servers.filter(move |server| self.may_serve(server, versions))
     }
 
     /// The server that hashing names for a shared part.
     fn named_for(&self, part: u64, versions: VersionRule<'_>) -> Option<ServerIndex> {
         let servers = self.servers.iter().enumerate();
         let servers = servers.filter_map(|(index, server)| Some((index, server.as_ref()?)));
-        let open = servers
-            .filter(|(_, server)| server.is_open() && versions.allows(&server.facts.version));
+        let open = servers.filter(|(_, server)| self.may_serve(server, versions));
         let named = open.max_by_key(|(_, server)| mix(server.hash ^ part));
         named.map(|(index, _)| index)
     }
--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -187,6 +187,11 @@
         self.tripped
     }
 
+    /// Whether the new version gets nothing any more.
+    pub fn is_off(&self) -> bool {
+        self.tripped || self.known_stage == Some(Stage::Reverted)
+    }
+
     /// Learns what was made known by any entry. A later stage is never taken back.
     pub fn learn_stage(&mut self, stage: Stage, now: Duration) {
         if stage == Stage::Trial && self.trial_since.is_none() {
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -104,7 +104,14 @@
         let share = self.core.settings.roll_out.exposure;
         let now = self.core.clock.now();
         let roll_out = RollOut::new(order.target.clone(), order.within, now, share);
-        state.roll_outs.insert(service.clone(), roll_out);
+        let before = state.roll_outs.insert(service.clone(), roll_out);
+        let fleet = state.fleet(service);
+        // NB: the servers of a version that was reverted stay for a while, and are no part of the
+        // old version that the next one is compared with.
+        if let Some(before) = before.filter(RollOut::is_off) {
+            fleet.leave_out(before.target());
+        }
+        fleet.let_in(&order.target);
         drop(state);
         let within_ms = order.within.as_millis() as u64;
         let event = RollOutEvent::Ordered { service, target: &order.target, within_ms };
--- a/crates/direct/tests/survives_store_faults.rs
+++ b/crates/direct/tests/survives_store_faults.rs
@@ -181,6 +181,22 @@
     }
 }
 
+#[test]
+fn a_reverted_version_gets_nothing_from_the_next_roll_out_either() {
+    play(|world| async move {
+        roll_out(&world, Act::Answer(500, "bad".into())).await;
+        requests(&world, 60, "a").await;
+        // NB: long enough for their failures to be forgotten.
+        sleep(Duration::from_secs(60)).await;
+        assert_eq!(world.store.value("progress/s").as_deref(), Some("v2 Reverted"));
+        world.start_server(21, "s", "v3", Act::Answer(200, "newer".into()));
+        world.store.put("order/s", "v3 20");
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(world.store.value("progress/s").as_deref(), Some("v3 InProgress"));
+        assert_eq!(requests(&world, 60, "b").await, 0);
+    });
+}
+
 #[test]
 fn a_session_stays_on_its_version_through_the_trial() {
     play(|world| async move {
