Tell what a blocked output lost, and test that it stalls nothing

Cause: batches that the writer's thread could not take were dropped without a count, and the library told of each on standard error, which may block. Ruled out: blocking itself, the queue drops what does not fit. Now an error handler notes the loss and its lines join lines_dropped. Test with an output held shut: never told before (the count taken out, the test fails), told now.

--- a/crates/direct/src/journal.rs
+++ b/crates/direct/src/journal.rs
@@ -4,13 +4,21 @@
 //! are gathered and handed to a writer of their own thread every so often; if that cannot keep
 //! up, they are dropped and counted. Nothing here ever waits.
 
-use std::{cell::RefCell, num::NonZeroUsize, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    num::NonZeroUsize,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use serde::Serialize;
 use spdlog::{
     Logger, ThreadPool,
     formatter::{PatternFormatter, pattern},
-    sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink},
+    sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink},
 };
 
 use crate::clock::Clock;
@@ -56,10 +64,17 @@
     process: String,
     clock: Clock,
     lines_per_s: u32,
-    logger: Option<Arc<Logger>>,
+    writer: Option<Writer>,
     gathered: RefCell<Gathered>,
 }
 
+/// Hands batches of lines to a thread of its own.
+struct Writer {
+    logger: Logger,
+    /// Whether the thread could not take the latest batch.
+    refused: Arc<AtomicBool>,
+}
+
 /// What can keep the logs from being written.
 pub type LogError = spdlog::Error;
 
@@ -70,14 +85,13 @@
             .std_stream(StdStream::Stdout)
             .formatter(PatternFormatter::new(pattern!("{payload}{eol}")))
             .build_arc()?;
-        let writer = ThreadPool::builder().capacity(WAITING_BATCHES).build_arc()?;
-        let sink = AsyncPoolSink::builder()
-            .sink(out)
-            .thread_pool(writer)
-            .overflow_policy(OverflowPolicy::DropIncoming)
-            .build_arc()?;
-        let logger = Logger::builder().sink(sink).build_arc()?;
-        Ok(Journal { logger: Some(logger), ..Self::silent(process, lines_per_s) })
+        Self::to(out, process, lines_per_s)
+    }
+
+    /// Writes to an output that may be slow or blocked, at most `lines_per_s`.
+    pub fn to(out: Arc<dyn Sink>, process: &str, lines_per_s: u32) -> Result<Self, LogError> {
+        let writer = Some(Writer::new(out)?);
+        Ok(Journal { writer, ..Self::silent(process, lines_per_s) })
     }
 
     /// Gathers and bounds lines, but writes none; for tests.
@@ -86,7 +100,7 @@
             process: process.to_owned(),
             clock: Clock::start(),
             lines_per_s,
-            logger: None,
+            writer: None,
             gathered: RefCell::default(),
         }
     }
@@ -141,12 +155,37 @@
     }
 
     fn hand_over(&self, gathered: &mut Gathered) {
-        let Some(logger) = &self.logger else { return };
-        spdlog::info!(logger: logger, "{}", gathered.text);
+        let Some(writer) = &self.writer else { return };
+        if !writer.takes(&gathered.text) {
+            gathered.dropped += gathered.text.lines().count() as u64;
+        }
         gathered.text.clear();
     }
 }
 
+impl Writer {
+    fn new(out: Arc<dyn Sink>) -> Result<Self, LogError> {
+        let thread = ThreadPool::builder().capacity(WAITING_BATCHES).build_arc()?;
+        let queue = AsyncPoolSink::builder()
+            .sink(out)
+            .thread_pool(thread)
+            .overflow_policy(OverflowPolicy::DropIncoming)
+            .build_arc()?;
+        let refused = Arc::new(AtomicBool::new(false));
+        let noted = Arc::clone(&refused);
+        // NB: without a handler the library tells of each loss on standard error, and may block.
+        let note = move |_: spdlog::Error| noted.store(true, Ordering::Relaxed);
+        let logger = Logger::builder().sink(queue).error_handler(note).build()?;
+        Ok(Writer { logger, refused })
+    }
+
+    /// Whether the thread could take a batch.
+    fn takes(&self, batch: &str) -> bool {
+        spdlog::info!(logger: self.logger, "{batch}");
+        !self.refused.swap(false, Ordering::Relaxed)
+    }
+}
+
 impl Gathered {
     fn admits(&mut self, rank: Rank, at: Duration, lines_per_s: u32) -> bool {
         if at.as_secs() != self.second {
--- a/crates/direct/tests/logs_are_bounded.rs
+++ b/crates/direct/tests/logs_are_bounded.rs
@@ -2,11 +2,18 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use common::{catalog, play, request};
 use pondwalk_direct::journal::{Journal, Rank};
 use pondwalk_standin::backends::Act;
+use spdlog::{
+    Record,
+    sink::{GetSinkProp, Sink, SinkProp},
+};
 use tokio::time::sleep;
 
 #[derive(serde::Serialize)]
@@ -79,3 +86,52 @@
         }
     });
 }
+
+/// An output that takes nothing while it is held.
+#[derive(Default)]
+struct HeldOutput {
+    prop: SinkProp,
+    written: Mutex<String>,
+}
+
+impl GetSinkProp for HeldOutput {
+    fn prop(&self) -> &SinkProp {
+        &self.prop
+    }
+}
+
+impl Sink for HeldOutput {
+    fn log(&self, record: &Record) -> spdlog::Result<()> {
+        let mut written = self.written.lock().expect("nobody panics with it");
+        written.push_str(record.payload());
+        written.push('\n');
+        Ok(())
+    }
+
+    fn flush(&self) -> spdlog::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_blocked_output_stalls_nothing_and_what_it_lost_is_told() {
+    let output = Arc::new(HeldOutput::default());
+    let journal = Journal::to(Arc::clone(&output) as Arc<dyn Sink>, "e1", 1_000_000);
+    let journal = journal.expect("a journal");
+    let held = output.written.lock().expect("nobody panics with it");
+    // NB: more batches than may wait; with a journal that waits, this never ends.
+    for _ in 0..30 {
+        journal.note(Rank::State, &Line { event: "changed" });
+        journal.flush();
+    }
+    drop(held);
+    let told = || output.written.lock().expect("nobody panics with it").contains("lines_dropped");
+    for _ in 0..10_000 {
+        if told() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+        journal.flush();
+    }
+    panic!("what was lost is never told");
+}
