Pass an entry that is behind the store over for one second only

Cause: an entry that has lost the store answers others with 503, which counted as a failure of that entry: passed over for 4 s, doubling, long after the store was back.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -107,9 +107,9 @@
         let told = self.client.ask(&self.core.connect, address, revision).await;
         let told = told.and_then(|told| match told.confirmed_age < OLDEST_TOLD {
             true => Ok(told),
-            false => Err(AskError::Failed("its confirmation is old".to_owned())),
+            false => Err(AskError::Old),
         });
-        self.core.peers.note(&name, told.is_ok(), self.core.clock.now());
+        self.core.peers.note(&name, told.as_ref().err(), self.core.clock.now());
         match told {
             Ok(told) => {
                 let next = told.revision.max(revision);
@@ -212,7 +212,6 @@
         self.pause = FIRST_PAUSE;
         if std::mem::replace(&mut self.lost, false) {
             self.regained = Some(self.core.clock.now());
-            self.core.peers.forgive();
             self.core.journal.note(Rank::State, &Learned::StoreRegained { revision });
         }
         self.conductor.wake();
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -34,6 +34,10 @@
 /// Longest such time.
 const LONGEST_PASS_OVER: Duration = Duration::from_secs(60);
 
+/// Time for which an entry that is behind the store itself is passed over. It may catch up with
+/// the store's return at any moment.
+const PASS_OVER_WHILE_BEHIND: Duration = Duration::from_secs(1);
+
 /// Where an entry is asked for changes.
 const CHANGES_PATH: &str = "/changes";
 /// Where an entry is told of a bad version.
@@ -160,26 +164,19 @@
         others && listed.keys().take(watchers).any(|(_, name)| *name == self.own_name)
     }
 
-    /// An entry answered, or did not; one that did not is passed over for a while.
-    pub fn note(&self, name: &str, answered: bool, now: Duration) {
+    /// An entry answered, or failed to; one that failed is passed over for a while.
+    pub fn note(&self, name: &str, error: Option<&AskError>, now: Duration) {
         let place = (session_key(name), name.to_owned());
-        if let Some(peer) = self.listed.borrow_mut().get_mut(&place) {
-            if answered {
-                peer.failures = 0;
-                return;
+        let mut listed = self.listed.borrow_mut();
+        let Some(peer) = listed.get_mut(&place) else { return };
+        match error {
+            None => peer.failures = 0,
+            Some(AskError::Old) => peer.passed_over_until = now + PASS_OVER_WHILE_BEHIND,
+            Some(_) => {
+                let time = FIRST_PASS_OVER * 2u32.pow(peer.failures.min(6));
+                peer.passed_over_until = now + time.min(LONGEST_PASS_OVER);
+                peer.failures += 1;
             }
-            let time = FIRST_PASS_OVER * 2u32.pow(peer.failures.min(6));
-            peer.passed_over_until = now + time.min(LONGEST_PASS_OVER);
-            peer.failures += 1;
-        }
-    }
-
-    /// Asks all entries again: the store is back, so those that had old confirmations may have
-    /// new ones.
-    pub fn forgive(&self) {
-        for peer in self.listed.borrow_mut().values_mut() {
-            peer.passed_over_until = Duration::ZERO;
-            peer.failures = 0;
         }
     }
 }
--- a/crates/direct/src/peers/client.rs
+++ b/crates/direct/src/peers/client.rs
@@ -30,6 +30,9 @@
     /// The connection failed.
     #[error("the connection failed: {0}")]
     Failed(String),
+    /// It has lost the store itself, or was last confirmed too long ago.
+    #[error("its confirmation is old")]
+    Old,
     /// Its answer cannot be read.
     #[error("the answer cannot be read")]
     Malformed,
@@ -111,8 +114,10 @@
         let request = request.header(HOST, address.to_string()).body(Full::default());
         let request = request.map_err(|_| AskError::Malformed)?;
         let answer = sender.send_request(request).await.map_err(failed)?;
-        if answer.status() != StatusCode::OK {
-            return Err(AskError::Failed(answer.status().to_string()));
+        match answer.status() {
+            StatusCode::OK => {}
+            StatusCode::SERVICE_UNAVAILABLE => return Err(AskError::Old),
+            status => return Err(AskError::Failed(status.to_string())),
         }
         let body = answer.into_body().collect().await.map_err(failed)?.to_bytes();
         *self.kept.borrow_mut() = Some((address, sender));
