Choose models by what their answers are expected to be worth

Cause: under strain the one threshold fell from 57 to 7, and with it the band in which the middle model was asked, so that it got requests it could not do; strain was the time to an answer against the objective, which a long prompt makes on an idle server too.

--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -11,8 +11,8 @@
 mod sessions;
 mod window_budget;
 
-pub use cascade::{Cascade, ModelNumber};
-pub use fleet::{Ask, Fleet, PromptPart, ServerFacts, ServerIndex, Ticket, VersionRule};
+pub use cascade::{Cascade, ModelNumber, Terms};
+pub use fleet::{Ask, Fleet, Forecast, PromptPart, ServerFacts, ServerIndex, Ticket, VersionRule};
 pub use freshness::Freshness;
 pub use roll_out::{Evidence, Move, RollOut, Stage};
 pub use sessions::{SessionKey, Sessions, session_key};
--- a/crates/decide/src/direct/cascade.rs
+++ b/crates/decide/src/direct/cascade.rs
@@ -1,33 +1,56 @@
 //! Which models a request tries, and whether the answer of a smaller one is passed on.
 //!
-//! The head of an answer tells the model's own confidence before any byte is passed on. A small
-//! model's answer is kept if that confidence reaches a threshold, and dropped for a larger
-//! model's otherwise. (Cascades of this kind: Chen et al., FrugalGPT, 2023.) How much more
-//! confident a middle model is than the smallest is learned from requests that tried both, so
-//! that it is asked only where it is likely to do.
+//! The head of an answer tells the model's own confidence before any byte is passed on. From it
+//! follows how likely that answer will do, and how likely another model's would; the request goes
+//! to the model whose answer is worth most after its price and the servers' time that it takes.
+//! (Cascades of this kind: Chen et al., FrugalGPT, 2023.) How much more confident a larger model
+//! is than a smaller one is learned from requests that tried both. Under strain the servers' time
+//! gets dearer, so that the largest model is kept for where it adds most.
 
 use std::collections::HashMap;
 
 /// Number of a model in a route's list, smallest first.
 pub type ModelNumber = u8;
 
-/// Confidence, 0 to 100, from which a smaller model's answer is passed on with servers at ease.
-// NB: of 50, 56 and 62, and 58, on calm days of both users; see docs/MEASUREMENTS.md.
-const KEEP_FROM_CONFIDENCE: f64 = 57.0;
+/// Confidence at which an answer is as likely to do as not, and the step by which the odds change
+/// by a factor of e. Measured from pairs of answers to one request: of 161 points between models
+/// whose qualities differ by 1, an answer's own scatter is 10 (docs/decisions/0015-cascade.md).
+const EVEN_CONFIDENCE: f64 = 50.0;
+const CONFIDENCE_STEP: f64 = 6.2;
+/// Part of a request's worth that an answer which does not do forgoes.
+const POOR_LOSS: f64 = 0.95;
+/// Price of the largest model's answer, as a part of its worth. From the users' sheets; 0.15 to
+/// 0.17 for each kind of request.
+const LARGEST_PRICE: f64 = 0.16;
+/// Part of the worth that an answer which begins after its objective keeps.
+const LATE_WORTH: f64 = 0.3;
+/// Expected beginning, as a multiple of the objective, up to which an answer is surely in time and
+/// from which it is surely late.
+const IN_TIME_BOUNDS: (f64, f64) = (0.7, 1.3);
+/// Part of the poor answers of a middle model that its own confidence gives away.
+const FOUND_POOR: f64 = 0.7;
 /// Confidence gained by a middle model, until requests that tried both have shown it.
-const LIFT_PRIOR: f64 = 12.0;
+const LIFT_PRIOR: f64 = 13.0;
 /// Weight of the newest request in what is known of that.
 const LIFT_GAIN: f64 = 0.05;
-/// Confidence beyond the threshold that a middle model must be expected to reach.
-const LIFT_MARGIN: f64 = 2.0;
-/// Largest price of a middle model, as a share of the largest model's, at which it is tried.
-const MIDDLE_PRICE_SHARE: f64 = 0.7;
 /// Weight of the newest request in the strain.
 const STRAIN_GAIN: f64 = 0.06;
-/// Strain up to which the threshold stays, and at which it has fallen all the way.
-const STRAIN_BOUNDS: (f64, f64) = (0.22, 0.45);
-/// How far the threshold falls under strain.
-const STRAIN_FALL: f64 = 50.0;
+/// Strain up to which servers' time is free, and at which it is dearest.
+const STRAIN_BOUNDS: (f64, f64) = (0.05, 0.28);
+/// Price of a typical answer's time at the largest model when it is dearest, as a part of its worth.
+const DEAREST_TIME: f64 = 0.85;
+
+/// What asking one model would cost a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Terms {
+    /// Its price, in any unit that all models share.
+    pub price: f64,
+    /// Servers' time that it takes, as a multiple of a typical answer of the largest model.
+    pub load: f64,
+    /// When its answer is expected to begin since the request's arrival, as a multiple of the
+    /// objective.
+    pub begins: f64,
+}
 
 /// The rule for the requests of one service, with what it has learned.
 #[derive(Debug, Default)]
@@ -39,28 +62,40 @@
 impl Cascade {
     /// The model to ask next; `None` if the answer at hand is passed on.
     ///
-    /// `prices` are those of the route's models, smallest first; an answer without a confidence
-    /// is passed on.
-    pub fn next_model(
-        &self,
-        current: ModelNumber,
-        confidence: Option<u8>,
-        prices: &[f64],
-    ) -> Option<ModelNumber> {
-        let last = ModelNumber::try_from(prices.len()).ok()?.checked_sub(1)?;
-        let confidence = f64::from(confidence?);
-        if current >= last || confidence >= self.threshold() {
-            return None;
+    /// `told` are the models that answered with their confidences, the answer at hand last;
+    /// `terms` are those of the route's models, smallest first.
+    pub fn next_model(&self, told: &[(ModelNumber, u8)], terms: &[Terms]) -> Option<ModelNumber> {
+        let (current, _) = *told.last()?;
+        let kept = POOR_LOSS * self.does(current, told);
+        let last = ModelNumber::try_from(terms.len()).ok()?.checked_sub(1)?;
+        let worth = |model: ModelNumber| (model, self.worth(model, told, terms));
+        let best = (current + 1..=last).map(worth).max_by(|a, b| a.1.total_cmp(&b.1));
+        best.filter(|(_, worth)| *worth > kept).map(|(model, _)| model)
+    }
+
+    /// What asking a model adds to a poor answer, as a part of the request's worth.
+    fn worth(&self, model: ModelNumber, told: &[(ModelNumber, u8)], terms: &[Terms]) -> f64 {
+        let last = terms.len() - 1;
+        let of = &terms[usize::from(model)];
+        let price = LARGEST_PRICE * of.price / terms[last].price.max(f64::MIN_POSITIVE);
+        let cost = price + self.time_price() * of.load;
+        if usize::from(model) == last {
+            return POOR_LOSS * in_time(of.begins) - cost;
         }
-        let dearest = prices.last().copied().unwrap_or_default();
-        let does = |model: &ModelNumber| {
-            let expected = confidence + self.lift(current, *model);
-            let price = prices[usize::from(*model)];
-            expected >= self.threshold() + LIFT_MARGIN && price < MIDDLE_PRICE_SHARE * dearest
-        };
-        // NB: a clamped confidence tells only how far it is off at least.
-        let middle = (current + 1..last).find(does).filter(|_| confidence > 0.0);
-        Some(middle.unwrap_or(last))
+        let does = self.does(model, told);
+        let largest = ModelNumber::try_from(last).map_or(0.0, |last| self.worth(last, told, terms));
+        let otherwise = (1.0 - does) * FOUND_POOR * largest.max(0.0);
+        POOR_LOSS * does * in_time(of.begins) + otherwise - cost
+    }
+
+    /// Chance that a model's answer does, by what all models that answered told.
+    fn does(&self, model: ModelNumber, told: &[(ModelNumber, u8)]) -> f64 {
+        let expected =
+            told.iter().map(|(from, confidence)| f64::from(*confidence) + self.lift(*from, model));
+        let count = told.len().max(1) as f64;
+        let mean = expected.sum::<f64>() / count;
+        let step = CONFIDENCE_STEP / count.sqrt();
+        1.0 / (1.0 + ((EVEN_CONFIDENCE - mean) / step).exp())
     }
 
     /// A request was answered by two models with these confidences.
@@ -79,14 +114,24 @@
         self.strain += STRAIN_GAIN * (part.min(2.0) - self.strain);
     }
 
-    /// Confidence from which answers are passed on now.
-    pub fn threshold(&self) -> f64 {
+    /// Price of a typical answer's time at the largest model, as a part of its worth.
+    pub fn time_price(&self) -> f64 {
         let (low, high) = STRAIN_BOUNDS;
-        let strain = ((self.strain - low) / (high - low)).clamp(0.0, 1.0);
-        KEEP_FROM_CONFIDENCE - STRAIN_FALL * strain
+        DEAREST_TIME * ((self.strain - low) / (high - low)).clamp(0.0, 1.0)
     }
 
     fn lift(&self, from: ModelNumber, to: ModelNumber) -> f64 {
+        if from == to {
+            return 0.0;
+        }
         self.lifts.get(&(from, to)).copied().unwrap_or(LIFT_PRIOR)
     }
 }
+
+/// Part of its worth that an answer keeps which is expected to begin at this multiple of its
+/// objective.
+fn in_time(begins: f64) -> f64 {
+    let (sure, late) = IN_TIME_BOUNDS;
+    let lateness = ((begins - sure) / (late - sure)).clamp(0.0, 1.0);
+    1.0 - (1.0 - LATE_WORTH) * lateness
+}
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -136,6 +136,23 @@
     }
 }
 
+/// What placing a request would lead to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Forecast {
+    /// Time until its answer is expected to begin, in milliseconds.
+    pub begins_ms: f64,
+    /// Time that the server reads its prompt for, in milliseconds.
+    pub read_ms: f64,
+}
+
+/// A server that could take a request.
+#[derive(Debug)]
+struct Candidate {
+    index: ServerIndex,
+    cost: f64,
+    read_ms: f64,
+}
+
 #[derive(Debug)]
 struct Server {
     facts: ServerFacts,
@@ -254,10 +271,34 @@
 
     /// Chooses a server and counts the request there; `None` if no server may take it.
     pub fn place(&mut self, ask: &Ask<'_>, now: Duration, rng: &mut impl Rng) -> Option<Ticket> {
+        let best = self.best(ask, now, || rng.random_range(0.0..1.0))?;
+        let expected_ms = best.read_ms + ask.base_ms;
+        let server = self.servers[best.index].as_mut()?;
+        let ahead_ms = server.waiting_ms;
+        server.admit(ask, expected_ms, now);
+        let id = server.facts.id.clone();
+        Some(Ticket { index: best.index, server: id, expected_ms, ahead_ms, waiting: true })
+    }
+
+    /// What placing a request now would lead to; `None` if no server may take it.
+    pub fn forecast(&self, ask: &Ask<'_>, now: Duration) -> Option<Forecast> {
+        let best = self.best(ask, now, || 0.0)?;
+        let server = self.servers[best.index].as_ref()?;
+        let begins_ms = (server.waiting_ms + best.read_ms + ask.base_ms) * server.slowness.max(1.0);
+        Some(Forecast { begins_ms, read_ms: best.read_ms })
+    }
+
+    /// The server of the least cost; `scatter` keeps equal ones from being taken in turn.
+    fn best(
+        &self,
+        ask: &Ask<'_>,
+        now: Duration,
+        mut scatter: impl FnMut() -> f64,
+    ) -> Option<Candidate> {
         let shared = shared_part(ask.parts);
         let named = shared.and_then(|part| self.named_for(part.id, ask.versions, now));
         let stranger_ms = NAMED_HOLDS * ask.read_ms_per_token + READ_AGAIN_MS_PER_K / 1_000.0;
-        let mut best: Option<(f64, ServerIndex, f64)> = None;
+        let mut best: Option<Candidate> = None;
         for (index, server) in self.servers.iter().enumerate() {
             let Some(server) = server else { continue };
             let open = self.may_serve(server, ask.versions, now);
@@ -265,21 +306,16 @@
                 continue;
             }
             let read_ms = server.tokens_to_read(ask, now) * ask.read_ms_per_token;
-            let mut cost = server.cost(ask, read_ms, now, &self.home) + rng.random_range(0.0..1.0);
+            let mut cost = server.cost(ask, read_ms, now, &self.home) + scatter();
             if named.is_some_and(|named| named != index) {
                 let tokens = shared.map_or(0, |part| part.tokens);
                 cost += f64::from(tokens) * stranger_ms;
             }
-            if best.is_none_or(|(least, _, _)| cost < least) {
-                best = Some((cost, index, read_ms + ask.base_ms));
+            if best.as_ref().is_none_or(|best| cost < best.cost) {
+                best = Some(Candidate { index, cost, read_ms });
             }
         }
-        let (_, index, expected_ms) = best?;
-        let server = self.servers[index].as_mut()?;
-        let ahead_ms = server.waiting_ms;
-        server.admit(ask, expected_ms, now);
-        let id = server.facts.id.clone();
-        Some(Ticket { index, server: id, expected_ms, ahead_ms, waiting: true })
+        best
     }
 
     /// The answer began after `took_ms`.
--- a/crates/decide/tests/direct.rs
+++ b/crates/decide/tests/direct.rs
@@ -4,7 +4,7 @@
 
 use pondwalk_decide::direct::{
     Ask, Cascade, Evidence, Fleet, Freshness, Move, PromptPart, RollOut, ServerFacts, Sessions,
-    Stage, VersionRule, WindowBudget, WindowLimits, session_key,
+    Stage, Terms, VersionRule, WindowBudget, WindowLimits, session_key,
 };
 use quickcheck::{Gen, QuickCheck};
 use rand::{Rng, SeedableRng};
@@ -208,29 +208,70 @@
     assert!(tried);
 }
 
+/// Three models on servers at ease.
+fn terms() -> [Terms; 3] {
+    let term = |price, load| Terms { price, load, begins: 0.1 };
+    [term(0.02, 0.1), term(0.14, 0.26), term(0.27, 1.0)]
+}
+
 #[test]
 fn a_cascade_keeps_confident_answers_and_learns_what_a_middle_model_adds() {
-    let prices = [0.02, 0.1, 0.3];
+    let terms = terms();
     let mut cascade = Cascade::default();
-    assert_eq!(cascade.next_model(0, Some(90), &prices), None);
-    assert_eq!(cascade.next_model(0, None, &prices), None);
-    assert_eq!(cascade.next_model(2, Some(0), &prices), None);
-    assert_eq!(cascade.next_model(0, Some(0), &prices), Some(2));
-    assert_eq!(cascade.next_model(0, Some(50), &prices), Some(1));
+    assert_eq!(cascade.next_model(&[(0, 90)], &terms), None);
+    assert_eq!(cascade.next_model(&[], &terms), None, "nothing is told");
+    assert_eq!(cascade.next_model(&[(0, 0)], &[]), None, "there is no choice");
+    assert_eq!(cascade.next_model(&[(2, 0)], &terms), None);
+    assert_eq!(cascade.next_model(&[(0, 0)], &terms), Some(2));
+    assert_eq!(cascade.next_model(&[(0, 50)], &terms), Some(1));
+    assert_eq!(cascade.next_model(&[(0, 50), (1, 20)], &terms), Some(2), "it did not do");
+    assert_eq!(cascade.next_model(&[(0, 50), (1, 70)], &terms), None);
     (0..200).for_each(|_| cascade.learn((0, 40), (1, 42)));
-    assert_eq!(cascade.next_model(0, Some(50), &prices), Some(2), "it adds too little");
+    assert_eq!(cascade.next_model(&[(0, 50)], &terms), Some(2), "it adds too little");
     (0..400).for_each(|_| cascade.learn((0, 40), (1, 80)));
-    assert_eq!(cascade.next_model(0, Some(25), &prices), Some(1), "it adds a lot");
+    assert_eq!(cascade.next_model(&[(0, 25)], &terms), Some(1), "it adds a lot");
+}
+
+#[test]
+fn a_model_that_would_be_late_is_not_asked_where_less_is_worth_more() {
+    let cascade = Cascade::default();
+    let mut terms = terms();
+    terms[2].begins = 2.0;
+    assert_eq!(cascade.next_model(&[(0, 40)], &terms), Some(1), "it may do, and in time");
+    terms[1].begins = 2.0;
+    assert_eq!(cascade.next_model(&[(0, 50)], &terms), None);
 }
 
 #[test]
-fn strain_lowers_the_threshold_and_ease_raises_it_again() {
+fn under_strain_the_largest_model_is_kept_for_where_it_adds_most() {
     let mut cascade = Cascade::default();
-    let at_ease = cascade.threshold();
-    (0..100).for_each(|_| cascade.note_strain(0.9));
-    assert!(cascade.threshold() < at_ease - 30.0);
-    (0..200).for_each(|_| cascade.note_strain(0.1));
-    assert_eq!(cascade.threshold(), at_ease);
+    let mut terms = terms();
+    assert_eq!(cascade.next_model(&[(0, 30)], &terms), Some(2));
+    (0..100).for_each(|_| cascade.note_strain(0.2));
+    assert_eq!(cascade.next_model(&[(0, 10)], &terms), Some(2), "poor answers go on to it");
+    assert_eq!(cascade.next_model(&[(0, 45)], &terms), Some(1), "others to a lighter one");
+    terms[2].load = 1.6;
+    assert_eq!(cascade.next_model(&[(0, 10)], &terms), None, "its time is worth more elsewhere");
+    (0..200).for_each(|_| cascade.note_strain(0.9));
+    terms[2].load = 1.0;
+    assert_eq!(cascade.next_model(&[(0, 10)], &terms), None);
+    (0..200).for_each(|_| cascade.note_strain(0.01));
+    assert_eq!(cascade.next_model(&[(0, 30)], &terms), Some(2), "ease gives it back");
+}
+
+#[test]
+fn of_two_models_a_worse_answer_is_never_kept_where_a_better_one_is_not() {
+    fn property(confidence: u8, strain: u8, load: u8) -> bool {
+        let mut cascade = Cascade::default();
+        (0..200).for_each(|_| cascade.note_strain(f64::from(strain) / 255.0));
+        let [smallest, _, mut largest] = terms();
+        largest.load = 0.2 + f64::from(load) / 100.0;
+        let terms = [smallest, largest];
+        let (worse, better) = (confidence % 100, confidence % 100 + 1);
+        let keeps = |confidence| cascade.next_model(&[(0, confidence)], &terms).is_none();
+        !keeps(worse) || keeps(better)
+    }
+    check(property as fn(u8, u8, u8) -> bool);
 }
 
 #[test]
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -55,8 +55,8 @@
     pub avoid: Vec<ServerId>,
     /// Model of the next send, among the route's.
     pub model: ModelNumber,
-    /// Model and confidence of the answer that was dropped last.
-    pub dropped: Option<(ModelNumber, u8)>,
+    /// Models whose answers were dropped, with their confidences.
+    pub dropped: Vec<(ModelNumber, u8)>,
     /// Version whose server failed the request last.
     pub failed_version: Option<VersionId>,
     /// Whether any send may have run.
@@ -75,7 +75,7 @@
             sends: 0,
             avoid: Vec::new(),
             model: 0,
-            dropped: None,
+            dropped: Vec::new(),
             failed_version: None,
             may_have_run: false,
             _under_way: under_way,
@@ -90,7 +90,7 @@
             sends: self.sends,
             avoid: self.avoid.clone(),
             model: self.model,
-            dropped: None,
+            dropped: Vec::new(),
             failed_version: self.failed_version.clone(),
             may_have_run: true,
             _under_way: UnderWay::enter(&self.core),
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -19,7 +19,7 @@
     core::Core,
     journal::Rank,
     metrics::{Counter, Timer},
-    placement::Placement,
+    placement::{self, Placement},
     request::{Refusal, strip_connection_headers},
     upstream::{Exchange, SendError},
 };
@@ -33,9 +33,7 @@
 const PATIENCE_FACTOR: f64 = 4.0;
 /// Share of the budget of further sends that escalations leave to retries.
 const RETRY_RESERVE: f64 = 0.15;
-/// How much more an answer of the smallest model that begins late tells of strain than one of the
-/// largest: it reads faster, so what it waited for was others' work.
-const SMALL_MODEL_STRAIN: f64 = 2.2;
+
 /// Answers one request.
 pub async fn serve(core: &Rc<Core>, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = core.clock.now();
@@ -207,20 +205,20 @@
         if !self.job.chooses_model {
             return false;
         }
-        let confidence = self.confidence(response.headers());
-        let Some(next) = self.next_model(confidence) else { return false };
+        let Some(confidence) = self.confidence(response.headers()) else { return false };
+        let Some(next) = self.next_model(confidence, placement) else { return false };
         if !self.take_further_send(RETRY_RESERVE) {
             return false;
         }
         self.may_have_run = true;
-        self.dropped = confidence.map(|confidence| (self.model, confidence));
+        self.dropped.push((self.model, confidence));
         self.core.metrics.count(Counter::Escalations);
         let event = RequestEvent::Escalated {
             request: &self.job.id,
             server: placement.server(),
             from_model: self.model,
             to_model: next,
-            confidence,
+            confidence: Some(confidence),
             after_ms: self.after_ms(),
         };
         self.core.journal.note(Rank::Success, &event);
@@ -229,21 +227,20 @@
     }
 
     /// Learns from an answer's confidence, and tells the model to ask next, if any.
-    fn next_model(&self, confidence: Option<u8>) -> Option<ModelNumber> {
+    fn next_model(&self, confidence: u8, placement: &Placement) -> Option<ModelNumber> {
         let job = &self.job;
-        let prices = job.prices();
-        let part = self.after_ms() as f64 / job.route.objective.as_millis().max(1) as f64;
+        let objective_ms = job.route.objective.as_millis().max(1) as f64;
+        let used = self.after_ms() as f64 / objective_ms;
+        let terms = placement::terms(&self.core, job, &self.avoid, used);
         let mut state = self.core.state.borrow_mut();
         let cascade = state.cascades.entry(job.service.name.clone()).or_default();
-        if let (Some(dropped), Some(confidence)) = (self.dropped, confidence) {
-            cascade.learn(dropped, (self.model, confidence));
-        }
-        if self.model == 0 {
-            cascade.note_strain(SMALL_MODEL_STRAIN * part);
-        } else if usize::from(self.model) + 1 == prices.len() {
-            cascade.note_strain(part);
+        let answer = (self.model, confidence);
+        if let Some(dropped) = self.dropped.last() {
+            cascade.learn(*dropped, answer);
         }
-        cascade.next_model(self.model, confidence, &prices)
+        cascade.note_strain(placement.queued_ms() / objective_ms);
+        let told: Vec<_> = self.dropped.iter().copied().chain([answer]).collect();
+        cascade.next_model(&told, &terms)
     }
 
     fn pass_stream(&self, exchange: Exchange, placement: Placement) -> Response<AnswerBody> {
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{Ask, Evidence, ModelNumber, Ticket, VersionRule};
+use pondwalk_decide::direct::{Ask, Evidence, ModelNumber, Terms, Ticket, VersionRule};
 use pondwalk_types::{ModelId, ServerId, VersionId};
 use rand::{Rng, rngs::SmallRng};
 
@@ -18,12 +18,22 @@
 /// Time until an answer begins on an idle server, besides reading, in milliseconds.
 const BASE_MS: f64 = 25.0;
 
+/// Tokens read that count as much as one made, in an answer's size and in the servers' time that
+/// it takes.
+const SIZE_OF_TOKEN_OUT: f64 = 10.0;
+const MADE_AS_READ: f64 = 5.0;
+/// Time that a typical answer of the largest model takes for each token of its size, in
+/// milliseconds.
+const TYPICAL_MS_PER_SIZE: f64 = 0.026;
+
 /// A place at one backend server.
 pub struct Placement {
     core: Rc<Core>,
     job: Rc<Job>,
     ticket: Ticket,
     sent: Duration,
+    /// Time until its answer began, in milliseconds, once it has.
+    took_ms: f64,
     /// Whether another server could take the request.
     pub has_alternative: bool,
     /// Where the server listens.
@@ -55,14 +65,7 @@
         let model =
             if job.chooses_model { job.route.models.get(usize::from(number)) } else { None };
         let model = model.cloned();
-        let ask = Ask {
-            parts: &job.prompt.parts,
-            model: number,
-            read_ms_per_token: read_ms_per_token(job, number),
-            base_ms: BASE_MS,
-            avoid,
-            versions: rule,
-        };
+        let ask = ask_for(job, number, avoid, rule);
         let ticket = place(fleet, &ask, roll_out.map(|one| one.target().as_str()), now, rng)?;
         let facts = fleet.facts(&ticket.server)?;
         let (address, version) = (facts.address, facts.version.clone());
@@ -71,7 +74,17 @@
             sessions.note(session, &version, now);
         }
         let (core, job) = (Rc::clone(core), Rc::clone(job));
-        Some(Placement { core, job, ticket, sent: now, has_alternative, address, version, model })
+        Some(Placement {
+            core,
+            job,
+            ticket,
+            sent: now,
+            took_ms: 0.0,
+            has_alternative,
+            address,
+            version,
+            model,
+        })
     }
 
     /// Identity of the server.
@@ -89,9 +102,15 @@
         self.core.clock.now().saturating_sub(self.sent)
     }
 
+    /// How much later than on an idle server the answer began, in milliseconds.
+    pub fn queued_ms(&self) -> f64 {
+        (self.took_ms - self.ticket.expected_ms).max(0.0)
+    }
+
     /// The answer has begun.
     pub fn began(&mut self) {
         let took_ms = self.elapsed().as_secs_f64() * 1_000.0;
+        self.took_ms = took_ms;
         let late_ms = (took_ms - self.ticket.due_ms()).max(0.0);
         self.core.metrics.time(Timer::ServerQueue, Duration::from_secs_f64(late_ms / 1_000.0));
         let mut state = self.core.state.borrow_mut();
@@ -187,6 +206,50 @@
     }
 }
 
+/// What asking each of the route's models would cost a job that has used this part of its
+/// objective, servers in `avoid` left out.
+pub fn terms(core: &Core, job: &Job, avoid: &[ServerId], used: f64) -> Vec<Terms> {
+    let prices = job.prices();
+    let objective_ms = job.route.objective.as_secs_f64().max(0.001) * 1_000.0;
+    let state = core.state.borrow();
+    let fleet = state.fleets.get(&job.service.name);
+    let mut terms = Vec::with_capacity(prices.len());
+    for (number, price) in prices.into_iter().enumerate() {
+        let ask = ask_for(job, number as ModelNumber, avoid, VersionRule::Any);
+        let forecast = fleet.and_then(|fleet| fleet.forecast(&ask, core.clock.now()));
+        let Some(forecast) = forecast else { continue };
+        let begins = used + forecast.begins_ms / objective_ms;
+        let load = load_of(job, forecast.read_ms, ask.read_ms_per_token);
+        terms.push(Terms { price, load, begins });
+    }
+    terms
+}
+
+/// Servers' time that an answer takes, by its size, as a multiple of a typical one's.
+fn load_of(job: &Job, read_ms: f64, read_ms_per_token: f64) -> f64 {
+    let (tokens_in, tokens_out) =
+        (f64::from(job.prompt.tokens_in), f64::from(job.prompt.tokens_out));
+    let size = (tokens_in + SIZE_OF_TOKEN_OUT * tokens_out).max(1.0);
+    let made_ms = MADE_AS_READ * tokens_out * read_ms_per_token;
+    (read_ms + made_ms) / size / TYPICAL_MS_PER_SIZE
+}
+
+fn ask_for<'a>(
+    job: &'a Job,
+    number: ModelNumber,
+    avoid: &'a [ServerId],
+    versions: VersionRule<'a>,
+) -> Ask<'a> {
+    Ask {
+        parts: &job.prompt.parts,
+        model: number,
+        read_ms_per_token: read_ms_per_token(job, number),
+        base_ms: BASE_MS,
+        avoid,
+        versions,
+    }
+}
+
 fn read_ms_per_token(job: &Job, number: ModelNumber) -> f64 {
     let last = job.route.models.len().saturating_sub(1);
     let per_k = match usize::from(number) {
