Rank requests at the servers, shortest first, and price servers' time by shorter waits

Ranks by the expected time to read (twice the time, one rank later), resumed streams first. Strain is then felt at shorter waits: .03 to .2 of the objective. Test a_long_prompt_is_ranked_behind_a_short_one_at_the_server.

--- a/crates/decide/src/direct/cascade.rs
+++ b/crates/decide/src/direct/cascade.rs
@@ -36,7 +36,7 @@
 /// Weight of the newest request in the strain.
 const STRAIN_GAIN: f64 = 0.06;
 /// Strain up to which servers' time is free, and at which it is dearest.
-const STRAIN_BOUNDS: (f64, f64) = (0.05, 0.28);
+const STRAIN_BOUNDS: (f64, f64) = (0.03, 0.2);
 /// Price of a typical answer's time at the largest model when it is dearest, as a part of its worth.
 const DEAREST_TIME: f64 = 0.85;
 
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -8,7 +8,7 @@
     body::Incoming,
     header::{HOST, HeaderName, HeaderValue},
 };
-use pondwalk_decide::direct::ModelNumber;
+use pondwalk_decide::direct::{ModelNumber, RESUMED, rank_of};
 use pondwalk_types::{ServerId, VersionId};
 
 use super::report::RequestEvent;
@@ -178,6 +178,9 @@
         }
         if let Some(model) = &placement.model {
             put(headers, &dialect.model, model);
+            let resumed = last_event_id.is_some();
+            let rank = if resumed { RESUMED } else { rank_of(placement.expected_ms()) };
+            put(headers, &dialect.priority, &rank.to_string());
         }
         if let Some(id) = last_event_id {
             put(headers, &dialect.last_event_id, id);
--- a/crates/direct/tests/survives_backend_faults.rs
+++ b/crates/direct/tests/survives_backend_faults.rs
@@ -268,6 +268,25 @@
     });
 }
 
+#[test]
+fn a_long_prompt_is_ranked_behind_a_short_one_at_the_server() {
+    play(|world| async move {
+        with_two_servers(&world, "m", stream(2, Some(90))).await;
+        let ask = async |id: &str, tokens: u32| {
+            let sent = with(request("/models/", id), "pondwalk-model", "auto");
+            let sent = with(sent, "pondwalk-prompt-parts", &format!("{tokens}:{tokens}"));
+            world.ask(with(sent, "pondwalk-priority", "0")).await;
+        };
+        ask("r1", 100).await;
+        ask("r2", 90_000).await;
+        let seen: Vec<_> = (1..=2).flat_map(|n| world.backends.seen(address(n))).collect();
+        let ranks: Vec<&str> =
+            seen.iter().map(|seen| seen.headers["pondwalk-priority"].as_str()).collect();
+        assert!(ranks[0] != "0" && ranks[1] != "0", "the caller's own is taken off: {ranks:?}");
+        assert_ne!(ranks[0], ranks[1], "{ranks:?}");
+    });
+}
+
 #[test]
 fn a_model_that_the_caller_names_is_kept() {
     play(|world| async move {
