Ask no model whose answer would not end in time

The time of a token is learned from whole answers by model, and a model counts for nothing where its answer is expected to end beyond the time allowed.

--- a/crates/decide/src/direct/cascade.rs
+++ b/crates/decide/src/direct/cascade.rs
@@ -27,6 +27,13 @@
 /// Expected beginning, as a multiple of the objective, up to which an answer is surely in time and
 /// from which it is surely late.
 const IN_TIME_BOUNDS: (f64, f64) = (0.7, 1.3);
+/// Expected end, as a multiple of the time allowed, up to which an answer is surely whole in time
+/// and from which it surely is not.
+const WHOLE_BOUNDS: (f64, f64) = (0.75, 1.1);
+/// Time from one token of an answer to the next until answers have shown it, in milliseconds.
+const TOKEN_MS_PRIOR: f64 = 12.0;
+/// Weight of the newest answer in what is known of that.
+const TOKEN_MS_GAIN: f64 = 0.05;
 /// Part of the poor answers of a middle model that its own confidence gives away.
 const FOUND_POOR: f64 = 0.7;
 /// Confidence gained by a middle model, until requests that tried both have shown it.
@@ -50,12 +57,15 @@
     /// When its answer is expected to begin since the request's arrival, as a multiple of the
     /// objective.
     pub begins: f64,
+    /// When it is expected to end since then, as a multiple of the time allowed.
+    pub ends: f64,
 }
 
 /// The rule for the requests of one service, with what it has learned.
 #[derive(Debug, Default)]
 pub struct Cascade {
     lifts: HashMap<(ModelNumber, ModelNumber), f64>,
+    token_ms: HashMap<ModelNumber, f64>,
     strain: f64,
 }
 
@@ -80,12 +90,12 @@
         let price = LARGEST_PRICE * of.price / terms[last].price.max(f64::MIN_POSITIVE);
         let cost = price + self.time_price() * of.load;
         if usize::from(model) == last {
-            return POOR_LOSS * in_time(of.begins) - cost;
+            return POOR_LOSS * in_time(of) - cost;
         }
         let does = self.does(model, told);
         let largest = ModelNumber::try_from(last).map_or(0.0, |last| self.worth(last, told, terms));
         let otherwise = (1.0 - does) * FOUND_POOR * largest.max(0.0);
-        POOR_LOSS * does * in_time(of.begins) + otherwise - cost
+        POOR_LOSS * does * in_time(of) + otherwise - cost
     }
 
     /// Chance that a model's answer does, by what all models that answered told.
@@ -109,15 +119,25 @@
         *lift += LIFT_GAIN * (gained - *lift);
     }
 
-    /// An answer began after this part of its objective, as weighed for its model.
+    /// A whole answer of a model took this long for each of its tokens, in milliseconds.
+    pub fn note_token_ms(&mut self, model: ModelNumber, token_ms: f64) {
+        let known = self.token_ms.entry(model).or_insert(TOKEN_MS_PRIOR);
+        *known += TOKEN_MS_GAIN * (token_ms - *known);
+    }
+
+    /// Time from one token of a model's answer to the next, in milliseconds.
+    pub fn token_ms(&self, model: ModelNumber) -> f64 {
+        self.token_ms.get(&model).copied().unwrap_or(TOKEN_MS_PRIOR)
+    }
+
+    /// An answer waited for this part of its objective beyond what it would have on an idle server.
     pub fn note_strain(&mut self, part: f64) {
         self.strain += STRAIN_GAIN * (part.min(2.0) - self.strain);
     }
 
     /// Price of a typical answer's time at the largest model, as a part of its worth.
     pub fn time_price(&self) -> f64 {
-        let (low, high) = STRAIN_BOUNDS;
-        DEAREST_TIME * ((self.strain - low) / (high - low)).clamp(0.0, 1.0)
+        DEAREST_TIME * part_beyond(self.strain, STRAIN_BOUNDS)
     }
 
     fn lift(&self, from: ModelNumber, to: ModelNumber) -> f64 {
@@ -128,10 +148,14 @@
     }
 }
 
-/// Part of its worth that an answer keeps which is expected to begin at this multiple of its
-/// objective.
-fn in_time(begins: f64) -> f64 {
-    let (sure, late) = IN_TIME_BOUNDS;
-    let lateness = ((begins - sure) / (late - sure)).clamp(0.0, 1.0);
-    1.0 - (1.0 - LATE_WORTH) * lateness
+/// Part of its worth that an answer keeps which is expected to begin and end at these times.
+fn in_time(terms: &Terms) -> f64 {
+    let late = part_beyond(terms.begins, IN_TIME_BOUNDS);
+    let cut = part_beyond(terms.ends, WHOLE_BOUNDS);
+    (1.0 - (1.0 - LATE_WORTH) * late) * (1.0 - cut)
+}
+
+/// 0 up to the first bound, 1 from the second.
+fn part_beyond(value: f64, (low, high): (f64, f64)) -> f64 {
+    ((value - low) / (high - low)).clamp(0.0, 1.0)
 }
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -45,6 +45,8 @@
 struct Source {
     body: Incoming,
     splitter: EventSplitter,
+    /// Whether it goes on where another broke.
+    is_resumed: bool,
     /// Whether it may be left for another when it is silent.
     may_be_left: bool,
     _connection: Connection,
@@ -52,9 +54,10 @@
 }
 
 impl Source {
-    fn new(body: Incoming, connection: Connection, placement: Placement) -> Self {
+    fn new(body: Incoming, connection: Connection, placement: Placement, is_resumed: bool) -> Self {
         let splitter = EventSplitter::default();
-        Source { body, splitter, may_be_left: true, _connection: connection, placement }
+        let _connection = connection;
+        Source { body, splitter, is_resumed, may_be_left: true, _connection, placement }
     }
 }
 
@@ -81,8 +84,9 @@
 ) -> Receiver<Result<Bytes, Cut>> {
     let (sender, receiver) = channel(WAITING_PIECES);
     let last_id = follower.run.job.last_event_id.clone();
+    let is_resumed = last_id.is_some();
     let relay = Relay { follower, sender, last_id };
-    let source = Source::new(body, connection, placement);
+    let source = Source::new(body, connection, placement, is_resumed);
     spawn_local(relay.run(source));
     receiver
 }
@@ -100,6 +104,9 @@
                 End::Whole => {
                     let Follower { run, confidence, head_ms, status } = &self.follower;
                     run.note_answered(&source.placement, *confidence, *head_ms, *status);
+                    if !source.is_resumed {
+                        source.placement.is_whole(run.model);
+                    }
                     return;
                 }
                 End::CallerLeft => {
@@ -249,5 +256,5 @@
 
 fn source_of(exchange: Exchange, mut placement: Placement) -> Source {
     placement.began();
-    Source::new(exchange.response.into_body(), exchange.connection, placement)
+    Source::new(exchange.response.into_body(), exchange.connection, placement, true)
 }
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -119,6 +119,19 @@
         }
     }
 
+    /// The whole answer has been passed on; how fast its tokens came tells of others to come.
+    pub fn is_whole(&self, number: ModelNumber) {
+        let tokens_out = self.job.prompt.tokens_out;
+        if self.model.is_none() || tokens_out == 0 {
+            return;
+        }
+        let making_ms = self.elapsed().as_secs_f64() * 1_000.0 - self.took_ms;
+        let mut state = self.core.state.borrow_mut();
+        if let Some(cascade) = state.cascades.get_mut(&self.job.service.name) {
+            cascade.note_token_ms(number, making_ms / f64::from(tokens_out));
+        }
+    }
+
     /// The server answered, with a failure of its own or not; true if a roll-out is off by it.
     pub fn answered(&self, failed: bool) -> bool {
         let now = self.core.clock.now();
@@ -211,7 +224,9 @@
 pub fn terms(core: &Core, job: &Job, avoid: &[ServerId], used: f64) -> Vec<Terms> {
     let prices = job.prices();
     let objective_ms = job.route.objective.as_secs_f64().max(0.001) * 1_000.0;
+    let allowed_ms = (job.give_up - job.arrived).as_secs_f64().max(0.001) * 1_000.0;
     let state = core.state.borrow();
+    let cascade = state.cascades.get(&job.service.name);
     let fleet = state.fleets.get(&job.service.name);
     let mut terms = Vec::with_capacity(prices.len());
     for (number, price) in prices.into_iter().enumerate() {
@@ -219,8 +234,11 @@
         let forecast = fleet.and_then(|fleet| fleet.forecast(&ask, core.clock.now()));
         let Some(forecast) = forecast else { continue };
         let begins = used + forecast.begins_ms / objective_ms;
+        let token_ms = cascade.map_or(0.0, |cascade| cascade.token_ms(number as ModelNumber));
+        let making_ms = f64::from(job.prompt.tokens_out) * token_ms;
+        let ends = (begins * objective_ms + making_ms) / allowed_ms;
         let load = load_of(job, forecast.read_ms, ask.read_ms_per_token);
-        terms.push(Terms { price, load, begins });
+        terms.push(Terms { price, load, begins, ends });
     }
     terms
 }
