Tell only the last change of each key, and ask three entries at most before the store

A storm of large configurations, ten in a second, after an outage: an entry that was behind asked for all changes since its revision, got none of several megabytes in a quarter of a second over a link of 10 Mbit/s, and went on to the next entry, and so on through all 29. Not a matter of freshness stamps: its log shows versions to 20 at 25.23 s, then eleven source_failed lines, and version 40, acknowledged at 25.45 s, still missing at 28.5 s.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -29,6 +29,9 @@
 
 /// Time between two questions to another entry.
 const ASK_INTERVAL: Duration = Duration::from_millis(350);
+/// Entries that are asked in a row without an answer before the store is. Each may take a quarter
+/// of a second to fail, and a change must be in force within two.
+const ASKS_IN_ROW: u32 = 3;
 /// Wait of a watch on which other entries rest. It bounds how old their confirmations are.
 const SHARED_WAIT: Duration = Duration::from_millis(450);
 /// Wait of the first watch after the store was lost. Its answer confirms the state again, and
@@ -70,6 +73,7 @@
         pause: FIRST_PAUSE,
         client: PeerClient::default(),
         source: None,
+        asked_in_vain: 0,
     };
     loop {
         let Some(mut revision) = follower.read_all().await else { continue };
@@ -92,13 +96,17 @@
     client: PeerClient,
     /// Entry that was asked last, if any.
     source: Option<String>,
+    /// Entries asked in a row that told nothing of use.
+    asked_in_vain: u32,
 }
 
 impl Follower {
     /// Learns what changed after `revision`, from another entry or from the store; `None` if
     /// all must be read anew.
     async fn next(&mut self, revision: u64) -> Option<u64> {
-        let Some((name, address)) = self.core.peers.source(self.core.clock.now()) else {
+        let source = self.core.peers.source(self.core.clock.now());
+        let Some((name, address)) = source.filter(|_| self.asked_in_vain < ASKS_IN_ROW) else {
+            self.asked_in_vain = 0;
             self.note_source(None);
             return self.watch(revision).await;
         };
@@ -112,6 +120,7 @@
         self.core.peers.note(&name, told.as_ref().err(), self.core.clock.now());
         match told {
             Ok(told) => {
+                self.asked_in_vain = 0;
                 let next = told.revision.max(revision);
                 self.take_changes(&told.events, next);
                 self.confirm(sent.saturating_sub(told.confirmed_age), next);
@@ -119,6 +128,7 @@
                 Some(next)
             }
             Err(error) => {
+                self.asked_in_vain += 1;
                 let event = Learned::SourceFailed { entry: &name, error: error.to_string() };
                 self.core.journal.note(Rank::State, &event);
                 Some(revision)
--- a/crates/direct/src/peers/history.rs
+++ b/crates/direct/src/peers/history.rs
@@ -1,6 +1,6 @@
 //! The latest changes of the store, as this entry learned them.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use pondwalk_store::{Fetched, StoreEvent};
@@ -45,13 +45,27 @@
         }
     }
 
-    /// All changes after `revision`; `None` if some are no longer remembered.
+    /// The last change of each key after `revision`; `None` if some are no longer remembered.
+    ///
+    /// Earlier ones are left out: an asker that is behind by ten large configurations needs only
+    /// the newest, and a slow link could not carry them all in time.
     pub fn after(&self, revision: u64) -> Option<Vec<KeyChange>> {
         if revision < self.start {
             return None;
         }
-        let newer = self.changes.iter().filter(|(at, _)| *at > revision);
-        Some(newer.map(|(at, event)| key_change(*at, event)).collect())
+        let mut told = HashSet::new();
+        let newer = self.changes.iter().rev().filter(|(at, _)| *at > revision);
+        let last = newer.filter(|(_, event)| told.insert(key_of(event)));
+        let mut changes: Vec<KeyChange> = last.map(|(at, event)| key_change(*at, event)).collect();
+        changes.reverse();
+        Some(changes)
+    }
+}
+
+fn key_of(event: &StoreEvent) -> &str {
+    match event {
+        StoreEvent::Written(entry) => &entry.key,
+        StoreEvent::Removed(key) => key,
     }
 }
 
