Let many entries share slight doubts about a slow version

Cause: at 30 entries each sees under one answer a second of a version on trial. Now an entry among twelve or more tells a slight doubt after two slow answers, judged by the old version's answers of all kinds where those of one kind are too few; a slight doubt counts 0.75.

--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -16,6 +16,6 @@
 pub use fleet::{Ask, Fleet, Forecast, PromptPart, ServerFacts, ServerIndex, Ticket, VersionRule};
 pub use freshness::Freshness;
 pub use rank::{RESUMED, Rank, rank_of};
-pub use roll_out::{Evidence, Move, RollOut, Stage};
+pub use roll_out::{Doubt, Evidence, Move, RollOut, Stage};
 pub use sessions::{SessionKey, Sessions, session_key};
 pub use window_budget::{WindowBudget, WindowLimits};
--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -8,7 +8,7 @@
 //! already, so that no session changes its version by coming through another entry.
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
@@ -60,6 +60,12 @@
 const MIN_SLOW_WIDENING: usize = 13;
 /// Part of those from which an entry makes its doubt known.
 const DOUBT_PART: f64 = 0.5;
+/// The same during the trial where many entries share it, so that each sees few answers: of ten of
+/// an equal version, two or more are slow at 8 entries in 100; of five where each other one is slow,
+/// at 81 in 100.
+const DOUBT_SLOW_OF_MANY: usize = 2;
+/// Entries from which they are many.
+const MANY_ENTRIES: usize = 12;
 /// Failures of all kinds from which an entry makes its doubt known. Where many entries share the
 /// trial, each sees few.
 const DOUBT_FAILURES: usize = 2;
@@ -67,6 +73,9 @@
 /// server in seven puts up to 3 of 30 in doubt about a good version.
 const MIN_DOUBTS: usize = 2;
 const ENTRIES_PER_DOUBT: usize = 10;
+/// What a slight doubt counts. Of 30 entries, one in twelve of which has one by chance, the seven
+/// that are then needed are in doubt in 1 of 100 trials of an equal version.
+const SLIGHT_DOUBT: f64 = 0.75;
 
 /// How far a roll-out has come among the entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -98,6 +107,15 @@
     Revert,
 }
 
+/// How sure an entry in doubt is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// Half of what would let it call the version bad by itself.
+    Strong,
+    /// The little that one of many entries sees.
+    Slight,
+}
+
 /// One answer, as evidence about a version.
 #[derive(Debug, Clone)]
 pub struct Evidence<'a> {
@@ -140,12 +158,16 @@
     tripped: bool,
     old: HashMap<String, Record>,
     new: HashMap<String, Record>,
+    /// The old version's answers of all kinds, for kinds of which too few are known.
+    old_of_all_kinds: Record,
     /// Slow answers of the new version, of all kinds.
     slow: Latest,
+    /// The same, where too little is known of a kind by the old version's answers of all kinds.
+    roughly_slow: Latest,
     /// Failures of the new version, of all kinds.
     failed: Latest,
     /// Entries that have made their doubt known, this one included.
-    doubts: BTreeSet<String>,
+    doubts: BTreeMap<String, Doubt>,
     own_doubt_told: bool,
 }
 
@@ -165,9 +187,11 @@
             tripped: false,
             old: HashMap::new(),
             new: HashMap::new(),
+            old_of_all_kinds: Record::default(),
             slow: Latest::default(),
+            roughly_slow: Latest::default(),
             failed: Latest::default(),
-            doubts: BTreeSet::new(),
+            doubts: BTreeMap::new(),
             own_doubt_told: false,
         }
     }
@@ -204,11 +228,15 @@
     }
 
     /// Learns that one of so many `entries` is in doubt; enough of them call the version bad.
-    pub fn learn_doubt(&mut self, entry: &str, is_own: bool, entries: usize) {
-        self.doubts.insert(entry.to_owned());
+    pub fn learn_doubt(&mut self, entry: &str, doubt: Doubt, is_own: bool, entries: usize) {
+        self.doubts.insert(entry.to_owned(), doubt);
         self.own_doubt_told |= is_own;
+        let weights = self.doubts.values().map(|doubt| match doubt {
+            Doubt::Strong => 1.0,
+            Doubt::Slight => SLIGHT_DOUBT,
+        });
         let needed = MIN_DOUBTS + entries / ENTRIES_PER_DOUBT;
-        if self.doubts.len() >= needed && self.known_stage != Some(Stage::Completed) {
+        if weights.sum::<f64>() >= needed as f64 && self.known_stage != Some(Stage::Completed) {
             self.tripped = true;
         }
     }
@@ -277,14 +305,19 @@
         let of_target = version == self.target;
         // NB: with the whole share on the new version, the old one's times are of another load.
         let comparable = self.share(now) < 1.0;
-        if of_target
-            && comparable
-            && let Some(slow) = self.is_slow(evidence)
-        {
-            self.slow.push(slow, evidence.server);
+        if of_target && comparable {
+            let slow = self.is_slow(evidence);
+            if let Some(slow) = slow {
+                self.slow.push(slow, evidence.server);
+            }
+            if let Some(slow) = slow.or_else(|| self.is_slow_for_any_kind(evidence)) {
+                self.roughly_slow.push(slow, evidence.server);
+            }
         }
         if of_target {
             self.failed.push(evidence.failed, evidence.server);
+        } else {
+            self.old_of_all_kinds.note(evidence);
         }
         let records = if of_target { &mut self.new } else { &mut self.old };
         if !records.contains_key(evidence.kind) {
@@ -306,8 +339,14 @@
         Some(!evidence.failed && evidence.slowness > bound)
     }
 
-    /// What should be made known next, if anything.
-    pub fn next_move(&self, now: Duration) -> Option<Move> {
+    /// Whether an answer is slower than nearly all of the old version's of whatever kind.
+    fn is_slow_for_any_kind(&self, evidence: &Evidence<'_>) -> Option<bool> {
+        let bound = self.old_of_all_kinds.slow_from()?;
+        Some(!evidence.failed && evidence.slowness > bound)
+    }
+
+    /// What should be made known next, if anything, by one of so many `entries`.
+    pub fn next_move(&self, now: Duration, entries: usize) -> Option<Move> {
         let elapsed = now.saturating_sub(self.seen);
         match self.known_stage {
             Some(Stage::Completed | Stage::Reverted) => None,
@@ -316,7 +355,7 @@
             Some(Stage::Trial) if !self.own_kept_told && self.in_trial_for(now) >= KEEP_AFTER => {
                 Some(Move::Keep)
             }
-            Some(_) if self.is_in_doubt() && !self.own_doubt_told => Some(Move::Doubt),
+            Some(_) if !self.own_doubt_told && self.doubt(entries).is_some() => Some(Move::Doubt),
             Some(Stage::Trial) if elapsed >= self.within.mul_f64(TRIAL_PART) => Some(Move::Widen),
             Some(Stage::Trial) => None,
             Some(Stage::Widening) => {
@@ -344,8 +383,16 @@
         self.known_stage != Some(Stage::Completed) && failures >= MIN_FAILURES_TO_SPARE
     }
 
-    fn is_in_doubt(&self) -> bool {
-        self.is_slow_in(DOUBT_PART) || self.fails_doubtfully()
+    /// This entry's doubt, as one of so many `entries`.
+    pub fn doubt(&self, entries: usize) -> Option<Doubt> {
+        let one_of_many = self.known_stage == Some(Stage::Trial) && entries >= MANY_ENTRIES;
+        if self.is_slow_in(DOUBT_PART) || self.fails_doubtfully() {
+            Some(Doubt::Strong)
+        } else if one_of_many && self.roughly_slow.is_of(DOUBT_SLOW_OF_MANY) {
+            Some(Doubt::Slight)
+        } else {
+            None
+        }
     }
 
     fn fails_doubtfully(&self) -> bool {
@@ -362,8 +409,7 @@
             Some(Stage::Widening) => MIN_SLOW_WIDENING,
             _ => MIN_SLOW,
         };
-        let enough = self.slow.count() as f64 >= part * min_slow as f64;
-        enough && self.slow.servers() >= MIN_SERVERS
+        self.slow.is_of((part * min_slow as f64).ceil() as usize)
     }
 }
 
@@ -415,6 +461,11 @@
         self.count() as f64 / self.answers.len().max(1) as f64
     }
 
+    /// Whether there are at least so many, of more than one server.
+    fn is_of(&self, answers: usize) -> bool {
+        self.count() >= answers && self.servers() >= MIN_SERVERS
+    }
+
     /// Servers that gave faulty answers.
     fn servers(&self) -> usize {
         let mut servers: Vec<&ServerId> = Vec::new();
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -9,12 +9,12 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{Move, RollOut, SessionKey, Stage};
+use pondwalk_decide::direct::{Doubt, Move, RollOut, SessionKey, Stage};
 use pondwalk_store::{Change, Expect, Fetched, StoreError};
 use rand::Rng;
 use tokio::{sync::Notify, time::timeout};
 
-use records::{KeptRecord, RollOutEvent, StageRecord};
+use records::{DoubtRecord, KeptRecord, RollOutEvent, StageRecord};
 
 use crate::{
     catalog::ServiceId,
@@ -167,12 +167,15 @@
         let now = self.core.clock.now();
         let state = self.core.state.borrow();
         let due = state.roll_outs.iter();
-        due.filter_map(|(service, one)| Some((service.clone(), one.next_move(now)?))).collect()
+        let entries = self.core.peers.count();
+        due.filter_map(|(service, one)| Some((service.clone(), one.next_move(now, entries)?)))
+            .collect()
     }
 
     fn due_for(&self, service: &ServiceId) -> Option<Move> {
         let now = self.core.clock.now();
-        self.core.state.borrow().roll_outs.get(service)?.next_move(now)
+        let entries = self.core.peers.count();
+        self.core.state.borrow().roll_outs.get(service)?.next_move(now, entries)
     }
 
     async fn make(&self, service: &ServiceId, step: Move) {
@@ -242,18 +245,26 @@
     }
 
     async fn tell_doubt(&self, service: &ServiceId, target: &str) {
+        let Some(doubt) = self.own_doubt(service) else { return };
+        let record = DoubtRecord { target: target.to_owned(), doubt: doubt.into() };
+        // NB: two texts always serialize.
+        let value = serde_json::to_vec(&record).unwrap_or_default();
         let name = &self.core.settings.name;
         let key = format!("{DOUBT_PREFIX}{service}/{name}");
-        let changes = vec![self.change(key, target.as_bytes().to_vec())];
-        let written = self.commit(changes).await;
+        let written = self.commit(vec![self.change(key, value.clone())]).await;
         self.note_written(service, Move::Doubt, &written);
         if written.is_err() {
             tokio::time::sleep(RETRY_PAUSE).await;
         } else {
-            self.learn_doubt(service, name, target.as_bytes());
+            self.learn_doubt(service, name, &value);
         }
     }
 
+    fn own_doubt(&self, service: &ServiceId) -> Option<Doubt> {
+        let entries = self.core.peers.count();
+        self.core.state.borrow().roll_outs.get(service)?.doubt(entries)
+    }
+
     /// Tells which sessions that the trial would move run through this entry already.
     async fn tell_kept(&self, service: &ServiceId, target: &str) {
         let record = KeptRecord { target: target.to_owned(), sessions: self.kept(service, target) };
@@ -291,12 +302,18 @@
         }
     }
 
-    fn learn_doubt(&self, service: &str, name: &str, target: &[u8]) {
+    fn learn_doubt(&self, service: &str, name: &str, value: &[u8]) {
+        let Ok(record) = serde_json::from_slice::<DoubtRecord>(value) else {
+            let step = "read a doubt".to_owned();
+            let event = RollOutEvent::StepFailed { service, step, error: name.to_owned() };
+            self.core.journal.note(Rank::State, &event);
+            return;
+        };
         let is_own = name == self.core.settings.name;
         let mut state = self.core.state.borrow_mut();
         let roll_out = state.roll_outs.get_mut(service);
-        if let Some(roll_out) = roll_out.filter(|one| one.target().as_bytes() == target) {
-            roll_out.learn_doubt(name, is_own, self.core.peers.count());
+        if let Some(roll_out) = roll_out.filter(|one| *one.target() == record.target) {
+            roll_out.learn_doubt(name, record.doubt.into(), is_own, self.core.peers.count());
         }
     }
 
--- a/crates/direct/src/conductor/records.rs
+++ b/crates/direct/src/conductor/records.rs
@@ -1,6 +1,6 @@
 //! What the entries keep of a roll-out in the store, and the log lines about it.
 
-use pondwalk_decide::direct::{SessionKey, Stage};
+use pondwalk_decide::direct::{Doubt, SessionKey, Stage};
 use serde::{Deserialize, Serialize};
 
 /// A stage as it lies in the store.
@@ -21,6 +21,43 @@
     pub sessions: Vec<SessionKey>,
 }
 
+/// An entry's doubt about a version on trial, as it lies in the store.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct DoubtRecord {
+    /// Version on trial.
+    pub target: String,
+    /// How sure the entry is.
+    pub doubt: DoubtWord,
+}
+
+/// Word for a doubt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DoubtWord {
+    /// Half of what would let the entry call the version bad.
+    Strong,
+    /// The little that one of many entries sees.
+    Slight,
+}
+
+impl From<Doubt> for DoubtWord {
+    fn from(doubt: Doubt) -> Self {
+        match doubt {
+            Doubt::Strong => DoubtWord::Strong,
+            Doubt::Slight => DoubtWord::Slight,
+        }
+    }
+}
+
+impl From<DoubtWord> for Doubt {
+    fn from(word: DoubtWord) -> Self {
+        match word {
+            DoubtWord::Strong => Doubt::Strong,
+            DoubtWord::Slight => Doubt::Slight,
+        }
+    }
+}
+
 /// Word for a stage.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
