--- a/crates/direct/tests/asks_other_entries.rs
+++ b/crates/direct/tests/asks_other_entries.rs
@@ -75,20 +75,27 @@
     entries
 }
 
+/// Store calls that so many entries make in `time`, once `before` has passed.
+fn store_calls<B>(count: u16, before: impl Fn(World) -> B, time: Duration) -> u64
+where
+    B: Future<Output = World>,
+{
+    let seen = Rc::new(RefCell::new(0));
+    let noted = Rc::clone(&seen);
+    play(|world| async move {
+        let net = Net::default();
+        let _entries = with_entries(&world, &net, count).await;
+        let world = before(world).await;
+        let calls = world.store.calls();
+        sleep(time).await;
+        *noted.borrow_mut() = world.store.calls() - calls;
+    });
+    seen.take()
+}
+
 #[test]
 fn store_calls_hardly_grow_with_the_entries() {
-    let calls = |count: u16| {
-        let seen = Rc::new(RefCell::new(0));
-        let noted = Rc::clone(&seen);
-        play(|world| async move {
-            let net = Net::default();
-            let _entries = with_entries(&world, &net, count).await;
-            let before = world.store.calls();
-            sleep(Duration::from_secs(60)).await;
-            *noted.borrow_mut() = world.store.calls() - before;
-        });
-        seen.take()
-    };
+    let calls = |count| store_calls(count, async |world| world, Duration::from_secs(60));
     let (few, many) = (calls(3), calls(15));
     assert!(many <= few + few / 5, "{few} calls by 3 entries, {many} by 15");
 }
@@ -129,22 +136,14 @@
 
 #[test]
 fn entries_ask_one_another_again_once_the_store_is_back() {
-    let calls = |count: u16| {
-        let seen = Rc::new(RefCell::new(0));
-        let noted = Rc::clone(&seen);
-        play(|world| async move {
-            let net = Net::default();
-            let _entries = with_entries(&world, &net, count).await;
-            world.store.set_weather(Weather::Refused);
-            sleep(Duration::from_secs(8)).await;
-            world.store.set_weather(Weather::Fair);
-            sleep(Duration::from_secs(2)).await;
-            let before = world.store.calls();
-            sleep(Duration::from_secs(10)).await;
-            *noted.borrow_mut() = world.store.calls() - before;
-        });
-        seen.take()
+    let outage = async |world: World| {
+        world.store.set_weather(Weather::Refused);
+        sleep(Duration::from_secs(8)).await;
+        world.store.set_weather(Weather::Fair);
+        sleep(Duration::from_secs(2)).await;
+        world
     };
+    let calls = |count| store_calls(count, outage, Duration::from_secs(10));
     let (few, many) = (calls(3), calls(12));
     assert!(many <= few + few / 5, "{few} calls by 3 entries, {many} by 12");
 }
