--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -11,6 +11,11 @@
 /// Share of the key bound that is kept back for the way from this process to a backend server.
 const KEY_BOUND_MARGIN: f64 = 0.1;
 
+/// Longest time for which a key is honoured without a confirmation, in milliseconds, where the
+/// deployment puts service before strictness. Outages of the store that last minutes are rarer
+/// than those of seconds, and a key taken away because it leaked must not outlive one by long.
+const LENIENT_KEY_BOUND_MS: u64 = 60_000;
+
 /// Everything a direct entry learns from its file.
 #[derive(Debug, Clone)]
 pub struct DirectSettings {
@@ -28,6 +33,8 @@
     pub peers: Option<SocketAddr>,
     /// The platform's store.
     pub store: StoreSettings,
+    /// Time after the last confirmation by the store for which the state counts as its own.
+    pub state_bound: Duration,
     /// Longest time a key may be honoured after the last confirmation by the store.
     pub key_bound: Duration,
     /// Limits on what is sent to a second backend server.
@@ -78,7 +85,7 @@
     let readiness = file.required("direct", "readiness", ADDRESS);
     let metrics = file.optional("direct", "metrics", ADDRESS);
     let peers = file.optional("direct", "peers", ADDRESS);
-    let key_bound = file.millis("direct", "key_bound_ms", 5_000);
+    let (state_bound, key_bound) = read_bounds(file);
     let grace = file.seconds("direct", "grace_s", 8.0);
     let session_ttl = file.seconds("direct", "session_ttl_s", 5.0);
     let lines = "a number of lines from 1 to 100000";
@@ -95,7 +102,8 @@
         metrics,
         peers,
         store: store?,
-        key_bound: key_bound.mul_f64(1.0 - KEY_BOUND_MARGIN),
+        state_bound,
+        key_bound,
         retries,
         roll_out: RollOutSettings { exposure },
         grace,
@@ -104,6 +112,15 @@
     })
 }
 
+/// Bounds of the state's age and of the age at which keys are still honoured.
+fn read_bounds(file: &mut RawFile) -> (Duration, Duration) {
+    let strict = file.millis("direct", "key_bound_ms", 5_000).mul_f64(1.0 - KEY_BOUND_MARGIN);
+    let is_strict = file.or_if_blank("direct", "strict_keys", "true or false", true);
+    let lenient = file.millis("direct", "lenient_key_bound_ms", LENIENT_KEY_BOUND_MS);
+    let key_bound = if is_strict { strict } else { lenient.max(strict) };
+    (strict, key_bound)
+}
+
 fn read_retries(file: &mut RawFile) -> RetrySettings {
     let share = "a share from 0 to 10";
     let number = "a number from 0 to 1000000";
--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -102,6 +102,20 @@
         self.optional(section, key, expected).unwrap_or(default)
     }
 
+    /// The same, where a template may leave the value blank: then the default holds.
+    pub fn or_if_blank<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        expected: &'static str,
+        default: T,
+    ) -> T {
+        match self.text(section, key) {
+            Some(text) if !text.trim().is_empty() => self.or(section, key, expected, default),
+            _ => default,
+        }
+    }
+
     /// A number with a default that must lie within bounds.
     pub fn within<T: FromStr + PartialOrd + Copy>(
         &mut self,
--- a/crates/config/tests/accepts_sample_files.rs
+++ b/crates/config/tests/accepts_sample_files.rs
@@ -49,8 +49,9 @@
     assert_eq!(new.prompt_per_1k_tokens, 0.5);
 }
 
-/// Fills the platform's template with plain values, as the platform does.
-fn filled_template() -> String {
+/// Fills the platform's template with plain values, as the platform does; `strict` is the
+/// deployment's declaration on keys, which may be absent.
+fn filled_template(strict: &str) -> String {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/entry.ini");
     let mut text = std::fs::read_to_string(path).expect("the template");
     let values = [
@@ -62,6 +63,7 @@
         ("{{port_range.0}}", "7340"),
         ("{{platform.address}}", "10.200.1.7:8223"),
         ("{{guarantees.revoke_timeout_ms}}", "5000"),
+        ("{{guarantees.strict_revoke}}", strict),
         ("{{guarantees.grace_period_s}}", "8"),
         ("{{guarantees.session_ttl_s}}", "5.5"),
         ("{{guarantees.retry_budget_ratio}}", "0.9"),
@@ -74,12 +76,26 @@
     text
 }
 
+fn settings_of(text: &str) -> DirectSettings {
+    assert!(!text.contains("{{"), "a gap without a value in\n{text}");
+    let file = RawFile::parse(Path::new("entry.ini"), text).expect("INI");
+    DirectSettings::try_from(file).expect("accepted")
+}
+
+#[test]
+fn keys_are_strict_unless_the_deployment_declares_otherwise() {
+    let bounds = |strict: &str| {
+        let settings = settings_of(&filled_template(strict));
+        (settings.state_bound.as_millis(), settings.key_bound.as_millis())
+    };
+    assert_eq!(bounds("true"), (4_500, 4_500));
+    assert_eq!(bounds(""), (4_500, 4_500));
+    assert_eq!(bounds("false"), (4_500, 60_000));
+}
+
 #[test]
 fn the_deployed_template_is_accepted_once_filled() {
-    let text = filled_template();
-    assert!(!text.contains("{{"), "a gap without a value in\n{text}");
-    let file = RawFile::parse(Path::new("entry.ini"), &text).expect("INI");
-    let settings = DirectSettings::try_from(file).expect("accepted");
+    let settings = settings_of(&filled_template("true"));
     assert_eq!(settings.key_bound.as_millis(), 4_500);
     assert_eq!(settings.session_ttl.as_millis(), 5_500);
     assert!(settings.peers.is_some() && settings.metrics.is_some());
--- a/crates/decide/src/direct/freshness.rs
+++ b/crates/decide/src/direct/freshness.rs
@@ -1,8 +1,12 @@
 //! How long ago the store last confirmed what this process believes.
 //!
 //! A key may be withdrawn at any moment. A process that has not heard from the store for longer
-//! than the bound must not honour keys, however it was kept from hearing: turned away, cut off,
-//! paused or slowed. The stamp is therefore the moment at which the confirming call was sent.
+//! than the key bound must not honour keys, however it was kept from hearing: turned away, cut
+//! off, paused or slowed. The stamp is therefore the moment at which the confirming call was sent.
+//!
+//! A deployment that puts service before strictness gives keys a longer bound. What is refused
+//! for good, an unknown key or route, always rests on the shorter one: a state that is older
+//! might lack what was added meanwhile.
 
 use std::time::Duration;
 
@@ -10,13 +14,15 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Freshness {
     bound: Duration,
+    key_bound: Duration,
     confirmed: Option<Duration>,
 }
 
 impl Freshness {
-    /// Nothing is confirmed yet; keys may be honoured for `bound` after a confirmation.
-    pub fn new(bound: Duration) -> Self {
-        Freshness { bound, confirmed: None }
+    /// Nothing is confirmed yet. After a confirmation the state counts as the store's own for
+    /// `bound`, and keys may be honoured for `key_bound`.
+    pub fn new(bound: Duration, key_bound: Duration) -> Self {
+        Freshness { bound, key_bound, confirmed: None }
     }
 
     /// The store confirmed the state by a call sent at `sent`; the stamp never moves back.
@@ -29,8 +35,13 @@
         self.confirmed.map(|at| now.saturating_sub(at))
     }
 
-    /// Whether keys may be honoured.
+    /// Whether the state counts as the store's own, so that refusals for good may rest on it.
     pub fn holds(&self, now: Duration) -> bool {
         self.age(now).is_some_and(|age| age < self.bound)
     }
+
+    /// Whether keys may be honoured.
+    pub fn honours_keys(&self, now: Duration) -> bool {
+        self.age(now).is_some_and(|age| age < self.key_bound)
+    }
 }
--- a/crates/decide/tests/direct.rs
+++ b/crates/decide/tests/direct.rs
@@ -56,12 +56,12 @@
 #[test]
 fn freshness_never_moves_back_and_ends_at_its_bound() {
     fn property(stamps: Vec<u16>, now: u16) -> bool {
-        let mut freshness = Freshness::new(ms(4_500));
+        let mut freshness = Freshness::new(ms(4_500), ms(9_000));
         stamps.iter().for_each(|stamp| freshness.confirm(ms(u64::from(*stamp))));
         let newest = stamps.iter().max().map(|stamp| ms(u64::from(*stamp)));
         let now = ms(u64::from(now));
-        let holds = newest.is_some_and(|newest| now.saturating_sub(newest) < ms(4_500));
-        freshness.holds(now) == holds
+        let within = |bound| newest.is_some_and(|newest| now.saturating_sub(newest) < ms(bound));
+        freshness.holds(now) == within(4_500) && freshness.honours_keys(now) == within(9_000)
     }
     check(property as fn(Vec<u16>, u16) -> bool);
 }
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -123,7 +123,7 @@
         let state = self.state.borrow();
         let Some(catalog) = &state.catalog else { return false };
         // NB: without keys there is nothing that an old configuration must not be trusted with.
-        let serves = !catalog.asks_for_keys() || state.freshness.holds(self.clock.now());
+        let serves = !catalog.asks_for_keys() || state.freshness.honours_keys(self.clock.now());
         self.stopping.get() == Stopping::No && serves
     }
 }
@@ -134,7 +134,7 @@
         let memory_s = settings.session_ttl.as_secs_f64() + LONGEST_REQUEST_S;
         State {
             catalog: None,
-            freshness: Freshness::new(settings.key_bound),
+            freshness: Freshness::new(settings.state_bound, settings.key_bound),
             source_lost: false,
             revision: 0,
             history: History::default(),
--- a/crates/direct/src/http/intake.rs
+++ b/crates/direct/src/http/intake.rs
@@ -61,13 +61,13 @@
     let absent = if is_fresh { Refusal::NoRoute } else { Refusal::Stale };
     let route = catalog.route(&host, parts.uri.path()).cloned().ok_or(absent)?;
     let needs_key = catalog.asks_for_keys() && !route.anonymous;
-    if needs_key && !is_fresh {
+    if needs_key && !state.freshness.honours_keys(arrived) {
         return Err(Refusal::Stale);
     }
     let key = key_of(core, &parts.headers);
     let workspace = key.as_deref().and_then(|key| catalog.workspace_of(key)).cloned();
     if needs_key && workspace.is_none() {
-        return Err(Refusal::UnknownKey);
+        return Err(if is_fresh { Refusal::UnknownKey } else { Refusal::Stale });
     }
     let draw = state.rng.random_range(0.0..1.0);
     let service = pick_service(&catalog, &route, draw).ok_or(Refusal::NoServer)?;
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -133,7 +133,7 @@
         let state = self.core.state.borrow();
         let holds =
             state.catalog.as_ref().is_some_and(|catalog| key_still_holds(&self.job, catalog));
-        holds && state.freshness.holds(self.core.clock.now())
+        holds && state.freshness.honours_keys(self.core.clock.now())
     }
 
     /// Takes one more send out of the request's own limit and the shared budget.
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -42,7 +42,12 @@
 /// Settings of an entry.
 pub fn settings(name: &str, peers: Option<SocketAddr>) -> DirectSettings {
     let peers = peers.map_or(String::new(), |address| format!("\npeers={address}"));
-    let text = format!("[direct]\nname={name}{peers}{SETTINGS}");
+    settings_with(name, &peers)
+}
+
+/// Settings of an entry with further lines in its section, each after a line break.
+pub fn settings_with(name: &str, further: &str) -> DirectSettings {
+    let text = format!("[direct]\nname={name}{further}{SETTINGS}");
     let file = RawFile::parse("test.ini".as_ref(), &text).expect("INI");
     DirectSettings::try_from(file).expect("settings")
 }
@@ -67,19 +72,24 @@
 
 /// Runs a test on paused time.
 pub fn play<F: Future<Output = ()>>(test: impl FnOnce(World) -> F) {
+    play_with("", test);
+}
+
+/// The same with an entry whose section has further lines.
+pub fn play_with<F: Future<Output = ()>>(further: &str, test: impl FnOnce(World) -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
         .build()
         .expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
-        let world = World::new();
+        let world = World::new(settings_with("e1", further));
         test(world).await;
     });
 }
 
 impl World {
-    fn new() -> Self {
+    fn new(settings: DirectSettings) -> Self {
         let dialect = Dialect::own();
         let backends = Backends::new(Names {
             request_id: dialect.request_id.to_string(),
@@ -100,7 +110,7 @@
             Box::pin(opening) as pondwalk_direct::upstream::Opening
         });
         let journal = Journal::silent("e1", 1_000);
-        let entry = Entry::new(settings("e1", None), dialect, port, connect, journal, 7);
+        let entry = Entry::new(settings, dialect, port, connect, journal, 7);
         World { store, backends, entry, catalogs, ways }
     }
 
--- a/crates/direct/tests/survives_store_faults.rs
+++ b/crates/direct/tests/survives_store_faults.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{World, address, catalog, catalog_with_keys, play, request, with};
+use common::{World, address, catalog, catalog_with_keys, play, play_with, request, with};
 use hyper::StatusCode;
 use pondwalk_standin::{backends::Act, memory_store::Weather};
 use tokio::time::sleep;
@@ -39,6 +39,31 @@
     }
 }
 
+#[test]
+fn a_deployment_that_is_not_strict_honours_known_keys_for_longer() {
+    play_with("\nstrict_keys=false\nlenient_key_bound_ms=20000", |world| async move {
+        with_one_server(&world).await;
+        world.store.set_weather(Weather::Refused);
+        sleep(Duration::from_secs(15)).await;
+        assert_eq!(status(&world, "k1").await, 200);
+        assert!(world.entry.is_ready());
+        // NB: the key may have been added meanwhile, so this is no 401.
+        assert_eq!(status(&world, "unknown").await, 503);
+        sleep(Duration::from_secs(6)).await;
+        assert_eq!(status(&world, "k1").await, 503);
+    });
+}
+
+#[test]
+fn a_strict_deployment_ignores_the_longer_bound() {
+    play_with("\nstrict_keys=true\nlenient_key_bound_ms=20000", |world| async move {
+        with_one_server(&world).await;
+        world.store.set_weather(Weather::Refused);
+        sleep(Duration::from_secs(6)).await;
+        assert_eq!(status(&world, "k1").await, 503);
+    });
+}
+
 #[test]
 fn what_needs_no_key_is_served_while_the_store_is_away() {
     play(|world| async move {
