--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -145,7 +145,7 @@
     pub fn forecast(&self, ask: &Ask<'_>, now: Duration) -> Option<Forecast> {
         let best = self.best(ask, now, || 0.0)?;
         let server = self.servers[best.index].as_ref()?;
-        let begins_ms = (server.waiting_ms + best.read_ms + ask.base_ms) * server.slowness.max(1.0);
+        let begins_ms = server.waiting_ms + best.read_ms + ask.base_ms + server.delay_ms(now);
         Some(Forecast { begins_ms, read_ms: best.read_ms })
     }
 
@@ -180,10 +180,10 @@
     }
 
     /// The answer began after `took_ms`.
-    pub fn began(&mut self, ticket: &mut Ticket, took_ms: f64) {
+    pub fn began(&mut self, ticket: &mut Ticket, took_ms: f64, now: Duration) {
         let waiting = std::mem::replace(&mut ticket.waiting, false);
         if let Some(server) = self.server_of(ticket).filter(|_| waiting) {
-            server.began(ticket, took_ms);
+            server.began(ticket, took_ms, now);
         }
     }
 
--- a/crates/decide/src/direct/fleet/server.rs
+++ b/crates/decide/src/direct/fleet/server.rs
@@ -15,10 +15,14 @@
 const FAILURE_MS: f64 = 3_000.0;
 /// Weight of the newest outcome in a server's share of failures.
 const FAILURE_GAIN: f64 = 0.2;
-/// Weight of the newest answer in a server's slowness.
-const SLOWNESS_GAIN: f64 = 0.25;
-/// Bounds of a server's slowness, as a multiple of what was expected.
-const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 20.0);
+/// Weight of the newest answer in a server's delay. A single answer tells little: most of its
+/// delay is chance, such as a long prompt that another entry had just sent.
+const DELAY_GAIN: f64 = 0.15;
+/// Time in which a delay fades to a third while no answer tells of it, so that a server is tried
+/// again; prompts that others sent are read by then.
+const DELAY_MEMORY: Duration = Duration::from_secs(3);
+/// Longest delay that one answer may tell, in milliseconds; a pause of seconds is no queue.
+const LONGEST_DELAY_MS: f64 = 10_000.0;
 /// First pause after a server could not be reached or refused; doubles with each in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest such pause.
@@ -72,8 +76,9 @@
     failure_noted: Duration,
     refusals: u32,
     paused_until: Duration,
-    /// How long answers take to begin, as a multiple of what was expected.
-    pub slowness: f64,
+    /// How much later than expected answers began, in milliseconds, when last noted.
+    delay_ms: f64,
+    delay_noted: Duration,
     parts: HashMap<(u64, u8), Duration>,
     sweep_parts_at: usize,
 }
@@ -92,7 +97,8 @@
             failure_noted: Duration::ZERO,
             refusals: 0,
             paused_until: Duration::ZERO,
-            slowness: 1.0,
+            delay_ms: 0.0,
+            delay_noted: Duration::ZERO,
             parts: HashMap::new(),
             sweep_parts_at: MIN_PARTS,
         }
@@ -111,7 +117,7 @@
     /// Cost of a request there, as a time in milliseconds.
     pub fn cost(&self, ask: &Ask<'_>, read_ms: f64, now: Duration, home: &str) -> f64 {
         let busy_ms = self.waiting_ms + f64::from(self.running) * RUNNING_MS;
-        let mut cost = (busy_ms + read_ms + ask.base_ms) * self.slowness.max(1.0);
+        let mut cost = busy_ms + read_ms + ask.base_ms + self.delay_ms(now);
         if self.facts.data_centre != home {
             cost += REMOTE_MS;
         }
@@ -174,11 +180,23 @@
     }
 
     /// An answer began after `took_ms`.
-    pub fn began(&mut self, ticket: &Ticket, took_ms: f64) {
+    pub fn began(&mut self, ticket: &Ticket, took_ms: f64, now: Duration) {
         self.waiting_ms = (self.waiting_ms - ticket.expected_ms).max(0.0);
-        let (least, most) = SLOWNESS_BOUNDS;
-        let ratio = (took_ms / ticket.due_ms()).clamp(least, most);
-        self.slowness += SLOWNESS_GAIN * (ratio - self.slowness);
+        let late_ms = (took_ms - ticket.due_ms()).clamp(0.0, LONGEST_DELAY_MS);
+        let known_ms = self.delay_ms(now);
+        self.delay_ms = known_ms + DELAY_GAIN * (late_ms - known_ms);
+        self.delay_noted = now;
+    }
+
+    /// How much later than expected answers begin here, in milliseconds: what other entries have
+    /// waiting, for the most part.
+    ///
+    /// NB: a time, not a multiple of what was expected. A request of 30 ms that waits for 200 ms
+    /// would tell of a server seven times as slow, and drive the long prompts away whose shared
+    /// parts it holds.
+    pub fn delay_ms(&self, now: Duration) -> f64 {
+        let quiet = now.saturating_sub(self.delay_noted).as_secs_f64();
+        self.delay_ms * (-quiet / DELAY_MEMORY.as_secs_f64()).exp()
     }
 
     /// A request is over; `waiting` tells whether its answer had not begun.
--- /dev/null
+++ b/crates/decide/tests/fleet_delays.rs
@@ -0,0 +1,101 @@
+//! What late answers tell of a server, and what they don't.
+
+use std::time::Duration;
+
+use pondwalk_decide::direct::{Ask, Fleet, PromptPart, ServerFacts, Ticket, VersionRule};
+use quickcheck::{Gen, QuickCheck};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+const LONG: [PromptPart; 2] =
+    [PromptPart { id: 1, tokens: 12_000 }, PromptPart { id: 99, tokens: 100 }];
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn fleet(count: usize) -> Fleet {
+    let mut fleet = Fleet::new("dc1");
+    for n in 0..count {
+        fleet.put(ServerFacts {
+            id: format!("s{n}"),
+            address: ([127, 0, 0, 1], 80).into(),
+            data_centre: "dc1".to_owned(),
+            version: "v1".to_owned(),
+            slots: 8,
+            ready: true,
+        });
+    }
+    fleet
+}
+
+fn ask(parts: &[PromptPart]) -> Ask<'_> {
+    Ask {
+        parts,
+        model: 0,
+        read_ms_per_token: 0.05,
+        base_ms: 25.0,
+        avoid: &[],
+        versions: VersionRule::Any,
+    }
+}
+
+/// An answer that began after this time, and ended at once.
+fn answer(fleet: &mut Fleet, ticket: &mut Ticket, took_ms: f64, at: Duration) {
+    fleet.began(ticket, took_ms, at);
+    fleet.ended(ticket);
+}
+
+#[test]
+fn short_requests_that_waited_a_little_drive_no_long_prompt_from_its_server() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let named = fleet(4).place(&ask(&LONG), ms(0), &mut rng).expect("a place").server;
+    let mut fleet = fleet(4);
+    let others: Vec<String> = (0..4).map(|n| format!("s{n}")).filter(|id| *id != named).collect();
+    for n in 0..20 {
+        let short = Ask { avoid: &others, ..ask(&[]) };
+        let mut ticket = fleet.place(&short, ms(n), &mut rng).expect("a place");
+        answer(&mut fleet, &mut ticket, 150.0, ms(n));
+    }
+    let long = fleet.place(&ask(&LONG), ms(100), &mut rng).expect("a place");
+    assert_eq!(long.server, named);
+}
+
+#[test]
+fn a_server_whose_answers_come_late_is_passed_over_and_tried_again() {
+    let mut rng = Pcg64Mcg::seed_from_u64(2);
+    let mut fleet = fleet(2);
+    let other = ["s1".to_owned()];
+    for n in 0..20 {
+        let only = Ask { avoid: &other, ..ask(&[]) };
+        let mut ticket = fleet.place(&only, ms(n), &mut rng).expect("a place");
+        answer(&mut fleet, &mut ticket, 2_000.0, ms(n));
+    }
+    let mut placed = |at| {
+        let ticket = fleet.place(&ask(&[]), at, &mut rng).expect("a place");
+        fleet.ended(&ticket);
+        ticket.server
+    };
+    assert!((0..20).all(|n| placed(ms(30 + n)) == "s1"));
+    assert!((0..20).any(|n| placed(ms(30_000 + n)) == "s0"));
+}
+
+#[test]
+fn a_delay_stays_within_what_answers_told() {
+    fn property(late: Vec<u16>) -> bool {
+        let mut rng = Pcg64Mcg::seed_from_u64(3);
+        let mut fleet = fleet(1);
+        let longest = late.iter().copied().max().map_or(0.0, f64::from);
+        for (n, late_ms) in late.into_iter().enumerate() {
+            let at = ms(n as u64);
+            let Some(mut ticket) = fleet.place(&ask(&[]), at, &mut rng) else { return false };
+            answer(&mut fleet, &mut ticket, 25.0 + f64::from(late_ms), at);
+        }
+        let forecast = fleet.forecast(&ask(&[]), ms(0));
+        forecast.is_some_and(|forecast| {
+            (25.0..=25.0 + longest.min(10_000.0) + 1e-6).contains(&forecast.begins_ms)
+        })
+    }
+    let mut checker = QuickCheck::new().rng(Gen::from_size_and_seed(60, 17)).tests(300);
+    checker.quickcheck(property as fn(Vec<u16>) -> bool);
+}
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -110,13 +110,14 @@
 
     /// The answer has begun.
     pub fn began(&mut self) {
-        let took_ms = self.elapsed().as_secs_f64() * 1_000.0;
+        let now = self.core.clock.now();
+        let took_ms = now.saturating_sub(self.sent).as_secs_f64() * 1_000.0;
         self.took_ms = took_ms;
         let late_ms = (took_ms - self.ticket.due_ms()).max(0.0);
         self.core.metrics.time(Timer::ServerQueue, Duration::from_secs_f64(late_ms / 1_000.0));
         let mut state = self.core.state.borrow_mut();
         if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
-            fleet.began(&mut self.ticket, took_ms);
+            fleet.began(&mut self.ticket, took_ms, now);
         }
     }
 
