--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -13,7 +13,10 @@
 mod window_budget;
 
 pub use cascade::{Cascade, ModelNumber, Terms};
-pub use fleet::{Ask, Fleet, Forecast, PromptPart, ServerFacts, ServerIndex, Ticket, VersionRule};
+pub use fleet::{
+    Ask, Fleet, Forecast, LoadError, PromptPart, ServerFacts, ServerIndex, ServerLoad, Ticket,
+    VersionRule,
+};
 pub use freshness::Freshness;
 pub use rank::{RESUMED, Rank, rank_of};
 pub use roll_out::{Doubt, Evidence, Move, RollOut, Stage};
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -6,6 +6,7 @@
 //! shared part brings requests that share it to the same servers from every entry.
 
 mod ask;
+mod load;
 mod server;
 
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use rand::Rng;
 
 pub use ask::{Ask, Forecast, PromptPart, Ticket, VersionRule};
+pub use load::{LoadError, ServerLoad};
 pub use server::ServerFacts;
 
 use super::hash::mix;
@@ -26,6 +28,11 @@
 const NAMED_HOLDS: f64 = 0.7;
 /// Price of reading a part again, as a time in milliseconds for a thousand tokens.
 const READ_AGAIN_MS_PER_K: f64 = 50.0;
+/// Time that the prompt of another entry's request takes to read until this entry's own have shown
+/// it, in milliseconds.
+const READ_PRIOR_MS: f64 = 100.0;
+/// Weight of the newest request in what is known of that.
+const READ_GAIN: f64 = 0.02;
 
 /// A server that could take a request.
 #[derive(Debug)]
@@ -33,21 +40,30 @@
     index: ServerIndex,
     cost: f64,
     read_ms: f64,
+    begins_ms: f64,
 }
 
 /// The backend servers of one service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Fleet {
     home: DataCentreId,
     servers: Vec<Option<Server>>,
     /// Versions that were found bad; their servers get nothing, whatever a rule allows.
     bad_versions: Vec<VersionId>,
+    /// Time that a request placed here takes to be read, in milliseconds, on the average; other
+    /// entries' requests are taken to be alike.
+    usual_read_ms: f64,
 }
 
 impl Fleet {
     /// No servers; `home` is the entry's own data centre.
     pub fn new(home: &str) -> Self {
-        Fleet { home: home.to_owned(), ..Fleet::default() }
+        Fleet {
+            home: home.to_owned(),
+            servers: Vec::new(),
+            bad_versions: Vec::new(),
+            usual_read_ms: READ_PRIOR_MS,
+        }
     }
 
     /// Learns of a server, or of a change of it. A server once seen to leave stays so.
@@ -134,6 +150,7 @@
     pub fn place(&mut self, ask: &Ask<'_>, now: Duration, rng: &mut impl Rng) -> Option<Ticket> {
         let best = self.best(ask, now, || rng.random_range(0.0..1.0))?;
         let expected_ms = best.read_ms + ask.base_ms;
+        self.usual_read_ms += READ_GAIN * (expected_ms - self.usual_read_ms);
         let server = self.servers[best.index].as_mut()?;
         let ahead_ms = server.waiting_ms;
         server.admit(ask, expected_ms, now);
@@ -144,9 +161,7 @@
     /// What placing a request now would lead to; `None` if no server may take it.
     pub fn forecast(&self, ask: &Ask<'_>, now: Duration) -> Option<Forecast> {
         let best = self.best(ask, now, || 0.0)?;
-        let server = self.servers[best.index].as_ref()?;
-        let begins_ms = server.waiting_ms + best.read_ms + ask.base_ms + server.delay_ms(now);
-        Some(Forecast { begins_ms, read_ms: best.read_ms })
+        Some(Forecast { begins_ms: best.begins_ms, read_ms: best.read_ms })
     }
 
     /// The server of the least cost; `scatter` keeps equal ones from being taken in turn.
@@ -167,13 +182,14 @@
                 continue;
             }
             let read_ms = server.tokens_to_read(ask, now) * ask.read_ms_per_token;
-            let mut cost = server.cost(ask, read_ms, now, &self.home) + scatter();
+            let begins_ms = server.begins_ms(ask, read_ms, self.usual_read_ms, now);
+            let mut cost = server.cost(ask, begins_ms, now, &self.home) + scatter();
             if named.is_some_and(|named| named != index) {
                 let tokens = shared.map_or(0, |part| part.tokens);
                 cost += f64::from(tokens) * stranger_ms;
             }
             if best.as_ref().is_none_or(|best| cost < best.cost) {
-                best = Some(Candidate { index, cost, read_ms });
+                best = Some(Candidate { index, cost, read_ms, begins_ms });
             }
         }
         best
@@ -187,6 +203,13 @@
         }
     }
 
+    /// The server told its load with an answer.
+    pub fn tells_load(&mut self, ticket: &Ticket, load: ServerLoad, now: Duration) {
+        if let Some(server) = self.server_of(ticket) {
+            server.tells_load(load, now);
+        }
+    }
+
     /// The request is over.
     pub fn ended(&mut self, ticket: &Ticket) {
         if let Some(server) = self.server_of(ticket) {
--- a/crates/decide/src/direct/fleet/server.rs
+++ b/crates/decide/src/direct/fleet/server.rs
@@ -4,7 +4,10 @@
 
 use pondwalk_types::{DataCentreId, ServerId, VersionId};
 
-use super::ask::{Ask, PromptPart, Ticket};
+use super::{
+    ask::{Ask, PromptPart, Ticket},
+    load::{OthersLoad, ServerLoad},
+};
 use crate::direct::hash::hash_text;
 
 /// Time that one running request adds to the cost of a server, in milliseconds.
@@ -72,6 +75,10 @@
     pub waiting_ms: f64,
     /// Requests of this entry that wait or run there.
     pub running: u32,
+    /// Those of them whose answers have not begun.
+    waiting: u32,
+    /// Requests of other entries, where the server tells its load.
+    others: OthersLoad,
     failure_share: f64,
     failure_noted: Duration,
     refusals: u32,
@@ -93,6 +100,8 @@
             lapses_at: None,
             waiting_ms: 0.0,
             running: 0,
+            waiting: 0,
+            others: OthersLoad::default(),
             failure_share: 0.0,
             failure_noted: Duration::ZERO,
             refusals: 0,
@@ -114,10 +123,23 @@
         self.lapses_at.is_none_or(|at| now < at)
     }
 
-    /// Cost of a request there, as a time in milliseconds.
-    pub fn cost(&self, ask: &Ask<'_>, read_ms: f64, now: Duration, home: &str) -> f64 {
-        let busy_ms = self.waiting_ms + f64::from(self.running) * RUNNING_MS;
-        let mut cost = busy_ms + read_ms + ask.base_ms + self.delay_ms(now);
+    /// Time until the answer to a request would begin there, in milliseconds, if its prompt takes
+    /// `read_ms` to read and one of another entry's `others_read_ms`.
+    pub fn begins_ms(
+        &self,
+        ask: &Ask<'_>,
+        read_ms: f64,
+        others_read_ms: f64,
+        now: Duration,
+    ) -> f64 {
+        let before_ms = self.waiting_ms + self.others.cost_ms(others_read_ms, now);
+        before_ms + read_ms + ask.base_ms + self.delay_ms(now)
+    }
+
+    /// Cost of a request there whose answer would begin after `begins_ms`, as a time in
+    /// milliseconds.
+    pub fn cost(&self, ask: &Ask<'_>, begins_ms: f64, now: Duration, home: &str) -> f64 {
+        let mut cost = begins_ms + f64::from(self.running) * RUNNING_MS;
         if self.facts.data_centre != home {
             cost += REMOTE_MS;
         }
@@ -169,6 +191,7 @@
     pub fn admit(&mut self, ask: &Ask<'_>, expected_ms: f64, now: Duration) {
         self.waiting_ms += expected_ms;
         self.running += 1;
+        self.waiting += 1;
         if self.parts.len() >= self.sweep_parts_at {
             self.parts.retain(|_, used| now.saturating_sub(*used) < PART_MEMORY);
             // NB: doubling keeps the work of sweeping in proportion to that of inserting.
@@ -181,6 +204,7 @@
 
     /// An answer began after `took_ms`.
     pub fn began(&mut self, ticket: &Ticket, took_ms: f64, now: Duration) {
+        self.waiting = self.waiting.saturating_sub(1);
         self.waiting_ms = (self.waiting_ms - ticket.expected_ms).max(0.0);
         let late_ms = (took_ms - ticket.due_ms()).clamp(0.0, LONGEST_DELAY_MS);
         let known_ms = self.delay_ms(now);
@@ -188,6 +212,12 @@
         self.delay_noted = now;
     }
 
+    /// It told its load with an answer.
+    pub fn tells_load(&mut self, load: ServerLoad, now: Duration) {
+        let own_running = self.running.saturating_sub(self.waiting);
+        self.others.note(load, own_running, self.waiting, now);
+    }
+
     /// How much later than expected answers begin here, in milliseconds: what other entries have
     /// waiting, for the most part.
     ///
@@ -202,6 +232,7 @@
     /// A request is over; `waiting` tells whether its answer had not begun.
     pub fn ended(&mut self, expected_ms: f64, waiting: bool) {
         if waiting {
+            self.waiting = self.waiting.saturating_sub(1);
             self.waiting_ms = (self.waiting_ms - expected_ms).max(0.0);
         }
         self.running = self.running.saturating_sub(1);
--- a/crates/decide/tests/direct.rs
+++ b/crates/decide/tests/direct.rs
@@ -1,52 +1,22 @@
 //! Decisions of an entry without agents: where requests run, and what keeps its promises.
 
+mod common;
+
 use std::time::Duration;
 
+use common::{ask, fleet, ms, server};
 use pondwalk_decide::direct::{
-    Ask, Cascade, Doubt, Evidence, Fleet, Freshness, Move, PromptPart, RESUMED, RollOut,
-    ServerFacts, Sessions, Stage, Terms, VersionRule, WindowBudget, WindowLimits, rank_of,
-    session_key,
+    Ask, Cascade, Doubt, Evidence, Fleet, Freshness, Move, PromptPart, RESUMED, RollOut, Sessions,
+    Stage, Terms, VersionRule, WindowBudget, WindowLimits, rank_of, session_key,
 };
 use quickcheck::{Gen, QuickCheck};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
 fn check(property: impl quickcheck::Testable) {
     QuickCheck::new().rng(Gen::from_size_and_seed(60, 17)).tests(300).quickcheck(property);
 }
 
-fn server(id: &str, version: &str) -> ServerFacts {
-    ServerFacts {
-        id: id.to_owned(),
-        address: ([127, 0, 0, 1], 80).into(),
-        data_centre: "dc1".to_owned(),
-        version: version.to_owned(),
-        slots: 8,
-        ready: true,
-    }
-}
-
-fn fleet(count: usize) -> Fleet {
-    let mut fleet = Fleet::new("dc1");
-    (0..count).for_each(|n| fleet.put(server(&format!("s{n}"), "v1")));
-    fleet
-}
-
-fn ask(parts: &[PromptPart]) -> Ask<'_> {
-    Ask {
-        parts,
-        model: 0,
-        read_ms_per_token: 0.05,
-        base_ms: 20.0,
-        avoid: &[],
-        versions: VersionRule::Any,
-    }
-}
-
 const PROMPT: [PromptPart; 3] = [
     PromptPart { id: 1, tokens: 2_000 },
     PromptPart { id: 2, tokens: 4_000 },
--- a/crates/decide/tests/fleet_delays.rs
+++ b/crates/decide/tests/fleet_delays.rs
@@ -1,8 +1,11 @@
 //! What late answers tell of a server, and what they don't.
 
+mod common;
+
 use std::time::Duration;
 
-use pondwalk_decide::direct::{Ask, Fleet, PromptPart, ServerFacts, Ticket, VersionRule};
+use common::{ask, fleet, ms};
+use pondwalk_decide::direct::{Ask, Fleet, PromptPart, Ticket};
 use quickcheck::{Gen, QuickCheck};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -10,36 +13,6 @@
 const LONG: [PromptPart; 2] =
     [PromptPart { id: 1, tokens: 12_000 }, PromptPart { id: 99, tokens: 100 }];
 
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-fn fleet(count: usize) -> Fleet {
-    let mut fleet = Fleet::new("dc1");
-    for n in 0..count {
-        fleet.put(ServerFacts {
-            id: format!("s{n}"),
-            address: ([127, 0, 0, 1], 80).into(),
-            data_centre: "dc1".to_owned(),
-            version: "v1".to_owned(),
-            slots: 8,
-            ready: true,
-        });
-    }
-    fleet
-}
-
-fn ask(parts: &[PromptPart]) -> Ask<'_> {
-    Ask {
-        parts,
-        model: 0,
-        read_ms_per_token: 0.05,
-        base_ms: 25.0,
-        avoid: &[],
-        versions: VersionRule::Any,
-    }
-}
-
 /// An answer that began after this time, and ended at once.
 fn answer(fleet: &mut Fleet, ticket: &mut Ticket, took_ms: f64, at: Duration) {
     fleet.began(ticket, took_ms, at);
@@ -89,11 +62,11 @@
         for (n, late_ms) in late.into_iter().enumerate() {
             let at = ms(n as u64);
             let Some(mut ticket) = fleet.place(&ask(&[]), at, &mut rng) else { return false };
-            answer(&mut fleet, &mut ticket, 25.0 + f64::from(late_ms), at);
+            answer(&mut fleet, &mut ticket, 20.0 + f64::from(late_ms), at);
         }
         let forecast = fleet.forecast(&ask(&[]), ms(0));
         forecast.is_some_and(|forecast| {
-            (25.0..=25.0 + longest.min(10_000.0) + 1e-6).contains(&forecast.begins_ms)
+            (20.0..=20.0 + longest.min(10_000.0) + 1e-6).contains(&forecast.begins_ms)
         })
     }
     let mut checker = QuickCheck::new().rng(Gen::from_size_and_seed(60, 17)).tests(300);
--- /dev/null
+++ b/crates/decide/tests/fleet_loads.rs
@@ -0,0 +1,66 @@
+//! What a server's own word on its load does to the choice.
+
+mod common;
+
+use common::{ask, fleet, ms};
+use pondwalk_decide::direct::{Ask, Fleet, LoadError, ServerLoad};
+use quickcheck::{Gen, QuickCheck};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+/// Server `s0` answers a request of this entry and tells its load meanwhile.
+fn tell(fleet: &mut Fleet, load: ServerLoad, rng: &mut Pcg64Mcg) {
+    let others = ["s1".to_owned()];
+    let only = Ask { avoid: &others, ..ask(&[]) };
+    let mut ticket = fleet.place(&only, ms(0), rng).expect("a place");
+    fleet.began(&mut ticket, 20.0, ms(0));
+    fleet.tells_load(&ticket, load, ms(0));
+    fleet.ended(&ticket);
+}
+
+#[test]
+fn a_load_is_read_from_its_text_or_refused() {
+    let load = ServerLoad { running: 7, waiting: 2, slots: 64 };
+    assert_eq!(ServerLoad::try_from("7,2,64"), Ok(load));
+    assert_eq!(ServerLoad::try_from(" 7, 2 ,64"), Ok(load));
+    assert_eq!(ServerLoad::try_from("7,2"), Err(LoadError::NotThree));
+    for text in ["", "a,2,64", "7,-2,64", "7,2,64,1"] {
+        assert!(ServerLoad::try_from(text).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn a_server_that_others_have_filled_is_passed_over_until_the_word_is_old() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut fleet = fleet(2);
+    tell(&mut fleet, ServerLoad { running: 10, waiting: 5, slots: 64 }, &mut rng);
+    let mut placed = |at| {
+        let ticket = fleet.place(&ask(&[]), at, &mut rng).expect("a place");
+        fleet.ended(&ticket);
+        ticket.server
+    };
+    assert!((0..20).all(|n| placed(ms(10 + n)) == "s1"));
+    assert!((0..20).any(|n| placed(ms(20_000 + n)) == "s0"));
+}
+
+#[test]
+fn what_this_entry_sent_itself_is_not_counted_twice() {
+    fn property(running: u8, waiting: u8) -> bool {
+        let (running, waiting) = (running / 2, waiting / 2);
+        let mut rng = Pcg64Mcg::seed_from_u64(2);
+        let mut fleet = fleet(1);
+        let mut tickets: Vec<_> = (0..running + waiting)
+            .filter_map(|_| fleet.place(&ask(&[]), ms(0), &mut rng))
+            .collect();
+        // NB: answers that begin at once tell of no delay.
+        tickets.iter_mut().take(running.into()).for_each(|one| fleet.began(one, 0.0, ms(0)));
+        let before = fleet.forecast(&ask(&[]), ms(0));
+        let load = ServerLoad { running: running.into(), waiting: waiting.into(), slots: 512 };
+        if let Some(ticket) = tickets.first() {
+            fleet.tells_load(ticket, load, ms(0));
+        }
+        fleet.forecast(&ask(&[]), ms(0)) == before
+    }
+    let mut checker = QuickCheck::new().rng(Gen::from_size_and_seed(60, 17)).tests(300);
+    checker.quickcheck(property as fn(u8, u8) -> bool);
+}
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -33,6 +33,8 @@
     pub signature: HeaderName,
     /// A model's own opinion of its answer, 0 to 100.
     pub confidence: HeaderName,
+    /// A backend server's load, as `RUNNING,WAITING,SLOTS`; not every server tells it.
+    pub load: HeaderName,
     /// Headers that only the entry may set; those of callers are dropped.
     pub reserved: Vec<HeaderName>,
     /// Scheme of the `authorization` header that carries a key.
@@ -62,6 +64,7 @@
             not_run: name("pondwalk-not-run"),
             signature: name("pondwalk-signature"),
             confidence: name("pondwalk-confidence"),
+            load: name("pondwalk-load"),
             reserved: ["pondwalk-workspace", "pondwalk-expected-server", "pondwalk-priority"]
                 .map(name)
                 .to_vec(),
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -8,7 +8,7 @@
     body::Incoming,
     header::{HOST, HeaderName, HeaderValue},
 };
-use pondwalk_decide::direct::{ModelNumber, RESUMED, rank_of};
+use pondwalk_decide::direct::{ModelNumber, RESUMED, ServerLoad, rank_of};
 use pondwalk_types::{ServerId, VersionId};
 
 use super::report::RequestEvent;
@@ -209,6 +209,13 @@
         Some(confidence.clamp(0.0, 100.0) as u8)
     }
 
+    /// The server's load, if it tells one that can be read.
+    pub fn load(&self, headers: &HeaderMap) -> Option<ServerLoad> {
+        let text = headers.get(&self.core.dialect.load)?.to_str().ok()?;
+        // NB: a word that cannot be read is as none; the server is judged by its answers then.
+        ServerLoad::try_from(text).ok()
+    }
+
     /// Time since the request arrived, in milliseconds.
     pub fn after_ms(&self) -> u64 {
         self.core.clock.now().saturating_sub(self.job.arrived).as_millis() as u64
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -164,6 +164,9 @@
             return self.after_loss(&placement, "not_its_answer", status.to_string());
         }
         placement.began();
+        if let Some(load) = self.load(exchange.response.headers()) {
+            placement.tells_load(load);
+        }
         let failed = status.is_server_error();
         if placement.answered(failed) {
             self.note_tripped(&placement);
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{Ask, Evidence, ModelNumber, Terms, Ticket, VersionRule};
+use pondwalk_decide::direct::{Ask, Evidence, ModelNumber, ServerLoad, Terms, Ticket, VersionRule};
 use pondwalk_types::{ModelId, ServerId, VersionId};
 use rand::{Rng, rngs::SmallRng};
 
@@ -121,6 +121,15 @@
         }
     }
 
+    /// The server told its load with the answer.
+    pub fn tells_load(&self, load: ServerLoad) {
+        let now = self.core.clock.now();
+        let mut state = self.core.state.borrow_mut();
+        if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
+            fleet.tells_load(&self.ticket, load, now);
+        }
+    }
+
     /// The whole answer has been passed on; how fast its tokens came tells of others to come.
     pub fn is_whole(&self, number: ModelNumber) {
         let tokens_out = self.job.prompt.tokens_out;
