--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -4,6 +4,7 @@
 //! process, and nothing here reads a clock or sends a byte.
 
 mod cascade;
+mod engine;
 mod fleet;
 mod freshness;
 mod hash;
@@ -13,6 +14,7 @@
 mod window_budget;
 
 pub use cascade::{Cascade, ModelNumber, Terms};
+pub use engine::{Engine, Estimate, ServiceModel};
 pub use fleet::{
     Ask, Fleet, Forecast, LoadError, PromptPart, ServerFacts, ServerIndex, ServerLoad, Ticket,
     VersionRule,
--- a/crates/decide/src/direct/cascade.rs
+++ b/crates/decide/src/direct/cascade.rs
@@ -9,13 +9,20 @@
 
 use std::collections::HashMap;
 
+use super::engine::ServiceModel;
+
 /// Number of a model in a route's list, smallest first.
 pub type ModelNumber = u8;
 
-/// Confidence at which an answer is as likely to do as not, and the step by which the odds change
-/// by a factor of e. Measured from pairs of answers to one request: of 161 points between models
-/// whose qualities differ by 1, an answer's own scatter is 10 (docs/decisions/0015-cascade.md).
+/// Confidence at which an answer is as likely to do as not: the middle of the scale, by what a
+/// confidence means. Nobody tells an entry which answers did, so this is not learned.
 const EVEN_CONFIDENCE: f64 = 50.0;
+/// Step of confidence by which the odds of an answer change by a factor of e: an answer's own
+/// scatter is 10 points (docs/decisions/0015-cascade.md).
+///
+/// NB: not learned from the scatter between two answers to one request. Only doubtful answers are
+/// followed by another, so that scatter is too large, and the worth of the days with trouble fell
+/// by 0.014 with it.
 const CONFIDENCE_STEP: f64 = 6.2;
 /// Part of a request's worth that an answer which does not do forgoes.
 const POOR_LOSS: f64 = 0.95;
@@ -30,10 +37,6 @@
 /// Expected end, as a multiple of the time allowed, up to which an answer is surely whole in time
 /// and from which it surely is not.
 const WHOLE_BOUNDS: (f64, f64) = (0.75, 1.1);
-/// Time from one token of an answer to the next until answers have shown it, in milliseconds.
-const TOKEN_MS_PRIOR: f64 = 12.0;
-/// Weight of the newest answer in what is known of that.
-const TOKEN_MS_GAIN: f64 = 0.05;
 /// Part of the poor answers of a middle model that its own confidence gives away.
 const FOUND_POOR: f64 = 0.7;
 /// Confidence gained by a middle model, until requests that tried both have shown it.
@@ -50,6 +53,8 @@
 /// What asking one model would cost a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Terms {
+    /// The model among those of its service.
+    pub model: ServiceModel,
     /// Its price, in any unit that all models share.
     pub price: f64,
     /// Servers' time that it takes, as a multiple of a typical answer of the largest model.
@@ -64,8 +69,7 @@
 /// The rule for the requests of one service, with what it has learned.
 #[derive(Debug, Default)]
 pub struct Cascade {
-    lifts: HashMap<(ModelNumber, ModelNumber), f64>,
-    token_ms: HashMap<ModelNumber, f64>,
+    lifts: HashMap<(ServiceModel, ServiceModel), f64>,
     strain: f64,
 }
 
@@ -76,7 +80,10 @@
     /// `terms` are those of the route's models, smallest first.
     pub fn next_model(&self, told: &[(ModelNumber, u8)], terms: &[Terms]) -> Option<ModelNumber> {
         let (current, _) = *told.last()?;
-        let kept = POOR_LOSS * self.does(current, told);
+        if told.iter().any(|(model, _)| usize::from(*model) >= terms.len()) {
+            return None;
+        }
+        let kept = POOR_LOSS * self.does(current, told, terms);
         let last = ModelNumber::try_from(terms.len()).ok()?.checked_sub(1)?;
         let worth = |model: ModelNumber| (model, self.worth(model, told, terms));
         let best = (current + 1..=last).map(worth).max_by(|a, b| a.1.total_cmp(&b.1));
@@ -92,16 +99,18 @@
         if usize::from(model) == last {
             return POOR_LOSS * in_time(of) - cost;
         }
-        let does = self.does(model, told);
+        let does = self.does(model, told, terms);
         let largest = ModelNumber::try_from(last).map_or(0.0, |last| self.worth(last, told, terms));
         let otherwise = (1.0 - does) * FOUND_POOR * largest.max(0.0);
         POOR_LOSS * does * in_time(of) + otherwise - cost
     }
 
     /// Chance that a model's answer does, by what all models that answered told.
-    fn does(&self, model: ModelNumber, told: &[(ModelNumber, u8)]) -> f64 {
-        let expected =
-            told.iter().map(|(from, confidence)| f64::from(*confidence) + self.lift(*from, model));
+    fn does(&self, model: ModelNumber, told: &[(ModelNumber, u8)], terms: &[Terms]) -> f64 {
+        let named = |number: ModelNumber| terms[usize::from(number)].model;
+        let expected = told.iter().map(|(from, confidence)| {
+            f64::from(*confidence) + self.lift(named(*from), named(model))
+        });
         let count = told.len().max(1) as f64;
         let mean = expected.sum::<f64>() / count;
         let step = CONFIDENCE_STEP / count.sqrt();
@@ -109,7 +118,7 @@
     }
 
     /// A request was answered by two models with these confidences.
-    pub fn learn(&mut self, from: (ModelNumber, u8), to: (ModelNumber, u8)) {
+    pub fn learn(&mut self, from: (ServiceModel, u8), to: (ServiceModel, u8)) {
         let told = |confidence: u8| (1..100).contains(&confidence);
         if !told(from.1) || !told(to.1) {
             return;
@@ -119,17 +128,6 @@
         *lift += LIFT_GAIN * (gained - *lift);
     }
 
-    /// A whole answer of a model took this long for each of its tokens, in milliseconds.
-    pub fn note_token_ms(&mut self, model: ModelNumber, token_ms: f64) {
-        let known = self.token_ms.entry(model).or_insert(TOKEN_MS_PRIOR);
-        *known += TOKEN_MS_GAIN * (token_ms - *known);
-    }
-
-    /// Time from one token of a model's answer to the next, in milliseconds.
-    pub fn token_ms(&self, model: ModelNumber) -> f64 {
-        self.token_ms.get(&model).copied().unwrap_or(TOKEN_MS_PRIOR)
-    }
-
     /// An answer waited for this part of its objective beyond what it would have on an idle server.
     pub fn note_strain(&mut self, part: f64) {
         self.strain += STRAIN_GAIN * (part.min(2.0) - self.strain);
@@ -140,7 +138,7 @@
         DEAREST_TIME * part_beyond(self.strain, STRAIN_BOUNDS)
     }
 
-    fn lift(&self, from: ModelNumber, to: ModelNumber) -> f64 {
+    fn lift(&self, from: ServiceModel, to: ServiceModel) -> f64 {
         if from == to {
             return 0.0;
         }
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -155,7 +155,9 @@
         let ahead_ms = server.waiting_ms;
         server.admit(ask, expected_ms, now);
         let id = server.facts.id.clone();
-        Some(Ticket { index: best.index, server: id, expected_ms, ahead_ms, waiting: true })
+        let read_tokens = best.read_ms / ask.read_ms_per_token.max(f64::MIN_POSITIVE);
+        let index = best.index;
+        Some(Ticket { index, server: id, expected_ms, read_tokens, ahead_ms, waiting: true })
     }
 
     /// What placing a request now would lead to; `None` if no server may take it.
--- a/crates/decide/src/direct/fleet/ask.rs
+++ b/crates/decide/src/direct/fleet/ask.rs
@@ -3,6 +3,7 @@
 use pondwalk_types::ServerId;
 
 use super::ServerIndex;
+use crate::direct::engine::ServiceModel;
 
 /// One part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,8 +41,8 @@
 pub struct Ask<'a> {
     /// Parts of the prompt in order; empty for plain services.
     pub parts: &'a [PromptPart],
-    /// Number of the model, as the caller of this module counts them.
-    pub model: u8,
+    /// The model among those of its service.
+    pub model: ServiceModel,
     /// Time to read one token of a prompt with that model, in milliseconds.
     pub read_ms_per_token: f64,
     /// Time besides reading until the answer begins, in milliseconds.
@@ -61,6 +62,8 @@
     pub server: ServerId,
     /// Time until its answer was expected to begin, in milliseconds, with nothing before it.
     pub expected_ms: f64,
+    /// Tokens of its prompt that were to be read.
+    pub read_tokens: f64,
     /// What this entry had waiting there before it, in milliseconds.
     pub ahead_ms: f64,
     /// Whether its answer has not begun yet.
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -9,7 +9,7 @@
 
 use pondwalk_config::DirectSettings;
 use pondwalk_decide::direct::{
-    Cascade, Fleet, Freshness, RollOut, ServerFacts, Sessions, WindowBudget, WindowLimits,
+    Cascade, Engine, Fleet, Freshness, RollOut, ServerFacts, Sessions, WindowBudget, WindowLimits,
 };
 use pondwalk_types::ServerId;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -84,6 +84,8 @@
     pub sessions: Sessions,
     /// Budgets of further sends, by service.
     pub budgets: HashMap<ServiceId, WindowBudget>,
+    /// What is known of the engines, by service.
+    pub engines: HashMap<ServiceId, Engine>,
     /// Which models are asked, by service.
     pub cascades: HashMap<ServiceId, Cascade>,
     /// Source of random numbers.
@@ -143,6 +145,7 @@
             roll_outs: HashMap::new(),
             sessions: Sessions::new(Duration::from_secs_f64(memory_s)),
             budgets: HashMap::new(),
+            engines: HashMap::new(),
             cascades: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             limits: WindowLimits {
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -105,7 +105,7 @@
                     let Follower { run, confidence, head_ms, status } = &self.follower;
                     run.note_answered(&source.placement, *confidence, *head_ms, *status);
                     if !source.is_resumed {
-                        source.placement.is_whole(run.model);
+                        source.placement.is_whole();
                     }
                     return;
                 }
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -238,8 +238,9 @@
         let mut state = self.core.state.borrow_mut();
         let cascade = state.cascades.entry(job.service.name.clone()).or_default();
         let answer = (self.model, confidence);
+        let named = |(model, confidence)| (job.service_model(model), confidence);
         if let Some(dropped) = self.dropped.last() {
-            cascade.learn(*dropped, answer);
+            cascade.learn(named(*dropped), named(answer));
         }
         cascade.note_strain(placement.queued_ms() / objective_ms);
         let told: Vec<_> = self.dropped.iter().copied().chain([answer]).collect();
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -1,37 +1,36 @@
 //! A request's place at one backend server, given back when it is dropped.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{Ask, Evidence, ModelNumber, ServerLoad, Terms, Ticket, VersionRule};
+use pondwalk_decide::direct::{
+    Ask, Engine, Evidence, ModelNumber, ServerLoad, ServiceModel, Terms, Ticket, VersionRule,
+};
 use pondwalk_types::{ModelId, ServerId, VersionId};
 use rand::{Rng, rngs::SmallRng};
 
 use crate::{
+    catalog::ServiceId,
     core::{Core, State},
     metrics::Timer,
     request::Job,
 };
 
-/// Time to read a thousand tokens with the smallest, a middle and the largest model, in
-/// milliseconds, until their own answers have shown it.
-const READ_MS_PER_K: [f64; 3] = [5.5, 14.0, 53.0];
-/// Time until an answer begins on an idle server, besides reading, in milliseconds.
-const BASE_MS: f64 = 25.0;
-
 /// Tokens read that count as much as one made in an answer's size; from the users' rules.
 const SIZE_OF_TOKEN_OUT: f64 = 10.0;
 /// Tokens read that take as much of a server's time as one made; from the users' figures of their
 /// engines (0.27 ms of each step for one more request, 0.053 ms for a token read).
 const MADE_AS_READ: f64 = 5.0;
-/// Time that a typical answer of the largest model takes for each token of its size, in
-/// milliseconds: half of the time to read a token, since half of a prompt's size is held or out.
-const TYPICAL_MS_PER_SIZE: f64 = 0.026;
+/// Time that a typical answer of the largest model takes for each token of its size, as a part of
+/// the time to read one: half of a prompt's size is held already or made, not read.
+const TYPICAL_READ_PART: f64 = 0.5;
 
 /// A place at one backend server.
 pub struct Placement {
     core: Rc<Core>,
     job: Rc<Job>,
     ticket: Ticket,
+    /// The model among those of its service.
+    number: ServiceModel,
     sent: Duration,
     /// Time until its answer began, in milliseconds, once it has.
     took_ms: f64,
@@ -57,7 +56,8 @@
     ) -> Option<Self> {
         let now = core.clock.now();
         let mut state = core.state.borrow_mut();
-        let State { fleets, roll_outs, sessions, rng, .. } = &mut *state;
+        let State { fleets, roll_outs, sessions, engines, rng, .. } = &mut *state;
+        let engine = engine_of(engines, job);
         let fleet = fleets.get_mut(&job.service.name)?;
         let session = job.session.unwrap_or_else(|| rng.random());
         let pinned = job.session.and_then(|session| sessions.version(session, now));
@@ -66,7 +66,7 @@
         let model =
             if job.chooses_model { job.route.models.get(usize::from(number)) } else { None };
         let model = model.cloned();
-        let ask = ask_for(job, number, avoid, rule);
+        let ask = ask_for(engine, job, number, avoid, rule);
         let ticket = place(fleet, &ask, roll_out.map(|one| one.target().as_str()), now, rng)?;
         let facts = fleet.facts(&ticket.server)?;
         let (address, version) = (facts.address, facts.version.clone());
@@ -77,6 +77,7 @@
         let (core, job) = (Rc::clone(core), Rc::clone(job));
         Some(Placement {
             core,
+            number: job.service_model(number),
             job,
             ticket,
             sent: now,
@@ -116,7 +117,12 @@
         let late_ms = (took_ms - self.ticket.due_ms()).max(0.0);
         self.core.metrics.time(Timer::ServerQueue, Duration::from_secs_f64(late_ms / 1_000.0));
         let mut state = self.core.state.borrow_mut();
-        if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
+        let State { fleets, engines, .. } = &mut *state;
+        if self.ticket.ahead_ms <= 0.0 {
+            let engine = engine_of(engines, &self.job);
+            engine.note_beginning(self.number, self.ticket.read_tokens, took_ms);
+        }
+        if let Some(fleet) = fleets.get_mut(&self.job.service.name) {
             fleet.began(&mut self.ticket, took_ms, now);
         }
     }
@@ -131,16 +137,15 @@
     }
 
     /// The whole answer has been passed on; how fast its tokens came tells of others to come.
-    pub fn is_whole(&self, number: ModelNumber) {
+    pub fn is_whole(&self) {
         let tokens_out = self.job.prompt.tokens_out;
         if self.model.is_none() || tokens_out == 0 {
             return;
         }
         let making_ms = self.elapsed().as_secs_f64() * 1_000.0 - self.took_ms;
         let mut state = self.core.state.borrow_mut();
-        if let Some(cascade) = state.cascades.get_mut(&self.job.service.name) {
-            cascade.note_token_ms(number, making_ms / f64::from(tokens_out));
-        }
+        let engine = engine_of(&mut state.engines, &self.job);
+        engine.note_token_ms(self.number, making_ms / f64::from(tokens_out));
     }
 
     /// The server answered, with a failure of its own or not; true if a roll-out is off by it.
@@ -236,56 +241,58 @@
     let prices = job.prices();
     let objective_ms = job.route.objective.as_secs_f64().max(0.001) * 1_000.0;
     let allowed_ms = (job.give_up - job.arrived).as_secs_f64().max(0.001) * 1_000.0;
-    let state = core.state.borrow();
-    let cascade = state.cascades.get(&job.service.name);
-    let fleet = state.fleets.get(&job.service.name);
+    let mut state = core.state.borrow_mut();
+    let State { fleets, engines, .. } = &mut *state;
+    let engine = engine_of(engines, job);
+    let Some(fleet) = fleets.get(&job.service.name) else { return Vec::new() };
     let mut terms = Vec::with_capacity(prices.len());
-    for (number, price) in prices.into_iter().enumerate() {
-        let ask = ask_for(job, number as ModelNumber, avoid, VersionRule::Any);
-        let forecast = fleet.and_then(|fleet| fleet.forecast(&ask, core.clock.now()));
+    for (position, price) in prices.into_iter().enumerate() {
+        let number = position as ModelNumber;
+        let ask = ask_for(engine, job, number, avoid, VersionRule::Any);
         // NB: without a server for one model there is none for any.
-        let Some(forecast) = forecast else { return Vec::new() };
+        let Some(forecast) = fleet.forecast(&ask, core.clock.now()) else { return Vec::new() };
         let begins = used + forecast.begins_ms / objective_ms;
-        let token_ms = cascade.map_or(0.0, |cascade| cascade.token_ms(number as ModelNumber));
-        let making_ms = f64::from(job.prompt.tokens_out) * token_ms;
+        let making_ms = f64::from(job.prompt.tokens_out) * engine.token_ms(ask.model);
         let ends = (begins * objective_ms + making_ms) / allowed_ms;
-        let load = load_of(job, forecast.read_ms, ask.read_ms_per_token);
-        terms.push(Terms { price, load, begins, ends });
+        let load = load_of(engine, job, forecast.read_ms, ask.read_ms_per_token);
+        terms.push(Terms { model: ask.model, price, load, begins, ends });
     }
     terms
 }
 
-/// Servers' time that an answer takes, by its size, as a multiple of a typical one's.
-fn load_of(job: &Job, read_ms: f64, read_ms_per_token: f64) -> f64 {
+/// Servers' time that an answer takes, by its size, as a multiple of a typical one's of the route's
+/// largest model.
+fn load_of(engine: &Engine, job: &Job, read_ms: f64, read_ms_per_token: f64) -> f64 {
     let (tokens_in, tokens_out) =
         (f64::from(job.prompt.tokens_in), f64::from(job.prompt.tokens_out));
     let size = (tokens_in + SIZE_OF_TOKEN_OUT * tokens_out).max(1.0);
     let made_ms = MADE_AS_READ * tokens_out * read_ms_per_token;
-    (read_ms + made_ms) / size / TYPICAL_MS_PER_SIZE
+    let last = job.route.models.len().saturating_sub(1) as ModelNumber;
+    let largest = engine.read_ms_per_token(job.service_model(last));
+    (read_ms + made_ms) / size / (TYPICAL_READ_PART * largest)
 }
 
 fn ask_for<'a>(
+    engine: &Engine,
     job: &'a Job,
     number: ModelNumber,
     avoid: &'a [ServerId],
     versions: VersionRule<'a>,
 ) -> Ask<'a> {
+    let model = job.service_model(number);
     Ask {
         parts: &job.prompt.parts,
-        model: number,
-        read_ms_per_token: read_ms_per_token(job, number),
-        base_ms: BASE_MS,
+        model,
+        read_ms_per_token: engine.read_ms_per_token(model),
+        base_ms: engine.begins_ms(),
         avoid,
         versions,
     }
 }
 
-fn read_ms_per_token(job: &Job, number: ModelNumber) -> f64 {
-    let last = job.route.models.len().saturating_sub(1);
-    let per_k = match usize::from(number) {
-        0 if last > 0 => READ_MS_PER_K[0],
-        number if number == last => READ_MS_PER_K[2],
-        _ => READ_MS_PER_K[1],
-    };
-    per_k / 1_000.0
+/// What is known of the engines of a job's service.
+fn engine_of<'a>(engines: &'a mut HashMap<ServiceId, Engine>, job: &Job) -> &'a mut Engine {
+    let models = job.service.engine.as_ref().map_or(0, |engine| engine.models.len());
+    let service = job.service.name.clone();
+    engines.entry(service).or_insert_with(|| Engine::new(models.min(usize::from(u8::MAX)) as u8))
 }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -7,7 +7,7 @@
     HeaderMap, Method, StatusCode,
     header::{self, HeaderName},
 };
-use pondwalk_decide::direct::{PromptPart, SessionKey};
+use pondwalk_decide::direct::{ModelNumber, PromptPart, ServiceModel, SessionKey};
 use thiserror::Error;
 
 use crate::catalog::{Catalog, Route, Service, Workspace};
@@ -175,6 +175,17 @@
 }
 
 impl Job {
+    /// The model at a position of the route's list, among those of the service.
+    ///
+    /// NB: routes may list different models of one service, and what is learned of a model or held
+    /// for it belongs to the service. One that the service does not list counts by its position.
+    pub fn service_model(&self, number: ModelNumber) -> ServiceModel {
+        let model = self.route.models.get(usize::from(number));
+        let listed = self.service.engine.as_ref().map_or(&[][..], |engine| &engine.models);
+        let place = model.and_then(|model| listed.iter().position(|one| one.model == *model));
+        place.and_then(|place| u8::try_from(place).ok()).unwrap_or(number)
+    }
+
     /// Prices of the route's models, smallest first; zero for one that the service lacks.
     pub fn prices(&self) -> Vec<f64> {
         let listed = self.service.engine.as_ref().map_or(&[][..], |engine| &engine.models);
