--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -34,8 +34,11 @@
     No,
     /// Callers are asked to go elsewhere; work is still taken.
     Leaving,
-    /// No new work is taken.
-    Closed,
+    /// Only work is taken whose own time limit ends before this one does.
+    Closing {
+        /// When the process ends, on its own clock.
+        end: Duration,
+    },
 }
 
 /// Everything that tasks share.
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -25,7 +25,7 @@
 
 /// Time between two batches of log lines.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
-/// Time after the signal to stop for which new work is still taken. The balancer asks once a
+/// Time after the signal to stop for which all new work is still taken. The balancer asks once a
 /// second and needs two misses.
 const LEAVING_TIME: Duration = Duration::from_millis(2_600);
 /// Part of the grace time by which the process has ended.
@@ -132,7 +132,8 @@
         let under_way = core.under_way.get();
         core.journal.note(Rank::State, &StopEvent::Leaving { under_way });
         sleep_until((told + LEAVING_TIME).min(end)).await;
-        core.stopping.set(Stopping::Closed);
+        let left = end.saturating_duration_since(Instant::now());
+        core.stopping.set(Stopping::Closing { end: core.clock.now() + left });
         self.gate.close();
         let under_way = core.under_way.get();
         core.journal.note(Rank::State, &StopEvent::Closed { under_way });
--- a/crates/direct/src/http/intake.rs
+++ b/crates/direct/src/http/intake.rs
@@ -32,7 +32,12 @@
     let (parts, body) = request.into_parts();
     let checked = check(core, &parts, arrived)?;
     let body = read_body(body, checked.catalog.limits.max_body_bytes).await?;
-    Ok(into_job(core, parts, body, checked, arrived))
+    let job = into_job(core, parts, body, checked, arrived);
+    match core.stopping.get() {
+        // NB: streams last too variably to be foreseen; one that is cut is lost to its caller.
+        Stopping::Closing { end } if job.give_up > end => Err(Refusal::Closing),
+        _ => Ok(job),
+    }
 }
 
 /// What the head of a request leads to.
@@ -48,9 +53,6 @@
 fn check(core: &Core, parts: &Parts, arrived: Duration) -> Result<Checked, Refusal> {
     let mut state = core.state.borrow_mut();
     let catalog = state.catalog.clone().ok_or(Refusal::NotConfigured)?;
-    if core.stopping.get() == Stopping::Closed {
-        return Err(Refusal::Closing);
-    }
     if let Some(age) = state.freshness.age(arrived) {
         core.metrics.time(Timer::ConfigurationAge, age);
     }
--- a/crates/direct/src/http/listen.rs
+++ b/crates/direct/src/http/listen.rs
@@ -101,6 +101,12 @@
         .max_buf_size(limits.max_header_bytes + HEAD_ROOM)
         .serve_connection(TokioIo::new(io), service);
     pin!(connection);
+    if gate.closed.get() {
+        // NB: a caller that comes late is answered once, which ends the connection too; it would
+        // otherwise be closed before its request is here.
+        let _ = connection.await;
+        return;
+    }
     select! {
         // NB: whatever ends a connection early ends its request too, which logs it.
         _ = connection.as_mut() => return,
--- a/crates/direct/tests/passes_requests.rs
+++ b/crates/direct/tests/passes_requests.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use common::{World, address, catalog, events, play, request, stream, with};
 use http_body_util::Full;
-use hyper::StatusCode;
+use hyper::{Request, StatusCode};
 use pondwalk_standin::backends::Act;
 use tokio::time::sleep;
 
@@ -116,6 +116,32 @@
     });
 }
 
+/// A request that gives up within a second, and one that does not.
+fn short_and_long() -> [Request<Full<Bytes>>; 2] {
+    let short = with(request("/once/", "short"), "pondwalk-deadline-ms", "1000");
+    [short, request("/once/", "long")]
+}
+
+#[test]
+fn late_in_a_planned_stop_only_what_must_be_over_in_time_is_taken() {
+    play(|world| async move {
+        with_one_server(&world, Act::Answer(200, "made".into())).await;
+        let entry = world.entry.clone();
+        tokio::task::spawn_local(async move { entry.drain().await });
+        let stream = world.send(request("/stream/", "keeps the entry up")).await;
+        sleep(Duration::from_millis(3_000)).await;
+        let [short, long] = short_and_long();
+        assert_eq!(world.ask(short).await.status, 200);
+        let refused = world.ask(long).await;
+        assert_eq!(refused.status, 503);
+        assert!(refused.headers.contains_key("retry-after"));
+        sleep(Duration::from_millis(4_000)).await;
+        let [short, _] = short_and_long();
+        assert_eq!(world.ask(short).await.status, 503, "half a second is left");
+        drop(stream);
+    });
+}
+
 #[test]
 fn a_planned_stop_finishes_what_is_under_way_and_takes_no_more() {
     play(|world| async move {
