--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -123,6 +123,14 @@
         }
     }
 
+    /// How long the store has been away, if the last call to it failed: since it last confirmed
+    /// anything, or since the start.
+    pub fn outage(&self) -> Option<Duration> {
+        let state = self.state.borrow();
+        let now = self.clock.now();
+        state.source_lost.then(|| state.freshness.age(now).unwrap_or(now))
+    }
+
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/direct/src/http/refuse.rs
+++ b/crates/direct/src/http/refuse.rs
@@ -56,7 +56,7 @@
     *response.status_mut() = refusal.status();
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(pause) = refusal.retry_after()
+    if let Some(pause) = refusal.retry_after(core.outage())
         && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", pause.as_secs_f64()))
     {
         headers.insert(RETRY_AFTER, value);
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -99,17 +99,31 @@
         matches!(self, Refusal::TimedOut | Refusal::OutcomeUnknown)
     }
 
-    /// When the caller may come back, if that is worth it.
-    pub fn retry_after(self) -> Option<Duration> {
-        match self {
-            Refusal::NotConfigured | Refusal::Stale => Some(Duration::from_millis(500)),
-            Refusal::Closing => Some(Duration::from_millis(50)),
-            Refusal::NoServer | Refusal::TurnedAway => Some(Duration::from_millis(200)),
+    /// When the caller may come back, if that is worth it; `outage` is how long the store has been
+    /// away, if it is.
+    pub fn retry_after(self, outage: Option<Duration>) -> Option<Duration> {
+        match (self, outage) {
+            // NB: without an outage the configuration is being read, which takes some milliseconds.
+            (Refusal::NotConfigured, None) => Some(PAUSE_WHILE_READING),
+            (Refusal::NotConfigured, Some(outage)) => {
+                let (least, most) = START_PAUSES;
+                Some(outage.clamp(least, most))
+            }
+            (Refusal::Stale, _) => Some(Duration::from_millis(500)),
+            (Refusal::Closing, _) => Some(Duration::from_millis(50)),
+            (Refusal::NoServer | Refusal::TurnedAway, _) => Some(Duration::from_millis(200)),
             _ => None,
         }
     }
 }
 
+/// Pause for callers while an entry reads its first configuration.
+const PAUSE_WHILE_READING: Duration = Duration::from_millis(50);
+/// Shortest and longest pause for callers of an entry that started without the store. An outage is
+/// expected to last about as long again as it has lasted; a caller that tries only once more is
+/// not served if it comes back too soon, and only late if it comes back too late.
+const START_PAUSES: (Duration, Duration) = (Duration::from_millis(1_000), Duration::from_secs(4));
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
--- a/crates/direct/tests/survives_store_faults.rs
+++ b/crates/direct/tests/survives_store_faults.rs
@@ -314,3 +314,19 @@
         assert_eq!(status(&world, "k1").await, 503);
     });
 }
+
+#[test]
+fn an_entry_that_starts_without_the_store_asks_for_pauses_as_long_as_the_outage() {
+    play(|world| async move {
+        world.store.set_weather(Weather::Refused);
+        world.start().await;
+        let mut pauses = Vec::new();
+        for wait_s in [0, 2, 20] {
+            sleep(Duration::from_secs(wait_s)).await;
+            let refused = world.ask(request("/once/", "r")).await;
+            assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+            pauses.push(refused.headers["retry-after"].to_str().expect("text").to_owned());
+        }
+        assert_eq!(pauses, ["1.000", "2.020", "4.000"]);
+    });
+}
