--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -39,6 +39,8 @@
     pub key_bound: Duration,
     /// Limits on what is sent to a second backend server.
     pub retries: RetrySettings,
+    /// Mechanisms of the decision that an operator may switch off.
+    pub policy: PolicySettings,
     /// How new versions are brought in.
     pub roll_out: RollOutSettings,
     /// Time from the signal to stop until the process is ended from outside.
@@ -62,6 +64,31 @@
     pub entries: u32,
 }
 
+/// `[policy]`: mechanisms of the decision, all on unless switched off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PolicySettings {
+    /// Requests that share a part of their prompt go to the server that hashing names for it.
+    pub named_servers: bool,
+    /// A server whose answers came late costs as much more for a while.
+    pub delays: bool,
+    /// A server's own word on its load counts.
+    pub told_loads: bool,
+    /// Times of engines are learned from answers.
+    pub learned_engines: bool,
+    /// What a larger model's confidence adds to a smaller one's is learned.
+    pub learned_lifts: bool,
+    /// Servers' time has a price under strain.
+    pub time_price: bool,
+    /// Servers are told the rank of a request, shortest first.
+    pub ranks: bool,
+    /// A repeatable request is tried elsewhere while its server is silent.
+    pub tries_elsewhere: bool,
+    /// A stream that pauses too long is resumed elsewhere.
+    pub leaves_silent_streams: bool,
+    /// Calls that must be over in time are taken late in a planned stop.
+    pub late_calls: bool,
+}
+
 /// `[roll_out]`: limits while a version is on trial.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RollOutSettings {
@@ -91,6 +118,7 @@
     let lines = "a number of lines from 1 to 100000";
     let log_lines_per_s = file.within("direct", "log_lines_per_s", lines, (1, 100_000), 200);
     let retries = read_retries(file);
+    let policy = read_policy(file);
     let share = "a share from 0 to 1";
     let exposure = file.within("roll_out", "exposure", share, (0.0, 1.0), 0.1);
     let store = StoreSettings::read(file);
@@ -105,6 +133,7 @@
         state_bound,
         key_bound,
         retries,
+        policy,
         roll_out: RollOutSettings { exposure },
         grace,
         session_ttl,
@@ -121,6 +150,22 @@
     (strict, key_bound)
 }
 
+fn read_policy(file: &mut RawFile) -> PolicySettings {
+    let mut is_on = |key| file.or("policy", key, "true or false", true);
+    PolicySettings {
+        named_servers: is_on("named_servers"),
+        delays: is_on("delays"),
+        told_loads: is_on("told_loads"),
+        learned_engines: is_on("learned_engines"),
+        learned_lifts: is_on("learned_lifts"),
+        time_price: is_on("time_price"),
+        ranks: is_on("ranks"),
+        tries_elsewhere: is_on("tries_elsewhere"),
+        leaves_silent_streams: is_on("leaves_silent_streams"),
+        late_calls: is_on("late_calls"),
+    }
+}
+
 fn read_retries(file: &mut RawFile) -> RetrySettings {
     let share = "a share from 0 to 10";
     let number = "a number from 0 to 1000000";
--- a/crates/config/tests/rejects_faulty_files.rs
+++ b/crates/config/tests/rejects_faulty_files.rs
@@ -93,7 +93,8 @@
 #[test]
 fn all_faults_of_a_direct_entry_are_listed() {
     let text = "[direct]\nname = e\ncallers = nowhere\ngrace_s = -1\nnew = 1\n\
-                [retries]\nratio = much\n[roll_out]\nexposure = 2\n";
+                [retries]\nratio = much\n[roll_out]\nexposure = 2\n\
+                [policy]\ndelays = maybe\nmagic = true\n";
     let faults = faults(DirectSettings::try_from(raw(text)));
     let places: Vec<(&str, &str)> =
         faults.iter().map(|(section, key, _)| (section.as_str(), key.as_str())).collect();
@@ -105,6 +106,8 @@
         ("direct", "new"),
         ("retries", "ratio"),
         ("roll_out", "exposure"),
+        ("policy", "delays"),
+        ("policy", "magic"),
         ("store", "address"),
     ] {
         assert!(places.contains(&expected), "{expected:?} in {places:?}");
--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -17,7 +17,7 @@
 pub use engine::{Engine, Estimate, ServiceModel};
 pub use fleet::{
     Ask, Fleet, Forecast, LoadError, PromptPart, ServerFacts, ServerIndex, ServerLoad, Ticket,
-    VersionRule,
+    VersionRule, Weighed,
 };
 pub use freshness::Freshness;
 pub use rank::{RESUMED, Rank, rank_of};
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -43,10 +43,28 @@
     begins_ms: f64,
 }
 
+/// What a fleet weighs in its choice of a server, beside what it must.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Weighed {
+    /// The server that hashing names for a shared part.
+    pub named_servers: bool,
+    /// How late a server's answers came.
+    pub delays: bool,
+    /// What a server tells of its load.
+    pub told_loads: bool,
+}
+
+impl Default for Weighed {
+    fn default() -> Self {
+        Weighed { named_servers: true, delays: true, told_loads: true }
+    }
+}
+
 /// The backend servers of one service.
 #[derive(Debug)]
 pub struct Fleet {
     home: DataCentreId,
+    weighed: Weighed,
     servers: Vec<Option<Server>>,
     /// Versions that were found bad; their servers get nothing, whatever a rule allows.
     bad_versions: Vec<VersionId>,
@@ -58,8 +76,14 @@
 impl Fleet {
     /// No servers; `home` is the entry's own data centre.
     pub fn new(home: &str) -> Self {
+        Self::weighing(home, Weighed::default())
+    }
+
+    /// The same, where not everything is weighed.
+    pub fn weighing(home: &str, weighed: Weighed) -> Self {
         Fleet {
             home: home.to_owned(),
+            weighed,
             servers: Vec::new(),
             bad_versions: Vec::new(),
             usual_read_ms: READ_PRIOR_MS,
@@ -174,7 +198,8 @@
         mut scatter: impl FnMut() -> f64,
     ) -> Option<Candidate> {
         let shared = shared_part(ask.parts);
-        let named = shared.and_then(|part| self.named_for(part.id, ask.versions, now));
+        let hashed = shared.filter(|_| self.weighed.named_servers);
+        let named = hashed.and_then(|part| self.named_for(part.id, ask.versions, now));
         let stranger_ms = NAMED_HOLDS * ask.read_ms_per_token + READ_AGAIN_MS_PER_K / 1_000.0;
         let mut best: Option<Candidate> = None;
         for (index, server) in self.servers.iter().enumerate() {
@@ -200,13 +225,20 @@
     /// The answer began after `took_ms`.
     pub fn began(&mut self, ticket: &mut Ticket, took_ms: f64, now: Duration) {
         let waiting = std::mem::replace(&mut ticket.waiting, false);
+        let delays = self.weighed.delays;
         if let Some(server) = self.server_of(ticket).filter(|_| waiting) {
-            server.began(ticket, took_ms, now);
+            server.began(ticket);
+            if delays {
+                server.was_late(took_ms - ticket.due_ms(), now);
+            }
         }
     }
 
     /// The server told its load with an answer.
     pub fn tells_load(&mut self, ticket: &Ticket, load: ServerLoad, now: Duration) {
+        if !self.weighed.told_loads {
+            return;
+        }
         if let Some(server) = self.server_of(ticket) {
             server.tells_load(load, now);
         }
--- a/crates/decide/src/direct/fleet/server.rs
+++ b/crates/decide/src/direct/fleet/server.rs
@@ -202,11 +202,15 @@
         }
     }
 
-    /// An answer began after `took_ms`.
-    pub fn began(&mut self, ticket: &Ticket, took_ms: f64, now: Duration) {
+    /// An answer began.
+    pub fn began(&mut self, ticket: &Ticket) {
         self.waiting = self.waiting.saturating_sub(1);
         self.waiting_ms = (self.waiting_ms - ticket.expected_ms).max(0.0);
-        let late_ms = (took_ms - ticket.due_ms()).clamp(0.0, LONGEST_DELAY_MS);
+    }
+
+    /// An answer began this much later than expected, in milliseconds; less than nothing if sooner.
+    pub fn was_late(&mut self, late_ms: f64, now: Duration) {
+        let late_ms = late_ms.clamp(0.0, LONGEST_DELAY_MS);
         let known_ms = self.delay_ms(now);
         self.delay_ms = known_ms + DELAY_GAIN * (late_ms - known_ms);
         self.delay_noted = now;
--- a/crates/decide/tests/fleet_delays.rs
+++ b/crates/decide/tests/fleet_delays.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use common::{ask, fleet, ms};
-use pondwalk_decide::direct::{Ask, Fleet, PromptPart, Ticket};
+use common::{ask, fleet, ms, server};
+use pondwalk_decide::direct::{Ask, Fleet, PromptPart, Ticket, Weighed};
 use quickcheck::{Gen, QuickCheck};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -53,6 +53,18 @@
     assert!((0..20).any(|n| placed(ms(30_000 + n)) == "s0"));
 }
 
+#[test]
+fn a_delay_counts_for_nothing_where_it_is_not_weighed() {
+    let mut rng = Pcg64Mcg::seed_from_u64(4);
+    let weighed = Weighed { delays: false, ..Weighed::default() };
+    let mut fleet = Fleet::weighing("dc1", weighed);
+    fleet.put(server("s0", "v1"));
+    let before = fleet.forecast(&ask(&[]), ms(0));
+    let mut ticket = fleet.place(&ask(&[]), ms(0), &mut rng).expect("a place");
+    answer(&mut fleet, &mut ticket, 2_000.0, ms(0));
+    assert_eq!(fleet.forecast(&ask(&[]), ms(0)), before);
+}
+
 #[test]
 fn a_delay_stays_within_what_answers_told() {
     fn property(late: Vec<u16>) -> bool {
--- a/crates/decide/tests/fleet_loads.rs
+++ b/crates/decide/tests/fleet_loads.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{ask, fleet, ms};
-use pondwalk_decide::direct::{Ask, Fleet, LoadError, ServerLoad};
+use common::{ask, fleet, ms, server};
+use pondwalk_decide::direct::{Ask, Fleet, LoadError, ServerLoad, Weighed};
 use quickcheck::{Gen, QuickCheck};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -43,6 +43,17 @@
     assert!((0..20).any(|n| placed(ms(20_000 + n)) == "s0"));
 }
 
+#[test]
+fn a_load_counts_for_nothing_where_it_is_not_weighed() {
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    let weighed = Weighed { told_loads: false, ..Weighed::default() };
+    let mut fleet = Fleet::weighing("dc1", weighed);
+    (0..2).for_each(|n| fleet.put(server(&format!("s{n}"), "v1")));
+    let before = fleet.forecast(&ask(&[]), ms(0));
+    tell(&mut fleet, ServerLoad { running: 10, waiting: 5, slots: 64 }, &mut rng);
+    assert_eq!(fleet.forecast(&ask(&[]), ms(0)), before);
+}
+
 #[test]
 fn what_this_entry_sent_itself_is_not_counted_twice() {
     fn property(running: u8, waiting: u8) -> bool {
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -9,7 +9,8 @@
 
 use pondwalk_config::DirectSettings;
 use pondwalk_decide::direct::{
-    Cascade, Engine, Fleet, Freshness, RollOut, ServerFacts, Sessions, WindowBudget, WindowLimits,
+    Cascade, Engine, Fleet, Freshness, RollOut, ServerFacts, Sessions, Weighed, WindowBudget,
+    WindowLimits,
 };
 use pondwalk_types::ServerId;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -95,6 +96,7 @@
     pub rng: SmallRng,
     limits: WindowLimits,
     home: String,
+    weighed: Weighed,
 }
 
 impl Core {
@@ -165,13 +167,19 @@
                 window: retries.window,
             },
             home: settings.data_centre.clone(),
+            weighed: Weighed {
+                named_servers: settings.policy.named_servers,
+                delays: settings.policy.delays,
+                told_loads: settings.policy.told_loads,
+            },
         }
     }
 
     /// The servers of a service.
     pub fn fleet(&mut self, service: &ServiceId) -> &mut Fleet {
-        let home = &self.home;
-        self.fleets.entry(service.clone()).or_insert_with(|| Fleet::new(home))
+        let (home, weighed) = (&self.home, self.weighed);
+        let fleet = self.fleets.entry(service.clone());
+        fleet.or_insert_with(|| Fleet::weighing(home, weighed))
     }
 
     /// The budget of a service.
--- a/crates/direct/src/http/intake.rs
+++ b/crates/direct/src/http/intake.rs
@@ -33,9 +33,10 @@
     let checked = check(core, &parts, arrived)?;
     let body = read_body(body, checked.catalog.limits.max_body_bytes).await?;
     let job = into_job(core, parts, body, checked, arrived);
+    let late_calls = core.settings.policy.late_calls;
     match core.stopping.get() {
         // NB: streams last too variably to be foreseen; one that is cut is lost to its caller.
-        Stopping::Closing { end } if job.give_up > end => Err(Refusal::Closing),
+        Stopping::Closing { end } if job.give_up > end || !late_calls => Err(Refusal::Closing),
         _ => Ok(job),
     }
 }
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -150,7 +150,8 @@
         let mut last_heard = clock.now();
         loop {
             // NB: with nowhere to go on, silence is no reason to end the answer.
-            let may_leave = source.may_be_left
+            let may_leave = self.follower.run.core.settings.policy.leaves_silent_streams
+                && source.may_be_left
                 && source.placement.has_alternative
                 && self.follower.run.may_go_on();
             let until = if may_leave { last_heard + silence } else { clock.now() + silence };
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -180,7 +180,9 @@
             put(headers, &dialect.model, model);
             let resumed = last_event_id.is_some();
             let rank = if resumed { RESUMED } else { rank_of(placement.expected_ms()) };
-            put(headers, &dialect.priority, &rank.to_string());
+            if self.core.settings.policy.ranks {
+                put(headers, &dialect.priority, &rank.to_string());
+            }
         }
         if let Some(id) = last_event_id {
             put(headers, &dialect.last_event_id, id);
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -127,7 +127,8 @@
     fn patience(&self, placement: &Placement) -> Duration {
         let job = &self.job;
         let may_go_on = job.route.kind.may_repeat() && self.sends + 1 < job.route.max_attempts;
-        if !may_go_on || !placement.has_alternative {
+        let elsewhere = self.core.settings.policy.tries_elsewhere && placement.has_alternative;
+        if !may_go_on || !elsewhere {
             return job.give_up;
         }
         let least = if job.route.kind.is_stream() { STREAM_PATIENCE } else { Duration::ZERO };
@@ -239,10 +240,13 @@
         let cascade = state.cascades.entry(job.service.name.clone()).or_default();
         let answer = (self.model, confidence);
         let named = |(model, confidence)| (job.service_model(model), confidence);
-        if let Some(dropped) = self.dropped.last() {
+        let policy = &self.core.settings.policy;
+        if let Some(dropped) = self.dropped.last().filter(|_| policy.learned_lifts) {
             cascade.learn(named(*dropped), named(answer));
         }
-        cascade.note_strain(placement.queued_ms() / objective_ms);
+        if policy.time_price {
+            cascade.note_strain(placement.queued_ms() / objective_ms);
+        }
         let told: Vec<_> = self.dropped.iter().copied().chain([answer]).collect();
         cascade.next_model(&told, &terms)
     }
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -118,7 +118,7 @@
         self.core.metrics.time(Timer::ServerQueue, Duration::from_secs_f64(late_ms / 1_000.0));
         let mut state = self.core.state.borrow_mut();
         let State { fleets, engines, .. } = &mut *state;
-        if self.ticket.ahead_ms <= 0.0 {
+        if self.core.settings.policy.learned_engines && self.ticket.ahead_ms <= 0.0 {
             let engine = engine_of(engines, &self.job);
             engine.note_beginning(self.number, self.ticket.read_tokens, took_ms);
         }
@@ -139,7 +139,8 @@
     /// The whole answer has been passed on; how fast its tokens came tells of others to come.
     pub fn is_whole(&self) {
         let tokens_out = self.job.prompt.tokens_out;
-        if self.model.is_none() || tokens_out == 0 {
+        let learns = self.core.settings.policy.learned_engines;
+        if !learns || self.model.is_none() || tokens_out == 0 {
             return;
         }
         let making_ms = self.elapsed().as_secs_f64() * 1_000.0 - self.took_ms;
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -29,10 +29,12 @@
     time::sleep,
 };
 
-const SETTINGS: &str = "\ndata_centre=dc1\ncallers=127.0.0.1:1\n\
-    readiness=127.0.0.1:2\nkey_bound_ms=5000\ngrace_s=8\nsession_ttl_s=5\n\
-    [retries]\nratio=0.9\nextra=40\nwindow_s=10\nentries=1\n[roll_out]\nexposure=0.1\n\
-    [store]\naddress=127.0.0.1:3\ntimeout_ms=1000\nwatch_wait_ms=1500\n";
+// NB: the entry's own section comes last, so that further lines belong to it.
+const SETTINGS: &str = "[retries]\nratio=0.9\nextra=40\nwindow_s=10\nentries=1\n\
+    [roll_out]\nexposure=0.1\n\
+    [store]\naddress=127.0.0.1:3\ntimeout_ms=1000\nwatch_wait_ms=1500\n\
+    [direct]\ndata_centre=dc1\ncallers=127.0.0.1:1\nreadiness=127.0.0.1:2\n\
+    key_bound_ms=5000\ngrace_s=8\nsession_ttl_s=5\n";
 
 /// Address of the n-th backend server.
 pub fn address(n: u16) -> SocketAddr {
@@ -41,13 +43,13 @@
 
 /// Settings of an entry.
 pub fn settings(name: &str, peers: Option<SocketAddr>) -> DirectSettings {
-    let peers = peers.map_or(String::new(), |address| format!("\npeers={address}"));
+    let peers = peers.map_or(String::new(), |address| format!("peers={address}\n"));
     settings_with(name, &peers)
 }
 
-/// Settings of an entry with further lines in its section, each after a line break.
+/// Settings of an entry with further lines in its section, or sections behind it.
 pub fn settings_with(name: &str, further: &str) -> DirectSettings {
-    let text = format!("[direct]\nname={name}{further}{SETTINGS}");
+    let text = format!("{SETTINGS}name={name}\n{further}");
     let file = RawFile::parse("test.ini".as_ref(), &text).expect("INI");
     DirectSettings::try_from(file).expect("settings")
 }
--- a/crates/direct/tests/passes_requests.rs
+++ b/crates/direct/tests/passes_requests.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{World, address, catalog, events, play, request, stream, with};
+use common::{World, address, catalog, events, play, play_with, request, stream, with};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use pondwalk_standin::backends::Act;
@@ -142,6 +142,20 @@
     });
 }
 
+#[test]
+fn without_late_calls_a_planned_stop_takes_nothing_late() {
+    play_with("[policy]\nlate_calls=false\n", |world| async move {
+        with_one_server(&world, Act::Answer(200, "made".into())).await;
+        let entry = world.entry.clone();
+        tokio::task::spawn_local(async move { entry.drain().await });
+        let stream = world.send(request("/stream/", "keeps the entry up")).await;
+        sleep(Duration::from_millis(3_000)).await;
+        let [short, _] = short_and_long();
+        assert_eq!(world.ask(short).await.status, 503);
+        drop(stream);
+    });
+}
+
 #[test]
 fn a_planned_stop_finishes_what_is_under_way_and_takes_no_more() {
     play(|world| async move {
--- a/crates/direct/tests/survives_store_faults.rs
+++ b/crates/direct/tests/survives_store_faults.rs
@@ -41,7 +41,7 @@
 
 #[test]
 fn a_deployment_that_is_not_strict_honours_known_keys_for_longer() {
-    play_with("\nstrict_keys=false\nlenient_key_bound_ms=20000", |world| async move {
+    play_with("strict_keys=false\nlenient_key_bound_ms=20000", |world| async move {
         with_one_server(&world).await;
         world.store.set_weather(Weather::Refused);
         sleep(Duration::from_secs(15)).await;
@@ -56,7 +56,7 @@
 
 #[test]
 fn a_strict_deployment_ignores_the_longer_bound() {
-    play_with("\nstrict_keys=true\nlenient_key_bound_ms=20000", |world| async move {
+    play_with("strict_keys=true\nlenient_key_bound_ms=20000", |world| async move {
         with_one_server(&world).await;
         world.store.set_weather(Weather::Refused);
         sleep(Duration::from_secs(6)).await;
