--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -2,6 +2,33 @@
 //!
 //! Pure like the rest of the crate: times are a [`std::time::Duration`] since the start of the
 //! process, and nothing here reads a clock or sends a byte.
+//!
+//! # How one request's model, version and server are chosen
+//!
+//! 1. **May it be served?** [`Freshness`] tells how old the state is. A request with a key is
+//!    refused once that is too old for keys; a refusal for good rests on a younger state.
+//! 2. **Which versions?** While a version is brought in, [`RollOut`] gives the request's session to
+//!    the old or the new version by hashing, so that all entries agree; a session that runs keeps
+//!    its version ([`Sessions`]). The outcome is a [`VersionRule`].
+//! 3. **Which model first?** Where the entry chooses, the smallest of the route. Its answer's head
+//!    tells its own confidence before any byte is passed on.
+//! 4. **Which server?** [`Fleet::place`] takes the server of the least cost, a time in
+//!    milliseconds: what this entry has waiting there, what the server told of other entries'
+//!    requests, how late its answers came, and what of the prompt must be read there, at the speed
+//!    that [`Engine`] has learned; then the way to another data centre, failures of late, and a
+//!    surcharge for all but the server that rendezvous hashing names for the prompt's shared part.
+//!    The request gets a rank there, shortest first ([`rank_of`]).
+//! 5. **Pass it on, or ask a larger model?** [`Cascade::next_model`] compares what the answer at
+//!    hand is worth with what each larger model's would be: the chance that it does, by all
+//!    confidences told, less its price, the servers' time at the price of the moment, and what it
+//!    loses by beginning or ending late. [`Fleet::forecast`] foresees that. Step 4 again for the
+//!    model taken.
+//! 6. **And if a server fails?** A further send is taken out of [`WindowBudget`], which all retries
+//!    and larger models share.
+//!
+//! What the answer shows goes back into the estimates: [`Fleet::began`], [`Fleet::tells_load`],
+//! [`Fleet::answered`], [`Engine::note_beginning`], [`Cascade::learn`], [`Cascade::note_strain`]
+//! and [`RollOut::note`].
 
 mod cascade;
 mod engine;
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -17,9 +17,10 @@
 };
 use crate::{
     core::Core,
+    foresight,
     journal::Rank,
     metrics::{Counter, Timer},
-    placement::{self, Placement},
+    placement::Placement,
     request::{Refusal, strip_connection_headers},
     upstream::{Exchange, SendError},
 };
@@ -235,7 +236,7 @@
         let job = &self.job;
         let objective_ms = job.route.objective.as_millis().max(1) as f64;
         let used = self.after_ms() as f64 / objective_ms;
-        let terms = placement::terms(&self.core, job, &self.avoid, used);
+        let terms = foresight::terms(&self.core, job, &self.avoid, used);
         let mut state = self.core.state.borrow_mut();
         let cascade = state.cascades.entry(job.service.name.clone()).or_default();
         let answer = (self.model, confidence);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod events;
 pub mod facts;
 mod follow;
+mod foresight;
 mod http;
 pub mod journal;
 mod metrics;
