--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -5,12 +5,13 @@
 //! condition broken and reads what was written. An entry that restarts takes up where the store
 //! says the roll-out stands.
 
+mod learn;
 mod records;
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{Doubt, Move, RollOut, SessionKey, Stage};
-use pondwalk_store::{Change, Expect, Fetched, StoreError};
+use pondwalk_decide::direct::{Doubt, Move, SessionKey, Stage};
+use pondwalk_store::{Change, Expect, StoreError};
 use rand::Rng;
 use tokio::{sync::Notify, time::timeout};
 
@@ -19,10 +20,10 @@
 use crate::{
     catalog::ServiceId,
     core::Core,
-    facts::{Outcome, Port, Progress, RollOutOrder},
+    facts::{Outcome, Port, Progress},
     journal::Rank,
     metrics::{Counter, Timer},
-    peers::{BadVersion, ENTRY_PREFIX, PeerClient},
+    peers::{BadVersion, PeerClient},
 };
 
 /// Where the entries keep how far a roll-out has come, by service.
@@ -68,76 +69,6 @@
         self.wake.notify_one();
     }
 
-    /// Learns the last change of a key, or that the key is gone.
-    pub fn learn_revision(&self, key: &str, entry: Option<&Fetched>) {
-        let Some(entry) = entry else {
-            self.revisions.borrow_mut().remove(key);
-            return;
-        };
-        self.revisions.borrow_mut().insert(key.to_owned(), entry.revision);
-        if key.strip_prefix(ENTRY_PREFIX) == Some(&self.core.settings.name) {
-            let value = String::from_utf8_lossy(&entry.value).into_owned();
-            self.own_values.borrow_mut().insert(key.to_owned(), value);
-        }
-        if let Some(service) = key.strip_prefix(STAGE_PREFIX) {
-            self.learn_stage(service, &entry.value);
-        }
-        let of_entry = |prefix: &str| key.strip_prefix(prefix)?.split_once('/');
-        if let Some((service, name)) = of_entry(DOUBT_PREFIX) {
-            self.learn_doubt(service, name, &entry.value);
-        }
-        if let Some((service, name)) = of_entry(KEPT_PREFIX) {
-            self.learn_kept(service, name, &entry.value);
-        }
-    }
-
-    /// Learns of an order, or that it was taken back.
-    pub fn learn_order(&self, service: &ServiceId, order: Option<RollOutOrder>) {
-        let Some(order) = order else {
-            self.core.state.borrow_mut().roll_outs.remove(service);
-            return;
-        };
-        let mut state = self.core.state.borrow_mut();
-        if state.roll_outs.get(service).is_some_and(|known| *known.target() == order.target) {
-            return;
-        }
-        let share = self.core.settings.roll_out.exposure;
-        let now = self.core.clock.now();
-        let roll_out = RollOut::new(order.target.clone(), order.within, now, share);
-        let before = state.roll_outs.insert(service.clone(), roll_out);
-        let fleet = state.fleet(service);
-        // NB: the servers of a version that was reverted stay for a while, and are no part of the
-        // old version that the next one is compared with.
-        if let Some(before) = before.filter(RollOut::is_off) {
-            fleet.leave_out(before.target());
-        }
-        fleet.let_in(&order.target);
-        drop(state);
-        let within_ms = order.within.as_millis() as u64;
-        let event = RollOutEvent::Ordered { service, target: &order.target, within_ms };
-        self.core.journal.note(Rank::State, &event);
-        self.apply_known(service);
-    }
-
-    /// Learns what the operator was told.
-    pub fn learn_progress(&self, service: &ServiceId, progress: Option<&Progress>) {
-        match progress {
-            Some(progress) => {
-                self.told.borrow_mut().insert(service.clone(), progress.clone());
-                self.apply_known(service);
-            }
-            None => {
-                self.told.borrow_mut().remove(service);
-            }
-        }
-    }
-
-    /// Forgets the revisions of keys that a whole reading does not show.
-    pub fn forget_all_but(&self, entries: &[Fetched]) {
-        let mut revisions = self.revisions.borrow_mut();
-        revisions.retain(|key, _| entries.iter().any(|entry| entry.key == *key));
-    }
-
     /// Writes the steps that are due, for as long as the process runs.
     pub async fn run(&self) {
         loop {
@@ -287,36 +218,6 @@
         running.filter(|session| roll_out.would_try(*session)).collect()
     }
 
-    fn learn_kept(&self, service: &str, name: &str, value: &[u8]) {
-        let Ok(record) = serde_json::from_slice::<KeptRecord>(value) else {
-            let step = "read kept sessions".to_owned();
-            let event = RollOutEvent::StepFailed { service, step, error: name.to_owned() };
-            self.core.journal.note(Rank::State, &event);
-            return;
-        };
-        let is_own = name == self.core.settings.name;
-        let mut state = self.core.state.borrow_mut();
-        let roll_out = state.roll_outs.get_mut(service);
-        if let Some(roll_out) = roll_out.filter(|one| *one.target() == record.target) {
-            roll_out.learn_kept(record.sessions, is_own);
-        }
-    }
-
-    fn learn_doubt(&self, service: &str, name: &str, value: &[u8]) {
-        let Ok(record) = serde_json::from_slice::<DoubtRecord>(value) else {
-            let step = "read a doubt".to_owned();
-            let event = RollOutEvent::StepFailed { service, step, error: name.to_owned() };
-            self.core.journal.note(Rank::State, &event);
-            return;
-        };
-        let is_own = name == self.core.settings.name;
-        let mut state = self.core.state.borrow_mut();
-        let roll_out = state.roll_outs.get_mut(service);
-        if let Some(roll_out) = roll_out.filter(|one| *one.target() == record.target) {
-            roll_out.learn_doubt(name, record.doubt.into(), is_own, self.core.peers.count());
-        }
-    }
-
     fn note_written(&self, service: &str, step: Move, written: &Result<u64, StoreError>) {
         let step = format!("{step:?}").to_lowercase();
         let event = match written {
@@ -347,50 +248,4 @@
     fn target_of(&self, service: &ServiceId) -> Option<String> {
         Some(self.core.state.borrow().roll_outs.get(service)?.target().clone())
     }
-
-    fn learn_stage(&self, service: &str, value: &[u8]) {
-        let service: ServiceId = service.into();
-        match serde_json::from_slice::<StageRecord>(value) {
-            Ok(record) => {
-                self.stages.borrow_mut().insert(service.clone(), record);
-                self.apply_known(&service);
-            }
-            Err(error) => {
-                let step = "read the stage".to_owned();
-                let error = error.to_string();
-                let event = RollOutEvent::StepFailed { service: &service, step, error };
-                self.core.journal.note(Rank::State, &event);
-            }
-        }
-    }
-
-    /// Lets the roll-out of a service learn what the store holds about it.
-    fn apply_known(&self, service: &ServiceId) {
-        let now = self.core.clock.now();
-        let mut state = self.core.state.borrow_mut();
-        let Some(roll_out) = state.roll_outs.get_mut(service) else { return };
-        let before = roll_out.known_stage();
-        if let Some(record) = self.stages.borrow().get(service)
-            && record.target == *roll_out.target()
-        {
-            roll_out.learn_stage(record.stage.into(), now);
-        }
-        let told = self.told.borrow();
-        if let Some(progress) = told.get(service).filter(|told| told.target == *roll_out.target()) {
-            match progress.outcome {
-                Outcome::InProgress => roll_out.learn_stage(Stage::Trial, now),
-                Outcome::Completed => roll_out.learn_stage(Stage::Completed, now),
-                Outcome::Reverted => roll_out.learn_stage(Stage::Reverted, now),
-            }
-        }
-        let after = roll_out.known_stage();
-        if after == before {
-            return;
-        }
-        let target = roll_out.target().clone();
-        drop(state);
-        let stage = after.map_or(String::new(), |stage| format!("{stage:?}").to_lowercase());
-        let event = RollOutEvent::Stage { service, target: &target, stage: &stage };
-        self.core.journal.note(Rank::State, &event);
-    }
 }
--- /dev/null
+++ b/crates/direct/src/conductor/learn.rs
@@ -0,0 +1,166 @@
+//! What entries learn of roll-outs from the store: orders, stages, doubts and kept sessions.
+
+use pondwalk_decide::direct::{RollOut, Stage};
+use pondwalk_store::Fetched;
+use serde::de::DeserializeOwned;
+
+use super::{
+    Conductor, DOUBT_PREFIX, KEPT_PREFIX, STAGE_PREFIX,
+    records::{DoubtRecord, KeptRecord, RollOutEvent, StageRecord},
+};
+use crate::{
+    catalog::ServiceId,
+    facts::{Outcome, Progress, RollOutOrder},
+    journal::Rank,
+    peers::ENTRY_PREFIX,
+};
+
+impl Conductor {
+    /// Learns the last change of a key, or that the key is gone.
+    pub fn learn_revision(&self, key: &str, entry: Option<&Fetched>) {
+        let Some(entry) = entry else {
+            self.revisions.borrow_mut().remove(key);
+            return;
+        };
+        self.revisions.borrow_mut().insert(key.to_owned(), entry.revision);
+        if key.strip_prefix(ENTRY_PREFIX) == Some(&self.core.settings.name) {
+            let value = String::from_utf8_lossy(&entry.value).into_owned();
+            self.own_values.borrow_mut().insert(key.to_owned(), value);
+        }
+        if let Some(service) = key.strip_prefix(STAGE_PREFIX) {
+            self.learn_stage(&service.into(), &entry.value);
+        }
+        let of_entry = |prefix: &str| key.strip_prefix(prefix)?.split_once('/');
+        if let Some((service, name)) = of_entry(DOUBT_PREFIX) {
+            self.learn_doubt(service, name, &entry.value);
+        }
+        if let Some((service, name)) = of_entry(KEPT_PREFIX) {
+            self.learn_kept(service, name, &entry.value);
+        }
+    }
+
+    /// Learns of an order, or that it was taken back.
+    pub fn learn_order(&self, service: &ServiceId, order: Option<RollOutOrder>) {
+        let Some(order) = order else {
+            self.core.state.borrow_mut().roll_outs.remove(service);
+            return;
+        };
+        let mut state = self.core.state.borrow_mut();
+        if state.roll_outs.get(service).is_some_and(|known| *known.target() == order.target) {
+            return;
+        }
+        let share = self.core.settings.roll_out.exposure;
+        let now = self.core.clock.now();
+        let roll_out = RollOut::new(order.target.clone(), order.within, now, share);
+        let before = state.roll_outs.insert(service.clone(), roll_out);
+        let fleet = state.fleet(service);
+        // NB: the servers of a version that was reverted stay for a while, and are no part of the
+        // old version that the next one is compared with.
+        if let Some(before) = before.filter(RollOut::is_off) {
+            fleet.leave_out(before.target());
+        }
+        fleet.let_in(&order.target);
+        drop(state);
+        let within_ms = order.within.as_millis() as u64;
+        let event = RollOutEvent::Ordered { service, target: &order.target, within_ms };
+        self.core.journal.note(Rank::State, &event);
+        self.apply_known(service);
+    }
+
+    /// Learns what the operator was told.
+    pub fn learn_progress(&self, service: &ServiceId, progress: Option<&Progress>) {
+        match progress {
+            Some(progress) => {
+                self.told.borrow_mut().insert(service.clone(), progress.clone());
+                self.apply_known(service);
+            }
+            None => {
+                self.told.borrow_mut().remove(service);
+            }
+        }
+    }
+
+    /// Forgets the revisions of keys that a whole reading does not show.
+    pub fn forget_all_but(&self, entries: &[Fetched]) {
+        let mut revisions = self.revisions.borrow_mut();
+        revisions.retain(|key, _| entries.iter().any(|entry| entry.key == *key));
+    }
+
+    /// Takes one entry's kept sessions in.
+    pub(super) fn learn_kept(&self, service: &str, name: &str, value: &[u8]) {
+        let Some(record) = self.read::<KeptRecord>(service, "read kept sessions", value) else {
+            return;
+        };
+        let is_own = name == self.core.settings.name;
+        self.teach(service, &record.target, |one| one.learn_kept(record.sessions, is_own));
+    }
+
+    /// Takes one entry's doubt in.
+    pub(super) fn learn_doubt(&self, service: &str, name: &str, value: &[u8]) {
+        let Some(record) = self.read::<DoubtRecord>(service, "read a doubt", value) else {
+            return;
+        };
+        let is_own = name == self.core.settings.name;
+        let entries = self.core.peers.count();
+        let doubt = record.doubt.into();
+        self.teach(service, &record.target, |one| one.learn_doubt(name, doubt, is_own, entries));
+    }
+
+    fn learn_stage(&self, service: &ServiceId, value: &[u8]) {
+        let Some(record) = self.read::<StageRecord>(service, "read the stage", value) else {
+            return;
+        };
+        self.stages.borrow_mut().insert(service.clone(), record);
+        self.apply_known(service);
+    }
+
+    /// Reads a record of ours; one that cannot be read is logged.
+    fn read<T: DeserializeOwned>(&self, service: &str, step: &str, value: &[u8]) -> Option<T> {
+        let record = serde_json::from_slice(value);
+        if let Err(error) = &record {
+            let (step, error) = (step.to_owned(), error.to_string());
+            let event = RollOutEvent::StepFailed { service, step, error };
+            self.core.journal.note(Rank::State, &event);
+        }
+        record.ok()
+    }
+
+    /// Lets the roll-out of a service learn something, if it is still the one to this target.
+    fn teach(&self, service: &str, target: &str, learn: impl FnOnce(&mut RollOut)) {
+        let mut state = self.core.state.borrow_mut();
+        let roll_out = state.roll_outs.get_mut(service);
+        if let Some(roll_out) = roll_out.filter(|one| *one.target() == target) {
+            learn(roll_out);
+        }
+    }
+
+    /// Lets the roll-out of a service learn what the store holds about it.
+    fn apply_known(&self, service: &ServiceId) {
+        let now = self.core.clock.now();
+        let mut state = self.core.state.borrow_mut();
+        let Some(roll_out) = state.roll_outs.get_mut(service) else { return };
+        let before = roll_out.known_stage();
+        if let Some(record) = self.stages.borrow().get(service)
+            && record.target == *roll_out.target()
+        {
+            roll_out.learn_stage(record.stage.into(), now);
+        }
+        let told = self.told.borrow();
+        if let Some(progress) = told.get(service).filter(|told| told.target == *roll_out.target()) {
+            match progress.outcome {
+                Outcome::InProgress => roll_out.learn_stage(Stage::Trial, now),
+                Outcome::Completed => roll_out.learn_stage(Stage::Completed, now),
+                Outcome::Reverted => roll_out.learn_stage(Stage::Reverted, now),
+            }
+        }
+        let after = roll_out.known_stage();
+        if after == before {
+            return;
+        }
+        let target = roll_out.target().clone();
+        drop(state);
+        let stage = after.map_or(String::new(), |stage| format!("{stage:?}").to_lowercase());
+        let event = RollOutEvent::Stage { service, target: &target, stage: &stage };
+        self.core.journal.note(Rank::State, &event);
+    }
+}
