--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     error::ConfigError,
+    membership::MembershipSettings,
     raw::RawFile,
     shared::{ADDRESS, StoreSettings},
 };
@@ -33,6 +34,8 @@
     pub metrics: Option<SocketAddr>,
     /// Where other entries ask for changes; without it, this entry watches the store itself.
     pub peers: Option<SocketAddr>,
+    /// How it learns from other entries.
+    pub membership: MembershipSettings,
     /// The platform's store.
     pub store: StoreSettings,
     /// Time after the last confirmation by the store for which the state counts as its own.
@@ -123,6 +126,7 @@
     let policy = read_policy(file);
     let share = "a share from 0 to 1";
     let exposure = file.within("roll_out", "exposure", share, (0.0, 1.0), 0.1);
+    let membership = MembershipSettings::read(file, state_bound);
     let store = StoreSettings::read(file);
     Some(DirectSettings {
         name: name?,
@@ -131,6 +135,7 @@
         readiness: readiness?,
         metrics,
         peers,
+        membership,
         store: store?,
         state_bound,
         key_bound,
--- a/crates/decide/src/direct/freshness.rs
+++ b/crates/decide/src/direct/freshness.rs
@@ -30,6 +30,11 @@
         self.confirmed = self.confirmed.max(Some(sent));
     }
 
+    /// When the call that last confirmed the state was sent, if any did.
+    pub fn confirmed(&self) -> Option<Duration> {
+        self.confirmed
+    }
+
     /// Age of the state, if any was ever confirmed.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.confirmed.map(|at| now.saturating_sub(at))
--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -19,11 +19,12 @@
 /// Part of the order's time that the trial takes; sessions may be moved only after half of it.
 const TRIAL_PART: f64 = 0.53;
 /// Time from the start of the trial until an entry tells which of its sessions stay on the old
-/// version.
+/// version. It tells again, of those that came meanwhile, once it puts sessions on the new one.
 const KEEP_AFTER: Duration = Duration::from_millis(300);
-/// Time from the start of the trial until sessions are put on the new version. By then the
-/// entries have heard which sessions run already, through whichever of them.
-const TRIAL_LEAD: Duration = Duration::from_millis(1_300);
+/// Least time from the start of the trial until sessions are put on the new version.
+const LEAST_TRIAL_LEAD: Duration = Duration::from_millis(1_300);
+/// Time in which entries hear which sessions the others keep.
+const TELLING: Duration = Duration::from_millis(300);
 /// Time in which the share widens from that of the trial to the whole.
 const WIDENING: Duration = Duration::from_secs(4);
 /// Part of the order's time after which the roll-out is told complete.
@@ -149,13 +150,18 @@
     within: Duration,
     seen: Duration,
     trial_share: f64,
+    /// Time from the start of the trial until sessions are put on the new version. By then the
+    /// entries have heard which sessions run already, through whichever of them.
+    trial_lead: Duration,
     known_stage: Option<Stage>,
     trial_since: Option<Duration>,
     widening_since: Option<Duration>,
     /// Sessions that run on the old version, through any entry.
     kept: HashSet<SessionKey>,
-    own_kept_told: bool,
+    /// Times that this entry has told which sessions it keeps.
+    own_kept_told: u8,
     tripped: bool,
+    found_bad: bool,
     old: HashMap<String, Record>,
     new: HashMap<String, Record>,
     /// The old version's answers of all kinds, for kinds of which too few are known.
@@ -172,9 +178,18 @@
 }
 
 impl RollOut {
-    /// An order first seen at `seen`.
-    pub fn new(target: VersionId, within: Duration, seen: Duration, trial_share: f64) -> Self {
+    /// An order first seen at `seen`. News of the trial's start takes up to `news` to reach all
+    /// entries; the one that hears it last tells of its sessions that much later.
+    pub fn new(
+        target: VersionId,
+        within: Duration,
+        seen: Duration,
+        trial_share: f64,
+        news: Duration,
+    ) -> Self {
+        let told = KEEP_AFTER + TELLING + news;
         RollOut {
+            trial_lead: told.max(LEAST_TRIAL_LEAD),
             target,
             within,
             seen,
@@ -183,8 +198,9 @@
             trial_since: None,
             widening_since: None,
             kept: HashSet::new(),
-            own_kept_told: false,
+            own_kept_told: 0,
             tripped: false,
+            found_bad: false,
             old: HashMap::new(),
             new: HashMap::new(),
             old_of_all_kinds: Record::default(),
@@ -211,6 +227,11 @@
         self.tripped
     }
 
+    /// Whether it was this entry's own evidence that called the version bad.
+    pub fn has_found_bad(&self) -> bool {
+        self.found_bad
+    }
+
     /// Whether the new version gets nothing any more.
     pub fn is_off(&self) -> bool {
         self.tripped || self.known_stage == Some(Stage::Reverted)
@@ -242,9 +263,24 @@
     }
 
     /// Sessions stay on the old version that run already, through this entry or another.
-    pub fn learn_kept(&mut self, sessions: impl IntoIterator<Item = SessionKey>, is_own: bool) {
+    pub fn learn_kept(&mut self, sessions: impl IntoIterator<Item = SessionKey>) {
         self.kept.extend(sessions);
-        self.own_kept_told |= is_own;
+    }
+
+    /// This entry has told which sessions it keeps.
+    pub fn note_kept_told(&mut self) {
+        self.own_kept_told = self.own_kept_told.saturating_add(1);
+    }
+
+    /// Whether this entry is to tell which sessions it keeps: before sessions are put on the new
+    /// version, and once more as that begins.
+    fn is_to_tell_kept(&self, now: Duration) -> bool {
+        let time = self.in_trial_for(now);
+        match self.own_kept_told {
+            0 => time >= KEEP_AFTER,
+            1 => time >= self.trial_lead,
+            _ => false,
+        }
     }
 
     /// Whether a session would be put on the new version by the trial, if nobody knew it.
@@ -268,7 +304,7 @@
             Some(Stage::Reverted) => 0.0,
             _ if self.tripped => 0.0,
             None => 0.0,
-            Some(Stage::Trial) if self.in_trial_for(now) < TRIAL_LEAD => 0.0,
+            Some(Stage::Trial) if self.in_trial_for(now) < self.trial_lead => 0.0,
             Some(Stage::Trial) => self.trial_share,
             Some(Stage::Widening) => {
                 let since = self.widening_since.unwrap_or(now);
@@ -329,6 +365,7 @@
         let was_tripped = self.tripped;
         if of_target && !self.tripped && self.known_stage != Some(Stage::Completed) {
             self.tripped = self.is_bad(evidence.kind);
+            self.found_bad = self.tripped;
         }
         self.tripped && !was_tripped
     }
@@ -352,9 +389,7 @@
             Some(Stage::Completed | Stage::Reverted) => None,
             _ if self.tripped => Some(Move::Revert),
             None => Some(Move::Begin),
-            Some(Stage::Trial) if !self.own_kept_told && self.in_trial_for(now) >= KEEP_AFTER => {
-                Some(Move::Keep)
-            }
+            Some(Stage::Trial) if self.is_to_tell_kept(now) => Some(Move::Keep),
             Some(_) if !self.own_doubt_told && self.doubt(entries).is_some() => Some(Move::Doubt),
             Some(Stage::Trial) if elapsed >= self.within.mul_f64(TRIAL_PART) => Some(Move::Widen),
             Some(Stage::Trial) => None,
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -1,41 +1,41 @@
 //! Carries roll-outs forward and tells the operator how far they have come.
 //!
-//! No entry leads. Whichever sees that a step is due writes it under the condition that nobody
-//! has written since; the others learn of it by their watch. Who comes second finds the
-//! condition broken and reads what was written. An entry that restarts takes up where the store
-//! says the roll-out stands.
+//! No entry leads. Whichever's turn it is to make a step that is due writes it under the condition
+//! that nobody has written since; the others learn of it with all other changes. Who comes second
+//! finds the condition broken and hears what was written. An entry that restarts takes up where the
+//! store says the roll-out stands.
 
 mod learn;
+mod listing;
 mod records;
+mod turns;
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{Doubt, Move, SessionKey, Stage};
+use pondwalk_decide::direct::{Doubt, Move, RollOut, SessionKey, Stage};
 use pondwalk_store::{Change, Expect, StoreError};
-use rand::Rng;
 use tokio::{sync::Notify, time::timeout};
 
-use records::{DoubtRecord, KeptRecord, RollOutEvent, StageRecord};
+use records::{RollOutEvent, StageRecord};
+use turns::{Turns, wait_in_order};
 
 use crate::{
     catalog::ServiceId,
     core::Core,
     facts::{Outcome, Port, Progress},
     journal::Rank,
-    metrics::{Counter, Timer},
-    peers::{BadVersion, PeerClient},
+    membership::{MOST_SESSIONS, News},
+    metrics::{Counter, StoreCause, Timer},
 };
 
 /// Where the entries keep how far a roll-out has come, by service.
 const STAGE_PREFIX: &str = "pondwalk/roll-out/";
-/// Where each entry keeps its doubt about a roll-out, by service and entry.
-const DOUBT_PREFIX: &str = "pondwalk/doubt/";
-/// Where each entry keeps the sessions that stay on the old version, by service and entry.
-const KEPT_PREFIX: &str = "pondwalk/kept/";
 /// Longest time between two looks at what is due.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
-/// Time over which entries spread their first try at a step, so that mostly one makes it.
+/// Time over which entries spread what all of them write at the same moment.
 const SPREAD: Duration = Duration::from_millis(120);
+/// Parts of that time.
+const SPREAD_STEPS: usize = 120;
 /// Pause after a step that could not be written.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -47,7 +47,6 @@
     revisions: RefCell<HashMap<String, u64>>,
     stages: RefCell<HashMap<ServiceId, StageRecord>>,
     told: RefCell<HashMap<ServiceId, Progress>>,
-    own_values: RefCell<HashMap<String, String>>,
 }
 
 impl Conductor {
@@ -60,7 +59,6 @@
             revisions: RefCell::default(),
             stages: RefCell::default(),
             told: RefCell::default(),
-            own_values: RefCell::default(),
         }
     }
 
@@ -71,15 +69,18 @@
 
     /// Writes the steps that are due, for as long as the process runs.
     pub async fn run(&self) {
+        let mut turns = Turns::default();
+        let mut pause = LOOK_INTERVAL;
         loop {
-            // NB: the time limit is the next regular look.
-            let _ = timeout(LOOK_INTERVAL, self.wake.notified()).await;
+            // NB: the time limit is the next regular look, or the next turn.
+            let _ = timeout(pause, self.wake.notified()).await;
+            self.list_joined(self.wait_in_order()).await;
             let due = self.due();
-            if due.is_empty() {
-                continue;
-            }
-            self.spread().await;
-            for (service, _) in due {
+            let now = self.core.clock.now();
+            let (ready, next) =
+                turns.ready(&due, now, |service, step| self.wait_with(service, step));
+            pause = next.map_or(LOOK_INTERVAL, |next| next.min(LOOK_INTERVAL));
+            for service in ready {
                 // NB: another entry may have made the step meanwhile.
                 if let Some(step) = self.due_for(&service) {
                     self.make(&service, step).await;
@@ -88,24 +89,45 @@
         }
     }
 
-    async fn spread(&self) {
-        let spread_ms = SPREAD.as_millis() as u64;
-        let pause_ms = self.core.state.borrow_mut().rng.random_range(0..spread_ms);
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    /// How long this entry waits with a step that is due.
+    fn wait_with(&self, service: &ServiceId, step: Move) -> Duration {
+        let membership = &self.core.settings.membership;
+        let is_known_to_all = match step {
+            // NB: news goes nowhere near the store, and is gathered on its way.
+            Move::Keep | Move::Doubt => return Duration::ZERO,
+            Move::Begin | Move::Widen | Move::Complete => true,
+            Move::Revert => !self.has_found_bad(service),
+        };
+        if is_known_to_all && membership.ordered_steps {
+            self.wait_in_order()
+        } else {
+            SPREAD * self.core.roster.spread(SPREAD_STEPS) as u32 / SPREAD_STEPS as u32
+        }
+    }
+
+    /// How long this entry leaves to those before it what is due at all.
+    fn wait_in_order(&self) -> Duration {
+        let times = &self.core.settings.membership.times;
+        wait_in_order(self.core.roster.rank(), times.confirm_interval + times.exchange * 2)
+    }
+
+    fn has_found_bad(&self, service: &ServiceId) -> bool {
+        let state = self.core.state.borrow();
+        state.roll_outs.get(service).is_some_and(RollOut::has_found_bad)
     }
 
     fn due(&self) -> Vec<(ServiceId, Move)> {
         let now = self.core.clock.now();
         let state = self.core.state.borrow();
         let due = state.roll_outs.iter();
-        let entries = self.core.peers.count();
+        let entries = self.core.roster.count();
         due.filter_map(|(service, one)| Some((service.clone(), one.next_move(now, entries)?)))
             .collect()
     }
 
     fn due_for(&self, service: &ServiceId) -> Option<Move> {
         let now = self.core.clock.now();
-        let entries = self.core.peers.count();
+        let entries = self.core.roster.count();
         self.core.state.borrow().roll_outs.get(service)?.next_move(now, entries)
     }
 
@@ -116,8 +138,8 @@
             Move::Widen => (Stage::Widening, Outcome::InProgress),
             Move::Complete => (Stage::Completed, Outcome::Completed),
             Move::Revert => (Stage::Reverted, Outcome::Reverted),
-            Move::Keep => return self.tell_kept(service, &target).await,
-            Move::Doubt => return self.tell_doubt(service, &target).await,
+            Move::Keep => return self.tell_kept(service, target),
+            Move::Doubt => return self.tell_doubt(service, target),
         };
         let progress = Progress { service: service.clone(), target: target.clone(), outcome };
         let (progress_key, progress_value) = (self.port.write_progress)(&progress);
@@ -128,87 +150,52 @@
             self.change(format!("{STAGE_PREFIX}{service}"), stage_value),
             self.change(progress_key, progress_value),
         ];
-        let written = self.commit(changes).await;
+        let written = self.commit(changes, StoreCause::StepWon).await;
         self.note_written(service, step, &written);
         if step == Move::Revert && matches!(&written, Err(error) if *error != StoreError::Conflict)
         {
-            self.tell_others(service).await;
+            self.tell_bad(service);
         }
+        let mut told = None;
         if written.is_err() {
             // NB: the watch brings what another entry wrote, and what an answer that was lost
             // left behind; until then the step counts as due.
             tokio::time::sleep(RETRY_PAUSE).await;
         } else if let Some(roll_out) = self.core.state.borrow_mut().roll_outs.get_mut(service) {
             roll_out.learn_stage(stage, self.core.clock.now());
+            let (service, stage) = (service.to_string(), stage.into());
+            told = Some(News::Stage { service, target: progress.target, stage });
         }
-    }
-
-    /// Tells a few other entries of a bad version that the store could not be told of.
-    async fn tell_others(&self, service: &ServiceId) {
-        let Some(target) = self.target_of(service) else { return };
-        let bad = BadVersion { service: service.to_string(), target };
-        for address in self.core.peers.some_others(self.core.clock.now()) {
-            let told = PeerClient::tell_bad(&self.core.connect, address, &bad).await;
-            let error = told.err().map(|error| error.to_string());
-            let event = RollOutEvent::ToldBad { service, entry: address.to_string(), error };
-            self.core.journal.note(Rank::State, &event);
+        if let Some(news) = told {
+            self.core.tell_news(news);
         }
     }
 
-    /// Writes a key of this entry's own, unless it holds the value already.
-    pub async fn write_if_changed(&self, key: String, value: String) {
-        let held = self.own_values.borrow().get(&key) == Some(&value);
-        if held {
-            return;
-        }
-        let changes = vec![self.change(key.clone(), value.clone().into_bytes())];
-        match self.commit(changes).await {
-            Ok(_) => {
-                self.own_values.borrow_mut().insert(key, value);
-            }
-            // NB: an entry that is not listed watches the store itself, and tries again when it
-            // next reads everything.
-            Err(error) => {
-                let event = RollOutEvent::NotListed { key, error: error.to_string() };
-                self.core.journal.note(Rank::State, &event);
-            }
-        }
+    /// Tells the other entries of a bad version that the store could not be told of.
+    fn tell_bad(&self, service: &ServiceId) {
+        let Some(target) = self.target_of(service) else { return };
+        self.core.tell_news(News::Bad { service: service.to_string(), target });
     }
 
-    async fn tell_doubt(&self, service: &ServiceId, target: &str) {
+    fn tell_doubt(&self, service: &ServiceId, target: String) {
         let Some(doubt) = self.own_doubt(service) else { return };
-        let record = DoubtRecord { target: target.to_owned(), doubt: doubt.into() };
-        // NB: two texts always serialize.
-        let value = serde_json::to_vec(&record).unwrap_or_default();
-        let name = &self.core.settings.name;
-        let key = format!("{DOUBT_PREFIX}{service}/{name}");
-        let written = self.commit(vec![self.change(key, value.clone())]).await;
-        self.note_written(service, Move::Doubt, &written);
-        if written.is_err() {
-            tokio::time::sleep(RETRY_PAUSE).await;
-        } else {
-            self.learn_doubt(service, name, &value);
-        }
+        let (service, doubt) = (service.to_string(), doubt.into());
+        self.core.tell_news(News::Doubt { service, target, doubt });
     }
 
     fn own_doubt(&self, service: &ServiceId) -> Option<Doubt> {
-        let entries = self.core.peers.count();
+        let entries = self.core.roster.count();
         self.core.state.borrow().roll_outs.get(service)?.doubt(entries)
     }
 
     /// Tells which sessions that the trial would move run through this entry already.
-    async fn tell_kept(&self, service: &ServiceId, target: &str) {
-        let record = KeptRecord { target: target.to_owned(), sessions: self.kept(service, target) };
-        // NB: a text and numbers always serialize.
-        let value = serde_json::to_vec(&record).unwrap_or_default();
-        let name = &self.core.settings.name;
-        if !record.sessions.is_empty() {
-            let key = format!("{KEPT_PREFIX}{service}/{name}");
-            let written = self.commit(vec![self.change(key, value.clone())]).await;
-            self.note_written(service, Move::Keep, &written);
+    fn tell_kept(&self, service: &ServiceId, target: String) {
+        let sessions = self.kept(service, &target);
+        for some in sessions.chunks(MOST_SESSIONS) {
+            let (service, sessions) = (service.to_string(), some.to_vec());
+            self.core.tell_news(News::Kept { service, target: target.clone(), sessions });
         }
-        // NB: told or not, once is enough; what is not known in time is of no use later.
-        self.learn_kept(service, name, &value);
+        self.teach(service, &target, RollOut::note_kept_told);
     }
 
     fn kept(&self, service: &ServiceId, target: &str) -> Vec<SessionKey> {
@@ -228,11 +215,15 @@
     }
 
     /// Writes to the store, counted and timed.
-    async fn commit(&self, changes: Vec<Change>) -> Result<u64, StoreError> {
+    async fn commit(&self, changes: Vec<Change>, cause: StoreCause) -> Result<u64, StoreError> {
         let sent = self.core.clock.now();
-        self.core.metrics.count(Counter::StoreCalls);
         let written = (self.port.store.commit)(changes).await;
         self.core.metrics.time(Timer::StoreCall, self.core.clock.now().saturating_sub(sent));
+        let cause = match cause {
+            StoreCause::StepWon if written.is_err() => StoreCause::StepLost,
+            cause => cause,
+        };
+        self.core.metrics.count_store_call(cause);
         if written.is_err() {
             self.core.metrics.count(Counter::StoreFailures);
         }
--- a/crates/direct/src/conductor/learn.rs
+++ b/crates/direct/src/conductor/learn.rs
@@ -5,14 +5,13 @@
 use serde::de::DeserializeOwned;
 
 use super::{
-    Conductor, DOUBT_PREFIX, KEPT_PREFIX, STAGE_PREFIX,
-    records::{DoubtRecord, KeptRecord, RollOutEvent, StageRecord},
+    Conductor, STAGE_PREFIX,
+    records::{RollOutEvent, StageRecord},
 };
 use crate::{
     catalog::ServiceId,
     facts::{Outcome, Progress, RollOutOrder},
     journal::Rank,
-    peers::ENTRY_PREFIX,
 };
 
 impl Conductor {
@@ -23,20 +22,9 @@
             return;
         };
         self.revisions.borrow_mut().insert(key.to_owned(), entry.revision);
-        if key.strip_prefix(ENTRY_PREFIX) == Some(&self.core.settings.name) {
-            let value = String::from_utf8_lossy(&entry.value).into_owned();
-            self.own_values.borrow_mut().insert(key.to_owned(), value);
-        }
         if let Some(service) = key.strip_prefix(STAGE_PREFIX) {
             self.learn_stage(&service.into(), &entry.value);
         }
-        let of_entry = |prefix: &str| key.strip_prefix(prefix)?.split_once('/');
-        if let Some((service, name)) = of_entry(DOUBT_PREFIX) {
-            self.learn_doubt(service, name, &entry.value);
-        }
-        if let Some((service, name)) = of_entry(KEPT_PREFIX) {
-            self.learn_kept(service, name, &entry.value);
-        }
     }
 
     /// Learns of an order, or that it was taken back.
@@ -51,7 +39,9 @@
         }
         let share = self.core.settings.roll_out.exposure;
         let now = self.core.clock.now();
-        let roll_out = RollOut::new(order.target.clone(), order.within, now, share);
+        let times = &self.core.settings.membership.times;
+        let news = times.confirm_interval + times.exchange;
+        let roll_out = RollOut::new(order.target.clone(), order.within, now, share, news);
         let before = state.roll_outs.insert(service.clone(), roll_out);
         let fleet = state.fleet(service);
         // NB: the servers of a version that was reverted stay for a while, and are no part of the
@@ -64,6 +54,7 @@
         let within_ms = order.within.as_millis() as u64;
         let event = RollOutEvent::Ordered { service, target: &order.target, within_ms };
         self.core.journal.note(Rank::State, &event);
+        self.core.apply_news_of(service);
         self.apply_known(service);
     }
 
@@ -86,26 +77,6 @@
         revisions.retain(|key, _| entries.iter().any(|entry| entry.key == *key));
     }
 
-    /// Takes one entry's kept sessions in.
-    pub(super) fn learn_kept(&self, service: &str, name: &str, value: &[u8]) {
-        let Some(record) = self.read::<KeptRecord>(service, "read kept sessions", value) else {
-            return;
-        };
-        let is_own = name == self.core.settings.name;
-        self.teach(service, &record.target, |one| one.learn_kept(record.sessions, is_own));
-    }
-
-    /// Takes one entry's doubt in.
-    pub(super) fn learn_doubt(&self, service: &str, name: &str, value: &[u8]) {
-        let Some(record) = self.read::<DoubtRecord>(service, "read a doubt", value) else {
-            return;
-        };
-        let is_own = name == self.core.settings.name;
-        let entries = self.core.peers.count();
-        let doubt = record.doubt.into();
-        self.teach(service, &record.target, |one| one.learn_doubt(name, doubt, is_own, entries));
-    }
-
     fn learn_stage(&self, service: &ServiceId, value: &[u8]) {
         let Some(record) = self.read::<StageRecord>(service, "read the stage", value) else {
             return;
@@ -126,7 +97,7 @@
     }
 
     /// Lets the roll-out of a service learn something, if it is still the one to this target.
-    fn teach(&self, service: &str, target: &str, learn: impl FnOnce(&mut RollOut)) {
+    pub(super) fn teach(&self, service: &str, target: &str, learn: impl FnOnce(&mut RollOut)) {
         let mut state = self.core.state.borrow_mut();
         let roll_out = state.roll_outs.get_mut(service);
         if let Some(roll_out) = roll_out.filter(|one| *one.target() == target) {
--- /dev/null
+++ b/crates/direct/src/conductor/listing.rs
@@ -0,0 +1,71 @@
+//! Lists entries in the store: those that have started, by one of the roots in one write.
+
+use std::{net::SocketAddr, time::Duration};
+
+use pondwalk_store::Change;
+
+use super::{Conductor, records::RollOutEvent};
+use crate::{
+    journal::Rank,
+    membership::{ENTRY_PREFIX, Item, News, Source},
+    metrics::StoreCause,
+};
+
+/// Entries listed by one write. The platform's store takes up to 32 rows in a call, and each change
+/// is a condition and a write.
+const MOST_AT_ONCE: usize = 16;
+/// Age of the news of an entry's start from which it is listed, so that those that start together
+/// are listed together.
+const GATHER_TIME: Duration = Duration::from_millis(300);
+
+impl Conductor {
+    /// Lists the entries that have told of their start, if it is this one's turn; `wait` is how long
+    /// it leaves that to the others.
+    pub(super) async fn list_joined(&self, wait: Duration) {
+        if matches!(self.core.source(), Source::Entry { .. }) {
+            return;
+        }
+        let unlisted = self.unlisted(GATHER_TIME + wait);
+        for some in unlisted.chunks(MOST_AT_ONCE) {
+            let changes = some.iter().map(|(name, address)| self.listing(name, *address));
+            if let Err(error) = self.commit(changes.collect(), StoreCause::Listing).await {
+                let key = format!("{ENTRY_PREFIX}{}", some[0].0);
+                let event = RollOutEvent::NotListed { key, error: error.to_string() };
+                self.core.journal.note(Rank::State, &event);
+                // NB: whoever is not listed in the end lists itself.
+                return;
+            }
+        }
+    }
+
+    /// Lists this entry by a write of its own; for when nobody else has.
+    pub async fn list_itself(&self, address: SocketAddr) {
+        let name = &self.core.settings.name;
+        let change = self.listing(name, address);
+        let key = change.key.clone();
+        // NB: an entry that is not listed is asked by nobody, and tries again.
+        if let Err(error) = self.commit(vec![change], StoreCause::Listing).await {
+            let event = RollOutEvent::NotListed { key, error: error.to_string() };
+            self.core.journal.note(Rank::State, &event);
+        }
+    }
+
+    fn listing(&self, name: &str, address: SocketAddr) -> Change {
+        self.change(format!("{ENTRY_PREFIX}{name}"), address.to_string().into_bytes())
+    }
+
+    /// Entries that started this long ago and are not listed where they are.
+    fn unlisted(&self, at_least: Duration) -> Vec<(String, SocketAddr)> {
+        let now = self.core.clock.now();
+        let news = self.core.news.borrow();
+        let mut unlisted = Vec::new();
+        for item in news.since(0, now) {
+            let Item { origin, age, news: News::Joined { address }, .. } = item else { continue };
+            if age >= at_least && self.core.roster.address_of(&origin) != Some(address) {
+                unlisted.retain(|(name, _)| *name != origin);
+                unlisted.push((origin, address));
+            }
+        }
+        unlisted
+    }
+}
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -3,6 +3,8 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    fmt::Write,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -13,15 +15,16 @@
     WindowLimits,
 };
 use pondwalk_types::ServerId;
-use rand::{SeedableRng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::sync::Notify;
 
 use crate::{
     catalog::{BackendServer, Catalog, ServerState, ServiceId},
     clock::Clock,
     dialect::Dialect,
     journal::Journal,
+    membership::{NewsLog, Outbox, Replica, Roster, Source},
     metrics::Metrics,
-    peers::{History, Peers},
     upstream::Connect,
 };
 
@@ -58,8 +61,20 @@
     pub metrics: Metrics,
     /// Whether the process is to end.
     pub stopping: Cell<Stopping>,
-    /// Other entries.
-    pub peers: Peers,
+    /// The entries that are listed.
+    pub roster: Roster,
+    /// Random number of this life of the process, by which other entries tell it from the next.
+    pub incarnation: u64,
+    /// Entry that told the first state, as long as no other is known.
+    pub told_by: Cell<Option<SocketAddr>>,
+    /// News that entries pass on among themselves.
+    pub news: RefCell<NewsLog>,
+    /// Items of news that this entry has told.
+    pub news_told: Cell<u64>,
+    /// News to be passed on.
+    pub outbox: Outbox,
+    /// Wakes those that wait for a confirmation or for news.
+    pub something_new: Notify,
     /// Requests under way.
     pub under_way: Cell<usize>,
     /// What changes.
@@ -74,10 +89,10 @@
     pub freshness: Freshness,
     /// Whether the last call to the store failed.
     pub source_lost: bool,
-    /// Revision of the store that is known.
-    pub revision: u64,
-    /// Latest changes, for other entries.
-    pub history: History,
+    /// Confirmations so far.
+    pub turn: u64,
+    /// The store's keys, for other entries.
+    pub replica: Replica,
     /// Backend servers by service.
     pub fleets: HashMap<ServiceId, Fleet>,
     /// Service of each backend server.
@@ -110,7 +125,8 @@
         seed: u64,
     ) -> Self {
         let state = State::new(&settings, seed);
-        let peers = Peers::new(&settings.name);
+        let roster = Roster::new(&settings);
+        let incarnation = SmallRng::seed_from_u64(seed).random();
         Core {
             settings,
             dialect,
@@ -119,7 +135,13 @@
             journal,
             metrics: Metrics::default(),
             stopping: Cell::new(Stopping::No),
-            peers,
+            roster,
+            incarnation,
+            told_by: Cell::new(None),
+            news: RefCell::default(),
+            news_told: Cell::new(0),
+            outbox: Outbox::default(),
+            something_new: Notify::new(),
             under_way: Cell::new(0),
             state: RefCell::new(state),
         }
@@ -130,7 +152,60 @@
     pub fn outage(&self) -> Option<Duration> {
         let state = self.state.borrow();
         let now = self.clock.now();
-        state.source_lost.then(|| state.freshness.age(now).unwrap_or(now))
+        state.source_lost.then(|| state.freshness.age(now).unwrap_or(self.clock.uptime()))
+    }
+
+    /// Where this entry learns of changes. While nobody is listed yet, the entry that told the first
+    /// state tells the rest, and a seed must expect to be that one.
+    pub fn source(&self) -> Source {
+        match (self.roster.source(self.clock.now()), self.told_by.get()) {
+            (Source::StoreAlone, Some(address)) => {
+                Source::Entry { name: address.to_string(), address }
+            }
+            (Source::StoreAlone, None) if self.other_seeds().next().is_some() => Source::Store,
+            (source, _) => source,
+        }
+    }
+
+    /// The seeds without this entry.
+    fn other_seeds(&self) -> impl Iterator<Item = SocketAddr> {
+        let seeds = self.settings.membership.seeds.iter().copied();
+        seeds.filter(|seed| Some(*seed) != self.settings.peers)
+    }
+
+    /// Entries to which news is passed on: the one that this entry asks, or the other roots. While
+    /// nobody is listed yet, the seeds take the place of the roots.
+    pub fn above(&self) -> Vec<SocketAddr> {
+        match self.source() {
+            Source::Entry { address, .. } => vec![address],
+            Source::Store if self.roster.count() == 0 => self.other_seeds().collect(),
+            Source::Store => self.roster.other_roots(self.clock.now()),
+            Source::StoreAlone => Vec::new(),
+        }
+    }
+
+    /// Age of the last confirmation by the store that the state rests on, if any.
+    pub fn state_age(&self) -> Option<Duration> {
+        self.state.borrow().freshness.age(self.clock.now())
+    }
+
+    /// Counters, histograms, and where this entry stands among the others, one a line.
+    pub fn metrics_text(&self) -> String {
+        let mut text = self.metrics.text();
+        let asks_store = !matches!(self.source(), Source::Entry { .. });
+        let mut gauges = vec![
+            ("entries_listed", self.roster.count() as u64),
+            ("asks_store", u64::from(asks_store)),
+            ("news_remembered", self.news.borrow().all().count() as u64),
+        ];
+        if let Some(age) = self.state_age() {
+            gauges.push(("state_age_ms", age.as_millis() as u64));
+        }
+        for (name, value) in gauges {
+            // NB: writing to a string does not fail.
+            let _ = writeln!(text, "pondwalk_{name} {value}");
+        }
+        text
     }
 
     /// Whether callers should be sent here.
@@ -151,8 +226,8 @@
             catalog: None,
             freshness: Freshness::new(settings.state_bound, settings.key_bound),
             source_lost: false,
-            revision: 0,
-            history: History::default(),
+            turn: 0,
+            replica: Replica::default(),
             fleets: HashMap::new(),
             service_of: HashMap::new(),
             roll_outs: HashMap::new(),
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -19,7 +19,7 @@
     follow::follow,
     http::{self, Gate},
     journal::{Journal, Rank},
-    peers,
+    membership,
     upstream::Connect,
 };
 
@@ -75,6 +75,7 @@
         let conductor = Rc::clone(&self.conductor);
         spawn_local(async move { conductor.run().await });
         let conductor = Rc::clone(&self.conductor);
+        spawn_local(membership::pass_on(Rc::clone(&self.core)));
         spawn_local(follow(Rc::clone(&self.core), self.port.clone(), conductor));
         let core = Rc::clone(&self.core);
         spawn_local(async move {
@@ -98,7 +99,7 @@
     where
         I: AsyncRead + AsyncWrite + Unpin + 'static,
     {
-        peers::serve(Rc::clone(&self.core), io).await;
+        membership::serve(Rc::clone(&self.core), io).await;
     }
 
     /// Whether callers should be sent here.
@@ -113,7 +114,12 @@
 
     /// Counters and histograms as text.
     pub fn metrics_text(&self) -> String {
-        self.core.metrics.text()
+        self.core.metrics_text()
+    }
+
+    /// Age of the last confirmation by the store that this entry's state rests on, if any.
+    pub fn state_age(&self) -> Option<Duration> {
+        self.core.state_age()
     }
 
     /// What is shared by the tasks of this entry.
--- a/crates/direct/src/http/intake.rs
+++ b/crates/direct/src/http/intake.rs
@@ -12,6 +12,7 @@
 };
 use pondwalk_decide::direct::SessionKey;
 use rand::Rng;
+use tokio::time::{timeout, timeout_at};
 
 use crate::{
     catalog::{Catalog, Route, Service, Workspace},
@@ -20,6 +21,10 @@
     request::{Job, Prompt, Refusal, strip_connection_headers},
 };
 
+/// Longest time for which a request waits for the first configuration. An entry that starts hears it
+/// within 50 ms of the first that has it; a caller that is sent back is served later, or, if it
+/// tries but once more, often not at all.
+const FIRST_STATE_WAIT: Duration = Duration::from_millis(250);
 /// Time that a whole body may take.
 const BODY_LIMIT: Duration = Duration::from_secs(5);
 
@@ -30,6 +35,7 @@
     arrived: Duration,
 ) -> Result<Job, Refusal> {
     let (parts, body) = request.into_parts();
+    wait_for_first_state(core).await;
     let checked = check(core, &parts, arrived)?;
     let body = read_body(body, checked.catalog.limits.max_body_bytes).await?;
     let job = into_job(core, parts, body, checked, arrived);
@@ -43,6 +49,18 @@
     }
 }
 
+/// Waits for the first configuration of an entry that has just started and is about to hear it.
+async fn wait_for_first_state(core: &Core) {
+    let end = core.clock.instant(core.clock.now() + FIRST_STATE_WAIT);
+    loop {
+        let something_new = core.something_new.notified();
+        let is_held = core.state.borrow().catalog.is_some();
+        if is_held || core.outage().is_some() || timeout_at(end, something_new).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// What the head of a request leads to.
 struct Checked {
     catalog: Rc<Catalog>,
@@ -97,7 +115,7 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(Refusal::BodyTooLarge);
     }
-    let reading = tokio::time::timeout(BODY_LIMIT, collect(body, limit));
+    let reading = timeout(BODY_LIMIT, collect(body, limit));
     reading.await.map_err(|_| Refusal::BodyUnreadable)?
 }
 
--- a/crates/direct/src/http/sides.rs
+++ b/crates/direct/src/http/sides.rs
@@ -69,7 +69,7 @@
     if request.uri().path() != METRICS_PATH {
         return with_status(StatusCode::NOT_FOUND, String::new());
     }
-    with_status(StatusCode::OK, core.metrics.text())
+    with_status(StatusCode::OK, core.metrics_text())
 }
 
 fn with_status(status: StatusCode, text: String) -> Response<AnswerBody> {
--- a/crates/direct/src/journal.rs
+++ b/crates/direct/src/journal.rs
@@ -107,7 +107,7 @@
 
     /// Takes a line in.
     pub fn note<E: Serialize>(&self, rank: Rank, event: &E) {
-        let at = self.clock.now();
+        let at = self.clock.uptime();
         let mut gathered = self.gathered.borrow_mut();
         if !gathered.admits(rank, at, self.lines_per_s) {
             gathered.dropped += 1;
@@ -134,7 +134,7 @@
         if gathered.dropped > 0 {
             let dropped = std::mem::take(&mut gathered.dropped);
             let line = serde_json::json!({
-                "at_ms": self.clock.now().as_millis() as u64,
+                "at_ms": self.clock.uptime().as_millis() as u64,
                 "process": self.process,
                 "event": "lines_dropped",
                 "lines": dropped,
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -1,9 +1,9 @@
-//! Asks another entry for changes.
+//! Asks another entry for its state.
 
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Request, StatusCode,
     client::conn::http1::{SendRequest, handshake},
@@ -12,16 +12,25 @@
 use hyper_util::rt::TokioIo;
 use pondwalk_store::StoreEvent;
 use thiserror::Error;
-use tokio::{task::spawn_local, time::timeout};
+use tokio::{
+    task::spawn_local,
+    time::{Instant, timeout, timeout_at},
+};
 
-use super::{BAD_VERSION_PATH, BadVersion, CHANGES_PATH, Changes};
-use crate::upstream::Connect;
+use super::{
+    ClockOffset, Item, KeyChange, MessageError, NEWS_PATH, STATE_PATH, State,
+    message::MAX_MESSAGE_BYTES,
+};
+use crate::{clock::Clock, upstream::Connect};
 
-/// Longest time for an answer. One takes a few milliseconds; an entry that is busy or paused for
-/// longer than this is of no use as a source.
-const ASK_LIMIT: Duration = Duration::from_millis(250);
+/// Longest time for a connection to open. One opens in a millisecond; a machine without power says
+/// nothing, and one that is just coming up would be found a second later.
+const CONNECT_LIMIT: Duration = Duration::from_millis(100);
+/// Longest time for another entry to take news. One takes a few milliseconds; an
+/// entry that is busy or paused for longer than this is of no use.
+const TELL_LIMIT: Duration = Duration::from_millis(250);
 
-/// Why another entry told no changes.
+/// Why another entry told nothing of use.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum AskError {
     /// It did not answer in time.
@@ -33,61 +42,145 @@
     /// It has lost the store itself, or was last confirmed too long ago.
     #[error("its confirmation is old")]
     Old,
-    /// Its answer cannot be read.
-    #[error("the answer cannot be read")]
-    Malformed,
-    /// It does not remember all changes asked for.
-    #[error("it does not remember all changes")]
-    Forgotten,
+    /// Its answer is refused.
+    #[error("its answer is refused: {0}")]
+    Refused(#[from] MessageError),
+}
+
+/// What an asker needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Need {
+    /// What has changed, once the state is confirmed anew or there is news.
+    Changes,
+    /// What has changed, if the state is young enough to be of use.
+    ChangesNow,
+    /// A state of any age, as soon as there is one.
+    FirstState,
+    /// A state of any age, if there is one.
+    FirstStateNow,
+}
+
+/// What is asked.
+#[derive(Debug, Clone, Copy)]
+pub struct Question {
+    /// Store that both are to speak of.
+    pub store: SocketAddr,
+    /// Revision that the asker holds.
+    pub after: u64,
+    /// What the asker needs.
+    pub need: Need,
+    /// When the answer is given up.
+    pub until: Instant,
 }
 
 /// What another entry told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Told {
-    /// Age of its confirmation by the store.
-    pub confirmed_age: Duration,
-    /// Revision that the changes lead to.
+    /// Own time at which its state was confirmed, or before; `None` if before the start of the own
+    /// clock.
+    pub confirmed: Option<Duration>,
+    /// Revision that the state leads to.
     pub revision: u64,
-    /// The changes in order.
-    pub events: Vec<StoreEvent>,
+    /// Whether it is the whole state, and not only what changed.
+    pub whole: bool,
+    /// Keys as they were last changed, in order.
+    pub changes: Vec<KeyChange>,
+    /// News not heard from it before.
+    pub news: Vec<Item>,
+}
+
+impl Told {
+    /// The changes as the store would have told them.
+    pub fn into_events(self) -> Vec<StoreEvent> {
+        self.changes.into_iter().map(KeyChange::into_event).collect()
+    }
 }
 
 type Sender = SendRequest<Full<Bytes>>;
 
-/// A kept connection to the entry asked last.
+/// A kept connection to the entry asked last, with what is known of that process.
 #[derive(Debug, Default)]
 pub struct PeerClient {
     kept: RefCell<Option<(SocketAddr, Sender)>>,
+    heard: RefCell<Heard>,
+}
+
+/// What the last answer of the entry asked last told.
+#[derive(Debug, Clone, Copy, Default)]
+struct Heard {
+    from: Option<SocketAddr>,
+    incarnation: u64,
+    turn: u64,
+    news_end: u64,
+    clock: ClockOffset,
 }
 
 impl PeerClient {
-    /// Asks the entry at `address` for all changes after `revision`.
+    /// Asks the entry at `address`.
+    ///
+    /// A kept connection may have gone silent without a word while new ones work, so silence on one
+    /// is followed by a second question on a new one.
     pub async fn ask(
         &self,
         connect: &Connect,
+        clock: &Clock,
         address: SocketAddr,
-        revision: u64,
+        question: Question,
     ) -> Result<Told, AskError> {
-        let asking = self.exchange(connect, address, revision);
-        let changes = timeout(ASK_LIMIT, asking).await.map_err(|_| AskError::Silent)??;
-        let told = changes.changes.ok_or(AskError::Forgotten)?;
-        let events = told.into_iter().map(|change| change.into_event().ok_or(AskError::Malformed));
+        let was_kept = self.take_kept(address).map(|sender| (address, sender));
+        let is_kept = was_kept.is_some();
+        *self.kept.borrow_mut() = was_kept;
+        let told = self.ask_once(connect, clock, address, question).await;
+        if !is_kept || !matches!(told, Err(AskError::Silent | AskError::Failed(_))) {
+            return told;
+        }
+        let until = question.until.max(Instant::now() + TELL_LIMIT);
+        self.ask_once(connect, clock, address, Question { until, ..question }).await
+    }
+
+    async fn ask_once(
+        &self,
+        connect: &Connect,
+        clock: &Clock,
+        address: SocketAddr,
+        question: Question,
+    ) -> Result<Told, AskError> {
+        let sent = clock.now();
+        let asking = self.exchange(connect, address, question);
+        let bytes = timeout_at(question.until, asking).await.map_err(|_| AskError::Silent)??;
+        let state = State::from_bytes(&bytes, question.store)?;
+        self.hear(address, sent, state)
+    }
+
+    /// Dates a state by the own clock.
+    fn hear(&self, address: SocketAddr, sent: Duration, state: State) -> Result<Told, AskError> {
+        let head = state.head;
+        let changes = state.changes()?;
+        let mut heard = self.heard.borrow_mut();
+        if heard.from != Some(address) {
+            *heard = Heard { from: Some(address), ..Heard::default() };
+        }
+        heard.clock.note(head.incarnation, sent, head.now);
+        heard.incarnation = head.incarnation;
+        heard.turn = head.turn;
+        heard.news_end = head.news_end;
         Ok(Told {
-            confirmed_age: Duration::from_millis(changes.confirmed_age_ms),
-            revision: changes.revision,
-            events: events.collect::<Result<_, _>>()?,
+            confirmed: heard.clock.own_time(head.confirmed),
+            revision: head.revision,
+            whole: head.whole,
+            changes,
+            news: state.news,
         })
     }
 
-    /// Tells the entry at `address` that the version on trial at a service is bad.
-    pub async fn tell_bad(
+    /// Tells the entry at `address` news, as packed for the way.
+    pub async fn tell_news(
         connect: &Connect,
         address: SocketAddr,
-        bad: &BadVersion,
+        body: Bytes,
     ) -> Result<(), AskError> {
-        let body = serde_json::to_vec(bad).map_err(|_| AskError::Malformed)?;
-        let request = Request::post(BAD_VERSION_PATH).header(HOST, address.to_string());
-        let request = request.body(Full::from(body)).map_err(|_| AskError::Malformed)?;
+        let request = Request::post(NEWS_PATH).header(HOST, address.to_string());
+        let request = request.body(Full::from(body)).map_err(failed)?;
         let telling = async {
             let answer = open(connect, address).await?.send_request(request).await;
             match answer.map_err(failed)?.status() {
@@ -95,38 +188,63 @@
                 status => Err(AskError::Failed(status.to_string())),
             }
         };
-        timeout(ASK_LIMIT, telling).await.map_err(|_| AskError::Silent)?
+        let until = Instant::now() + TELL_LIMIT;
+        timeout_at(until, telling).await.map_err(|_| AskError::Silent)?
+    }
+
+    /// The kept connection, if it leads to `address` and is still open.
+    fn take_kept(&self, address: SocketAddr) -> Option<Sender> {
+        let kept = self.kept.borrow_mut().take();
+        let kept = kept.filter(|(to, sender)| *to == address && sender.is_ready());
+        kept.map(|(_, sender)| sender)
+    }
+
+    fn path(&self, address: SocketAddr, question: Question) -> String {
+        let after = question.after;
+        match question.need {
+            Need::Changes | Need::ChangesNow => {}
+            Need::FirstState => return format!("{STATE_PATH}?first=wait"),
+            Need::FirstStateNow => return format!("{STATE_PATH}?first=now"),
+        }
+        let heard = self.heard.borrow();
+        let now = if question.need == Need::ChangesNow { "&now=1" } else { "" };
+        match heard.from == Some(address) {
+            true => format!(
+                "{STATE_PATH}?after={after}&heard={:x}.{}.{}{now}",
+                heard.incarnation, heard.turn, heard.news_end
+            ),
+            false => format!("{STATE_PATH}?after={after}{now}"),
+        }
     }
 
     async fn exchange(
         &self,
         connect: &Connect,
         address: SocketAddr,
-        revision: u64,
-    ) -> Result<Changes, AskError> {
-        let kept = self.kept.borrow_mut().take();
-        let kept = kept.filter(|(to, sender)| *to == address && sender.is_ready());
-        let mut sender = match kept {
-            Some((_, sender)) => sender,
+        question: Question,
+    ) -> Result<Bytes, AskError> {
+        let mut sender = match self.take_kept(address) {
+            Some(sender) => sender,
             None => open(connect, address).await?,
         };
-        let request = Request::get(format!("{CHANGES_PATH}?after={revision}"));
-        let request = request.header(HOST, address.to_string()).body(Full::default());
-        let request = request.map_err(|_| AskError::Malformed)?;
+        let request = Request::get(self.path(address, question)).header(HOST, address.to_string());
+        let request = request.body(Full::default()).map_err(failed)?;
         let answer = sender.send_request(request).await.map_err(failed)?;
-        match answer.status() {
-            StatusCode::OK => {}
-            StatusCode::SERVICE_UNAVAILABLE => return Err(AskError::Old),
-            status => return Err(AskError::Failed(status.to_string())),
-        }
-        let body = answer.into_body().collect().await.map_err(failed)?.to_bytes();
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_MESSAGE_BYTES).collect().await;
+        let body = body.map_err(|_| MessageError::Unreadable)?.to_bytes();
         *self.kept.borrow_mut() = Some((address, sender));
-        serde_json::from_slice(&body).map_err(|_| AskError::Malformed)
+        match status {
+            StatusCode::OK => Ok(body),
+            StatusCode::SERVICE_UNAVAILABLE => Err(AskError::Old),
+            status => Err(AskError::Failed(status.to_string())),
+        }
     }
 }
 
 async fn open(connect: &Connect, address: SocketAddr) -> Result<Sender, AskError> {
-    let stream = connect(address).await.map_err(failed)?;
+    let opening = timeout(CONNECT_LIMIT, connect(address)).await;
+    let stream = opening.map_err(|_| AskError::Silent)?.map_err(failed)?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(failed)?;
     // NB: a failure of the connection reaches the exchange that waits on it.
     spawn_local(async move { connection.await.unwrap_or_default() });
--- /dev/null
+++ b/crates/direct/src/membership/news.rs
@@ -0,0 +1,210 @@
+//! News that entries pass on among themselves, without the store.
+//!
+//! What one entry has found, and all are to weigh within a fraction of a second, goes up the tree
+//! by messages of its own, and down with the answers to questions. Nothing of it must last: an entry
+//! that starts anew hears what is still remembered.
+
+use std::{
+    collections::{HashSet, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use pondwalk_decide::direct::{Doubt, SessionKey, Stage};
+use serde::{Deserialize, Serialize};
+
+/// Time for which news is remembered. A roll-out takes up to some minutes, but what it needs to hear
+/// belongs to its first seconds, or is written to the store once it counts.
+const LIFE: Duration = Duration::from_secs(60);
+/// Items remembered. Each entry tells a few in a roll-out.
+const MOST_ITEMS: usize = 4_096;
+/// Sessions in one item; an entry with more tells several.
+pub const MOST_SESSIONS: usize = 1_024;
+
+/// What an entry has found.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    /// Sessions run through it that stay on the old version while `target` is on trial.
+    Kept {
+        /// Service that moves.
+        service: String,
+        /// Version on trial.
+        target: String,
+        /// The sessions.
+        sessions: Vec<SessionKey>,
+    },
+    /// It doubts that a version on trial is good.
+    Doubt {
+        /// Service that moves.
+        service: String,
+        /// Version on trial.
+        target: String,
+        /// How sure it is.
+        doubt: DoubtWord,
+    },
+    /// It has written to the store that a roll-out has come so far.
+    Stage {
+        /// Service that moves.
+        service: String,
+        /// Version on trial.
+        target: String,
+        /// How far it has come.
+        stage: StageWord,
+    },
+    /// A version on trial is bad.
+    Bad {
+        /// Service that moves.
+        service: String,
+        /// Version on trial.
+        target: String,
+    },
+    /// It has started and is to be listed.
+    Joined {
+        /// Where other entries may ask it.
+        address: SocketAddr,
+    },
+}
+
+/// A doubt as it is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DoubtWord {
+    /// Half of what would let the entry call the version bad.
+    Strong,
+    /// The little that one of many entries sees.
+    Slight,
+}
+
+impl From<Doubt> for DoubtWord {
+    fn from(doubt: Doubt) -> Self {
+        match doubt {
+            Doubt::Strong => DoubtWord::Strong,
+            Doubt::Slight => DoubtWord::Slight,
+        }
+    }
+}
+
+impl From<DoubtWord> for Doubt {
+    fn from(word: DoubtWord) -> Self {
+        match word {
+            DoubtWord::Strong => Doubt::Strong,
+            DoubtWord::Slight => Doubt::Slight,
+        }
+    }
+}
+
+/// Word for a stage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StageWord {
+    /// On trial.
+    Trial,
+    /// The share widens.
+    Widening,
+    /// Complete.
+    Completed,
+    /// Taken back.
+    Reverted,
+}
+
+impl From<Stage> for StageWord {
+    fn from(stage: Stage) -> Self {
+        match stage {
+            Stage::Trial => StageWord::Trial,
+            Stage::Widening => StageWord::Widening,
+            Stage::Completed => StageWord::Completed,
+            Stage::Reverted => StageWord::Reverted,
+        }
+    }
+}
+
+impl From<StageWord> for Stage {
+    fn from(word: StageWord) -> Self {
+        match word {
+            StageWord::Trial => Stage::Trial,
+            StageWord::Widening => Stage::Widening,
+            StageWord::Completed => Stage::Completed,
+            StageWord::Reverted => Stage::Reverted,
+        }
+    }
+}
+
+/// What tells one item from all others: the entry that told it, its life, and a number.
+type ItemId = (String, u64, u64);
+
+/// One piece of news.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// Name of the entry that found it.
+    pub origin: String,
+    /// Random number of that life of the entry.
+    pub incarnation: u64,
+    /// Its number among those of that life.
+    pub number: u64,
+    /// Time since it was found.
+    pub age: Duration,
+    /// What was found.
+    pub news: News,
+}
+
+impl Item {
+    fn id(&self) -> ItemId {
+        (self.origin.clone(), self.incarnation, self.number)
+    }
+}
+
+/// The news that this entry remembers, in the order in which it heard them.
+#[derive(Debug, Default)]
+pub struct NewsLog {
+    /// Place of the first item that is still remembered.
+    start: u64,
+    /// When each was found, by the own clock.
+    items: VecDeque<(Duration, Item)>,
+    known: HashSet<ItemId>,
+}
+
+impl NewsLog {
+    /// Takes an item in; `false` if it is known already, or too old.
+    pub fn add(&mut self, item: Item, now: Duration) -> bool {
+        self.forget_old(now);
+        if item.age >= LIFE || !self.known.insert(item.id()) {
+            return false;
+        }
+        self.items.push_back((now.saturating_sub(item.age), item));
+        true
+    }
+
+    /// Place behind the latest item.
+    pub fn end(&self) -> u64 {
+        self.start + self.items.len() as u64
+    }
+
+    /// The items from a place on.
+    pub fn since(&self, place: u64, now: Duration) -> Vec<Item> {
+        let skipped = place.saturating_sub(self.start) as usize;
+        let items = self.items.iter().skip(skipped);
+        let aged = |(found, item): &(Duration, Item)| Item {
+            age: now.saturating_sub(*found),
+            ..item.clone()
+        };
+        items.map(aged).collect()
+    }
+
+    /// All items that are remembered.
+    pub fn all(&self) -> impl Iterator<Item = &Item> {
+        self.items.iter().map(|(_, item)| item)
+    }
+
+    fn forget_old(&mut self, now: Duration) {
+        // NB: items that were long on their way lie behind younger ones; they go with those.
+        while let Some((found, _)) = self.items.front() {
+            let is_old = now.saturating_sub(*found) >= LIFE;
+            if !is_old && self.items.len() < MOST_ITEMS {
+                return;
+            }
+            if let Some((_, item)) = self.items.pop_front() {
+                self.known.remove(&item.id());
+                self.start += 1;
+            }
+        }
+    }
+}
--- a/crates/direct/src/membership/replica.rs
+++ b/crates/direct/src/membership/replica.rs
@@ -1,97 +1,111 @@
-//! The latest changes of the store, as this entry learned them.
+//! The store's keys as this entry last learned them, to be told to others.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
-use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
 use pondwalk_store::{Fetched, StoreEvent};
 
-use super::KeyChange;
+use super::{KeyChange, MessageError, message};
 
-/// Changes remembered.
-const MAX_CHANGES: usize = 256;
-/// Bytes of values remembered; a large configuration pushes older changes out.
-const MAX_BYTES: usize = 512 * 1024;
+/// Removals remembered. An entry that asks for more is told the whole state.
+const MAX_REMOVALS: usize = 1_024;
 
-/// Changes after a revision, without gaps.
+/// A key's value with the revision of its last change.
+#[derive(Debug)]
+struct Held {
+    value: Bytes,
+    revision: u64,
+}
+
+/// All keys, and which were removed lately.
 #[derive(Debug, Default)]
-pub struct History {
-    /// Everything after this revision is here.
+pub struct Replica {
+    /// All removals after this revision are here.
     start: u64,
-    changes: VecDeque<(u64, StoreEvent)>,
-    bytes: usize,
+    revision: u64,
+    held: BTreeMap<String, Held>,
+    removed: VecDeque<(u64, String)>,
+    /// The whole state as it is sent, with its revision.
+    whole: Option<(u64, Bytes)>,
 }
 
-impl History {
-    /// Starts anew after everything was read at `revision`.
-    pub fn restart(&mut self, revision: u64) {
-        *self = History { start: revision, ..History::default() };
+impl Replica {
+    /// Starts anew with everything that was read at `revision`.
+    pub fn restart(&mut self, entries: &[Fetched], revision: u64) {
+        *self = Replica { start: revision, revision, ..Replica::default() };
+        entries.iter().for_each(|entry| self.hold(entry));
     }
 
     /// Takes changes in that lead to `revision`.
     pub fn extend(&mut self, events: &[StoreEvent], revision: u64) {
         for event in events {
-            let at = match event {
-                StoreEvent::Written(entry) => entry.revision,
-                // NB: a removal counts as if it came last, so that no asker misses it.
-                StoreEvent::Removed(_) => revision,
-            };
-            self.bytes += size_of_event(event);
-            self.changes.push_back((at, event.clone()));
+            match event {
+                StoreEvent::Written(entry) => self.hold(entry),
+                StoreEvent::Removed(key) => {
+                    self.held.remove(key);
+                    // NB: a removal counts as if it came last, so that no asker misses it.
+                    self.removed.push_back((revision, key.clone()));
+                }
+            }
         }
-        while self.changes.len() > MAX_CHANGES || self.bytes > MAX_BYTES {
-            let Some((at, event)) = self.changes.pop_front() else { return };
-            self.bytes -= size_of_event(&event);
+        self.revision = self.revision.max(revision);
+        while self.removed.len() > MAX_REMOVALS {
+            let Some((at, _)) = self.removed.pop_front() else { return };
             self.start = self.start.max(at);
         }
     }
 
-    /// The last change of each key after `revision`; `None` if some are no longer remembered.
+    fn hold(&mut self, entry: &Fetched) {
+        let value = Bytes::copy_from_slice(&entry.value);
+        self.held.insert(entry.key.clone(), Held { value, revision: entry.revision });
+    }
+
+    /// Revision up to which changes are known.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The last change of each key after `revision`, in order; `None` if some removals are no longer
+    /// remembered, so that only the whole state tells.
     ///
-    /// Earlier ones are left out: an asker that is behind by ten large configurations needs only
-    /// the newest, and a slow link could not carry them all in time.
+    /// Earlier changes of a key are left out: an asker that is behind by ten large configurations
+    /// needs only the newest, and a slow link could not carry them all in time.
     pub fn after(&self, revision: u64) -> Option<Vec<KeyChange>> {
         if revision < self.start {
             return None;
         }
-        let mut told = HashSet::new();
-        let newer = self.changes.iter().rev().filter(|(at, _)| *at > revision);
-        let last = newer.filter(|(_, event)| told.insert(key_of(event)));
-        let mut changes: Vec<KeyChange> = last.map(|(at, event)| key_change(*at, event)).collect();
-        changes.reverse();
+        if revision >= self.revision {
+            return Some(Vec::new());
+        }
+        let written = self.held.iter().filter(|(_, held)| held.revision > revision);
+        let mut changes: Vec<KeyChange> =
+            written.map(|(key, held)| written_change(key, held)).collect();
+        let gone =
+            self.removed.iter().filter(|(at, key)| *at > revision && !self.held.contains_key(key));
+        changes.extend(gone.map(|(at, key)| KeyChange {
+            key: key.clone(),
+            value: None,
+            revision: *at,
+        }));
+        changes.sort_by_key(|change| change.revision);
         Some(changes)
     }
-}
-
-fn key_of(event: &StoreEvent) -> &str {
-    match event {
-        StoreEvent::Written(entry) => &entry.key,
-        StoreEvent::Removed(key) => key,
-    }
-}
-
-fn size_of_event(event: &StoreEvent) -> usize {
-    match event {
-        StoreEvent::Written(entry) => entry.key.len() + entry.value.len(),
-        StoreEvent::Removed(key) => key.len(),
-    }
-}
 
-fn key_change(revision: u64, event: &StoreEvent) -> KeyChange {
-    match event {
-        StoreEvent::Written(entry) => KeyChange {
-            key: entry.key.clone(),
-            value: Some(STANDARD.encode(&entry.value)),
-            revision,
-        },
-        StoreEvent::Removed(key) => KeyChange { key: key.clone(), value: None, revision },
+    /// The whole state as it is sent. It is built once for each revision, since after a restart of
+    /// all entries many ask for the same.
+    pub fn whole(&mut self) -> Result<Bytes, MessageError> {
+        if let Some((revision, bytes)) = &self.whole
+            && *revision == self.revision
+        {
+            return Ok(bytes.clone());
+        }
+        let all = self.held.iter().map(|(key, held)| written_change(key, held));
+        let bytes = message::pack(&all.collect::<Vec<_>>())?;
+        self.whole = Some((self.revision, bytes.clone()));
+        Ok(bytes)
     }
 }
 
-impl KeyChange {
-    /// The change as the store would have told it; `None` if its value cannot be decoded.
-    pub fn into_event(self) -> Option<StoreEvent> {
-        let Some(value) = self.value else { return Some(StoreEvent::Removed(self.key)) };
-        let value = STANDARD.decode(value).ok()?;
-        Some(StoreEvent::Written(Fetched { key: self.key, value, revision: self.revision }))
-    }
+fn written_change(key: &str, held: &Held) -> KeyChange {
+    KeyChange { key: key.to_owned(), value: Some(held.value.to_vec()), revision: held.revision }
 }
--- /dev/null
+++ b/crates/direct/src/membership/roster.rs
@@ -0,0 +1,188 @@
+//! The entries that are listed, in their order, and which of them to ask.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::Duration,
+};
+
+use pondwalk_config::DirectSettings;
+use pondwalk_decide::direct::session_key;
+
+use super::{
+    client::AskError,
+    tree::{self, Place},
+};
+
+/// First time for which an entry that did not answer is passed over; doubles with each in a row.
+const FIRST_PASS_OVER: Duration = Duration::from_secs(4);
+/// Longest such time.
+const LONGEST_PASS_OVER: Duration = Duration::from_secs(60);
+/// Time for which an entry that is behind the store itself is passed over. It may catch up with
+/// the store's return at any moment.
+const PASS_OVER_WHILE_BEHIND: Duration = Duration::from_secs(1);
+
+/// Place of an entry in the order that all work out alike.
+type OrderKey = (u64, String);
+
+fn order_key(name: &str) -> OrderKey {
+    (session_key(name), name.to_owned())
+}
+
+/// Where to learn of changes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// From the store; others rest on this entry.
+    Store,
+    /// From the store; nobody rests on this entry.
+    StoreAlone,
+    /// From another entry.
+    Entry {
+        /// Its name.
+        name: String,
+        /// Where it is asked.
+        address: SocketAddr,
+    },
+}
+
+#[derive(Debug)]
+struct Listed {
+    address: SocketAddr,
+    passed_over_until: Duration,
+    failures: u32,
+}
+
+/// The entries that are listed.
+#[derive(Debug)]
+pub struct Roster {
+    own: OrderKey,
+    place_among_seeds: Option<usize>,
+    in_tree: bool,
+    listed: RefCell<BTreeMap<OrderKey, Listed>>,
+    own_listed: Cell<Option<SocketAddr>>,
+}
+
+impl Roster {
+    /// Knows of no entry yet.
+    pub fn new(settings: &DirectSettings) -> Self {
+        let seeds = &settings.membership.seeds;
+        Roster {
+            own: order_key(&settings.name),
+            place_among_seeds: seeds.iter().position(|seed| Some(*seed) == settings.peers),
+            in_tree: settings.membership.tree,
+            listed: RefCell::default(),
+            own_listed: Cell::new(None),
+        }
+    }
+
+    /// Learns of an entry, or that it is no longer listed.
+    pub fn learn(&self, name: &str, address: Option<SocketAddr>) {
+        let key = order_key(name);
+        if key == self.own {
+            self.own_listed.set(address);
+        }
+        let mut listed = self.listed.borrow_mut();
+        match address {
+            Some(address) => {
+                let fresh = Listed { address, passed_over_until: Duration::ZERO, failures: 0 };
+                listed.insert(key, fresh);
+            }
+            None => {
+                listed.remove(&key);
+            }
+        }
+    }
+
+    /// Address under which this entry is listed.
+    pub fn own_listed(&self) -> Option<SocketAddr> {
+        self.own_listed.get()
+    }
+
+    /// Where this entry learns of changes.
+    ///
+    /// An entry that is not listed yet asks as if it came last, since nobody asks it.
+    pub fn source(&self, now: Duration) -> Source {
+        let listed = self.listed.borrow();
+        let able: Vec<_> = listed
+            .iter()
+            .filter(|(key, one)| **key == self.own || one.passed_over_until <= now)
+            .collect();
+        let position = able.iter().position(|(key, _)| **key == self.own);
+        let entries = able.len() + usize::from(position.is_none());
+        let position = position.unwrap_or(able.len());
+        match tree::place(position, entries, self.in_tree) {
+            Place::Root if entries > 1 => Source::Store,
+            Place::Root => Source::StoreAlone,
+            Place::Below(above) => {
+                let (key, one) = able[above];
+                Source::Entry { name: key.1.clone(), address: one.address }
+            }
+        }
+    }
+
+    /// Entries that are listed.
+    pub fn count(&self) -> usize {
+        self.listed.borrow().len()
+    }
+
+    /// This entry's place in the order of all that are listed, from 0; while none is, its place among
+    /// the seeds, which are the first to know of the others.
+    pub fn rank(&self) -> usize {
+        let listed = self.listed.borrow();
+        match self.place_among_seeds {
+            Some(place) if listed.is_empty() => place,
+            _ => listed.keys().take_while(|key| **key < self.own).count(),
+        }
+    }
+
+    /// A number below `among` that differs from entry to entry.
+    pub fn spread(&self, among: usize) -> usize {
+        (self.own.0 % among.max(1) as u64) as usize
+    }
+
+    /// Entries in order other than this one that answered when last asked.
+    pub fn others(&self, now: Duration) -> Vec<(String, SocketAddr)> {
+        let listed = self.listed.borrow();
+        let able =
+            listed.iter().filter(|(key, one)| **key != self.own && one.passed_over_until <= now);
+        able.map(|(key, one)| (key.1.clone(), one.address)).collect()
+    }
+
+    /// The other entries that ask the store, as far as this one can tell; one at least, so that what
+    /// this one finds is not known to it alone.
+    pub fn other_roots(&self, now: Duration) -> Vec<SocketAddr> {
+        let listed = self.listed.borrow();
+        let able =
+            listed.iter().filter(|(key, one)| **key == self.own || one.passed_over_until <= now);
+        let roots = tree::roots(able.clone().count()).max(2);
+        let others = able.take(roots).filter(|(key, _)| **key != self.own);
+        others.map(|(_, one)| one.address).collect()
+    }
+
+    /// Address under which an entry is listed.
+    pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
+        self.listed.borrow().get(&order_key(name)).map(|one| one.address)
+    }
+
+    /// Position of the name that comes first in the order of entries.
+    pub fn first_of(names: &[&str]) -> usize {
+        let order = |(_, name): &(usize, &&str)| order_key(name);
+        names.iter().enumerate().min_by_key(order).map_or(0, |(position, _)| position)
+    }
+
+    /// An entry answered, or failed to; one that failed is passed over for a while.
+    pub fn note(&self, name: &str, error: Option<&AskError>, now: Duration) {
+        let mut listed = self.listed.borrow_mut();
+        let Some(one) = listed.get_mut(&order_key(name)) else { return };
+        match error {
+            None => one.failures = 0,
+            Some(AskError::Old) => one.passed_over_until = now + PASS_OVER_WHILE_BEHIND,
+            Some(_) => {
+                let time = FIRST_PASS_OVER * 2u32.pow(one.failures.min(6));
+                one.passed_over_until = now + time.min(LONGEST_PASS_OVER);
+                one.failures += 1;
+            }
+        }
+    }
+}
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -1,6 +1,6 @@
-//! Answers other entries that ask for changes.
+//! Answers other entries.
 
-use std::{convert::Infallible, rc::Rc};
+use std::{convert::Infallible, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -8,13 +8,73 @@
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncRead, AsyncWrite};
+use serde::Serialize;
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    time::timeout_at,
+};
+
+use super::{
+    FORMAT, MessageError, NEWS_PATH, Need, STATE_PATH, State, StateHead,
+    message::{news_from_bytes, pack},
+};
+use crate::{core::Core, journal::Rank};
+
+/// Bytes of news that an entry reads from another at once: the sessions that a hundred entries keep
+/// are a third of this.
+const MAX_NEWS_BYTES: usize = 1024 * 1024;
+
+/// A message that was refused.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum ServeEvent {
+    NewsRefused { error: String },
+}
+
+/// A question as it was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Asked {
+    after: u64,
+    /// What the answer that the asker heard last said of itself.
+    heard: Option<Heard>,
+    need: Need,
+}
 
-use super::{BAD_VERSION_PATH, BadVersion, CHANGES_PATH, Changes};
-use crate::core::Core;
+/// The life of the process that told it, its turn, and the end of its news.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Heard {
+    incarnation: u64,
+    turn: u64,
+    news_end: u64,
+}
+
+impl Heard {
+    fn parse(text: &str) -> Option<Self> {
+        let mut numbers = text.split('.');
+        let incarnation = u64::from_str_radix(numbers.next()?, 16).ok()?;
+        let turn = numbers.next()?.parse().ok()?;
+        let news_end = numbers.next()?.parse().ok()?;
+        Some(Heard { incarnation, turn, news_end })
+    }
+}
 
-/// Bytes of a body that an entry reads from another.
-const MAX_BODY_BYTES: usize = 4 * 1024;
+impl Asked {
+    /// Reads the query of a question.
+    fn parse(query: &str) -> Option<Self> {
+        let mut asked = Asked { after: 0, heard: None, need: Need::Changes };
+        for pair in query.split('&') {
+            match pair.split_once('=')? {
+                ("after", text) => asked.after = text.parse().ok()?,
+                ("now", "1") => asked.need = Need::ChangesNow,
+                ("first", "wait") => asked.need = Need::FirstState,
+                ("first", "now") => asked.need = Need::FirstStateNow,
+                ("heard", text) => asked.heard = Some(Heard::parse(text)?),
+                _ => return None,
+            }
+        }
+        Some(asked)
+    }
+}
 
 /// Answers on one connection from another entry.
 pub async fn serve<I>(core: Rc<Core>, io: I)
@@ -25,9 +85,9 @@
         let core = Rc::clone(&core);
         async move {
             let response = match request.uri().path() {
-                CHANGES_PATH => tell_changes(&core, &request),
-                BAD_VERSION_PATH => hear_of_bad_version(&core, request).await,
-                _ => with_status(StatusCode::NOT_FOUND, Vec::new()),
+                STATE_PATH => tell_state(&core, &request).await,
+                NEWS_PATH => hear_news(&core, request).await,
+                _ => with_status(StatusCode::NOT_FOUND, Bytes::new()),
             };
             Ok::<_, Infallible>(response)
         }
@@ -36,53 +96,111 @@
     let _ = http1::Builder::new().serve_connection(TokioIo::new(io), service).await;
 }
 
-/// Takes another entry's word that a version is bad; what is left of the roll-out is then told
-/// to the store by whoever can.
-async fn hear_of_bad_version(core: &Core, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await;
-    let bad = body.ok().and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
-    let Some(BadVersion { service, target }) = bad else {
-        return with_status(StatusCode::BAD_REQUEST, Vec::new());
+/// Takes news from an entry below, or from another root.
+async fn hear_news(core: &Core, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let body = Limited::new(request.into_body(), MAX_NEWS_BYTES).collect().await;
+    let items = match body {
+        Ok(body) => news_from_bytes(&body.to_bytes(), core.settings.store.address),
+        Err(_) => Err(MessageError::Unreadable),
     };
-    let mut state = core.state.borrow_mut();
-    let roll_out = state.roll_outs.get_mut(service.as_str());
-    if let Some(roll_out) = roll_out.filter(|one| *one.target() == target) {
-        roll_out.learn_bad();
+    match items {
+        Ok(items) => {
+            core.hear_from_below(items);
+            with_status(StatusCode::OK, Bytes::new())
+        }
+        Err(error) => {
+            core.journal.note(Rank::State, &ServeEvent::NewsRefused { error: error.to_string() });
+            with_status(StatusCode::BAD_REQUEST, Bytes::new())
+        }
     }
-    with_status(StatusCode::OK, Vec::new())
 }
 
-fn tell_changes(core: &Core, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let after = request.uri().query().and_then(|query| query.strip_prefix("after="));
-    let Some(after) = after.and_then(|text| text.parse().ok()) else {
-        return with_status(StatusCode::BAD_REQUEST, Vec::new());
+async fn tell_state(core: &Core, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let Some(asked) = request.uri().query().and_then(Asked::parse) else {
+        return with_status(StatusCode::BAD_REQUEST, Bytes::new());
     };
-    match changes_after(core, after) {
-        // NB: numbers and texts always serialize.
-        Some(changes) => {
-            with_status(StatusCode::OK, serde_json::to_vec(&changes).unwrap_or_default())
+    match wait_for_state(core, asked).await {
+        Some(Ok(bytes)) => with_status(StatusCode::OK, bytes),
+        Some(Err(_)) => with_status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+        None => with_status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+    }
+}
+
+/// Holds a question until there is something to tell; `None` once the own confirmation has grown
+/// too old to be of use.
+async fn wait_for_state(core: &Core, asked: Asked) -> Option<Result<Bytes, MessageError>> {
+    let times = &core.settings.membership.times;
+    let held_from = core.clock.now();
+    loop {
+        let something_new = core.something_new.notified();
+        if has_news(core, asked) {
+            return Some(state_after(core, asked));
+        }
+        if matches!(asked.need, Need::ChangesNow | Need::FirstStateNow) {
+            return None;
+        }
+        let confirmed = core.state.borrow().freshness.confirmed();
+        let too_old_at = confirmed.map(|at| at + times.oldest_told);
+        // NB: an entry that has lost its way may be about to find another.
+        let give_up = too_old_at.unwrap_or_default().max(held_from + times.hold_while_old);
+        if timeout_at(core.clock.instant(give_up), something_new).await.is_err() {
+            return None;
         }
-        None => with_status(StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
     }
 }
 
-/// What this entry knows after a revision; `None` before it has read anything, and while the
-/// store does not answer it.
-fn changes_after(core: &Core, after: u64) -> Option<Changes> {
+/// Whether the asker gains anything by an answer now.
+fn has_news(core: &Core, asked: Asked) -> bool {
     let state = core.state.borrow();
-    if state.source_lost {
-        return None;
+    let Some(age) = state.freshness.age(core.clock.now()) else { return false };
+    let heard = asked.heard.filter(|heard| heard.incarnation == core.incarnation);
+    let is_young = age < core.settings.membership.times.oldest_told;
+    let (has_changed, has_news) = match heard {
+        Some(heard) => {
+            let has_changed = state.turn != heard.turn || state.replica.revision() > asked.after;
+            (has_changed, core.news.borrow().end() > heard.news_end)
+        }
+        None => (true, false),
+    };
+    match asked.need {
+        Need::FirstState | Need::FirstStateNow => true,
+        // NB: news counts whatever the age of the state, which is told with it.
+        Need::Changes | Need::ChangesNow => has_news || has_changed && is_young,
     }
-    let age = state.freshness.age(core.clock.now())?;
-    Some(Changes {
-        // NB: rounded up, so that no answer makes the asker's state look fresher.
-        confirmed_age_ms: age.as_millis() as u64 + 1,
-        revision: state.revision,
-        changes: state.history.after(after),
-    })
 }
 
-fn with_status(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
+fn state_after(core: &Core, asked: Asked) -> Result<Bytes, MessageError> {
+    let mut state = core.state.borrow_mut();
+    let changes = match asked.need {
+        Need::Changes | Need::ChangesNow => state.replica.after(asked.after),
+        Need::FirstState | Need::FirstStateNow => None,
+    };
+    let whole = changes.is_none();
+    let body = match changes {
+        Some(changes) => pack(&changes)?,
+        None => state.replica.whole()?,
+    };
+    let news = core.news.borrow();
+    let heard = asked.heard.filter(|heard| heard.incarnation == core.incarnation);
+    let unheard = news.since(heard.map_or(0, |heard| heard.news_end), core.clock.now());
+    let head = StateHead {
+        format: FORMAT,
+        store: core.settings.store.address,
+        incarnation: core.incarnation,
+        now: core.clock.now(),
+        // NB: only an entry that was confirmed answers.
+        confirmed: state.freshness.confirmed().unwrap_or(Duration::ZERO),
+        turn: state.turn,
+        revision: state.replica.revision(),
+        whole,
+        // NB: filled in when the bytes are made.
+        body_bytes: 0,
+        news_end: news.end(),
+    };
+    State { head, body, news: unheard }.to_bytes()
+}
+
+fn with_status(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::from(body));
     *response.status_mut() = status;
     response
--- /dev/null
+++ b/crates/direct/src/membership/spread.rs
@@ -0,0 +1,201 @@
+//! Passes news on: up the tree at once, and among the roots.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use serde::Serialize;
+use tokio::{sync::Notify, task::spawn_local, time::sleep};
+
+use super::{Item, News, PeerClient, message};
+use crate::{core::Core, journal::Rank};
+
+/// Time for which news is gathered before it is passed on, so that what a hundred entries find at
+/// the same moment goes in a few messages.
+const GATHER_TIME: Duration = Duration::from_millis(25);
+/// Tries to pass a piece of news on to one entry, and the first pause between them, which doubles.
+/// Meanwhile an entry that has lost its way finds another.
+const TRIES: u32 = 6;
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// News that is to be passed on.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    items: RefCell<Vec<Item>>,
+    filled: Notify,
+}
+
+impl Outbox {
+    fn put(&self, items: Vec<Item>) {
+        if !items.is_empty() {
+            self.items.borrow_mut().extend(items);
+            self.filled.notify_one();
+        }
+    }
+
+    async fn take(&self) -> Vec<Item> {
+        self.filled.notified().await;
+        sleep(GATHER_TIME).await;
+        self.items.take()
+    }
+}
+
+/// News that could not be passed on.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum SpreadEvent<'a> {
+    NewsHeard { from: &'a str, service: Option<&'a str>, target: Option<&'a str>, what: String },
+    NewsNotPassedOn { to: String, items: usize, error: String },
+}
+
+impl Core {
+    /// Tells what this entry has found, to be heard by all.
+    pub fn tell_news(&self, news: News) {
+        let number = self.news_told.get();
+        self.news_told.set(number + 1);
+        let item = Item {
+            origin: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            number,
+            age: Duration::ZERO,
+            news,
+        };
+        self.hear_from_below(vec![item]);
+    }
+
+    /// Hears news that comes up the tree, which is passed on upwards too.
+    pub fn hear_from_below(&self, items: Vec<Item>) {
+        self.outbox.put(self.hear(items));
+    }
+
+    /// Hears news that comes down the tree, which those that ask this entry hear too.
+    pub fn hear_from_above(&self, items: Vec<Item>) {
+        self.hear(items);
+    }
+
+    /// Takes news in and returns what was not known yet.
+    fn hear(&self, items: Vec<Item>) -> Vec<Item> {
+        let now = self.clock.now();
+        let mut news = self.news.borrow_mut();
+        let is_new = |item: &Item| news.add(item.clone(), now);
+        let new: Vec<Item> = items.into_iter().filter(is_new).collect();
+        drop(news);
+        for item in &new {
+            self.note_heard(item);
+            self.apply(item);
+        }
+        if !new.is_empty() {
+            self.something_new.notify_waiters();
+        }
+        new
+    }
+
+    /// Weighs all news about a service again, since a roll-out of it was learned of only now.
+    pub fn apply_news_of(&self, service: &str) {
+        let all: Vec<Item> = self.news.borrow().all().cloned().collect();
+        for item in all.iter().filter(|item| item.service() == Some(service)) {
+            self.apply(item);
+        }
+    }
+
+    /// Logs what changes where requests go.
+    fn note_heard(&self, item: &Item) {
+        let what = match &item.news {
+            News::Doubt { doubt, .. } => format!("doubt, {doubt:?}"),
+            News::Stage { stage, .. } => format!("stage, {stage:?}"),
+            News::Bad { .. } => "bad".to_owned(),
+            News::Kept { .. } | News::Joined { .. } => return,
+        };
+        let (service, target) = (item.service(), item.target());
+        let event = SpreadEvent::NewsHeard { from: &item.origin, service, target, what };
+        self.journal.note(Rank::State, &event);
+    }
+
+    fn apply(&self, item: &Item) {
+        let entries = self.roster.count();
+        let mut state = self.state.borrow_mut();
+        let (Some(service), Some(target)) = (item.service(), item.target()) else { return };
+        let roll_out = state.roll_outs.get_mut(service);
+        let Some(roll_out) = roll_out.filter(|one| one.target() == target) else { return };
+        let is_own = item.origin == self.settings.name && item.incarnation == self.incarnation;
+        match &item.news {
+            News::Kept { sessions, .. } => roll_out.learn_kept(sessions.iter().copied()),
+            News::Doubt { doubt, .. } => {
+                roll_out.learn_doubt(&item.origin, (*doubt).into(), is_own, entries);
+            }
+            News::Stage { stage, .. } => roll_out.learn_stage((*stage).into(), self.clock.now()),
+            News::Bad { .. } => roll_out.learn_bad(),
+            News::Joined { .. } => {}
+        }
+    }
+}
+
+impl Item {
+    /// Service that it concerns, if any.
+    fn service(&self) -> Option<&str> {
+        match &self.news {
+            News::Kept { service, .. }
+            | News::Doubt { service, .. }
+            | News::Stage { service, .. }
+            | News::Bad { service, .. } => Some(service),
+            News::Joined { .. } => None,
+        }
+    }
+
+    /// Version on trial that it concerns, if any.
+    fn target(&self) -> Option<&str> {
+        match &self.news {
+            News::Kept { target, .. }
+            | News::Doubt { target, .. }
+            | News::Stage { target, .. }
+            | News::Bad { target, .. } => Some(target),
+            News::Joined { .. } => None,
+        }
+    }
+}
+
+/// Passes news on for as long as the process runs.
+pub async fn pass_on(core: Rc<Core>) {
+    loop {
+        let items = core.outbox.take().await;
+        if items.is_empty() {
+            continue;
+        }
+        // NB: one that is slow or gone must not keep the news from the others.
+        spawn_local(pass_on_items(Rc::clone(&core), items));
+    }
+}
+
+async fn pass_on_items(core: Rc<Core>, items: Vec<Item>) {
+    let mut told: Vec<SocketAddr> = Vec::new();
+    let mut pause = FIRST_PAUSE;
+    let mut failed = None;
+    for _ in 0..TRIES {
+        failed = None;
+        // NB: where it goes is asked anew each time; whoever was to take it may be gone.
+        for address in core.above() {
+            if told.contains(&address) {
+                continue;
+            }
+            match pass_on_to(&core, address, &items).await {
+                Ok(()) => told.push(address),
+                Err(error) => failed = Some((address, error)),
+            }
+        }
+        if failed.is_none() {
+            return;
+        }
+        sleep(pause).await;
+        pause *= 2;
+    }
+    if let Some((to, error)) = failed {
+        let to = to.to_string();
+        let event = SpreadEvent::NewsNotPassedOn { to, items: items.len(), error };
+        core.journal.note(Rank::State, &event);
+    }
+}
+
+async fn pass_on_to(core: &Core, address: SocketAddr, items: &[Item]) -> Result<(), String> {
+    let store = core.settings.store.address;
+    let bytes = message::news_to_bytes(store, items).map_err(|error| error.to_string())?;
+    let told = PeerClient::tell_news(&core.connect, address, bytes).await;
+    told.map_err(|error| error.to_string())
+}
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -34,8 +34,6 @@
     Escalations,
     /// Streams resumed at another backend server.
     Resumes,
-    /// Calls to the store.
-    StoreCalls,
     /// Calls to the store that failed.
     StoreFailures,
 }
@@ -53,12 +51,47 @@
             Counter::NotRun => "not_run_total",
             Counter::Escalations => "escalations_total",
             Counter::Resumes => "resumes_total",
-            Counter::StoreCalls => "store_calls_total",
             Counter::StoreFailures => "store_failures_total",
         }
     }
 }
 
+/// Why the store was called.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StoreCause {
+    /// A start read everything; one reading may take several calls.
+    FirstReading,
+    /// Everything was read anew, since history was gone.
+    Rereading,
+    /// An entry whose place it is asked for changes.
+    Watching,
+    /// An entry that should have heard from others asked for changes.
+    Fallback,
+    /// The store was tried again after it was lost.
+    Probing,
+    /// Entries were listed.
+    Listing,
+    /// A step of a roll-out was written.
+    StepWon,
+    /// A step of a roll-out could not be written, mostly since another entry was first.
+    StepLost,
+}
+
+impl StoreCause {
+    fn name(self) -> &'static str {
+        match self {
+            StoreCause::FirstReading => "first_reading",
+            StoreCause::Rereading => "rereading",
+            StoreCause::Watching => "watching",
+            StoreCause::Fallback => "fallback",
+            StoreCause::Probing => "probing",
+            StoreCause::Listing => "listing",
+            StoreCause::StepWon => "step_won",
+            StoreCause::StepLost => "step_lost",
+        }
+    }
+}
+
 /// What is timed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timer {
@@ -90,6 +123,7 @@
 #[derive(Debug, Default)]
 pub struct Metrics {
     counters: RefCell<BTreeMap<Counter, u64>>,
+    store_calls: RefCell<BTreeMap<StoreCause, u64>>,
     timers: RefCell<BTreeMap<Timer, Histogram<u32>>>,
 }
 
@@ -99,6 +133,11 @@
         *self.counters.borrow_mut().entry(counter).or_default() += 1;
     }
 
+    /// Counts a call to the store by its cause.
+    pub fn count_store_call(&self, cause: StoreCause) {
+        *self.store_calls.borrow_mut().entry(cause).or_default() += 1;
+    }
+
     /// Takes a time in.
     pub fn time(&self, timer: Timer, took: Duration) {
         let mut timers = self.timers.borrow_mut();
@@ -112,6 +151,10 @@
         for (counter, count) in self.counters.borrow().iter() {
             let _ = writeln!(text, "pondwalk_{} {count}", counter.name());
         }
+        for (cause, count) in self.store_calls.borrow().iter() {
+            let _ =
+                writeln!(text, "pondwalk_store_calls_total{{cause=\"{}\"}} {count}", cause.name());
+        }
         for (timer, histogram) in self.timers.borrow().iter() {
             let name = timer.name();
             for quantile in QUANTILES {
--- /dev/null
+++ b/crates/direct/tests/acts_as_one.rs
@@ -0,0 +1,384 @@
+//! Many entries with one store: few calls, states that stay confirmed whatever changes or fails, a
+//! first state from others, and steps that one of them makes.
+
+mod common;
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use common::{
+    World, catalog, catalog_with_keys,
+    net::{Net, peer_address},
+    play, request, with,
+};
+use pondwalk_direct::{
+    Entry,
+    membership::{FAN_OUT, Place, Roster, place, roots},
+};
+use pondwalk_standin::{backends::Act, memory_store::Weather};
+use quickcheck::{Gen, QuickCheck};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    task::spawn_local,
+    time::sleep,
+};
+
+/// As many as in the largest deployment served so far.
+const MANY: u16 = 103;
+
+fn prepare(world: &World, servers: u16) {
+    world.configure(catalog(1));
+    for n in 1..=servers {
+        world.start_server(n, "s", "v1", Act::Answer(200, "made".into()));
+    }
+}
+
+/// Oldest state among entries, as long as all have one.
+fn oldest(entries: &[Entry]) -> Option<Duration> {
+    let ages: Option<Vec<Duration>> = entries.iter().map(Entry::state_age).collect();
+    ages?.into_iter().max()
+}
+
+/// Oldest state seen among entries in `time`.
+async fn oldest_within(entries: &[Entry], time: Duration) -> Duration {
+    let step = Duration::from_millis(20);
+    let mut seen = Duration::ZERO;
+    for _ in 0..time.as_millis() / step.as_millis() {
+        seen = seen.max(oldest(entries).expect("all have a state"));
+        sleep(step).await;
+    }
+    seen
+}
+
+/// Sum of a counter over entries.
+fn total(entries: &[Entry], name: &str) -> u64 {
+    let of_one = |entry: &Entry| {
+        let text = entry.metrics_text();
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
+        line.unwrap_or(0)
+    };
+    entries.iter().map(of_one).sum()
+}
+
+fn store_calls(entries: &[Entry], cause: &str) -> u64 {
+    total(entries, &format!("pondwalk_store_calls_total{{cause=\"{cause}\"}}"))
+}
+
+async fn status(world: &World, entry: &Entry, key: &str) -> u16 {
+    let sent = with(request("/again/", "r"), "authorization", &format!("Bearer {key}"));
+    world.ask_at(entry, sent).await.status.as_u16()
+}
+
+#[test]
+fn states_stay_confirmed_whatever_changes_and_whenever() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 60);
+        let entries = net.start_many(&world, 60, "");
+        sleep(Duration::from_secs(5)).await;
+        let bound = world.entry_times().oldest_in_calm();
+        let mut rng = SmallRng::seed_from_u64(4);
+        // NB: single changes at any point of a wait, and bursts such as servers leaving together.
+        for _ in 0..120 {
+            for _ in 0..rng.random_range(0..20) {
+                let n = rng.random_range(1..=60);
+                let state = if rng.random() { "ready" } else { "draining" };
+                world.list_server(n, "s", "v1", state);
+            }
+            let pause = Duration::from_millis(rng.random_range(20..500));
+            let seen = oldest_within(&entries, pause).await;
+            assert!(seen <= bound, "{seen:?} is older than {bound:?}");
+        }
+    });
+}
+
+#[test]
+fn the_bound_on_ages_holds_for_a_change_late_in_each_wait() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 3);
+        let entries = net.start_many(&world, 40, "");
+        sleep(Duration::from_secs(5)).await;
+        let bound = world.entry_times().oldest_in_calm();
+        for late_ms in (10..450).step_by(10) {
+            world.list_server(1, "s", "v1", "ready");
+            let seen = oldest_within(&entries, Duration::from_millis(late_ms)).await;
+            assert!(seen <= bound, "{seen:?} is older than {bound:?}");
+        }
+    });
+}
+
+/// Store calls of so many entries in a minute of calm.
+fn calls_in_calm(count: u16) -> u64 {
+    let seen = Rc::new(RefCell::new(0));
+    let noted = Rc::clone(&seen);
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 3);
+        let _entries = net.start_many(&world, count, "");
+        sleep(Duration::from_secs(10)).await;
+        let before = world.store.calls();
+        sleep(Duration::from_secs(60)).await;
+        *noted.borrow_mut() = world.store.calls() - before;
+    });
+    seen.take()
+}
+
+#[test]
+fn store_calls_do_not_grow_with_the_entries_beyond_three_roots() {
+    let (some, many, most) = (calls_in_calm(40), calls_in_calm(MANY), calls_in_calm(420));
+    assert_eq!((some, many), (most, most), "40, 103 and 420 entries");
+    let interval = Duration::from_millis(400);
+    let expected = 3 * 60_000 / interval.as_millis() as u64;
+    assert!(many <= expected + expected / 20, "{many} calls");
+}
+
+#[test]
+fn a_start_of_all_costs_a_few_calls_and_all_are_configured_at_once() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 50);
+        let before = world.store.calls();
+        let entries = net.start_many(&world, MANY, "");
+        sleep(Duration::from_millis(400)).await;
+        for entry in &entries {
+            assert_eq!(status(&world, entry, "k1").await, 200, "{}", entry.name());
+        }
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(store_calls(&entries, "first_reading"), 3, "by the seeds");
+        let listings = store_calls(&entries, "listing");
+        assert!(listings <= 12, "{listings} writes list {MANY} entries");
+        let calls = world.store.calls() - before;
+        assert!(calls <= 60, "{calls} calls in 5.4 s");
+        assert!(total(&entries, "pondwalk_entries_listed") == u64::from(MANY) * u64::from(MANY));
+    });
+}
+
+#[test]
+fn an_entry_that_starts_while_the_store_is_away_serves_what_others_hold() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 3);
+        let entries = net.start_many(&world, 12, "");
+        sleep(Duration::from_secs(6)).await;
+        world.store.set_weather(Weather::Refused);
+        sleep(Duration::from_secs(1)).await;
+        let seeds = format!("[membership]\nseeds={},{}\n", peer_address(0), peer_address(1));
+        let late = net.start_with(&world, 50, &seeds);
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(status(&world, &late, "k1").await, 200);
+        let (own, of_others) = (late.state_age(), oldest(&entries));
+        assert!(own >= Some(Duration::from_millis(1_300)), "{own:?}, as old as {of_others:?}");
+        // Keys are dead everywhere once nothing has been confirmed for the bound.
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(status(&world, &late, "k1").await, 503);
+    });
+}
+
+#[test]
+fn an_entry_with_neither_peers_nor_store_says_so_at_once() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 1);
+        world.store.set_weather(Weather::Refused);
+        let seeds = format!("[membership]\nseeds={}\n", peer_address(0));
+        let alone = net.start_with(&world, 9, &seeds);
+        sleep(Duration::from_secs(3)).await;
+        let asked = tokio::time::Instant::now();
+        let answer = world.ask_at(&alone, request("/again/", "r")).await;
+        assert_eq!(answer.status.as_u16(), 503);
+        assert!(answer.body.contains("not_configured") && answer.body.contains("\"ran\":false"));
+        assert!(answer.headers.contains_key("retry-after"));
+        assert!(asked.elapsed() < Duration::from_millis(50));
+    });
+}
+
+#[test]
+fn a_seed_that_answers_rubbish_is_passed_by_and_logged() {
+    let answers: [&'static [u8]; 4] = [
+        b"",
+        b"\x00\x05rubbish",
+        b"\xff\xff",
+        b"\x00\x30\x02aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+    ];
+    for answer in answers {
+        play(|world| async move {
+            let net = Net::default();
+            prepare(&world, 3);
+            let impostor = move |mut stream: tokio::io::DuplexStream| {
+                spawn_local(async move {
+                    let mut question = [0; 4_096];
+                    while stream.read(&mut question).await.is_ok_and(|bytes| bytes > 0) {
+                        let head =
+                            format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", answer.len());
+                        let _ = stream.write_all(head.as_bytes()).await;
+                        let _ = stream.write_all(answer).await;
+                    }
+                });
+            };
+            net.impostors.borrow_mut().insert(peer_address(0), Rc::new(impostor));
+            let seeds = format!("[membership]\nseeds={}\n", peer_address(0));
+            let entry = net.start_with(&world, 9, &seeds);
+            sleep(Duration::from_secs(2)).await;
+            assert_eq!(status(&world, &entry, "k1").await, 200, "it read the store");
+            let lines = entry.gathered_lines();
+            assert!(lines.contains("source_failed") && lines.contains("refused"), "{lines}");
+        });
+    }
+}
+
+#[test]
+fn open_connections_that_go_silent_are_left_before_a_change_is_late() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 3);
+        let entries = net.start_many(&world, 60, "");
+        sleep(Duration::from_secs(5)).await;
+        net.silence_open_connections();
+        sleep(Duration::from_millis(100)).await;
+        world.configure(catalog_with_keys(2, &["k1"]));
+        sleep(Duration::from_millis(1_900)).await;
+        for entry in &entries {
+            assert_eq!(status(&world, entry, "k2").await, 401, "{}", entry.name());
+        }
+        sleep(Duration::from_secs(1)).await;
+        let seen = oldest_within(&entries, Duration::from_secs(5)).await;
+        assert!(seen <= world.entry_times().oldest_in_calm(), "{seen:?}");
+    });
+}
+
+#[test]
+fn two_halves_that_cannot_reach_one_another_both_follow_the_store() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 3);
+        let entries = net.start_many(&world, 60, "");
+        sleep(Duration::from_secs(5)).await;
+        net.split(30);
+        world.configure(catalog_with_keys(2, &["k1"]));
+        sleep(Duration::from_millis(1_950)).await;
+        for entry in &entries {
+            assert_eq!(status(&world, entry, "k2").await, 401, "{}", entry.name());
+        }
+    });
+}
+
+#[test]
+fn a_third_that_the_store_turns_away_goes_on_with_what_the_others_tell() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 3);
+        let entries = net.start_many(&world, 60, "");
+        sleep(Duration::from_secs(5)).await;
+        // NB: the entries first in order, the roots among them.
+        let names: Vec<&str> = entries.iter().map(Entry::name).collect();
+        let mut left: Vec<usize> = (0..entries.len()).collect();
+        for _ in 0..20 {
+            let among: Vec<&str> = left.iter().map(|n| names[*n]).collect();
+            let first = left.remove(Roster::first_of(&among));
+            world.cut_store_for(&entries[first], Weather::Refused);
+        }
+        sleep(Duration::from_secs(6)).await;
+        let before = world.store.calls();
+        for entry in &entries {
+            assert_eq!(status(&world, entry, "k1").await, 200, "{}", entry.name());
+        }
+        sleep(Duration::from_secs(10)).await;
+        let calls = world.store.calls() - before;
+        assert!(calls < 1_200, "{calls} calls in 10 s by 60 entries");
+    });
+}
+
+#[test]
+fn most_steps_of_a_roll_out_are_written_by_one_entry_and_lost_by_none() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 3);
+        for n in 11..=13 {
+            world.start_server(n, "s", "v2", Act::Answer(200, "new".into()));
+        }
+        let entries = net.start_many(&world, MANY, "");
+        sleep(Duration::from_secs(5)).await;
+        world.store.put("order/s", "v2 20");
+        sleep(Duration::from_secs(20)).await;
+        assert_eq!(world.store.value("progress/s").as_deref(), Some("v2 Completed"));
+        assert_eq!(store_calls(&entries, "step_won"), 3);
+        assert_eq!(store_calls(&entries, "step_lost"), 0);
+    });
+}
+
+#[test]
+fn the_next_in_order_make_a_step_whose_turn_the_first_has_missed() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 3);
+        let entries = net.start_many(&world, 20, "");
+        sleep(Duration::from_secs(5)).await;
+        let names: Vec<&str> = entries.iter().map(Entry::name).collect();
+        let first = Roster::first_of(&names);
+        world.cut_store_for(&entries[first], Weather::Silent(Duration::from_secs(60)));
+        net.end(first as u16);
+        sleep(Duration::from_secs(5)).await;
+        world.store.put("order/s", "v2 20");
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(world.store.value("progress/s").as_deref(), Some("v2 InProgress"));
+    });
+}
+
+#[test]
+fn what_one_entry_finds_all_others_hear_without_the_store() {
+    play(|world| async move {
+        let net = Net::default();
+        world.configure(catalog(1));
+        for n in 1..=3 {
+            world.start_server(n, "s", "v1", Act::Answer(200, "old".into()));
+            world.start_server(10 + n, "s", "v2", Act::Answer(500, "bad".into()));
+        }
+        let entries = net.start_many(&world, MANY, "");
+        sleep(Duration::from_secs(5)).await;
+        world.store.put("order/s", "v2 20");
+        sleep(Duration::from_secs(3)).await;
+        // NB: neither the finder nor anyone else can write it to the store.
+        world.store.set_weather(Weather::Refused);
+        let finder = entries.last().expect("some");
+        let mut number = 0;
+        while !finder.gathered_lines().contains("version_tripped") && number < 400 {
+            let session = format!("a{number}");
+            let sent = with(request("/again/", "r"), "pondwalk-session", &session);
+            world.ask_at(finder, sent).await;
+            number += 1;
+        }
+        sleep(Duration::from_millis(700)).await;
+        let heard = |entry: &&Entry| entry.gathered_lines().contains("\"what\":\"bad\"");
+        assert_eq!(entries.iter().filter(heard).count(), entries.len());
+    });
+}
+
+#[test]
+fn nobody_is_asked_by_many_and_every_way_leads_to_a_root() {
+    fn holds(entries: u16) -> bool {
+        let entries = usize::from(entries % 1_000) + 1;
+        let mut askers = vec![0; entries];
+        for position in 0..entries {
+            let mut at = position;
+            let mut steps = 0;
+            while let Place::Below(above) = place(at, entries, true) {
+                if steps == 0 {
+                    askers[above] += 1;
+                }
+                if above >= at || steps > 2 {
+                    return false;
+                }
+                at = above;
+                steps += 1;
+            }
+            if at >= roots(entries) {
+                return false;
+            }
+        }
+        let most = askers.iter().copied().max().unwrap_or(0);
+        roots(entries) <= 3 && most <= FAN_OUT + 1 + entries / (FAN_OUT * FAN_OUT)
+    }
+    let mut checks = QuickCheck::new().rng(Gen::from_size_and_seed(2_000, 8)).tests(500);
+    checks.quickcheck(holds as fn(u16) -> bool);
+}
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -2,13 +2,15 @@
 
 #![allow(dead_code)]
 
+pub mod net;
+
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, StatusCode, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use pondwalk_config::{DirectSettings, RawFile};
+use pondwalk_config::{DirectSettings, MembershipTimes, RawFile};
 use pondwalk_direct::{
     Dialect, Entry, Fact, Port,
     catalog::{
@@ -128,6 +130,11 @@
         entry
     }
 
+    /// Times of the exchange among entries, as the settings of these tests have them.
+    pub fn entry_times(&self) -> MembershipTimes {
+        settings("any", None).membership.times
+    }
+
     /// Lets the calls of one entry fare differently from the others'.
     pub fn cut_store_for(&self, entry: &Entry, weather: Weather) {
         let ways = self.ways.borrow();
--- /dev/null
+++ b/crates/direct/tests/membership_messages.rs
@@ -0,0 +1,239 @@
+//! What entries tell one another: it travels as it is, and what is foreign, cut or made up is refused.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use pondwalk_direct::membership::{
+    ClockOffset, FORMAT, KeyChange, MessageError, Replica, State, StateHead,
+};
+use pondwalk_store::{Fetched, StoreEvent};
+use quickcheck::{Gen, QuickCheck};
+
+const STORE: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::new(127, 0, 0, 1)), 3);
+
+fn written(key: &str, revision: u64) -> StoreEvent {
+    StoreEvent::Written(fetched(key, revision))
+}
+
+fn fetched(key: &str, revision: u64) -> Fetched {
+    Fetched { key: key.to_owned(), value: b"v".to_vec(), revision }
+}
+
+fn head(revision: u64) -> StateHead {
+    StateHead {
+        format: FORMAT,
+        store: STORE,
+        incarnation: 7,
+        now: Duration::from_millis(1_500),
+        confirmed: Duration::from_millis(1_400),
+        turn: 3,
+        revision,
+        whole: true,
+        body_bytes: 0,
+        news_end: 0,
+    }
+}
+
+fn whole_state() -> State {
+    let mut replica = Replica::default();
+    let entries: Vec<Fetched> = (0..300).map(|n| fetched(&format!("servers/{n}"), n)).collect();
+    replica.restart(&entries, 300);
+    State { head: head(300), body: replica.whole().expect("it packs"), news: Vec::new() }
+}
+
+#[test]
+fn a_replica_tells_only_the_last_of_many_changes_of_a_key() {
+    let mut replica = Replica::default();
+    replica.restart(&[], 10);
+    replica.extend(&[written("a", 11)], 11);
+    (12..60).for_each(|revision| replica.extend(&[written("configuration", revision)], revision));
+    replica.extend(&[written("b", 60), StoreEvent::Removed("a".to_owned())], 61);
+    let changes = replica.after(10).expect("all are remembered");
+    let told: Vec<_> = changes.iter().map(|change| (&*change.key, change.revision)).collect();
+    assert_eq!(told, [("configuration", 59), ("b", 60), ("a", 61)]);
+    assert!(changes[2].value.is_none());
+}
+
+#[test]
+fn a_replica_tells_all_changes_after_a_revision_or_that_it_cannot() {
+    let mut replica = Replica::default();
+    replica.restart(&[fetched("old", 3)], 10);
+    replica.extend(&[written("a", 11), StoreEvent::Removed("b".to_owned())], 13);
+    replica.extend(&[written("c", 15)], 15);
+    let keys = |replica: &Replica, after| {
+        let changes = replica.after(after)?;
+        Some(changes.into_iter().map(|change| change.key).collect::<Vec<_>>())
+    };
+    assert_eq!(keys(&replica, 9), None, "removals before the start are not known");
+    assert_eq!(keys(&replica, 10).expect("all"), ["a", "b", "c"]);
+    assert_eq!(keys(&replica, 11).expect("newer"), ["b", "c"]);
+    assert_eq!(keys(&replica, 15).expect("none"), Vec::<String>::new());
+    for number in 0..2_000 {
+        replica.extend(&[StoreEvent::Removed(format!("x{number}"))], 16 + number);
+    }
+    assert_eq!(keys(&replica, 15), None, "what was pushed out is not told as if it were whole");
+    assert_eq!(keys(&replica, 2_000).map(|keys| keys.len()), Some(15));
+}
+
+#[test]
+fn a_key_that_was_removed_and_written_again_is_told_as_written() {
+    let mut replica = Replica::default();
+    replica.restart(&[fetched("a", 3)], 10);
+    replica.extend(&[StoreEvent::Removed("a".to_owned()), written("a", 12)], 12);
+    let changes = replica.after(10).expect("all");
+    assert_eq!(changes.len(), 1);
+    assert!(changes[0].value.is_some());
+}
+
+#[test]
+fn a_replica_that_heard_all_changes_equals_the_one_it_heard_them_from() {
+    fn holds(steps: Vec<(u8, bool)>) -> bool {
+        let (mut source, mut hearer) = (Replica::default(), Replica::default());
+        let mut held = std::collections::BTreeMap::new();
+        for (number, (key, is_written)) in steps.iter().enumerate() {
+            let revision = number as u64 + 1;
+            let key = format!("k{}", key % 8);
+            let event = match is_written {
+                true => written(&key, revision),
+                false => StoreEvent::Removed(key),
+            };
+            source.extend(std::slice::from_ref(&event), revision);
+            // NB: the hearer asks now and then only.
+            if number % 3 == 0 {
+                let Some(changes) = source.after(hearer.revision()) else { return false };
+                let events: Vec<StoreEvent> =
+                    changes.into_iter().map(KeyChange::into_event).collect();
+                for event in &events {
+                    match event {
+                        StoreEvent::Written(entry) => {
+                            held.insert(entry.key.clone(), entry.revision);
+                        }
+                        StoreEvent::Removed(key) => {
+                            held.remove(key);
+                        }
+                    }
+                }
+                hearer.extend(&events, revision);
+                let all = source.after(0).expect("nothing was pushed out");
+                let written = all.into_iter().filter(|change| change.value.is_some());
+                let expected: std::collections::BTreeMap<String, u64> =
+                    written.map(|change| (change.key, change.revision)).collect();
+                if expected != held {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+    let mut checks = QuickCheck::new().rng(Gen::from_size_and_seed(60, 5)).tests(200);
+    checks.quickcheck(holds as fn(Vec<(u8, bool)>) -> bool);
+}
+
+#[test]
+fn a_state_travels_as_it_is() {
+    let state = whole_state();
+    let bytes = state.to_bytes().expect("it serializes");
+    assert!(bytes.len() < 8_000, "300 servers pack to {} bytes", bytes.len());
+    let read = State::from_bytes(&bytes, STORE).expect("it is read");
+    assert_eq!((&read.body, read.head.turn), (&state.body, state.head.turn));
+    let changes = read.changes().expect("it unpacks");
+    assert_eq!(changes.len(), 300);
+    assert_eq!(changes[7].clone().into_event(), written("servers/104", 104));
+}
+
+#[test]
+fn states_of_other_formats_and_stores_are_refused() {
+    let foreign = State {
+        head: StateHead { format: FORMAT + 1, ..head(1) },
+        body: Bytes::new(),
+        news: Vec::new(),
+    };
+    let bytes = foreign.to_bytes().expect("it serializes");
+    assert_eq!(State::from_bytes(&bytes, STORE), Err(MessageError::OtherFormat(FORMAT + 1)));
+    let bytes = whole_state().to_bytes().expect("it serializes");
+    let other: SocketAddr = "127.0.0.1:4".parse().expect("an address");
+    assert_eq!(State::from_bytes(&bytes, other), Err(MessageError::OtherStore(STORE)));
+}
+
+#[test]
+fn a_state_confirmed_after_it_was_told_is_refused() {
+    let lying = StateHead { confirmed: Duration::from_secs(9), ..head(1) };
+    let bytes = State { head: lying, body: Bytes::new(), news: Vec::new() }
+        .to_bytes()
+        .expect("it serializes");
+    assert_eq!(State::from_bytes(&bytes, STORE), Err(MessageError::Contradictory));
+}
+
+#[test]
+fn a_state_that_is_cut_or_altered_anywhere_is_refused_and_never_misread() {
+    let whole = whole_state();
+    let bytes = whole.to_bytes().expect("it serializes");
+    let read = |bytes: &Bytes| State::from_bytes(bytes, STORE).and_then(|state| state.changes());
+    let expected = whole.changes().expect("it unpacks");
+    for length in 0..bytes.len() {
+        let cut = bytes.slice(..length);
+        assert!(read(&cut).map_or(true, |changes| changes.is_empty()), "cut at {length}");
+    }
+    let body_from = bytes.len() - whole.body.len() - 1;
+    for place in body_from..bytes.len() {
+        let mut altered = bytes.to_vec();
+        altered[place] ^= 0x10;
+        let changes = read(&altered.into());
+        assert!(changes.is_err() || changes == Ok(expected.clone()), "altered at {place}");
+    }
+}
+
+#[test]
+fn a_state_that_unpacks_to_more_than_is_borne_is_refused() {
+    let mut replica = Replica::default();
+    let large = Fetched { key: "a".to_owned(), value: vec![0; 20 * 1024 * 1024], revision: 1 };
+    replica.restart(&[large], 1);
+    let state = State { head: head(1), body: replica.whole().expect("it packs"), news: Vec::new() };
+    assert!(state.body.len() < 100_000);
+    assert_eq!(state.changes(), Err(MessageError::Unreadable));
+}
+
+#[test]
+fn no_way_of_exchanging_makes_another_clocks_time_look_later_than_it_was() {
+    /// Delays of a question, of holding it and of reading its answer, in milliseconds.
+    type Exchange = (u8, u16, u8, u16);
+    fn holds(offset_ms: u16, exchanges: Vec<Exchange>) -> bool {
+        let ms = |ms: u64| Duration::from_millis(ms);
+        let offset = u64::from(offset_ms);
+        let mut clock = ClockOffset::default();
+        let mut now = 1_000_000;
+        for (there, held, back, idle) in exchanges {
+            let sent = now;
+            let answered = sent + u64::from(there) + u64::from(held);
+            // The other clock is behind by the offset.
+            let said = answered - offset;
+            clock.note(1, ms(sent), ms(said));
+            let confirmed = answered - u64::from(held) / 2;
+            let own = clock.own_time(ms(confirmed - offset)).expect("it was read");
+            if own > ms(confirmed) {
+                return false;
+            }
+            now = answered + u64::from(back) + u64::from(idle);
+        }
+        true
+    }
+    let mut checks = QuickCheck::new().rng(Gen::from_size_and_seed(60, 6)).tests(300);
+    checks.quickcheck(holds as fn(u16, Vec<Exchange>) -> bool);
+}
+
+#[test]
+fn held_answers_are_dated_by_the_quickest_exchange_and_a_new_life_starts_anew() {
+    let ms = Duration::from_millis;
+    let mut clock = ClockOffset::default();
+    clock.note(1, ms(10_000), ms(500));
+    assert_eq!(clock.own_time(ms(500)), Some(ms(10_000)));
+    // Held for 800 ms; nothing is lost by it.
+    clock.note(1, ms(10_005), ms(1_305));
+    assert_eq!(clock.own_time(ms(1_300)), Some(ms(10_800)));
+    clock.note(2, ms(10_900), ms(40));
+    assert_eq!(clock.own_time(ms(40)), Some(ms(10_900)));
+    // After a minute, a reading is due again: clocks do not run quite alike.
+    clock.note(2, ms(80_000), ms(70_000));
+    assert_eq!(clock.own_time(ms(70_000)), Some(ms(80_000)));
+}
