One sequential test of a new version over what all entries have seen

Entries tell what they have seen, added up, up the tree; whoever hears it weighs the last 8 s by a likelihood ratio against the old version's answers of the same time, by kind and altogether, each server at most 0.4 of what is needed. Slow is what is slower than seven in ten of the old version's answers.

--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -35,6 +35,7 @@
 mod fleet;
 mod freshness;
 mod hash;
+mod pool;
 mod rank;
 mod roll_out;
 mod sessions;
@@ -47,7 +48,8 @@
     VersionRule, Weighed,
 };
 pub use freshness::Freshness;
+pub use pool::{Pool, Seen, Tally};
 pub use rank::{RESUMED, Rank, rank_of};
-pub use roll_out::{Doubt, Evidence, Move, RollOut, Stage};
+pub use roll_out::{Evidence, Move, RollOut, Stage};
 pub use sessions::{SessionKey, Sessions, session_key};
 pub use window_budget::{WindowBudget, WindowLimits};
--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -3,18 +3,23 @@
 //!
 //! A trial at a small share lasts for half of the time that the order gives. Then the share
 //! widens to the whole, and at last the roll-out is told complete. At any moment an entry that
-//! sees the new version fail goes back to the old one at once. What one entry sees of slowness may
-//! be too little, so entries tell one another of their doubts; and they tell which sessions run
-//! already, so that no session changes its version by coming through another entry.
+//! sees the new version fail goes back to the old one at once. What one entry sees may be too little,
+//! so entries tell one another what they see, and weigh that together; and they tell which sessions
+//! run already, so that no session changes its version by coming through another entry.
 
-use std::{
-    collections::{BTreeMap, HashMap, HashSet, VecDeque},
-    time::Duration,
-};
+mod own;
+
+use std::{collections::HashSet, time::Duration};
 
-use pondwalk_types::{ServerId, VersionId};
+use pondwalk_types::VersionId;
+
+use super::{
+    SessionKey, VersionRule,
+    pool::{Pool, Seen},
+};
 
-use super::{SessionKey, VersionRule};
+pub use own::Evidence;
+use own::OwnEvidence;
 
 /// Part of the order's time that the trial takes; sessions may be moved only after half of it.
 const TRIAL_PART: f64 = 0.53;
@@ -29,55 +34,6 @@
 const WIDENING: Duration = Duration::from_secs(4);
 /// Part of the order's time after which the roll-out is told complete.
 const COMPLETE_PART: f64 = 0.82;
-/// Latest answers that are looked at.
-const WINDOW: usize = 24;
-/// Failures among those of one kind from which a version may be called bad.
-const MIN_FAILURES: usize = 4;
-/// Failures of the new version, of all kinds, from which a request that failed there is tried
-/// again on the old one.
-const MIN_FAILURES_TO_SPARE: usize = 2;
-/// Share of failures among them from which it may be called bad.
-const MIN_FAILURE_SHARE: f64 = 0.25;
-/// How many times the old version's share of failures that must be.
-const FAILURE_RATIO: f64 = 3.0;
-/// Servers that must have failed or been slow.
-const MIN_SERVERS: usize = 2;
-/// Times of the old version that are remembered for each kind.
-const OLD_TIMES: usize = 64;
-/// Times of the old version from which an answer can be called slow.
-const MIN_OLD_TIMES: usize = 20;
-/// Share of the old version's answers that are faster than a slow one.
-const SLOW_QUANTILE: f64 = 0.95;
-/// Share of them that are faster than an ordinary one, and how many times slower a slow one is.
-/// This bears a change of load that moves all answers by less than that.
-const ORDINARY_QUANTILE: f64 = 0.7;
-const SLOW_FACTOR: f64 = 2.5;
-/// Slow answers among the latest of all kinds from which a version is called bad. Of an equal
-/// version 1 in 20 is slow; with 7, 6 of 1,000 equal versions were called bad after 60 answers.
-const MIN_SLOW: usize = 8;
-/// The same once the share widens. The old version's times are then from before, when the new
-/// one had little load and its servers had not yet to read every shared part.
-// NB: with 7, four of four calm days with a good version went back (ptfs-ops, quiet-1).
-const MIN_SLOW_WIDENING: usize = 13;
-/// Part of those from which an entry makes its doubt known.
-const DOUBT_PART: f64 = 0.5;
-/// The same during the trial where many entries share it, so that each sees few answers: of ten of
-/// an equal version, two or more are slow at 8 entries in 100; of five where each other one is slow,
-/// at 81 in 100.
-const DOUBT_SLOW_OF_MANY: usize = 2;
-/// Entries from which they are many.
-const MANY_ENTRIES: usize = 12;
-/// Failures of all kinds from which an entry makes its doubt known. Where many entries share the
-/// trial, each sees few.
-const DOUBT_FAILURES: usize = 2;
-/// Entries in doubt that together call a version bad, and entries for each one more. One sick
-/// server in seven puts up to 3 of 30 in doubt about a good version.
-const MIN_DOUBTS: usize = 2;
-const ENTRIES_PER_DOUBT: usize = 10;
-/// What a slight doubt counts. Of 30 entries, one in twelve of which has one by chance, the seven
-/// that are then needed are in doubt in 1 of 100 trials of an equal version.
-const SLIGHT_DOUBT: f64 = 0.75;
-
 /// How far a roll-out has come among the entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -102,47 +58,10 @@
     Widen,
     /// That it is complete.
     Complete,
-    /// That this entry finds the new version slow, though not surely.
-    Doubt,
     /// That the new version is bad.
     Revert,
 }
 
-/// How sure an entry in doubt is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Doubt {
-    /// Half of what would let it call the version bad by itself.
-    Strong,
-    /// The little that one of many entries sees.
-    Slight,
-}
-
-/// One answer, as evidence about a version.
-#[derive(Debug, Clone)]
-pub struct Evidence<'a> {
-    /// Kind of request.
-    pub kind: &'a str,
-    /// Server that answered.
-    pub server: &'a str,
-    /// Whether it was a failure.
-    pub failed: bool,
-    /// Time until it began, as a multiple of what was expected with the load known.
-    pub slowness: f64,
-}
-
-/// Whether the latest answers were faulty in one way, and whose they were.
-#[derive(Debug, Default)]
-struct Latest {
-    answers: VecDeque<(bool, ServerId)>,
-}
-
-/// What is known of one version's answers of one kind.
-#[derive(Debug, Default)]
-struct Record {
-    failed: Latest,
-    slowness: VecDeque<f64>,
-}
-
 /// One order with what this entry knows of it.
 #[derive(Debug)]
 pub struct RollOut {
@@ -162,19 +81,9 @@
     own_kept_told: u8,
     tripped: bool,
     found_bad: bool,
-    old: HashMap<String, Record>,
-    new: HashMap<String, Record>,
-    /// The old version's answers of all kinds, for kinds of which too few are known.
-    old_of_all_kinds: Record,
-    /// Slow answers of the new version, of all kinds.
-    slow: Latest,
-    /// The same, where too little is known of a kind by the old version's answers of all kinds.
-    roughly_slow: Latest,
-    /// Failures of the new version, of all kinds.
-    failed: Latest,
-    /// Entries that have made their doubt known, this one included.
-    doubts: BTreeMap<String, Doubt>,
-    own_doubt_told: bool,
+    own: OwnEvidence,
+    /// What all entries have seen.
+    pool: Pool,
 }
 
 impl RollOut {
@@ -201,14 +110,8 @@
             own_kept_told: 0,
             tripped: false,
             found_bad: false,
-            old: HashMap::new(),
-            new: HashMap::new(),
-            old_of_all_kinds: Record::default(),
-            slow: Latest::default(),
-            roughly_slow: Latest::default(),
-            failed: Latest::default(),
-            doubts: BTreeMap::new(),
-            own_doubt_told: false,
+            own: OwnEvidence::default(),
+            pool: Pool::default(),
         }
     }
 
@@ -248,20 +151,6 @@
         self.known_stage = self.known_stage.max(Some(stage));
     }
 
-    /// Learns that one of so many `entries` is in doubt; enough of them call the version bad.
-    pub fn learn_doubt(&mut self, entry: &str, doubt: Doubt, is_own: bool, entries: usize) {
-        self.doubts.insert(entry.to_owned(), doubt);
-        self.own_doubt_told |= is_own;
-        let weights = self.doubts.values().map(|doubt| match doubt {
-            Doubt::Strong => 1.0,
-            Doubt::Slight => SLIGHT_DOUBT,
-        });
-        let needed = MIN_DOUBTS + entries / ENTRIES_PER_DOUBT;
-        if weights.sum::<f64>() >= needed as f64 && self.known_stage != Some(Stage::Completed) {
-            self.tripped = true;
-        }
-    }
-
     /// Sessions stay on the old version that run already, through this entry or another.
     pub fn learn_kept(&mut self, sessions: impl IntoIterator<Item = SessionKey>) {
         self.kept.extend(sessions);
@@ -341,56 +230,58 @@
         let of_target = version == self.target;
         // NB: with the whole share on the new version, the old one's times are of another load.
         let comparable = self.share(now) < 1.0;
-        if of_target && comparable {
-            let slow = self.is_slow(evidence);
-            if let Some(slow) = slow {
-                self.slow.push(slow, evidence.server);
-            }
-            if let Some(slow) = slow.or_else(|| self.is_slow_for_any_kind(evidence)) {
-                self.roughly_slow.push(slow, evidence.server);
-            }
-        }
-        if of_target {
-            self.failed.push(evidence.failed, evidence.server);
-        } else {
-            self.old_of_all_kinds.note(evidence);
+        let slow = self.own.note(of_target, evidence, comparable);
+        // NB: once the share widens, the new version's servers have their load still to learn.
+        let slow = slow.filter(|_| self.known_stage == Some(Stage::Trial));
+        let server = of_target.then_some(evidence.server);
+        self.pool.note_own(Seen::one(evidence.kind, server, evidence.failed, slow), now);
+        let widening = self.known_stage == Some(Stage::Widening);
+        of_target && self.may_trip() && {
+            let is_bad = self.own.is_bad(evidence.kind, widening);
+            self.trip_if(is_bad)
         }
-        let records = if of_target { &mut self.new } else { &mut self.old };
-        if !records.contains_key(evidence.kind) {
-            records.insert(evidence.kind.to_owned(), Record::default());
-        }
-        if let Some(record) = records.get_mut(evidence.kind) {
-            record.note(evidence);
-        }
-        let was_tripped = self.tripped;
-        if of_target && !self.tripped && self.known_stage != Some(Stage::Completed) {
-            self.tripped = self.is_bad(evidence.kind);
-            self.found_bad = self.tripped;
+    }
+
+    /// Takes in what another entry has seen, this long ago.
+    pub fn learn_seen(&mut self, seen: Vec<Seen>, age: Duration, now: Duration) {
+        let at = now.saturating_sub(age);
+        seen.into_iter().filter(Seen::is_sound).for_each(|one| self.pool.learn(one, at));
+    }
+
+    /// What this entry has seen since it last told the others, if that is `interval` ago and there
+    /// is anything.
+    pub fn take_seen(&mut self, now: Duration, interval: Duration) -> Option<Vec<Seen>> {
+        let is_due = self.may_trip() && self.pool.is_to_tell(now, interval);
+        is_due.then(|| self.pool.take_untold(now))
+    }
+
+    /// Weighs what all entries have seen, as far as this one knows; true if the version is bad by
+    /// it and was not known to be.
+    pub fn weigh(&mut self, now: Duration) -> bool {
+        self.may_trip() && {
+            let is_bad = self.pool.is_bad(now);
+            self.trip_if(is_bad)
         }
-        self.tripped && !was_tripped
     }
 
-    /// Whether an answer is slower than nearly all of the old version's, if those are known.
-    fn is_slow(&self, evidence: &Evidence<'_>) -> Option<bool> {
-        let bound = self.old.get(evidence.kind)?.slow_from()?;
-        Some(!evidence.failed && evidence.slowness > bound)
+    fn may_trip(&self) -> bool {
+        !self.tripped && !matches!(self.known_stage, Some(Stage::Completed | Stage::Reverted))
     }
 
-    /// Whether an answer is slower than nearly all of the old version's of whatever kind.
-    fn is_slow_for_any_kind(&self, evidence: &Evidence<'_>) -> Option<bool> {
-        let bound = self.old_of_all_kinds.slow_from()?;
-        Some(!evidence.failed && evidence.slowness > bound)
+    fn trip_if(&mut self, is_bad: bool) -> bool {
+        self.tripped = is_bad;
+        self.found_bad = is_bad;
+        is_bad
     }
 
-    /// What should be made known next, if anything, by one of so many `entries`.
-    pub fn next_move(&self, now: Duration, entries: usize) -> Option<Move> {
+    /// What should be made known next, if anything.
+    pub fn next_move(&self, now: Duration) -> Option<Move> {
         let elapsed = now.saturating_sub(self.seen);
         match self.known_stage {
             Some(Stage::Completed | Stage::Reverted) => None,
             _ if self.tripped => Some(Move::Revert),
             None => Some(Move::Begin),
             Some(Stage::Trial) if self.is_to_tell_kept(now) => Some(Move::Keep),
-            Some(_) if !self.own_doubt_told && self.doubt(entries).is_some() => Some(Move::Doubt),
             Some(Stage::Trial) if elapsed >= self.within.mul_f64(TRIAL_PART) => Some(Move::Widen),
             Some(Stage::Trial) => None,
             Some(Stage::Widening) => {
@@ -402,49 +293,9 @@
         }
     }
 
-    fn is_bad(&self, kind: &str) -> bool {
-        let Some(new) = self.new.get(kind) else { return false };
-        let old_share = self.old.get(kind).map_or(0.0, |old| old.failed.share());
-        let fails = new.failed.count() >= MIN_FAILURES
-            && new.failed.servers() >= MIN_SERVERS
-            && new.failed.share() >= MIN_FAILURE_SHARE
-            && new.failed.share() >= FAILURE_RATIO * old_share;
-        fails || self.is_slow_in(1.0)
-    }
-
     /// Whether the new version has failed often enough to spare requests a second try there.
     fn may_be_bad(&self) -> bool {
-        let failures = self.new.values().map(|record| record.failed.count()).sum::<usize>();
-        self.known_stage != Some(Stage::Completed) && failures >= MIN_FAILURES_TO_SPARE
-    }
-
-    /// This entry's doubt, as one of so many `entries`.
-    pub fn doubt(&self, entries: usize) -> Option<Doubt> {
-        let one_of_many = self.known_stage == Some(Stage::Trial) && entries >= MANY_ENTRIES;
-        if self.is_slow_in(DOUBT_PART) || self.fails_doubtfully() {
-            Some(Doubt::Strong)
-        } else if one_of_many && self.roughly_slow.is_of(DOUBT_SLOW_OF_MANY) {
-            Some(Doubt::Slight)
-        } else {
-            None
-        }
-    }
-
-    fn fails_doubtfully(&self) -> bool {
-        let of_old = self.old.values().map(|record| record.failed.share()).fold(0.0, f64::max);
-        self.failed.count() >= DOUBT_FAILURES
-            && self.failed.servers() >= MIN_SERVERS
-            && self.failed.share() >= MIN_FAILURE_SHARE
-            && self.failed.share() >= FAILURE_RATIO * of_old
-    }
-
-    /// Whether at least this part of the slow answers needed to call the version bad is there.
-    fn is_slow_in(&self, part: f64) -> bool {
-        let min_slow = match self.known_stage {
-            Some(Stage::Widening) => MIN_SLOW_WIDENING,
-            _ => MIN_SLOW,
-        };
-        self.slow.is_of((part * min_slow as f64).ceil() as usize)
+        self.known_stage != Some(Stage::Completed) && self.own.may_be_bad()
     }
 }
 
@@ -452,63 +303,3 @@
 fn side(session: SessionKey) -> f64 {
     (session >> 11) as f64 / (1u64 << 53) as f64
 }
-
-impl Record {
-    fn note(&mut self, evidence: &Evidence<'_>) {
-        self.failed.push(evidence.failed, evidence.server);
-        if evidence.failed {
-            return;
-        }
-        if self.slowness.len() == OLD_TIMES {
-            self.slowness.pop_front();
-        }
-        self.slowness.push_back(evidence.slowness);
-    }
-
-    /// Slowness beyond that of nearly all of these.
-    fn slow_from(&self) -> Option<f64> {
-        if self.slowness.len() < MIN_OLD_TIMES {
-            return None;
-        }
-        let mut sorted: Vec<f64> = self.slowness.iter().copied().collect();
-        sorted.sort_by(f64::total_cmp);
-        let at = |quantile: f64| {
-            let rank = (quantile * (sorted.len() - 1) as f64).ceil() as usize;
-            sorted.get(rank).copied()
-        };
-        Some(at(SLOW_QUANTILE)?.max(SLOW_FACTOR * at(ORDINARY_QUANTILE)?))
-    }
-}
-
-impl Latest {
-    fn push(&mut self, faulty: bool, server: &str) {
-        if self.answers.len() == WINDOW {
-            self.answers.pop_front();
-        }
-        self.answers.push_back((faulty, server.to_owned()));
-    }
-
-    fn count(&self) -> usize {
-        self.answers.iter().filter(|(faulty, _)| *faulty).count()
-    }
-
-    fn share(&self) -> f64 {
-        self.count() as f64 / self.answers.len().max(1) as f64
-    }
-
-    /// Whether there are at least so many, of more than one server.
-    fn is_of(&self, answers: usize) -> bool {
-        self.count() >= answers && self.servers() >= MIN_SERVERS
-    }
-
-    /// Servers that gave faulty answers.
-    fn servers(&self) -> usize {
-        let mut servers: Vec<&ServerId> = Vec::new();
-        for (_, server) in self.answers.iter().filter(|(faulty, _)| *faulty) {
-            if !servers.contains(&server) {
-                servers.push(server);
-            }
-        }
-        servers.len()
-    }
-}
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -12,7 +12,7 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{Doubt, Move, RollOut, SessionKey, Stage};
+use pondwalk_decide::direct::{Move, RollOut, SessionKey, Stage};
 use pondwalk_store::{Change, Expect, StoreError};
 use tokio::{sync::Notify, time::timeout};
 
@@ -36,6 +36,10 @@
 const SPREAD: Duration = Duration::from_millis(120);
 /// Parts of that time.
 const SPREAD_STEPS: usize = 120;
+/// Least time between two tellings of what an entry has seen.
+const LEAST_TELLING_INTERVAL: Duration = Duration::from_millis(250);
+/// The same for each entry: together they tell at most 400 times a second.
+const TELLING_OF_ONE: Duration = Duration::from_micros(2_500);
 /// Pause after a step that could not be written.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -75,6 +79,8 @@
             // NB: the time limit is the next regular look, or the next turn.
             let _ = timeout(pause, self.wake.notified()).await;
             self.list_joined(self.wait_in_order()).await;
+            self.tell_seen();
+            self.weigh_trials();
             let due = self.due();
             let now = self.core.clock.now();
             let (ready, next) =
@@ -94,7 +100,7 @@
         let membership = &self.core.settings.membership;
         let is_known_to_all = match step {
             // NB: news goes nowhere near the store, and is gathered on its way.
-            Move::Keep | Move::Doubt => return Duration::ZERO,
+            Move::Keep => return Duration::ZERO,
             Move::Begin | Move::Widen | Move::Complete => true,
             Move::Revert => !self.has_found_bad(service),
         };
@@ -120,15 +126,12 @@
         let now = self.core.clock.now();
         let state = self.core.state.borrow();
         let due = state.roll_outs.iter();
-        let entries = self.core.roster.count();
-        due.filter_map(|(service, one)| Some((service.clone(), one.next_move(now, entries)?)))
-            .collect()
+        due.filter_map(|(service, one)| Some((service.clone(), one.next_move(now)?))).collect()
     }
 
     fn due_for(&self, service: &ServiceId) -> Option<Move> {
         let now = self.core.clock.now();
-        let entries = self.core.roster.count();
-        self.core.state.borrow().roll_outs.get(service)?.next_move(now, entries)
+        self.core.state.borrow().roll_outs.get(service)?.next_move(now)
     }
 
     async fn make(&self, service: &ServiceId, step: Move) {
@@ -139,7 +142,6 @@
             Move::Complete => (Stage::Completed, Outcome::Completed),
             Move::Revert => (Stage::Reverted, Outcome::Reverted),
             Move::Keep => return self.tell_kept(service, target),
-            Move::Doubt => return self.tell_doubt(service, target),
         };
         let progress = Progress { service: service.clone(), target: target.clone(), outcome };
         let (progress_key, progress_value) = (self.port.write_progress)(&progress);
@@ -177,15 +179,39 @@
         self.core.tell_news(News::Bad { service: service.to_string(), target });
     }
 
-    fn tell_doubt(&self, service: &ServiceId, target: String) {
-        let Some(doubt) = self.own_doubt(service) else { return };
-        let (service, doubt) = (service.to_string(), doubt.into());
-        self.core.tell_news(News::Doubt { service, target, doubt });
+    /// Tells what this entry has seen of the versions on trial.
+    fn tell_seen(&self) {
+        let now = self.core.clock.now();
+        let interval = self.telling_interval();
+        let mut told = Vec::new();
+        for (service, one) in &mut self.core.state.borrow_mut().roll_outs {
+            if let Some(seen) = one.take_seen(now, interval) {
+                let (service, target) = (service.to_string(), one.target().clone());
+                told.push(News::Seen { service, target, seen });
+            }
+        }
+        told.into_iter().for_each(|news| self.core.tell_news(news));
     }
 
-    fn own_doubt(&self, service: &ServiceId) -> Option<Doubt> {
-        let entries = self.core.roster.count();
-        self.core.state.borrow().roll_outs.get(service)?.doubt(entries)
+    /// Time between two tellings of what this entry has seen. All entries together tell no more
+    /// often than a root can hear.
+    fn telling_interval(&self) -> Duration {
+        (TELLING_OF_ONE * self.core.roster.count() as u32).max(LEAST_TELLING_INTERVAL)
+    }
+
+    /// Weighs what has been seen of the versions on trial, and leaves those that are bad.
+    fn weigh_trials(&self) {
+        let now = self.core.clock.now();
+        let mut state = self.core.state.borrow_mut();
+        let trials = state.roll_outs.iter_mut();
+        let bad: Vec<ServiceId> =
+            trials.filter_map(|(service, one)| one.weigh(now).then(|| service.clone())).collect();
+        drop(state);
+        for service in bad {
+            let event = RollOutEvent::FoundBadTogether { service: &service };
+            self.core.journal.note(Rank::State, &event);
+            self.tell_bad(&service);
+        }
     }
 
     /// Tells which sessions that the trial would move run through this entry already.
--- a/crates/direct/src/conductor/records.rs
+++ b/crates/direct/src/conductor/records.rs
@@ -29,6 +29,9 @@
     /// This entry could not list itself.
     #[serde(rename = "entry_not_listed")]
     NotListed { key: String, error: String },
+    /// What all entries have seen calls the version bad.
+    #[serde(rename = "version_found_bad_together")]
+    FoundBadTogether { service: &'a str },
     /// A step could not be written.
     #[serde(rename = "roll_out_step_failed")]
     StepFailed { service: &'a str, step: String, error: String },
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -67,8 +67,10 @@
     pub incarnation: u64,
     /// Entry that told the first state, as long as no other is known.
     pub told_by: Cell<Option<SocketAddr>>,
-    /// News that entries pass on among themselves.
+    /// News that all entries are to hear.
     pub news: RefCell<NewsLog>,
+    /// News that only goes up the tree.
+    pub news_for_above: RefCell<NewsLog>,
     /// Items of news that this entry has told.
     pub news_told: Cell<u64>,
     /// News to be passed on.
@@ -138,7 +140,8 @@
             roster,
             incarnation,
             told_by: Cell::new(None),
-            news: RefCell::default(),
+            news: RefCell::new(NewsLog::for_all()),
+            news_for_above: RefCell::new(NewsLog::for_above()),
             news_told: Cell::new(0),
             outbox: Outbox::default(),
             something_new: Notify::new(),
--- a/crates/direct/src/membership/news.rs
+++ b/crates/direct/src/membership/news.rs
@@ -10,10 +10,13 @@
     time::Duration,
 };
 
-use pondwalk_decide::direct::{Doubt, SessionKey, Stage};
+use pondwalk_decide::direct::{Seen, SessionKey, Stage};
 use serde::{Deserialize, Serialize};
 
-/// Time for which news is remembered. A roll-out takes up to some minutes, but what it needs to hear
+/// Time for which news that only goes up is remembered, so that none counts twice. It takes a
+/// fraction of a second to reach all roots, or is lost.
+const LIFE_OF_SEEN: Duration = Duration::from_secs(10);
+/// Time for which other news is remembered. A roll-out takes up to some minutes, but what it needs to hear
 /// belongs to its first seconds, or is written to the store once it counts.
 const LIFE: Duration = Duration::from_secs(60);
 /// Items remembered. Each entry tells a few in a roll-out.
@@ -33,14 +36,14 @@
         /// The sessions.
         sessions: Vec<SessionKey>,
     },
-    /// It doubts that a version on trial is good.
-    Doubt {
+    /// What it has seen of both versions since it last told. This only goes up: the roots weigh it.
+    Seen {
         /// Service that moves.
         service: String,
         /// Version on trial.
         target: String,
-        /// How sure it is.
-        doubt: DoubtWord,
+        /// The answers.
+        seen: Vec<Seen>,
     },
     /// It has written to the store that a roll-out has come so far.
     Stage {
@@ -65,33 +68,6 @@
     },
 }
 
-/// A doubt as it is told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum DoubtWord {
-    /// Half of what would let the entry call the version bad.
-    Strong,
-    /// The little that one of many entries sees.
-    Slight,
-}
-
-impl From<Doubt> for DoubtWord {
-    fn from(doubt: Doubt) -> Self {
-        match doubt {
-            Doubt::Strong => DoubtWord::Strong,
-            Doubt::Slight => DoubtWord::Slight,
-        }
-    }
-}
-
-impl From<DoubtWord> for Doubt {
-    fn from(word: DoubtWord) -> Self {
-        match word {
-            DoubtWord::Strong => Doubt::Strong,
-            DoubtWord::Slight => Doubt::Slight,
-        }
-    }
-}
-
 /// Word for a stage.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -147,14 +123,20 @@
 }
 
 impl Item {
+    /// Whether it only goes up the tree.
+    pub fn only_goes_up(&self) -> bool {
+        matches!(self.news, News::Seen { .. })
+    }
+
     fn id(&self) -> ItemId {
         (self.origin.clone(), self.incarnation, self.number)
     }
 }
 
 /// The news that this entry remembers, in the order in which it heard them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct NewsLog {
+    life: Duration,
     /// Place of the first item that is still remembered.
     start: u64,
     /// When each was found, by the own clock.
@@ -163,10 +145,24 @@
 }
 
 impl NewsLog {
+    /// Remembers news that all are to hear.
+    pub fn for_all() -> Self {
+        Self::lasting(LIFE)
+    }
+
+    /// Remembers news that only goes up.
+    pub fn for_above() -> Self {
+        Self::lasting(LIFE_OF_SEEN)
+    }
+
+    fn lasting(life: Duration) -> Self {
+        NewsLog { life, start: 0, items: VecDeque::new(), known: HashSet::new() }
+    }
+
     /// Takes an item in; `false` if it is known already, or too old.
     pub fn add(&mut self, item: Item, now: Duration) -> bool {
         self.forget_old(now);
-        if item.age >= LIFE || !self.known.insert(item.id()) {
+        if item.age >= self.life || !self.known.insert(item.id()) {
             return false;
         }
         self.items.push_back((now.saturating_sub(item.age), item));
@@ -197,7 +193,7 @@
     fn forget_old(&mut self, now: Duration) {
         // NB: items that were long on their way lie behind younger ones; they go with those.
         while let Some((found, _)) = self.items.front() {
-            let is_old = now.saturating_sub(*found) >= LIFE;
+            let is_old = now.saturating_sub(*found) >= self.life;
             if !is_old && self.items.len() < MOST_ITEMS {
                 return;
             }
--- a/crates/direct/src/membership/spread.rs
+++ b/crates/direct/src/membership/spread.rs
@@ -74,15 +74,16 @@
     /// Takes news in and returns what was not known yet.
     fn hear(&self, items: Vec<Item>) -> Vec<Item> {
         let now = self.clock.now();
-        let mut news = self.news.borrow_mut();
-        let is_new = |item: &Item| news.add(item.clone(), now);
+        let is_new = |item: &Item| {
+            let log = if item.only_goes_up() { &self.news_for_above } else { &self.news };
+            log.borrow_mut().add(item.clone(), now)
+        };
         let new: Vec<Item> = items.into_iter().filter(is_new).collect();
-        drop(news);
         for item in &new {
             self.note_heard(item);
             self.apply(item);
         }
-        if !new.is_empty() {
+        if new.iter().any(|item| !item.only_goes_up()) {
             self.something_new.notify_waiters();
         }
         new
@@ -99,10 +100,9 @@
     /// Logs what changes where requests go.
     fn note_heard(&self, item: &Item) {
         let what = match &item.news {
-            News::Doubt { doubt, .. } => format!("doubt, {doubt:?}"),
             News::Stage { stage, .. } => format!("stage, {stage:?}"),
             News::Bad { .. } => "bad".to_owned(),
-            News::Kept { .. } | News::Joined { .. } => return,
+            News::Kept { .. } | News::Seen { .. } | News::Joined { .. } => return,
         };
         let (service, target) = (item.service(), item.target());
         let event = SpreadEvent::NewsHeard { from: &item.origin, service, target, what };
@@ -110,7 +110,6 @@
     }
 
     fn apply(&self, item: &Item) {
-        let entries = self.roster.count();
         let mut state = self.state.borrow_mut();
         let (Some(service), Some(target)) = (item.service(), item.target()) else { return };
         let roll_out = state.roll_outs.get_mut(service);
@@ -118,8 +117,10 @@
         let is_own = item.origin == self.settings.name && item.incarnation == self.incarnation;
         match &item.news {
             News::Kept { sessions, .. } => roll_out.learn_kept(sessions.iter().copied()),
-            News::Doubt { doubt, .. } => {
-                roll_out.learn_doubt(&item.origin, (*doubt).into(), is_own, entries);
+            // NB: what this entry has seen itself it weighs already.
+            News::Seen { .. } if is_own => {}
+            News::Seen { seen, .. } => {
+                roll_out.learn_seen(seen.clone(), item.age, self.clock.now());
             }
             News::Stage { stage, .. } => roll_out.learn_stage((*stage).into(), self.clock.now()),
             News::Bad { .. } => roll_out.learn_bad(),
@@ -133,7 +134,7 @@
     fn service(&self) -> Option<&str> {
         match &self.news {
             News::Kept { service, .. }
-            | News::Doubt { service, .. }
+            | News::Seen { service, .. }
             | News::Stage { service, .. }
             | News::Bad { service, .. } => Some(service),
             News::Joined { .. } => None,
@@ -144,7 +145,7 @@
     fn target(&self) -> Option<&str> {
         match &self.news {
             News::Kept { target, .. }
-            | News::Doubt { target, .. }
+            | News::Seen { target, .. }
             | News::Stage { target, .. }
             | News::Bad { target, .. } => Some(target),
             News::Joined { .. } => None,
