--- a/crates/config/tests/accepts_sample_files.rs
+++ b/crates/config/tests/accepts_sample_files.rs
@@ -1,8 +1,13 @@
 //! Every sample file is accepted as what it is meant to be.
 
-use std::path::{Path, PathBuf};
+use std::{
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
-use pondwalk_config::{DirectSettings, FileKind, RawFile, check_file, policy_from_ini};
+use pondwalk_config::{
+    DirectSettings, FileKind, MembershipTimes, RawFile, check_file, policy_from_ini,
+};
 
 fn samples() -> Vec<PathBuf> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../sample_configs");
@@ -102,3 +107,20 @@
     assert_eq!(settings.session_ttl.as_millis(), 5_500);
     assert!(settings.peers.is_some() && settings.metrics.is_some());
 }
+
+#[test]
+fn the_times_among_entries_follow_from_what_the_deployment_declares() {
+    let membership = settings_of(&filled_template("true")).membership;
+    assert_eq!(membership.seeds.len(), 3);
+    assert!(membership.first_state && membership.tree && membership.ordered_steps);
+    assert_eq!(membership.times.confirm_interval.as_millis(), 400);
+    let key_bound = Duration::from_millis(4_500);
+    for propagation_ms in [1_000, 2_000, 3_000, 4_000, 18_000] {
+        let propagation = Duration::from_millis(propagation_ms);
+        let times = MembershipTimes::split(propagation, key_bound);
+        assert!(times.longest() <= propagation, "{propagation_ms}: {times:?}");
+        // Most of the key bound must be left once the store is lost.
+        assert!(times.oldest_in_calm() <= key_bound / 5, "{propagation_ms}: {times:?}");
+        assert!(times.oldest_told > times.oldest_in_calm(), "{propagation_ms}: {times:?}");
+    }
+}
--- a/crates/config/tests/rejects_faulty_files.rs
+++ b/crates/config/tests/rejects_faulty_files.rs
@@ -113,3 +113,24 @@
         assert!(places.contains(&expected), "{expected:?} in {places:?}");
     }
 }
+
+#[test]
+fn a_propagation_time_that_the_ways_of_a_change_do_not_fit_into_is_rejected() {
+    let text = |propagation: &str, seeds: &str| {
+        format!(
+            "[direct]\nname = e\ndata_centre = d\ncallers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\n\
+             [store]\naddress = 127.0.0.1:3\n[membership]\nseeds = {seeds}\n\
+             propagation_ms = {propagation}\n"
+        )
+    };
+    let rejected = |propagation, seeds| {
+        let faults = faults(DirectSettings::try_from(raw(&text(propagation, seeds))));
+        faults.into_iter().map(|(section, key, _)| (section, key)).collect::<Vec<_>>()
+    };
+    let place = |key: &str| ("membership".to_owned(), key.to_owned());
+    assert_eq!(rejected("300", ""), [place("propagation_ms")]);
+    assert_eq!(rejected("soon", ""), [place("propagation_ms")]);
+    assert_eq!(rejected("2000", "127.0.0.1:4, nowhere"), [place("seeds")]);
+    let settings = DirectSettings::try_from(raw(&text("", ""))).expect("blank is the default");
+    assert!(settings.membership.seeds.is_empty());
+}
--- a/crates/direct/src/conductor/listing.rs
+++ b/crates/direct/src/conductor/listing.rs
@@ -7,7 +7,7 @@
 use super::{Conductor, records::RollOutEvent};
 use crate::{
     journal::Rank,
-    membership::{ENTRY_PREFIX, Item, News, Source},
+    membership::{ENTRY_PREFIX, News, Source},
     metrics::StoreCause,
 };
 
@@ -61,11 +61,11 @@
         let now = self.core.clock.now();
         let news = self.core.news.borrow();
         let mut unlisted = Vec::new();
-        for item in news.since(0, now) {
-            let Item { origin, age, news: News::Joined { address }, .. } = item else { continue };
-            if age >= at_least && self.core.roster.address_of(&origin) != Some(address) {
-                unlisted.retain(|(name, _)| *name != origin);
-                unlisted.push((origin, address));
+        for (age, item) in news.all(now) {
+            let News::Joined { address } = item.news else { continue };
+            if age >= at_least && self.core.roster.address_of(&item.origin) != Some(address) {
+                unlisted.retain(|(name, _)| *name != item.origin);
+                unlisted.push((item.origin.clone(), address));
             }
         }
         unlisted
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -199,7 +199,7 @@
         let mut gauges = vec![
             ("entries_listed", self.roster.count() as u64),
             ("asks_store", u64::from(asks_store)),
-            ("news_remembered", self.news.borrow().all().count() as u64),
+            ("news_remembered", self.news.borrow().all(self.clock.now()).count() as u64),
         ];
         if let Some(age) = self.state_age() {
             gauges.push(("state_age_ms", age.as_millis() as u64));
--- a/crates/direct/src/membership/news.rs
+++ b/crates/direct/src/membership/news.rs
@@ -185,9 +185,9 @@
         items.map(aged).collect()
     }
 
-    /// All items that are remembered.
-    pub fn all(&self) -> impl Iterator<Item = &Item> {
-        self.items.iter().map(|(_, item)| item)
+    /// All items that are remembered, with the time since they were found.
+    pub fn all(&self, now: Duration) -> impl Iterator<Item = (Duration, &Item)> {
+        self.items.iter().map(move |(found, item)| (now.saturating_sub(*found), item))
     }
 
     fn forget_old(&mut self, now: Duration) {
--- a/crates/direct/src/membership/spread.rs
+++ b/crates/direct/src/membership/spread.rs
@@ -91,10 +91,9 @@
 
     /// Weighs all news about a service again, since a roll-out of it was learned of only now.
     pub fn apply_news_of(&self, service: &str) {
-        let all: Vec<Item> = self.news.borrow().all().cloned().collect();
-        for item in all.iter().filter(|item| item.service() == Some(service)) {
-            self.apply(item);
-        }
+        let news = self.news.borrow();
+        let items = news.all(self.clock.now()).map(|(_, item)| item);
+        items.filter(|item| item.service() == Some(service)).for_each(|item| self.apply(item));
     }
 
     /// Logs what changes where requests go.
