Servers that lapse with the store away serve on at entries that only heard of it

Cause, read in the code: whether a server that the store lists no longer may have lapsed was judged by whether this entry's own calls to the store had failed. In a tree most entries make none, so after an outage of a second or three they took all servers for gone. The test fails without the mend (503 at the first entry asked).

A state that was not confirmed for longer than it ever takes while all is well counts as the store's loss.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -258,6 +258,9 @@
 
     /// The state was confirmed by the store at `at`; its answer was heard from it, or from others.
     fn confirm(&mut self, at: Duration, revision: u64, heard_from: Heard) {
+        if self.has_long_heard_nothing() {
+            self.regained = Some(self.core.clock.now());
+        }
         let mut state = self.core.state.borrow_mut();
         let before = state.freshness.confirmed();
         state.freshness.confirm(at);
--- a/crates/direct/tests/acts_as_one.rs
+++ b/crates/direct/tests/acts_as_one.rs
@@ -382,3 +382,22 @@
     let mut checks = QuickCheck::new().rng(Gen::from_size_and_seed(2_000, 8)).tests(500);
     checks.quickcheck(holds as fn(u16) -> bool);
 }
+
+#[test]
+fn servers_that_lapse_with_the_store_away_serve_on_at_entries_that_only_heard_of_it() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 3);
+        let entries = net.start_many(&world, 40, "");
+        sleep(Duration::from_secs(6)).await;
+        // NB: shorter than the time after which an entry asks the store itself.
+        world.store.set_weather(Weather::Refused);
+        sleep(Duration::from_millis(1_200)).await;
+        (1..=3).for_each(|n| world.store.remove(&format!("server/s{n}")));
+        world.store.set_weather(Weather::Fair);
+        sleep(Duration::from_millis(700)).await;
+        for entry in &entries {
+            assert_eq!(status(&world, entry, "k1").await, 200, "{}", entry.name());
+        }
+    });
+}
