--- a/crates/direct/tests/acts_as_one.rs
+++ b/crates/direct/tests/acts_as_one.rs
@@ -165,8 +165,11 @@
         sleep(Duration::from_secs(1)).await;
         let seeds = format!("[membership]\nseeds={},{}\n", peer_address(0), peer_address(1));
         let late = net.start_with(&world, 50, &seeds);
+        let with_own = format!("[membership]\nseeds={},{}\n", peer_address(0), peer_address(51));
+        let late_seed = net.start_with(&world, 51, &with_own);
         sleep(Duration::from_millis(300)).await;
         assert_eq!(status(&world, &late, "k1").await, 200);
+        assert_eq!(status(&world, &late_seed, "k1").await, 200);
         let (own, of_others) = (late.state_age(), oldest(&entries));
         assert!(own >= Some(Duration::from_millis(1_300)), "{own:?}, as old as {of_others:?}");
         // Keys are dead everywhere once nothing has been confirmed for the bound.
