Only those that ask the store tell that it was lost

Ruled out: the list (heard within 0.5 s), the store (well throughout).

A state's head says when the store came back to whoever asks it. Two tests; the one on lapses fails without that field (503 at e1 of 103), the one on leaving servers failed on the code before.

--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -28,7 +28,7 @@
 //!
 //! What the answer shows goes back into the estimates: [`Fleet::began`], [`Fleet::tells_load`],
 //! [`Fleet::answered`], [`Engine::note_beginning`], [`Cascade::learn`], [`Cascade::note_strain`]
-//! and [`RollOut::note`].
+//! [`RollOut::note`] and [`Pool`].
 
 mod cascade;
 mod engine;
--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -34,6 +34,7 @@
 const WIDENING: Duration = Duration::from_secs(4);
 /// Part of the order's time after which the roll-out is told complete.
 const COMPLETE_PART: f64 = 0.82;
+
 /// How far a roll-out has come among the entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -91,6 +91,8 @@
     pub freshness: Freshness,
     /// Whether the last call to the store failed.
     pub source_lost: bool,
+    /// When the store last came back after an entry that asks it had lost it.
+    pub store_returned: Option<Duration>,
     /// Confirmations so far.
     pub turn: u64,
     /// The store's keys, for other entries.
@@ -229,6 +231,7 @@
             catalog: None,
             freshness: Freshness::new(settings.state_bound, settings.key_bound),
             source_lost: false,
+            store_returned: None,
             turn: 0,
             replica: Replica::default(),
             fleets: HashMap::new(),
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -48,7 +48,6 @@
         port,
         conductor,
         lost: false,
-        regained: None,
         pause: FIRST_PAUSE,
         client: PeerClient::default(),
         source: None,
@@ -83,8 +82,6 @@
     port: Port,
     conductor: Rc<Conductor>,
     lost: bool,
-    /// When the store last came back.
-    regained: Option<Duration>,
     pause: Duration,
     client: PeerClient,
     /// Entry that was asked last, if any.
@@ -258,9 +255,6 @@
 
     /// The state was confirmed by the store at `at`; its answer was heard from it, or from others.
     fn confirm(&mut self, at: Duration, revision: u64, heard_from: Heard) {
-        if self.has_long_heard_nothing() {
-            self.regained = Some(self.core.clock.now());
-        }
         let mut state = self.core.state.borrow_mut();
         let before = state.freshness.confirmed();
         state.freshness.confirm(at);
@@ -281,7 +275,7 @@
         self.pause = FIRST_PAUSE;
         self.fallback_pause = others::FIRST_FALLBACK_PAUSE;
         if std::mem::replace(&mut self.lost, false) {
-            self.regained = Some(self.core.clock.now());
+            self.core.state.borrow_mut().store_returned = Some(self.core.clock.now());
             self.core.journal.note(Rank::State, &Learned::StoreRegained { revision });
         }
     }
--- a/crates/direct/src/follow/learn.rs
+++ b/crates/direct/src/follow/learn.rs
@@ -80,17 +80,9 @@
     }
 
     /// Whether the store is just back, so that what it does not list may have lapsed meanwhile.
-    ///
-    /// NB: an entry that asks others may not have noticed more than that they had nothing to tell.
     fn may_have_lapsed(&self) -> bool {
         let returned = |at| self.core.clock.now().saturating_sub(at) < RETURN_TIME;
-        self.lost || self.has_long_heard_nothing() || self.regained.is_some_and(returned)
-    }
-
-    /// Whether the store has not confirmed the state for longer than it ever takes while all is well.
-    pub(super) fn has_long_heard_nothing(&self) -> bool {
-        let oldest = self.core.settings.membership.times.oldest_told;
-        self.core.state_age().is_some_and(|age| age > oldest)
+        self.lost || self.core.state.borrow().store_returned.is_some_and(returned)
     }
 
     /// Forgets the servers that the store's return did not bring back.
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -79,6 +79,8 @@
     /// Own time at which its state was confirmed, or before; `None` if before the start of the own
     /// clock.
     pub confirmed: Option<Duration>,
+    /// Own time at which the store came back, or before, if it has been lost.
+    pub store_returned: Option<Duration>,
     /// Revision that the state leads to.
     pub revision: u64,
     /// Whether it is the whole state, and not only what changed.
@@ -174,6 +176,7 @@
         heard.news_end = head.news_end;
         Ok(Told {
             confirmed: heard.clock.own_time(head.confirmed),
+            store_returned: head.store_returned.and_then(|at| heard.clock.own_time(at)),
             revision: head.revision,
             whole: head.whole,
             bytes,
--- a/crates/direct/src/membership/message.rs
+++ b/crates/direct/src/membership/message.rs
@@ -78,6 +78,8 @@
     pub now: Duration,
     /// Its clock when the call that last confirmed the state was sent.
     pub confirmed: Duration,
+    /// Its clock when the store last came back, if it has been lost.
+    pub store_returned: Option<Duration>,
     /// Confirmations that it had counted; the next question names it, and is answered at once only
     /// if there are more.
     pub turn: u64,
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -194,6 +194,7 @@
         now: core.clock.now(),
         // NB: only an entry that was confirmed answers.
         confirmed: state.freshness.confirmed().unwrap_or(Duration::ZERO),
+        store_returned: state.store_returned,
         turn: state.turn,
         revision: state.replica.revision(),
         whole,
--- a/crates/direct/src/membership/spread.rs
+++ b/crates/direct/src/membership/spread.rs
@@ -11,9 +11,10 @@
 /// Time for which news is gathered before it is passed on, so that what a hundred entries find at
 /// the same moment goes in a few messages.
 const GATHER_TIME: Duration = Duration::from_millis(25);
-/// Tries to pass a piece of news on to one entry, and the first pause between them, which doubles.
-/// Meanwhile an entry that has lost its way finds another.
+/// Tries to pass a piece of news on. With the pauses between them they take three seconds, in which
+/// an entry that has lost its way finds another.
 const TRIES: u32 = 6;
+/// First pause between two tries; doubles with each.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
 /// News that is to be passed on.
@@ -38,7 +39,7 @@
     }
 }
 
-/// News that could not be passed on.
+/// What became of news.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 enum SpreadEvent<'a> {
--- a/crates/direct/tests/acts_as_one.rs
+++ b/crates/direct/tests/acts_as_one.rs
@@ -391,11 +391,11 @@
     play(|world| async move {
         let net = Net::default();
         prepare(&world, 3);
-        let entries = net.start_many(&world, 40, "");
+        let entries = net.start_many(&world, MANY, "");
         sleep(Duration::from_secs(6)).await;
-        // NB: shorter than the time after which an entry asks the store itself.
+        // NB: as long as it takes for the first listings to lapse, three heartbeats of 1.2 s.
         world.store.set_weather(Weather::Refused);
-        sleep(Duration::from_millis(1_200)).await;
+        sleep(Duration::from_millis(3_600)).await;
         (1..=3).for_each(|n| world.store.remove(&format!("server/s{n}")));
         world.store.set_weather(Weather::Fair);
         sleep(Duration::from_millis(700)).await;
@@ -404,3 +404,24 @@
         }
     });
 }
+
+#[test]
+fn servers_that_leave_while_a_root_is_cut_off_are_left_at_once_by_all_others() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 3);
+        let entries = net.start_many(&world, 4, "");
+        sleep(Duration::from_secs(6)).await;
+        let names: Vec<&str> = entries.iter().map(Entry::name).collect();
+        let root = Roster::first_of(&names);
+        world.cut_store_for(&entries[root], Weather::Refused);
+        sleep(Duration::from_millis(1_100)).await;
+        world.store.remove("server/s1");
+        sleep(Duration::from_millis(1_000)).await;
+        for (n, entry) in entries.iter().enumerate().filter(|(n, _)| *n != root) {
+            let lines = entry.gathered_lines();
+            assert!(lines.contains("server_gone"), "entry {n}: {lines}");
+            assert!(!lines.contains("server_lapsed"), "entry {n}: the store was never away");
+        }
+    });
+}
--- a/crates/direct/tests/membership_messages.rs
+++ b/crates/direct/tests/membership_messages.rs
@@ -27,6 +27,7 @@
         incarnation: 7,
         now: Duration::from_millis(1_500),
         confirmed: Duration::from_millis(1_400),
+        store_returned: None,
         turn: 3,
         revision,
         whole: true,
