--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -153,6 +153,11 @@
         let asking = self.exchange(connect, address, question);
         let bytes = timeout_at(question.until, asking).await.map_err(|_| AskError::Silent)??;
         let state = State::from_bytes(&bytes, question.store)?;
+        // NB: what changed after an earlier revision does no harm; a whole state would take the place
+        // of a newer one.
+        if state.head.whole && state.head.revision < question.after {
+            return Err(MessageError::Older(state.head.revision).into());
+        }
         self.hear(address, sent, state, bytes.len())
     }
 
--- a/crates/direct/src/membership/message.rs
+++ b/crates/direct/src/membership/message.rs
@@ -34,6 +34,9 @@
     /// It speaks of another store.
     #[error("it speaks of the store at {0}")]
     OtherStore(SocketAddr),
+    /// It is a whole state of an earlier revision than the one held.
+    #[error("it is of revision {0}, which is earlier than what is held")]
+    Older(u64),
     /// It is cut, too long or made up.
     #[error("it cannot be read")]
     Unreadable,
--- a/crates/direct/tests/acts_as_one.rs
+++ b/crates/direct/tests/acts_as_one.rs
@@ -7,14 +7,15 @@
 
 use common::{
     World, catalog, catalog_with_keys,
-    net::{Net, peer_address},
+    net::{Impostor, Net, peer_address},
     play, request, with,
 };
 use pondwalk_direct::{
     Entry,
-    membership::{FAN_OUT, Place, Roster, place, roots},
+    membership::{FAN_OUT, FORMAT, Place, Replica, Roster, State, StateHead, place, roots},
 };
 use pondwalk_standin::{backends::Act, memory_store::Weather};
+use pondwalk_store::Fetched;
 use quickcheck::{Gen, QuickCheck};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::{
@@ -425,3 +426,64 @@
         }
     });
 }
+
+/// Answers each question with the next of these states, and all further ones with the last.
+fn telling(states: Vec<State>) -> Impostor {
+    Rc::new(move |mut stream| {
+        let states = states.clone();
+        spawn_local(async move {
+            let mut question = [0; 4_096];
+            let mut told = 0;
+            while stream.read(&mut question).await.is_ok_and(|bytes| bytes > 0) {
+                let state = &states[told.min(states.len() - 1)];
+                let body = state.to_bytes().expect("it serializes");
+                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+                let _ = stream.write_all(head.as_bytes()).await;
+                let _ = stream.write_all(&body).await;
+                told += 1;
+                sleep(Duration::from_millis(100)).await;
+            }
+        });
+    })
+}
+
+#[test]
+fn a_whole_state_that_is_older_than_the_one_held_is_refused_and_logged() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 3);
+        let whole = |keys: &[(&str, &str)], revision| {
+            let entry = |(key, value): &(&str, &str)| Fetched {
+                key: (*key).to_owned(),
+                value: value.as_bytes().to_vec(),
+                revision,
+            };
+            let mut replica = Replica::default();
+            replica.restart(&keys.iter().map(entry).collect::<Vec<_>>(), revision);
+            let head = StateHead {
+                format: FORMAT,
+                store: "127.0.0.1:3".parse().expect("the store of these tests"),
+                incarnation: 1,
+                now: Duration::from_secs(9),
+                confirmed: Duration::from_secs(9),
+                store_returned: None,
+                turn: revision,
+                revision,
+                whole: true,
+                body_bytes: 0,
+                news_end: 0,
+            };
+            State { head, body: replica.whole().expect("it packs"), news: Vec::new() }
+        };
+        let server = format!("s {} dc1 v1 ready", common::address(1));
+        let current = whole(&[("catalog", "1"), ("server/s1", &server)], 100);
+        let older = whole(&[], 40);
+        net.impostors.borrow_mut().insert(peer_address(0), telling(vec![current, older]));
+        world.store.set_weather(Weather::Refused);
+        let seeds = format!("[membership]\nseeds={}\n", peer_address(0));
+        let entry = net.start_with(&world, 9, &seeds);
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(status(&world, &entry, "k1").await, 200, "what was held still is");
+        assert!(entry.gathered_lines().contains("revision 40"), "{}", entry.gathered_lines());
+    });
+}
