A lone entry's loss of the store is not the store's

Read in the code: an entry that had lost the store alone set the time of its return when others told it again, and passed that on; and while it had lost the store it took what others told for lapsed.

Only an answer of the store itself sets that time; changes told by others are judged by what they tell of the store. The test fails without it (server_lapsed in place of server_gone).

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -48,6 +48,7 @@
         port,
         conductor,
         lost: false,
+        learns_from: Heard::FromStore,
         pause: FIRST_PAUSE,
         client: PeerClient::default(),
         source: None,
@@ -82,6 +83,8 @@
     port: Port,
     conductor: Rc<Conductor>,
     lost: bool,
+    /// Whose answer is being taken in.
+    learns_from: Heard,
     pause: Duration,
     client: PeerClient,
     /// Entry that was asked last, if any.
@@ -198,6 +201,7 @@
         match listed {
             Ok(listing) => {
                 self.started = true;
+                self.learns_from = Heard::FromStore;
                 self.take_whole(&listing.entries, listing.revision);
                 self.confirm(sent, listing.revision, Heard::FromStore);
                 Some(listing.revision)
@@ -230,6 +234,7 @@
         match watched {
             Ok(WatchReply::Changes(events, next)) => {
                 let next = next.max(revision);
+                self.learns_from = Heard::FromStore;
                 self.take_changes(&events, next);
                 self.confirm(sent, next, Heard::FromStore);
                 if !events.is_empty() && wait > WAIT_AFTER_LOSS {
@@ -275,7 +280,11 @@
         self.pause = FIRST_PAUSE;
         self.fallback_pause = others::FIRST_FALLBACK_PAUSE;
         if std::mem::replace(&mut self.lost, false) {
-            self.core.state.borrow_mut().store_returned = Some(self.core.clock.now());
+            // NB: that others can tell again says nothing of the store; this entry may have been the
+            // only one to lose it.
+            if heard_from == Heard::FromStore {
+                self.core.state.borrow_mut().store_returned = Some(self.core.clock.now());
+            }
             self.core.journal.note(Rank::State, &Learned::StoreRegained { revision });
         }
     }
--- a/crates/direct/src/follow/learn.rs
+++ b/crates/direct/src/follow/learn.rs
@@ -4,7 +4,7 @@
 
 use pondwalk_store::{Fetched, StoreEvent};
 
-use super::{Follower, report::Learned};
+use super::{Follower, Heard, report::Learned};
 use crate::{catalog::Catalog, facts::Fact, journal::Rank, membership::ENTRY_PREFIX};
 
 /// Time after the store's return in which an entry that is missing may have lapsed only.
@@ -82,7 +82,9 @@
     /// Whether the store is just back, so that what it does not list may have lapsed meanwhile.
     fn may_have_lapsed(&self) -> bool {
         let returned = |at| self.core.clock.now().saturating_sub(at) < RETURN_TIME;
-        self.lost || self.core.state.borrow().store_returned.is_some_and(returned)
+        // NB: what others tell while this entry alone has lost the store has not lapsed.
+        let lost = self.lost && self.learns_from == Heard::FromStore;
+        lost || self.core.state.borrow().store_returned.is_some_and(returned)
     }
 
     /// Forgets the servers that the store's return did not bring back.
--- a/crates/direct/src/follow/others.rs
+++ b/crates/direct/src/follow/others.rs
@@ -123,6 +123,7 @@
         let mut state = self.core.state.borrow_mut();
         state.store_returned = state.store_returned.max(told.store_returned);
         drop(state);
+        self.learns_from = Heard::FromOthers;
         let news = std::mem::take(&mut told.news);
         if told.whole {
             let entries: Vec<Fetched> =
--- a/crates/direct/tests/acts_as_one.rs
+++ b/crates/direct/tests/acts_as_one.rs
@@ -487,3 +487,33 @@
         assert!(entry.gathered_lines().contains("revision 40"), "{}", entry.gathered_lines());
     });
 }
+
+#[test]
+fn an_entry_that_alone_lost_the_store_does_not_take_it_for_returned_when_others_tell_again() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 3);
+        let entries = net.start_many(&world, 12, "");
+        sleep(Duration::from_secs(6)).await;
+        let names: Vec<&str> = entries.iter().map(Entry::name).collect();
+        let root = Roster::first_of(&names);
+        let alone = if root == 0 { 1 } else { 0 };
+        world.cut_store_for(&entries[alone], Weather::Refused);
+        net.cut.borrow_mut().extend((0..12).map(peer_address));
+        net.silence_open_connections();
+        sleep(Duration::from_secs(3)).await;
+        assert!(entries[alone].gathered_lines().contains("store_lost"));
+        net.cut.borrow_mut().clear();
+        let is_told_again = || entries[alone].state_age() < Some(Duration::from_millis(700));
+        let mut waited = 0;
+        while !is_told_again() && waited < 600 {
+            sleep(Duration::from_millis(50)).await;
+            waited += 1;
+        }
+        assert!(is_told_again(), "others tell it again");
+        world.store.remove("server/s1");
+        sleep(Duration::from_millis(900)).await;
+        let lines = entries[alone].gathered_lines();
+        assert!(lines.contains("server_gone") && !lines.contains("server_lapsed"), "{lines}");
+    });
+}
