--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -148,6 +148,14 @@
         self.store.put("catalog", &version.to_string());
     }
 
+    /// The same with so many bytes of other settings in it.
+    pub fn configure_large(&self, catalog: Catalog, bytes: usize) {
+        let version = catalog.version;
+        self.catalogs.borrow_mut().insert(version, catalog);
+        let padding = " ".repeat(bytes);
+        self.store.put("catalog", &format!("{version}{padding}"));
+    }
+
     /// Starts a backend server and lists it.
     pub fn start_server(&self, n: u16, service: &str, version: &str, usual: Act) {
         self.backends.start(address(n), &format!("s{n}"), usual);
@@ -309,7 +317,8 @@
     let value = value.map(|value| String::from_utf8_lossy(value).into_owned());
     let bad = |reason: &str| UnreadableFact { key: key.to_owned(), reason: reason.to_owned() };
     if key == "catalog" {
-        let version = value.and_then(|text| text.parse().ok()).ok_or(bad("no number"))?;
+        let version =
+            value.and_then(|text| text.trim_end().parse().ok()).ok_or(bad("no number"))?;
         let catalog = catalogs.get(&version).ok_or(bad("no such catalog"))?;
         return Ok(Fact::Catalog(Box::new(catalog.clone())));
     }
--- /dev/null
+++ b/crates/direct/tests/survives_late_answers.rs
@@ -0,0 +1,63 @@
+//! What holds when the store answers late, or when its answers are large and links narrow.
+//!
+//! A bound of time that is kept by asking, waiting for the answer and asking again holds only while
+//! answers come quicker than the bound; so does one that is kept by taking nothing older than so
+//! much. The tests state what is promised at each answer time instead.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{World, catalog, catalog_with_keys, net::Net, play};
+use pondwalk_direct::Entry;
+use pondwalk_standin::{backends::Act, memory_store::Weather};
+use tokio::time::{Instant, sleep};
+
+/// Time within which a change must be in force where the tests declare nothing.
+const PROPAGATION: Duration = Duration::from_secs(2);
+/// Bytes a second of a link of 10 Mbit/s.
+const NARROW: u64 = 1_250_000;
+/// Bytes of a configuration near the largest value that the store takes, as they are sent.
+const LARGE: usize = 1_300_000;
+/// Steps in which the tests look.
+const STEP: Duration = Duration::from_millis(20);
+
+async fn start(world: &World, count: u16) -> Vec<Entry> {
+    world.configure(catalog(1));
+    world.start_server(1, "s", "v1", Act::Answer(200, "made".into()));
+    let entries = Net::default().start_many(world, count, "");
+    sleep(Duration::from_secs(6)).await;
+    entries
+}
+
+fn holds(entry: &Entry, version: u64) -> bool {
+    let installed = format!("\"configuration_in_force\",\"version\":{version},");
+    entry.gathered_lines().contains(&installed)
+}
+
+/// Time until all entries have put a configuration in force, up to 30 s.
+async fn until_in_force(entries: &[Entry], version: u64) -> Duration {
+    let from = Instant::now();
+    while !entries.iter().all(|entry| holds(entry, version)) && from.elapsed().as_secs() < 30 {
+        sleep(STEP).await;
+    }
+    from.elapsed()
+}
+
+#[test]
+fn a_large_change_is_in_force_in_time_though_all_links_to_the_store_are_narrow() {
+    play(|world| async move {
+        let entries = start(&world, 40).await;
+        for entry in &entries {
+            world.cut_store_for(entry, Weather::Narrow(NARROW));
+        }
+        // NB: at different points of the time between two questions.
+        for (round, pause_ms) in [1_000, 1_130, 1_270, 1_390].into_iter().enumerate() {
+            sleep(Duration::from_millis(pause_ms)).await;
+            let version = round as u64 + 2;
+            world.configure_large(catalog_with_keys(version, &["k1"]), LARGE);
+            let time = until_in_force(&entries, version).await;
+            assert!(time <= PROPAGATION, "configuration {version} took {time:?}");
+        }
+    });
+}
--- a/crates/standin/src/memory_store.rs
+++ b/crates/standin/src/memory_store.rs
@@ -16,7 +16,7 @@
 };
 use tokio::{
     sync::Notify,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, sleep_until, timeout_at},
 };
 
 /// How calls fare.
@@ -31,6 +31,10 @@
     Silent(Duration),
     /// They are answered after this long.
     Slow(Duration),
+    /// They are done at once, and answered after this long.
+    Late(Duration),
+    /// Answers come over a link that carries so many bytes a second, one after the other.
+    Narrow(u64),
     /// Writes take effect, and their answers are lost.
     AnswersLost,
 }
@@ -55,6 +59,8 @@
     changed: Rc<Notify>,
     /// How the calls on this way fare, if otherwise than all calls.
     own_weather: Rc<Cell<Option<Weather>>>,
+    /// When the link on this way will have carried all answers so far.
+    link_free: Rc<Cell<Option<Instant>>>,
 }
 
 impl MemoryStore {
@@ -85,7 +91,7 @@
 
     /// The same store on a way of its own, which can fare differently.
     pub fn another_way(&self) -> MemoryStore {
-        MemoryStore { own_weather: Rc::default(), ..self.clone() }
+        MemoryStore { own_weather: Rc::default(), link_free: Rc::default(), ..self.clone() }
     }
 
     /// Sets how calls on this way fare from now on.
@@ -129,14 +135,9 @@
 
     async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
         self.meet_weather().await?;
-        let state = self.state.borrow();
-        let found = state.keys.iter().filter(|(key, _)| key.starts_with(prefix));
-        let entries = found.map(|(key, (value, revision))| Fetched {
-            key: key.clone(),
-            value: value.clone(),
-            revision: *revision,
-        });
-        Ok(Listing { entries: entries.collect(), revision: state.revision })
+        let listing = self.state.borrow().listing(prefix);
+        self.carry(listing.entries.iter().map(|entry| entry.value.len()).sum()).await;
+        Ok(listing)
     }
 
     async fn watch(
@@ -149,14 +150,17 @@
         let until = Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
-            if let Some(reply) = self.state.borrow().changes(prefix, since) {
+            let reply = self.state.borrow().changes(prefix, since);
+            if let Some(reply) = reply {
+                self.carry(reply_bytes(&reply)).await;
                 return Ok(reply);
             }
             if timeout_at(until, changed).await.is_err() {
                 let revision = self.state.borrow().revision;
+                self.carry(0).await;
                 return Ok(WatchReply::Changes(Vec::new(), revision));
             }
-            if !matches!(self.weather(), Weather::Fair | Weather::AnswersLost) {
+            if !self.weather().lets_watches_wait() {
                 return self.meet_weather().await.and(Err(StoreError::AnswerLost));
             }
         }
@@ -192,7 +196,7 @@
     async fn meet_weather(&self) -> Result<(), StoreError> {
         self.state.borrow_mut().calls += 1;
         match self.weather() {
-            Weather::Fair | Weather::AnswersLost => Ok(()),
+            weather if weather.lets_watches_wait() => Ok(()),
             Weather::Refused => Err(StoreError::Unreachable),
             Weather::Silent(time) => {
                 sleep(time).await;
@@ -202,11 +206,55 @@
                 sleep(time).await;
                 Ok(())
             }
+            _ => Ok(()),
+        }
+    }
+
+    /// Lets an answer of so many bytes come over the link.
+    async fn carry(&self, bytes: usize) {
+        match self.weather() {
+            Weather::Late(time) => sleep(time).await,
+            Weather::Narrow(bytes_per_s) => {
+                let time = Duration::from_secs_f64(bytes as f64 / bytes_per_s as f64);
+                let now = Instant::now();
+                let done = self.link_free.get().map_or(now, |free| free.max(now)) + time;
+                self.link_free.set(Some(done));
+                sleep_until(done).await;
+            }
+            _ => {}
         }
     }
 }
 
+impl Weather {
+    /// Whether a watch that has found nothing yet goes on waiting in it.
+    fn lets_watches_wait(self) -> bool {
+        let undisturbed = matches!(self, Weather::Fair | Weather::AnswersLost);
+        undisturbed || matches!(self, Weather::Late(_) | Weather::Narrow(_))
+    }
+}
+
+/// Bytes of the values in a watch's answer.
+fn reply_bytes(reply: &WatchReply) -> usize {
+    let WatchReply::Changes(events, _) = reply else { return 0 };
+    let bytes = |event: &StoreEvent| match event {
+        StoreEvent::Written(entry) => entry.value.len(),
+        StoreEvent::Removed(_) => 0,
+    };
+    events.iter().map(bytes).sum()
+}
+
 impl State {
+    fn listing(&self, prefix: &str) -> Listing {
+        let found = self.keys.iter().filter(|(key, _)| key.starts_with(prefix));
+        let entries = found.map(|(key, (value, revision))| Fetched {
+            key: key.clone(),
+            value: value.clone(),
+            revision: *revision,
+        });
+        Listing { entries: entries.collect(), revision: self.revision }
+    }
+
     fn apply(&mut self, key: &str, value: Written) {
         self.revision += 1;
         let revision = self.revision;
