Judge calls to the store by their progress, and let them overlap

Cause: a watch was given up 0.7 s after its wait and a page after 1.5 s however far its answer had come; the next try began at the first byte. An answer larger than the link carries in that time was never read, and each try took the whole link. Besides, one question followed the answer to the one before, so that a state's age was two answers' time; and entries told nothing that rested on an old confirmation, also not changes.

Change: calls that read have no limit in the port, which notes their progress; the entry gives one up after 6 s without a byte, sends the next at the regular time while none is being read, keeps one of two that bring the same, and drops what others have told meanwhile. Events of a revision that is held are passed over, since answers overlap. Changes are told whatever the age of the confirmation; what counts as old is widened by what the store's last answer took (format 2 of the messages). An answer of another entry is read while it comes. An entry that asks the store after long silence takes what is missing for lapsed: a test met it by its timing, and it was so before.

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -91,6 +91,8 @@
     pub freshness: Freshness,
     /// Whether the last call to the store failed.
     pub source_lost: bool,
+    /// How long the last answer of the store took, here or where this entry's state comes from.
+    pub store_takes: Duration,
     /// When the store last came back after an entry that asks it had lost it.
     pub store_returned: Option<Duration>,
     /// Confirmations so far.
@@ -231,6 +233,7 @@
             catalog: None,
             freshness: Freshness::new(settings.state_bound, settings.key_bound),
             source_lost: false,
+            store_takes: Duration::ZERO,
             store_returned: None,
             turn: 0,
             replica: Replica::default(),
--- /dev/null
+++ b/crates/direct/src/follow/asking.rs
@@ -0,0 +1,180 @@
+//! Reading calls to the store that are under way, several at a time.
+//!
+//! A call is given up only when its answer no longer comes. While it is unanswered another is sent at
+//! the next regular time, so that how often the state is confirmed does not depend on how long an
+//! answer takes; a connection that has gone silent delays it by one such time.
+
+use std::{pin::pin, rc::Rc, time::Duration};
+
+use pondwalk_store::{PortCall, Progress, StoreError};
+use tokio::{
+    sync::Notify,
+    task::{AbortHandle, Id, JoinSet},
+    time::{Instant, sleep_until},
+};
+
+/// Time without a byte of its answer after which a call is given up, besides its own wait: the
+/// longest answer time for which anything is promised is 4 s, and a third more is left to the way.
+const SILENCE_LIMIT: Duration = Duration::from_secs(6);
+/// Time since the last byte for which an answer counts as being read. A lost packet is sent again
+/// after some 0.2 s, then 0.4 s.
+const MOVING_LIMIT: Duration = Duration::from_secs(1);
+
+/// What a call asked, and when.
+#[derive(Debug, Clone, Copy)]
+pub struct Asked {
+    /// Own time at which it was sent.
+    pub sent: Duration,
+    /// Revision after which it asks for changes; 0 for a whole reading.
+    pub after: u64,
+    /// How long the store was to wait for one.
+    pub wait: Duration,
+}
+
+/// A call that has ended.
+#[derive(Debug)]
+pub struct Answered<T> {
+    /// What it asked.
+    pub asked: Asked,
+    /// Bytes of its answer.
+    pub bytes: usize,
+    /// Its answer, or why there is none.
+    pub answer: Result<T, StoreError>,
+}
+
+#[derive(Debug)]
+struct Call {
+    id: Id,
+    asked: Asked,
+    progress: Progress,
+    task: AbortHandle,
+}
+
+/// The calls under way; all are ended with it.
+#[derive(Debug)]
+pub struct Asking<T> {
+    tasks: JoinSet<Answered<T>>,
+    calls: Vec<Call>,
+    moved: Rc<Notify>,
+}
+
+impl<T> Default for Asking<T> {
+    fn default() -> Self {
+        Asking { tasks: JoinSet::new(), calls: Vec::new(), moved: Rc::default() }
+    }
+}
+
+impl<T: 'static> Asking<T> {
+    /// Starts another call.
+    pub fn start(&mut self, asked: Asked, call: PortCall<T>) {
+        let progress = call.progress();
+        let moved = Rc::clone(&self.moved);
+        let task = self.tasks.spawn_local(async move {
+            let progress = call.progress();
+            let answer = wait_while_moving(call, asked.wait + SILENCE_LIMIT, &moved).await;
+            Answered { asked, bytes: progress.bytes(), answer }
+        });
+        self.calls.push(Call { id: task.id(), asked, progress, task });
+    }
+
+    /// Whether an answer is being read. A further call would only take part of the link from it.
+    pub fn is_moving(&self) -> bool {
+        self.calls.iter().any(Call::is_moving)
+    }
+
+    /// When the oldest call under way was sent, if any is.
+    pub fn oldest_sent(&self) -> Option<Duration> {
+        self.calls.iter().map(|call| call.asked.sent).min()
+    }
+
+    /// Waits for the next call to end; forever if none is under way.
+    pub async fn next(&mut self) -> Answered<T> {
+        loop {
+            self.keep_one_moving();
+            tokio::select! {
+                biased;
+                Some(ended) = self.tasks.join_next_with_id() => {
+                    // NB: a call that was dropped ends without an answer.
+                    if let Ok((id, answered)) = ended {
+                        self.calls.retain(|call| call.id != id);
+                        return answered;
+                    }
+                }
+                () = self.moved.notified() => {}
+            }
+        }
+    }
+
+    /// Drops the calls whose answers are being read, but would only bring what is known by
+    /// `revision`.
+    pub fn drop_known(&mut self, revision: u64) {
+        self.drop_if(|call| call.asked.after < revision && call.progress.bytes() > 0);
+    }
+
+    /// Drops the calls for changes after a revision before this one.
+    pub fn drop_before(&mut self, revision: u64) {
+        self.drop_if(|call| call.asked.after < revision);
+    }
+
+    /// Drops all calls.
+    pub fn clear(&mut self) {
+        self.drop_if(|_| true);
+    }
+
+    /// Of two answers that come at the same time each brings what the other does, and halves its
+    /// speed; the one that began first is kept.
+    fn keep_one_moving(&mut self) {
+        let moving = self.calls.iter().filter(|call| call.is_moving());
+        let Some(first) = moving.max_by_key(|call| call.progress.bytes()).map(|call| call.id)
+        else {
+            return;
+        };
+        self.drop_if(|call| call.id != first && call.is_moving());
+    }
+
+    fn drop_if(&mut self, is_dropped: impl Fn(&Call) -> bool) {
+        self.calls.retain(|call| {
+            let is_dropped = is_dropped(call);
+            if is_dropped {
+                call.task.abort();
+            }
+            !is_dropped
+        });
+    }
+}
+
+impl Call {
+    fn is_moving(&self) -> bool {
+        let is_recent = |last: Instant| last.elapsed() < MOVING_LIMIT;
+        self.progress.bytes() > 0
+            && !self.task.is_finished()
+            && self.progress.last().is_some_and(is_recent)
+    }
+}
+
+/// Waits for an answer for as long as it makes progress, with no pause over `limit`.
+async fn wait_while_moving<T>(
+    call: PortCall<T>,
+    limit: Duration,
+    moved: &Notify,
+) -> Result<T, StoreError> {
+    let progress = call.progress();
+    let mut call = pin!(call);
+    let mut end = Instant::now() + limit;
+    loop {
+        tokio::select! {
+            biased;
+            answer = &mut call => return answer,
+            () = progress.moved() => {
+                end = Instant::now() + limit;
+                moved.notify_one();
+            }
+            () = sleep_until(end) => {
+                return Err(match progress.bytes() {
+                    0 => StoreError::AnswerLost,
+                    bytes => StoreError::AnswerStopped(bytes),
+                });
+            }
+        }
+    }
+}
--- a/crates/direct/src/follow/learn.rs
+++ b/crates/direct/src/follow/learn.rs
@@ -14,7 +14,7 @@
     pub(super) fn learn(&self, event: &StoreEvent) {
         match event {
             StoreEvent::Written(entry) => self.learn_written(entry),
-            StoreEvent::Removed(key) => self.learn_removed(key),
+            StoreEvent::Removed { key, .. } => self.learn_removed(key),
         }
     }
 
@@ -83,7 +83,9 @@
     fn may_have_lapsed(&self) -> bool {
         let returned = |at| self.core.clock.now().saturating_sub(at) < RETURN_TIME;
         // NB: what others tell while this entry alone has lost the store has not lapsed.
-        let lost = self.lost && self.learns_from == Heard::FromStore;
+        // And one that asks the store after long silence, for the first time, may be the first to
+        // hear from it again.
+        let lost = (self.lost || self.is_out_of_date()) && self.learns_from == Heard::FromStore;
         lost || self.core.state.borrow().store_returned.is_some_and(returned)
     }
 
--- a/crates/direct/src/follow/others.rs
+++ b/crates/direct/src/follow/others.rs
@@ -5,11 +5,11 @@
 use pondwalk_store::{Fetched, StoreEvent};
 use tokio::time::Instant;
 
-use super::{Follower, Heard, report::Learned};
+use super::{Follower, Heard, report::Learned, watching::NO_WAIT};
 use crate::{
     journal::Rank,
     membership::{AskError, Need, Question, Told},
-    metrics::Counter,
+    metrics::{Counter, StoreCause},
 };
 
 /// Other entries that one which has lost the store asks between two calls to it.
@@ -28,21 +28,35 @@
     /// Whether an entry that should learn from others must ask the store itself: none can be
     /// reached, or for long none has told anything of use.
     pub(super) fn should_fall_back(&self) -> bool {
+        if self.watching.is_moving() {
+            return false;
+        }
         if self.unreached >= UNREACHED_IN_ROW {
             return true;
         }
-        let now = self.core.clock.now();
-        let age = self.core.state.borrow().freshness.age(now);
-        let limit = self.core.settings.membership.times.fallback_age
-            + FALLBACK_SPREAD * self.core.roster.rank() as u32;
-        now >= self.fallback_from && age.is_none_or(|age| age > limit)
+        let spread = FALLBACK_SPREAD * self.core.roster.rank() as u32;
+        self.core.clock.now() >= self.fallback_from && self.is_older_than_it_should(spread)
     }
 
-    pub(super) fn put_off_fallback(&mut self) {
-        if self.lost {
-            self.fallback_from = self.core.clock.now() + self.fallback_pause;
-            self.fallback_pause = (self.fallback_pause * 2).min(LONGEST_FALLBACK_PAUSE);
-        }
+    /// Whether nobody has confirmed this entry's state for so long that the store may be away.
+    pub(super) fn is_out_of_date(&self) -> bool {
+        self.is_older_than_it_should(Duration::ZERO)
+    }
+
+    fn is_older_than_it_should(&self, further: Duration) -> bool {
+        let state = self.core.state.borrow();
+        // NB: where the store answers late to all, one more that asks it learns nothing sooner.
+        let limit = self.core.settings.membership.times.fallback_age + state.store_takes + further;
+        state.freshness.age(self.core.clock.now()).is_none_or(|age| age > limit)
+    }
+
+    /// Asks the store beside the others, and puts off the next such question.
+    pub(super) fn fall_back(&mut self, revision: u64) {
+        self.unreached = 0;
+        self.note_source(None);
+        self.start_watch(revision, NO_WAIT, StoreCause::Fallback);
+        self.fallback_from = self.core.clock.now() + self.fallback_pause;
+        self.fallback_pause = (self.fallback_pause * 2).min(LONGEST_FALLBACK_PAUSE);
     }
 
     /// Asks others in turn, a few each time, for what the store does not tell this entry: it may be
@@ -72,14 +86,25 @@
         revision
     }
 
-    /// Asks another entry once.
+    /// Asks another entry once, unless an answer of the store comes before; `None` if all must be
+    /// read anew.
     pub(super) async fn learn_from(
         &mut self,
         name: &str,
         address: SocketAddr,
         revision: u64,
-    ) -> u64 {
-        let told = self.ask(address, revision).await;
+    ) -> Option<u64> {
+        let question = self.question(revision, Need::Changes, self.give_up_at());
+        let asking = self.client.ask(&self.core.connect, &self.core.clock, address, question);
+        let told = tokio::select! {
+            biased;
+            answered = self.watching.next() => return self.take_answer(answered, revision),
+            told = asking => told,
+        };
+        Some(self.take_or_leave(name, told, revision))
+    }
+
+    fn take_or_leave(&mut self, name: &str, told: Result<Told, AskError>, revision: u64) -> u64 {
         self.core.roster.note(name, told.as_ref().err(), self.core.clock.now());
         match told {
             Ok(told) => {
@@ -100,15 +125,18 @@
         }
     }
 
-    async fn ask(&self, address: SocketAddr, after: u64) -> Result<Told, AskError> {
-        let now = self.core.clock.now();
+    /// When an entry that says nothing is given up: when what it told before has grown too old.
+    fn give_up_at(&self) -> Instant {
         let times = &self.core.settings.membership.times;
-        // NB: a source that is silent is left when what it told before has grown too old.
-        let confirmed = self.core.state.borrow().freshness.confirmed().unwrap_or_default();
-        let too_old = confirmed + times.oldest_told + times.exchange;
-        let until = too_old.max(now + times.hold_while_old + times.exchange);
-        let question = self.question(after, Need::Changes, self.core.clock.instant(until));
-        self.client.ask(&self.core.connect, &self.core.clock, address, question).await
+        let state = self.core.state.borrow();
+        let too_old = state.freshness.confirmed().unwrap_or_default() + times.oldest_told;
+        // NB: where the store answers late every state is as old, and told anew at each interval.
+        let hold = match state.store_takes > times.exchange {
+            true => times.hold_while_old.max(times.confirm_interval + times.exchange),
+            false => times.hold_while_old,
+        };
+        let until = too_old.max(self.core.clock.now() + hold) + times.exchange;
+        self.core.clock.instant(until)
     }
 
     fn question(&self, after: u64, need: Need, until: Instant) -> Question {
@@ -122,7 +150,9 @@
         // NB: most entries make no calls to the store, and hear of its loss only with its return.
         let mut state = self.core.state.borrow_mut();
         state.store_returned = state.store_returned.max(told.store_returned);
+        state.store_takes = told.store_takes;
         drop(state);
+        self.watching.drop_known(revision);
         self.learns_from = Heard::FromOthers;
         let news = std::mem::take(&mut told.news);
         if told.whole {
@@ -143,6 +173,6 @@
 fn written(event: StoreEvent) -> Option<Fetched> {
     match event {
         StoreEvent::Written(entry) => Some(entry),
-        StoreEvent::Removed(_) => None,
+        StoreEvent::Removed { .. } => None,
     }
 }
--- a/crates/direct/src/follow/report.rs
+++ b/crates/direct/src/follow/report.rs
@@ -18,4 +18,5 @@
     SourceChanged { entry: Option<&'a str> },
     SourceFailed { entry: &'a str, error: String },
     HistoryGone { revision: u64 },
+    AnswerTookLong { after: u64, bytes: usize, took_ms: u64 },
 }
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -1,11 +1,12 @@
 //! Asks another entry for its state.
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, pin::pin, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    Request, StatusCode,
+    Request, Response, StatusCode,
+    body::Incoming,
     client::conn::http1::{SendRequest, handshake},
     header::HOST,
 };
@@ -26,6 +27,8 @@
 /// Longest time for a connection to open. One opens in a millisecond; a machine without power says
 /// nothing, and one that is just coming up would be found a second later.
 const CONNECT_LIMIT: Duration = Duration::from_millis(100);
+/// Longest pause in an answer that is being read. A lost packet is sent again after some 0.2 s.
+const BODY_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time for another entry to take news. One takes a few milliseconds; an
 /// entry that is busy or paused for longer than this is of no use.
 const TELL_LIMIT: Duration = Duration::from_millis(250);
@@ -81,6 +84,8 @@
     pub confirmed: Option<Duration>,
     /// Own time at which the store came back, or before, if it has been lost.
     pub store_returned: Option<Duration>,
+    /// How long the store's last answer took where the state comes from.
+    pub store_takes: Duration,
     /// Revision that the state leads to.
     pub revision: u64,
     /// Whether it is the whole state, and not only what changed.
@@ -150,8 +155,7 @@
         question: Question,
     ) -> Result<Told, AskError> {
         let sent = clock.now();
-        let asking = self.exchange(connect, address, question);
-        let bytes = timeout_at(question.until, asking).await.map_err(|_| AskError::Silent)??;
+        let bytes = self.exchange(connect, address, question).await?;
         let state = State::from_bytes(&bytes, question.store)?;
         // NB: what changed after an earlier revision does no harm; a whole state would take the place
         // of a newer one.
@@ -182,6 +186,7 @@
         Ok(Told {
             confirmed: heard.clock.own_time(head.confirmed),
             store_returned: head.store_returned.and_then(|at| heard.clock.own_time(at)),
+            store_takes: head.store_takes,
             revision: head.revision,
             whole: head.whole,
             bytes,
@@ -234,12 +239,12 @@
         }
     }
 
-    async fn exchange(
+    async fn ask_for_head(
         &self,
         connect: &Connect,
         address: SocketAddr,
         question: Question,
-    ) -> Result<Bytes, AskError> {
+    ) -> Result<(Sender, Response<Incoming>), AskError> {
         let mut sender = match self.take_kept(address) {
             Some(sender) => sender,
             None => open(connect, address).await?,
@@ -247,9 +252,20 @@
         let request = Request::get(self.path(address, question)).header(HOST, address.to_string());
         let request = request.body(Full::default()).map_err(failed)?;
         let answer = sender.send_request(request).await.map_err(failed)?;
+        Ok((sender, answer))
+    }
+
+    async fn exchange(
+        &self,
+        connect: &Connect,
+        address: SocketAddr,
+        question: Question,
+    ) -> Result<Bytes, AskError> {
+        let asking = self.ask_for_head(connect, address, question);
+        let answering = timeout_at(question.until, asking).await;
+        let (sender, answer) = answering.map_err(|_| AskError::Silent)??;
         let status = answer.status();
-        let body = Limited::new(answer.into_body(), MAX_MESSAGE_BYTES).collect().await;
-        let body = body.map_err(|_| MessageError::Unreadable)?.to_bytes();
+        let body = read_while_moving(answer.into_body()).await?;
         *self.kept.borrow_mut() = Some((address, sender));
         match status {
             StatusCode::OK => Ok(body),
@@ -259,6 +275,21 @@
     }
 }
 
+/// Reads an answer for as long as it comes. A large state over a narrow link takes longer than any
+/// time in which another entry should begin to answer.
+async fn read_while_moving(body: Incoming) -> Result<Bytes, AskError> {
+    let mut body = pin!(Limited::new(body, MAX_MESSAGE_BYTES));
+    let mut read = BytesMut::new();
+    loop {
+        let frame = timeout(BODY_PAUSE, body.frame()).await.map_err(|_| AskError::Silent)?;
+        let Some(frame) = frame else { return Ok(read.freeze()) };
+        let frame = frame.map_err(|_| MessageError::Unreadable)?;
+        if let Ok(data) = frame.into_data() {
+            read.extend_from_slice(&data);
+        }
+    }
+}
+
 async fn open(connect: &Connect, address: SocketAddr) -> Result<Sender, AskError> {
     let opening = timeout(CONNECT_LIMIT, connect(address)).await;
     let stream = opening.map_err(|_| AskError::Silent)?.map_err(failed)?;
--- a/crates/direct/src/membership/message.rs
+++ b/crates/direct/src/membership/message.rs
@@ -18,7 +18,7 @@
 use super::Item;
 
 /// Number of this form of the messages; an entry of another one is not listened to.
-pub const FORMAT: u16 = 1;
+pub const FORMAT: u16 = 2;
 /// Bytes of a message that are read at most. The store holds some hundred keys and one large
 /// configuration, which pack to a tenth of this.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
@@ -63,7 +63,7 @@
             Some(value) => {
                 StoreEvent::Written(Fetched { key: self.key, value, revision: self.revision })
             }
-            None => StoreEvent::Removed(self.key),
+            None => StoreEvent::Removed { key: self.key, revision: self.revision },
         }
     }
 }
@@ -83,6 +83,8 @@
     pub confirmed: Duration,
     /// Its clock when the store last came back, if it has been lost.
     pub store_returned: Option<Duration>,
+    /// How long the store's last answer took at the entry where the state comes from.
+    pub store_takes: Duration,
     /// Confirmations that it had counted; the next question names it, and is answered at once only
     /// if there are more.
     pub turn: u64,
--- a/crates/direct/src/membership/replica.rs
+++ b/crates/direct/src/membership/replica.rs
@@ -41,7 +41,7 @@
         for event in events {
             match event {
                 StoreEvent::Written(entry) => self.hold(entry),
-                StoreEvent::Removed(key) => {
+                StoreEvent::Removed { key, .. } => {
                     self.held.remove(key);
                     // NB: a removal counts as if it came last, so that no asker misses it.
                     self.removed.push_back((revision, key.clone()));
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -143,8 +143,7 @@
         if matches!(asked.need, Need::ChangesNow | Need::FirstStateNow) {
             return None;
         }
-        let confirmed = core.state.borrow().freshness.confirmed();
-        let too_old_at = confirmed.map(|at| at + times.oldest_told);
+        let too_old_at = too_old_at(core);
         // NB: an entry that has lost its way may be about to find another.
         let give_up = too_old_at.unwrap_or_default().max(held_from + times.hold_while_old);
         if timeout_at(core.clock.instant(give_up), something_new).await.is_err() {
@@ -153,23 +152,33 @@
     }
 }
 
+/// When the own confirmation will be too old to be of use, if there is one.
+///
+/// NB: where answers of the store take long, every state is as old; refused for that, the changes
+/// that it holds would reach nobody.
+fn too_old_at(core: &Core) -> Option<Duration> {
+    let state = core.state.borrow();
+    let oldest_told = core.settings.membership.times.oldest_told + state.store_takes;
+    state.freshness.confirmed().map(|at| at + oldest_told)
+}
+
 /// Whether the asker gains anything by an answer now.
 fn has_news(core: &Core, asked: Asked) -> bool {
+    let Some(too_old_at) = too_old_at(core) else { return false };
+    let is_young = core.clock.now() < too_old_at;
     let state = core.state.borrow();
-    let Some(age) = state.freshness.age(core.clock.now()) else { return false };
     let heard = asked.heard.filter(|heard| heard.incarnation == core.incarnation);
-    let is_young = age < core.settings.membership.times.oldest_told;
-    let (has_changed, has_news) = match heard {
-        Some(heard) => {
-            let has_changed = state.turn != heard.turn || state.replica.revision() > asked.after;
-            (has_changed, core.news.borrow().end() > heard.news_end)
-        }
+    let has_changes = state.replica.revision() > asked.after;
+    let (is_confirmed_anew, has_news) = match heard {
+        Some(heard) => (state.turn != heard.turn, core.news.borrow().end() > heard.news_end),
         None => (true, false),
     };
     match asked.need {
         Need::FirstState | Need::FirstStateNow => true,
-        // NB: news counts whatever the age of the state, which is told with it.
-        Need::Changes | Need::ChangesNow => has_news || has_changed && is_young,
+        // NB: changes and news count whatever the age of the state, which is told with them.
+        Need::Changes | Need::ChangesNow => {
+            has_news || has_changes || is_confirmed_anew && is_young
+        }
     }
 }
 
@@ -195,6 +204,7 @@
         // NB: only an entry that was confirmed answers.
         confirmed: state.freshness.confirmed().unwrap_or(Duration::ZERO),
         store_returned: state.store_returned,
+        store_takes: state.store_takes,
         turn: state.turn,
         revision: state.replica.revision(),
         whole,
--- a/crates/direct/tests/acts_as_one.rs
+++ b/crates/direct/tests/acts_as_one.rs
@@ -467,6 +467,7 @@
                 now: Duration::from_secs(9),
                 confirmed: Duration::from_secs(9),
                 store_returned: None,
+                store_takes: Duration::ZERO,
                 turn: revision,
                 revision,
                 whole: true,
--- a/crates/direct/tests/survives_late_answers.rs
+++ b/crates/direct/tests/survives_late_answers.rs
@@ -8,7 +8,11 @@
 
 use std::time::Duration;
 
-use common::{World, catalog, catalog_with_keys, net::Net, play};
+use common::{
+    World, catalog, catalog_with_keys,
+    net::{Net, peer_address},
+    play, request, with,
+};
 use pondwalk_direct::Entry;
 use pondwalk_standin::{backends::Act, memory_store::Weather};
 use tokio::time::{Instant, sleep};
@@ -30,6 +34,11 @@
     entries
 }
 
+async fn status(world: &World, entry: &Entry, key: &str) -> u16 {
+    let sent = with(request("/again/", "r"), "authorization", &format!("Bearer {key}"));
+    world.ask_at(entry, sent).await.status.as_u16()
+}
+
 fn holds(entry: &Entry, version: u64) -> bool {
     let installed = format!("\"configuration_in_force\",\"version\":{version},");
     entry.gathered_lines().contains(&installed)
@@ -61,3 +70,74 @@
         }
     });
 }
+
+#[test]
+fn a_change_is_in_force_an_answer_and_an_interval_after_it_was_made() {
+    for answer_ms in [10, 500, 2_000, 4_000] {
+        play(|world| async move {
+            let entries = start(&world, 40).await;
+            let answer = Duration::from_millis(answer_ms);
+            world.store.set_weather(Weather::Late(answer));
+            sleep(Duration::from_secs(10)).await;
+            let times = world.entry_times();
+            let bound = answer + times.oldest_in_calm() + STEP;
+            for version in 2..8 {
+                sleep(Duration::from_millis(700 + 170 * version)).await;
+                world.configure(catalog_with_keys(version, &["k1"]));
+                let time = until_in_force(&entries, version).await;
+                assert!(time <= bound, "{time:?} where answers take {answer:?}");
+            }
+        });
+    }
+}
+
+#[test]
+fn keys_are_honoured_as_long_as_a_late_store_still_confirms_them_within_the_bound() {
+    for answer_ms in [10, 500, 2_000, 3_500] {
+        play(|world| async move {
+            let entries = start(&world, 20).await;
+            world.store.set_weather(Weather::Late(Duration::from_millis(answer_ms)));
+            for _ in 0..60 {
+                sleep(Duration::from_millis(500)).await;
+                for entry in &entries {
+                    let status = status(&world, entry, "k1").await;
+                    assert_eq!(status, 200, "{} at {answer_ms} ms", entry.name());
+                }
+            }
+        });
+    }
+}
+
+#[test]
+fn a_key_taken_away_is_dead_in_time_whatever_an_answer_takes() {
+    for answer_ms in [10, 500, 2_000, 4_000] {
+        play(|world| async move {
+            let entries = start(&world, 20).await;
+            world.store.set_weather(Weather::Late(Duration::from_millis(answer_ms)));
+            sleep(Duration::from_secs(7)).await;
+            world.configure(catalog_with_keys(2, &["k1"]));
+            sleep(Duration::from_secs(5)).await;
+            for entry in &entries {
+                let status = status(&world, entry, "k2").await;
+                assert_ne!(status, 200, "{} at {answer_ms} ms", entry.name());
+            }
+        });
+    }
+}
+
+#[test]
+fn an_entry_that_starts_reads_its_first_state_from_a_late_store() {
+    for answer_ms in [10, 500, 2_000, 4_000] {
+        play(|world| async move {
+            world.configure(catalog(1));
+            world.start_server(1, "s", "v1", Act::Answer(200, "made".into()));
+            let answer = Duration::from_millis(answer_ms);
+            world.store.set_weather(Weather::Late(answer));
+            let seeds = format!("[membership]\nseeds={}\n", peer_address(0));
+            let alone = Net::default().start_with(&world, 9, &seeds);
+            // NB: it asks the seed for 0.9 s first.
+            sleep(Duration::from_millis(1_000) + answer).await;
+            assert!(holds(&alone, 1), "at {answer_ms} ms");
+        });
+    }
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -24,6 +24,9 @@
     /// The answer was lost; a write may have taken effect.
     #[error("the store's answer was lost")]
     AnswerLost,
+    /// The answer stopped coming after so many bytes.
+    #[error("the store's answer stopped after {0} bytes")]
+    AnswerStopped(usize),
     /// The store answered with something that cannot be read.
     #[error("the store's answer cannot be read")]
     Malformed,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,5 +17,6 @@
 #[cfg(feature = "gateway")]
 pub use http::http_transport;
 pub use port::{
-    CommitCall, ListCall, Listing, PortFuture, StoreEvent, StorePort, WatchCall, WatchReply,
+    CommitCall, ListCall, Listing, PortCall, PortFuture, Progress, StoreEvent, StorePort,
+    WatchCall, WatchReply,
 };
--- a/crates/store/src/port.rs
+++ b/crates/store/src/port.rs
@@ -1,12 +1,96 @@
 //! The store as a set of calls, for code that must not know in which form they travel.
 
-use std::{fmt, future::Future, pin::Pin, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    fmt,
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use tokio::{sync::Notify, time::Instant};
 
 use crate::client::{Change, Fetched, StoreError};
 
 /// Future of one call, on the thread that made it.
 pub type PortFuture<T> = Pin<Box<dyn Future<Output = Result<T, StoreError>>>>;
 
+/// How far the answer to a call has come. Clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Progress {
+    inner: Rc<Come>,
+}
+
+#[derive(Debug, Default)]
+struct Come {
+    bytes: Cell<usize>,
+    last: Cell<Option<Instant>>,
+    moved: Notify,
+}
+
+impl Progress {
+    /// So many more bytes of the answer have come.
+    pub fn note(&self, bytes: usize) {
+        self.inner.bytes.set(self.inner.bytes.get() + bytes);
+        self.inner.last.set(Some(Instant::now()));
+        self.inner.moved.notify_one();
+    }
+
+    /// Bytes that have come so far.
+    pub fn bytes(&self) -> usize {
+        self.inner.bytes.get()
+    }
+
+    /// When the last of them came, if any has.
+    pub fn last(&self) -> Option<Instant> {
+        self.inner.last.get()
+    }
+
+    /// Waits for more of the answer, or returns at once if some came since the last wait.
+    pub async fn moved(&self) {
+        self.inner.moved.notified().await;
+    }
+}
+
+/// A reading call under way. It has no time limit of its own: an answer may be large and come over
+/// a narrow link, so whoever waits judges by its progress.
+pub struct PortCall<T> {
+    answer: PortFuture<T>,
+    progress: Progress,
+}
+
+impl<T> PortCall<T> {
+    /// Makes a call, which notes the progress of its answer.
+    pub fn new<F>(make: impl FnOnce(Progress) -> F) -> Self
+    where
+        F: Future<Output = Result<T, StoreError>> + 'static,
+    {
+        let progress = Progress::default();
+        PortCall { answer: Box::pin(make(progress.clone())), progress }
+    }
+
+    /// How far its answer has come.
+    pub fn progress(&self) -> Progress {
+        self.progress.clone()
+    }
+}
+
+impl<T> Future for PortCall<T> {
+    type Output = Result<T, StoreError>;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
+        self.answer.as_mut().poll(context)
+    }
+}
+
+impl<T> fmt::Debug for PortCall<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PortCall").field("progress", &self.progress).finish_non_exhaustive()
+    }
+}
+
 /// All keys under a prefix, as one or more reads found them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Listing {
@@ -22,7 +106,22 @@
     /// The key was written.
     Written(Fetched),
     /// The key is gone.
-    Removed(String),
+    Removed {
+        /// The key.
+        key: String,
+        /// Revision of its removal.
+        revision: u64,
+    },
+}
+
+impl StoreEvent {
+    /// Revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            StoreEvent::Written(entry) => entry.revision,
+            StoreEvent::Removed { revision, .. } => *revision,
+        }
+    }
 }
 
 /// What a watch brought.
@@ -35,9 +134,9 @@
 }
 
 /// Reads all keys under a prefix.
-pub type ListCall = Rc<dyn Fn(String) -> PortFuture<Listing>>;
+pub type ListCall = Rc<dyn Fn(String) -> PortCall<Listing>>;
 /// Waits for changes under a prefix after a revision, at most for a time.
-pub type WatchCall = Rc<dyn Fn(String, u64, Duration) -> PortFuture<WatchReply>>;
+pub type WatchCall = Rc<dyn Fn(String, u64, Duration) -> PortCall<WatchReply>>;
 /// Writes all changes or none, and returns their revision.
 pub type CommitCall = Rc<dyn Fn(Vec<Change>) -> PortFuture<u64>>;
 
