Put entries on wide links first in the order of entries

Hypothesis: with calls read to their end, the three that ask the store spend seconds of a link of 10 Mbit/s on a large configuration and on telling it, and their callers' streams wait; six of 32 entries have twenty times the link. Change: an entry is listed with the width of its link, and comes before those with less than half of it; like links stay in the order of the hash. The listing without a width is read as before. The new test fails without the rank (roots 8, 11, 29 in place of 0 to 4).

--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -34,6 +34,8 @@
     pub metrics: Option<SocketAddr>,
     /// Where other entries ask for changes; without it, this entry watches the store itself.
     pub peers: Option<SocketAddr>,
+    /// Megabits a second that the machine's link carries; 0 if that is not known.
+    pub link_mbps: u32,
     /// How it learns from other entries.
     pub membership: MembershipSettings,
     /// The platform's store.
@@ -56,6 +58,9 @@
     pub log_lines_per_s: u32,
 }
 
+/// Widest link that is told apart, in megabits a second; a machine's own carry up to a hundredth.
+const WIDEST_LINK_MBPS: f64 = 1_000_000.0;
+
 /// `[retries]`: sends beyond each request's first.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetrySettings {
@@ -110,6 +115,19 @@
     }
 }
 
+/// The width of the link; a template may leave it blank, or tell it with a fraction.
+fn read_link(file: &mut RawFile) -> u32 {
+    match file.text("direct", "link_mbps") {
+        Some(text) if !text.trim().is_empty() => {
+            let expected = "megabits a second from 0 to 1000000";
+            let range = (0.0, WIDEST_LINK_MBPS);
+            // NB: within the range every whole part fits.
+            file.within("direct", "link_mbps", expected, range, 0.0) as u32
+        }
+        _ => 0,
+    }
+}
+
 fn read(file: &mut RawFile) -> Option<DirectSettings> {
     let name = file.required("direct", "name", "a name");
     let data_centre = file.required("direct", "data_centre", "a name");
@@ -117,6 +135,7 @@
     let readiness = file.required("direct", "readiness", ADDRESS);
     let metrics = file.optional("direct", "metrics", ADDRESS);
     let peers = file.optional("direct", "peers", ADDRESS);
+    let link_mbps = read_link(file);
     let (state_bound, key_bound) = read_bounds(file);
     let grace = file.seconds("direct", "grace_s", 8.0);
     let session_ttl = file.seconds("direct", "session_ttl_s", 5.0);
@@ -135,6 +154,7 @@
         readiness: readiness?,
         metrics,
         peers,
+        link_mbps,
         membership,
         store: store?,
         state_bound,
--- a/crates/direct/src/conductor/listing.rs
+++ b/crates/direct/src/conductor/listing.rs
@@ -1,13 +1,13 @@
 //! Lists entries in the store: those that have started, by one of the roots in one write.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use pondwalk_store::Change;
 
 use super::{Conductor, records::RollOutEvent};
 use crate::{
     journal::Rank,
-    membership::{ENTRY_PREFIX, News, Source},
+    membership::{ENTRY_PREFIX, Listing, News, Source},
     metrics::StoreCause,
 };
 
@@ -29,7 +29,7 @@
         }
         let unlisted = self.unlisted(GATHER_TIME + wait);
         for some in unlisted.chunks(MOST_AT_ONCE) {
-            let changes = some.iter().map(|(name, address)| self.listing(name, *address));
+            let changes = some.iter().map(|(name, listing)| self.listing(name, listing));
             if let Err(error) = self.commit(changes.collect(), StoreCause::Listing).await {
                 let key = format!("{ENTRY_PREFIX}{}", some[0].0);
                 let event = RollOutEvent::NotListed { key, error: error.to_string() };
@@ -41,9 +41,9 @@
     }
 
     /// Lists this entry by a write of its own; for when nobody else has.
-    pub async fn list_itself(&self, address: SocketAddr) {
+    pub async fn list_itself(&self, listing: Listing) {
         let name = &self.core.settings.name;
-        let change = self.listing(name, address);
+        let change = self.listing(name, &listing);
         let key = change.key.clone();
         // NB: an entry that is not listed is asked by nobody, and tries again.
         if let Err(error) = self.commit(vec![change], StoreCause::Listing).await {
@@ -52,20 +52,20 @@
         }
     }
 
-    fn listing(&self, name: &str, address: SocketAddr) -> Change {
-        self.change(format!("{ENTRY_PREFIX}{name}"), address.to_string().into_bytes())
+    fn listing(&self, name: &str, listing: &Listing) -> Change {
+        self.change(format!("{ENTRY_PREFIX}{name}"), listing.to_string().into_bytes())
     }
 
     /// Entries that started this long ago and are not listed where they are.
-    fn unlisted(&self, at_least: Duration) -> Vec<(String, SocketAddr)> {
+    fn unlisted(&self, at_least: Duration) -> Vec<(String, Listing)> {
         let now = self.core.clock.now();
         let news = self.core.news.borrow();
         let mut unlisted = Vec::new();
         for (age, item) in news.all(now) {
-            let News::Joined { address } = item.news else { continue };
-            if age >= at_least && self.core.roster.address_of(&item.origin) != Some(address) {
+            let News::Joined { listing } = item.news else { continue };
+            if age >= at_least && self.core.roster.listing_of(&item.origin) != Some(listing) {
                 unlisted.retain(|(name, _)| *name != item.origin);
-                unlisted.push((item.origin.clone(), address));
+                unlisted.push((item.origin.clone(), listing));
             }
         }
         unlisted
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -24,7 +24,7 @@
     core::Core,
     facts::Port,
     journal::Rank,
-    membership::{News, PeerClient, Source},
+    membership::{self, News, PeerClient, Source},
     metrics::{Counter, StoreCause, Timer},
 };
 
@@ -151,15 +151,16 @@
     /// It tells of its start, and a root lists all that have; if none does, it lists itself.
     async fn see_to_listing(&mut self) {
         let Some(address) = self.core.settings.peers else { return };
+        let own = membership::Listing { address, link_mbps: self.core.settings.link_mbps };
         let now = self.core.clock.now();
-        if self.core.roster.own_listed() == Some(address) || now < self.list_from {
+        if self.core.roster.own_listed() == Some(own) || now < self.list_from {
             return;
         }
         self.list_from = now + LISTING_TIME;
         if std::mem::replace(&mut self.joined, true) {
-            self.conductor.list_itself(address).await;
+            self.conductor.list_itself(own).await;
         } else {
-            self.core.tell_news(News::Joined { address });
+            self.core.tell_news(News::Joined { listing: own });
         }
     }
 
--- a/crates/direct/src/follow/learn.rs
+++ b/crates/direct/src/follow/learn.rs
@@ -5,7 +5,12 @@
 use pondwalk_store::{Fetched, StoreEvent};
 
 use super::{Follower, Heard, report::Learned};
-use crate::{catalog::Catalog, facts::Fact, journal::Rank, membership::ENTRY_PREFIX};
+use crate::{
+    catalog::Catalog,
+    facts::Fact,
+    journal::Rank,
+    membership::{ENTRY_PREFIX, Listing},
+};
 
 /// Time after the store's return in which an entry that is missing may have lapsed only.
 const RETURN_TIME: Duration = Duration::from_secs(2);
@@ -32,8 +37,15 @@
 
     fn learn_peer(&self, key: &str, value: Option<&[u8]>) {
         let Some(name) = key.strip_prefix(ENTRY_PREFIX) else { return };
-        let address = value.and_then(|value| std::str::from_utf8(value).ok()?.parse().ok());
-        self.core.roster.learn(name, address);
+        let listing = match value.map(Listing::try_from).transpose() {
+            Ok(listing) => listing,
+            Err(error) => {
+                let event = Learned::EntryUnreadable { key, reason: &error.to_string() };
+                self.core.journal.note(Rank::State, &event);
+                None
+            }
+        };
+        self.core.roster.learn(name, listing);
     }
 
     fn learn_removed(&self, key: &str) {
--- a/crates/direct/src/membership.rs
+++ b/crates/direct/src/membership.rs
@@ -12,6 +12,7 @@
 
 mod client;
 mod clocks;
+mod listing;
 mod message;
 mod news;
 mod replica;
@@ -22,6 +23,7 @@
 
 pub use client::{AskError, Need, PeerClient, Question, Told};
 pub use clocks::ClockOffset;
+pub use listing::{Listing, UnreadableListing};
 pub use message::{FORMAT, KeyChange, MessageError, State, StateHead};
 pub use news::{Item, MOST_SESSIONS, News, NewsLog, StageWord};
 pub use replica::Replica;
--- a/crates/direct/src/membership/news.rs
+++ b/crates/direct/src/membership/news.rs
@@ -6,13 +6,14 @@
 
 use std::{
     collections::{HashSet, VecDeque},
-    net::SocketAddr,
     time::Duration,
 };
 
 use pondwalk_decide::direct::{Seen, SessionKey, Stage};
 use serde::{Deserialize, Serialize};
 
+use super::Listing;
+
 /// Time for which news that only goes up is remembered, so that none counts twice. It takes a
 /// fraction of a second to reach all roots, or is lost.
 const LIFE_OF_SEEN: Duration = Duration::from_secs(10);
@@ -63,8 +64,8 @@
     },
     /// It has started and is to be listed.
     Joined {
-        /// Where other entries may ask it.
-        address: SocketAddr,
+        /// Where other entries may ask it, and over which link.
+        listing: Listing,
     },
 }
 
--- a/crates/direct/src/membership/roster.rs
+++ b/crates/direct/src/membership/roster.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::Duration,
 };
@@ -12,6 +12,7 @@
 
 use super::{
     client::AskError,
+    listing::Listing,
     tree::{self, Place},
 };
 
@@ -23,11 +24,15 @@
 /// the store's return at any moment.
 const PASS_OVER_WHILE_BEHIND: Duration = Duration::from_secs(1);
 
-/// Place of an entry in the order that all work out alike.
-type OrderKey = (u64, String);
+/// Place of an entry in the order that all work out alike: the rank of its link, a hash of its name,
+/// and the name.
+///
+/// NB: the first ones take large changes from the store and tell them to all others. Of 32 entries, six
+/// with wide links, the wide ones come first and the narrow ones keep theirs for callers.
+type OrderKey = (u32, u64, String);
 
-fn order_key(name: &str) -> OrderKey {
-    (session_key(name), name.to_owned())
+fn order_key(name: &str, listing: &Listing) -> OrderKey {
+    (listing.link_rank(), session_key(name), name.to_owned())
 }
 
 /// Where to learn of changes.
@@ -48,7 +53,7 @@
 
 #[derive(Debug)]
 struct Listed {
-    address: SocketAddr,
+    listing: Listing,
     passed_over_until: Duration,
     failures: u32,
 }
@@ -60,42 +65,47 @@
     place_among_seeds: Option<usize>,
     in_tree: bool,
     listed: RefCell<BTreeMap<OrderKey, Listed>>,
-    own_listed: Cell<Option<SocketAddr>>,
+    /// Place of each entry that is listed, by name.
+    places: RefCell<HashMap<String, OrderKey>>,
+    own_listed: Cell<Option<Listing>>,
 }
 
 impl Roster {
     /// Knows of no entry yet.
     pub fn new(settings: &DirectSettings) -> Self {
         let seeds = &settings.membership.seeds;
+        let address = settings.peers.unwrap_or(settings.callers);
+        let own = Listing { address, link_mbps: settings.link_mbps };
         Roster {
-            own: order_key(&settings.name),
+            own: order_key(&settings.name, &own),
             place_among_seeds: seeds.iter().position(|seed| Some(*seed) == settings.peers),
             in_tree: settings.membership.tree,
             listed: RefCell::default(),
+            places: RefCell::default(),
             own_listed: Cell::new(None),
         }
     }
 
     /// Learns of an entry, or that it is no longer listed.
-    pub fn learn(&self, name: &str, address: Option<SocketAddr>) {
-        let key = order_key(name);
-        if key == self.own {
-            self.own_listed.set(address);
+    pub fn learn(&self, name: &str, listing: Option<Listing>) {
+        if name == self.own.2 {
+            self.own_listed.set(listing);
         }
         let mut listed = self.listed.borrow_mut();
-        match address {
-            Some(address) => {
-                let fresh = Listed { address, passed_over_until: Duration::ZERO, failures: 0 };
-                listed.insert(key, fresh);
-            }
-            None => {
-                listed.remove(&key);
-            }
+        let mut places = self.places.borrow_mut();
+        if let Some(place) = places.remove(name) {
+            listed.remove(&place);
+        }
+        if let Some(listing) = listing {
+            let place = order_key(name, &listing);
+            places.insert(name.to_owned(), place.clone());
+            let fresh = Listed { listing, passed_over_until: Duration::ZERO, failures: 0 };
+            listed.insert(place, fresh);
         }
     }
 
-    /// Address under which this entry is listed.
-    pub fn own_listed(&self) -> Option<SocketAddr> {
+    /// How this entry is listed.
+    pub fn own_listed(&self) -> Option<Listing> {
         self.own_listed.get()
     }
 
@@ -116,7 +126,7 @@
             Place::Root => Source::StoreAlone,
             Place::Below(above) => {
                 let (key, one) = able[above];
-                Source::Entry { name: key.1.clone(), address: one.address }
+                Source::Entry { name: key.2.clone(), address: one.listing.address }
             }
         }
     }
@@ -138,7 +148,7 @@
 
     /// A number below `among` that differs from entry to entry.
     pub fn spread(&self, among: usize) -> usize {
-        (self.own.0 % among.max(1) as u64) as usize
+        (self.own.1 % among.max(1) as u64) as usize
     }
 
     /// Entries in order other than this one that answered when last asked.
@@ -146,7 +156,7 @@
         let listed = self.listed.borrow();
         let able =
             listed.iter().filter(|(key, one)| **key != self.own && one.passed_over_until <= now);
-        able.map(|(key, one)| (key.1.clone(), one.address)).collect()
+        able.map(|(key, one)| (key.2.clone(), one.listing.address)).collect()
     }
 
     /// The other entries that ask the store, as far as this one can tell; one at least, so that what
@@ -157,24 +167,27 @@
             listed.iter().filter(|(key, one)| **key == self.own || one.passed_over_until <= now);
         let roots = tree::roots(able.clone().count()).max(2);
         let others = able.take(roots).filter(|(key, _)| **key != self.own);
-        others.map(|(_, one)| one.address).collect()
+        others.map(|(_, one)| one.listing.address).collect()
     }
 
-    /// Address under which an entry is listed.
-    pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
-        self.listed.borrow().get(&order_key(name)).map(|one| one.address)
+    /// How an entry is listed.
+    pub fn listing_of(&self, name: &str) -> Option<Listing> {
+        let places = self.places.borrow();
+        self.listed.borrow().get(places.get(name)?).map(|one| one.listing)
     }
 
-    /// Position of the name that comes first in the order of entries.
+    /// Position of the name that comes first in the order of entries on like links.
     pub fn first_of(names: &[&str]) -> usize {
-        let order = |(_, name): &(usize, &&str)| order_key(name);
+        let order = |(_, name): &(usize, &&str)| (session_key(name), name.to_string());
         names.iter().enumerate().min_by_key(order).map_or(0, |(position, _)| position)
     }
 
     /// An entry answered, or failed to; one that failed is passed over for a while.
     pub fn note(&self, name: &str, error: Option<&AskError>, now: Duration) {
         let mut listed = self.listed.borrow_mut();
-        let Some(one) = listed.get_mut(&order_key(name)) else { return };
+        let places = self.places.borrow();
+        let place = places.get(name);
+        let Some(one) = place.and_then(|place| listed.get_mut(place)) else { return };
         match error {
             None => one.failures = 0,
             Some(AskError::Old) => one.passed_over_until = now + PASS_OVER_WHILE_BEHIND,
--- a/crates/direct/tests/survives_late_answers.rs
+++ b/crates/direct/tests/survives_late_answers.rs
@@ -71,6 +71,37 @@
     });
 }
 
+#[test]
+fn entries_on_wide_links_take_large_changes_from_the_store_for_those_on_narrow_ones() {
+    play(|world| async move {
+        world.configure(catalog(1));
+        world.start_server(1, "s", "v1", Act::Answer(200, "made".into()));
+        let net = Net::default();
+        let seeds = peer_address(0);
+        let start = |n: u16| {
+            let link_mbps = if n % 6 == 3 { 200 } else { 10 };
+            let further = format!("link_mbps={link_mbps}.0\n[membership]\nseeds={seeds}\n");
+            (net.start_with(&world, n, &further), link_mbps)
+        };
+        let entries: Vec<(Entry, u64)> = (0..32).map(start).collect();
+        for (entry, link_mbps) in &entries {
+            world.cut_store_for(entry, Weather::Narrow(link_mbps * NARROW / 10));
+        }
+        sleep(Duration::from_secs(6)).await;
+        let (wide, narrow): (Vec<_>, Vec<_>) =
+            entries.into_iter().partition(|(_, link_mbps)| *link_mbps > 10);
+        let entries: Vec<Entry> = wide.into_iter().chain(narrow).map(|(entry, _)| entry).collect();
+        let asks_store = |entry: &Entry| entry.metrics_text().contains("asks_store 1");
+        let roots: Vec<usize> = (0..32).filter(|n| asks_store(&entries[*n])).collect();
+        assert_eq!(roots.len(), 3);
+        assert!(roots.iter().all(|root| *root < 5), "{roots:?} of those on wide links, 0 to 4");
+        world.configure_large(catalog_with_keys(2, &["k1"]), LARGE);
+        let time = until_in_force(&entries, 2).await;
+        let read = Duration::from_secs_f64(LARGE as f64 / (20.0 * NARROW as f64));
+        assert!(time <= world.entry_times().oldest_in_calm() + read, "{time:?}");
+    });
+}
+
 #[test]
 fn a_change_is_in_force_an_answer_and_an_interval_after_it_was_made() {
     for answer_ms in [10, 500, 2_000, 4_000] {
