Steps and listings wait for the store's word as long as its answers take

The same class elsewhere: what is retried, or left to others, for a fixed time holds only while answers come quicker. Change: a step or listing whose write got no answer is left alone until a watch tells of it (an answer, an interval and two exchanges); the turns of others wait as long; an order counts from when it may have been given, an answer time before it was heard. Now at most 12 lost writes, completed in time, at most 30 writes to list 20 entries.

--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -10,7 +10,12 @@
 mod records;
 mod turns;
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
 
 use pondwalk_decide::direct::{Move, RollOut, SessionKey, Stage};
 use pondwalk_store::{Change, Expect, StoreError};
@@ -51,6 +56,11 @@
     revisions: RefCell<HashMap<String, u64>>,
     stages: RefCell<HashMap<ServiceId, StageRecord>>,
     told: RefCell<HashMap<ServiceId, Progress>>,
+    /// Until when a step is left alone whose write got no answer: by then the store tells whether it
+    /// was done.
+    unanswered: RefCell<HashMap<ServiceId, Duration>>,
+    /// Until when what was listed last is expected to be heard of.
+    listed_until: Cell<Duration>,
 }
 
 impl Conductor {
@@ -63,6 +73,8 @@
             revisions: RefCell::default(),
             stages: RefCell::default(),
             told: RefCell::default(),
+            unanswered: RefCell::default(),
+            listed_until: Cell::default(),
         }
     }
 
@@ -85,7 +97,7 @@
             let (ready, next) =
                 turns.ready(&due, now, |service, step| self.wait_with(service, step));
             pause = next.map_or(LOOK_INTERVAL, |next| next.min(LOOK_INTERVAL));
-            for service in ready {
+            for service in ready.into_iter().filter(|service| !self.awaits_word_of(service)) {
                 // NB: another entry may have made the step meanwhile.
                 if let Some(step) = self.due_for(&service) {
                     self.make(&service, step).await;
@@ -113,8 +125,18 @@
 
     /// How long this entry leaves to those before it what is due at all.
     fn wait_in_order(&self) -> Duration {
+        wait_in_order(self.core.roster.rank(), self.time_to_hear())
+    }
+
+    /// Longest time until an entry hears what was just written to the store.
+    fn time_to_hear(&self) -> Duration {
         let times = &self.core.settings.membership.times;
-        wait_in_order(self.core.roster.rank(), times.confirm_interval + times.exchange * 2)
+        times.oldest_in_calm() + self.core.state.borrow().store_takes
+    }
+
+    fn awaits_word_of(&self, service: &ServiceId) -> bool {
+        let until = self.unanswered.borrow().get(service).copied();
+        until.is_some_and(|until| self.core.clock.now() < until)
     }
 
     fn has_found_bad(&self, service: &ServiceId) -> bool {
@@ -159,6 +181,10 @@
             self.tell_bad(service);
         }
         let mut told = None;
+        if written == Err(StoreError::AnswerLost) {
+            let until = self.core.clock.now() + self.time_to_hear();
+            self.unanswered.borrow_mut().insert(service.clone(), until);
+        }
         if written.is_err() {
             // NB: the watch brings what another entry wrote, and what an answer that was lost
             // left behind; until then the step counts as due.
--- a/crates/direct/src/conductor/learn.rs
+++ b/crates/direct/src/conductor/learn.rs
@@ -39,9 +39,12 @@
         }
         let share = self.core.settings.roll_out.exposure;
         let now = self.core.clock.now();
+        // NB: it is to be done in a time that runs from when it was given, not from when a late
+        // answer told of it.
+        let given = now.saturating_sub(state.store_takes);
         let times = &self.core.settings.membership.times;
         let news = times.confirm_interval + times.exchange;
-        let roll_out = RollOut::new(order.target.clone(), order.within, now, share, news);
+        let roll_out = RollOut::new(order.target.clone(), order.within, given, share, news);
         let before = state.roll_outs.insert(service.clone(), roll_out);
         let fleet = state.fleet(service);
         // NB: the servers of a version that was reverted stay for a while, and are no part of the
--- a/crates/direct/src/conductor/listing.rs
+++ b/crates/direct/src/conductor/listing.rs
@@ -24,10 +24,14 @@
     pub(super) async fn list_joined(&self, wait: Duration) {
         // NB: while the store is away nobody can be listed, and each try counts as a call.
         let asks_others = matches!(self.core.source(), Source::Entry { .. });
-        if asks_others || self.core.outage().is_some() {
+        let awaits_word = self.core.clock.now() < self.listed_until.get();
+        if asks_others || awaits_word || self.core.outage().is_some() {
             return;
         }
         let unlisted = self.unlisted(GATHER_TIME + wait);
+        if !unlisted.is_empty() {
+            self.listed_until.set(self.core.clock.now() + self.time_to_hear());
+        }
         for some in unlisted.chunks(MOST_AT_ONCE) {
             let changes = some.iter().map(|(name, listing)| self.listing(name, listing));
             if let Err(error) = self.commit(changes.collect(), StoreCause::Listing).await {
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -156,7 +156,7 @@
         if self.core.roster.own_listed() == Some(own) || now < self.list_from {
             return;
         }
-        self.list_from = now + LISTING_TIME;
+        self.list_from = now + LISTING_TIME + self.core.state.borrow().store_takes;
         if std::mem::replace(&mut self.joined, true) {
             self.conductor.list_itself(own).await;
         } else {
@@ -217,7 +217,9 @@
 
     async fn take_listing(&mut self, answered: Answered<Listing>) -> Option<u64> {
         let sent = answered.asked.sent;
-        self.core.metrics.time(Timer::StoreCall, self.core.clock.now().saturating_sub(sent));
+        let took = self.core.clock.now().saturating_sub(sent);
+        self.core.metrics.time(Timer::StoreCall, took);
+        self.core.state.borrow_mut().store_takes = took;
         match answered.answer {
             Ok(listing) => {
                 self.started = true;
--- a/crates/direct/tests/survives_late_answers.rs
+++ b/crates/direct/tests/survives_late_answers.rs
@@ -39,6 +39,16 @@
     world.ask_at(entry, sent).await.status.as_u16()
 }
 
+/// Calls to the store of a cause, by all entries.
+fn store_calls(entries: &[Entry], cause: &str) -> u64 {
+    let name = format!("pondwalk_store_calls_total{{cause=\"{cause}\"}}");
+    let of_one = |entry: &Entry| {
+        let text = entry.metrics_text();
+        text.lines().find_map(|line| line.strip_prefix(&*name)?.trim().parse().ok()).unwrap_or(0)
+    };
+    entries.iter().map(of_one).sum::<u64>()
+}
+
 fn holds(entry: &Entry, version: u64) -> bool {
     let installed = format!("\"configuration_in_force\",\"version\":{version},");
     entry.gathered_lines().contains(&installed)
@@ -172,3 +182,58 @@
         });
     }
 }
+
+#[test]
+fn a_roll_out_is_carried_through_in_time_whatever_an_answer_takes() {
+    for answer_ms in [10, 500, 2_000, 4_000] {
+        play(|world| async move {
+            let entries = start(&world, 20).await;
+            for n in 11..=13 {
+                world.start_server(n, "s", "v2", Act::Answer(200, "new".into()));
+            }
+            world.store.set_weather(Weather::Late(Duration::from_millis(answer_ms)));
+            sleep(Duration::from_secs(7)).await;
+            world.store.put("order/s", "v2 24");
+            sleep(Duration::from_secs(24)).await;
+            let told = world.store.value("progress/s");
+            assert_eq!(told.as_deref(), Some("v2 Completed"), "at {answer_ms} ms");
+            let lost = store_calls(&entries, "step_lost");
+            assert!(lost <= 12, "{lost} writes of a step in vain at {answer_ms} ms");
+        });
+    }
+}
+
+#[test]
+fn entries_that_start_are_listed_whatever_an_answer_takes() {
+    for answer_ms in [10, 500, 2_000, 4_000] {
+        play(|world| async move {
+            world.configure(catalog(1));
+            world.start_server(1, "s", "v1", Act::Answer(200, "made".into()));
+            world.store.set_weather(Weather::Late(Duration::from_millis(answer_ms)));
+            let entries = Net::default().start_many(&world, 20, "");
+            sleep(Duration::from_secs(20)).await;
+            for entry in &entries {
+                let text = entry.metrics_text();
+                assert!(text.contains("entries_listed 20"), "{} at {answer_ms} ms", entry.name());
+            }
+            let writes = store_calls(&entries, "listing");
+            assert!(writes <= 30, "{writes} writes of listings at {answer_ms} ms");
+        });
+    }
+}
+
+#[test]
+fn a_server_that_leaves_is_left_an_answer_and_an_interval_later() {
+    for answer_ms in [10, 500, 2_000, 4_000] {
+        play(|world| async move {
+            let entries = start(&world, 20).await;
+            let answer = Duration::from_millis(answer_ms);
+            world.store.set_weather(Weather::Late(answer));
+            sleep(Duration::from_secs(7)).await;
+            world.list_server(1, "s", "v1", "draining");
+            sleep(answer + world.entry_times().oldest_in_calm() + STEP).await;
+            let knows = |entry: &&Entry| entry.gathered_lines().contains("Draining");
+            assert_eq!(entries.iter().filter(knows).count(), entries.len(), "at {answer_ms} ms");
+        });
+    }
+}
--- a/crates/standin/src/memory_store.rs
+++ b/crates/standin/src/memory_store.rs
@@ -40,6 +40,8 @@
     AnswersLost,
 }
 
+/// Time after which writers give up an answer.
+const WRITE_LIMIT: Duration = Duration::from_secs(1);
 /// Bytes of an answer that a narrow link carries before those of another.
 const PIECE_BYTES: usize = 16 * 1024;
 
@@ -184,15 +186,23 @@
             }
         });
         if !holds {
+            drop(state);
+            if let Weather::Late(time) = self.weather() {
+                sleep(time.min(WRITE_LIMIT)).await;
+            }
             return Err(StoreError::Conflict);
         }
         for change in changes {
             state.apply(&change.key, Some(change.value));
         }
-        let lost = state.weather == Weather::AnswersLost;
+        let mut lost = state.weather == Weather::AnswersLost;
         let revision = state.revision;
         drop(state);
         self.changed.notify_waiters();
+        if let Weather::Late(time) = self.weather() {
+            sleep(time.min(WRITE_LIMIT)).await;
+            lost |= time > WRITE_LIMIT;
+        }
         if lost { Err(StoreError::AnswerLost) } else { Ok(revision) }
     }
 
