Read what entries tell one another while it comes; pack a change once; tell how late the store may answer

The class among entries: a first state was given up after 0.5 s whole (30 entries ask three seeds, a large one is 0.1 MB), a state when the question's time was over, news after 0.25 s however large. A root packed the same change for each asker, some 10 ms of a processor each; it is kept for those that hold the same. The sum at the start tells how long answers may take for changes and for keys (tested, and logged when a process starts).

--- a/crates/config/src/membership.rs
+++ b/crates/config/src/membership.rs
@@ -45,6 +45,8 @@
     pub tree: bool,
     /// Whether steps of a roll-out are made in the order of the entries.
     pub ordered_steps: bool,
+    /// Time within which a change must be in force everywhere.
+    pub propagation: Duration,
     /// Times that follow from what the deployment declares.
     pub times: MembershipTimes,
 }
@@ -85,6 +87,12 @@
         self.confirm_interval + self.exchange * 2
     }
 
+    /// Longest time that an answer of the store may take so that what must be known everywhere
+    /// within `bound` still is. Questions overlap, so an answer time counts once.
+    pub fn longest_answer(&self, bound: Duration) -> Duration {
+        bound.saturating_sub(self.oldest_in_calm())
+    }
+
     /// Longest time until a change reaches an entry whose way, and the next ones it tries, are
     /// lost without a word.
     pub fn longest(&self) -> Duration {
@@ -107,6 +115,7 @@
             first_state: file.or("membership", "first_state", "true or false", true),
             tree: file.or("membership", "tree", "true or false", true),
             ordered_steps: file.or("membership", "ordered_steps", "true or false", true),
+            propagation,
             times,
         }
     }
--- a/crates/config/tests/accepts_sample_files.rs
+++ b/crates/config/tests/accepts_sample_files.rs
@@ -66,6 +66,7 @@
         ("{{listen.frontend}}", "10.1.0.40:8227"),
         ("{{listen.readiness}}", "10.1.0.40:8220"),
         ("{{listen.control_plane}}", "10.1.0.40:8229"),
+        ("{{limits.link_mbps}}", "10.0"),
         ("{{seed_nodes}}", "10.1.0.40:8229,10.2.0.29:8229,10.3.0.19:8229"),
         ("{{guarantees.propagation_ms}}", "2000"),
         ("{{platform.address}}", "10.200.1.7:8223"),
@@ -106,6 +107,7 @@
     assert_eq!(settings.key_bound.as_millis(), 4_500);
     assert_eq!(settings.session_ttl.as_millis(), 5_500);
     assert!(settings.peers.is_some() && settings.metrics.is_some());
+    assert_eq!(settings.link_mbps, 10);
 }
 
 #[test]
@@ -124,3 +126,18 @@
         assert!(times.oldest_told > times.oldest_in_calm(), "{propagation_ms}: {times:?}");
     }
 }
+
+#[test]
+fn how_late_the_store_may_answer_follows_from_what_the_deployment_declares() {
+    let key_bound = Duration::from_millis(4_500);
+    let longest = |propagation_ms| {
+        let propagation = Duration::from_millis(propagation_ms);
+        let times = MembershipTimes::split(propagation, key_bound);
+        [propagation, key_bound].map(|bound| times.longest_answer(bound).as_millis())
+    };
+    // Answers that may take, for changes and for keys; the table of docs/decisions/0018.
+    assert_eq!(longest(1_000), [600, 4_100]);
+    assert_eq!(longest(2_000), [1_400, 3_900]);
+    assert_eq!(longest(3_000), [2_215, 3_715]);
+    assert_eq!(longest(4_000), [3_215, 3_715]);
+}
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -32,6 +32,9 @@
 /// Longest time for another entry to take news. One takes a few milliseconds; an
 /// entry that is busy or paused for longer than this is of no use.
 const TELL_LIMIT: Duration = Duration::from_millis(250);
+/// Time for each byte of news beside it: a link of 10 Mbit/s that does little else carries five times as
+/// much.
+const TELL_LIMIT_OF_BYTE: Duration = Duration::from_micros(4);
 
 /// Why another entry told nothing of use.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -201,6 +204,7 @@
         address: SocketAddr,
         body: Bytes,
     ) -> Result<(), AskError> {
+        let limit = TELL_LIMIT + TELL_LIMIT_OF_BYTE * u32::try_from(body.len()).unwrap_or(u32::MAX);
         let request = Request::post(NEWS_PATH).header(HOST, address.to_string());
         let request = request.body(Full::from(body)).map_err(failed)?;
         let telling = async {
@@ -210,7 +214,7 @@
                 status => Err(AskError::Failed(status.to_string())),
             }
         };
-        let until = Instant::now() + TELL_LIMIT;
+        let until = Instant::now() + limit;
         timeout_at(until, telling).await.map_err(|_| AskError::Silent)?
     }
 
--- a/crates/direct/src/membership/replica.rs
+++ b/crates/direct/src/membership/replica.rs
@@ -27,6 +27,8 @@
     removed: VecDeque<(u64, String)>,
     /// The whole state as it is sent, with its revision.
     whole: Option<(u64, Bytes)>,
+    /// The last changes as they were sent, with the revisions between which they lie.
+    sent: Option<(u64, u64, Bytes)>,
 }
 
 impl Replica {
@@ -91,6 +93,21 @@
         Some(changes)
     }
 
+    /// The changes after `revision` as they are sent; `None` if only the whole state tells. They are
+    /// packed once for all that ask for the same: a large configuration takes some 10 ms.
+    pub fn sent_after(&mut self, revision: u64) -> Option<Result<Bytes, MessageError>> {
+        if let Some((from, to, bytes)) = &self.sent
+            && (*from, *to) == (revision, self.revision)
+        {
+            return Some(Ok(bytes.clone()));
+        }
+        let packed = message::pack(&self.after(revision)?);
+        if let Ok(bytes) = &packed {
+            self.sent = Some((revision, self.revision, bytes.clone()));
+        }
+        Some(packed)
+    }
+
     /// The whole state as it is sent. It is built once for each revision, since after a restart of
     /// all entries many ask for the same.
     pub fn whole(&mut self) -> Result<Bytes, MessageError> {
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -15,8 +15,7 @@
 };
 
 use super::{
-    FORMAT, MessageError, NEWS_PATH, Need, STATE_PATH, State, StateHead,
-    message::{news_from_bytes, pack},
+    FORMAT, MessageError, NEWS_PATH, Need, STATE_PATH, State, StateHead, message::news_from_bytes,
 };
 use crate::{core::Core, journal::Rank, metrics::Counter};
 
@@ -185,12 +184,12 @@
 fn state_after(core: &Core, asked: Asked) -> Result<Bytes, MessageError> {
     let mut state = core.state.borrow_mut();
     let changes = match asked.need {
-        Need::Changes | Need::ChangesNow => state.replica.after(asked.after),
+        Need::Changes | Need::ChangesNow => state.replica.sent_after(asked.after),
         Need::FirstState | Need::FirstStateNow => None,
     };
     let whole = changes.is_none();
     let body = match changes {
-        Some(changes) => pack(&changes)?,
+        Some(changes) => changes?,
         None => state.replica.whole()?,
     };
     let news = core.news.borrow();
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -47,7 +47,15 @@
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 enum LifeEvent<'a> {
-    Started { data_centre: &'a str, callers: SocketAddr, store: SocketAddr },
+    Started {
+        data_centre: &'a str,
+        callers: SocketAddr,
+        store: SocketAddr,
+        /// Longest answer of the store with which a change is in force in time.
+        answer_for_changes_ms: u64,
+        /// Longest answer of the store with which keys stay confirmed.
+        answer_for_keys_ms: u64,
+    },
     ReloadAsked,
 }
 
@@ -74,10 +82,14 @@
     };
     let entry = Entry::new(settings, dialect, port, upstream::over_tcp(), journal, rand::random());
     let core = entry.core();
+    let membership = &core.settings.membership;
+    let longest_answer_ms = |bound| membership.times.longest_answer(bound).as_millis() as u64;
     let event = LifeEvent::Started {
         data_centre: &core.settings.data_centre,
         callers: core.settings.callers,
         store: core.settings.store.address,
+        answer_for_changes_ms: longest_answer_ms(membership.propagation),
+        answer_for_keys_ms: longest_answer_ms(core.settings.key_bound),
     };
     core.journal.note(Rank::State, &event);
     entry.start();
--- a/crates/direct/tests/survives_late_answers.rs
+++ b/crates/direct/tests/survives_late_answers.rs
@@ -6,16 +6,24 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use common::{
     World, catalog, catalog_with_keys,
-    net::{Net, peer_address},
+    net::{Impostor, Net, peer_address},
     play, request, with,
 };
-use pondwalk_direct::Entry;
+use pondwalk_direct::{
+    Entry,
+    membership::{FORMAT, Replica, State, StateHead},
+};
 use pondwalk_standin::{backends::Act, memory_store::Weather};
-use tokio::time::{Instant, sleep};
+use pondwalk_store::Fetched;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    task::spawn_local,
+    time::{Instant, sleep},
+};
 
 /// Time within which a change must be in force where the tests declare nothing.
 const PROPAGATION: Duration = Duration::from_secs(2);
@@ -183,6 +191,61 @@
     }
 }
 
+/// Tells a first state, in parts that come for 1.2 s, to whoever connects.
+fn telling_slowly(keys: &[(&str, &str)]) -> Impostor {
+    let entry = |(key, value): &(&str, &str)| Fetched {
+        key: (*key).to_owned(),
+        value: value.as_bytes().to_vec(),
+        revision: 1,
+    };
+    let mut replica = Replica::default();
+    replica.restart(&keys.iter().map(entry).collect::<Vec<_>>(), 9);
+    let head = StateHead {
+        format: FORMAT,
+        store: "127.0.0.1:3".parse().expect("the store of these tests"),
+        incarnation: 1,
+        now: Duration::from_secs(9),
+        confirmed: Duration::from_secs(9),
+        store_returned: None,
+        store_takes: Duration::ZERO,
+        turn: 1,
+        revision: 9,
+        whole: true,
+        body_bytes: 0,
+        news_end: 0,
+    };
+    let state = State { head, body: replica.whole().expect("it packs"), news: Vec::new() };
+    let body = state.to_bytes().expect("it serializes");
+    Rc::new(move |mut stream| {
+        let body = body.clone();
+        spawn_local(async move {
+            let mut question = [0; 4_096];
+            let _ = stream.read(&mut question).await;
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            let _ = stream.write_all(head.as_bytes()).await;
+            for part in body.chunks(body.len().div_ceil(12)) {
+                sleep(Duration::from_millis(100)).await;
+                let _ = stream.write_all(part).await;
+            }
+        });
+    })
+}
+
+#[test]
+fn a_state_that_another_entry_tells_is_read_however_long_it_takes_to_come() {
+    play(|world| async move {
+        let net = Net::default();
+        world.configure(catalog(1));
+        world.store.set_weather(Weather::Refused);
+        let told = telling_slowly(&[("catalog", "1")]);
+        net.impostors.borrow_mut().insert(peer_address(0), told);
+        let seeds = format!("[membership]\nseeds={}\n", peer_address(0));
+        let entry = net.start_with(&world, 9, &seeds);
+        sleep(Duration::from_millis(1_300)).await;
+        assert!(holds(&entry, 1), "{}", entry.gathered_lines());
+    });
+}
+
 #[test]
 fn a_roll_out_is_carried_through_in_time_whatever_an_answer_takes() {
     for answer_ms in [10, 500, 2_000, 4_000] {
