--- a/crates/standin/src/memory_store.rs
+++ b/crates/standin/src/memory_store.rs
@@ -177,33 +177,21 @@
 
     async fn commit(&self, changes: Vec<Change>) -> Result<u64, StoreError> {
         self.meet_weather().await?;
-        let mut state = self.state.borrow_mut();
-        let holds = changes.iter().all(|change| {
-            let current = state.keys.get(&change.key).map(|(_, revision)| *revision);
-            match change.expect {
-                Expect::Absent => current.is_none(),
-                Expect::Revision(revision) => current == Some(revision),
-            }
-        });
-        if !holds {
-            drop(state);
-            if let Weather::Late(time) = self.weather() {
+        let done = self.state.borrow_mut().commit(changes);
+        if done.is_ok() {
+            self.changed.notify_waiters();
+        }
+        match self.weather() {
+            Weather::AnswersLost if done.is_ok() => return Err(StoreError::AnswerLost),
+            Weather::Late(time) => {
                 sleep(time.min(WRITE_LIMIT)).await;
+                if time > WRITE_LIMIT {
+                    return Err(StoreError::AnswerLost);
+                }
             }
-            return Err(StoreError::Conflict);
-        }
-        for change in changes {
-            state.apply(&change.key, Some(change.value));
-        }
-        let mut lost = state.weather == Weather::AnswersLost;
-        let revision = state.revision;
-        drop(state);
-        self.changed.notify_waiters();
-        if let Weather::Late(time) = self.weather() {
-            sleep(time.min(WRITE_LIMIT)).await;
-            lost |= time > WRITE_LIMIT;
+            _ => {}
         }
-        if lost { Err(StoreError::AnswerLost) } else { Ok(revision) }
+        done
     }
 
     fn weather(&self) -> Weather {
@@ -281,6 +269,24 @@
         Listing { entries: entries.collect(), revision: self.revision }
     }
 
+    /// Makes all changes, if all their conditions hold.
+    fn commit(&mut self, changes: Vec<Change>) -> Result<u64, StoreError> {
+        let holds = changes.iter().all(|change| {
+            let current = self.keys.get(&change.key).map(|(_, revision)| *revision);
+            match change.expect {
+                Expect::Absent => current.is_none(),
+                Expect::Revision(revision) => current == Some(revision),
+            }
+        });
+        if !holds {
+            return Err(StoreError::Conflict);
+        }
+        for change in changes {
+            self.apply(&change.key, Some(change.value));
+        }
+        Ok(self.revision)
+    }
+
     fn apply(&mut self, key: &str, value: Written) {
         self.revision += 1;
         let revision = self.revision;
