--- a/crates/direct/src/follow/asking.rs
+++ b/crates/direct/src/follow/asking.rs
@@ -16,8 +16,9 @@
 /// Time without a byte of its answer after which a call is given up, besides its own wait: the
 /// longest answer time for which anything is promised is 4 s, and a third more is left to the way.
 const SILENCE_LIMIT: Duration = Duration::from_secs(6);
-/// Time since the last byte for which an answer counts as being read. A lost packet is sent again
-/// after some 0.2 s, then 0.4 s.
+/// Time since the last byte for which an answer counts as being read, besides what the store took to
+/// begin it, since the next page takes as long. A lost packet is sent again after some 0.2 s, then
+/// 0.4 s.
 const MOVING_LIMIT: Duration = Duration::from_secs(1);
 
 /// What a call asked, and when.
@@ -46,6 +47,7 @@
 struct Call {
     id: Id,
     asked: Asked,
+    started: Instant,
     progress: Progress,
     task: AbortHandle,
 }
@@ -74,7 +76,7 @@
             let answer = wait_while_moving(call, asked.wait + SILENCE_LIMIT, &moved).await;
             Answered { asked, bytes: progress.bytes(), answer }
         });
-        self.calls.push(Call { id: task.id(), asked, progress, task });
+        self.calls.push(Call { id: task.id(), asked, started: Instant::now(), progress, task });
     }
 
     /// Whether an answer is being read. A further call would only take part of the link from it.
@@ -145,10 +147,11 @@
 
 impl Call {
     fn is_moving(&self) -> bool {
-        let is_recent = |last: Instant| last.elapsed() < MOVING_LIMIT;
-        self.progress.bytes() > 0
-            && !self.task.is_finished()
-            && self.progress.last().is_some_and(is_recent)
+        let (Some(first), Some(last)) = (self.progress.first(), self.progress.last()) else {
+            return false;
+        };
+        let limit = MOVING_LIMIT + (first - self.started);
+        self.progress.bytes() > 0 && !self.task.is_finished() && last.elapsed() < limit
     }
 }
 
--- a/crates/store/src/port.rs
+++ b/crates/store/src/port.rs
@@ -26,6 +26,7 @@
 #[derive(Debug, Default)]
 struct Come {
     bytes: Cell<usize>,
+    first: Cell<Option<Instant>>,
     last: Cell<Option<Instant>>,
     moved: Notify,
 }
@@ -34,7 +35,9 @@
     /// So many more bytes of the answer have come.
     pub fn note(&self, bytes: usize) {
         self.inner.bytes.set(self.inner.bytes.get() + bytes);
-        self.inner.last.set(Some(Instant::now()));
+        let now = Instant::now();
+        self.inner.first.set(self.inner.first.get().or(Some(now)));
+        self.inner.last.set(Some(now));
         self.inner.moved.notify_one();
     }
 
@@ -43,6 +46,11 @@
         self.inner.bytes.get()
     }
 
+    /// When the first of them came, if any has.
+    pub fn first(&self) -> Option<Instant> {
+        self.inner.first.get()
+    }
+
     /// When the last of them came, if any has.
     pub fn last(&self) -> Option<Instant> {
         self.inner.last.get()
