A soak: entries, store and servers as processes, under series of signals and store faults

Callers keep their connections until the process is gone; stops, kills, pauses, refused, silent, late and lossy calls to the store, lost history, configurations and leaving servers come in series that overlap, drawn from a seed. Ten promises are checked from what callers and servers saw; each check notices one case that breaks it and no other (tests).

--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,216 @@
+//! What is promised, held against what was seen.
+//!
+//! Each check counts what it has looked at, so that one that has looked at nothing is noticed.
+
+use std::time::Duration;
+
+use crate::records::{End, Exchange, Records, Route, TimeUs};
+
+/// Time in which a change must be in force.
+pub const PROPAGATION: Duration = Duration::from_secs(2);
+/// Time after which a key that was taken away must be dead, whatever is disturbed.
+pub const KEY_BOUND: Duration = Duration::from_secs(5);
+/// Time in which a server that leaves must be left.
+pub const LEAVE_BOUND: Duration = Duration::from_secs(2);
+/// Time without disturbance from which bounds of time hold.
+pub const SETTLE: Duration = Duration::from_secs(4);
+/// Slack of all bounds: real processes share a few processors, and runs are told in steps.
+pub const SLACK: Duration = Duration::from_millis(500);
+/// Time by which one answer may be overtaken by another at the same entry.
+const OVERTAKING: Duration = Duration::from_secs(1);
+/// Share of requests that must be served once all is calm again.
+const RECOVERED_SHARE: f64 = 0.9;
+/// Time that recovery may take.
+const RECOVERY: Duration = Duration::from_secs(6);
+
+/// What one check found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// The promise.
+    pub promise: &'static str,
+    /// Cases that were looked at.
+    pub looked_at: usize,
+    /// Those that broke it, each in a line.
+    pub broken: Vec<String>,
+}
+
+/// A check.
+pub type Check = fn(&Records) -> Finding;
+
+/// All checks.
+pub const CHECKS: [Check; 10] = [
+    runs_at_most_once,
+    refusals_are_true,
+    answers_are_whole_and_own,
+    every_request_is_answered,
+    nothing_is_cut,
+    changes_are_in_force,
+    configurations_never_revert,
+    keys_are_dead_in_time,
+    leaving_servers_are_left,
+    service_recovers,
+];
+
+fn us(time: Duration) -> TimeUs {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn finding<'a, T>(
+    promise: &'static str,
+    cases: impl IntoIterator<Item = T>,
+    broken_by: impl Fn(&T) -> Option<String> + 'a,
+) -> Finding {
+    let mut looked_at = 0;
+    let mut broken = Vec::new();
+    for case in cases {
+        looked_at += 1;
+        broken.extend(broken_by(&case));
+    }
+    Finding { promise, looked_at, broken }
+}
+
+/// A request that may not be repeated runs once at most.
+pub fn runs_at_most_once(records: &Records) -> Finding {
+    let runs = records.runs_by_id();
+    let once = records.exchanges.iter().filter(|exchange| exchange.route == Route::Once);
+    finding("runs at most once", once, |exchange| {
+        let runs = runs.get(exchange.id.as_str()).map_or(0, Vec::len);
+        (runs > 1).then(|| format!("{} ran {runs} times", exchange.id))
+    })
+}
+
+/// A refusal says that the request has not run, and never will.
+pub fn refusals_are_true(records: &Records) -> Finding {
+    let runs = records.runs_by_id();
+    let is_refusal = |exchange: &&Exchange| {
+        matches!(exchange.end, End::Answered { status: 408 | 421 | 429 | 503, .. })
+    };
+    let refused = records.exchanges.iter().filter(is_refusal);
+    finding("refusals are true", refused, |exchange| {
+        let ran = runs.contains_key(exchange.id.as_str());
+        ran.then(|| format!("{} was refused and ran", exchange.id))
+    })
+}
+
+/// An answer of success is all of what a server made for this request.
+pub fn answers_are_whole_and_own(records: &Records) -> Finding {
+    let success = |exchange: &&Exchange| matches!(exchange.end, End::Answered { status: 200, .. });
+    finding("answers are whole and own", records.exchanges.iter().filter(success), |exchange| {
+        let spoiled = matches!(exchange.end, End::Answered { is_whole: false, .. });
+        spoiled.then(|| format!("{} got another's answer, or a part", exchange.id))
+    })
+}
+
+/// Every request is answered by its deadline, unless its entry was killed or paused.
+pub fn every_request_is_answered(records: &Records) -> Finding {
+    let undisturbed = records.exchanges.iter().filter(|exchange| {
+        !records.was_disturbed(exchange.entry, exchange.sent_us, exchange.ended_us)
+    });
+    finding("requests are answered by their deadlines", undisturbed, |exchange| {
+        (exchange.end == End::Never).then(|| format!("{} got no answer", exchange.id))
+    })
+}
+
+/// A request that ran is not cut, also by a planned stop, unless its entry was killed or paused.
+pub fn nothing_is_cut(records: &Records) -> Finding {
+    let runs = records.runs_by_id();
+    let undisturbed = records.exchanges.iter().filter(|exchange| {
+        !records.was_disturbed(exchange.entry, exchange.sent_us, exchange.ended_us)
+    });
+    finding("requests that ran are not cut", undisturbed, |exchange| {
+        let is_cut = exchange.end == End::Cut && runs.contains_key(exchange.id.as_str());
+        is_cut.then(|| format!("{} ran and was cut", exchange.id))
+    })
+}
+
+/// A key is known to an entry in time after the configuration that brought it.
+pub fn changes_are_in_force(records: &Records) -> Finding {
+    let due = records.exchanges.iter().filter(|exchange| {
+        let Some(configured_us) = records.configured_us.get(&exchange.key) else { return false };
+        let settled_us = exchange.sent_us.saturating_sub(us(SETTLE));
+        exchange.sent_us > configured_us + us(PROPAGATION + SLACK)
+            && !records.configured_us.contains_key(&(exchange.key + 2))
+            && records.was_calm(exchange.entry, settled_us, exchange.ended_us)
+    });
+    finding("changes are in force in time", due, |exchange| {
+        let unknown = matches!(exchange.end, End::Answered { status: 401 | 403 | 404, .. });
+        unknown.then(|| format!("{} of key {} was not known", exchange.id, exchange.key))
+    })
+}
+
+/// An entry that has honoured a key does not honour one again that was taken away before.
+pub fn configurations_never_revert(records: &Records) -> Finding {
+    let runs = records.runs_by_id();
+    let ran = |exchange: &Exchange| runs.contains_key(exchange.id.as_str());
+    let honoured: Vec<&Exchange> =
+        records.exchanges.iter().filter(|exchange| ran(exchange)).collect();
+    let old = records
+        .exchanges
+        .iter()
+        .filter(|exchange| records.configured_us.contains_key(&(exchange.key + 2)));
+    finding("configurations never revert", old, |exchange| {
+        let newer = honoured.iter().find(|newer| {
+            newer.entry == exchange.entry
+                && newer.key >= exchange.key + 2
+                && newer.ended_us + us(OVERTAKING) < exchange.sent_us
+                && !records.was_disturbed(newer.entry, newer.sent_us, exchange.ended_us)
+        });
+        let newer = newer.filter(|_| ran(exchange))?;
+        Some(format!("{} of key {} ran after key {}", exchange.id, exchange.key, newer.key))
+    })
+}
+
+/// No request of a key that was taken away runs later than the bound, whatever is disturbed.
+pub fn keys_are_dead_in_time(records: &Records) -> Finding {
+    let by_id = records.by_id();
+    let of_dead = records.runs.iter().filter_map(|run| {
+        let exchange = by_id.get(run.request.as_str())?;
+        let taken_us = records.configured_us.get(&(exchange.key + 2))?;
+        Some((run, *exchange, *taken_us))
+    });
+    let asked = records.exchanges.iter().filter(|exchange| {
+        let taken_us = records.configured_us.get(&(exchange.key + 2));
+        taken_us.is_some_and(|taken_us| exchange.sent_us > taken_us + us(KEY_BOUND))
+    });
+    let looked_at = asked.count();
+    let found = finding("keys are dead in time", of_dead, |(run, exchange, taken_us)| {
+        let late = run.ran && run.at_us > taken_us + us(KEY_BOUND + SLACK);
+        late.then(|| format!("{} of key {} ran late", exchange.id, exchange.key))
+    });
+    Finding { looked_at, ..found }
+}
+
+/// A server that leaves gets no new work, once that must be known.
+pub fn leaving_servers_are_left(records: &Records) -> Finding {
+    let by_id = records.by_id();
+    let at_leaving = records.runs.iter().filter_map(|run| {
+        let left_us = records.left_us.get(&run.server)?;
+        Some((run, *left_us, *by_id.get(run.request.as_str())?))
+    });
+    finding("leaving servers are left", at_leaving, |(run, left_us, exchange)| {
+        let settled_us = run.at_us.saturating_sub(us(SETTLE));
+        let is_late = run.ran
+            && exchange.sent_us > left_us + us(LEAVE_BOUND + SLACK)
+            && records.was_calm(exchange.entry, settled_us, run.at_us);
+        is_late.then(|| format!("{} ran at {}, which had left", run.request, run.server))
+    })
+}
+
+/// Once all is calm again, callers are served.
+pub fn service_recovers(records: &Records) -> Finding {
+    let from_us = records.calm_from_us + us(RECOVERY);
+    let newest = records.configured_us.keys().max().copied().unwrap_or(0);
+    let current = |exchange: &&Exchange| exchange.sent_us > from_us && exchange.key == newest;
+    let late: Vec<&Exchange> = records.exchanges.iter().filter(current).collect();
+    let is_served =
+        |exchange: &&&Exchange| matches!(exchange.end, End::Answered { status: 200, .. });
+    let served = late.iter().filter(is_served).count();
+    let share = served as f64 / late.len().max(1) as f64;
+    let broken =
+        (share < RECOVERED_SHARE).then(|| format!("{served} of {} are served", late.len()));
+    Finding {
+        promise: "service recovers",
+        looked_at: late.len(),
+        broken: broken.into_iter().collect(),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,27 @@
+//! Starts the soak, or one of the processes that it consists of.
+
+use std::process::ExitCode;
+
+use pondwalk_soak::{
+    options::{Command, command, parse},
+    roles, soak,
+};
+
+fn main() -> ExitCode {
+    let done = match parse(&command().get_matches()) {
+        Command::Entry { settings } => roles::entry(&settings).map(|()| true),
+        Command::Store { address } => roles::store(address).map(|()| true),
+        Command::Server { id, address, streams } => {
+            roles::server(id, address, streams).map(|()| true)
+        }
+        Command::Soak(plan) => soak::run(&plan),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("soak: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/schedule.rs
@@ -0,0 +1,113 @@
+//! Which faults come when: series of a kind, drawn from a seed, that overlap.
+
+use std::{fmt, time::Duration};
+
+use pondwalk_standin::platform_store::WeatherOrder;
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_pcg::Pcg64Mcg;
+
+use crate::options::Size;
+
+/// Time without faults at the start, in which all is listed.
+const CALM_START: Duration = Duration::from_secs(5);
+/// Time without faults at the end, in which service must recover.
+pub const CALM_END: Duration = Duration::from_secs(12);
+/// Mean time between the starts of two series.
+const BETWEEN_SERIES: Duration = Duration::from_secs(4);
+/// Time in which an entry that stops, or a server that leaves, has gone.
+const LONGEST_LEAVING: Duration = Duration::from_secs(8);
+/// Time in which an entry that was killed serves again.
+const RESTART: Duration = Duration::from_secs(3);
+/// Longest disturbance of the store. Keys are refused from 4.5 s on.
+const LONGEST_WEATHER_MS: u64 = 6_000;
+
+/// One fault, or one planned change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Act {
+    /// An entry is stopped as planned, and started again.
+    Stop(usize),
+    /// An entry is killed, and started again.
+    Kill(usize),
+    /// An entry stands still for a while.
+    Pause(usize, Duration),
+    /// Calls to the store fare so for a while.
+    Weather(WeatherOrder, Duration),
+    /// The store forgets its history.
+    Forget,
+    /// A configuration with another key, and without the oldest.
+    Configure,
+    /// A server says that it leaves, goes, and another comes in its place.
+    Replace(usize),
+}
+
+/// When it happens, from the arrival of the first callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Step {
+    /// Its time.
+    pub at: Duration,
+    /// What happens.
+    pub act: Act,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:7.3} s  {:?}", self.at.as_secs_f64(), self.act)
+    }
+}
+
+/// Draws the steps of a run of this length.
+pub fn draw(seed: u64, length: Duration, size: Size) -> Vec<Step> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let end = length.saturating_sub(CALM_END);
+    let mut steps = Vec::new();
+    let mut at = CALM_START;
+    while at < end {
+        series(&mut rng, at, size, &mut steps);
+        at += BETWEEN_SERIES.mul_f64(rng.random_range(0.2..1.8));
+    }
+    steps.retain(|step| step.at + lasts(step.act) < end);
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+/// How long it disturbs at most.
+fn lasts(act: Act) -> Duration {
+    match act {
+        Act::Pause(_, time) | Act::Weather(_, time) => time,
+        Act::Stop(_) | Act::Replace(_) => LONGEST_LEAVING,
+        Act::Kill(_) => RESTART,
+        Act::Forget | Act::Configure => Duration::ZERO,
+    }
+}
+
+fn series(rng: &mut Pcg64Mcg, from: Duration, size: Size, steps: &mut Vec<Step>) {
+    let kinds: [fn(&mut Pcg64Mcg, Size) -> Act; 7] = [
+        |rng, size| Act::Stop(rng.random_range(0..size.entries)),
+        |rng, size| Act::Kill(rng.random_range(0..size.entries)),
+        |rng, size| {
+            let time = Duration::from_millis(rng.random_range(200..4_000));
+            Act::Pause(rng.random_range(0..size.entries), time)
+        },
+        |rng, _| weather(rng),
+        |_, _| Act::Forget,
+        |_, _| Act::Configure,
+        |rng, size| Act::Replace(rng.random_range(0..2 * size.servers)),
+    ];
+    let Some(kind) = kinds.choose(rng) else { return };
+    let mut at = from;
+    for _ in 0..rng.random_range(1..=3) {
+        steps.push(Step { at, act: kind(rng, size) });
+        at += Duration::from_millis(rng.random_range(100..3_000));
+    }
+}
+
+fn weather(rng: &mut Pcg64Mcg) -> Act {
+    let ms = rng.random_range(300..LONGEST_WEATHER_MS);
+    let order = match rng.random_range(0..4) {
+        0 => WeatherOrder::Refused,
+        1 => WeatherOrder::Silent { ms: 30_000 },
+        2 => WeatherOrder::Late { ms: rng.random_range(50..4_000) },
+        _ => WeatherOrder::AnswersLost,
+    };
+    Act::Weather(order, Duration::from_millis(ms))
+}
--- /dev/null
+++ b/crates/soak/tests/checks_notice.rs
@@ -0,0 +1,176 @@
+//! Each check notices one case that breaks its promise, and passes over those that do not.
+
+use std::time::Duration;
+
+use pondwalk_soak::{
+    checks::{self, CHECKS, Check},
+    records::{End, Exchange, Records, Route, Run, Span, TimeUs},
+};
+
+/// Time of the tests, well after the start of all clocks.
+const START_US: TimeUs = 1_000_000_000;
+
+fn at(seconds: f64) -> TimeUs {
+    START_US + (seconds * 1e6) as TimeUs
+}
+
+fn exchange(id: &str, sent_s: f64, end: End) -> Exchange {
+    Exchange {
+        id: id.to_owned(),
+        entry: 0,
+        route: Route::Once,
+        key: 1,
+        sent_us: at(sent_s),
+        ended_us: at(sent_s + 0.1),
+        end,
+    }
+}
+
+fn answered(status: u16) -> End {
+    End::Answered { status, is_whole: true }
+}
+
+fn run(id: &str, at_s: f64) -> Run {
+    Run { server: "s0".to_owned(), request: id.to_owned(), ran: true, at_us: at(at_s) }
+}
+
+/// A run in which all is as promised: ten requests that ran and were answered.
+fn kept() -> Records {
+    let mut records = Records { calm_from_us: at(0.0), ..Records::default() };
+    records.configured_us.insert(1, at(-10.0));
+    for number in 0..10 {
+        let (id, time) = (format!("r{number}"), 10.0 + f64::from(number));
+        records.exchanges.push(exchange(&id, time, answered(200)));
+        records.runs.push(run(&id, time + 0.05));
+    }
+    records
+}
+
+fn broken(check: Check, records: &Records) -> usize {
+    check(records).broken.len()
+}
+
+/// The check notices what `spoil` does once, and no other check notices anything.
+fn notices(check: Check, spoil: impl Fn(&mut Records)) {
+    assert_eq!(broken(check, &kept()), 0, "nothing is broken yet");
+    let mut records = kept();
+    spoil(&mut records);
+    let found: Vec<_> = CHECKS.iter().map(|check| check(&records)).collect();
+    let noticed: Vec<_> = found.iter().filter(|finding| !finding.broken.is_empty()).collect();
+    assert_eq!(noticed.len(), 1, "{noticed:?}");
+    assert_eq!((noticed[0].promise, noticed[0].broken.len()), (check(&records).promise, 1));
+}
+
+#[test]
+fn a_second_run_is_noticed() {
+    notices(checks::runs_at_most_once, |records| records.runs.push(run("r3", 13.2)));
+}
+
+#[test]
+fn a_refused_request_that_runs_is_noticed() {
+    notices(checks::refusals_are_true, |records| {
+        records.exchanges.push(exchange("refused", 9.0, answered(503)));
+        records.runs.push(run("refused", 9.5));
+    });
+}
+
+#[test]
+fn anothers_answer_is_noticed() {
+    notices(checks::answers_are_whole_and_own, |records| {
+        let end = End::Answered { status: 200, is_whole: false };
+        records.exchanges.push(exchange("other", 9.0, end));
+    });
+}
+
+#[test]
+fn a_request_without_an_answer_is_noticed_unless_its_entry_was_disturbed() {
+    let never = |records: &mut Records| records.exchanges.push(exchange("x", 9.0, End::Never));
+    notices(checks::every_request_is_answered, never);
+    let mut records = kept();
+    never(&mut records);
+    records.disturbed.insert(0, vec![Span { from_us: at(8.9), to_us: at(9.5) }]);
+    assert_eq!(broken(checks::every_request_is_answered, &records), 0);
+}
+
+#[test]
+fn a_cut_is_noticed_if_the_request_ran_and_its_entry_was_not_disturbed() {
+    notices(checks::nothing_is_cut, |records| {
+        records.exchanges.push(exchange("cut", 9.0, End::Cut));
+        records.runs.push(run("cut", 9.05));
+    });
+    let mut records = kept();
+    records.exchanges.push(exchange("not run", 9.0, End::Cut));
+    records.exchanges.push(exchange("killed", 30.0, End::Cut));
+    records.runs.push(run("killed", 30.05));
+    records.disturbed.insert(0, vec![Span { from_us: at(30.0), to_us: at(31.0) }]);
+    assert_eq!(broken(checks::nothing_is_cut, &records), 0);
+}
+
+#[test]
+fn a_change_that_is_not_in_force_in_time_is_noticed_unless_the_store_was_disturbed() {
+    let unknown = |records: &mut Records| {
+        records.exchanges.push(exchange("unknown", 9.0, answered(401)));
+    };
+    notices(checks::changes_are_in_force, unknown);
+    let mut records = kept();
+    unknown(&mut records);
+    records.store_disturbed.push(Span { from_us: at(6.0), to_us: at(7.0) });
+    assert_eq!(broken(checks::changes_are_in_force, &records), 0);
+}
+
+/// The third configuration, which takes the first key away, at this second; all requests after it are
+/// of its own key.
+fn third_configuration(records: &mut Records, at_s: f64) {
+    records.configured_us.insert(2, at(at_s - 1.0));
+    records.configured_us.insert(3, at(at_s));
+    for exchange in &mut records.exchanges {
+        if exchange.sent_us > at(at_s) {
+            exchange.key = 3;
+        }
+    }
+}
+
+#[test]
+fn a_key_that_is_honoured_again_is_noticed() {
+    notices(checks::configurations_never_revert, |records| {
+        third_configuration(records, 12.5);
+        records.exchanges.push(exchange("old", 16.0, answered(200)));
+        records.runs.push(run("old", 16.05));
+    });
+}
+
+#[test]
+fn a_key_that_works_after_its_bound_is_noticed_whatever_is_disturbed() {
+    notices(checks::keys_are_dead_in_time, |records| {
+        third_configuration(records, 5.0);
+        records.store_disturbed.push(Span { from_us: at(0.0), to_us: at(30.0) });
+        let late = Exchange { entry: 1, ..exchange("late", 10.7, answered(200)) };
+        records.exchanges.push(late);
+        records.runs.push(run("late", 10.75));
+    });
+}
+
+#[test]
+fn work_at_a_server_that_has_left_is_noticed() {
+    notices(checks::leaving_servers_are_left, |records| {
+        records.left_us.insert("s0".to_owned(), at(16.2));
+    });
+}
+
+#[test]
+fn service_that_does_not_recover_is_noticed_and_so_is_no_request_at_all() {
+    notices(checks::service_recovers, |records| {
+        for number in 0..2 {
+            let id = format!("refused{number}");
+            records.exchanges.push(exchange(&id, 15.0, answered(503)));
+        }
+    });
+    let records = Records { calm_from_us: at(60.0), ..kept() };
+    assert_eq!(broken(checks::service_recovers, &records), 1);
+}
+
+#[test]
+fn bounds_of_the_checks_are_those_that_the_entries_are_given() {
+    assert_eq!(checks::PROPAGATION, Duration::from_secs(2));
+    assert_eq!(checks::KEY_BOUND, Duration::from_secs(5));
+}
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -43,6 +43,8 @@
 pub enum Act {
     /// Answers with this status and body.
     Answer(u16, String),
+    /// Answers with the request's id, so that callers can tell their own answers.
+    Echo,
     /// Streams events from after the caller's last to `last`, with this confidence.
     Stream {
         /// Number of the last event.
@@ -133,6 +135,13 @@
         servers.get(&address).map(|server| server.seen.borrow().clone()).unwrap_or_default()
     }
 
+    /// The same from the one at `from` on.
+    pub fn seen_from(&self, address: SocketAddr, from: usize) -> Vec<Seen> {
+        let servers = self.servers.borrow();
+        let seen = servers.get(&address).map(|server| server.seen.borrow());
+        seen.map(|seen| seen.iter().skip(from).cloned().collect()).unwrap_or_default()
+    }
+
     /// Runs at all servers.
     pub fn runs(&self) -> usize {
         let servers = self.servers.borrow();
@@ -169,6 +178,7 @@
 
 async fn answer(names: &Names, seen: &Seen, act: &Act, io: &mut DuplexStream) -> io::Result<()> {
     match act {
+        Act::Echo => io.write_all(&plain(names, seen, 200, id_of(names, seen))).await,
         Act::Answer(status, body) => io.write_all(&plain(names, seen, *status, body)).await,
         Act::Surplus(body) => {
             io.write_all(&plain(names, seen, 200, body)).await?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod kv;
 mod listen;
 pub mod memory_store;
+pub mod platform_server;
+pub mod platform_store;
 pub mod rating;
 pub mod service;
 
--- /dev/null
+++ b/crates/standin/src/platform_server.rs
@@ -0,0 +1,82 @@
+//! A backend server over TCP, which tells on standard output what it ran.
+
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use serde::{Deserialize, Serialize};
+use tokio::{io::copy_bidirectional, net::TcpListener, task::spawn_local, time::sleep};
+
+use crate::backends::{Act, Backends, Names};
+
+/// Time between two looks at what was run; a run is told that much late at most.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// One request that a server has read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// Server that read it.
+    pub server: String,
+    /// Id of the request.
+    pub request: String,
+    /// Whether the server ran it.
+    pub ran: bool,
+    /// Time of day at which it was noticed, in microseconds.
+    pub at_us: u64,
+}
+
+/// Time of day in microseconds.
+pub fn now_us() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Headers of the platform's backend servers.
+pub fn names() -> Names {
+    let name = |text: &str| text.to_owned();
+    Names {
+        request_id: name("x-pondwalk-attempt-id"),
+        expected_server: name("x-pondwalk-expected-instance"),
+        not_run: name("x-pondwalk-not-executed"),
+        signature: name("x-pondwalk-response-signature"),
+        confidence: name("x-pondwalk-estimate-confidence"),
+        last_event_id: name("last-event-id"),
+    }
+}
+
+/// Serves as `id` on connections to `listener`, on the current thread's local tasks.
+pub async fn serve(id: String, usual: Act, listener: TcpListener) -> io::Result<()> {
+    let address = listener.local_addr()?;
+    let backends = Backends::new(names());
+    backends.start(address, &id, usual);
+    spawn_local(tell(backends.clone(), address, id));
+    loop {
+        let (mut stream, _) = listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let mut inside = backends.connect(address)?;
+        spawn_local(async move {
+            // NB: either side may leave at any moment.
+            let _ = copy_bidirectional(&mut stream, &mut inside).await;
+        });
+    }
+}
+
+/// Tells each request once, a line each.
+async fn tell(backends: Backends, address: SocketAddr, id: String) {
+    let mut told = 0;
+    loop {
+        for seen in backends.seen_from(address, told) {
+            told += 1;
+            let request = seen.headers.get(&names().request_id).cloned().unwrap_or_default();
+            let run = Run { server: id.clone(), request, ran: seen.ran, at_us: now_us() };
+            let line = serde_json::to_string(&run).unwrap_or_default();
+            // NB: whoever started it reads this; without a reader there is nothing to serve for.
+            if writeln!(io::stdout(), "{line}").is_err() {
+                return;
+            }
+        }
+        sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform_store.rs
@@ -0,0 +1,306 @@
+//! The platform's store over HTTP, in the form that its pages give, around the store in memory.
+//!
+//! Beside the calls of entries it takes orders of whoever runs it: keys to write and remove, and how
+//! calls are to fare.
+
+use std::{collections::HashMap, io, time::Duration};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use pondwalk_store::{Change, Expect, Fetched, StoreError, StoreEvent, WatchReply};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, task::spawn_local};
+
+use crate::memory_store::{MemoryStore, Weather};
+
+/// Keys in one page of a reading.
+const PAGE: usize = 50;
+/// Start of the paths of orders.
+const ORDER_PREFIX: &str = "/order/";
+
+/// An order on how calls are to fare.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum WeatherOrder {
+    /// They are answered at once.
+    Fair,
+    /// They are refused.
+    Refused,
+    /// They get no answer for so many milliseconds.
+    Silent {
+        /// Until the connection is closed.
+        ms: u64,
+    },
+    /// They are done at once and answered so many milliseconds later.
+    Late {
+        /// Until the answer.
+        ms: u64,
+    },
+    /// Writes are done and not answered.
+    AnswersLost,
+}
+
+impl From<WeatherOrder> for Weather {
+    fn from(order: WeatherOrder) -> Self {
+        match order {
+            WeatherOrder::Fair => Weather::Fair,
+            WeatherOrder::Refused => Weather::Refused,
+            WeatherOrder::Silent { ms } => Weather::Silent(Duration::from_millis(ms)),
+            WeatherOrder::Late { ms } => Weather::Late(Duration::from_millis(ms)),
+            WeatherOrder::AnswersLost => Weather::AnswersLost,
+        }
+    }
+}
+
+/// A route of a configuration.
+#[derive(Debug, Clone)]
+pub struct RouteOrder {
+    /// Start of its paths.
+    pub prefix: String,
+    /// Word for what may be repeated.
+    pub kind: &'static str,
+    /// Service that runs it.
+    pub service: &'static str,
+}
+
+/// Key and value of a configuration with these routes of one host, and these keys of one workspace.
+pub fn configuration(
+    version: u64,
+    host: &str,
+    routes: &[RouteOrder],
+    keys: &[String],
+) -> (String, Value) {
+    let row = |route: &RouteOrder| {
+        json!({
+            "name": route.prefix.trim_matches('/'), "hostname": host, "path_prefix": route.prefix,
+            "type": route.kind, "backend": route.service, "timeout_ms": 10_000,
+            "target_latency_ms": 1_000, "target_itl_ms": 1_000, "max_attempts": 3,
+            "stream_resume": true
+        })
+    };
+    let mut services: Vec<&str> = routes.iter().map(|route| route.service).collect();
+    services.dedup();
+    let services: Vec<Value> =
+        services.iter().map(|name| json!({ "name": name, "max_connections": 200 })).collect();
+    let value = json!({
+        "version": version,
+        "route_table": routes.iter().map(row).collect::<Vec<_>>(),
+        "backends": services,
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 65_536,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000
+        },
+        "tenants": [{ "name": "w1", "api_keys": keys }]
+    });
+    ("op/config".to_owned(), value)
+}
+
+/// Key and value of a backend server's own entry.
+pub fn server_entry(id: &str, service: &str, address: &str, is_ready: bool) -> (String, Value) {
+    let state = if is_ready { "ready" } else { "draining" };
+    let value = json!({
+        "backend": service, "address": address, "zone": "dc1", "version": "v1", "capacity": 64,
+        "state": state, "warmup_left_ms": 0, "sequence": 1
+    });
+    (format!("servers/{id}"), value)
+}
+
+#[derive(Debug, Deserialize)]
+struct Transaction {
+    expected_revision: Vec<Condition>,
+    write: Vec<Written>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Condition {
+    private_key: String,
+    revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Written {
+    private_key: String,
+    data: String,
+}
+
+/// Serves the store on connections to `listener`, on the current thread's local tasks.
+pub async fn serve(store: MemoryStore, listener: TcpListener) -> io::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let store = store.clone();
+        spawn_local(async move {
+            let service = service_fn(move |request| answer(store.clone(), request));
+            // NB: a connection whose answer is lost is closed without one.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+async fn answer(
+    store: MemoryStore,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, StoreError> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| StoreError::Malformed)?.to_bytes();
+    let path = parts.uri.path().to_owned();
+    if let Some(order) = path.strip_prefix(ORDER_PREFIX) {
+        return Ok(take_order(&store, &parts.method, order, &body));
+    }
+    let query = query(parts.uri.query().unwrap_or_default());
+    let answered = match path.as_str() {
+        "/api/kv-range" => range(&store, &query).await,
+        "/api/kv-watch" => watch(&store, &query).await,
+        "/api/kv-txn" => transact(&store, &body).await,
+        _ => Ok((StatusCode::NOT_FOUND, Value::Null)),
+    };
+    match answered {
+        Ok((status, value)) => Ok(respond(status, &value)),
+        Err(StoreError::Unreachable) => Ok(respond(StatusCode::SERVICE_UNAVAILABLE, &Value::Null)),
+        Err(error) => Err(error),
+    }
+}
+
+fn take_order(
+    store: &MemoryStore,
+    method: &Method,
+    order: &str,
+    body: &Bytes,
+) -> Response<Full<Bytes>> {
+    let text = String::from_utf8_lossy(body);
+    let done = match (method, order.split_once('/')) {
+        (&Method::PUT, Some(("key", key))) => {
+            store.put(key, &text);
+            true
+        }
+        (&Method::DELETE, Some(("key", key))) => {
+            store.remove(key);
+            true
+        }
+        (&Method::POST, None) if order == "forget" => {
+            store.forget_history();
+            true
+        }
+        (&Method::POST, None) if order == "weather" => match serde_json::from_str(&text) {
+            Ok(weather) => {
+                store.set_weather(WeatherOrder::into(weather));
+                true
+            }
+            Err(_) => false,
+        },
+        _ => false,
+    };
+    respond(if done { StatusCode::OK } else { StatusCode::BAD_REQUEST }, &Value::Null)
+}
+
+async fn range(
+    store: &MemoryStore,
+    query: &HashMap<String, String>,
+) -> Result<(StatusCode, Value), StoreError> {
+    let prefix = query.get("path_prefix").cloned().unwrap_or_default();
+    let after = query.get("since_revision").cloned().unwrap_or_default();
+    let listing = (store.port().list)(prefix).await?;
+    let left: Vec<&Fetched> = listing.entries.iter().filter(|entry| entry.key > after).collect();
+    let page: Vec<Value> = left.iter().take(PAGE).map(|entry| item(entry)).collect();
+    let truncated = left.len() > PAGE;
+    let body = json!({
+        "entries": page, "truncated": truncated, "position_revision": listing.revision
+    });
+    Ok((StatusCode::OK, body))
+}
+
+async fn watch(
+    store: &MemoryStore,
+    query: &HashMap<String, String>,
+) -> Result<(StatusCode, Value), StoreError> {
+    let number = |name: &str| query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let prefix = query.get("path_prefix").cloned().unwrap_or_default();
+    let wait = Duration::from_millis(number("wait_time_ms"));
+    match (store.port().watch)(prefix, number("since_revision"), wait).await? {
+        WatchReply::HistoryGone => Ok((StatusCode::GONE, Value::Null)),
+        WatchReply::Changes(events, position) => {
+            let events: Vec<Value> = events.iter().map(event).collect();
+            Ok((StatusCode::OK, json!({ "events": events, "position_revision": position })))
+        }
+    }
+}
+
+async fn transact(store: &MemoryStore, body: &Bytes) -> Result<(StatusCode, Value), StoreError> {
+    let transaction: Transaction =
+        serde_json::from_slice(body).map_err(|_| StoreError::Malformed)?;
+    let expected: HashMap<&str, u64> = transaction
+        .expected_revision
+        .iter()
+        .map(|condition| (condition.private_key.as_str(), condition.revision))
+        .collect();
+    let mut changes = Vec::new();
+    for written in &transaction.write {
+        let revision = expected.get(written.private_key.as_str()).copied().unwrap_or(0);
+        changes.push(Change {
+            key: written.private_key.clone(),
+            value: STANDARD.decode(&written.data).map_err(|_| StoreError::Malformed)?,
+            expect: if revision == 0 { Expect::Absent } else { Expect::Revision(revision) },
+            lease: None,
+        });
+    }
+    match (store.port().commit)(changes).await {
+        Ok(revision) => Ok((StatusCode::OK, json!({ "revision": revision }))),
+        Err(StoreError::Conflict) => {
+            Ok((StatusCode::PRECONDITION_FAILED, json!({ "entries": [] })))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+fn item(entry: &Fetched) -> Value {
+    json!({
+        "private_key": entry.key, "data": STANDARD.encode(&entry.value),
+        "revision": entry.revision, "created": entry.revision, "lease_id": 0
+    })
+}
+
+fn event(event: &StoreEvent) -> Value {
+    match event {
+        StoreEvent::Written(entry) => item(entry),
+        StoreEvent::Removed { key, revision } => {
+            json!({ "private_key": key, "revision": revision, "compacted": true })
+        }
+    }
+}
+
+/// The pairs of a query, with escapes resolved.
+fn query(text: &str) -> HashMap<String, String> {
+    let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), unescape(value))).collect()
+}
+
+fn unescape(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let [first, after @ ..] = rest {
+        let hex = after.get(..2).and_then(|hex| std::str::from_utf8(hex).ok());
+        match (first, hex.and_then(|hex| u8::from_str_radix(hex, 16).ok())) {
+            (b'%', Some(byte)) => {
+                bytes.push(byte);
+                rest = &after[2..];
+            }
+            _ => {
+                bytes.push(*first);
+                rest = after;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn respond(status: StatusCode, value: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::from(value.to_string()));
+    *response.status_mut() = status;
+    response
+}
