--- a/crates/direct/src/follow/asking.rs
+++ b/crates/direct/src/follow/asking.rs
@@ -9,7 +9,7 @@
 use pondwalk_store::{PortCall, Progress, StoreError};
 use tokio::{
     sync::Notify,
-    task::{AbortHandle, Id, JoinSet},
+    task::{AbortHandle, Id, JoinError, JoinSet},
     time::{Instant, sleep_until},
 };
 
@@ -96,9 +96,10 @@
             tokio::select! {
                 biased;
                 Some(ended) = self.tasks.join_next_with_id() => {
+                    let id = ended.as_ref().map_or_else(JoinError::id, |(id, _)| *id);
+                    self.calls.retain(|call| call.id != id);
                     // NB: a call that was dropped ends without an answer.
-                    if let Ok((id, answered)) = ended {
-                        self.calls.retain(|call| call.id != id);
+                    if let Ok((_, answered)) = ended {
                         return answered;
                     }
                 }
@@ -124,14 +125,13 @@
     }
 
     /// Of two answers that come at the same time each brings what the other does, and halves its
-    /// speed; the one that began first is kept.
+    /// speed; the one that has come furthest is kept.
     fn keep_one_moving(&mut self) {
         let moving = self.calls.iter().filter(|call| call.is_moving());
-        let Some(first) = moving.max_by_key(|call| call.progress.bytes()).map(|call| call.id)
-        else {
-            return;
-        };
-        self.drop_if(|call| call.id != first && call.is_moving());
+        let furthest = moving.max_by_key(|call| call.progress.bytes()).map(|call| call.id);
+        if let Some(furthest) = furthest {
+            self.drop_if(|call| call.id != furthest && call.is_moving());
+        }
     }
 
     fn drop_if(&mut self, is_dropped: impl Fn(&Call) -> bool) {
--- a/crates/direct/tests/acts_as_one.rs
+++ b/crates/direct/tests/acts_as_one.rs
@@ -7,15 +7,14 @@
 
 use common::{
     World, catalog, catalog_with_keys,
-    net::{Impostor, Net, peer_address},
+    net::{Impostor, Net, peer_address, whole_state},
     play, request, with,
 };
 use pondwalk_direct::{
     Entry,
-    membership::{FAN_OUT, FORMAT, Place, Replica, Roster, State, StateHead, place, roots},
+    membership::{FAN_OUT, Place, Roster, State, place, roots},
 };
 use pondwalk_standin::{backends::Act, memory_store::Weather};
-use pondwalk_store::Fetched;
 use quickcheck::{Gen, QuickCheck};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::{
@@ -452,33 +451,9 @@
     play(|world| async move {
         let net = Net::default();
         prepare(&world, 3);
-        let whole = |keys: &[(&str, &str)], revision| {
-            let entry = |(key, value): &(&str, &str)| Fetched {
-                key: (*key).to_owned(),
-                value: value.as_bytes().to_vec(),
-                revision,
-            };
-            let mut replica = Replica::default();
-            replica.restart(&keys.iter().map(entry).collect::<Vec<_>>(), revision);
-            let head = StateHead {
-                format: FORMAT,
-                store: "127.0.0.1:3".parse().expect("the store of these tests"),
-                incarnation: 1,
-                now: Duration::from_secs(9),
-                confirmed: Duration::from_secs(9),
-                store_returned: None,
-                store_takes: Duration::ZERO,
-                turn: revision,
-                revision,
-                whole: true,
-                body_bytes: 0,
-                news_end: 0,
-            };
-            State { head, body: replica.whole().expect("it packs"), news: Vec::new() }
-        };
         let server = format!("s {} dc1 v1 ready", common::address(1));
-        let current = whole(&[("catalog", "1"), ("server/s1", &server)], 100);
-        let older = whole(&[], 40);
+        let current = whole_state(&[("catalog", "1"), ("server/s1", &server)], 100);
+        let older = whole_state(&[], 40);
         net.impostors.borrow_mut().insert(peer_address(0), telling(vec![current, older]));
         world.store.set_weather(Weather::Refused);
         let seeds = format!("[membership]\nseeds={}\n", peer_address(0));
--- a/crates/direct/tests/common/net.rs
+++ b/crates/direct/tests/common/net.rs
@@ -13,8 +13,10 @@
 
 use pondwalk_direct::{
     Entry,
+    membership::{FORMAT, Replica, State, StateHead},
     upstream::{BoxedDuplex, Connect, Opening},
 };
+use pondwalk_store::Fetched;
 use tokio::{
     io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf, duplex},
     task::spawn_local,
@@ -28,6 +30,32 @@
     SocketAddr::from(([127, 0, 0, 1], 5_000 + n))
 }
 
+/// A whole state with these keys, all last changed at its revision, as another entry of these tests tells it.
+pub fn whole_state(keys: &[(&str, &str)], revision: u64) -> State {
+    let entry = |(key, value): &(&str, &str)| Fetched {
+        key: (*key).to_owned(),
+        value: value.as_bytes().to_vec(),
+        revision,
+    };
+    let mut replica = Replica::default();
+    replica.restart(&keys.iter().map(entry).collect::<Vec<_>>(), revision);
+    let head = StateHead {
+        format: FORMAT,
+        store: "127.0.0.1:3".parse().expect("the store of these tests"),
+        incarnation: 1,
+        now: Duration::from_secs(9),
+        confirmed: Duration::from_secs(9),
+        store_returned: None,
+        store_takes: Duration::ZERO,
+        turn: revision,
+        revision,
+        whole: true,
+        body_bytes: 0,
+        news_end: 0,
+    };
+    State { head, body: replica.whole().expect("it packs"), news: Vec::new() }
+}
+
 /// Answers on a connection in an entry's place.
 pub type Impostor = Rc<dyn Fn(DuplexStream)>;
 
--- a/crates/direct/tests/survives_late_answers.rs
+++ b/crates/direct/tests/survives_late_answers.rs
@@ -10,15 +10,11 @@
 
 use common::{
     World, catalog, catalog_with_keys,
-    net::{Impostor, Net, peer_address},
+    net::{Impostor, Net, peer_address, whole_state},
     play, request, with,
 };
-use pondwalk_direct::{
-    Entry,
-    membership::{FORMAT, Replica, State, StateHead},
-};
+use pondwalk_direct::Entry;
 use pondwalk_standin::{backends::Act, memory_store::Weather};
-use pondwalk_store::Fetched;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     task::spawn_local,
@@ -193,28 +189,7 @@
 
 /// Tells a first state, in parts that come for 1.2 s, to whoever connects.
 fn telling_slowly(keys: &[(&str, &str)]) -> Impostor {
-    let entry = |(key, value): &(&str, &str)| Fetched {
-        key: (*key).to_owned(),
-        value: value.as_bytes().to_vec(),
-        revision: 1,
-    };
-    let mut replica = Replica::default();
-    replica.restart(&keys.iter().map(entry).collect::<Vec<_>>(), 9);
-    let head = StateHead {
-        format: FORMAT,
-        store: "127.0.0.1:3".parse().expect("the store of these tests"),
-        incarnation: 1,
-        now: Duration::from_secs(9),
-        confirmed: Duration::from_secs(9),
-        store_returned: None,
-        store_takes: Duration::ZERO,
-        turn: 1,
-        revision: 9,
-        whole: true,
-        body_bytes: 0,
-        news_end: 0,
-    };
-    let state = State { head, body: replica.whole().expect("it packs"), news: Vec::new() };
+    let state = whole_state(keys, 9);
     let body = state.to_bytes().expect("it serializes");
     Rc::new(move |mut stream| {
         let body = body.clone();
