--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -2,9 +2,11 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashSet,
     fs,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
+    process,
     rc::Rc,
     time::Duration,
 };
@@ -62,6 +64,7 @@
 /// Everything that runs.
 pub struct Deployment {
     folder: PathBuf,
+    addresses: Addresses,
     store: SocketAddr,
     _store: Child,
     entries: Vec<EntrySlot>,
@@ -72,9 +75,33 @@
     pub records: Rc<RefCell<Records>>,
 }
 
-/// An address that nobody listens on.
-async fn free_address() -> anyhow::Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0").await?.local_addr()?)
+/// Addresses for the processes of one run.
+///
+/// NB: they lie on a loopback address of the run's own. On the usual one, a port that was found free
+/// may be taken by any connection of the machine before its process listens: 8 of 50 runs, eight at a
+/// time, did not start for that.
+struct Addresses {
+    ip: Ipv4Addr,
+    given: RefCell<HashSet<u16>>,
+}
+
+impl Addresses {
+    fn of_this_run() -> Self {
+        let [_, high, middle, low] = process::id().to_be_bytes();
+        // NB: neither the usual address nor one that ends like a network's own or a broadcast.
+        let ip = Ipv4Addr::new(127, 64 + (high & 0x3f), middle, low.clamp(1, 254));
+        Addresses { ip, given: RefCell::default() }
+    }
+
+    /// An address that nobody listens on, and that was not given before.
+    async fn free(&self) -> anyhow::Result<SocketAddr> {
+        loop {
+            let address = TcpListener::bind((self.ip, 0)).await?.local_addr()?;
+            if self.given.borrow_mut().insert(address.port()) {
+                return Ok(address);
+            }
+        }
+    }
 }
 
 impl Deployment {
@@ -84,12 +111,14 @@
             fs::remove_dir_all(&plan.folder)?;
         }
         fs::create_dir_all(&plan.folder)?;
-        let store = free_address().await?;
+        let addresses = Addresses::of_this_run();
+        let store = addresses.free().await?;
         let log = plan.folder.join("store.log");
         let child = Child::start(&["store", &store.to_string()], &log)?;
-        let entries = place_entries(plan, store).await?;
+        let entries = place_entries(plan, &addresses, store).await?;
         let deployment = Rc::new(Deployment {
             folder: plan.folder.clone(),
+            addresses,
             store,
             _store: child,
             entries,
@@ -270,7 +299,7 @@
         let number = self.servers_started.get();
         self.servers_started.set(number + 1);
         let id = format!("s{number}");
-        let address = free_address().await?;
+        let address = self.addresses.free().await?;
         let service = service_at(place);
         let arguments = ["server", &id, &address.to_string(), service];
         let log = self.folder.join("servers.log");
@@ -310,15 +339,19 @@
     }
 }
 
-async fn place_entries(plan: &Plan, store: SocketAddr) -> anyhow::Result<Vec<EntrySlot>> {
+async fn place_entries(
+    plan: &Plan,
+    addresses: &Addresses,
+    store: SocketAddr,
+) -> anyhow::Result<Vec<EntrySlot>> {
     let mut peers = Vec::new();
     for _ in 0..plan.size.entries {
-        peers.push(free_address().await?);
+        peers.push(addresses.free().await?);
     }
     let seeds: Vec<String> = peers.iter().take(3).map(SocketAddr::to_string).collect();
     let mut slots = Vec::new();
     for (entry, peers) in peers.into_iter().enumerate() {
-        let (callers, readiness) = (free_address().await?, free_address().await?);
+        let (callers, readiness) = (addresses.free().await?, addresses.free().await?);
         let settings = plan.folder.join(format!("entry-{entry}.ini"));
         let text = format!(
             "[direct]\nname = e{entry}\ndata_centre = dc1\ncallers = {callers}\n\
