--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
-    error::ConfigError,
+    error::{ConfigError, Problem},
     membership::MembershipSettings,
     raw::RawFile,
     shared::{ADDRESS, StoreSettings},
@@ -19,6 +19,13 @@
 /// store is away for 8 s (mean of four plays).
 const LENIENT_KEY_BOUND_MS: u64 = 60_000;
 
+/// Time between two words of a server on itself where nothing is told, in milliseconds: what all
+/// deployments of the users have.
+const DEFAULT_HEARTBEAT_MS: f64 = 1_200.0;
+
+/// Time in which a data centre must be left where that cannot be read, in milliseconds.
+const DEFAULT_EVACUATION_MS: u64 = 5_000;
+
 /// Everything a direct entry learns from its file.
 #[derive(Debug, Clone)]
 pub struct DirectSettings {
@@ -50,6 +57,8 @@
     pub policy: PolicySettings,
     /// How new versions are brought in.
     pub roll_out: RollOutSettings,
+    /// What servers that are cold may get; without it none is held back.
+    pub warm_up: Option<WarmUpSettings>,
     /// Time from the signal to stop until the process is ended from outside.
     pub grace: Duration,
     /// Time after its last request for which a session lasts.
@@ -106,6 +115,17 @@
     pub exposure: f64,
 }
 
+/// `[warm_up]`: requests that a server may get while it is cold, from all entries together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmUpSettings {
+    /// Factor on the requests a second that the configuration says it bears.
+    pub overshoot: f64,
+    /// Requests in a second on top of that.
+    pub tolerance: f64,
+    /// Time between two words of a server on itself.
+    pub heartbeat: Duration,
+}
+
 impl TryFrom<RawFile> for DirectSettings {
     type Error = ConfigError;
 
@@ -145,7 +165,9 @@
     let policy = read_policy(file);
     let share = "a share from 0 to 1";
     let exposure = file.within("roll_out", "exposure", share, (0.0, 1.0), 0.1);
+    let warm_up = read_warm_up(file);
     let membership = MembershipSettings::read(file, state_bound);
+    check_evacuation(file, &membership);
     let store = StoreSettings::read(file);
     Some(DirectSettings {
         name: name?,
@@ -162,6 +184,7 @@
         retries,
         policy,
         roll_out: RollOutSettings { exposure },
+        warm_up,
         grace,
         session_ttl,
         log_lines_per_s,
@@ -193,6 +216,53 @@
     }
 }
 
+/// The bounds of cold servers; a template leaves them blank where there are none.
+fn read_warm_up(file: &mut RawFile) -> Option<WarmUpSettings> {
+    let overshoot = read_if_told(file, "overshoot", "a factor from 0 to 100", (0.0, 100.0));
+    let tolerance = read_if_told(file, "tolerance", "a number from 0 to 1000000", (0.0, 1e6));
+    let expected = "milliseconds from 1 to 60000";
+    let heartbeat_ms = read_if_told(file, "heartbeat_ms", expected, (1.0, 60_000.0));
+    let (overshoot, tolerance) = match (overshoot, tolerance) {
+        (Some(overshoot), Some(tolerance)) => (overshoot, tolerance),
+        (None, None) => return None,
+        // NB: half a bound would be no bound, or one that lets nothing through.
+        (overshoot, _) => {
+            let missing = if overshoot.is_none() { "overshoot" } else { "tolerance" };
+            let expected = "a number, since the other half of the bound is told";
+            file.fault("warm_up", missing, Problem::Missing { expected });
+            return None;
+        }
+    };
+    let heartbeat_ms = heartbeat_ms.unwrap_or(DEFAULT_HEARTBEAT_MS);
+    let heartbeat = Duration::from_secs_f64(heartbeat_ms / 1_000.0);
+    Some(WarmUpSettings { overshoot, tolerance, heartbeat })
+}
+
+/// A number of `[warm_up]`, if the deployment tells it.
+fn read_if_told(
+    file: &mut RawFile,
+    key: &str,
+    expected: &'static str,
+    bounds: (f64, f64),
+) -> Option<f64> {
+    let text = file.text("warm_up", key)?;
+    let is_told = !text.trim().is_empty();
+    is_told.then(|| file.within("warm_up", key, expected, bounds, bounds.0))
+}
+
+/// Checks that a data centre is left in time: evacuations travel as configurations do.
+fn check_evacuation(file: &mut RawFile, membership: &MembershipSettings) {
+    let found = file.text("membership", "evacuation_ms").unwrap_or_default();
+    if found.trim().is_empty() {
+        return;
+    }
+    let bound = file.millis("membership", "evacuation_ms", DEFAULT_EVACUATION_MS);
+    if membership.times.longest() > bound {
+        let expected = "a time that the ways of a change fit into, as for propagation_ms";
+        file.fault("membership", "evacuation_ms", Problem::Invalid { found, expected });
+    }
+}
+
 fn read_retries(file: &mut RawFile) -> RetrySettings {
     let share = "a share from 0 to 10";
     let number = "a number from 0 to 1000000";
--- a/crates/config/tests/accepts_sample_files.rs
+++ b/crates/config/tests/accepts_sample_files.rs
@@ -78,12 +78,20 @@
         ("{{guarantees.retry_min_extra}}", "54"),
         ("{{guarantees.retry_window_s}}", "10"),
     ];
-    for (gap, value) in values {
+    for (gap, value) in values.into_iter().chain(COLD_SERVERS) {
         text = text.replace(gap, value);
     }
     text
 }
 
+/// Gaps that only deployments with cold servers and evacuations fill.
+const COLD_SERVERS: [(&str, &str); 4] = [
+    ("{{guarantees.evacuation_ms}}", "5000"),
+    ("{{guarantees.warmup_overshoot}}", "1.5"),
+    ("{{guarantees.warmup_tolerance}}", "5"),
+    ("{{heartbeat_ms}}", "1200"),
+];
+
 fn settings_of(text: &str) -> DirectSettings {
     assert!(!text.contains("{{"), "a gap without a value in\n{text}");
     let file = RawFile::parse(Path::new("entry.ini"), text).expect("INI");
@@ -110,6 +118,21 @@
     assert_eq!(settings.link_mbps, 10);
 }
 
+#[test]
+fn the_bounds_of_cold_servers_are_taken_from_the_template_where_they_are_told() {
+    let settings = settings_of(&filled_template("true"));
+    let warm_up = settings.warm_up.expect("bounds of cold servers");
+    assert_eq!((warm_up.overshoot, warm_up.tolerance), (1.5, 5.0));
+    assert_eq!(warm_up.heartbeat.as_millis(), 1_200);
+    // NB: other deployments leave the gaps blank.
+    let mut text = filled_template("true");
+    for key in ["overshoot = 1.5", "tolerance = 5", "evacuation_ms = 5000"] {
+        let (name, _) = key.split_once(" = ").expect("a pair");
+        text = text.replace(key, &format!("{name} = "));
+    }
+    assert_eq!(settings_of(&text).warm_up, None);
+}
+
 #[test]
 fn the_times_among_entries_follow_from_what_the_deployment_declares() {
     let membership = settings_of(&filled_template("true")).membership;
--- a/crates/config/tests/rejects_faulty_files.rs
+++ b/crates/config/tests/rejects_faulty_files.rs
@@ -134,3 +134,30 @@
     let settings = DirectSettings::try_from(raw(&text("", ""))).expect("blank is the default");
     assert!(settings.membership.seeds.is_empty());
 }
+
+const DIRECT: &str = "[direct]\nname = e\ndata_centre = d\ncallers = 127.0.0.1:1\n\
+    readiness = 127.0.0.1:2\n[store]\naddress = 127.0.0.1:3\n";
+
+fn fault_of_direct(further: &str) -> (String, String) {
+    let faults = faults(DirectSettings::try_from(raw(&format!("{DIRECT}{further}"))));
+    assert_eq!(faults.len(), 1, "{faults:?}");
+    (faults[0].0.clone(), faults[0].1.clone())
+}
+
+#[test]
+fn bounds_of_cold_servers_that_say_nothing_or_contradict_each_other_are_faults() {
+    let place = |section: &str, key: &str| (section.to_owned(), key.to_owned());
+    let warm_up = |lines: &str| fault_of_direct(&format!("[warm_up]\n{lines}\n"));
+    assert_eq!(warm_up("overshoot = 1.5"), place("warm_up", "tolerance"));
+    assert_eq!(warm_up("overshoot =\ntolerance = 5"), place("warm_up", "overshoot"));
+    assert_eq!(warm_up("overshoot = -1\ntolerance = 5"), place("warm_up", "overshoot"));
+    assert_eq!(warm_up("overshoot = NaN\ntolerance = 5"), place("warm_up", "overshoot"));
+    assert_eq!(warm_up("overshoot = 1\ntolerance = inf"), place("warm_up", "tolerance"));
+    let told = "overshoot = 1\ntolerance = 5\nheartbeat_ms = 0";
+    assert_eq!(warm_up(told), place("warm_up", "heartbeat_ms"));
+    // An evacuation travels as a change does; it can't be in force sooner than one.
+    let membership = "[membership]\npropagation_ms = 3000\nevacuation_ms = 1000\n";
+    assert_eq!(fault_of_direct(membership), place("membership", "evacuation_ms"));
+    let membership = "[membership]\nevacuation_ms = soon\n";
+    assert_eq!(fault_of_direct(membership), place("membership", "evacuation_ms"));
+}
--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -17,7 +17,8 @@
 //!    requests, how late its answers came, and what of the prompt must be read there, at the speed
 //!    that [`Engine`] has learned; then the way to another data centre, failures of late, and a
 //!    surcharge for all but the server that rendezvous hashing names for the prompt's shared part.
-//!    The request gets a rank there, shortest first ([`rank_of`]).
+//!    Servers of an evacuated data centre get nothing; cold ones get what this entry's share of their
+//!    bound lets it send ([`Sharers`]). The request gets a rank there, shortest first ([`rank_of`]).
 //! 5. **Pass it on, or ask a larger model?** [`Cascade::next_model`] compares what the answer at
 //!    hand is worth with what each larger model's would be: the chance that it does, by all
 //!    confidences told, less its price, the servers' time at the price of the moment, and what it
@@ -39,17 +40,19 @@
 mod rank;
 mod roll_out;
 mod sessions;
+mod warm_up;
 mod window_budget;
 
 pub use cascade::{Cascade, ModelNumber, Terms};
 pub use engine::{Engine, Estimate, ServiceModel};
 pub use fleet::{
     Ask, Fleet, Forecast, LoadError, PromptPart, ServerFacts, ServerIndex, ServerLoad, Ticket,
-    VersionRule, Weighed,
+    Unreached, VersionRule, Weighed,
 };
 pub use freshness::Freshness;
 pub use pool::{Pool, Seen, Tally};
 pub use rank::{RESUMED, Rank, rank_of};
 pub use roll_out::{Evidence, Move, RollOut, Stage};
 pub use sessions::{SessionKey, Sessions, session_key};
+pub use warm_up::{ColdBound, Coldness, Pacing, Sharers, WarmUp, longest_wait};
 pub use window_budget::{WindowBudget, WindowLimits};
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -7,6 +7,7 @@
 
 mod ask;
 mod load;
+mod places;
 mod server;
 
 use std::time::Duration;
@@ -16,9 +17,13 @@
 
 pub use ask::{Ask, Forecast, PromptPart, Ticket, VersionRule};
 pub use load::{LoadError, ServerLoad};
-pub use server::ServerFacts;
+pub use places::Unreached;
+pub use server::{Life, ServerFacts};
 
-use super::hash::mix;
+use super::{
+    hash::mix,
+    warm_up::{Pacing, Sharers},
+};
 use server::Server;
 
 /// Position of a server in its fleet; reused once the server is gone.
@@ -68,6 +73,14 @@
     servers: Vec<Option<Server>>,
     /// Versions that were found bad; their servers get nothing, whatever a rule allows.
     bad_versions: Vec<VersionId>,
+    /// Data centres whose servers get nothing for now.
+    evacuated: Vec<DataCentreId>,
+    /// What cold servers may get; nothing is held back where servers bear everything at once.
+    pacing: Option<Pacing>,
+    /// The entries among which that is shared.
+    sharers: Sharers,
+    /// Lives of servers known so far.
+    lives: Life,
     /// Time that a request placed here takes to be read, in milliseconds, on the average; other
     /// entries' requests are taken to be alike.
     usual_read_ms: f64,
@@ -86,17 +99,29 @@
             weighed,
             servers: Vec::new(),
             bad_versions: Vec::new(),
+            evacuated: Vec::new(),
+            pacing: None,
+            sharers: Sharers::default(),
+            lives: 0,
             usual_read_ms: READ_PRIOR_MS,
         }
     }
 
-    /// Learns of a server, or of a change of it. A server once seen to leave stays so.
+    /// Learns of a server, or of a change of it. A server once seen to leave stays so for its life;
+    /// one that is born anew under its identity holds and knows nothing of before.
     pub fn put(&mut self, facts: ServerFacts) {
-        if let Some(server) = self.servers.iter_mut().flatten().find(|s| s.facts.id == facts.id) {
-            server.is_told(facts);
+        let known = self.servers.iter_mut().flatten().find(|one| one.facts.id == facts.id);
+        if let Some(server) = known {
+            if server.is_born_anew(&facts) {
+                self.lives += 1;
+                *server = Server::new(facts, self.lives);
+            } else {
+                server.is_told(facts);
+            }
             return;
         }
-        let server = Server::new(facts);
+        self.lives += 1;
+        let server = Server::new(facts, self.lives);
         match self.servers.iter_mut().find(|slot| slot.is_none()) {
             Some(slot) => *slot = Some(server),
             None => self.servers.push(Some(server)),
@@ -122,7 +147,10 @@
     /// Whether a server may get work by a rule.
     fn may_serve(&self, server: &Server, versions: VersionRule<'_>, now: Duration) -> bool {
         let version = &server.facts.version;
-        server.is_open(now) && versions.allows(version) && !self.is_left_out(version)
+        server.is_open(now)
+            && versions.allows(version)
+            && !self.is_left_out(version)
+            && !self.is_evacuated(&server.facts.data_centre)
     }
 
     /// The store lists a server no longer, but may have lost it while away: it gets work for a
@@ -170,21 +198,31 @@
         servers.map(|server| server.running).sum()
     }
 
-    /// Chooses a server and counts the request there; `None` if no server may take it.
+    /// Chooses a server and counts the request there; `None` if no server may take it now.
     pub fn place(&mut self, ask: &Ask<'_>, now: Duration, rng: &mut impl Rng) -> Option<Ticket> {
         let best = self.best(ask, now, || rng.random_range(0.0..1.0))?;
         let expected_ms = best.read_ms + ask.base_ms;
         self.usual_read_ms += READ_GAIN * (expected_ms - self.usual_read_ms);
+        let is_paced = self.pacing.is_some();
         let server = self.servers[best.index].as_mut()?;
+        if is_paced {
+            server.warmth.note_sent(now);
+        }
         let ahead_ms = server.waiting_ms;
         server.admit(ask, expected_ms, now);
-        let id = server.facts.id.clone();
-        let read_tokens = best.read_ms / ask.read_ms_per_token.max(f64::MIN_POSITIVE);
-        let index = best.index;
-        Some(Ticket { index, server: id, expected_ms, read_tokens, ahead_ms, waiting: true })
+        Some(Ticket {
+            index: best.index,
+            server: server.facts.id.clone(),
+            life: server.life,
+            placed: now,
+            expected_ms,
+            read_tokens: best.read_ms / ask.read_ms_per_token.max(f64::MIN_POSITIVE),
+            ahead_ms,
+            waiting: true,
+        })
     }
 
-    /// What placing a request now would lead to; `None` if no server may take it.
+    /// What placing a request now would lead to; `None` if no server may take it now.
     pub fn forecast(&self, ask: &Ask<'_>, now: Duration) -> Option<Forecast> {
         let best = self.best(ask, now, || 0.0)?;
         Some(Forecast { begins_ms: best.begins_ms, read_ms: best.read_ms })
@@ -204,7 +242,7 @@
         let mut best: Option<Candidate> = None;
         for (index, server) in self.servers.iter().enumerate() {
             let Some(server) = server else { continue };
-            let open = self.may_serve(server, ask.versions, now);
+            let open = self.may_serve(server, ask.versions, now) && self.has_room(server, now);
             if !open || ask.avoid.contains(&server.facts.id) {
                 continue;
             }
@@ -258,7 +296,7 @@
         }
     }
 
-    /// The server could not be reached, or refused without running; it is left alone a while.
+    /// The server refused without running; it is left alone a while.
     pub fn refused(&mut self, ticket: &Ticket, now: Duration) {
         if let Some(server) = self.server_of(ticket) {
             server.refused(now);
@@ -266,8 +304,8 @@
     }
 
     /// The server says it is leaving, or another one has its address.
-    pub fn leaves(&mut self, id: &str) {
-        for server in self.servers.iter_mut().flatten().filter(|server| server.facts.id == id) {
+    pub fn leaves(&mut self, ticket: &Ticket) {
+        if let Some(server) = self.server_of(ticket) {
             server.leave();
         }
     }
@@ -278,6 +316,8 @@
     }
 
     /// The server that hashing names for a shared part.
+    ///
+    /// NB: never a cold one. All that share the part would turn to a server that takes a few of them.
     fn named_for(
         &self,
         part: u64,
@@ -286,14 +326,16 @@
     ) -> Option<ServerIndex> {
         let servers = self.servers.iter().enumerate();
         let servers = servers.filter_map(|(index, server)| Some((index, server.as_ref()?)));
-        let open = servers.filter(|(_, server)| self.may_serve(server, versions, now));
+        let open = servers.filter(|(_, server)| {
+            self.may_serve(server, versions, now) && !self.is_cold(server, now)
+        });
         let named = open.max_by_key(|(_, server)| mix(server.hash ^ part));
         named.map(|(index, _)| index)
     }
 
     fn server_of(&mut self, ticket: &Ticket) -> Option<&mut Server> {
         let server = self.servers.get_mut(ticket.index)?.as_mut()?;
-        (server.facts.id == ticket.server).then_some(server)
+        (server.life == ticket.life).then_some(server)
     }
 }
 
--- a/crates/decide/src/direct/fleet/ask.rs
+++ b/crates/decide/src/direct/fleet/ask.rs
@@ -1,8 +1,10 @@
 //! What a request asks of a server, and what it gets.
 
+use std::time::Duration;
+
 use pondwalk_types::ServerId;
 
-use super::ServerIndex;
+use super::{Life, ServerIndex};
 use crate::direct::engine::ServiceModel;
 
 /// One part of a prompt.
@@ -60,6 +62,10 @@
     pub index: ServerIndex,
     /// The server's identity; the position may have been reused since.
     pub server: ServerId,
+    /// The life of the server that it was placed in; a server may start again under its identity.
+    pub(super) life: Life,
+    /// When it was placed.
+    pub(super) placed: Duration,
     /// Time until its answer was expected to begin, in milliseconds, with nothing before it.
     pub expected_ms: f64,
     /// Tokens of its prompt that were to be read.
--- /dev/null
+++ b/crates/decide/src/direct/fleet/places.rs
@@ -0,0 +1,170 @@
+//! Which servers have room at this moment: evacuated data centres, and cold servers.
+
+use std::time::Duration;
+
+use pondwalk_types::ServerId;
+
+use super::{Ask, Fleet, Ticket, server::Server};
+use crate::direct::warm_up::{Coldness, Pacing, Sharers};
+
+/// Times in a row that a server must be silent before it counts as one that may have started anew.
+/// On links that lose one packet in twenty, a single silence is mostly a lost packet.
+const SILENCES: u32 = 2;
+
+/// Why a server could not be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unreached {
+    /// Nothing listens at its address.
+    Refused,
+    /// It did not answer in time.
+    Silent,
+}
+
+impl Fleet {
+    /// Sets what cold servers may get; nothing is held back without it.
+    pub fn set_pacing(&mut self, pacing: Option<Pacing>) {
+        if self.pacing == pacing {
+            return;
+        }
+        self.pacing = pacing;
+        for server in self.servers.iter().flatten() {
+            server.warmth.forget_share();
+        }
+    }
+
+    /// The entries that share the bounds of cold servers are these.
+    pub fn set_sharers(&mut self, sharers: &Sharers) {
+        self.sharers = sharers.clone();
+    }
+
+    /// Nothing more goes to the servers of a data centre.
+    pub fn evacuate(&mut self, data_centre: &str) {
+        if !self.is_evacuated(data_centre) {
+            self.evacuated.push(data_centre.to_owned());
+        }
+    }
+
+    /// The servers of a data centre may be used again. They may have turned cold shortly before.
+    pub fn take_back(&mut self, data_centre: &str, now: Duration) {
+        self.evacuated.retain(|evacuated| evacuated != data_centre);
+        let Some(pacing) = self.pacing else { return };
+        let servers = self.servers.iter_mut().flatten();
+        for server in servers.filter(|server| server.facts.data_centre == data_centre) {
+            server.warmth.doubt(now + pacing.time, Coldness::TakenBack);
+        }
+    }
+
+    /// Servers known in a data centre.
+    pub fn count_in(&self, data_centre: &str) -> usize {
+        let servers = self.servers.iter().flatten();
+        servers.filter(|server| server.facts.data_centre == data_centre).count()
+    }
+
+    pub(super) fn is_evacuated(&self, data_centre: &str) -> bool {
+        self.evacuated.iter().any(|evacuated| evacuated == data_centre)
+    }
+
+    /// The server could not be reached; it is left alone a while, and may have started anew before it
+    /// is reached again. Returns whether other entries should be told.
+    pub fn unreached(&mut self, ticket: &Ticket, why: Unreached, now: Duration) -> bool {
+        let pacing = self.pacing;
+        let Some(server) = self.server_of(ticket) else { return false };
+        let in_row = server.refused(now);
+        let is_gone = why == Unreached::Refused || in_row >= SILENCES;
+        match pacing.filter(|_| is_gone) {
+            Some(pacing) => doubt_unreached(server, pacing, now),
+            None => false,
+        }
+    }
+
+    /// Another entry could not reach a server at that time. Returns whether that was news.
+    pub fn is_told_unreached(&mut self, id: &str, at: Duration, now: Duration) -> bool {
+        let Some(pacing) = self.pacing else { return false };
+        let server = self.servers.iter_mut().flatten().find(|server| server.facts.id == id);
+        server.is_some_and(|server| doubt_unreached(server, pacing, at.min(now)))
+    }
+
+    /// Whether a request placed a moment ago may leave now, when its connection stands: its server's
+    /// data centre may have been evacuated, or the server turned cold. A cold server gets it as if it
+    /// was sent now.
+    pub fn may_leave(&mut self, ticket: &Ticket, now: Duration) -> bool {
+        let is_paced = self.pacing.is_some();
+        let Some(server) = self.servers.get(ticket.index).and_then(Option::as_ref) else {
+            return true;
+        };
+        if server.life != ticket.life {
+            return true;
+        }
+        let is_late = now > ticket.placed && is_paced;
+        if self.is_evacuated(&server.facts.data_centre) {
+            return false;
+        }
+        // NB: its own place is counted already, unless it was placed so long ago that others may have
+        // taken theirs since, as after a freeze of the process.
+        if is_late && self.is_cold(server, now) && !self.holds_place(server, ticket, now) {
+            return false;
+        }
+        if is_late && let Some(server) = self.server_of(ticket) {
+            server.warmth.note_sent_later(ticket.placed, now);
+        }
+        true
+    }
+
+    /// Whether a request that is about to leave is within this entry's share of a cold server.
+    fn holds_place(&self, server: &Server, ticket: &Ticket, now: Duration) -> bool {
+        let share = self.share_of(server);
+        now >= self.pacing.map_or(Duration::ZERO, |pacing| pacing.from)
+            && server.warmth.sent_beside(ticket.placed, now) < share as usize
+    }
+
+    /// Why a server counts as cold, if it does.
+    pub fn coldness(&self, id: &str, now: Duration) -> Option<Coldness> {
+        self.pacing?;
+        let server = self.servers.iter().flatten().find(|server| server.facts.id == id)?;
+        server.warmth.coldness(now)
+    }
+
+    /// When a request that no server may take now could be placed, if any server is merely cold.
+    pub fn opens_at(&self, ask: &Ask<'_>, now: Duration) -> Option<Duration> {
+        let open = self.open(ask.versions, now);
+        let open = open.filter(|server| !ask.avoid.contains(&server.facts.id));
+        open.map(|server| self.opens_to(server, now)).min()
+    }
+
+    /// Servers that count as cold and may otherwise serve, with when that ends.
+    pub fn cold_servers(&self, now: Duration) -> impl Iterator<Item = (&ServerId, Duration)> {
+        let cold = self.servers.iter().flatten().filter(move |server| self.is_cold(server, now));
+        cold.map(|server| (&server.facts.id, server.warmth.cold_until()))
+    }
+
+    pub(super) fn is_cold(&self, server: &Server, now: Duration) -> bool {
+        self.pacing.is_some() && server.warmth.coldness(now).is_some()
+    }
+
+    /// Whether a server may get one more request now, by what it bears.
+    pub(super) fn has_room(&self, server: &Server, now: Duration) -> bool {
+        !self.is_cold(server, now) || self.opens_to(server, now) <= now
+    }
+
+    /// When a server may get one more request of this entry.
+    fn opens_to(&self, server: &Server, now: Duration) -> Duration {
+        let Some(pacing) = self.pacing.filter(|_| self.is_cold(server, now)) else { return now };
+        let warm = server.warmth.cold_until();
+        match server.warmth.opens_at(self.share_of(server)) {
+            Some(at) => at.max(pacing.from).min(warm),
+            None => warm,
+        }
+    }
+
+    fn share_of(&self, server: &Server) -> u32 {
+        let most = self.pacing.map_or(0, |pacing| pacing.most);
+        server.warmth.share(server.hash, most, &self.sharers)
+    }
+}
+
+/// A server was not reached at `at`. By the time it has told of a new start, it is warm or says that it
+/// is not.
+fn doubt_unreached(server: &mut Server, pacing: Pacing, at: Duration) -> bool {
+    let until = at + pacing.told_after + pacing.time;
+    server.warmth.doubt(until, Coldness::Unreached)
+}
--- a/crates/decide/src/direct/fleet/server.rs
+++ b/crates/decide/src/direct/fleet/server.rs
@@ -8,7 +8,7 @@
     ask::{Ask, PromptPart, Ticket},
     load::{OthersLoad, ServerLoad},
 };
-use crate::direct::hash::hash_text;
+use crate::direct::{hash::hash_text, warm_up::Warmth};
 
 /// Time that one running request adds to the cost of a server, in milliseconds.
 const RUNNING_MS: f64 = 4.0;
@@ -43,11 +43,16 @@
 /// Part of a failure share that is forgotten each second, so that a server is tried again.
 const FAILURE_DECAY_PER_S: f64 = 0.2;
 
+/// Number of a server's life among all that a fleet has known.
+pub type Life = u64;
+
 /// What the store tells of a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerFacts {
-    /// Identity of this start of the server.
+    /// Identity of the server; it may start again under the one that it had.
     pub id: ServerId,
+    /// When it started, in milliseconds of Unix time, where it tells.
+    pub born_ms: Option<u64>,
     /// Where it listens.
     pub address: SocketAddr,
     /// Data centre it runs in.
@@ -58,6 +63,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub ready: bool,
+    /// Until when it is cold by its own word, by this entry's clock.
+    pub cold_until: Duration,
 }
 
 /// One server with what this entry has seen of it.
@@ -65,6 +72,10 @@
 pub struct Server {
     /// What the store tells of it.
     pub facts: ServerFacts,
+    /// Which of its lives this is.
+    pub life: Life,
+    /// Whether it is cold, and what was sent there of late.
+    pub warmth: Warmth,
     /// Hash of its identity, by which rendezvous hashing names servers.
     pub hash: u64,
     /// Seen to be leaving or replaced, whatever the store says.
@@ -92,10 +103,14 @@
 
 impl Server {
     /// A server of which nothing has been seen.
-    pub fn new(facts: ServerFacts) -> Self {
+    pub fn new(facts: ServerFacts, life: Life) -> Self {
+        let mut warmth = Warmth::default();
+        warmth.is_told(facts.cold_until);
         Server {
             hash: hash_text(&facts.id),
             facts,
+            life,
+            warmth,
             leaving: false,
             lapses_at: None,
             waiting_ms: 0.0,
@@ -173,10 +188,16 @@
 
     /// What the store tells has changed, or is told again.
     pub fn is_told(&mut self, facts: ServerFacts) {
+        self.warmth.is_told(facts.cold_until);
         self.facts = facts;
         self.lapses_at = None;
     }
 
+    /// Whether the word on a server speaks of another life of it than this one.
+    pub fn is_born_anew(&self, facts: &ServerFacts) -> bool {
+        self.facts.born_ms != facts.born_ms
+    }
+
     /// The store lists it no longer, but may have lost it while away.
     pub fn lapse(&mut self, now: Duration) {
         self.lapses_at.get_or_insert(now + LAPSE_TIME);
@@ -251,10 +272,12 @@
         self.refusals = 0;
     }
 
-    /// It could not be reached, or refused without running; it is left alone a while.
-    pub fn refused(&mut self, now: Duration) {
+    /// It could not be reached, or refused without running; it is left alone a while. Returns how
+    /// many times in a row that has happened.
+    pub fn refused(&mut self, now: Duration) -> u32 {
         let pause = FIRST_PAUSE * 2u32.pow(self.refusals.min(4));
         self.paused_until = now + pause.min(LONGEST_PAUSE);
-        self.refusals += 1;
+        self.refusals = self.refusals.saturating_add(1);
+        self.refusals
     }
 }
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -20,6 +20,8 @@
         version: version.to_owned(),
         slots: 8,
         ready: true,
+        born_ms: None,
+        cold_until: Duration::ZERO,
     }
 }
 
@@ -41,3 +43,9 @@
         versions: VersionRule::Any,
     }
 }
+
+/// Parts of a prompt with these lengths in tokens.
+pub fn parts(tokens: &[u32]) -> Vec<PromptPart> {
+    let parts = tokens.iter().enumerate();
+    parts.map(|(id, tokens)| PromptPart { id: id as u64, tokens: *tokens }).collect()
+}
--- a/crates/decide/tests/direct.rs
+++ b/crates/decide/tests/direct.rs
@@ -130,7 +130,17 @@
             let id = format!("s{n}");
             match step % 4 {
                 0 => {
-                    fleet.leaves(&id);
+                    let others: Vec<String> =
+                        (0..4).filter(|m| *m != n).map(|m| format!("s{m}")).collect();
+                    let asked = Ask { avoid: &others, ..ask(&[]) };
+                    let placed = fleet.place(&asked, ms(0), &mut rng);
+                    if placed.is_none() != closed[n] {
+                        return false;
+                    }
+                    if let Some(ticket) = placed {
+                        fleet.ended(&ticket);
+                        fleet.leaves(&ticket);
+                    }
                     closed[n] = true;
                 }
                 1 => {
--- a/crates/direct/src/catalog.rs
+++ b/crates/direct/src/catalog.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
+use pondwalk_decide::direct::WarmUp;
 use pondwalk_types::{ModelId, ServerId, VersionId, WorkspaceId};
 
 /// Names a group of backend servers that serve the same routes.
@@ -105,6 +106,8 @@
     pub max_connections: u32,
     /// Figures of its engines, if it runs models.
     pub engine: Option<Engine>,
+    /// How its backend servers warm up, if they do not bear everything from their start.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// A customer with its keys.
@@ -203,6 +206,11 @@
         !self.workspaces.is_empty()
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Rc<Service>> {
+        self.services.values()
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Rc<Service>> {
         self.services.get(name)
@@ -221,8 +229,10 @@
 /// A backend server as the store tells of it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BackendServer {
-    /// Identity of this start of the server.
+    /// Identity of the server; it may start again under the one that it had.
     pub id: ServerId,
+    /// When it started, in milliseconds of Unix time, where it tells.
+    pub born_ms: Option<u64>,
     /// Service it belongs to.
     pub service: ServiceId,
     /// Where it listens.
@@ -235,4 +245,6 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: ServerState,
+    /// How much longer it was cold when it told this.
+    pub warm_up_left: Duration,
 }
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -2,35 +2,25 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     fmt::Write,
     net::SocketAddr,
-    rc::Rc,
     time::Duration,
 };
 
 use pondwalk_config::DirectSettings;
-use pondwalk_decide::direct::{
-    Cascade, Engine, Fleet, Freshness, RollOut, ServerFacts, Sessions, Weighed, WindowBudget,
-    WindowLimits,
-};
-use pondwalk_types::ServerId;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::sync::Notify;
 
 use crate::{
-    catalog::{BackendServer, Catalog, ServerState, ServiceId},
     clock::Clock,
     dialect::Dialect,
     journal::Journal,
-    membership::{NewsLog, Outbox, Replica, Roster, Source},
+    membership::{NewsLog, Outbox, Roster, Source},
     metrics::Metrics,
+    state::State,
     upstream::Connect,
 };
 
-/// Longest time that a request of a session may run, by which its memory outlasts its end.
-const LONGEST_REQUEST_S: f64 = 25.0;
-
 /// Whether the process is to end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stopping {
@@ -83,43 +73,6 @@
     pub state: RefCell<State>,
 }
 
-/// The part of it that changes with what is learned.
-pub struct State {
-    /// The configuration in force, once one is held.
-    pub catalog: Option<Rc<Catalog>>,
-    /// How long ago the store confirmed it.
-    pub freshness: Freshness,
-    /// Whether the last call to the store failed.
-    pub source_lost: bool,
-    /// How long the last answer of the store took, here or where this entry's state comes from.
-    pub store_takes: Duration,
-    /// When the store last came back after an entry that asks it had lost it.
-    pub store_returned: Option<Duration>,
-    /// Confirmations so far.
-    pub turn: u64,
-    /// The store's keys, for other entries.
-    pub replica: Replica,
-    /// Backend servers by service.
-    pub fleets: HashMap<ServiceId, Fleet>,
-    /// Service of each backend server.
-    pub service_of: HashMap<ServerId, ServiceId>,
-    /// Roll-outs under way or done, by service.
-    pub roll_outs: HashMap<ServiceId, RollOut>,
-    /// Versions of running sessions.
-    pub sessions: Sessions,
-    /// Budgets of further sends, by service.
-    pub budgets: HashMap<ServiceId, WindowBudget>,
-    /// What is known of the engines, by service.
-    pub engines: HashMap<ServiceId, Engine>,
-    /// Which models are asked, by service.
-    pub cascades: HashMap<ServiceId, Cascade>,
-    /// Source of random numbers.
-    pub rng: SmallRng,
-    limits: WindowLimits,
-    home: String,
-    weighed: Weighed,
-}
-
 impl Core {
     /// A process that knows nothing yet.
     pub fn new(
@@ -196,15 +149,26 @@
         self.state.borrow().freshness.age(self.clock.now())
     }
 
+    /// Lets the bounds of cold servers be shared by the entries that are listed now.
+    pub fn share_bounds(&self) {
+        let names = self.roster.names();
+        self.state.borrow_mut().set_sharers(names.iter().map(String::as_str));
+    }
+
     /// Counters, histograms, and where this entry stands among the others, one a line.
     pub fn metrics_text(&self) -> String {
         let mut text = self.metrics.text();
         let asks_store = !matches!(self.source(), Source::Entry { .. });
+        let state = self.state.borrow();
+        let cold = state.fleets.values().map(|fleet| fleet.cold_servers(self.clock.now()).count());
         let mut gauges = vec![
+            ("servers_cold", cold.sum::<usize>() as u64),
+            ("data_centres_evacuated", state.evacuated.len() as u64),
             ("entries_listed", self.roster.count() as u64),
             ("asks_store", u64::from(asks_store)),
             ("news_remembered", self.news.borrow().all(self.clock.now()).count() as u64),
         ];
+        drop(state);
         if let Some(age) = self.state_age() {
             gauges.push(("state_age_ms", age.as_millis() as u64));
         }
@@ -224,89 +188,3 @@
         self.stopping.get() == Stopping::No && serves
     }
 }
-
-impl State {
-    fn new(settings: &DirectSettings, seed: u64) -> Self {
-        let retries = settings.retries;
-        let memory_s = settings.session_ttl.as_secs_f64() + LONGEST_REQUEST_S;
-        State {
-            catalog: None,
-            freshness: Freshness::new(settings.state_bound, settings.key_bound),
-            source_lost: false,
-            store_takes: Duration::ZERO,
-            store_returned: None,
-            turn: 0,
-            replica: Replica::default(),
-            fleets: HashMap::new(),
-            service_of: HashMap::new(),
-            roll_outs: HashMap::new(),
-            sessions: Sessions::new(Duration::from_secs_f64(memory_s)),
-            budgets: HashMap::new(),
-            engines: HashMap::new(),
-            cascades: HashMap::new(),
-            rng: SmallRng::seed_from_u64(seed),
-            limits: WindowLimits {
-                ratio: retries.ratio,
-                extra: retries.extra / f64::from(retries.entries),
-                window: retries.window,
-            },
-            home: settings.data_centre.clone(),
-            weighed: Weighed {
-                named_servers: settings.policy.named_servers,
-                delays: settings.policy.delays,
-                told_loads: settings.policy.told_loads,
-            },
-        }
-    }
-
-    /// The servers of a service.
-    pub fn fleet(&mut self, service: &ServiceId) -> &mut Fleet {
-        let (home, weighed) = (&self.home, self.weighed);
-        let fleet = self.fleets.entry(service.clone());
-        fleet.or_insert_with(|| Fleet::weighing(home, weighed))
-    }
-
-    /// The budget of a service.
-    pub fn budget(&mut self, service: &ServiceId) -> &mut WindowBudget {
-        let limits = self.limits;
-        self.budgets.entry(service.clone()).or_insert_with(|| WindowBudget::new(limits))
-    }
-
-    /// Learns of a backend server, or of a change of it.
-    pub fn put_server(&mut self, server: BackendServer) {
-        self.service_of.insert(server.id.clone(), server.service.clone());
-        let facts = ServerFacts {
-            id: server.id,
-            address: server.address,
-            data_centre: server.data_centre,
-            version: server.version,
-            slots: server.slots,
-            ready: server.state == ServerState::Ready,
-        };
-        self.fleet(&server.service).put(facts);
-    }
-
-    /// The store lists a backend server no longer, and may have lost it while away.
-    pub fn lapse_server(&mut self, id: &str, now: Duration) {
-        if let Some(service) = self.service_of.get(id).cloned() {
-            self.fleet(&service).lapse(id, now);
-        }
-    }
-
-    /// Forgets the backend servers that lapsed and did not come back in time, and tells which.
-    pub fn take_lapsed(&mut self, now: Duration) -> Vec<ServerId> {
-        let lapsed = self.fleets.values_mut().flat_map(|fleet| fleet.take_lapsed(now));
-        let lapsed: Vec<ServerId> = lapsed.collect();
-        for id in &lapsed {
-            self.service_of.remove(id);
-        }
-        lapsed
-    }
-
-    /// Forgets a backend server.
-    pub fn remove_server(&mut self, id: &str) {
-        if let Some(service) = self.service_of.remove(id) {
-            self.fleet(&service).remove(id);
-        }
-    }
-}
--- a/crates/direct/src/facts.rs
+++ b/crates/direct/src/facts.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use pondwalk_store::{Fetched, StorePort};
-use pondwalk_types::{ServerId, VersionId};
+use pondwalk_types::{DataCentreId, ServerId, VersionId};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -20,6 +20,15 @@
     pub within: Duration,
 }
 
+/// Whether the backend servers of a data centre get anything.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evacuation {
+    /// Nothing more goes to them.
+    Ordered,
+    /// They may be used again.
+    TakenBack,
+}
+
 /// How far a roll-out has come, as told to the operator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
@@ -49,6 +58,10 @@
     Catalog(Box<Catalog>),
     /// A backend server, or that it is gone.
     Server(ServerId, Option<BackendServer>),
+    /// An entry of a backend server that cannot be read; it names no server to use.
+    UnreadableServer(ServerId, UnreadableFact),
+    /// A data centre is to be evacuated, or was taken back.
+    Evacuation(DataCentreId, Evacuation),
     /// An order to roll out, or that it was taken back.
     Order(ServiceId, Option<RollOutOrder>),
     /// Progress of a roll-out, or that nothing is told of it.
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -10,9 +10,10 @@
 mod report;
 mod watching;
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
 use pondwalk_store::{Fetched, Listing, StoreError, StoreEvent, WatchReply};
+use pondwalk_types::ServerId;
 use tokio::time::{Instant, sleep, timeout};
 
 use asking::{Answered, Asked, Asking};
@@ -58,6 +59,7 @@
         asked_around: 0,
         joined: false,
         list_from: Duration::ZERO,
+        unreadable: RefCell::default(),
     };
     loop {
         let Some(mut revision) = follower.read_all().await else { continue };
@@ -110,6 +112,8 @@
     joined: bool,
     /// When it may see to its listing again.
     list_from: Duration,
+    /// Servers whose entries cannot be read, as far as that was logged.
+    unreadable: RefCell<BTreeSet<ServerId>>,
 }
 
 impl Follower {
--- a/crates/direct/src/follow/learn.rs
+++ b/crates/direct/src/follow/learn.rs
@@ -1,17 +1,19 @@
 //! Takes in what was learned: configurations, backend servers, other entries, roll-outs.
 
-use std::{collections::HashSet, rc::Rc, time::Duration};
+use std::{collections::HashSet, time::Duration};
 
 use pondwalk_store::{Fetched, StoreEvent};
 
 use super::{Follower, Heard, report::Learned};
 use crate::{
-    catalog::Catalog,
-    facts::Fact,
+    catalog::{BackendServer, Catalog},
+    facts::{Evacuation, Fact, UnreadableFact},
     journal::Rank,
     membership::{ENTRY_PREFIX, Listing},
 };
 
+/// Unreadable entries of servers that are told apart in the logs.
+const MOST_UNREADABLE: usize = 256;
 /// Time after the store's return in which an entry that is missing may have lapsed only.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
@@ -45,7 +47,9 @@
                 None
             }
         };
-        self.core.roster.learn(name, listing);
+        if self.core.roster.learn(name, listing) {
+            self.core.share_bounds();
+        }
     }
 
     fn learn_removed(&self, key: &str) {
@@ -63,17 +67,10 @@
     fn take_in(&self, fact: Fact, store_revision: u64) {
         match fact {
             Fact::Catalog(catalog) => self.install(*catalog, store_revision),
-            Fact::Server(_, Some(server)) => {
-                self.core.journal.note(
-                    Rank::State,
-                    &Learned::ServerKnown {
-                        server: &server.id,
-                        service: &server.service,
-                        version: &server.version,
-                        state: format!("{:?}", server.state),
-                    },
-                );
-                self.core.state.borrow_mut().put_server(server);
+            Fact::Server(_, Some(server)) => self.learn_server(server),
+            Fact::UnreadableServer(id, error) => self.forget_unreadable(&id, &error),
+            Fact::Evacuation(data_centre, evacuation) => {
+                self.learn_evacuation(&data_centre, evacuation);
             }
             Fact::Server(id, None) if self.may_have_lapsed() => {
                 self.core.journal.note(Rank::State, &Learned::ServerLapsed { server: &id });
@@ -91,6 +88,50 @@
         }
     }
 
+    fn learn_server(&self, server: BackendServer) {
+        self.unreadable.borrow_mut().remove(&server.id);
+        let event = Learned::ServerKnown {
+            server: &server.id,
+            service: &server.service,
+            version: &server.version,
+            state: format!("{:?}", server.state),
+            cold_ms: server.warm_up_left.as_millis() as u64,
+            born_ms: server.born_ms,
+        };
+        self.core.journal.note(Rank::State, &event);
+        self.core.state.borrow_mut().put_server(server, self.core.clock.now());
+    }
+
+    /// An entry of a server cannot be read: it names no server, whatever it named before.
+    fn forget_unreadable(&self, id: &str, error: &UnreadableFact) {
+        self.core.state.borrow_mut().remove_server(id);
+        let mut unreadable = self.unreadable.borrow_mut();
+        // NB: one line for each, however often it is written.
+        if unreadable.len() < MOST_UNREADABLE && unreadable.insert(id.to_owned()) {
+            let event = Learned::EntryUnreadable { key: &error.key, reason: &error.reason };
+            self.core.journal.note(Rank::State, &event);
+        }
+    }
+
+    fn learn_evacuation(&self, data_centre: &str, evacuation: Evacuation) {
+        let now = self.core.clock.now();
+        let mut state = self.core.state.borrow_mut();
+        let is_new = match evacuation {
+            Evacuation::Ordered => state.evacuate(data_centre),
+            Evacuation::TakenBack => state.take_back(data_centre, now),
+        };
+        // NB: none of them means that no server is known there; the order may name another place.
+        let servers = state.fleets.values().map(|fleet| fleet.count_in(data_centre)).sum();
+        drop(state);
+        if is_new {
+            let event = match evacuation {
+                Evacuation::Ordered => Learned::DataCentreEvacuated { data_centre, servers },
+                Evacuation::TakenBack => Learned::DataCentreTakenBack { data_centre, servers },
+            };
+            self.core.journal.note(Rank::State, &event);
+        }
+    }
+
     /// Whether the store is just back, so that what it does not list may have lapsed meanwhile.
     fn may_have_lapsed(&self) -> bool {
         let returned = |at| self.core.clock.now().saturating_sub(at) < RETURN_TIME;
@@ -120,20 +161,31 @@
             self.core.journal.note(Rank::State, &event);
             return;
         }
-        state.catalog = Some(Rc::new(catalog));
+        state.install(catalog);
         drop(state);
         let event = Learned::ConfigurationInForce { version, store_revision };
         self.core.journal.note(Rank::State, &event);
     }
 
-    /// Forgets the servers that a whole reading does not show.
+    /// Forgets the servers and evacuations that a whole reading does not show.
     pub(super) fn forget_all_but(&self, entries: &[Fetched]) {
         let mut shown = HashSet::new();
+        let mut evacuated = HashSet::new();
         for entry in entries {
-            if let Ok(Fact::Server(id, _)) = self.port.read_entry(entry) {
-                shown.insert(id);
+            match self.port.read_entry(entry) {
+                Ok(Fact::Server(id, _)) => {
+                    shown.insert(id);
+                }
+                Ok(Fact::Evacuation(data_centre, Evacuation::Ordered)) => {
+                    evacuated.insert(data_centre);
+                }
+                _ => {}
             }
         }
+        let known = self.core.state.borrow().evacuated.clone();
+        for data_centre in known.iter().filter(|known| !evacuated.contains(*known)) {
+            self.learn_evacuation(data_centre, Evacuation::TakenBack);
+        }
         let known: Vec<String> = self.core.state.borrow().service_of.keys().cloned().collect();
         for id in known.iter().filter(|id| !shown.contains(*id)) {
             self.take_in(Fact::Server(id.clone(), None), 0);
--- a/crates/direct/src/follow/report.rs
+++ b/crates/direct/src/follow/report.rs
@@ -6,17 +6,64 @@
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Learned<'a> {
-    ConfigurationInForce { version: u64, store_revision: u64 },
-    OlderConfigurationIgnored { version: u64, held: u64 },
-    ServerKnown { server: &'a str, service: &'a str, version: &'a str, state: String },
-    ServerGone { server: &'a str },
-    ServerLapsed { server: &'a str },
-    EntryUnreadable { key: &'a str, reason: &'a str },
-    StoreLost { error: String, freshness_ms: Option<u64> },
-    StoreRegained { revision: u64 },
-    FirstState { from: String, revision: u64 },
-    SourceChanged { entry: Option<&'a str> },
-    SourceFailed { entry: &'a str, error: String },
-    HistoryGone { revision: u64 },
-    AnswerTookLong { after: u64, bytes: usize, took_ms: u64 },
+    ConfigurationInForce {
+        version: u64,
+        store_revision: u64,
+    },
+    OlderConfigurationIgnored {
+        version: u64,
+        held: u64,
+    },
+    ServerKnown {
+        server: &'a str,
+        service: &'a str,
+        version: &'a str,
+        state: String,
+        cold_ms: u64,
+        born_ms: Option<u64>,
+    },
+    ServerGone {
+        server: &'a str,
+    },
+    ServerLapsed {
+        server: &'a str,
+    },
+    DataCentreEvacuated {
+        data_centre: &'a str,
+        servers: usize,
+    },
+    DataCentreTakenBack {
+        data_centre: &'a str,
+        servers: usize,
+    },
+    EntryUnreadable {
+        key: &'a str,
+        reason: &'a str,
+    },
+    StoreLost {
+        error: String,
+        freshness_ms: Option<u64>,
+    },
+    StoreRegained {
+        revision: u64,
+    },
+    FirstState {
+        from: String,
+        revision: u64,
+    },
+    SourceChanged {
+        entry: Option<&'a str>,
+    },
+    SourceFailed {
+        entry: &'a str,
+        error: String,
+    },
+    HistoryGone {
+        revision: u64,
+    },
+    AnswerTookLong {
+        after: u64,
+        bytes: usize,
+        took_ms: u64,
+    },
 }
--- a/crates/direct/src/foresight.rs
+++ b/crates/direct/src/foresight.rs
@@ -6,11 +6,7 @@
 use pondwalk_decide::direct::{Ask, Engine, ModelNumber, Terms, VersionRule};
 use pondwalk_types::ServerId;
 
-use crate::{
-    catalog::ServiceId,
-    core::{Core, State},
-    request::Job,
-};
+use crate::{catalog::ServiceId, core::Core, request::Job, state::State};
 
 /// Tokens read that count as much as one made in an answer's size; from the users' rules.
 const SIZE_OF_TOKEN_OUT: f64 = 10.0;
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -18,7 +18,7 @@
     journal::Rank,
     metrics::Counter,
     placement::Placement,
-    upstream::{Connection, Exchange},
+    upstream::{Connection, Exchange, SendError},
 };
 
 /// Pieces that may wait for a slow caller before the backend server is held up.
@@ -198,7 +198,7 @@
             if !run.take_further_send(0.0) {
                 return None;
             }
-            let placement = run.find_place()?;
+            let placement = run.wait_for_place().await.ok()?;
             let until = run.job.give_up;
             match run.send(&placement, until, self.last_id.as_deref()).await {
                 Ok(exchange) if goes_on(run, &exchange) => {
@@ -216,7 +216,14 @@
                     let status = exchange.response.status().to_string();
                     run.note_failed(&placement, "not_resumed", status);
                 }
-                Err(error) => run.note_failed(&placement, "not_resumed", error.to_string()),
+                Err(error) => {
+                    run.note_failed(&placement, "not_resumed", error.to_string());
+                    if let SendError::NotSent { why, .. } = error {
+                        placement.unreached(why);
+                        run.avoid.push(placement.server().clone());
+                        continue;
+                    }
+                }
             }
             placement.refused();
             run.avoid.push(placement.server().clone());
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -8,21 +8,24 @@
     body::Incoming,
     header::{HOST, HeaderName, HeaderValue},
 };
-use pondwalk_decide::direct::{ModelNumber, RESUMED, ServerLoad, rank_of};
+use pondwalk_decide::direct::{ModelNumber, RESUMED, ServerLoad, longest_wait, rank_of};
 use pondwalk_types::{ServerId, VersionId};
+use tokio::time::sleep_until;
 
 use super::report::RequestEvent;
 use crate::{
     core::Core,
     journal::Rank,
     metrics::{Counter, Timer},
-    placement::Placement,
+    placement::{NoPlace, Placement},
     request::{Job, key_still_holds},
     upstream::{self, Exchange, SendError},
 };
 
 /// Time that is kept for an answer's way back to the caller.
 const WAY_BACK: Duration = Duration::from_millis(8);
+/// Shortest pause of a request that waits for room at a cold server.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
 
 /// Counts a request as under way until it is dropped.
 pub struct UnderWay {
@@ -98,11 +101,32 @@
     }
 
     /// A place for the next send.
-    pub fn find_place(&self) -> Option<Placement> {
+    fn find_place(&self) -> Result<Placement, NoPlace> {
         let failed = self.failed_version.as_deref();
         Placement::find(&self.core, &self.job, self.model, &self.avoid, failed)
     }
 
+    /// A place for the next send, waited for if the servers that could take it are merely cold. There
+    /// is room again within a fraction of a second, and a refusal costs its caller a new attempt.
+    pub async fn wait_for_place(&self) -> Result<Placement, NoPlace> {
+        let asked = self.core.clock.now();
+        let longest = longest_wait(self.job.route.objective);
+        let until = (asked + longest).min(self.job.give_up);
+        let mut has_waited = false;
+        loop {
+            let opens_at = match self.find_place() {
+                Err(NoPlace::Cold { opens_at }) if opens_at < until => opens_at,
+                found => return found,
+            };
+            if !std::mem::replace(&mut has_waited, true) {
+                self.core.metrics.count(Counter::HeldForCold);
+            }
+            // NB: others may have taken the room by then, so the shortest pause is more than none.
+            let at = opens_at.max(self.core.clock.now() + SHORTEST_PAUSE);
+            sleep_until(self.core.clock.instant(at)).await;
+        }
+    }
+
     /// Sends the request to its place and waits for the head of the answer.
     pub async fn send(
         &mut self,
@@ -113,9 +137,14 @@
         let request = self.outgoing(placement, last_event_id);
         let until = self.core.clock.instant(until);
         let connect = &self.core.connect;
-        let sent = upstream::send(connect, placement.address, request, until, || self.may_send());
+        let sent = upstream::send(connect, placement.address, request, until, || {
+            self.may_send() && placement.may_leave()
+        });
         let sent = sent.await;
-        if !matches!(sent, Err(SendError::NotSent(_))) {
+        if matches!(sent, Err(SendError::Withheld)) {
+            self.core.metrics.count(Counter::Withheld);
+        }
+        if !matches!(sent, Err(SendError::NotSent { .. } | SendError::Withheld)) {
             self.sends += 1;
             self.core.metrics.count(Counter::Sends);
             if self.sends > 1 {
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -20,7 +20,7 @@
     foresight,
     journal::Rank,
     metrics::{Counter, Timer},
-    placement::Placement,
+    placement::{NoPlace, Placement},
     request::{Refusal, strip_connection_headers},
     upstream::{Exchange, SendError},
 };
@@ -67,8 +67,10 @@
                     if self.may_have_run { Refusal::TimedOut } else { Refusal::ExpiredUnsent };
                 return self.refuse(refusal);
             }
-            let found = self.find_place();
-            let Some(placement) = found else { return self.refuse(self.no_server()) };
+            let placement = match self.wait_for_place().await {
+                Ok(placement) => placement,
+                Err(no_place) => return self.refuse(self.no_server(no_place)),
+            };
             match self.attempt(placement).await {
                 Verdict::Pass(response) => return response,
                 Verdict::Next => {}
@@ -77,11 +79,15 @@
         }
     }
 
-    fn no_server(&self) -> Refusal {
-        match (self.may_have_run, self.avoid.is_empty()) {
-            (true, _) => Refusal::OutcomeUnknown,
-            (false, true) => Refusal::NoServer,
-            (false, false) => Refusal::TurnedAway,
+    fn no_server(&self, no_place: NoPlace) -> Refusal {
+        match no_place {
+            _ if self.may_have_run => Refusal::OutcomeUnknown,
+            NoPlace::Cold { opens_at } => {
+                let opens_in = opens_at.saturating_sub(self.core.clock.now());
+                Refusal::AllCold { opens_in }
+            }
+            NoPlace::Closed if self.avoid.is_empty() => Refusal::NoServer,
+            NoPlace::Closed => Refusal::TurnedAway,
         }
     }
 
@@ -102,10 +108,14 @@
         let job = Rc::clone(&self.job);
         match self.send(&placement, until, job.last_event_id.as_deref()).await {
             Ok(exchange) => self.judge(exchange, placement).await,
-            Err(SendError::NotSent(detail)) => {
-                placement.refused();
+            Err(SendError::NotSent { why, detail }) => {
+                placement.unreached(why);
                 self.note_failed(&placement, "not_sent", detail);
                 self.avoid.push(placement.server().clone());
+                Verdict::Next
+            }
+            Err(SendError::Withheld) => {
+                self.note_failed(&placement, "withheld", String::new());
                 if self.may_send() { Verdict::Next } else { Verdict::Refuse(Refusal::Stale) }
             }
             Err(SendError::Broken(detail)) => self.after_loss(&placement, "broken", detail),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,6 +22,7 @@
 mod placement;
 mod request;
 mod run;
+mod state;
 pub mod upstream;
 
 pub use dialect::Dialect;
--- a/crates/direct/src/membership/news.rs
+++ b/crates/direct/src/membership/news.rs
@@ -10,6 +10,7 @@
 };
 
 use pondwalk_decide::direct::{Seen, SessionKey, Stage};
+use pondwalk_types::ServerId;
 use serde::{Deserialize, Serialize};
 
 use super::Listing;
@@ -62,6 +63,13 @@
         /// Version on trial.
         target: String,
     },
+    /// A backend server could not be reached, and may be cold when it is reached again.
+    Unreached {
+        /// Service of the server.
+        fleet: String,
+        /// The server.
+        server: ServerId,
+    },
     /// It has started and is to be listed.
     Joined {
         /// Where other entries may ask it, and over which link.
--- a/crates/direct/src/membership/roster.rs
+++ b/crates/direct/src/membership/roster.rs
@@ -86,14 +86,16 @@
         }
     }
 
-    /// Learns of an entry, or that it is no longer listed.
-    pub fn learn(&self, name: &str, listing: Option<Listing>) {
+    /// Learns of an entry, or that it is no longer listed. Returns whether that changes who is listed.
+    pub fn learn(&self, name: &str, listing: Option<Listing>) -> bool {
         if name == self.own.2 {
             self.own_listed.set(listing);
         }
         let mut listed = self.listed.borrow_mut();
         let mut places = self.places.borrow_mut();
-        if let Some(place) = places.remove(name) {
+        let before = places.remove(name);
+        let changes = before.is_some() != listing.is_some();
+        if let Some(place) = before {
             listed.remove(&place);
         }
         if let Some(listing) = listing {
@@ -102,6 +104,7 @@
             let fresh = Listed { listing, passed_over_until: Duration::ZERO, failures: 0 };
             listed.insert(place, fresh);
         }
+        changes
     }
 
     /// How this entry is listed.
@@ -131,6 +134,11 @@
         }
     }
 
+    /// Names of the entries that are listed.
+    pub fn names(&self) -> Vec<String> {
+        self.places.borrow().keys().cloned().collect()
+    }
+
     /// Entries that are listed.
     pub fn count(&self) -> usize {
         self.listed.borrow().len()
--- a/crates/direct/src/membership/spread.rs
+++ b/crates/direct/src/membership/spread.rs
@@ -44,6 +44,7 @@
 #[serde(tag = "event", rename_all = "snake_case")]
 enum SpreadEvent<'a> {
     NewsHeard { from: &'a str, service: Option<&'a str>, target: Option<&'a str>, what: String },
+    ServerDoubted { server: &'a str, from: &'a str },
     NewsNotPassedOn { to: String, items: usize, error: String },
 }
 
@@ -102,7 +103,10 @@
         let what = match &item.news {
             News::Stage { stage, .. } => format!("stage, {stage:?}"),
             News::Bad { .. } => "bad".to_owned(),
-            News::Kept { .. } | News::Seen { .. } | News::Joined { .. } => return,
+            News::Kept { .. }
+            | News::Seen { .. }
+            | News::Unreached { .. }
+            | News::Joined { .. } => return,
         };
         let (service, target) = (item.service(), item.target());
         let event = SpreadEvent::NewsHeard { from: &item.origin, service, target, what };
@@ -110,6 +114,10 @@
     }
 
     fn apply(&self, item: &Item) {
+        if let News::Unreached { fleet, server } = &item.news {
+            self.hear_unreached(fleet, server, item);
+            return;
+        }
         let mut state = self.state.borrow_mut();
         let (Some(service), Some(target)) = (item.service(), item.target()) else { return };
         let roll_out = state.roll_outs.get_mut(service);
@@ -124,20 +132,34 @@
             }
             News::Stage { stage, .. } => roll_out.learn_stage((*stage).into(), self.clock.now()),
             News::Bad { .. } => roll_out.learn_bad(),
-            News::Joined { .. } => {}
+            News::Unreached { .. } | News::Joined { .. } => {}
+        }
+    }
+
+    /// Another entry could not reach a server.
+    fn hear_unreached(&self, fleet: &str, server: &str, item: &Item) {
+        let now = self.clock.now();
+        let at = now.saturating_sub(item.age);
+        let mut state = self.state.borrow_mut();
+        let fleet = state.fleets.get_mut(fleet);
+        let is_new = fleet.is_some_and(|fleet| fleet.is_told_unreached(server, at, now));
+        drop(state);
+        if is_new {
+            let event = SpreadEvent::ServerDoubted { server, from: &item.origin };
+            self.journal.note(Rank::State, &event);
         }
     }
 }
 
 impl Item {
-    /// Service that it concerns, if any.
+    /// Service whose roll-out it concerns, if any.
     fn service(&self) -> Option<&str> {
         match &self.news {
             News::Kept { service, .. }
             | News::Seen { service, .. }
             | News::Stage { service, .. }
             | News::Bad { service, .. } => Some(service),
-            News::Joined { .. } => None,
+            News::Unreached { .. } | News::Joined { .. } => None,
         }
     }
 
@@ -148,7 +170,7 @@
             | News::Seen { target, .. }
             | News::Stage { target, .. }
             | News::Bad { target, .. } => Some(target),
-            News::Joined { .. } => None,
+            News::Unreached { .. } | News::Joined { .. } => None,
         }
     }
 }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -30,6 +30,12 @@
     FurtherSends,
     /// Sends that a backend server turned away without running them.
     NotRun,
+    /// Requests held back until a cold server could take one more.
+    HeldForCold,
+    /// Requests that did not leave, since their server's data centre was evacuated or it turned cold.
+    Withheld,
+    /// Backend servers that could not be reached and count as cold when they are again.
+    ServersDoubted,
     /// Answers of smaller models dropped for a stronger one's.
     Escalations,
     /// Streams resumed at another backend server.
@@ -55,6 +61,9 @@
             Counter::Sends => "sends_total",
             Counter::FurtherSends => "further_sends_total",
             Counter::NotRun => "not_run_total",
+            Counter::HeldForCold => "held_for_cold_total",
+            Counter::Withheld => "withheld_total",
+            Counter::ServersDoubted => "servers_doubted_total",
             Counter::Escalations => "escalations_total",
             Counter::Resumes => "resumes_total",
             Counter::StoreFailures => "store_failures_total",
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -6,18 +6,32 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use pondwalk_decide::direct::{
-    Ask, Evidence, ModelNumber, ServerLoad, ServiceModel, Ticket, VersionRule,
+    Ask, Evidence, Fleet, ModelNumber, ServerLoad, ServiceModel, Ticket, Unreached, VersionRule,
 };
 use pondwalk_types::{ModelId, ServerId, VersionId};
 use rand::{Rng, rngs::SmallRng};
 
 use crate::{
-    core::{Core, State},
+    core::Core,
     foresight::{ask_for, engine_of},
-    metrics::Timer,
+    membership::News,
+    metrics::{Counter, Timer},
     request::Job,
+    state::State,
 };
 
+/// Why there is no place for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoPlace {
+    /// No server takes new work.
+    Closed,
+    /// Those that do are cold, and have taken what they may for now.
+    Cold {
+        /// When the first of them may take one more.
+        opens_at: Duration,
+    },
+}
+
 /// A place at one backend server.
 pub struct Placement {
     core: Rc<Core>,
@@ -39,7 +53,7 @@
 }
 
 impl Placement {
-    /// Finds a place for a job, if any server may take it; `failed` is the version whose server
+    /// Finds a place for a job, if any server may take it now; `failed` is the version whose server
     /// failed it before.
     pub fn find(
         core: &Rc<Core>,
@@ -47,12 +61,12 @@
         number: ModelNumber,
         avoid: &[ServerId],
         failed: Option<&str>,
-    ) -> Option<Self> {
+    ) -> Result<Self, NoPlace> {
         let now = core.clock.now();
         let mut state = core.state.borrow_mut();
         let State { fleets, roll_outs, sessions, engines, rng, .. } = &mut *state;
         let engine = engine_of(engines, job);
-        let fleet = fleets.get_mut(&job.service.name)?;
+        let fleet = fleets.get_mut(&job.service.name).ok_or(NoPlace::Closed)?;
         let session = job.session.unwrap_or_else(|| rng.random());
         let pinned = job.session.and_then(|session| sessions.version(session, now));
         let roll_out = roll_outs.get(&job.service.name);
@@ -62,14 +76,14 @@
         let model = model.cloned();
         let ask = ask_for(engine, job, number, avoid, rule);
         let ticket = place(fleet, &ask, roll_out.map(|one| one.target().as_str()), now, rng)?;
-        let facts = fleet.facts(&ticket.server)?;
+        let facts = fleet.facts(&ticket.server).ok_or(NoPlace::Closed)?;
         let (address, version) = (facts.address, facts.version.clone());
         let has_alternative = fleet.open_servers(rule, now) > avoid.len() + 1;
         if let Some(session) = job.session {
             sessions.note(session, &version, now);
         }
         let (core, job) = (Rc::clone(core), Rc::clone(job));
-        Some(Placement {
+        Ok(Placement {
             core,
             number: job.service_model(number),
             job,
@@ -182,7 +196,30 @@
         }
     }
 
-    /// The server could not be reached or turned the request away.
+    /// Whether the request may leave now that its connection stands.
+    pub fn may_leave(&self) -> bool {
+        let now = self.core.clock.now();
+        let mut state = self.core.state.borrow_mut();
+        let fleet = state.fleets.get_mut(&self.job.service.name);
+        fleet.is_none_or(|fleet| fleet.may_leave(&self.ticket, now))
+    }
+
+    /// The server could not be reached; other entries are told if it may be cold by that.
+    pub fn unreached(&self, why: Unreached) {
+        let now = self.core.clock.now();
+        let service = &self.job.service.name;
+        let mut state = self.core.state.borrow_mut();
+        let fleet = state.fleets.get_mut(service);
+        let is_news = fleet.is_some_and(|fleet| fleet.unreached(&self.ticket, why, now));
+        drop(state);
+        if is_news {
+            self.core.metrics.count(Counter::ServersDoubted);
+            let (fleet, server) = (service.to_string(), self.ticket.server.clone());
+            self.core.tell_news(News::Unreached { fleet, server });
+        }
+    }
+
+    /// The server turned the request away.
     pub fn refused(&self) {
         let now = self.core.clock.now();
         let mut state = self.core.state.borrow_mut();
@@ -195,7 +232,7 @@
     pub fn leaves(&self) {
         let mut state = self.core.state.borrow_mut();
         if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
-            fleet.leaves(&self.ticket.server);
+            fleet.leaves(&self.ticket);
         }
     }
 }
@@ -214,18 +251,29 @@
 }
 
 /// Places by the rule; where a version has no server open, any other than the one on trial.
+///
+/// NB: not where its servers are merely cold. A session that went to another version for a moment would
+/// be on two of them.
 fn place(
-    fleet: &mut pondwalk_decide::direct::Fleet,
+    fleet: &mut Fleet,
     ask: &Ask<'_>,
     target: Option<&str>,
     now: Duration,
     rng: &mut SmallRng,
-) -> Option<Ticket> {
-    let placed = fleet.place(ask, now, rng);
-    match (ask.versions, target) {
-        (VersionRule::Only(_), Some(target)) if placed.is_none() => {
-            fleet.place(&Ask { versions: VersionRule::Except(target), ..*ask }, now, rng)
-        }
-        _ => placed,
+) -> Result<Ticket, NoPlace> {
+    if let Some(ticket) = fleet.place(ask, now, rng) {
+        return Ok(ticket);
+    }
+    if let Some(opens_at) = fleet.opens_at(ask, now) {
+        return Err(NoPlace::Cold { opens_at });
     }
+    let (VersionRule::Only(_), Some(target)) = (ask.versions, target) else {
+        return Err(NoPlace::Closed);
+    };
+    let other = Ask { versions: VersionRule::Except(target), ..*ask };
+    let placed = fleet.place(&other, now, rng);
+    placed.ok_or_else(|| match fleet.opens_at(&other, now) {
+        Some(opens_at) => NoPlace::Cold { opens_at },
+        None => NoPlace::Closed,
+    })
 }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -42,6 +42,12 @@
     /// No backend server takes new work.
     #[error("no backend server takes new work")]
     NoServer,
+    /// The backend servers that could take it are cold, and have no room soon enough.
+    #[error("all backend servers are cold")]
+    AllCold {
+        /// Time until one has room.
+        opens_in: Duration,
+    },
     /// The backend servers asked turned the request away without running it.
     #[error("the backend servers turned the request away")]
     TurnedAway,
@@ -70,6 +76,7 @@
             | Refusal::Stale
             | Refusal::Closing
             | Refusal::NoServer
+            | Refusal::AllCold { .. }
             | Refusal::TurnedAway
             | Refusal::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -87,6 +94,7 @@
             Refusal::NoRoute => "no_route",
             Refusal::UnknownKey => "unknown_key",
             Refusal::NoServer => "no_server",
+            Refusal::AllCold { .. } => "all_cold",
             Refusal::TurnedAway => "turned_away",
             Refusal::ExpiredUnsent => "expired_unsent",
             Refusal::TimedOut => "timed_out",
@@ -111,6 +119,10 @@
             }
             (Refusal::Stale, _) => Some(Duration::from_millis(500)),
             (Refusal::Closing, _) => Some(Duration::from_millis(50)),
+            (Refusal::AllCold { opens_in }, _) => {
+                let (least, most) = COLD_PAUSES;
+                Some(opens_in.clamp(least, most))
+            }
             (Refusal::NoServer | Refusal::TurnedAway, _) => Some(Duration::from_millis(200)),
             _ => None,
         }
@@ -125,6 +137,10 @@
 /// of 0.5 s it gained 0.004 of the credit owed with 32 entries (mean of ten simulated days).
 const START_PAUSES: (Duration, Duration) = (Duration::from_millis(1_000), Duration::from_secs(4));
 
+/// Shortest and longest pause for callers while all servers are cold. Room comes several times a second
+/// for each server, and servers are cold for some seconds.
+const COLD_PAUSES: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
--- /dev/null
+++ b/crates/direct/src/state.rs
@@ -0,0 +1,218 @@
+//! What one entry has learned and may learn anew at any moment.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use pondwalk_config::DirectSettings;
+use pondwalk_decide::direct::{
+    Cascade, ColdBound, Engine, Fleet, Freshness, Pacing, RollOut, ServerFacts, Sessions, Sharers,
+    Weighed, WindowBudget, WindowLimits,
+};
+use pondwalk_types::{DataCentreId, ServerId};
+use rand::{SeedableRng, rngs::SmallRng};
+
+use crate::{
+    catalog::{BackendServer, Catalog, ServerState, ServiceId},
+    membership::Replica,
+};
+
+/// Longest time that a request of a session may run, by which its memory outlasts its end.
+const LONGEST_REQUEST_S: f64 = 25.0;
+/// Longest time for which a server's word that it is cold is believed. Servers are cold for some
+/// seconds; one that tells hours would be lost for good.
+const LONGEST_WARM_UP: Duration = Duration::from_secs(60);
+/// Heartbeats after which a server that is back has told so: it tells with its first one, and the
+/// store hands that on within another.
+const HEARTBEATS_TO_TELL: u32 = 2;
+
+/// The part of it that changes with what is learned.
+pub struct State {
+    /// The configuration in force, once one is held.
+    pub catalog: Option<Rc<Catalog>>,
+    /// How long ago the store confirmed it.
+    pub freshness: Freshness,
+    /// Whether the last call to the store failed.
+    pub source_lost: bool,
+    /// How long the last answer of the store took, here or where this entry's state comes from.
+    pub store_takes: Duration,
+    /// When the store last came back after an entry that asks it had lost it.
+    pub store_returned: Option<Duration>,
+    /// Confirmations so far.
+    pub turn: u64,
+    /// The store's keys, for other entries.
+    pub replica: Replica,
+    /// Backend servers by service.
+    pub fleets: HashMap<ServiceId, Fleet>,
+    /// Data centres whose backend servers get nothing for now.
+    pub evacuated: BTreeSet<DataCentreId>,
+    /// Service of each backend server.
+    pub service_of: HashMap<ServerId, ServiceId>,
+    /// Roll-outs under way or done, by service.
+    pub roll_outs: HashMap<ServiceId, RollOut>,
+    /// Versions of running sessions.
+    pub sessions: Sessions,
+    /// Budgets of further sends, by service.
+    pub budgets: HashMap<ServiceId, WindowBudget>,
+    /// What is known of the engines, by service.
+    pub engines: HashMap<ServiceId, Engine>,
+    /// Which models are asked, by service.
+    pub cascades: HashMap<ServiceId, Cascade>,
+    /// Source of random numbers.
+    pub rng: SmallRng,
+    limits: WindowLimits,
+    home: String,
+    weighed: Weighed,
+    cold_bound: Option<ColdBound>,
+    sharers: Sharers,
+}
+
+impl State {
+    /// Knows nothing yet; `seed` starts its random numbers.
+    pub fn new(settings: &DirectSettings, seed: u64) -> Self {
+        let retries = settings.retries;
+        let memory_s = settings.session_ttl.as_secs_f64() + LONGEST_REQUEST_S;
+        State {
+            catalog: None,
+            freshness: Freshness::new(settings.state_bound, settings.key_bound),
+            source_lost: false,
+            store_takes: Duration::ZERO,
+            store_returned: None,
+            turn: 0,
+            replica: Replica::default(),
+            fleets: HashMap::new(),
+            evacuated: BTreeSet::new(),
+            service_of: HashMap::new(),
+            roll_outs: HashMap::new(),
+            sessions: Sessions::new(Duration::from_secs_f64(memory_s)),
+            budgets: HashMap::new(),
+            engines: HashMap::new(),
+            cascades: HashMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            limits: WindowLimits {
+                ratio: retries.ratio,
+                extra: retries.extra / f64::from(retries.entries),
+                window: retries.window,
+            },
+            home: settings.data_centre.clone(),
+            weighed: Weighed {
+                named_servers: settings.policy.named_servers,
+                delays: settings.policy.delays,
+                told_loads: settings.policy.told_loads,
+            },
+            cold_bound: settings.warm_up.map(|warm_up| ColdBound {
+                overshoot: warm_up.overshoot,
+                tolerance: warm_up.tolerance,
+                told_after: warm_up.heartbeat * HEARTBEATS_TO_TELL,
+            }),
+            sharers: Sharers::new(&settings.name),
+        }
+    }
+
+    /// The servers of a service.
+    pub fn fleet(&mut self, service: &ServiceId) -> &mut Fleet {
+        let pacing = self.pacing(service);
+        let State { fleets, home, weighed, sharers, evacuated, .. } = self;
+        fleets.entry(service.clone()).or_insert_with(|| {
+            let mut fleet = Fleet::weighing(home, *weighed);
+            fleet.set_pacing(pacing);
+            fleet.set_sharers(sharers);
+            evacuated.iter().for_each(|data_centre| fleet.evacuate(data_centre));
+            fleet
+        })
+    }
+
+    /// What cold servers of a service may get.
+    fn pacing(&self, service: &ServiceId) -> Option<Pacing> {
+        let service = self.catalog.as_ref()?.service(service)?;
+        Pacing::of(service.warm_up, self.cold_bound)
+    }
+
+    /// Puts a configuration in force.
+    pub fn install(&mut self, catalog: Catalog) {
+        self.catalog = Some(Rc::new(catalog));
+        let pacings: Vec<(ServiceId, Option<Pacing>)> =
+            self.fleets.keys().map(|service| (service.clone(), self.pacing(service))).collect();
+        for (service, pacing) in pacings {
+            self.fleet(&service).set_pacing(pacing);
+        }
+    }
+
+    /// The bounds of cold servers are shared by the entries of these names.
+    pub fn set_sharers<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
+        self.sharers.are(names);
+        for fleet in self.fleets.values_mut() {
+            fleet.set_sharers(&self.sharers);
+        }
+    }
+
+    /// Nothing more goes to the servers of a data centre. Returns whether that is new.
+    pub fn evacuate(&mut self, data_centre: &str) -> bool {
+        self.fleets.values_mut().for_each(|fleet| fleet.evacuate(data_centre));
+        self.evacuated.insert(data_centre.to_owned())
+    }
+
+    /// The servers of a data centre may be used again. Returns whether that is new.
+    pub fn take_back(&mut self, data_centre: &str, now: Duration) -> bool {
+        let was_evacuated = self.evacuated.remove(data_centre);
+        if was_evacuated {
+            self.fleets.values_mut().for_each(|fleet| fleet.take_back(data_centre, now));
+        }
+        was_evacuated
+    }
+
+    /// The budget of a service.
+    pub fn budget(&mut self, service: &ServiceId) -> &mut WindowBudget {
+        let limits = self.limits;
+        self.budgets.entry(service.clone()).or_insert_with(|| WindowBudget::new(limits))
+    }
+
+    /// Learns of a backend server, or of a change of it.
+    pub fn put_server(&mut self, server: BackendServer, now: Duration) {
+        let before = self.service_of.insert(server.id.clone(), server.service.clone());
+        // NB: one that starts again under its identity may belong to another service.
+        if let Some(before) = before.filter(|before| *before != server.service) {
+            self.fleet(&before).remove(&server.id);
+        }
+        let facts = ServerFacts {
+            id: server.id,
+            born_ms: server.born_ms,
+            address: server.address,
+            data_centre: server.data_centre,
+            version: server.version,
+            slots: server.slots,
+            ready: server.state == ServerState::Ready,
+            cold_until: match server.warm_up_left {
+                Duration::ZERO => Duration::ZERO,
+                left => now + left.min(LONGEST_WARM_UP),
+            },
+        };
+        self.fleet(&server.service).put(facts);
+    }
+
+    /// The store lists a backend server no longer, and may have lost it while away.
+    pub fn lapse_server(&mut self, id: &str, now: Duration) {
+        if let Some(service) = self.service_of.get(id).cloned() {
+            self.fleet(&service).lapse(id, now);
+        }
+    }
+
+    /// Forgets the backend servers that lapsed and did not come back in time, and tells which.
+    pub fn take_lapsed(&mut self, now: Duration) -> Vec<ServerId> {
+        let lapsed = self.fleets.values_mut().flat_map(|fleet| fleet.take_lapsed(now));
+        let lapsed: Vec<ServerId> = lapsed.collect();
+        for id in &lapsed {
+            self.service_of.remove(id);
+        }
+        lapsed
+    }
+
+    /// Forgets a backend server.
+    pub fn remove_server(&mut self, id: &str) {
+        if let Some(service) = self.service_of.remove(id) {
+            self.fleet(&service).remove(id);
+        }
+    }
+}
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use pondwalk_decide::direct::Unreached;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::{
@@ -54,9 +55,17 @@
 /// Why there is no answer.
 #[derive(Debug, Error)]
 pub enum SendError {
-    /// No byte of the request left.
-    #[error("the backend server cannot be reached: {0}")]
-    NotSent(String),
+    /// No byte of the request left, since the server was not reached.
+    #[error("the backend server cannot be reached: {detail}")]
+    NotSent {
+        /// Why it was not reached.
+        why: Unreached,
+        /// What the system says.
+        detail: String,
+    },
+    /// No byte of the request left, since it may no longer be sent there.
+    #[error("the request may no longer be sent there")]
+    Withheld,
     /// The request was sent; whether it ran is not known.
     #[error("the connection broke: {0}")]
     Broken(String),
@@ -97,11 +106,11 @@
     may_send: impl FnOnce() -> bool,
 ) -> Result<Exchange, SendError> {
     let limit = until.min(Instant::now() + CONNECT_LIMIT);
-    let stream = timeout_at(limit, connect(address)).await.map_err(not_sent)?.map_err(not_sent)?;
+    let stream = timeout_at(limit, connect(address)).await.map_err(silent)?.map_err(unreached)?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.map_err(not_sent)?;
+    let (mut sender, connection) = handshake.map_err(silent)?;
     if !may_send() {
-        return Err(SendError::NotSent("the request may no longer be sent".into()));
+        return Err(SendError::Withheld);
     }
     // NB: a failure of the connection reaches the exchange that waits on it.
     let task = spawn_local(async move { connection.await.unwrap_or_default() });
@@ -121,6 +130,15 @@
     socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))
 }
 
-fn not_sent(error: impl ToString) -> SendError {
-    SendError::NotSent(error.to_string())
+fn unreached(error: io::Error) -> SendError {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => {
+            SendError::NotSent { why: Unreached::Refused, detail: error.to_string() }
+        }
+        _ => silent(error),
+    }
+}
+
+fn silent(error: impl ToString) -> SendError {
+    SendError::NotSent { why: Unreached::Silent, detail: error.to_string() }
 }
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -11,13 +11,14 @@
 use hyper::{Request, Response, StatusCode, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use pondwalk_config::{DirectSettings, MembershipTimes, RawFile};
+use pondwalk_decide::direct::WarmUp;
 use pondwalk_direct::{
     Dialect, Entry, Fact, Port,
     catalog::{
         BackendServer, Catalog, Engine, Limits, ModelPrice, Route, RouteKind, ServerState, Service,
         Share, Workspace,
     },
-    facts::{Outcome, Progress, RollOutOrder, UnreadableFact},
+    facts::{Evacuation, Outcome, Progress, RollOutOrder, UnreadableFact},
     journal::Journal,
     upstream::{BoxedDuplex, Connect},
 };
@@ -266,6 +267,15 @@
 
 /// The same, with these keys.
 pub fn catalog_with_keys(version: u64, keys: &[&str]) -> Catalog {
+    catalog_of(version, keys, None)
+}
+
+/// The usual one, whose services' servers warm up.
+pub fn catalog_warming(version: u64, warm_up: Option<WarmUp>) -> Catalog {
+    catalog_of(version, &["k1", "k2"], warm_up)
+}
+
+fn catalog_of(version: u64, keys: &[&str], warm_up: Option<WarmUp>) -> Catalog {
     let route = |prefix: &str, kind, service: &str, models: &[&str]| Route {
         name: prefix.trim_matches('/').to_owned(),
         host: "h.example".to_owned(),
@@ -300,8 +310,8 @@
         models: vec![price("small", 0.02), price("middle", 0.1), price("large", 0.3)],
     };
     let services = vec![
-        Service { name: "s".into(), max_connections: 100, engine: None },
-        Service { name: "m".into(), max_connections: 100, engine: Some(engine) },
+        Service { name: "s".into(), max_connections: 100, engine: None, warm_up },
+        Service { name: "m".into(), max_connections: 100, engine: Some(engine), warm_up },
     ];
     let keys = keys.iter().map(|key| (*key).to_owned()).collect();
     let workspaces = vec![Workspace { name: "w1".into(), keys, priority: None }];
@@ -323,8 +333,18 @@
         return Ok(Fact::Catalog(Box::new(catalog.clone())));
     }
     if let Some(id) = key.strip_prefix("server/") {
-        let server = value.map(|text| server(id, &text).ok_or(bad("no server"))).transpose()?;
-        return Ok(Fact::Server(id.to_owned(), server));
+        let server = value.map(|text| server(id, &text).ok_or(bad("no server"))).transpose();
+        return Ok(match server {
+            Ok(server) => Fact::Server(id.to_owned(), server),
+            Err(error) => Fact::UnreadableServer(id.to_owned(), error),
+        });
+    }
+    if let Some(data_centre) = key.strip_prefix("evacuate/") {
+        let evacuation = match value {
+            Some(_) => Evacuation::Ordered,
+            None => Evacuation::TakenBack,
+        };
+        return Ok(Fact::Evacuation(data_centre.to_owned(), evacuation));
     }
     if let Some(service) = key.strip_prefix("order/") {
         let order = value.map(|text| order(service, &text).ok_or(bad("no order"))).transpose()?;
@@ -339,10 +359,15 @@
 }
 
 fn server(id: &str, text: &str) -> Option<BackendServer> {
-    let words: Vec<&str> = text.split(' ').collect();
-    let [service, address, data_centre, version, state] = words[..] else { return None };
+    let mut words: Vec<&str> = text.split(' ').collect();
+    words.resize(7.max(words.len()), "0");
+    let [service, address, data_centre, version, state, cold_ms, born_ms] = words[..] else {
+        return None;
+    };
     Some(BackendServer {
         id: id.to_owned(),
+        born_ms: born_ms.parse().ok(),
+        warm_up_left: Duration::from_millis(cold_ms.parse().ok()?),
         service: service.into(),
         address: address.parse().ok()?,
         data_centre: data_centre.to_owned(),
