Soak: servers that turn cold or start again under their identity, evacuations, entries of other writers

Three checks more, each noticed by a case that breaks it on purpose. A stream may be cut if its own server was killed.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     callers::DEADLINE,
-    records::{End, Exchange, Records, Route, TimeUs},
+    deployment::data_centre_of,
+    records::{End, Exchange, Records, Route, Run, Span, TimeUs},
 };
 
 /// Time in which a change must be in force.
@@ -15,6 +16,16 @@
 pub const KEY_BOUND: Duration = Duration::from_secs(5);
 /// Time in which a server that leaves must be left.
 pub const LEAVE_BOUND: Duration = Duration::from_secs(2);
+/// Time in which an evacuated data centre must be left.
+pub const EVACUATION_BOUND: Duration = Duration::from_secs(2);
+/// Time for which servers are cold.
+pub const COLD_TIME: Duration = Duration::from_secs(6);
+/// Requests a second that a cold server bears. A warm server gets about 25 a second in a small run.
+pub const COLD_REQUESTS_PER_S: f64 = 6.0;
+/// Factor on what a cold server bears.
+pub const COLD_OVERSHOOT: f64 = 1.5;
+/// Requests in a second on top of that.
+pub const COLD_TOLERANCE: f64 = 5.0;
 /// Time without disturbance from which bounds of time hold.
 pub const SETTLE: Duration = Duration::from_secs(4);
 /// Slack of all bounds: real processes share a few processors, and runs are told in steps.
@@ -26,6 +37,10 @@
 /// Time that recovery may take.
 const RECOVERY: Duration = Duration::from_secs(6);
 
+/// Requests at entries of a data centre of which each server there must have got some. Callers that lost
+/// their entry stay with another one, so that an entry may have none.
+const WORK: usize = 60;
+
 /// What one check found.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finding {
@@ -41,7 +56,7 @@
 pub type Check = fn(&Records) -> Finding;
 
 /// All checks.
-pub const CHECKS: [Check; 10] = [
+pub const CHECKS: [Check; 13] = [
     runs_at_most_once,
     refusals_are_true,
     answers_are_whole_and_own,
@@ -51,6 +66,9 @@
     configurations_never_revert,
     keys_are_dead_in_time,
     leaving_servers_are_left,
+    evacuated_data_centres_are_left,
+    cold_servers_are_spared,
+    servers_born_anew_are_used,
     service_recovers,
 ];
 
@@ -117,7 +135,8 @@
 /// A request that ran is not cut before its time is over, also by a planned stop, unless its entry was
 /// killed or paused.
 ///
-/// NB: at its deadline it may be. Seen once in a hundred runs: the connection of a stream to its server
+/// NB: one whose server was killed may be, since it cannot always go on elsewhere. At its deadline any
+/// may be. Seen once in a hundred runs: the connection of a stream to its server
 /// went silent after its key had been taken away, so that no other server could go on with it.
 pub fn nothing_is_cut(records: &Records) -> Finding {
     let runs = records.runs_by_id();
@@ -126,7 +145,10 @@
     });
     finding("requests that ran are not cut", undisturbed, |exchange| {
         let had_time = exchange.ended_us < exchange.sent_us + us(DEADLINE);
-        let ran = runs.contains_key(exchange.id.as_str());
+        let runs = runs.get(exchange.id.as_str()).into_iter().flatten();
+        let killed =
+            |run: &&&Run| records.was_killed(&run.server, exchange.sent_us, exchange.ended_us);
+        let ran = runs.clone().count() > 0 && runs.filter(killed).count() == 0;
         (exchange.end == End::Cut && had_time && ran)
             .then(|| format!("{} ran and was cut", exchange.id))
     })
@@ -205,6 +227,76 @@
     })
 }
 
+/// Nothing reaches the servers of a data centre that is evacuated, once that must be known.
+pub fn evacuated_data_centres_are_left(records: &Records) -> Finding {
+    let by_id = records.by_id();
+    let none = Vec::new();
+    let within = records.runs.iter().filter_map(|run| {
+        let data_centre = records.data_centre_of.get(&run.server)?;
+        let spans = records.evacuated.get(data_centre).unwrap_or(&none);
+        let span = spans.iter().find(|span| (span.from_us..span.to_us).contains(&run.at_us))?;
+        Some((run, *span, *by_id.get(run.request.as_str())?))
+    });
+    finding("evacuated data centres are left", within, |(run, span, exchange)| {
+        let settled_us = run.at_us.saturating_sub(us(SETTLE));
+        let is_late = exchange.sent_us > span.from_us + us(EVACUATION_BOUND + SLACK)
+            && records.was_calm(exchange.entry, settled_us, run.at_us);
+        is_late.then(|| format!("{} ran at {}, which was evacuated", run.request, run.server))
+    })
+}
+
+/// A cold server gets no more in any second than it may, once all must know that it is cold.
+pub fn cold_servers_are_spared(records: &Records) -> Finding {
+    let most = COLD_REQUESTS_PER_S * COLD_OVERSHOOT + COLD_TOLERANCE;
+    let spans = records.cold.iter().flat_map(|(server, spans)| {
+        let known = spans.iter().map(|span| Span {
+            from_us: span.from_us + us(PROPAGATION + SLACK),
+            to_us: span.to_us,
+        });
+        known.map(move |span| (server, span))
+    });
+    let known = spans.filter(|(_, span)| {
+        let settled_us = span.from_us.saturating_sub(us(SETTLE));
+        !records.was_store_disturbed(settled_us, span.to_us)
+    });
+    finding("cold servers are spared", known, |(server, span)| {
+        let got = most_in_a_second(records, server, *span);
+        (got as f64 > most).then(|| format!("{server} got {got} in a second while cold"))
+    })
+}
+
+/// Most requests that a server read within one second of a span.
+fn most_in_a_second(records: &Records, server: &str, span: Span) -> usize {
+    let of_server = records.runs.iter().filter(|run| run.server == server);
+    let within = of_server.filter(|run| (span.from_us..span.to_us).contains(&run.at_us));
+    let mut times: Vec<TimeUs> = within.map(|run| run.at_us).collect();
+    times.sort_unstable();
+    let from = |first: usize| {
+        let end_us = times[first] + us(Duration::from_secs(1));
+        times[first..].iter().take_while(|at_us| **at_us < end_us).count()
+    };
+    (0..times.len()).map(from).max().unwrap_or_default()
+}
+
+/// A server that has started again under its identity gets work again, if entries near it have some.
+pub fn servers_born_anew_are_used(records: &Records) -> Finding {
+    let from_us = records.calm_from_us + us(RECOVERY);
+    let has_work = |server: &&String| {
+        let near = records.exchanges.iter().filter(|exchange| {
+            exchange.sent_us > from_us
+                && records.data_centre_of.get(*server) == Some(&data_centre_of(exchange.entry))
+        });
+        near.count() >= WORK
+    };
+    let back = records.killed_us.keys().filter(|server| !records.left_us.contains_key(*server));
+    let back = back.filter(has_work);
+    finding("servers born anew are used", back, |server| {
+        let is_used =
+            records.runs.iter().any(|run| run.server == **server && run.ran && run.at_us > from_us);
+        (!is_used).then(|| format!("{server} got nothing after it came back"))
+    })
+}
+
 /// Once all is calm again, callers are served.
 pub fn service_recovers(records: &Records) -> Finding {
     let from_us = records.calm_from_us + us(RECOVERY);
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -89,6 +89,14 @@
     pub configured_us: HashMap<Version, TimeUs>,
     /// When it was acknowledged that a server leaves.
     pub left_us: HashMap<String, TimeUs>,
+    /// When each server was killed.
+    pub killed_us: HashMap<String, Vec<TimeUs>>,
+    /// When each server was cold and said so.
+    pub cold: HashMap<String, Vec<Span>>,
+    /// Data centre of each server.
+    pub data_centre_of: HashMap<String, String>,
+    /// When each data centre was evacuated, from the acknowledgement on.
+    pub evacuated: HashMap<String, Vec<Span>>,
     /// When each entry was killed or paused, or was starting.
     pub disturbed: HashMap<usize, Vec<Span>>,
     /// When the store was.
@@ -100,8 +108,7 @@
 impl Records {
     /// Whether neither the store nor this entry was disturbed in this time.
     pub fn was_calm(&self, entry: usize, from_us: TimeUs, to_us: TimeUs) -> bool {
-        !self.was_disturbed(entry, from_us, to_us)
-            && !overlaps(&self.store_disturbed, from_us, to_us)
+        !self.was_disturbed(entry, from_us, to_us) && !self.was_store_disturbed(from_us, to_us)
     }
 
     /// Whether this entry was disturbed in this time.
@@ -109,6 +116,17 @@
         self.disturbed.get(&entry).is_some_and(|spans| overlaps(spans, from_us, to_us))
     }
 
+    /// Whether the store was disturbed in this time.
+    pub fn was_store_disturbed(&self, from_us: TimeUs, to_us: TimeUs) -> bool {
+        overlaps(&self.store_disturbed, from_us, to_us)
+    }
+
+    /// Whether a server was killed in this time.
+    pub fn was_killed(&self, server: &str, from_us: TimeUs, to_us: TimeUs) -> bool {
+        let killed = self.killed_us.get(server).into_iter().flatten();
+        killed.into_iter().any(|at_us| (from_us..to_us).contains(at_us))
+    }
+
     /// Requests by id.
     pub fn by_id(&self) -> HashMap<&str, &Exchange> {
         self.exchanges.iter().map(|exchange| (exchange.id.as_str(), exchange)).collect()
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64Mcg;
 
-use crate::options::Size;
+use crate::{checks::COLD_TIME, deployment::DATA_CENTRES, options::Size};
 
 /// Time without faults at the start, in which all is listed.
 const CALM_START: Duration = Duration::from_secs(3);
@@ -44,6 +44,14 @@
     SilenceServer(usize),
     /// A server says that it leaves, goes, and another comes in its place.
     Replace(usize),
+    /// A server turns cold, and says so.
+    Cool(usize),
+    /// A server is killed, and starts again after a while under the identity that it had.
+    KillServer(usize, Duration),
+    /// A data centre is evacuated for a while.
+    Evacuate(usize, Duration),
+    /// Another writer leaves entries that cannot be read among the servers'.
+    Litter,
 }
 
 /// When it happens, from the arrival of the first callers.
@@ -79,16 +87,18 @@
 /// How long it disturbs at most.
 fn lasts(act: Act) -> Duration {
     match act {
-        Act::Pause(_, time) | Act::Weather(_, time) => time,
+        Act::Pause(_, time) | Act::Weather(_, time) | Act::Evacuate(_, time) => time,
+        Act::KillServer(_, time) => time + COLD_TIME,
+        Act::Cool(_) => COLD_TIME,
         Act::Stop(_) | Act::Replace(_) => LONGEST_LEAVING,
         Act::Kill(_) => RESTART,
-        Act::Forget | Act::Configure => Duration::ZERO,
+        Act::Forget | Act::Configure | Act::Litter => Duration::ZERO,
         Act::SilenceStore | Act::ResetStore | Act::SilenceServer(_) => Duration::ZERO,
     }
 }
 
 fn series(rng: &mut Pcg64Mcg, from: Duration, size: Size, steps: &mut Vec<Step>) {
-    let kinds: [fn(&mut Pcg64Mcg, Size) -> Act; 10] = [
+    let kinds: [fn(&mut Pcg64Mcg, Size) -> Act; 14] = [
         |rng, size| Act::Stop(rng.random_range(0..size.entries)),
         |rng, size| Act::Kill(rng.random_range(0..size.entries)),
         |rng, size| {
@@ -102,6 +112,16 @@
         |_, _| Act::ResetStore,
         |rng, size| Act::SilenceServer(rng.random_range(0..2 * size.servers)),
         |rng, size| Act::Replace(rng.random_range(0..2 * size.servers)),
+        |rng, size| Act::Cool(rng.random_range(0..2 * size.servers)),
+        |rng, size| {
+            let time = Duration::from_millis(rng.random_range(100..2_500));
+            Act::KillServer(rng.random_range(0..2 * size.servers), time)
+        },
+        |rng, _| {
+            let time = Duration::from_millis(rng.random_range(1_000..8_000));
+            Act::Evacuate(rng.random_range(0..DATA_CENTRES), time)
+        },
+        |_, _| Act::Litter,
     ];
     let Some(kind) = kinds.choose(rng) else { return };
     let mut at = from;
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -78,6 +78,10 @@
         }
         Act::Configure => deployment.configure().await,
         Act::Replace(place) => deployment.replace(place).await,
+        Act::Cool(place) => deployment.cool(place).await,
+        Act::KillServer(place, time) => deployment.kill_server(place, time).await,
+        Act::Evacuate(data_centre, time) => deployment.evacuate(data_centre, time).await,
+        Act::Litter => deployment.litter().await,
     }
 }
 
--- a/crates/soak/tests/checks_notice.rs
+++ b/crates/soak/tests/checks_notice.rs
@@ -160,6 +160,66 @@
     });
 }
 
+#[test]
+fn work_at_an_evacuated_data_centre_is_noticed_unless_the_store_was_disturbed() {
+    let evacuated = |records: &mut Records| {
+        records.data_centre_of.insert("s0".to_owned(), "dc1".to_owned());
+        // The request at 15 s comes 2.4 s after it, the one at 16 s 3.4 s, the next after its end.
+        let span = Span { from_us: at(12.6), to_us: at(16.5) };
+        records.evacuated.insert("dc1".to_owned(), vec![span]);
+    };
+    notices(checks::evacuated_data_centres_are_left, evacuated);
+    let mut records = kept();
+    evacuated(&mut records);
+    records.store_disturbed.push(Span { from_us: at(13.0), to_us: at(13.5) });
+    assert_eq!(broken(checks::evacuated_data_centres_are_left, &records), 0);
+}
+
+#[test]
+fn a_rush_at_a_cold_server_is_noticed() {
+    let rush = |records: &mut Records, requests: usize| {
+        records.cold.insert("s1".to_owned(), vec![Span { from_us: at(10.0), to_us: at(16.0) }]);
+        for number in 0..requests {
+            let at_s = 13.0 + number as f64 * 0.06;
+            let run = Run { server: "s1".to_owned(), ..run(&format!("c{number}"), at_s) };
+            records.runs.push(run);
+        }
+    };
+    notices(checks::cold_servers_are_spared, |records| rush(records, 15));
+    let mut records = kept();
+    rush(&mut records, 14);
+    assert_eq!(broken(checks::cold_servers_are_spared, &records), 0);
+}
+
+#[test]
+fn a_server_that_is_forgotten_after_it_came_back_is_noticed_where_there_is_work_near_it() {
+    let forgotten = |records: &mut Records, requests: usize| {
+        for (server, data_centre) in [("s0", "dc1"), ("s2", "dc1"), ("s3", "dc2")] {
+            records.killed_us.insert(server.to_owned(), vec![at(5.0)]);
+            records.data_centre_of.insert(server.to_owned(), data_centre.to_owned());
+        }
+        for number in 0..requests {
+            let (id, time) = (format!("w{number}"), 20.0 + number as f64 * 0.01);
+            records.exchanges.push(exchange(&id, time, answered(200)));
+        }
+    };
+    notices(checks::servers_born_anew_are_used, |records| forgotten(records, 60));
+    let mut records = kept();
+    forgotten(&mut records, 40);
+    assert_eq!(checks::servers_born_anew_are_used(&records).looked_at, 0);
+}
+
+#[test]
+fn a_stream_whose_server_was_killed_may_be_cut() {
+    let mut records = kept();
+    records.exchanges.push(exchange("cut", 9.0, End::Cut));
+    records.runs.push(run("cut", 9.05));
+    records.killed_us.insert("s0".to_owned(), vec![at(9.07)]);
+    assert_eq!(broken(checks::nothing_is_cut, &records), 0);
+    records.killed_us.insert("s0".to_owned(), vec![at(8.9)]);
+    assert_eq!(broken(checks::nothing_is_cut, &records), 1);
+}
+
 #[test]
 fn service_that_does_not_recover_is_noticed_and_so_is_no_request_at_all() {
     notices(checks::service_recovers, |records| {
@@ -176,4 +236,5 @@
 fn bounds_of_the_checks_are_those_that_the_entries_are_given() {
     assert_eq!(checks::PROPAGATION, Duration::from_secs(2));
     assert_eq!(checks::KEY_BOUND, Duration::from_secs(5));
+    assert_eq!(checks::EVACUATION_BOUND, Duration::from_secs(2));
 }
