--- a/crates/direct/tests/acts_as_one.rs
+++ b/crates/direct/tests/acts_as_one.rs
@@ -6,10 +6,11 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use common::{
-    World, catalog, catalog_with_keys,
+    World, address, catalog, catalog_warming, catalog_with_keys,
     net::{Impostor, Net, peer_address, whole_state},
     play, request, with,
 };
+use pondwalk_decide::direct::WarmUp;
 use pondwalk_direct::{
     Entry,
     membership::{FAN_OUT, Place, Roster, State, place, roots},
@@ -92,6 +93,56 @@
     });
 }
 
+const WARMING: &str =
+    "[warm_up]\novershoot=1.5\ntolerance=5\nheartbeat_ms=1200\n[membership]\npropagation_ms=2000\n";
+
+/// Entries that count a server as cold.
+fn count_cold(entries: &[Entry]) -> u64 {
+    total(entries, "pondwalk_servers_cold")
+}
+
+#[test]
+fn a_server_that_one_entry_cannot_reach_counts_as_cold_everywhere() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 2);
+        let warm_up = WarmUp { time: Duration::from_secs(3), requests_per_s: 14.0 };
+        world.configure(catalog_warming(2, Some(warm_up)));
+        let entries = net.start_many(&world, 40, WARMING);
+        sleep(Duration::from_secs(6)).await;
+        assert_eq!(count_cold(&entries), 0);
+        world.backends.stop(address(1));
+        world.backends.stop(address(2));
+        assert_eq!(status(&world, &entries[7], "k1").await, 503);
+        sleep(Duration::from_millis(700)).await;
+        assert_eq!(count_cold(&entries), 2 * 40);
+        // Two heartbeats and the warm-up time later it has told of its start, or was never away.
+        sleep(Duration::from_millis(5_400)).await;
+        assert_eq!(count_cold(&entries), 0);
+    });
+}
+
+#[test]
+fn a_server_that_turns_cold_again_and_an_evacuation_are_known_everywhere_in_time() {
+    play(|world| async move {
+        let net = Net::default();
+        prepare(&world, 2);
+        let warm_up = WarmUp { time: Duration::from_secs(3), requests_per_s: 14.0 };
+        world.configure(catalog_warming(2, Some(warm_up)));
+        let entries = net.start_many(&world, 40, WARMING);
+        sleep(Duration::from_secs(6)).await;
+        world.store.put("server/s1", &format!("s {} dc1 v1 ready 3000 1", address(1)));
+        world.store.put("evacuate/dc2", "{}");
+        sleep(Duration::from_millis(900)).await;
+        assert_eq!(count_cold(&entries), 40);
+        assert_eq!(total(&entries, "pondwalk_data_centres_evacuated"), 40);
+        world.store.remove("evacuate/dc2");
+        sleep(Duration::from_millis(3_000)).await;
+        assert_eq!(count_cold(&entries), 0);
+        assert_eq!(total(&entries, "pondwalk_data_centres_evacuated"), 0);
+    });
+}
+
 #[test]
 fn the_bound_on_ages_holds_for_a_change_late_in_each_wait() {
     play(|world| async move {
