--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -128,6 +128,12 @@
         }
     }
 
+    /// Whether the word on a server speaks of another life of it than the one that is known.
+    pub fn is_born_anew(&self, facts: &ServerFacts) -> bool {
+        let known = self.servers.iter().flatten().find(|one| one.facts.id == facts.id);
+        known.is_some_and(|server| server.is_born_anew(facts))
+    }
+
     /// Leaves a version out from now on, as a roll-out of it was reverted.
     pub fn leave_out(&mut self, version: &str) {
         if !self.is_left_out(version) {
--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -182,6 +182,11 @@
         self.trial_since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
     }
 
+    /// A server has started anew under its identity; its answers before say nothing of it any more.
+    pub fn forget_server(&mut self, server: &str) {
+        self.own.forget_server(server);
+    }
+
     /// Another entry has found the version bad.
     pub fn learn_bad(&mut self) {
         self.tripped |= self.known_stage != Some(Stage::Completed);
--- a/crates/decide/src/direct/roll_out/own.rs
+++ b/crates/decide/src/direct/roll_out/own.rs
@@ -99,6 +99,15 @@
         slower
     }
 
+    /// A server has started anew: what it answered before says nothing of it any more.
+    pub(super) fn forget_server(&mut self, server: &str) {
+        let records = self.old.values_mut().chain(self.new.values_mut());
+        let failed = records.chain([&mut self.old_of_all_kinds]).map(|record| &mut record.failed);
+        for latest in failed.chain([&mut self.slow]) {
+            latest.answers.retain(|(_, other)| other != server);
+        }
+    }
+
     /// Whether an answer is slower than nearly all of the old version's, if those are known.
     fn is_slow(&self, evidence: &Evidence<'_>) -> Option<bool> {
         let bound = self.old.get(evidence.kind)?.slow_from()?;
--- a/crates/decide/tests/direct.rs
+++ b/crates/decide/tests/direct.rs
@@ -302,6 +302,24 @@
     Evidence { kind: "k", server, failed, slowness }
 }
 
+#[test]
+fn failures_of_a_server_that_has_started_anew_count_no_more() {
+    let trips = |anew: bool| {
+        let mut one = roll_out();
+        one.learn_stage(Stage::Trial, ms(1_000));
+        let v2 = "v2".to_owned();
+        let (a, b) = (evidence("a", true, 1.0), evidence("b", true, 1.0));
+        (0..2).for_each(|_| assert!(!one.note(&v2, &a, ms(3_000))));
+        assert!(!one.note(&v2, &b, ms(3_100)));
+        if anew {
+            one.forget_server("a");
+        }
+        one.note(&v2, &b, ms(3_200))
+    };
+    assert!(trips(false), "four failures of two servers call a version bad");
+    assert!(!trips(true), "two of them are of a life that is over");
+}
+
 #[test]
 fn a_roll_out_moves_by_its_stages_and_never_back() {
     fn property(steps: Vec<(u8, u16)>) -> bool {
--- a/crates/direct/src/follow/learn.rs
+++ b/crates/direct/src/follow/learn.rs
@@ -99,7 +99,10 @@
             born_ms: server.born_ms,
         };
         self.core.journal.note(Rank::State, &event);
-        self.core.state.borrow_mut().put_server(server, self.core.clock.now());
+        let id = server.id.clone();
+        if self.core.state.borrow_mut().put_server(server, self.core.clock.now()) {
+            self.core.journal.note(Rank::State, &Learned::ServerBornAnew { server: &id });
+        }
     }
 
     /// An entry of a server cannot be read: it names no server, whatever it named before.
--- a/crates/direct/src/follow/report.rs
+++ b/crates/direct/src/follow/report.rs
@@ -22,6 +22,9 @@
         cold_ms: u64,
         born_ms: Option<u64>,
     },
+    ServerBornAnew {
+        server: &'a str,
+    },
     ServerGone {
         server: &'a str,
     },
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -169,15 +169,16 @@
         self.budgets.entry(service.clone()).or_insert_with(|| WindowBudget::new(limits))
     }
 
-    /// Learns of a backend server, or of a change of it.
-    pub fn put_server(&mut self, server: BackendServer, now: Duration) {
+    /// Learns of a backend server, or of a change of it. Returns whether it has started anew under its
+    /// identity; what was seen of its life before is forgotten then.
+    pub fn put_server(&mut self, server: BackendServer, now: Duration) -> bool {
         let before = self.service_of.insert(server.id.clone(), server.service.clone());
         // NB: one that starts again under its identity may belong to another service.
         if let Some(before) = before.filter(|before| *before != server.service) {
             self.fleet(&before).remove(&server.id);
         }
         let facts = ServerFacts {
-            id: server.id,
+            id: server.id.clone(),
             born_ms: server.born_ms,
             address: server.address,
             data_centre: server.data_centre,
@@ -189,7 +190,13 @@
                 left => now + left.min(LONGEST_WARM_UP),
             },
         };
-        self.fleet(&server.service).put(facts);
+        let fleet = self.fleet(&server.service);
+        let is_born_anew = fleet.is_born_anew(&facts);
+        fleet.put(facts);
+        if is_born_anew && let Some(roll_out) = self.roll_outs.get_mut(&server.service) {
+            roll_out.forget_server(&server.id);
+        }
+        is_born_anew
     }
 
     /// The store lists a backend server no longer, and may have lost it while away.
