--- a/crates/decide/src/direct/fleet/places.rs
+++ b/crates/decide/src/direct/fleet/places.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use pondwalk_types::ServerId;
-
 use super::{Ask, Fleet, Ticket, server::Server};
 use crate::direct::warm_up::{Coldness, Pacing, Sharers};
 
@@ -131,10 +129,9 @@
         open.map(|server| self.opens_to(server, now)).min()
     }
 
-    /// Servers that count as cold and may otherwise serve, with when that ends.
-    pub fn cold_servers(&self, now: Duration) -> impl Iterator<Item = (&ServerId, Duration)> {
-        let cold = self.servers.iter().flatten().filter(move |server| self.is_cold(server, now));
-        cold.map(|server| (&server.facts.id, server.warmth.cold_until()))
+    /// Servers that count as cold.
+    pub fn count_cold(&self, now: Duration) -> usize {
+        self.servers.iter().flatten().filter(|server| self.is_cold(server, now)).count()
     }
 
     pub(super) fn is_cold(&self, server: &Server, now: Duration) -> bool {
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -160,7 +160,7 @@
         let mut text = self.metrics.text();
         let asks_store = !matches!(self.source(), Source::Entry { .. });
         let state = self.state.borrow();
-        let cold = state.fleets.values().map(|fleet| fleet.cold_servers(self.clock.now()).count());
+        let cold = state.fleets.values().map(|fleet| fleet.count_cold(self.clock.now()));
         let mut gauges = vec![
             ("servers_cold", cold.sum::<usize>() as u64),
             ("data_centres_evacuated", state.evacuated.len() as u64),
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -215,17 +215,13 @@
                 Ok(exchange) => {
                     let status = exchange.response.status().to_string();
                     run.note_failed(&placement, "not_resumed", status);
+                    placement.refused();
                 }
                 Err(error) => {
                     run.note_failed(&placement, "not_resumed", error.to_string());
-                    if let SendError::NotSent { why, .. } = error {
-                        placement.unreached(why);
-                        run.avoid.push(placement.server().clone());
-                        continue;
-                    }
+                    note_unsent(&placement, &error);
                 }
             }
-            placement.refused();
             run.avoid.push(placement.server().clone());
         }
         None
@@ -257,6 +253,14 @@
     }
 }
 
+/// The server is left alone for a while; one that was not reached may be cold when it is.
+fn note_unsent(placement: &Placement, error: &SendError) {
+    match error {
+        SendError::NotSent { why, .. } => placement.unreached(*why),
+        _ => placement.refused(),
+    }
+}
+
 fn goes_on(run: &Run, exchange: &Exchange) -> bool {
     let response = &exchange.response;
     response.status().is_success() && !run.says_not_run(response) && run.is_authentic(response)
--- a/crates/direct/tests/acts_as_one.rs
+++ b/crates/direct/tests/acts_as_one.rs
@@ -502,7 +502,7 @@
     play(|world| async move {
         let net = Net::default();
         prepare(&world, 3);
-        let server = format!("s {} dc1 v1 ready", common::address(1));
+        let server = format!("s {} dc1 v1 ready", address(1));
         let current = whole_state(&[("catalog", "1"), ("server/s1", &server)], 100);
         let older = whole_state(&[], 40);
         net.impostors.borrow_mut().insert(peer_address(0), telling(vec![current, older]));
