A request whose server has gone or started anew while its connection opened is placed anew

Cause, found by reading: such a request left for the new life, which is cold, without counting as sent there, or for a server that was gone. Two tests failed first.

--- a/crates/decide/src/direct/fleet/places.rs
+++ b/crates/decide/src/direct/fleet/places.rs
@@ -83,26 +83,23 @@
     }
 
     /// Whether a request placed a moment ago may leave now, when its connection stands: its server's
-    /// data centre may have been evacuated, or the server turned cold. A cold server gets it as if it
-    /// was sent now.
+    /// data centre may have been evacuated, or the server have gone, started anew or turned cold. A
+    /// cold server gets it as if it was sent now.
     pub fn may_leave(&mut self, ticket: &Ticket, now: Duration) -> bool {
-        let is_paced = self.pacing.is_some();
-        let Some(server) = self.servers.get(ticket.index).and_then(Option::as_ref) else {
-            return true;
-        };
-        if server.life != ticket.life {
-            return true;
-        }
-        let is_late = now > ticket.placed && is_paced;
+        let server = self.servers.get(ticket.index).and_then(Option::as_ref);
+        let Some(server) = server.filter(|server| server.life == ticket.life) else { return false };
         if self.is_evacuated(&server.facts.data_centre) {
             return false;
         }
+        if self.pacing.is_none() || now <= ticket.placed {
+            return true;
+        }
         // NB: its own place is counted already, unless it was placed so long ago that others may have
         // taken theirs since, as after a freeze of the process.
-        if is_late && self.is_cold(server, now) && !self.holds_place(server, ticket, now) {
+        if self.is_cold(server, now) && !self.holds_place(server, ticket, now) {
             return false;
         }
-        if is_late && let Some(server) = self.server_of(ticket) {
+        if let Some(server) = self.server_of(ticket) {
             server.warmth.note_sent_later(ticket.placed, now);
         }
         true
--- a/crates/decide/tests/warm_up.rs
+++ b/crates/decide/tests/warm_up.rs
@@ -256,7 +256,9 @@
     let anew = fleet.forecast(&ask(&prompt), ms(4)).expect("it takes work again");
     assert!(anew.read_ms > cached + 50.0, "nothing is held there: {} {cached}", anew.read_ms);
     assert_eq!(fleet.under_way(pondwalk_decide::direct::VersionRule::Any), 0);
+    assert!(!fleet.may_leave(&first, ms(5)), "what was placed in its life before is placed anew");
     let second = fleet.place(&ask(&prompt), ms(5), &mut rng).expect("a place");
+    assert!(fleet.may_leave(&second, ms(5)));
     // NB: what belongs to the life before changes nothing any more.
     fleet.leaves(&first);
     fleet.ended(&first);
@@ -272,6 +274,7 @@
     fleet.put(server("s0", "v1"));
     let first = fleet.place(&ask(&[]), ms(0), &mut rng).expect("a place");
     fleet.remove("s0");
+    assert!(!fleet.may_leave(&first, ms(1)), "its server has gone");
     fleet.put(server("s0", "v1"));
     let second = fleet.place(&ask(&[]), ms(1), &mut rng).expect("a place");
     fleet.ended(&first);
