--- a/crates/direct/tests/acts_as_one.rs
+++ b/crates/direct/tests/acts_as_one.rs
@@ -96,6 +96,17 @@
 const WARMING: &str =
     "[warm_up]\novershoot=1.5\ntolerance=5\nheartbeat_ms=1200\n[membership]\npropagation_ms=2000\n";
 
+/// Forty entries that are listed, and two servers that warm up.
+async fn start_warming(world: &World) -> Vec<Entry> {
+    let net = Net::default();
+    prepare(world, 2);
+    let warm_up = WarmUp { time: Duration::from_secs(3), requests_per_s: 14.0 };
+    world.configure(catalog_warming(2, Some(warm_up)));
+    let entries = net.start_many(world, 40, WARMING);
+    sleep(Duration::from_secs(6)).await;
+    entries
+}
+
 /// Entries that count a server as cold.
 fn count_cold(entries: &[Entry]) -> u64 {
     total(entries, "pondwalk_servers_cold")
@@ -104,12 +115,7 @@
 #[test]
 fn a_server_that_one_entry_cannot_reach_counts_as_cold_everywhere() {
     play(|world| async move {
-        let net = Net::default();
-        prepare(&world, 2);
-        let warm_up = WarmUp { time: Duration::from_secs(3), requests_per_s: 14.0 };
-        world.configure(catalog_warming(2, Some(warm_up)));
-        let entries = net.start_many(&world, 40, WARMING);
-        sleep(Duration::from_secs(6)).await;
+        let entries = start_warming(&world).await;
         assert_eq!(count_cold(&entries), 0);
         world.backends.stop(address(1));
         world.backends.stop(address(2));
@@ -125,12 +131,7 @@
 #[test]
 fn a_server_that_turns_cold_again_and_an_evacuation_are_known_everywhere_in_time() {
     play(|world| async move {
-        let net = Net::default();
-        prepare(&world, 2);
-        let warm_up = WarmUp { time: Duration::from_secs(3), requests_per_s: 14.0 };
-        world.configure(catalog_warming(2, Some(warm_up)));
-        let entries = net.start_many(&world, 40, WARMING);
-        sleep(Duration::from_secs(6)).await;
+        let entries = start_warming(&world).await;
         world.store.put("server/s1", &format!("s {} dc1 v1 ready 3000 1", address(1)));
         world.store.put("evacuate/dc2", "{}");
         sleep(Duration::from_millis(900)).await;
