An answer is dropped for a larger model's only if that need not wait for cold servers

Cause: the look ahead weighs servers of any version, placing those of the session's. With only cold servers of that version the smaller model's answer, already made, was dropped, and the caller got 502 after a quarter of the objective. Where no server is cold nothing changes: a model without any open server was as before.

--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -106,6 +106,12 @@
         Placement::find(&self.core, &self.job, self.model, &self.avoid, failed)
     }
 
+    /// Whether another model could be asked without waiting for room at cold servers.
+    pub fn is_at_hand(&self, model: ModelNumber) -> bool {
+        let failed = self.failed_version.as_deref();
+        Placement::is_at_hand(&self.core, &self.job, model, &self.avoid, failed)
+    }
+
     /// A place for the next send, waited for if the servers that could take it are merely cold. There
     /// is room again within a fraction of a second, and a refusal costs its caller a new attempt.
     pub async fn wait_for_place(&self) -> Result<Placement, NoPlace> {
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -222,7 +222,7 @@
         }
         let Some(confidence) = self.confidence(response.headers()) else { return false };
         let Some(next) = self.next_model(confidence, placement) else { return false };
-        if !self.take_further_send(RETRY_RESERVE) {
+        if !self.is_at_hand(next) || !self.take_further_send(RETRY_RESERVE) {
             return false;
         }
         self.may_have_run = true;
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -97,6 +97,31 @@
         })
     }
 
+    /// Whether a request could go on with a model without waiting for room at cold servers.
+    ///
+    /// NB: it is asked before an answer that was made is dropped for another one.
+    pub fn is_at_hand(
+        core: &Core,
+        job: &Job,
+        number: ModelNumber,
+        avoid: &[ServerId],
+        failed: Option<&str>,
+    ) -> bool {
+        let now = core.clock.now();
+        let mut state = core.state.borrow_mut();
+        let State { fleets, roll_outs, sessions, engines, .. } = &mut *state;
+        let Some(fleet) = fleets.get(&job.service.name) else { return false };
+        let roll_out = roll_outs.get(&job.service.name);
+        let rule = match (roll_out, job.session) {
+            (Some(roll_out), Some(session)) => {
+                roll_out.rule(session, sessions.version(session, now), failed, now)
+            }
+            _ => VersionRule::Any,
+        };
+        let ask = ask_for(engine_of(engines, job), job, number, avoid, rule);
+        fleet.forecast(&ask, now).is_some() || fleet.opens_at(&ask, now).is_none()
+    }
+
     /// Identity of the server.
     pub fn server(&self) -> &ServerId {
         &self.ticket.server
--- a/crates/direct/tests/cold_and_evacuated.rs
+++ b/crates/direct/tests/cold_and_evacuated.rs
@@ -306,3 +306,31 @@
         assert!(world.entry.metrics_text().contains("pondwalk_servers_cold 1"));
     });
 }
+
+#[test]
+fn an_answer_that_was_made_is_passed_on_where_a_larger_model_would_have_to_wait() {
+    // A cold server may get one request a second of this entry.
+    let bounds = "peers=127.0.0.1:4\n[warm_up]\novershoot=0.15\ntolerance=0\nheartbeat_ms=1200\n";
+    play_with(bounds, |world| async move {
+        world.configure(warming(1));
+        world.start_server(1, "m", "v1", common::stream(3, Some(10)));
+        world.start().await;
+        sleep(Duration::from_secs(5)).await;
+        let ask = |id: &str| {
+            let sent = with(request("/models/x", id), "pondwalk-session", "a");
+            let sent = with(sent, "pondwalk-token-usage", "1000,10");
+            world.ask(with(sent, "pondwalk-model", "auto"))
+        };
+        let first = ask("first").await;
+        assert_eq!(first.status.as_u16(), 200);
+        world.start_server(2, "m", "v2", common::stream(3, Some(90)));
+        world.store.put("order/m", "v2 20");
+        world.store.put("server/s1", &format!("m {} dc1 v1 ready 9000 1", address(1)));
+        sleep(Duration::from_millis(1_200)).await;
+        // NB: its session is on the old version, whose only server is cold; the other one is warm.
+        let before = world.backends.seen(address(1)).len();
+        let answer = ask("second").await;
+        assert_eq!((answer.status.as_u16(), answer.whole), (200, true));
+        assert_eq!(seen(&world, 1..=2), [before + 1, 0]);
+    });
+}
