Log which server's connection broke under which content

A try of a caller has an id of its own, so no line showed that many tries are one request. Behaviour is unchanged.

--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -37,6 +37,7 @@
 mod freshness;
 mod hash;
 mod pool;
+mod quarantine;
 mod rank;
 mod roll_out;
 mod sessions;
@@ -51,6 +52,7 @@
 };
 pub use freshness::Freshness;
 pub use pool::{Pool, Seen, Tally};
+pub use quarantine::Content;
 pub use rank::{RESUMED, Rank, rank_of};
 pub use roll_out::{Evidence, Move, RollOut, Stage};
 pub use sessions::{SessionKey, Sessions, session_key};
--- a/crates/direct/src/http/intake.rs
+++ b/crates/direct/src/http/intake.rs
@@ -1,6 +1,6 @@
 //! Reads a request and checks it against the configuration in force.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -175,6 +175,7 @@
         session,
         last_event_id,
         catalog_version: checked.catalog.version,
+        known_content: OnceCell::new(),
     }
 }
 
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -130,6 +130,7 @@
                     source.placement.broke();
                     let run = &self.follower.run;
                     run.note_failed(&source.placement, "stream_broken", reason.to_owned());
+                    run.note_broke(&source.placement);
                     match self.resume(&source).await {
                         Some(next) => source = next,
                         None => {
@@ -219,6 +220,9 @@
                 }
                 Err(error) => {
                     run.note_failed(&placement, "not_resumed", error.to_string());
+                    if matches!(error, SendError::Broken(_)) {
+                        run.note_broke(&placement);
+                    }
                     note_unsent(&placement, &error);
                 }
             }
--- a/crates/direct/src/http/report.rs
+++ b/crates/direct/src/http/report.rs
@@ -29,6 +29,8 @@
         detail: String,
         after_ms: u64,
     },
+    /// The connection broke while the request was at a backend server, which may have ended.
+    ServerBroke { request: &'a str, server: &'a str, content: &'a str, after_ms: u64 },
     /// A smaller model's answer was dropped for a stronger model's.
     Escalated {
         request: &'a str,
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -14,6 +14,7 @@
 
 use super::report::RequestEvent;
 use crate::{
+    content::content_text,
     core::Core,
     journal::Rank,
     metrics::{Counter, Timer},
@@ -273,6 +274,20 @@
         self.core.journal.note(Rank::Failure, &event);
     }
 
+    /// Logs that the connection broke while the request was at a server, and what it carries.
+    ///
+    /// NB: a caller's tries have ids of their own; only the content shows that they are one request.
+    pub fn note_broke(&self, placement: &Placement) {
+        self.core.metrics.count(Counter::Broke);
+        let event = RequestEvent::ServerBroke {
+            request: &self.job.id,
+            server: placement.server(),
+            content: &content_text(self.job.content()),
+            after_ms: self.after_ms(),
+        };
+        self.core.journal.note(Rank::Failure, &event);
+    }
+
     /// Logs that an answer to this request made a version bad.
     pub fn note_tripped(&self, placement: &Placement) {
         let event = RequestEvent::VersionTripped {
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -118,7 +118,10 @@
                 self.note_failed(&placement, "withheld", String::new());
                 if self.may_send() { Verdict::Next } else { Verdict::Refuse(Refusal::Stale) }
             }
-            Err(SendError::Broken(detail)) => self.after_loss(&placement, "broken", detail),
+            Err(SendError::Broken(detail)) => {
+                self.note_broke(&placement);
+                self.after_loss(&placement, "broken", detail)
+            }
             Err(SendError::NoHead) if until >= self.job.give_up => {
                 placement.broke();
                 self.may_have_run = true;
@@ -290,6 +293,7 @@
         let body = match timeout_at(until, body.collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) => {
+                self.note_broke(&placement);
                 return self.after_loss(&placement, "cut", error.to_string());
             }
             Err(_) => {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 mod clock;
 mod conductor;
+pub mod content;
 mod core;
 pub mod dialect;
 mod entry;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -36,6 +36,8 @@
     Withheld,
     /// Backend servers that could not be reached and count as cold when they are again.
     ServersDoubted,
+    /// Connections that broke while a request was at a backend server.
+    Broke,
     /// Answers of smaller models dropped for a stronger one's.
     Escalations,
     /// Streams resumed at another backend server.
@@ -64,6 +66,7 @@
             Counter::HeldForCold => "held_for_cold_total",
             Counter::Withheld => "withheld_total",
             Counter::ServersDoubted => "servers_doubted_total",
+            Counter::Broke => "connections_broken_total",
             Counter::Escalations => "escalations_total",
             Counter::Resumes => "resumes_total",
             Counter::StoreFailures => "store_failures_total",
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -1,16 +1,19 @@
 //! One request as read from a caller, checked against the configuration in force.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{
     HeaderMap, Method, StatusCode,
     header::{self, HeaderName},
 };
-use pondwalk_decide::direct::{ModelNumber, PromptPart, ServiceModel, SessionKey};
+use pondwalk_decide::direct::{Content, ModelNumber, PromptPart, ServiceModel, SessionKey};
 use thiserror::Error;
 
-use crate::catalog::{Catalog, Route, Service, Workspace};
+use crate::{
+    catalog::{Catalog, Route, Service, Workspace},
+    content::{Parts, content_of},
+};
 
 /// Why a request is not answered by a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -203,9 +206,20 @@
     pub last_event_id: Option<String>,
     /// Configuration it was checked against.
     pub catalog_version: u64,
+    /// What it carries, once that was asked for.
+    pub known_content: OnceCell<Content>,
 }
 
 impl Job {
+    /// What it carries, by which it is known again when its caller tries once more.
+    pub fn content(&self) -> Content {
+        *self.known_content.get_or_init(|| {
+            let caller = self.workspace.as_ref().map_or("", |workspace| &workspace.name);
+            let (host, target) = (self.route.host.as_str(), self.target.as_str());
+            content_of(Parts { caller, host, target, body: &self.body })
+        })
+    }
+
     /// The model at a position of the route's list, among those of the service.
     ///
     /// NB: routes may list different models of one service, and what is learned of a model or held
