--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -23,7 +23,7 @@
     upstream::{BoxedDuplex, Connect},
 };
 use pondwalk_standin::{
-    backends::{Act, Backends, Names},
+    backends::{Act, Backends, Lethal, Names},
     memory_store::{MemoryStore, Weather},
 };
 use tokio::{
@@ -397,3 +397,35 @@
     let key = format!("progress/{}", progress.service);
     (key, format!("{} {:?}", progress.target, progress.outcome).into_bytes())
 }
+
+/// Body of the request that ends every server that runs it.
+pub const LETHAL_BODY: &str = "ends whoever runs it";
+/// Time for which a server is away after its end.
+pub const AWAY_TIME: Duration = Duration::from_millis(1_500);
+
+impl World {
+    /// Lets requests with a body end the servers of a service that run them, `after` they have begun. Each
+    /// server is back some time later as another one, as the store tells.
+    pub fn make_lethal(&self, service: &'static str, body: &str, after: Duration) {
+        let store = self.store.clone();
+        let is_back = move |address: SocketAddr, id: &str| {
+            let (stem, life) = id.split_once('-').unwrap_or((id, "0"));
+            let life: u32 = life.parse().expect("a number");
+            let next = format!("{stem}-{}", life + 1);
+            store.remove(&format!("server/{id}"));
+            store.put(&format!("server/{next}"), &format!("{service} {address} dc1 v1 ready"));
+            next
+        };
+        self.backends.add_lethal(Lethal {
+            body: body.as_bytes().to_vec(),
+            after,
+            back_after: AWAY_TIME,
+            is_back: Rc::new(is_back),
+        });
+    }
+}
+
+/// The same request with another body.
+pub fn with_body(request: Request<Full<Bytes>>, body: &str) -> Request<Full<Bytes>> {
+    request.map(|_| Full::from(body.to_owned()))
+}
--- a/crates/direct/tests/common/net.rs
+++ b/crates/direct/tests/common/net.rs
@@ -56,6 +56,12 @@
     State { head, body: replica.whole().expect("it packs"), news: Vec::new() }
 }
 
+/// Addresses of the first three entries, by which others find them.
+fn seeds() -> String {
+    let seeds: Vec<String> = (0..3).map(|n| peer_address(n).to_string()).collect();
+    seeds.join(",")
+}
+
 /// Answers on a connection in an entry's place.
 pub type Impostor = Rc<dyn Fn(DuplexStream)>;
 
@@ -175,11 +181,15 @@
 
     /// Starts so many entries at once, of which the first three are the seeds.
     pub fn start_many(&self, world: &World, count: u16, further: &str) -> Vec<Entry> {
-        let seeds: Vec<String> = (0..3).map(|n| peer_address(n).to_string()).collect();
-        let further = format!("[membership]\nseeds={}\n{further}", seeds.join(","));
+        let further = format!("[membership]\nseeds={}\n{further}", seeds());
         (0..count).map(|n| self.start_with(world, n, &further)).collect()
     }
 
+    /// Starts another entry beside those of [`Net::start_many`].
+    pub fn start_later(&self, world: &World, n: u16) -> Entry {
+        self.start_with(world, n, &format!("[membership]\nseeds={}\n", seeds()))
+    }
+
     /// Ends an entry: nobody can open a connection to it any more.
     pub fn end(&self, n: u16) {
         self.entries.borrow_mut().remove(&peer_address(n));
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -4,7 +4,7 @@
 //! events, and fail as real ones do: answers lost, spoiled, cut, surplus, or never given.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{HashMap, VecDeque},
     io,
     net::SocketAddr,
@@ -14,8 +14,10 @@
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex},
+    select,
+    sync::Notify,
     task::spawn_local,
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 /// Bytes that a connection holds in one direction.
@@ -91,19 +93,66 @@
     script: RefCell<VecDeque<Act>>,
     usual: RefCell<Act>,
     seen: RefCell<Vec<Seen>>,
+    /// Whether its process has ended, with all that it was working on.
+    ended: Cell<bool>,
+    ending: Notify,
+}
+
+impl Server {
+    fn end(&self) {
+        self.ended.set(true);
+        self.ending.notify_waiters();
+    }
+
+    /// Waits until its process ends.
+    async fn has_ended(&self) {
+        let ending = self.ending.notified();
+        if !self.ended.get() {
+            ending.await;
+        }
+    }
+}
+
+/// What ends every server that runs it.
+#[derive(Clone)]
+pub struct Lethal {
+    /// Body of such a request.
+    pub body: Vec<u8>,
+    /// Time from the beginning of its run until the server ends.
+    pub after: Duration,
+    /// Time until the server is back.
+    pub back_after: Duration,
+    /// Tells of a server that is back at its address; returns the identity that it has from now on.
+    pub is_back: Rc<dyn Fn(SocketAddr, &str) -> String>,
+}
+
+/// A request that ends servers, as it reached one.
+#[derive(Debug, Clone, Copy)]
+pub struct LethalRun {
+    /// When it reached the server.
+    pub at: Instant,
+    /// When the server ended under it, if it has.
+    pub ended: Option<Instant>,
 }
 
 /// All servers, by address.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Backends {
     names: Names,
     servers: Rc<RefCell<HashMap<SocketAddr, Rc<Server>>>>,
+    lethal: Rc<RefCell<Vec<Lethal>>>,
+    lethal_runs: Rc<RefCell<Vec<LethalRun>>>,
 }
 
 impl Backends {
     /// No servers yet.
     pub fn new(names: Names) -> Self {
-        Backends { names, servers: Rc::default() }
+        Backends {
+            names,
+            servers: Rc::default(),
+            lethal: Rc::default(),
+            lethal_runs: Rc::default(),
+        }
     }
 
     /// Starts a server that does `usual` unless told otherwise.
@@ -113,6 +162,8 @@
             script: RefCell::default(),
             usual: RefCell::new(usual),
             seen: RefCell::default(),
+            ended: Cell::new(false),
+            ending: Notify::new(),
         };
         self.servers.borrow_mut().insert(address, Rc::new(server));
     }
@@ -122,6 +173,45 @@
         self.servers.borrow_mut().remove(&address);
     }
 
+    /// Ends a server as a crash does: what it was working on breaks off too.
+    pub fn crash(&self, address: SocketAddr) {
+        if let Some(server) = self.servers.borrow_mut().remove(&address) {
+            server.end();
+        }
+    }
+
+    /// Lets a request end every server that runs it from now on.
+    pub fn add_lethal(&self, lethal: Lethal) {
+        self.lethal.borrow_mut().push(lethal);
+    }
+
+    /// Requests of that kind that have reached servers, in order.
+    pub fn lethal_runs(&self) -> Vec<LethalRun> {
+        self.lethal_runs.borrow().clone()
+    }
+
+    /// Notes such a request, and ends its server some time later. Returns whether it is one.
+    fn meet_lethal(&self, address: SocketAddr, server: &Rc<Server>, seen: &Seen) -> bool {
+        let lethal = self.lethal.borrow().iter().find(|one| one.body == seen.body).cloned();
+        let Some(lethal) = lethal else { return false };
+        let place = self.lethal_runs.borrow().len();
+        self.lethal_runs.borrow_mut().push(LethalRun { at: Instant::now(), ended: None });
+        let (backends, server) = (self.clone(), Rc::clone(server));
+        spawn_local(async move {
+            sleep(lethal.after).await;
+            if server.ended.get() {
+                return;
+            }
+            backends.lethal_runs.borrow_mut()[place].ended = Some(Instant::now());
+            backends.crash(address);
+            sleep(lethal.back_after).await;
+            let id = (lethal.is_back)(address, &server.id);
+            let usual = server.usual.borrow().clone();
+            backends.start(address, &id, usual);
+        });
+        true
+    }
+
     /// Tells a server what to do with its next requests.
     pub fn script(&self, address: SocketAddr, acts: impl IntoIterator<Item = Act>) {
         if let Some(server) = self.servers.borrow().get(&address) {
@@ -156,21 +246,39 @@
         let server = self.servers.borrow().get(&address).cloned();
         let server = server.ok_or(io::ErrorKind::ConnectionRefused)?;
         let (near, far) = duplex(CONNECTION_BYTES);
-        let names = self.names.clone();
-        spawn_local(async move { serve(&server, &names, far).await });
+        let backends = self.clone();
+        spawn_local(async move {
+            select! {
+                biased;
+                () = server.has_ended() => {}
+                () = backends.serve(address, &server, far) => {}
+            }
+        });
         Ok(near)
     }
+
+    async fn serve(&self, address: SocketAddr, server: &Rc<Server>, io: DuplexStream) {
+        serve(server, &self.names, io, |seen| self.meet_lethal(address, server, seen)).await;
+    }
 }
 
-async fn serve(server: &Server, names: &Names, mut io: DuplexStream) {
+async fn serve(
+    server: &Server,
+    names: &Names,
+    mut io: DuplexStream,
+    is_lethal: impl FnOnce(&Seen) -> bool,
+) {
     let Some(seen) = read_request(&mut io).await else { return };
-    let mut act = server.script.borrow_mut().pop_front();
-    let act = act.take().unwrap_or_else(|| server.usual.borrow().clone());
+    let scripted = server.script.borrow_mut().pop_front();
+    let mut act = scripted.unwrap_or_else(|| server.usual.borrow().clone());
     let expected = seen.headers.get(&names.expected_server);
     let another = expected.is_some_and(|expected| *expected != server.id);
     let ran = !another && !matches!(act, Act::NotRun(_));
     let index = server.seen.borrow().len();
     server.seen.borrow_mut().push(Seen { ran, ..seen.clone() });
+    if ran && is_lethal(&seen) && !matches!(act, Act::Stream { .. }) {
+        act = Act::Silent;
+    }
     let act = if another { Act::NotRun(421) } else { act };
     let whole = answer(names, &seen, &act, &mut io).await.is_ok();
     server.seen.borrow_mut()[index].cancelled = !whole;
