--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -52,7 +52,9 @@
 };
 pub use freshness::Freshness;
 pub use pool::{Pool, Seen, Tally};
-pub use quarantine::Content;
+pub use quarantine::{
+    Content, EndId, Grant, Loss, Probe, Quarantine, ServerEnd, Standing, granting_order,
+};
 pub use rank::{RESUMED, Rank, rank_of};
 pub use roll_out::{Evidence, Move, RollOut, Stage};
 pub use sessions::{SessionKey, Sessions, session_key};
--- a/crates/decide/src/direct/fleet/places.rs
+++ b/crates/decide/src/direct/fleet/places.rs
@@ -1,6 +1,8 @@
 //! Which servers have room at this moment: evacuated data centres, and cold servers.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
+
+use rand::{Rng, seq::IteratorRandom};
 
 use super::{Ask, Fleet, Ticket, server::Server};
 use crate::direct::warm_up::{Coldness, Pacing, Sharers};
@@ -52,6 +54,17 @@
         }
     }
 
+    /// Servers known.
+    pub fn count(&self) -> usize {
+        self.servers.iter().flatten().count()
+    }
+
+    /// Where a few servers other than this one listen, drawn at random.
+    pub fn some_others(&self, id: &str, most: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let others = self.servers.iter().flatten().filter(|server| server.facts.id != id);
+        others.map(|server| server.facts.address).choose_multiple(rng, most)
+    }
+
     /// Servers known in a data centre.
     pub fn count_in(&self, data_centre: &str) -> usize {
         let servers = self.servers.iter().flatten();
--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -1,4 +1,358 @@
-//! Requests under which backend servers ended, known again by what they carry.
+//! Requests under which backend servers ended, and when they may run again.
+//!
+//! A request may end every server that runs it, and its caller brings it again under another id, at any
+//! entry. So what is counted is counted by content, and told to all entries. After a few ends such a
+//! request runs again only now and then, and one copy at a time.
+//!
+//! When servers end for another cause, every request aboard looks like the culprit. Three things keep
+//! such a request from being refused for long. A run that comes to a good end clears its content at
+//! once, everywhere. Ends of several servers at the same moment, most of which did not run the request,
+//! are held against it only in part. And what is left may be proved: the first probe comes a second
+//! after the latest end.
+//!
+//! The entries agree on one of them that grants the probes of a content (rendezvous hashing, Thaler and
+//! Ravishankar, 1998). Two parts of a deployment that don't reach one another grant at most one probe
+//! more between them.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::hash::{hash_text, mix};
 
 /// What a request carries, as a number by which all entries know it again.
 pub type Content = u128;
+/// A number drawn at random for each end that is seen.
+pub type EndId = u64;
+
+/// Ends of servers after which a request counts as their cause. A request whose server ends by chance
+/// goes on elsewhere; that this happens to the same one three times is rare.
+const FREE_ENDS: usize = 3;
+/// Pauses after the latest end before the request may run once more: a chance for one that is innocent
+/// as soon as servers are back, one more when others that end servers are held, and then so seldom that
+/// one that ends every server costs one in ten minutes.
+const PROBE_PAUSES: [Duration; 3] =
+    [Duration::from_secs(1), Duration::from_secs(5), Duration::from_secs(600)];
+/// Most ends of a content that are excused as those of a common loss. More than that of one content in
+/// an hour is no chance, and requests that end servers at the same moment must not excuse one another.
+const MOST_EXCUSED: usize = 3;
+/// Other servers that must end at the same moment for an end to be excused.
+const OTHERS_OF_LOSS: usize = 3;
+/// Ends of one content that are kept; more change nothing.
+const MOST_ENDS: usize = 8;
+/// Time after the latest end for which a content is remembered. A caller may keep a request for long
+/// before it tries again; in an hour one that is forgotten and tried anew costs three servers.
+const LIFE: Duration = Duration::from_secs(3_600);
+/// Time for which a content that was cleared is remembered, so that word of its ends that comes late
+/// counts for nothing.
+const LIFE_OF_CLEARED: Duration = Duration::from_secs(60);
+/// Contents remembered, some 200 bytes each. A data centre of the planned size has ten thousand requests
+/// aboard; those that were cleared go first, then those with few ends, the oldest before others.
+const MOST_CONTENTS: usize = 8_192;
+/// Part of them that goes when there is no room, so that looking for the oldest stays rare.
+const MAKE_ROOM_PART: usize = 8;
+
+/// One end of a server under a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerEnd {
+    /// What the request carried.
+    pub content: Content,
+    /// Tells this end from all others.
+    pub id: EndId,
+    /// Whether others ended at the same moment that did not run the request.
+    pub in_common_loss: bool,
+    /// Whether the request ran as a probe.
+    pub on_probe: bool,
+}
+
+/// Whether a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Like any other.
+    Free,
+    /// Once, by leave of the entry that grants its probes.
+    OnProbe,
+    /// Not before this time.
+    Held {
+        /// When it may be asked for again.
+        until: Duration,
+    },
+    /// A probe that this entry granted is under way.
+    Probed,
+}
+
+/// What came of asking for a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Grant {
+    /// The request may run once.
+    Given,
+    /// Another one of its content runs as a probe now.
+    Probed,
+    /// It may not, before this time.
+    Refused {
+        /// When it may be asked for again.
+        until: Duration,
+    },
+}
+
+/// Who asks for a probe, and for how long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Probe {
+    /// Content of the request.
+    pub content: Content,
+    /// Longest time that its run may take.
+    pub lease: Duration,
+    /// Whether this entry comes first in the order of those that may grant it.
+    pub is_first: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct End {
+    id: EndId,
+    at: Duration,
+    in_common_loss: bool,
+    on_probe: bool,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    ends: Vec<End>,
+    cleared: Option<Duration>,
+    /// Until when a probe that this entry granted may be under way.
+    probed_until: Option<Duration>,
+}
+
+impl Record {
+    /// Ends that count.
+    fn count(&self) -> usize {
+        let excused = self.ends.iter().filter(|end| end.in_common_loss).count();
+        self.ends.len() - excused.min(MOST_EXCUSED)
+    }
+
+    /// Keeps an end; of many, the latest and those under probes.
+    fn keep(&mut self, end: End) {
+        self.ends.push(end);
+        if self.ends.len() <= MOST_ENDS {
+            return;
+        }
+        let order = |(_, end): &(usize, &End)| (end.on_probe, end.at);
+        if let Some((oldest, _)) = self.ends.iter().enumerate().min_by_key(order) {
+            self.ends.swap_remove(oldest);
+        }
+    }
+
+    fn last_end(&self) -> Option<Duration> {
+        self.ends.iter().map(|end| end.at).max()
+    }
+
+    fn standing(&self, now: Duration) -> Standing {
+        let count = self.count();
+        let Some(last) = self.last_end().filter(|_| count >= FREE_ENDS) else {
+            return Standing::Free;
+        };
+        if self.probed_until.is_some_and(|until| now < until) {
+            return Standing::Probed;
+        }
+        let until = last + PROBE_PAUSES[self.probes().min(PROBE_PAUSES.len() - 1)];
+        if now < until { Standing::Held { until } } else { Standing::OnProbe }
+    }
+
+    /// Probes under which a server ended, common losses left out.
+    ///
+    /// NB: not all ends beyond the first few. A request that comes on many connections at once may end as
+    /// many servers before any entry knows.
+    fn probes(&self) -> usize {
+        let excused = |end: &&End| end.on_probe && end.in_common_loss;
+        let excused = self.ends.iter().filter(excused).count().min(MOST_EXCUSED);
+        self.ends.iter().filter(|end| end.on_probe).count() - excused
+    }
+
+    fn is_over(&self, now: Duration) -> bool {
+        let is_past = |at: Option<Duration>, life| at.is_none_or(|at| now >= at + life);
+        is_past(self.last_end(), LIFE) && is_past(self.cleared, LIFE_OF_CLEARED)
+    }
+
+    /// Order in which contents give way.
+    fn worth(&self) -> (usize, Option<Duration>) {
+        (self.count().min(FREE_ENDS), self.last_end())
+    }
+}
+
+/// The contents under which servers have ended.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    records: HashMap<Content, Record>,
+    given_way: u64,
+}
+
+impl Quarantine {
+    /// Whether nothing is known against any content, so that none need be worked out.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Contents that are remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Contents that are held or on probe.
+    pub fn count_held(&self, now: Duration) -> usize {
+        let records = self.records.values();
+        records.filter(|record| record.standing(now) != Standing::Free).count()
+    }
+
+    /// Contents that gave way to others since there was no room.
+    pub fn given_way(&self) -> u64 {
+        self.given_way
+    }
+
+    /// Ends of servers that count against a content.
+    pub fn ends(&self, content: Content) -> usize {
+        self.records.get(&content).map_or(0, Record::count)
+    }
+
+    /// Takes in that a server ended at `at`. Returns whether it was not known yet.
+    pub fn note_end(&mut self, end: ServerEnd, at: Duration, now: Duration) -> bool {
+        if !self.records.contains_key(&end.content) {
+            self.make_room(now);
+        }
+        let record = self.records.entry(end.content).or_default();
+        if record.cleared.is_some_and(|cleared| at <= cleared) {
+            return false;
+        }
+        if let Some(known) = record.ends.iter_mut().find(|known| known.id == end.id) {
+            known.in_common_loss |= end.in_common_loss;
+            return false;
+        }
+        record.keep(End {
+            id: end.id,
+            at,
+            in_common_loss: end.in_common_loss,
+            on_probe: end.on_probe,
+        });
+        record.probed_until = None;
+        true
+    }
+
+    /// A run of this content came to a good end. Returns whether that clears it of anything.
+    pub fn note_whole(&mut self, content: Content, at: Duration) -> bool {
+        let Some(record) = self.records.get_mut(&content) else { return false };
+        let before = record.ends.len();
+        record.ends.retain(|end| end.at > at);
+        record.cleared = record.cleared.max(Some(at));
+        record.probed_until = None;
+        record.ends.len() < before
+    }
+
+    /// Whether a request of this content may run.
+    pub fn standing(&self, content: Content, now: Duration) -> Standing {
+        self.records.get(&content).map_or(Standing::Free, |record| record.standing(now))
+    }
+
+    /// Grants a probe, or tells when to ask again.
+    ///
+    /// NB: one that is not first grants only a content's first probe: the first may have granted the
+    /// others, out of its sight.
+    pub fn grant(&mut self, probe: Probe, now: Duration) -> Grant {
+        let Some(record) = self.records.get_mut(&probe.content) else { return Grant::Given };
+        match record.standing(now) {
+            Standing::Free => Grant::Given,
+            Standing::Probed => Grant::Probed,
+            Standing::Held { until } => Grant::Refused { until },
+            Standing::OnProbe if probe.is_first || record.probes() == 0 => {
+                record.probed_until = Some(now + probe.lease);
+                Grant::Given
+            }
+            Standing::OnProbe => Grant::Refused { until: now + PROBE_PAUSES[1] },
+        }
+    }
+
+    /// The ends of a content, with the time since each.
+    pub fn ends_of(&self, content: Content, now: Duration) -> Vec<(ServerEnd, Duration)> {
+        let record = self.records.get(&content);
+        record.map(|record| told(content, record, now)).unwrap_or_default()
+    }
+
+    /// The ends of all contents that are held or on probe, with the time since each.
+    pub fn held(&self, now: Duration) -> Vec<(ServerEnd, Duration)> {
+        let records = self.records.iter();
+        let held = records.filter(|(_, record)| record.standing(now) != Standing::Free);
+        held.flat_map(|(content, record)| told(*content, record, now)).collect()
+    }
+
+    /// The ends of the contents that matter most, with the time since each: at most so many.
+    pub fn weightiest(&self, most: usize, now: Duration) -> Vec<(ServerEnd, Duration)> {
+        let mut records: Vec<_> =
+            self.records.iter().filter(|(_, record)| !record.ends.is_empty()).collect();
+        records.sort_unstable_by_key(|(_, record)| std::cmp::Reverse(record.worth()));
+        let ends = records.into_iter().flat_map(|(content, record)| told(*content, record, now));
+        ends.take(most).collect()
+    }
+
+    fn make_room(&mut self, now: Duration) {
+        if self.records.len() < MOST_CONTENTS {
+            return;
+        }
+        self.records.retain(|_, record| !record.is_over(now));
+        if self.records.len() < MOST_CONTENTS {
+            return;
+        }
+        let mut by_worth: Vec<_> =
+            self.records.iter().map(|(content, record)| (record.worth(), *content)).collect();
+        by_worth.sort_unstable();
+        for (_, content) in by_worth.iter().take(MOST_CONTENTS / MAKE_ROOM_PART) {
+            self.records.remove(content);
+            self.given_way += 1;
+        }
+    }
+
+    /// Forgets what is over.
+    pub fn forget_old(&mut self, now: Duration) {
+        self.records.retain(|_, record| !record.is_over(now));
+    }
+}
+
+fn told(content: Content, record: &Record, now: Duration) -> Vec<(ServerEnd, Duration)> {
+    let end = |end: &End| {
+        let End { id, at, in_common_loss, on_probe } = *end;
+        (ServerEnd { content, id, in_common_loss, on_probe }, now.saturating_sub(at))
+    };
+    record.ends.iter().map(end).collect()
+}
+
+/// Servers that ended at about the same moment, each with the contents that it ran.
+#[derive(Debug, Default)]
+pub struct Loss {
+    servers: HashSet<u64>,
+    /// Servers that ran each content.
+    servers_of: HashMap<Content, HashSet<u64>>,
+}
+
+impl Loss {
+    /// A request was aboard of a server that ended.
+    pub fn note(&mut self, content: Content, server: &str) {
+        let server = hash_text(server);
+        self.servers.insert(server);
+        self.servers_of.entry(content).or_default().insert(server);
+    }
+
+    /// Whether a content is not what ended most of these servers: others ended that did not run it,
+    /// either several or, in a service of `servers`, all that there are.
+    pub fn excuses(&self, content: Content, servers: usize) -> bool {
+        let ran = self.servers_of.get(&content).map_or(0, HashSet::len);
+        let others = self.servers.len() - ran;
+        others >= OTHERS_OF_LOSS || others > 0 && self.servers.len() >= servers
+    }
+}
+
+/// The entries of these names in the order in which they may grant a content's probes.
+pub fn granting_order(content: Content, names: &mut [String]) {
+    let low = content as u64;
+    names.sort_by_cached_key(|name| {
+        (std::cmp::Reverse(mix(low ^ mix(hash_text(name)))), name.clone())
+    });
+}
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -7,6 +7,7 @@
 
 mod learn;
 mod listing;
+mod quarantine;
 mod records;
 mod turns;
 
@@ -61,6 +62,8 @@
     unanswered: RefCell<HashMap<ServiceId, Duration>>,
     /// Until when what was listed last is expected to be heard of.
     listed_until: Cell<Duration>,
+    /// What the store holds of contents that are held.
+    kept: quarantine::Kept,
 }
 
 impl Conductor {
@@ -75,6 +78,7 @@
             told: RefCell::default(),
             unanswered: RefCell::default(),
             listed_until: Cell::default(),
+            kept: quarantine::Kept::default(),
         }
     }
 
@@ -104,6 +108,7 @@
                 }
             }
             self.list_joined(self.wait_in_order()).await;
+            self.store_quarantine(self.wait_in_order()).await;
         }
     }
 
--- a/crates/direct/src/conductor/learn.rs
+++ b/crates/direct/src/conductor/learn.rs
@@ -12,6 +12,7 @@
     catalog::ServiceId,
     facts::{Outcome, Progress, RollOutOrder},
     journal::Rank,
+    quarantine::QUARANTINE_KEY,
 };
 
 impl Conductor {
@@ -25,6 +26,9 @@
         if let Some(service) = key.strip_prefix(STAGE_PREFIX) {
             self.learn_stage(&service.into(), &entry.value);
         }
+        if key == QUARANTINE_KEY {
+            self.learn_quarantine(&entry.value);
+        }
     }
 
     /// Learns of an order, or that it was taken back.
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -17,6 +17,7 @@
     journal::Journal,
     membership::{NewsLog, Outbox, Roster, Source},
     metrics::Metrics,
+    quarantine::SeenEnds,
     state::State,
     upstream::Connect,
 };
@@ -69,6 +70,8 @@
     pub something_new: Notify,
     /// Requests under way.
     pub under_way: Cell<usize>,
+    /// Ends of servers seen a moment ago.
+    pub seen_ends: SeenEnds,
     /// What changes.
     pub state: RefCell<State>,
 }
@@ -103,6 +106,7 @@
             outbox: Outbox::default(),
             something_new: Notify::new(),
             under_way: Cell::new(0),
+            seen_ends: SeenEnds::default(),
             state: RefCell::new(state),
         }
     }
@@ -164,6 +168,9 @@
         let mut gauges = vec![
             ("servers_cold", cold.sum::<usize>() as u64),
             ("data_centres_evacuated", state.evacuated.len() as u64),
+            ("contents_remembered", state.quarantine.len() as u64),
+            ("contents_held", state.quarantine.count_held(self.clock.now()) as u64),
+            ("contents_given_way", state.quarantine.given_way()),
             ("entries_listed", self.roster.count() as u64),
             ("asks_store", u64::from(asks_store)),
             ("news_remembered", self.news.borrow().all(self.clock.now()).count() as u64),
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -25,6 +25,8 @@
 
 /// Time between two batches of log lines.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two looks at what may be forgotten.
+const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 /// Time after the signal to stop for which all new work is still taken. The balancer asks once a
 /// second and needs two misses; where others are stopped in turn, each tenth of a second more
 /// closes a gap in which none is open. A stream taken later than three seconds after the signal
@@ -84,6 +86,13 @@
                 core.journal.flush();
             }
         });
+        let core = Rc::clone(&self.core);
+        spawn_local(async move {
+            loop {
+                sleep(FORGET_INTERVAL).await;
+                core.forget_old_ends();
+            }
+        });
     }
 
     /// Answers the requests on one caller's connection.
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -128,7 +128,7 @@
                 }
                 End::Broken(reason) => {
                     source.placement.broke();
-                    let run = &self.follower.run;
+                    let run = &mut self.follower.run;
                     run.note_failed(&source.placement, "stream_broken", reason.to_owned());
                     run.note_broke(&source.placement);
                     match self.resume(&source).await {
@@ -154,6 +154,8 @@
             let may_leave = self.follower.run.core.settings.policy.leaves_silent_streams
                 && source.may_be_left
                 && source.placement.has_alternative
+                // NB: two servers at a time must not run what one has ended under.
+                && self.follower.run.core.ends_under(&job) == 0
                 && self.follower.run.may_go_on();
             let until = if may_leave { last_heard + silence } else { clock.now() + silence };
             let until = until.min(job.give_up);
@@ -196,6 +198,7 @@
         let run = &mut self.follower.run;
         run.avoid.push(broken.placement.server().clone());
         while run.job.route.kind.may_repeat() && run.core.clock.now() < run.job.give_up {
+            run.ask_to_run().await.ok()?;
             if !run.take_further_send(0.0) {
                 return None;
             }
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -8,9 +8,11 @@
     body::Incoming,
     header::{HOST, HeaderName, HeaderValue},
 };
-use pondwalk_decide::direct::{ModelNumber, RESUMED, ServerLoad, longest_wait, rank_of};
+use pondwalk_decide::direct::{
+    Grant, ModelNumber, RESUMED, ServerLoad, Standing, longest_wait, rank_of,
+};
 use pondwalk_types::{ServerId, VersionId};
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 
 use super::report::RequestEvent;
 use crate::{
@@ -28,6 +30,12 @@
 /// Shortest pause of a request that waits for room at a cold server.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
 
+/// Time between two looks at what has come of a probe.
+const PROBE_LOOK: Duration = Duration::from_millis(25);
+/// Pause for callers of a request while another one of its content runs as a probe: most runs have come
+/// to an end by then.
+const WHILE_PROBED: Duration = Duration::from_secs(1);
+
 /// Counts a request as under way until it is dropped.
 pub struct UnderWay {
     core: Rc<Core>,
@@ -65,6 +73,8 @@
     pub failed_version: Option<VersionId>,
     /// Whether any send may have run.
     pub may_have_run: bool,
+    /// Whether it runs as a probe, under which no server has ended yet.
+    pub is_probe: bool,
     _under_way: UnderWay,
 }
 
@@ -82,6 +92,7 @@
             dropped: Vec::new(),
             failed_version: None,
             may_have_run: false,
+            is_probe: false,
             _under_way: under_way,
         }
     }
@@ -97,10 +108,57 @@
             dropped: Vec::new(),
             failed_version: self.failed_version.clone(),
             may_have_run: true,
+            is_probe: self.is_probe,
             _under_way: UnderWay::enter(&self.core),
         }
     }
 
+    /// Whether it may be sent to a server now, by what is known of its content; asks for leave if one is
+    /// needed. Tells until when it is held if not.
+    ///
+    /// NB: every send is looked at, not every try of the caller: a stream that goes on elsewhere, a
+    /// larger model and a retry each reach one more server.
+    pub async fn ask_to_run(&mut self) -> Result<(), Duration> {
+        if self.is_probe {
+            return Ok(());
+        }
+        let granted = match self.core.standing(&self.job) {
+            Standing::Free => return Ok(()),
+            Standing::Held { until } => return Err(until),
+            Standing::Probed => Grant::Probed,
+            Standing::OnProbe => self.core.ask_for_probe(&self.job).await,
+        };
+        match granted {
+            Grant::Given => {
+                self.is_probe = true;
+                Ok(())
+            }
+            Grant::Probed => self.wait_for_probe().await,
+            Grant::Refused { until } => Err(until),
+        }
+    }
+
+    /// Waits for what comes of a probe that runs elsewhere, for a part of the objective: if it comes to a
+    /// good end, all that carry the same go on.
+    async fn wait_for_probe(&self) -> Result<(), Duration> {
+        let asked = self.core.clock.now();
+        let until = (asked + longest_wait(self.job.route.objective)).min(self.job.give_up);
+        while self.core.clock.now() < until {
+            sleep(PROBE_LOOK).await;
+            match self.core.standing(&self.job) {
+                Standing::Free => return Ok(()),
+                Standing::Held { until } => return Err(until),
+                Standing::Probed | Standing::OnProbe => {}
+            }
+        }
+        Err(self.core.clock.now() + WHILE_PROBED)
+    }
+
+    /// Whether what is known of its content lets it be sent now, without asking anybody.
+    fn is_not_held(&self) -> bool {
+        self.is_probe || self.core.standing(&self.job) == Standing::Free
+    }
+
     /// A place for the next send.
     fn find_place(&self) -> Result<Placement, NoPlace> {
         let failed = self.failed_version.as_deref();
@@ -145,7 +203,7 @@
         let until = self.core.clock.instant(until);
         let connect = &self.core.connect;
         let sent = upstream::send(connect, placement.address, request, until, || {
-            self.may_send() && placement.may_leave()
+            self.may_send() && self.is_not_held() && placement.may_leave()
         });
         let sent = sent.await;
         if matches!(sent, Err(SendError::Withheld)) {
@@ -274,10 +332,10 @@
         self.core.journal.note(Rank::Failure, &event);
     }
 
-    /// Logs that the connection broke while the request was at a server, and what it carries.
+    /// The connection broke while the request was at a server, which may have ended by it.
     ///
     /// NB: a caller's tries have ids of their own; only the content shows that they are one request.
-    pub fn note_broke(&self, placement: &Placement) {
+    pub fn note_broke(&mut self, placement: &Placement) {
         self.core.metrics.count(Counter::Broke);
         let event = RequestEvent::ServerBroke {
             request: &self.job.id,
@@ -286,6 +344,8 @@
             after_ms: self.after_ms(),
         };
         self.core.journal.note(Rank::Failure, &event);
+        let on_probe = std::mem::take(&mut self.is_probe);
+        self.core.note_server_end(&self.job, placement.server(), on_probe);
     }
 
     /// Logs that an answer to this request made a version bad.
@@ -307,6 +367,7 @@
         status: StatusCode,
     ) {
         let after_ms = self.after_ms();
+        self.core.note_good_end(&self.job);
         self.core.metrics.count(Counter::Answered);
         self.core.metrics.time(Timer::WholeAnswer, Duration::from_millis(after_ms));
         let event = RequestEvent::RequestAnswered {
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -67,6 +67,9 @@
                     if self.may_have_run { Refusal::TimedOut } else { Refusal::ExpiredUnsent };
                 return self.refuse(refusal);
             }
+            if let Err(until) = self.ask_to_run().await {
+                return self.refuse(self.held(until));
+            }
             let placement = match self.wait_for_place().await {
                 Ok(placement) => placement,
                 Err(no_place) => return self.refuse(self.no_server(no_place)),
@@ -79,6 +82,14 @@
         }
     }
 
+    /// Why a request is refused that is held until some time.
+    fn held(&self, until: Duration) -> Refusal {
+        match self.may_have_run {
+            true => Refusal::EndedServers,
+            false => self.core.refusal_until(until),
+        }
+    }
+
     fn no_server(&self, no_place: NoPlace) -> Refusal {
         match no_place {
             _ if self.may_have_run => Refusal::OutcomeUnknown,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod membership;
 mod metrics;
 mod placement;
+mod quarantine;
 mod request;
 mod run;
 mod state;
--- a/crates/direct/src/membership.rs
+++ b/crates/direct/src/membership.rs
@@ -24,7 +24,7 @@
 pub use client::{AskError, Need, PeerClient, Question, Told};
 pub use clocks::ClockOffset;
 pub use listing::{Listing, UnreadableListing};
-pub use message::{FORMAT, KeyChange, MessageError, State, StateHead};
+pub use message::{FORMAT, KeyChange, MessageError, State, StateHead, from_message, to_message};
 pub use news::{Item, MOST_SESSIONS, News, NewsLog, StageWord};
 pub use replica::Replica;
 pub use roster::{Roster, Source};
@@ -37,5 +37,7 @@
 
 /// Where an entry is asked for its state.
 const STATE_PATH: &str = "/state";
+/// Where an entry is asked for leave to run a request under which servers have ended.
+pub const PROBE_PATH: &str = "/probe";
 /// Where an entry is told news.
 const NEWS_PATH: &str = "/news";
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -204,13 +204,24 @@
         address: SocketAddr,
         body: Bytes,
     ) -> Result<(), AskError> {
+        Self::exchange_once(connect, address, NEWS_PATH, body).await.map(|_| ())
+    }
+
+    /// Sends a message to the entry at `address`, on a connection of its own, and reads its answer.
+    pub async fn exchange_once(
+        connect: &Connect,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, AskError> {
         let limit = TELL_LIMIT + TELL_LIMIT_OF_BYTE * u32::try_from(body.len()).unwrap_or(u32::MAX);
-        let request = Request::post(NEWS_PATH).header(HOST, address.to_string());
+        let request = Request::post(path).header(HOST, address.to_string());
         let request = request.body(Full::from(body)).map_err(failed)?;
         let telling = async {
             let answer = open(connect, address).await?.send_request(request).await;
-            match answer.map_err(failed)?.status() {
-                StatusCode::OK => Ok(()),
+            let answer = answer.map_err(failed)?;
+            match answer.status() {
+                StatusCode::OK => read_while_moving(answer.into_body()).await,
                 status => Err(AskError::Failed(status.to_string())),
             }
         };
--- a/crates/direct/src/membership/message.rs
+++ b/crates/direct/src/membership/message.rs
@@ -18,7 +18,7 @@
 use super::Item;
 
 /// Number of this form of the messages; an entry of another one is not listened to.
-pub const FORMAT: u16 = 3;
+pub const FORMAT: u16 = 4;
 /// Bytes of a message that are read at most. The store holds some hundred keys and one large
 /// configuration, which pack to a tenth of this.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
@@ -171,29 +171,32 @@
     read_all(&plain)
 }
 
-/// News as it goes from one entry to another by itself.
+/// A message of its own: the format and the store first, then what it is about.
 #[derive(Debug, Serialize, Deserialize)]
-struct NewsMessage {
+struct Message<T> {
     format: u16,
     store: SocketAddr,
-    items: Vec<Item>,
+    about: T,
 }
 
-/// The bytes that carry news of the deployment with the store at `store`.
-pub fn news_to_bytes(store: SocketAddr, items: &[Item]) -> Result<Bytes, MessageError> {
-    let message = NewsMessage { format: FORMAT, store, items: items.to_vec() };
+/// The bytes of a message to an entry of the deployment with the store at `store`.
+pub fn to_message<T: Serialize>(store: SocketAddr, about: &T) -> Result<Bytes, MessageError> {
+    let message = Message { format: FORMAT, store, about };
     let bytes = postcard::to_stdvec(&message).map_err(|_| MessageError::Unreadable)?;
     Ok(bytes.into())
 }
 
-/// Reads news, if it is of this format and of the store at `store`.
-pub fn news_from_bytes(bytes: &[u8], store: SocketAddr) -> Result<Vec<Item>, MessageError> {
+/// Reads a message, if it is of this format and of the store at `store`.
+pub fn from_message<T: DeserializeOwned>(
+    bytes: &[u8],
+    store: SocketAddr,
+) -> Result<T, MessageError> {
     check_format(bytes)?;
-    let message: NewsMessage = read_all(bytes)?;
+    let message: Message<T> = read_all(bytes)?;
     if message.store != store {
         return Err(MessageError::OtherStore(message.store));
     }
-    Ok(message.items)
+    Ok(message.about)
 }
 
 /// Checks the format, which comes first and is read alone: the rest may have another form.
--- a/crates/direct/src/membership/news.rs
+++ b/crates/direct/src/membership/news.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use pondwalk_decide::direct::{Seen, SessionKey, Stage};
+use pondwalk_decide::direct::{Content, Seen, ServerEnd, SessionKey, Stage};
 use pondwalk_types::ServerId;
 use serde::{Deserialize, Serialize};
 
@@ -70,6 +70,16 @@
         /// The server.
         server: ServerId,
     },
+    /// Servers ended under requests of these contents; each with the time since, when this was told.
+    Ended {
+        /// The ends.
+        ends: Vec<(ServerEnd, Duration)>,
+    },
+    /// A request of this content came to a good end.
+    Cleared {
+        /// The content.
+        content: Content,
+    },
     /// It has started and is to be listed.
     Joined {
         /// Where other entries may ask it, and over which link.
--- a/crates/direct/src/membership/roster.rs
+++ b/crates/direct/src/membership/roster.rs
@@ -8,7 +8,7 @@
 };
 
 use pondwalk_config::DirectSettings;
-use pondwalk_decide::direct::session_key;
+use pondwalk_decide::direct::{Content, granting_order, session_key};
 
 use super::{
     client::AskError,
@@ -178,6 +178,25 @@
         others.map(|(_, one)| one.listing.address).collect()
     }
 
+    /// Entries in the order in which they may grant a content's probes, each with where it is asked;
+    /// this entry, which is not asked, has none.
+    ///
+    /// NB: those that are passed over keep their places, so that an entry knows whether it is first
+    /// whoever can be reached.
+    pub fn granting_order(&self, content: Content) -> Vec<(String, Option<SocketAddr>)> {
+        let mut names = self.names();
+        if names.is_empty() {
+            names.push(self.own.2.clone());
+        }
+        granting_order(content, &mut names);
+        let address = |name: &String| self.listing_of(name).map(|listing| listing.address);
+        let asked = |name: String| match name == self.own.2 {
+            true => Some((name, None)),
+            false => Some((address(&name)?, name)).map(|(address, name)| (name, Some(address))),
+        };
+        names.into_iter().filter_map(asked).collect()
+    }
+
     /// How an entry is listed.
     pub fn listing_of(&self, name: &str) -> Option<Listing> {
         let places = self.places.borrow();
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -15,7 +15,8 @@
 };
 
 use super::{
-    FORMAT, MessageError, NEWS_PATH, Need, STATE_PATH, State, StateHead, message::news_from_bytes,
+    FORMAT, Item, MessageError, NEWS_PATH, Need, PROBE_PATH, STATE_PATH, State, StateHead,
+    message::from_message,
 };
 use crate::{core::Core, journal::Rank, metrics::Counter};
 
@@ -86,6 +87,7 @@
             let response = match request.uri().path() {
                 STATE_PATH => tell_state(&core, &request).await,
                 NEWS_PATH => hear_news(&core, request).await,
+                PROBE_PATH => answer_probe(&core, request).await,
                 _ => with_status(StatusCode::NOT_FOUND, Bytes::new()),
             };
             Ok::<_, Infallible>(response)
@@ -99,7 +101,7 @@
 async fn hear_news(core: &Core, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let body = Limited::new(request.into_body(), MAX_NEWS_BYTES).collect().await;
     let items = match body {
-        Ok(body) => news_from_bytes(&body.to_bytes(), core.settings.store.address),
+        Ok(body) => from_message::<Vec<Item>>(&body.to_bytes(), core.settings.store.address),
         Err(_) => Err(MessageError::Unreadable),
     };
     match items {
@@ -114,6 +116,22 @@
     }
 }
 
+/// Answers whether a request under which servers have ended may run once more.
+async fn answer_probe(core: &Core, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let body = Limited::new(request.into_body(), MAX_NEWS_BYTES).collect().await;
+    let answer = match body {
+        Ok(body) => core.answer_probe(&body.to_bytes()),
+        Err(_) => Err(MessageError::Unreadable),
+    };
+    match answer {
+        Ok(bytes) => with_status(StatusCode::OK, bytes),
+        Err(error) => {
+            core.journal.note(Rank::State, &ServeEvent::NewsRefused { error: error.to_string() });
+            with_status(StatusCode::BAD_REQUEST, Bytes::new())
+        }
+    }
+}
+
 async fn tell_state(core: &Core, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let Some(asked) = request.uri().query().and_then(Asked::parse) else {
         return with_status(StatusCode::BAD_REQUEST, Bytes::new());
@@ -182,6 +200,7 @@
 }
 
 fn state_after(core: &Core, asked: Asked) -> Result<Bytes, MessageError> {
+    let summary = core.summary_of_ends();
     let mut state = core.state.borrow_mut();
     let changes = match asked.need {
         Need::Changes | Need::ChangesNow => state.replica.sent_after(asked.after),
@@ -192,9 +211,11 @@
         Some(changes) => changes?,
         None => state.replica.whole()?,
     };
-    let news = core.news.borrow();
     let heard = asked.heard.filter(|heard| heard.incarnation == core.incarnation);
-    let unheard = news.since(heard.map_or(0, |heard| heard.news_end), core.clock.now());
+    let summary = if heard.is_none() { summary.map(|news| core.new_item(news)) } else { None };
+    let news = core.news.borrow();
+    let mut unheard = news.since(heard.map_or(0, |heard| heard.news_end), core.clock.now());
+    unheard.extend(summary);
     let head = StateHead {
         format: FORMAT,
         store: core.settings.store.address,
--- a/crates/direct/src/membership/spread.rs
+++ b/crates/direct/src/membership/spread.rs
@@ -51,16 +51,21 @@
 impl Core {
     /// Tells what this entry has found, to be heard by all.
     pub fn tell_news(&self, news: News) {
+        let item = self.new_item(news);
+        self.hear_from_below(vec![item]);
+    }
+
+    /// A piece of news as this entry tells it now.
+    pub fn new_item(&self, news: News) -> Item {
         let number = self.news_told.get();
         self.news_told.set(number + 1);
-        let item = Item {
+        Item {
             origin: self.settings.name.clone(),
             incarnation: self.incarnation,
             number,
             age: Duration::ZERO,
             news,
-        };
-        self.hear_from_below(vec![item]);
+        }
     }
 
     /// Hears news that comes up the tree, which is passed on upwards too.
@@ -106,6 +111,8 @@
             News::Kept { .. }
             | News::Seen { .. }
             | News::Unreached { .. }
+            | News::Ended { .. }
+            | News::Cleared { .. }
             | News::Joined { .. } => return,
         };
         let (service, target) = (item.service(), item.target());
@@ -114,9 +121,13 @@
     }
 
     fn apply(&self, item: &Item) {
-        if let News::Unreached { fleet, server } = &item.news {
-            self.hear_unreached(fleet, server, item);
-            return;
+        match &item.news {
+            News::Unreached { fleet, server } => return self.hear_unreached(fleet, server, item),
+            News::Ended { ends } => return self.hear_ends(ends, item.age),
+            News::Cleared { content } => {
+                return self.hear_cleared(*content, &item.origin, item.age);
+            }
+            _ => {}
         }
         let mut state = self.state.borrow_mut();
         let (Some(service), Some(target)) = (item.service(), item.target()) else { return };
@@ -132,7 +143,10 @@
             }
             News::Stage { stage, .. } => roll_out.learn_stage((*stage).into(), self.clock.now()),
             News::Bad { .. } => roll_out.learn_bad(),
-            News::Unreached { .. } | News::Joined { .. } => {}
+            News::Unreached { .. }
+            | News::Ended { .. }
+            | News::Cleared { .. }
+            | News::Joined { .. } => {}
         }
     }
 
@@ -159,7 +173,10 @@
             | News::Seen { service, .. }
             | News::Stage { service, .. }
             | News::Bad { service, .. } => Some(service),
-            News::Unreached { .. } | News::Joined { .. } => None,
+            News::Unreached { .. }
+            | News::Ended { .. }
+            | News::Cleared { .. }
+            | News::Joined { .. } => None,
         }
     }
 
@@ -170,7 +187,10 @@
             | News::Seen { target, .. }
             | News::Stage { target, .. }
             | News::Bad { target, .. } => Some(target),
-            News::Unreached { .. } | News::Joined { .. } => None,
+            News::Unreached { .. }
+            | News::Ended { .. }
+            | News::Cleared { .. }
+            | News::Joined { .. } => None,
         }
     }
 }
@@ -218,7 +238,7 @@
 
 async fn pass_on_to(core: &Core, address: SocketAddr, items: &[Item]) -> Result<(), String> {
     let store = core.settings.store.address;
-    let bytes = message::news_to_bytes(store, items).map_err(|error| error.to_string())?;
+    let bytes = message::to_message(store, &items).map_err(|error| error.to_string())?;
     core.metrics.count_many(Counter::PeerBytesTold, bytes.len());
     let told = PeerClient::tell_news(&core.connect, address, bytes).await;
     told.map_err(|error| error.to_string())
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -38,6 +38,12 @@
     ServersDoubted,
     /// Connections that broke while a request was at a backend server.
     Broke,
+    /// Times that the content of a request began to be held, since servers ended under it.
+    ContentsHeld,
+    /// Runs of such a content by leave of the entry that grants them.
+    Probes,
+    /// Ends of servers that this entry saw and did not tell, since they were too many at once.
+    EndsNotTold,
     /// Answers of smaller models dropped for a stronger one's.
     Escalations,
     /// Streams resumed at another backend server.
@@ -67,6 +73,9 @@
             Counter::Withheld => "withheld_total",
             Counter::ServersDoubted => "servers_doubted_total",
             Counter::Broke => "connections_broken_total",
+            Counter::ContentsHeld => "contents_held_total",
+            Counter::Probes => "probes_total",
+            Counter::EndsNotTold => "ends_not_told_total",
             Counter::Escalations => "escalations_total",
             Counter::Resumes => "resumes_total",
             Counter::StoreFailures => "store_failures_total",
@@ -92,6 +101,8 @@
     Probing,
     /// Entries were listed.
     Listing,
+    /// Contents that are held were written.
+    Quarantine,
     /// A step of a roll-out was written.
     StepWon,
     /// A step of a roll-out could not be written, mostly since another entry was first.
@@ -107,6 +118,7 @@
             StoreCause::Fallback => "fallback",
             StoreCause::Probing => "probing",
             StoreCause::Listing => "listing",
+            StoreCause::Quarantine => "quarantine",
             StoreCause::StepWon => "step_won",
             StoreCause::StepLost => "step_lost",
         }
--- /dev/null
+++ b/crates/direct/src/quarantine.rs
@@ -0,0 +1,261 @@
+//! Requests that end servers: what this entry sees of them, tells the others, and lets run.
+//!
+//! An end counts here at once. It is told to all others after a moment, in which other servers may end
+//! too: what ends several servers that it did not run on is not the request. A good end is told as well.
+
+mod ask;
+mod report;
+mod stored;
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use pondwalk_decide::direct::{Content, EndId, Grant, Loss, Probe, ServerEnd, Standing};
+use pondwalk_types::ServerId;
+use rand::Rng;
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+pub use report::QuarantineEvent;
+pub use stored::{MOST_STORED, QUARANTINE_KEY, StoredQuarantine};
+
+use crate::{
+    catalog::ServiceId,
+    content::content_text,
+    core::Core,
+    journal::Rank,
+    membership::News,
+    metrics::Counter,
+    request::{Job, Refusal},
+    state::State,
+};
+
+/// Time in which servers count as ending at the same moment: a connection that breaks with its server's
+/// process is noticed in some milliseconds, by an entry that has much to do in some tens.
+const SAME_MOMENT: Duration = Duration::from_millis(50);
+/// Ends in one item of news, some 50 bytes each.
+const MOST_IN_ITEM: usize = 256;
+/// Ends of one moment that an entry tells: what it has aboard when a data centre of the planned size
+/// loses power, several times over.
+const MOST_TOLD: usize = 1_024;
+/// Ends that an entry tells another which has heard nothing from it before.
+const MOST_IN_SUMMARY: usize = 1_024;
+/// Time after the start in which no probe is granted where others could have granted one: those that
+/// were under way when the process ended before are over then, or known to have ended a server.
+const SETTLING: Duration = Duration::from_secs(5);
+/// Other servers that are tried when one ended under a probe. That all of them are down by chance, while a
+/// few requests end servers, is rare.
+const ASKED_OTHERS: usize = 4;
+/// Time for one of them to take a connection; one opens in a few milliseconds.
+const REACH_LIMIT: Duration = Duration::from_millis(100);
+/// Time beyond its deadline for which a probe may be under way.
+const LEASE_SLACK: Duration = Duration::from_secs(1);
+
+/// One end with the time since it was seen.
+pub type AgedEnd = (ServerEnd, Duration);
+
+#[derive(Debug)]
+struct SeenEnd {
+    content: Content,
+    id: EndId,
+    at: Duration,
+    service: ServiceId,
+    server: ServerId,
+    on_probe: bool,
+}
+
+/// Ends that this entry saw a moment ago and has not told yet.
+#[derive(Debug, Default)]
+pub struct SeenEnds {
+    ends: RefCell<Vec<SeenEnd>>,
+    loss: RefCell<Loss>,
+}
+
+impl Core {
+    /// Whether a request may run.
+    pub fn standing(&self, job: &Job) -> Standing {
+        let state = self.state.borrow();
+        if state.quarantine.is_empty() {
+            return Standing::Free;
+        }
+        state.quarantine.standing(job.content(), self.clock.now())
+    }
+
+    /// Ends of servers that count against a request.
+    pub fn ends_under(&self, job: &Job) -> usize {
+        let state = self.state.borrow();
+        if state.quarantine.is_empty() { 0 } else { state.quarantine.ends(job.content()) }
+    }
+
+    /// A server broke off all connections, or at least this one, while it had the request.
+    pub fn note_server_end(self: &Rc<Self>, job: &Job, server: &str, on_probe: bool) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let (content, id) = (job.content(), state.rng.random());
+        let end = ServerEnd { content, id, in_common_loss: false, on_probe };
+        state.quarantine.note_end(end, now, now);
+        drop(state);
+        self.note_if_held(content);
+        self.seen_ends.loss.borrow_mut().note(content, server);
+        let mut ends = self.seen_ends.ends.borrow_mut();
+        let service = job.service.name.clone();
+        let is_first = ends.is_empty();
+        ends.push(SeenEnd { content, id, at: now, service, server: server.to_owned(), on_probe });
+        drop(ends);
+        if is_first {
+            let core = Rc::clone(self);
+            spawn_local(async move {
+                sleep(SAME_MOMENT).await;
+                core.tell_ends().await;
+            });
+        }
+    }
+
+    /// Judges the ends of one moment together, and tells them.
+    async fn tell_ends(&self) {
+        let seen = self.seen_ends.ends.take();
+        let loss = self.seen_ends.loss.take();
+        let mut told: Vec<AgedEnd> = Vec::with_capacity(seen.len().min(MOST_TOLD));
+        for end in seen {
+            let in_common_loss = self.is_excused(&loss, &end).await;
+            let now = self.clock.now();
+            let SeenEnd { content, id, at, on_probe, .. } = end;
+            let end = ServerEnd { content, id, in_common_loss, on_probe };
+            if in_common_loss {
+                self.state.borrow_mut().quarantine.note_end(end, at, now);
+            }
+            told.push((end, now.saturating_sub(at)));
+        }
+        let untold = told.len().saturating_sub(MOST_TOLD);
+        self.metrics.count_many(Counter::EndsNotTold, untold);
+        told.truncate(MOST_TOLD);
+        for ends in told.chunks(MOST_IN_ITEM) {
+            self.tell_news(News::Ended { ends: ends.to_vec() });
+        }
+    }
+
+    /// Whether other servers ended at the same moment, so that the request need not be the cause.
+    async fn is_excused(&self, loss: &Loss, end: &SeenEnd) -> bool {
+        let servers = self.state.borrow().fleets.get(&end.service).map_or(0, |fleet| fleet.count());
+        if loss.excuses(end.content, servers) {
+            return true;
+        }
+        // NB: a probe runs alone, so this entry may have had nothing aboard of the others.
+        end.on_probe && self.others_are_lost(end).await
+    }
+
+    /// Whether none of a few other servers can be reached.
+    async fn others_are_lost(&self, end: &SeenEnd) -> bool {
+        let others = {
+            let mut state = self.state.borrow_mut();
+            let State { fleets, rng, .. } = &mut *state;
+            let fleet = fleets.get(&end.service);
+            fleet.map_or(Vec::new(), |fleet| fleet.some_others(&end.server, ASKED_OTHERS, rng))
+        };
+        for address in &others {
+            if timeout(REACH_LIMIT, (self.connect)(*address)).await.is_ok_and(|open| open.is_ok()) {
+                return false;
+            }
+        }
+        !others.is_empty()
+    }
+
+    /// A run came to a good end, which speaks for what it carries.
+    pub fn note_good_end(&self, job: &Job) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        if state.quarantine.is_empty() {
+            return;
+        }
+        let content = job.content();
+        let is_cleared = state.quarantine.note_whole(content, now);
+        drop(state);
+        if is_cleared {
+            self.note_cleared(content, &self.settings.name);
+            self.tell_news(News::Cleared { content });
+        }
+    }
+
+    /// Hears of ends that another entry saw.
+    pub fn hear_ends(&self, ends: &[AgedEnd], age: Duration) {
+        let now = self.clock.now();
+        for (end, more) in ends {
+            let at = now.saturating_sub(age + *more);
+            let is_new = self.state.borrow_mut().quarantine.note_end(*end, at, now);
+            if is_new {
+                self.note_if_held(end.content);
+            }
+        }
+    }
+
+    /// Hears of a good end at another entry.
+    pub fn hear_cleared(&self, content: Content, from: &str, age: Duration) {
+        let at = self.clock.now().saturating_sub(age);
+        if self.state.borrow_mut().quarantine.note_whole(content, at) {
+            self.note_cleared(content, from);
+        }
+    }
+
+    /// What an entry that has heard nothing from this one is to know.
+    pub fn summary_of_ends(&self) -> Option<News> {
+        let ends = self.state.borrow().quarantine.weightiest(MOST_IN_SUMMARY, self.clock.now());
+        (!ends.is_empty()).then_some(News::Ended { ends })
+    }
+
+    /// The ends of contents that may not run freely, with the time since each.
+    pub fn held_ends(&self) -> Vec<AgedEnd> {
+        let state = self.state.borrow();
+        if state.quarantine.is_empty() {
+            Vec::new()
+        } else {
+            state.quarantine.held(self.clock.now())
+        }
+    }
+
+    /// Grants a probe that this entry or another asks for.
+    pub fn grant_probe(&self, content: Content, lease: Duration) -> Grant {
+        let now = self.clock.now();
+        let order = self.roster.granting_order(content);
+        let place = order.iter().position(|(name, _)| *name == self.settings.name);
+        let settled_at = SETTLING.saturating_sub(self.clock.uptime());
+        if order.len() > 1 && !settled_at.is_zero() {
+            return Grant::Refused { until: now + settled_at };
+        }
+        let probe = Probe { content, lease: lease + LEASE_SLACK, is_first: place == Some(0) };
+        self.state.borrow_mut().quarantine.grant(probe, now)
+    }
+
+    /// Forgets contents that nothing has been seen of for long.
+    pub fn forget_old_ends(&self) {
+        let now = self.clock.now();
+        self.state.borrow_mut().quarantine.forget_old(now);
+    }
+
+    /// Logs that a content is held from now on.
+    fn note_if_held(&self, content: Content) {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        let Standing::Held { until } = state.quarantine.standing(content, now) else { return };
+        let ends = state.quarantine.ends(content);
+        drop(state);
+        self.metrics.count(Counter::ContentsHeld);
+        let event = QuarantineEvent::ContentHeld {
+            content: &content_text(content),
+            servers_ended: ends,
+            for_ms: until.saturating_sub(now).as_millis() as u64,
+        };
+        self.journal.note(Rank::Failure, &event);
+    }
+
+    fn note_cleared(&self, content: Content, from: &str) {
+        let event = QuarantineEvent::ContentCleared { content: &content_text(content), from };
+        self.journal.note(Rank::Failure, &event);
+    }
+
+    /// Why a request that may not run before `until` is refused.
+    pub fn refusal_until(&self, until: Duration) -> Refusal {
+        let opens_in = until.saturating_sub(self.clock.now());
+        Refusal::EndsServers { opens_in }
+    }
+}
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -51,6 +51,15 @@
         /// Time until one has room.
         opens_in: Duration,
     },
+    /// Backend servers have ended under requests of this content, and it may not run for now.
+    #[error("backend servers have ended under this very request; it is not worth repeating")]
+    EndsServers {
+        /// Time until it may be tried again.
+        opens_in: Duration,
+    },
+    /// Backend servers ended while they ran it, this time too.
+    #[error("backend servers ended while they ran this request; it is not worth repeating")]
+    EndedServers,
     /// The backend servers asked turned the request away without running it.
     #[error("the backend servers turned the request away")]
     TurnedAway,
@@ -74,7 +83,8 @@
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Refusal::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Refusal::OutcomeUnknown | Refusal::EndedServers => StatusCode::BAD_GATEWAY,
+            Refusal::EndsServers { .. } => StatusCode::TOO_MANY_REQUESTS,
             Refusal::NotConfigured
             | Refusal::Stale
             | Refusal::Closing
@@ -98,6 +108,8 @@
             Refusal::UnknownKey => "unknown_key",
             Refusal::NoServer => "no_server",
             Refusal::AllCold { .. } => "all_cold",
+            Refusal::EndsServers { .. } => "ends_servers",
+            Refusal::EndedServers => "ended_servers",
             Refusal::TurnedAway => "turned_away",
             Refusal::ExpiredUnsent => "expired_unsent",
             Refusal::TimedOut => "timed_out",
@@ -107,7 +119,7 @@
 
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Refusal::TimedOut | Refusal::OutcomeUnknown)
+        matches!(self, Refusal::TimedOut | Refusal::OutcomeUnknown | Refusal::EndedServers)
     }
 
     /// When the caller may come back, if that is worth it; `outage` is how long the store has been
@@ -126,6 +138,7 @@
                 let (least, most) = COLD_PAUSES;
                 Some(opens_in.clamp(least, most))
             }
+            (Refusal::EndsServers { opens_in }, _) => Some(opens_in.max(SHORTEST_HOLD)),
             (Refusal::NoServer | Refusal::TurnedAway, _) => Some(Duration::from_millis(200)),
             _ => None,
         }
@@ -144,6 +157,9 @@
 /// for each server, and servers are cold for some seconds.
 const COLD_PAUSES: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
 
+/// Shortest pause for callers of a request that is held: a run of it may be under way.
+const SHORTEST_HOLD: Duration = Duration::from_millis(200);
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -8,8 +8,8 @@
 
 use pondwalk_config::DirectSettings;
 use pondwalk_decide::direct::{
-    Cascade, ColdBound, Engine, Fleet, Freshness, Pacing, RollOut, ServerFacts, Sessions, Sharers,
-    Weighed, WindowBudget, WindowLimits,
+    Cascade, ColdBound, Engine, Fleet, Freshness, Pacing, Quarantine, RollOut, ServerFacts,
+    Sessions, Sharers, Weighed, WindowBudget, WindowLimits,
 };
 use pondwalk_types::{DataCentreId, ServerId};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -60,6 +60,8 @@
     pub engines: HashMap<ServiceId, Engine>,
     /// Which models are asked, by service.
     pub cascades: HashMap<ServiceId, Cascade>,
+    /// Contents of requests under which servers have ended.
+    pub quarantine: Quarantine,
     /// Source of random numbers.
     pub rng: SmallRng,
     limits: WindowLimits,
@@ -90,6 +92,7 @@
             budgets: HashMap::new(),
             engines: HashMap::new(),
             cascades: HashMap::new(),
+            quarantine: Quarantine::default(),
             rng: SmallRng::seed_from_u64(seed),
             limits: WindowLimits {
                 ratio: retries.ratio,
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -113,6 +113,10 @@
     }
 }
 
+/// Told of a server that is back at its address with the identity that it had; returns the one that it has
+/// from now on.
+pub type IsBack = Rc<dyn Fn(SocketAddr, &str) -> String>;
+
 /// What ends every server that runs it.
 #[derive(Clone)]
 pub struct Lethal {
@@ -122,8 +126,8 @@
     pub after: Duration,
     /// Time until the server is back.
     pub back_after: Duration,
-    /// Tells of a server that is back at its address; returns the identity that it has from now on.
-    pub is_back: Rc<dyn Fn(SocketAddr, &str) -> String>,
+    /// Told of each server that is back.
+    pub is_back: IsBack,
 }
 
 /// A request that ends servers, as it reached one.
