--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -25,7 +25,7 @@
 
 /// What a request carries, as a number by which all entries know it again.
 pub type Content = u128;
-/// A number drawn at random for each end that is seen.
+/// A number that tells one end that was seen from all others.
 pub type EndId = u64;
 
 /// Ends of servers after which a request counts as their cause. A request whose server ends by chance
@@ -349,6 +349,13 @@
     }
 }
 
+/// The number of an end: by who saw it, at which server, under which try, and when.
+pub fn end_id(texts: &[&str], numbers: &[u64]) -> EndId {
+    let texts = texts.iter().map(|text| hash_text(text));
+    let step = |id, part| mix(id ^ part).wrapping_add(part);
+    texts.chain(numbers.iter().copied()).fold(0, step)
+}
+
 /// The entries of these names in the order in which they may grant a content's probes.
 pub fn granting_order(content: Content, names: &mut [String]) {
     let low = content as u64;
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming, http::response::Parts};
-use pondwalk_decide::direct::ModelNumber;
+use pondwalk_decide::direct::{ModelNumber, Standing};
 use tokio::time::timeout_at;
 
 use super::{
@@ -109,6 +109,11 @@
         } else {
             refusal
         };
+        let is_held = || self.core.standing(&self.job) != Standing::Free;
+        let refusal = match refusal {
+            Refusal::OutcomeUnknown if is_held() => Refusal::EndedServers,
+            refusal => refusal,
+        };
         let route = Some(self.job.route.name.as_str());
         let (request, arrived) = (self.job.id.as_str(), self.job.arrived);
         refuse(&self.core, &Refused { request, route, arrived, sends: self.sends }, refusal)
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -9,9 +9,8 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{Content, EndId, Grant, Loss, Probe, ServerEnd, Standing};
+use pondwalk_decide::direct::{Content, EndId, Grant, Loss, Probe, ServerEnd, Standing, end_id};
 use pondwalk_types::ServerId;
-use rand::Rng;
 use tokio::{
     task::spawn_local,
     time::{sleep, timeout},
@@ -92,7 +91,9 @@
     pub fn note_server_end(self: &Rc<Self>, job: &Job, server: &str, on_probe: bool) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let (content, id) = (job.content(), state.rng.random());
+        let content = job.content();
+        let numbers = [self.incarnation, now.as_nanos() as u64];
+        let id = end_id(&[&self.settings.name, server, &job.id], &numbers);
         let end = ServerEnd { content, id, in_common_loss: false, on_probe };
         state.quarantine.note_end(end, now, now);
         drop(state);
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod lethal;
 pub mod net;
 
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
