--- a/crates/direct/src/clock.rs
+++ b/crates/direct/src/clock.rs
@@ -1,23 +1,42 @@
-//! The time that decisions see: how long this process has been running.
+//! The time that decisions see: how long this process has been running, the time included for which its
+//! machine was suspended.
+//!
+//! The steady clock, on which timers run, stands still while a machine is suspended. Keys, leases and
+//! configurations elsewhere grow old meanwhile, so everything that compares ages must count that time:
+//! it is what `CLOCK_BOOTTIME` has gained on the steady clock.
 
-use std::time::Duration;
+use std::{cell::Cell, rc::Rc, time::Duration};
 
+use nix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
 /// Where the clock starts. What other processes tell may be dated before the start of this one, by
 /// up to the longest time for which an old state is of any use.
 const HEAD_START: Duration = Duration::from_secs(3_600);
 
-/// A monotonic clock that starts some time after zero.
-#[derive(Debug, Clone, Copy)]
+/// A clock that starts some time after zero and does not stand still while the machine is suspended.
+#[derive(Debug, Clone)]
 pub struct Clock {
     origin: Instant,
+    /// What the clock that counts suspended time was ahead of the steady one at the start.
+    lead_at_start: Option<Duration>,
+    /// Time for which the machine was suspended, as far as it was noticed.
+    suspended: Rc<Cell<Duration>>,
+    /// Suspended time that a test makes up.
+    made_up: Rc<Cell<Duration>>,
 }
 
 impl Clock {
     /// Starts the clock.
     pub fn start() -> Self {
-        Clock { origin: Instant::now() }
+        let steady = read(ClockId::CLOCK_MONOTONIC);
+        let counting = read(ClockId::CLOCK_BOOTTIME);
+        Clock {
+            origin: Instant::now(),
+            lead_at_start: lead(counting, steady),
+            suspended: Rc::default(),
+            made_up: Rc::default(),
+        }
     }
 
     /// The time.
@@ -30,8 +49,35 @@
         self.origin.elapsed()
     }
 
-    /// The instant of a time, which counts as the start if it lies before.
+    /// Time for which the machine has been suspended since the start.
+    pub fn suspended(&self) -> Duration {
+        // NB: in this order, a pause between the two readings makes the lead look smaller than it is,
+        // never larger; so the largest one seen is the closest, and the time never steps back.
+        let counting = read(ClockId::CLOCK_BOOTTIME);
+        let steady = read(ClockId::CLOCK_MONOTONIC);
+        if let (Some(at_start), Some(now)) = (self.lead_at_start, lead(counting, steady)) {
+            let seen = now.saturating_sub(at_start);
+            self.suspended.set(self.suspended.get().max(seen));
+        }
+        self.suspended.get() + self.made_up.get()
+    }
+
+    /// The instant of a time, for timers; one that has passed counts as now, or as the start.
     pub fn instant(&self, at: Duration) -> Instant {
         self.origin + at.saturating_sub(HEAD_START)
     }
+
+    /// Lets so much time pass as if the machine had been suspended; for tests.
+    pub fn pretend_suspended(&self, time: Duration) {
+        self.made_up.set(self.made_up.get() + time);
+    }
+}
+
+/// A clock of the system; none if it cannot be read, so that the steady one alone counts.
+fn read(clock: ClockId) -> Option<Duration> {
+    clock_gettime(clock).ok().map(Duration::from)
+}
+
+fn lead(counting: Option<Duration>, steady: Option<Duration>) -> Option<Duration> {
+    Some(counting?.saturating_sub(steady?))
 }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -7,7 +7,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     task::spawn_local,
-    time::{Instant, sleep, sleep_until},
+    time::{sleep, sleep_until},
 };
 
 use crate::{
@@ -136,6 +136,11 @@
         &self.core
     }
 
+    /// Lets time pass as if the machine had been suspended; for tests.
+    pub fn pretend_suspended(&self, time: Duration) {
+        self.core.clock.pretend_suspended(time);
+    }
+
     /// Log lines gathered and not yet handed to the writer.
     pub fn gathered_lines(&self) -> String {
         self.core.journal.gathered()
@@ -144,18 +149,17 @@
     /// Sends callers elsewhere, finishes what is under way, and returns within the grace time.
     pub async fn drain(&self) {
         let core = &self.core;
-        let told = Instant::now();
+        let told = core.clock.now();
         let end = told + core.settings.grace.mul_f64(GRACE_PART);
         core.stopping.set(Stopping::Leaving);
         let under_way = core.under_way.get();
         core.journal.note(Rank::State, &StopEvent::Leaving { under_way });
-        sleep_until((told + LEAVING_TIME).min(end)).await;
-        let left = end.saturating_duration_since(Instant::now());
-        core.stopping.set(Stopping::Closing { end: core.clock.now() + left });
+        sleep_until(core.clock.instant((told + LEAVING_TIME).min(end))).await;
+        core.stopping.set(Stopping::Closing { end });
         self.gate.close();
         let under_way = core.under_way.get();
         core.journal.note(Rank::State, &StopEvent::Closed { under_way });
-        while core.under_way.get() > 0 && Instant::now() < end {
+        while core.under_way.get() > 0 && core.clock.now() < end {
             sleep(DRAIN_LOOK).await;
         }
         let under_way = core.under_way.get();
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -146,7 +146,7 @@
     /// Passes events on until the source ends.
     async fn pass(&mut self, source: &mut Source) -> End {
         let job = Rc::clone(&self.follower.run.job);
-        let clock = self.follower.run.core.clock;
+        let clock = self.follower.run.core.clock.clone();
         let silence = job.route.event_pause.unwrap_or(DEFAULT_PAUSE).mul_f64(SILENCE_PART);
         let mut last_heard = clock.now();
         loop {
