Count the time for which the machine was suspended in everything that compares ages

Cause: Clock::now() rested on the steady clock, which stands still while a machine is suspended, so that freshness, leases of keys, sessions, budgets and cold servers' windows were younger than they are, and an offset to another entry's clock learned before put its times too late. Now the time by which CLOCK_BOOTTIME has gained on the steady clock is added; timers stay on the steady one, and whatever they wake looks at the time again.

--- a/crates/direct/src/clock.rs
+++ b/crates/direct/src/clock.rs
@@ -46,7 +46,7 @@
 
     /// Time since the start.
     pub fn uptime(&self) -> Duration {
-        self.origin.elapsed()
+        self.origin.elapsed() + self.suspended()
     }
 
     /// Time for which the machine has been suspended since the start.
@@ -64,7 +64,7 @@
 
     /// The instant of a time, for timers; one that has passed counts as now, or as the start.
     pub fn instant(&self, at: Duration) -> Instant {
-        self.origin + at.saturating_sub(HEAD_START)
+        self.origin + at.saturating_sub(HEAD_START + self.suspended())
     }
 
     /// Lets so much time pass as if the machine had been suspended; for tests.
