--- a/crates/direct/tests/survives_store_faults.rs
+++ b/crates/direct/tests/survives_store_faults.rs
@@ -330,3 +330,15 @@
         assert_eq!(pauses, ["1.000", "2.020", "4.000"]);
     });
 }
+
+#[test]
+fn a_version_whose_servers_break_off_under_everything_is_told_reverted() {
+    play(|world| async move {
+        roll_out(&world, Act::LoseAnswer).await;
+        let broken = requests(&world, 80, "a").await;
+        sleep(Duration::from_secs(25)).await;
+        assert_eq!(world.store.value("progress/s").as_deref(), Some("v2 Reverted"), "{broken}");
+        assert!(broken <= 24, "{broken}");
+        assert_eq!(requests(&world, 30, "c").await, 0);
+    });
+}
