Ends of servers are evidence about their version, but not those under a request that ends others too

Cause: a broken connection was evidence about its server alone, so a version whose servers break off under everything took over. Now, 50 ms later, each server that broke off counts once as a failure of its version, unless a request was aboard that had ended two before it (it is the cause then) or several ended at that moment. Ruled out by the test: taking only a content's first end (three requests in four seconds gave three of the four failures that are needed), and noting each request aboard (one that ends servers would make a good version bad by those beside it).

A good version is still completed while a request ends servers of both.

--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -345,7 +345,7 @@
         };
         self.core.journal.note(Rank::Failure, &event);
         let on_probe = std::mem::take(&mut self.is_probe);
-        self.core.note_server_end(&self.job, placement.server(), on_probe);
+        self.core.note_server_end(&self.job, placement, on_probe);
     }
 
     /// Logs that an answer to this request made a version bad.
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -199,14 +199,19 @@
         self.note_evidence(false)
     }
 
+    /// Kind of the request, as evidence about versions tells them apart: by route and model.
+    pub fn kind(&self) -> String {
+        match &self.model {
+            Some(model) => format!("{}/{model}", self.job.route.name),
+            None => self.job.route.name.clone(),
+        }
+    }
+
     fn note_evidence(&self, failed: bool) -> bool {
         let now = self.core.clock.now();
         let mut state = self.core.state.borrow_mut();
         let Some(roll_out) = state.roll_outs.get_mut(&self.job.service.name) else { return false };
-        let kind = match &self.model {
-            Some(model) => format!("{}/{model}", self.job.route.name),
-            None => self.job.route.name.clone(),
-        };
+        let kind = self.kind();
         let slowness = self.elapsed().as_secs_f64() * 1_000.0 / self.ticket.due_ms();
         let evidence = Evidence { kind: &kind, server: &self.ticket.server, failed, slowness };
         roll_out.note(&self.version, &evidence, now)
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -7,10 +7,12 @@
 mod report;
 mod stored;
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{Content, EndId, Grant, Loss, Probe, ServerEnd, Standing, end_id};
-use pondwalk_types::ServerId;
+use pondwalk_decide::direct::{
+    Content, EndId, Evidence, Grant, Loss, Probe, ServerEnd, Standing, end_id,
+};
+use pondwalk_types::{RequestId, ServerId, VersionId};
 use tokio::{
     task::spawn_local,
     time::{sleep, timeout},
@@ -26,6 +28,7 @@
     journal::Rank,
     membership::News,
     metrics::Counter,
+    placement::Placement,
     request::{Job, Refusal},
     state::State,
 };
@@ -48,6 +51,10 @@
 const ASKED_OTHERS: usize = 4;
 /// Time for one of them to take a connection; one opens in a few milliseconds.
 const REACH_LIMIT: Duration = Duration::from_millis(100);
+/// Ends under one content that count as evidence about the versions of the servers. One that ends every
+/// server gives no more of it than this, and a version whose servers end under everything is found by
+/// the contents that go on well elsewhere.
+const ENDS_AS_EVIDENCE: usize = 2;
 /// Time beyond its deadline for which a probe may be under way.
 const LEASE_SLACK: Duration = Duration::from_secs(1);
 
@@ -61,7 +68,14 @@
     at: Duration,
     service: ServiceId,
     server: ServerId,
+    version: VersionId,
+    /// Kind of the request, as evidence about versions tells them apart.
+    kind: String,
+    /// The try.
+    request: RequestId,
     on_probe: bool,
+    /// Ends that counted against the content before.
+    before: usize,
 }
 
 /// Ends that this entry saw a moment ago and has not told yet.
@@ -88,23 +102,35 @@
     }
 
     /// A server broke off all connections, or at least this one, while it had the request.
-    pub fn note_server_end(self: &Rc<Self>, job: &Job, server: &str, on_probe: bool) {
+    pub fn note_server_end(self: &Rc<Self>, job: &Job, placement: &Placement, on_probe: bool) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let content = job.content();
+        let server = placement.server();
         let numbers = [self.incarnation, now.as_nanos() as u64];
         let id = end_id(&[&self.settings.name, server, &job.id], &numbers);
         let end = ServerEnd { content, id, in_common_loss: false, on_probe };
+        let before = state.quarantine.ends(content);
         state.quarantine.note_end(end, now, now);
         drop(state);
         self.note_if_held(content);
         self.seen_ends.loss.borrow_mut().note(content, server);
         let mut ends = self.seen_ends.ends.borrow_mut();
-        let service = job.service.name.clone();
-        let is_first = ends.is_empty();
-        ends.push(SeenEnd { content, id, at: now, service, server: server.to_owned(), on_probe });
+        let is_untold = ends.is_empty();
+        ends.push(SeenEnd {
+            content,
+            id,
+            at: now,
+            service: job.service.name.clone(),
+            server: server.clone(),
+            version: placement.version.clone(),
+            kind: placement.kind(),
+            request: job.id.clone(),
+            on_probe,
+            before,
+        });
         drop(ends);
-        if is_first {
+        if is_untold {
             let core = Rc::clone(self);
             spawn_local(async move {
                 sleep(SAME_MOMENT).await;
@@ -118,6 +144,7 @@
         let seen = self.seen_ends.ends.take();
         let loss = self.seen_ends.loss.take();
         let mut told: Vec<AgedEnd> = Vec::with_capacity(seen.len().min(MOST_TOLD));
+        self.note_ends_as_evidence(&seen, &loss);
         for end in seen {
             let in_common_loss = self.is_excused(&loss, &end).await;
             let now = self.clock.now();
@@ -136,6 +163,39 @@
         }
     }
 
+    /// Takes the ends as evidence about the servers' versions: one for each server.
+    ///
+    /// NB: not where a request was aboard that has ended others too; it is the cause then, and must not
+    /// make a good version look bad. Nor in a common loss, which has a cause of its own.
+    fn note_ends_as_evidence(&self, seen: &[SeenEnd], loss: &Loss) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let State { roll_outs, fleets, .. } = &mut *state;
+        let mut servers: HashMap<&ServerId, Option<&SeenEnd>> = HashMap::new();
+        for end in seen {
+            let known = fleets.get(&end.service).map_or(0, |fleet| fleet.count());
+            let has_cause = end.before >= ENDS_AS_EVIDENCE || loss.excuses(end.content, known);
+            let evidence = servers.entry(&end.server).or_insert(Some(end));
+            if has_cause {
+                *evidence = None;
+            }
+        }
+        let mut tripped = Vec::new();
+        for end in servers.into_values().flatten() {
+            let Some(roll_out) = roll_outs.get_mut(&end.service) else { continue };
+            let (kind, server) = (end.kind.as_str(), end.server.as_str());
+            let evidence = Evidence { kind, server, failed: true, slowness: 0.0 };
+            if roll_out.note(&end.version, &evidence, now) {
+                tripped.push(end);
+            }
+        }
+        drop(state);
+        for SeenEnd { request, service, version, .. } in tripped {
+            let event = QuarantineEvent::VersionTripped { request, service, version };
+            self.journal.note(Rank::State, &event);
+        }
+    }
+
     /// Whether other servers ended at the same moment, so that the request need not be the cause.
     async fn is_excused(&self, loss: &Loss, end: &SeenEnd) -> bool {
         let servers = self.state.borrow().fleets.get(&end.service).map_or(0, |fleet| fleet.count());
--- a/crates/direct/src/quarantine/report.rs
+++ b/crates/direct/src/quarantine/report.rs
@@ -10,6 +10,8 @@
     ContentHeld { content: &'a str, servers_ended: usize, for_ms: u64 },
     /// A run of it came to a good end, at this entry.
     ContentCleared { content: &'a str, from: &'a str },
+    /// A version was found bad by a server of it that ended under this request.
+    VersionTripped { request: &'a str, service: &'a str, version: &'a str },
     /// A request of it runs once more, by leave of an entry.
     ProbeGranted { request: &'a str, content: &'a str, servers_ended: usize, by: &'a str },
     /// No entry could be asked for leave.
--- a/crates/direct/tests/ends_servers_widely.rs
+++ b/crates/direct/tests/ends_servers_widely.rs
@@ -240,3 +240,29 @@
         }
     });
 }
+
+#[test]
+fn a_good_version_on_trial_is_not_called_bad_by_one_request_that_ends_servers() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, &again(), 3).await;
+        for n in 31..=36 {
+            world.start_server(n, "s", "v2", again().usual);
+        }
+        sleep(Duration::from_secs(1)).await;
+        world.store.put("order/s", "v2 20");
+        let innocent = async {
+            for n in 0..200 {
+                let sent = with_body(request("/again/x", &format!("c{n}")), &format!("asked {n}"));
+                let sent = with(sent, "pondwalk-session", &format!("s{n}"));
+                world.ask_at(&entries[n % 3], sent).await;
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let kind = again();
+        let lethal = come_again(&world, &entries, &kind, QUICK, Duration::from_secs(10));
+        tokio::join!(innocent, lethal);
+        sleep(Duration::from_secs(20)).await;
+        assert_eq!(world.store.value("progress/s").as_deref(), Some("v2 Completed"));
+    });
+}
