Tests of the quarantine and of contents; log a machine that was suspended

Bounds, probes, leases, clearing, excuses, the order in which entries grant, and that two tables agree whatever order they hear in.

--- /dev/null
+++ b/crates/decide/tests/quarantine.rs
@@ -0,0 +1,210 @@
+//! When requests under which servers ended may run again, and that what is remembered of them is bounded.
+
+use std::time::Duration;
+
+use pondwalk_decide::direct::{
+    Content, Grant, Loss, Probe, Quarantine, ServerEnd, Standing, end_id, granting_order,
+};
+use quickcheck::{Gen, QuickCheck, TestResult};
+
+const CONTENT: Content = 7;
+const SECOND: Duration = Duration::from_secs(1);
+
+fn s(seconds: f64) -> Duration {
+    Duration::from_secs_f64(1_000.0 + seconds)
+}
+
+fn end(content: Content, id: u64) -> ServerEnd {
+    ServerEnd { content, id, in_common_loss: false, on_probe: false }
+}
+
+/// A table that knows of so many ends of a content, all at the start.
+fn after(ends: u64) -> Quarantine {
+    let mut table = Quarantine::default();
+    for id in 0..ends {
+        assert!(table.note_end(end(CONTENT, id), s(0.0), s(0.0)));
+    }
+    table
+}
+
+fn probe(is_first: bool) -> Probe {
+    Probe { content: CONTENT, lease: 8 * SECOND, is_first }
+}
+
+#[test]
+fn two_ends_hold_nothing_and_the_third_does() {
+    assert_eq!(after(2).standing(CONTENT, s(0.0)), Standing::Free);
+    let table = after(3);
+    assert_eq!(table.standing(CONTENT, s(0.9)), Standing::Held { until: s(1.0) });
+    assert_eq!(table.standing(CONTENT, s(1.0)), Standing::OnProbe);
+    assert_eq!(table.standing(8, s(0.0)), Standing::Free, "another content");
+}
+
+#[test]
+fn an_end_that_is_told_twice_counts_once() {
+    let mut table = after(2);
+    assert!(!table.note_end(end(CONTENT, 1), s(0.0), s(0.1)));
+    assert_eq!(table.ends(CONTENT), 2);
+}
+
+#[test]
+fn probes_come_one_at_a_time_and_ever_more_seldom() {
+    let mut table = after(3);
+    let mut now = s(1.0);
+    for pause in [5, 600, 600] {
+        assert_eq!(table.grant(probe(true), now), Grant::Given);
+        assert_eq!(table.grant(probe(true), now), Grant::Probed, "one is under way");
+        let ended = ServerEnd { on_probe: true, ..end(CONTENT, now.as_nanos() as u64) };
+        assert!(table.note_end(ended, now, now));
+        let until = now + pause * SECOND;
+        assert_eq!(table.grant(probe(true), now), Grant::Refused { until });
+        now = until;
+    }
+}
+
+#[test]
+fn a_probe_of_which_nothing_is_heard_keeps_others_away_for_its_lease() {
+    let mut table = after(3);
+    assert_eq!(table.grant(probe(true), s(1.0)), Grant::Given);
+    assert_eq!(table.standing(CONTENT, s(8.9)), Standing::Probed);
+    assert_eq!(table.grant(probe(true), s(9.0)), Grant::Given);
+}
+
+#[test]
+fn an_entry_that_does_not_come_first_grants_the_first_probe_alone() {
+    let mut table = after(3);
+    assert_eq!(table.grant(probe(false), s(1.0)), Grant::Given);
+    table.note_end(ServerEnd { on_probe: true, ..end(CONTENT, 99) }, s(1.1), s(1.1));
+    assert!(matches!(table.grant(probe(false), s(7.0)), Grant::Refused { .. }));
+    assert_eq!(table.grant(probe(true), s(7.0)), Grant::Given);
+}
+
+#[test]
+fn a_good_end_clears_and_late_word_of_ends_before_it_counts_for_nothing() {
+    let mut table = after(3);
+    assert!(table.note_whole(CONTENT, s(2.0)));
+    assert_eq!(table.standing(CONTENT, s(2.0)), Standing::Free);
+    assert!(!table.note_end(end(CONTENT, 9), s(1.9), s(2.1)));
+    assert!(table.note_end(end(CONTENT, 10), s(2.1), s(2.1)));
+    assert_eq!(table.ends(CONTENT), 1);
+    assert!(!table.note_whole(8, s(2.0)), "nothing was known of another");
+}
+
+#[test]
+fn ends_of_a_common_loss_are_excused_three_times() {
+    let mut table = Quarantine::default();
+    for id in 0..6 {
+        let lost = ServerEnd { in_common_loss: true, ..end(CONTENT, id) };
+        assert_eq!(table.standing(CONTENT, s(9.0)), Standing::Free, "after {id}");
+        table.note_end(lost, s(id as f64), s(id as f64));
+    }
+    assert_ne!(table.standing(CONTENT, s(5.5)), Standing::Free);
+}
+
+#[test]
+fn a_loss_excuses_what_did_not_run_on_most_of_the_servers() {
+    let mut loss = Loss::default();
+    for n in 0..4 {
+        loss.note(CONTENT, &format!("s{n}"));
+        loss.note(100 + n, &format!("s{n}"));
+    }
+    assert!(!loss.excuses(CONTENT, 30), "it was at all of them");
+    assert!(loss.excuses(101, 30), "three others ended");
+    let mut two = Loss::default();
+    two.note(1, "s1");
+    two.note(2, "s2");
+    assert!(!two.excuses(1, 30), "one other may have ended by another request");
+    assert!(two.excuses(1, 2), "there are no more");
+}
+
+#[test]
+fn what_is_remembered_is_bounded_and_keeps_what_is_held() {
+    let mut table = after(3);
+    for content in 100..30_000 {
+        table.note_end(end(content, 1), s(1.0), s(1.0));
+    }
+    assert!(table.len() <= 8_192, "{}", table.len());
+    assert!(table.given_way() > 20_000);
+    assert_eq!(
+        table.ends(CONTENT),
+        3,
+        "one that is held does not give way to those with an end each"
+    );
+    table.forget_old(s(3_599.0));
+    assert_eq!(table.ends(CONTENT), 3);
+    table.forget_old(s(3_601.5));
+    assert!(table.is_empty(), "an hour later nothing is left");
+}
+
+#[test]
+fn a_summary_leads_with_what_is_held() {
+    let mut table = after(3);
+    for content in 100..200 {
+        table.note_end(end(content, 1), s(5.0), s(5.0));
+    }
+    let told = table.weightiest(10, s(6.0));
+    assert_eq!(told.len(), 10);
+    assert!(told[..3].iter().all(|(end, age)| end.content == CONTENT && *age == 6 * SECOND));
+    let mut other = Quarantine::default();
+    for (end, age) in told {
+        other.note_end(end, s(6.0) - age, s(6.0));
+    }
+    assert_eq!(other.standing(CONTENT, s(6.0)), Standing::OnProbe);
+}
+
+#[test]
+fn whatever_is_heard_in_whatever_order_two_tables_agree() {
+    fn agree(ends: Vec<(u8, u8, bool)>, turn: usize) -> TestResult {
+        if ends.is_empty() {
+            return TestResult::discard();
+        }
+        let end = |(content, id, in_common_loss): &(u8, u8, bool)| ServerEnd {
+            content: u128::from(*content % 4),
+            id: u64::from(*id % 8),
+            in_common_loss: *in_common_loss,
+            on_probe: false,
+        };
+        let mut turned = ends.clone();
+        turned.rotate_left(turn % ends.len());
+        let (mut one, mut other) = (Quarantine::default(), Quarantine::default());
+        for told in &ends {
+            one.note_end(end(told), s(0.0), s(0.0));
+        }
+        for told in &turned {
+            other.note_end(end(told), s(0.0), s(0.0));
+        }
+        let same = (0..4).all(|content| one.ends(content) == other.ends(content));
+        TestResult::from_bool(same)
+    }
+    let property: fn(Vec<(u8, u8, bool)>, usize) -> TestResult = agree;
+    QuickCheck::new().rng(Gen::from_size_and_seed(30, 5)).tests(2_000).quickcheck(property);
+}
+
+#[test]
+fn all_entries_name_the_same_one_and_contents_spread_over_them() {
+    let names: Vec<String> = (0..40).map(|n| format!("e{n}")).collect();
+    let mut firsts = std::collections::HashSet::new();
+    for content in 0..400u128 {
+        let (mut one, mut other) = (names.clone(), names.clone());
+        other.reverse();
+        granting_order(content, &mut one);
+        granting_order(content, &mut other);
+        assert_eq!(one, other);
+        firsts.insert(one[0].clone());
+    }
+    assert!(firsts.len() > 35, "{} of 40 grant probes", firsts.len());
+}
+
+#[test]
+fn ends_differ_by_who_saw_them_where_and_when() {
+    let base = end_id(&["e1", "s1", "r1"], &[1, 5]);
+    let others = [
+        end_id(&["e2", "s1", "r1"], &[1, 5]),
+        end_id(&["e1", "s2", "r1"], &[1, 5]),
+        end_id(&["e1", "s1", "r2"], &[1, 5]),
+        end_id(&["e1", "s1", "r1"], &[2, 5]),
+        end_id(&["e1", "s1", "r1"], &[1, 6]),
+        end_id(&["s1", "e1", "r1"], &[1, 5]),
+    ];
+    assert!(others.iter().all(|other| *other != base));
+}
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -38,6 +38,31 @@
 /// Time between two looks at whether all work is done.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
 
+/// Shortest suspension of the machine that is logged.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(100);
+
+/// The machine stood still; all that is known is as much older than timers tell.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum WakeEvent {
+    MachineWasSuspended { suspended_ms: u64, freshness_ms: Option<u64> },
+}
+
+/// Logs a suspension that has not been logged yet; `known` is what was noticed before.
+fn note_suspension(core: &Core, known: &mut Duration) {
+    let suspended = core.clock.suspended();
+    let new = suspended.saturating_sub(*known);
+    if new < LEAST_SUSPENSION {
+        return;
+    }
+    *known = suspended;
+    let event = WakeEvent::MachineWasSuspended {
+        suspended_ms: new.as_millis() as u64,
+        freshness_ms: core.state_age().map(|age| age.as_millis() as u64),
+    };
+    core.journal.note(Rank::State, &event);
+}
+
 /// A step of a planned stop.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -81,8 +106,10 @@
         spawn_local(follow(Rc::clone(&self.core), self.port.clone(), conductor));
         let core = Rc::clone(&self.core);
         spawn_local(async move {
+            let mut suspended = Duration::ZERO;
             loop {
                 sleep(FLUSH_INTERVAL).await;
+                note_suspension(&core, &mut suspended);
                 core.journal.flush();
             }
         });
