Requests left at a server count as aboard for a second; probes of which nothing is heard are used up

A caller that leaves 30 ms before its request ends the server was seen by nobody. What was left there, by its caller or for another server, within the second before now counts too, if any request of this entry breaks off at that server; and a probe whose end is not heard of counts like one that ended a server.

--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -123,6 +123,11 @@
     cleared: Option<Duration>,
     /// Until when a probe that this entry granted may be under way.
     probed_until: Option<Duration>,
+    /// Probes that this entry granted and of which it has heard nothing, and when the last was over.
+    ///
+    /// NB: a caller that leaves early each time would otherwise be granted one after the other.
+    unresolved: usize,
+    unresolved_at: Option<Duration>,
 }
 
 impl Record {
@@ -132,6 +137,13 @@
         self.ends.len() - excused.min(MOST_EXCUSED)
     }
 
+    /// Something was heard that tells how the probe under way came out.
+    fn resolve_probe(&mut self) {
+        if self.probed_until.take().is_some() {
+            self.unresolved = self.unresolved.saturating_sub(1);
+        }
+    }
+
     /// Keeps an end; of many, the latest and those under probes.
     fn keep(&mut self, end: End) {
         self.ends.push(end);
@@ -156,18 +168,19 @@
         if self.probed_until.is_some_and(|until| now < until) {
             return Standing::Probed;
         }
+        let last = self.unresolved_at.map_or(last, |at| at.max(last));
         let until = last + PROBE_PAUSES[self.probes().min(PROBE_PAUSES.len() - 1)];
         if now < until { Standing::Held { until } } else { Standing::OnProbe }
     }
 
-    /// Probes under which a server ended, common losses left out.
+    /// Probes under which a server ended or may have ended, common losses left out.
     ///
     /// NB: not all ends beyond the first few. A request that comes on many connections at once may end as
     /// many servers before any entry knows.
     fn probes(&self) -> usize {
         let excused = |end: &&End| end.on_probe && end.in_common_loss;
         let excused = self.ends.iter().filter(excused).count().min(MOST_EXCUSED);
-        self.ends.iter().filter(|end| end.on_probe).count() - excused
+        self.ends.iter().filter(|end| end.on_probe).count() - excused + self.unresolved
     }
 
     fn is_over(&self, now: Duration) -> bool {
@@ -234,7 +247,9 @@
             in_common_loss: end.in_common_loss,
             on_probe: end.on_probe,
         });
-        record.probed_until = None;
+        if end.on_probe {
+            record.resolve_probe();
+        }
         true
     }
 
@@ -244,7 +259,9 @@
         let before = record.ends.len();
         record.ends.retain(|end| end.at > at);
         record.cleared = record.cleared.max(Some(at));
-        record.probed_until = None;
+        record.resolve_probe();
+        record.unresolved = 0;
+        record.unresolved_at = None;
         record.ends.len() < before
     }
 
@@ -265,6 +282,8 @@
             Standing::Held { until } => Grant::Refused { until },
             Standing::OnProbe if probe.is_first || record.probes() == 0 => {
                 record.probed_until = Some(now + probe.lease);
+                record.unresolved += 1;
+                record.unresolved_at = Some(now);
                 Grant::Given
             }
             Standing::OnProbe => Grant::Refused { until: now + PROBE_PAUSES[1] },
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -7,6 +7,9 @@
 };
 use quickcheck::{Gen, QuickCheck, TestResult};
 
+/// Told ends, each by content, number and whether it was in a common loss, and where the other order begins.
+type Property = fn(Vec<(u8, u8, bool)>, usize) -> TestResult;
+
 const CONTENT: Content = 7;
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -176,7 +179,7 @@
         let same = (0..4).all(|content| one.ends(content) == other.ends(content));
         TestResult::from_bool(same)
     }
-    let property: fn(Vec<(u8, u8, bool)>, usize) -> TestResult = agree;
+    let property: Property = agree;
     QuickCheck::new().rng(Gen::from_size_and_seed(30, 5)).tests(2_000).quickcheck(property);
 }
 
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -199,6 +199,9 @@
         until: Duration,
         last_event_id: Option<&str>,
     ) -> Result<Exchange, SendError> {
+        if self.is_probe {
+            placement.runs_as_probe();
+        }
         let request = self.outgoing(placement, last_event_id);
         let until = self.core.clock.instant(until);
         let connect = &self.core.connect;
@@ -344,6 +347,7 @@
             after_ms: self.after_ms(),
         };
         self.core.journal.note(Rank::Failure, &event);
+        placement.is_over();
         let on_probe = std::mem::take(&mut self.is_probe);
         self.core.note_server_end(&self.job, placement, on_probe);
     }
@@ -367,6 +371,7 @@
         status: StatusCode,
     ) {
         let after_ms = self.after_ms();
+        placement.is_over();
         self.core.note_good_end(&self.job);
         self.core.metrics.count(Counter::Answered);
         self.core.metrics.time(Timer::WholeAnswer, Duration::from_millis(after_ms));
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -3,7 +3,7 @@
 //! What is seen of the server while the request is there is noted where it belongs: in the fleet,
 //! the engine's times, the roll-out's evidence and the session's version.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use pondwalk_decide::direct::{
     Ask, Evidence, Fleet, ModelNumber, ServerLoad, ServiceModel, Ticket, Unreached, VersionRule,
@@ -12,6 +12,7 @@
 use rand::{Rng, rngs::SmallRng};
 
 use crate::{
+    catalog::ServiceId,
     core::Core,
     foresight::{ask_for, engine_of},
     membership::News,
@@ -50,6 +51,10 @@
     pub version: VersionId,
     /// Model that runs there, where the entry chooses it.
     pub model: Option<ModelId>,
+    /// Whether the run is known to be over, or never to have begun.
+    is_settled: Cell<bool>,
+    /// Whether it runs as a probe.
+    is_probe: Cell<bool>,
 }
 
 impl Placement {
@@ -94,6 +99,8 @@
             address,
             version,
             model,
+            is_settled: Cell::new(false),
+            is_probe: Cell::new(false),
         })
     }
 
@@ -122,6 +129,16 @@
         fleet.forecast(&ask, now).is_some() || fleet.opens_at(&ask, now).is_none()
     }
 
+    /// The request runs there as a probe.
+    pub fn runs_as_probe(&self) {
+        self.is_probe.set(true);
+    }
+
+    /// The run there is over, or never began.
+    pub fn is_over(&self) {
+        self.is_settled.set(true);
+    }
+
     /// Identity of the server.
     pub fn server(&self) -> &ServerId {
         &self.ticket.server
@@ -199,6 +216,11 @@
         self.note_evidence(false)
     }
 
+    /// Service of the server.
+    pub fn service(&self) -> &ServiceId {
+        &self.job.service.name
+    }
+
     /// Kind of the request, as evidence about versions tells them apart: by route and model.
     pub fn kind(&self) -> String {
         match &self.model {
@@ -236,6 +258,7 @@
 
     /// The server could not be reached; other entries are told if it may be cold by that.
     pub fn unreached(&self, why: Unreached) {
+        self.is_over();
         let now = self.core.clock.now();
         let service = &self.job.service.name;
         let mut state = self.core.state.borrow_mut();
@@ -251,6 +274,7 @@
 
     /// The server turned the request away.
     pub fn refused(&self) {
+        self.is_over();
         let now = self.core.clock.now();
         let mut state = self.core.state.borrow_mut();
         if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
@@ -260,6 +284,7 @@
 
     /// The server is leaving, or another has its address.
     pub fn leaves(&self) {
+        self.is_over();
         let mut state = self.core.state.borrow_mut();
         if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
             fleet.leaves(&self.ticket);
@@ -277,6 +302,10 @@
         if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
             fleet.ended(&self.ticket);
         }
+        drop(state);
+        if !self.is_settled.get() {
+            self.core.note_left(&self.job, self.server(), self.is_probe.get());
+        }
     }
 }
 
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -7,7 +7,12 @@
 mod report;
 mod stored;
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{HashMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
 
 use pondwalk_decide::direct::{
     Content, EndId, Evidence, Grant, Loss, Probe, ServerEnd, Standing, end_id,
@@ -51,6 +56,11 @@
 const ASKED_OTHERS: usize = 4;
 /// Time for one of them to take a connection; one opens in a few milliseconds.
 const REACH_LIMIT: Duration = Duration::from_millis(100);
+/// Time after which a request that was left says nothing of how its server ended: one that is told to
+/// stop does so in some milliseconds, or is over soon.
+const LEFT_TIME: Duration = Duration::from_secs(1);
+/// Such requests that are remembered.
+const MOST_LEFT: usize = 128;
 /// Ends under one content that count as evidence about the versions of the servers. One that ends every
 /// server gives no more of it than this, and a version whose servers end under everything is found by
 /// the contents that go on well elsewhere.
@@ -78,11 +88,34 @@
     before: usize,
 }
 
+/// A request that was left at a server without knowing how its run ended.
+#[derive(Debug)]
+struct Left {
+    content: Content,
+    server: ServerId,
+    request: RequestId,
+    at: Duration,
+    on_probe: bool,
+}
+
 /// Ends that this entry saw a moment ago and has not told yet.
 #[derive(Debug, Default)]
 pub struct SeenEnds {
     ends: RefCell<Vec<SeenEnd>>,
     loss: RefCell<Loss>,
+    left: RefCell<VecDeque<Left>>,
+}
+
+impl SeenEnds {
+    /// Takes out the requests that were left at a server shortly before it ended.
+    fn take_left(&self, server: &str, now: Duration) -> VecDeque<Left> {
+        let mut left = self.left.borrow_mut();
+        left.retain(|one| now < one.at + LEFT_TIME);
+        let (here, elsewhere) =
+            left.drain(..).partition::<VecDeque<Left>, _>(|one| one.server == server);
+        *left = elsewhere;
+        here
+    }
 }
 
 impl Core {
@@ -101,36 +134,61 @@
         if state.quarantine.is_empty() { 0 } else { state.quarantine.ends(job.content()) }
     }
 
+    /// A request was left at a server, by its caller or for another server, before its run was over.
+    ///
+    /// NB: whoever leaves early each time would not be there when the server ends.
+    pub fn note_left(&self, job: &Job, server: &ServerId, on_probe: bool) {
+        let at = self.clock.now();
+        let mut left = self.seen_ends.left.borrow_mut();
+        if left.len() == MOST_LEFT {
+            left.pop_front();
+        }
+        let (content, server, request) = (job.content(), server.clone(), job.id.clone());
+        left.push_back(Left { content, server, request, at, on_probe });
+    }
+
     /// A server broke off all connections, or at least this one, while it had the request.
     pub fn note_server_end(self: &Rc<Self>, job: &Job, placement: &Placement, on_probe: bool) {
         let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        let content = job.content();
+        self.note_end_under(job.content(), &job.id, placement, on_probe);
+        for left in self.seen_ends.take_left(placement.server(), now) {
+            self.note_end_under(left.content, &left.request, placement, left.on_probe);
+        }
+    }
+
+    fn note_end_under(
+        self: &Rc<Self>,
+        content: Content,
+        request: &RequestId,
+        placement: &Placement,
+        on_probe: bool,
+    ) {
+        let now = self.clock.now();
         let server = placement.server();
         let numbers = [self.incarnation, now.as_nanos() as u64];
-        let id = end_id(&[&self.settings.name, server, &job.id], &numbers);
+        let id = end_id(&[&self.settings.name, server, request], &numbers);
         let end = ServerEnd { content, id, in_common_loss: false, on_probe };
+        let mut state = self.state.borrow_mut();
         let before = state.quarantine.ends(content);
         state.quarantine.note_end(end, now, now);
         drop(state);
         self.note_if_held(content);
         self.seen_ends.loss.borrow_mut().note(content, server);
-        let mut ends = self.seen_ends.ends.borrow_mut();
-        let is_untold = ends.is_empty();
-        ends.push(SeenEnd {
+        let seen = SeenEnd {
             content,
             id,
             at: now,
-            service: job.service.name.clone(),
+            service: placement.service().clone(),
             server: server.clone(),
             version: placement.version.clone(),
             kind: placement.kind(),
-            request: job.id.clone(),
+            request: request.clone(),
             on_probe,
             before,
-        });
-        drop(ends);
-        if is_untold {
+        };
+        let mut ends = self.seen_ends.ends.borrow_mut();
+        ends.push(seen);
+        if ends.len() == 1 {
             let core = Rc::clone(self);
             spawn_local(async move {
                 sleep(SAME_MOMENT).await;
--- a/crates/direct/tests/ends_servers_widely.rs
+++ b/crates/direct/tests/ends_servers_widely.rs
@@ -11,13 +11,13 @@
         further_runs_of, lethal, lethal_body, start,
     },
     net::Net,
-    play, request, with, with_body,
+    play, request, stream, with, with_body,
 };
 use pondwalk_direct::Entry;
 use pondwalk_standin::memory_store::Weather;
 use tokio::{
     task::spawn_local,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 const SLOW: Duration = Duration::from_secs(30);
@@ -266,3 +266,31 @@
         assert_eq!(world.store.value("progress/s").as_deref(), Some("v2 Completed"));
     });
 }
+
+#[test]
+fn a_caller_that_leaves_before_the_server_ends_is_found_by_those_beside_it() {
+    play(|world| async move {
+        let net = Net::default();
+        let world = Rc::new(world);
+        let kind = Kind { path: "/stream/x", usual: stream(100, None), ..again() };
+        let entries = start(&world, &net, &kind, 2).await;
+        for number in 0..60 {
+            // NB: others are at all servers, each with a request of its own.
+            for n in 0..30 {
+                let (world, entry) = (Rc::clone(&world), entries[n % 2].clone());
+                let body = format!("beside {number} {n}");
+                spawn_local(async move {
+                    let sent = with_body(request("/stream/x", &format!("b{number}-{n}")), &body);
+                    world.ask_at(&entry, sent).await;
+                });
+            }
+            sleep(Duration::from_millis(30)).await;
+            let asking = world.ask_at(&entries[number % 2], lethal(&kind, number as u32));
+            // NB: the answer that the caller does not wait for is dropped with its connection.
+            let _ = timeout(ENDS_AFTER / 2, asking).await;
+            sleep(QUICK).await;
+        }
+        let further = further_runs(&world);
+        assert!(further <= FURTHER_RUNS, "{further} of {}", world.backends.lethal_runs().len());
+    });
+}
