--- a/crates/soak/src/deployment/servers.rs
+++ b/crates/soak/src/deployment/servers.rs
@@ -97,16 +97,17 @@
     pub(super) async fn look_after_server(self: Rc<Self>, place: usize) {
         loop {
             sleep(END_LOOK).await;
-            let mut servers = self.servers.borrow_mut();
-            let ended = servers[place].take_if(|server| server.child.has_ended());
-            drop(servers);
-            let Some(server) = ended else { continue };
+            let Some(server) = self.take_ended(place) else { continue };
             if let Err(error) = self.start_anew(server, place, SERVER_RESTART).await {
                 eprintln!("soak: a server that ended did not start again: {error:#}");
             }
         }
     }
 
+    fn take_ended(&self, place: usize) -> Option<ServerSlot> {
+        self.servers.borrow_mut()[place].take_if(|server| server.child.has_ended())
+    }
+
     /// Starts a server again some time after its end, under the identity that it had, and lets it warm up.
     async fn start_anew(
         &self,
