--- a/crates/direct/tests/ends_servers_widely.rs
+++ b/crates/direct/tests/ends_servers_widely.rs
@@ -6,6 +6,7 @@
 use std::{rc::Rc, time::Duration};
 
 use common::{
+    address,
     lethal::{
         ENDS_AFTER, FURTHER_RUNS, Kind, QUICK, again, all_at_once, come_again, further_runs,
         further_runs_of, lethal, lethal_body, start,
@@ -294,3 +295,48 @@
         assert!(further <= FURTHER_RUNS, "{further} of {}", world.backends.lethal_runs().len());
     });
 }
+
+/// Sum of a counter or gauge over entries.
+fn total(entries: &[Entry], name: &str) -> u64 {
+    let of_one = |entry: &Entry| {
+        let text = entry.metrics_text();
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
+        line.unwrap_or(0)
+    };
+    entries.iter().map(of_one).sum()
+}
+
+#[test]
+fn a_loss_of_all_servers_with_thousands_aboard_costs_little_and_holds_nobody() {
+    play(|world| async move {
+        let net = Net::default();
+        let world = Rc::new(world);
+        let kind = Kind { path: "/stream/x", usual: stream(500, None), ..again() };
+        let entries = start(&world, &net, &kind, 20).await;
+        for n in 0..2_000_usize {
+            let (world, entry) = (Rc::clone(&world), entries[n % 20].clone());
+            spawn_local(async move {
+                let sent =
+                    with_body(request("/stream/x", &format!("a{n}")), &format!("aboard {n}"));
+                world.ask_at(&entry, sent).await;
+            });
+        }
+        sleep(Duration::from_millis(500)).await;
+        let told = "pondwalk_peer_bytes_told_total";
+        let (bytes, calls) = (total(&entries, told), world.store.calls());
+        for n in 1..=30 {
+            world.backends.crash(address(n));
+        }
+        sleep(Duration::from_secs(2)).await;
+        let bytes = total(&entries, told) - bytes;
+        assert_eq!(total(&entries, "pondwalk_contents_held"), 0);
+        let remembered = total(&entries, "pondwalk_contents_remembered") / 20;
+        assert_eq!(remembered, 2_000, "each entry knows of all that were aboard");
+        // NB: each end is told to each entry once, and up the tree: some 40 bytes.
+        assert!(bytes < 2_000 * 20 * 60, "{bytes} bytes");
+        let stored = "pondwalk_store_calls_total{cause=\"quarantine\"}";
+        assert_eq!(total(&entries, stored), 0);
+        let calls = world.store.calls() - calls;
+        assert!(calls < 40, "{calls} calls in two seconds");
+    });
+}
