What came to a good end of late is forgiven a few ends of servers; ends count by server, not by copy

Each copy aboard of one server counted as an end of its own, and both probes ran at servers that other requests ended. Now copies at one server count once; each entry remembers for five to ten minutes what came to a good end there, forgives it eight ends until the next, and has others clear it; a third probe comes after 30 s.

--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -53,7 +53,8 @@
 pub use freshness::Freshness;
 pub use pool::{Pool, Seen, Tally};
 pub use quarantine::{
-    Content, EndId, Grant, Loss, Probe, Quarantine, ServerEnd, Standing, end_id, granting_order,
+    Content, EndId, GoodContents, Grant, Loss, Probe, Quarantine, ServerEnd, Standing, end_id,
+    granting_order, server_hash,
 };
 pub use rank::{RESUMED, Rank, rank_of};
 pub use roll_out::{Evidence, Move, RollOut, Stage};
--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -32,10 +32,17 @@
 /// goes on elsewhere; that this happens to the same one three times is rare.
 const FREE_ENDS: usize = 3;
 /// Pauses after the latest end before the request may run once more: a chance for one that is innocent
-/// as soon as servers are back, one more when others that end servers are held, and then so seldom that
+/// as soon as servers are back, two more when others that end servers are held, and then so seldom that
 /// one that ends every server costs one in ten minutes.
-const PROBE_PAUSES: [Duration; 3] =
-    [Duration::from_secs(1), Duration::from_secs(5), Duration::from_secs(600)];
+const PROBE_PAUSES: [Duration; 4] = [
+    Duration::from_secs(1),
+    Duration::from_secs(5),
+    Duration::from_secs(30),
+    Duration::from_secs(600),
+];
+/// Time between two sightings of an end of one server by which they are of the same: entries date what
+/// others tell to some tenths of a second, and a server takes seconds to start again.
+const SAME_END: Duration = Duration::from_secs(1);
 /// Most ends of a content that are excused as those of a common loss. More than that of one content in
 /// an hour is no chance, and requests that end servers at the same moment must not excuse one another.
 const MOST_EXCUSED: usize = 3;
@@ -46,6 +53,14 @@
 /// Time after the latest end for which a content is remembered. A caller may keep a request for long
 /// before it tries again; in an hour one that is forgotten and tried anew costs three servers.
 const LIFE: Duration = Duration::from_secs(3_600);
+/// Time after which contents that came to a good end are forgotten, up to twice as long; what a request
+/// does to a server may change with the server's software.
+const LIFE_OF_GOOD: Duration = Duration::from_secs(300);
+/// Such contents that are remembered, up to twice as many; some 30 bytes each.
+const MOST_GOOD: usize = 8_192;
+/// Ends of servers that are forgiven such a content until its next good end: what two requests that end
+/// servers bring about before they are held.
+const MOST_FORGIVEN: usize = 8;
 /// Time for which a content that was cleared is remembered, so that word of its ends that comes late
 /// counts for nothing.
 const LIFE_OF_CLEARED: Duration = Duration::from_secs(60);
@@ -62,6 +77,8 @@
     pub content: Content,
     /// Tells this end from all others.
     pub id: EndId,
+    /// Hash of the server's identity.
+    pub server: u64,
     /// Whether others ended at the same moment that did not run the request.
     pub in_common_loss: bool,
     /// Whether the request ran as a probe.
@@ -112,11 +129,20 @@
 #[derive(Debug, Clone, Copy)]
 struct End {
     id: EndId,
+    server: u64,
     at: Duration,
     in_common_loss: bool,
     on_probe: bool,
 }
 
+impl End {
+    /// Whether another sighting is of the same end: each copy of a request, at each entry, sees it.
+    fn is_same(&self, other: &ServerEnd, at: Duration) -> bool {
+        let apart = self.at.max(at) - self.at.min(at);
+        self.id == other.id || self.server == other.server && apart < SAME_END
+    }
+}
+
 #[derive(Debug, Default)]
 struct Record {
     ends: Vec<End>,
@@ -237,12 +263,14 @@
         if record.cleared.is_some_and(|cleared| at <= cleared) {
             return false;
         }
-        if let Some(known) = record.ends.iter_mut().find(|known| known.id == end.id) {
+        if let Some(known) = record.ends.iter_mut().find(|known| known.is_same(&end, at)) {
             known.in_common_loss |= end.in_common_loss;
+            known.on_probe |= end.on_probe;
             return false;
         }
         record.keep(End {
             id: end.id,
+            server: end.server,
             at,
             in_common_loss: end.in_common_loss,
             on_probe: end.on_probe,
@@ -337,12 +365,50 @@
 
 fn told(content: Content, record: &Record, now: Duration) -> Vec<(ServerEnd, Duration)> {
     let end = |end: &End| {
-        let End { id, at, in_common_loss, on_probe } = *end;
-        (ServerEnd { content, id, in_common_loss, on_probe }, now.saturating_sub(at))
+        let End { id, server, at, in_common_loss, on_probe } = *end;
+        let told = ServerEnd { content, id, server, in_common_loss, on_probe };
+        (told, now.saturating_sub(at))
     };
     record.ends.iter().map(end).collect()
 }
 
+/// Contents that have come to a good end of late, at this entry. One that ends every server that runs it
+/// never has; so these are not held when some servers end with them aboard, by chance or by another
+/// request. Callers who all ask the same are aboard wherever a server ends.
+#[derive(Debug, Default)]
+pub struct GoodContents {
+    /// Ends of servers since the latest good end, by content.
+    newer: HashMap<Content, usize>,
+    older: HashMap<Content, usize>,
+    /// When the older ones were the newer ones.
+    turned: Duration,
+}
+
+impl GoodContents {
+    /// A run of a content came to a good end.
+    pub fn note_whole(&mut self, content: Content, now: Duration) {
+        if self.newer.len() >= MOST_GOOD || now >= self.turned + LIFE_OF_GOOD {
+            self.older = std::mem::take(&mut self.newer);
+            self.turned = now;
+        }
+        self.newer.insert(content, 0);
+    }
+
+    /// A server ended under a content, here or at another entry.
+    pub fn note_end(&mut self, content: Content) {
+        let (newer, older) = (self.newer.get_mut(&content), self.older.get_mut(&content));
+        if let Some(ends) = newer.or(older) {
+            *ends += 1;
+        }
+    }
+
+    /// Whether a content is known to be good.
+    pub fn holds(&self, content: Content) -> bool {
+        let ends = self.newer.get(&content).or(self.older.get(&content));
+        ends.is_some_and(|ends| *ends <= MOST_FORGIVEN)
+    }
+}
+
 /// Servers that ended at about the same moment, each with the contents that it ran.
 #[derive(Debug, Default)]
 pub struct Loss {
@@ -368,6 +434,11 @@
     }
 }
 
+/// The hash of a server's identity, as ends carry it.
+pub fn server_hash(server: &str) -> u64 {
+    hash_text(server)
+}
+
 /// The number of an end: by who saw it, at which server, under which try, and when.
 pub fn end_id(texts: &[&str], numbers: &[u64]) -> EndId {
     let texts = texts.iter().map(|text| hash_text(text));
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -19,7 +19,7 @@
     follow::follow,
     http::{self, Gate},
     journal::{Journal, Rank},
-    membership,
+    membership, quarantine,
     upstream::Connect,
 };
 
@@ -103,6 +103,7 @@
         spawn_local(async move { conductor.run().await });
         let conductor = Rc::clone(&self.conductor);
         spawn_local(membership::pass_on(Rc::clone(&self.core)));
+        spawn_local(quarantine::speak_for_good_contents(Rc::clone(&self.core)));
         spawn_local(follow(Rc::clone(&self.core), self.port.clone(), conductor));
         let core = Rc::clone(&self.core);
         spawn_local(async move {
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -15,10 +15,11 @@
 };
 
 use pondwalk_decide::direct::{
-    Content, EndId, Evidence, Grant, Loss, Probe, ServerEnd, Standing, end_id,
+    Content, EndId, Evidence, Grant, Loss, Probe, ServerEnd, Standing, end_id, server_hash,
 };
 use pondwalk_types::{RequestId, ServerId, VersionId};
 use tokio::{
+    sync::Notify,
     task::spawn_local,
     time::{sleep, timeout},
 };
@@ -56,6 +57,10 @@
 const ASKED_OTHERS: usize = 4;
 /// Time for one of them to take a connection; one opens in a few milliseconds.
 const REACH_LIMIT: Duration = Duration::from_millis(100);
+/// Turns over which entries spread their word for a content that came to a good end there.
+const SPEAKERS: usize = 10;
+/// Time between two of them.
+const SPEAK_INTERVAL: Duration = Duration::from_millis(30);
 /// Time after which a request that was left says nothing of how its server ended: one that is told to
 /// stop does so in some milliseconds, or is over soon.
 const LEFT_TIME: Duration = Duration::from_secs(1);
@@ -86,6 +91,22 @@
     on_probe: bool,
     /// Ends that counted against the content before.
     before: usize,
+    /// Whether it is known for good ends.
+    is_good: bool,
+}
+
+/// Clears contents that others hold and that came to a good end here, for as long as the process runs.
+pub async fn speak_for_good_contents(core: Rc<Core>) {
+    // NB: many entries may know; the first one's word reaches the others while they wait.
+    loop {
+        core.seen_ends.has_held.notified().await;
+        sleep(SPEAK_INTERVAL * core.roster.spread(SPEAKERS) as u32).await;
+        for content in core.seen_ends.held_though_good.take() {
+            if core.is_held_though_good(content) {
+                core.clear(content);
+            }
+        }
+    }
 }
 
 /// A request that was left at a server without knowing how its run ended.
@@ -104,6 +125,9 @@
     ends: RefCell<Vec<SeenEnd>>,
     loss: RefCell<Loss>,
     left: RefCell<VecDeque<Left>>,
+    /// Contents that others hold and that came to a good end here.
+    held_though_good: RefCell<Vec<Content>>,
+    has_held: Notify,
 }
 
 impl SeenEnds {
@@ -122,7 +146,7 @@
     /// Whether a request may run.
     pub fn standing(&self, job: &Job) -> Standing {
         let state = self.state.borrow();
-        if state.quarantine.is_empty() {
+        if state.quarantine.is_empty() || state.good_contents.holds(job.content()) {
             return Standing::Free;
         }
         state.quarantine.standing(job.content(), self.clock.now())
@@ -167,12 +191,17 @@
         let server = placement.server();
         let numbers = [self.incarnation, now.as_nanos() as u64];
         let id = end_id(&[&self.settings.name, server, request], &numbers);
-        let end = ServerEnd { content, id, in_common_loss: false, on_probe };
+        let end =
+            ServerEnd { content, id, server: server_hash(server), in_common_loss: false, on_probe };
         let mut state = self.state.borrow_mut();
         let before = state.quarantine.ends(content);
-        state.quarantine.note_end(end, now, now);
+        if state.quarantine.note_end(end, now, now) {
+            state.good_contents.note_end(content);
+        }
+        let is_good = state.good_contents.holds(content);
         drop(state);
         self.note_if_held(content);
+        self.speak_for(content);
         self.seen_ends.loss.borrow_mut().note(content, server);
         let seen = SeenEnd {
             content,
@@ -185,6 +214,7 @@
             request: request.clone(),
             on_probe,
             before,
+            is_good,
         };
         let mut ends = self.seen_ends.ends.borrow_mut();
         ends.push(seen);
@@ -206,8 +236,9 @@
         for end in seen {
             let in_common_loss = self.is_excused(&loss, &end).await;
             let now = self.clock.now();
-            let SeenEnd { content, id, at, on_probe, .. } = end;
-            let end = ServerEnd { content, id, in_common_loss, on_probe };
+            let SeenEnd { content, id, at, on_probe, ref server, .. } = end;
+            let server = server_hash(server);
+            let end = ServerEnd { content, id, server, in_common_loss, on_probe };
             if in_common_loss {
                 self.state.borrow_mut().quarantine.note_end(end, at, now);
             }
@@ -232,7 +263,8 @@
         let mut servers: HashMap<&ServerId, Option<&SeenEnd>> = HashMap::new();
         for end in seen {
             let known = fleets.get(&end.service).map_or(0, |fleet| fleet.count());
-            let has_cause = end.before >= ENDS_AS_EVIDENCE || loss.excuses(end.content, known);
+            let has_cause =
+                !end.is_good && end.before >= ENDS_AS_EVIDENCE || loss.excuses(end.content, known);
             let evidence = servers.entry(&end.server).or_insert(Some(end));
             if has_cause {
                 *evidence = None;
@@ -283,17 +315,11 @@
     /// A run came to a good end, which speaks for what it carries.
     pub fn note_good_end(&self, job: &Job) {
         let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        if state.quarantine.is_empty() {
-            return;
-        }
         let content = job.content();
-        let is_cleared = state.quarantine.note_whole(content, now);
+        let mut state = self.state.borrow_mut();
+        state.good_contents.note_whole(content, now);
         drop(state);
-        if is_cleared {
-            self.note_cleared(content, &self.settings.name);
-            self.tell_news(News::Cleared { content });
-        }
+        self.clear(content);
     }
 
     /// Hears of ends that another entry saw.
@@ -301,13 +327,40 @@
         let now = self.clock.now();
         for (end, more) in ends {
             let at = now.saturating_sub(age + *more);
-            let is_new = self.state.borrow_mut().quarantine.note_end(*end, at, now);
+            let mut state = self.state.borrow_mut();
+            let is_new = state.quarantine.note_end(*end, at, now);
+            if is_new {
+                state.good_contents.note_end(end.content);
+            }
+            drop(state);
             if is_new {
                 self.note_if_held(end.content);
+                self.speak_for(end.content);
             }
         }
     }
 
+    /// Has a content cleared that others hold and that came to a good end here.
+    fn speak_for(&self, content: Content) {
+        if self.is_held_though_good(content) {
+            self.seen_ends.held_though_good.borrow_mut().push(content);
+            self.seen_ends.has_held.notify_one();
+        }
+    }
+
+    fn is_held_though_good(&self, content: Content) -> bool {
+        let state = self.state.borrow();
+        let is_held = state.quarantine.standing(content, self.clock.now()) != Standing::Free;
+        is_held && state.good_contents.holds(content)
+    }
+
+    fn clear(&self, content: Content) {
+        if self.state.borrow_mut().quarantine.note_whole(content, self.clock.now()) {
+            self.note_cleared(content, &self.settings.name);
+            self.tell_news(News::Cleared { content });
+        }
+    }
+
     /// Hears of a good end at another entry.
     pub fn hear_cleared(&self, content: Content, from: &str, age: Duration) {
         let at = self.clock.now().saturating_sub(age);
@@ -355,6 +408,9 @@
     fn note_if_held(&self, content: Content) {
         let now = self.clock.now();
         let state = self.state.borrow();
+        if state.good_contents.holds(content) {
+            return;
+        }
         let Standing::Held { until } = state.quarantine.standing(content, now) else { return };
         let ends = state.quarantine.ends(content);
         drop(state);
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -8,8 +8,8 @@
 
 use pondwalk_config::DirectSettings;
 use pondwalk_decide::direct::{
-    Cascade, ColdBound, Engine, Fleet, Freshness, Pacing, Quarantine, RollOut, ServerFacts,
-    Sessions, Sharers, Weighed, WindowBudget, WindowLimits,
+    Cascade, ColdBound, Engine, Fleet, Freshness, GoodContents, Pacing, Quarantine, RollOut,
+    ServerFacts, Sessions, Sharers, Weighed, WindowBudget, WindowLimits,
 };
 use pondwalk_types::{DataCentreId, ServerId};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -62,6 +62,8 @@
     pub cascades: HashMap<ServiceId, Cascade>,
     /// Contents of requests under which servers have ended.
     pub quarantine: Quarantine,
+    /// Contents that came to a good end here.
+    pub good_contents: GoodContents,
     /// Source of random numbers.
     pub rng: SmallRng,
     limits: WindowLimits,
@@ -93,6 +95,7 @@
             engines: HashMap::new(),
             cascades: HashMap::new(),
             quarantine: Quarantine::default(),
+            good_contents: GoodContents::default(),
             rng: SmallRng::seed_from_u64(seed),
             limits: WindowLimits {
                 ratio: retries.ratio,
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -189,6 +189,11 @@
         self.lethal.borrow_mut().push(lethal);
     }
 
+    /// Lets all requests go well from now on.
+    pub fn clear_lethal(&self) {
+        self.lethal.borrow_mut().clear();
+    }
+
     /// Requests of that kind that have reached servers, in order.
     pub fn lethal_runs(&self) -> Vec<LethalRun> {
         self.lethal_runs.borrow().clone()
