--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -4,66 +4,35 @@
 //! entry. So what is counted is counted by content, and told to all entries. After a few ends such a
 //! request runs again only now and then, and one copy at a time.
 //!
-//! When servers end for another cause, every request aboard looks like the culprit. Three things keep
+//! When servers end for another cause, every request aboard looks like the culprit. Four things keep
 //! such a request from being refused for long. A run that comes to a good end clears its content at
-//! once, everywhere. Ends of several servers at the same moment, most of which did not run the request,
-//! are held against it only in part. And what is left may be proved: the first probe comes a second
-//! after the latest end.
+//! once, everywhere. What came to one before is forgiven some ends ([`GoodContents`]). Ends of several
+//! servers at the same moment, most of which did not run the request, are held against it only in part
+//! ([`Loss`]). And what is left may be proved: the first probe comes a second after the latest end.
 //!
 //! The entries agree on one of them that grants the probes of a content (rendezvous hashing, Thaler and
 //! Ravishankar, 1998). Two parts of a deployment that don't reach one another grant at most one probe
 //! more between them.
 
-use std::{
-    collections::{HashMap, HashSet},
-    time::Duration,
-};
+mod good;
+mod loss;
+mod record;
+
+use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
+pub use good::GoodContents;
+pub use loss::Loss;
+
 use super::hash::{hash_text, mix};
+use record::{End, PROBE_PAUSES, Record};
 
 /// What a request carries, as a number by which all entries know it again.
 pub type Content = u128;
 /// A number that tells one end that was seen from all others.
 pub type EndId = u64;
 
-/// Ends of servers after which a request counts as their cause. A request whose server ends by chance
-/// goes on elsewhere; that this happens to the same one three times is rare.
-const FREE_ENDS: usize = 3;
-/// Pauses after the latest end before the request may run once more: a chance for one that is innocent
-/// as soon as servers are back, two more when others that end servers are held, and then so seldom that
-/// one that ends every server costs one in ten minutes.
-const PROBE_PAUSES: [Duration; 4] = [
-    Duration::from_secs(1),
-    Duration::from_secs(5),
-    Duration::from_secs(30),
-    Duration::from_secs(600),
-];
-/// Time between two sightings of an end of one server by which they are of the same: entries date what
-/// others tell to some tenths of a second, and a server takes seconds to start again.
-const SAME_END: Duration = Duration::from_secs(1);
-/// Most ends of a content that are excused as those of a common loss. More than that of one content in
-/// an hour is no chance, and requests that end servers at the same moment must not excuse one another.
-const MOST_EXCUSED: usize = 3;
-/// Other servers that must end at the same moment for an end to be excused.
-const OTHERS_OF_LOSS: usize = 3;
-/// Ends of one content that are kept; more change nothing.
-const MOST_ENDS: usize = 8;
-/// Time after the latest end for which a content is remembered. A caller may keep a request for long
-/// before it tries again; in an hour one that is forgotten and tried anew costs three servers.
-const LIFE: Duration = Duration::from_secs(3_600);
-/// Time after which contents that came to a good end are forgotten, up to twice as long; what a request
-/// does to a server may change with the server's software.
-const LIFE_OF_GOOD: Duration = Duration::from_secs(300);
-/// Such contents that are remembered, up to twice as many; some 30 bytes each.
-const MOST_GOOD: usize = 8_192;
-/// Ends of servers that are forgiven such a content until its next good end: what two requests that end
-/// servers bring about before they are held.
-const MOST_FORGIVEN: usize = 8;
-/// Time for which a content that was cleared is remembered, so that word of its ends that comes late
-/// counts for nothing.
-const LIFE_OF_CLEARED: Duration = Duration::from_secs(60);
 /// Contents remembered, some 200 bytes each. A data centre of the planned size has ten thousand requests
 /// aboard; those that were cleared go first, then those with few ends, the oldest before others.
 const MOST_CONTENTS: usize = 8_192;
@@ -126,100 +95,6 @@
     pub is_first: bool,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct End {
-    id: EndId,
-    server: u64,
-    at: Duration,
-    in_common_loss: bool,
-    on_probe: bool,
-}
-
-impl End {
-    /// Whether another sighting is of the same end: each copy of a request, at each entry, sees it.
-    fn is_same(&self, other: &ServerEnd, at: Duration) -> bool {
-        let apart = self.at.max(at) - self.at.min(at);
-        self.id == other.id || self.server == other.server && apart < SAME_END
-    }
-}
-
-#[derive(Debug, Default)]
-struct Record {
-    ends: Vec<End>,
-    cleared: Option<Duration>,
-    /// Until when a probe that this entry granted may be under way.
-    probed_until: Option<Duration>,
-    /// Probes that this entry granted and of which it has heard nothing, and when the last was over.
-    ///
-    /// NB: a caller that leaves early each time would otherwise be granted one after the other.
-    unresolved: usize,
-    unresolved_at: Option<Duration>,
-}
-
-impl Record {
-    /// Ends that count.
-    fn count(&self) -> usize {
-        let excused = self.ends.iter().filter(|end| end.in_common_loss).count();
-        self.ends.len() - excused.min(MOST_EXCUSED)
-    }
-
-    /// Something was heard that tells how the probe under way came out.
-    fn resolve_probe(&mut self) {
-        if self.probed_until.take().is_some() {
-            self.unresolved = self.unresolved.saturating_sub(1);
-        }
-    }
-
-    /// Keeps an end; of many, the latest and those under probes.
-    fn keep(&mut self, end: End) {
-        self.ends.push(end);
-        if self.ends.len() <= MOST_ENDS {
-            return;
-        }
-        let order = |(_, end): &(usize, &End)| (end.on_probe, end.at);
-        if let Some((oldest, _)) = self.ends.iter().enumerate().min_by_key(order) {
-            self.ends.swap_remove(oldest);
-        }
-    }
-
-    fn last_end(&self) -> Option<Duration> {
-        self.ends.iter().map(|end| end.at).max()
-    }
-
-    fn standing(&self, now: Duration) -> Standing {
-        let count = self.count();
-        let Some(last) = self.last_end().filter(|_| count >= FREE_ENDS) else {
-            return Standing::Free;
-        };
-        if self.probed_until.is_some_and(|until| now < until) {
-            return Standing::Probed;
-        }
-        let last = self.unresolved_at.map_or(last, |at| at.max(last));
-        let until = last + PROBE_PAUSES[self.probes().min(PROBE_PAUSES.len() - 1)];
-        if now < until { Standing::Held { until } } else { Standing::OnProbe }
-    }
-
-    /// Probes under which a server ended or may have ended, common losses left out.
-    ///
-    /// NB: not all ends beyond the first few. A request that comes on many connections at once may end as
-    /// many servers before any entry knows.
-    fn probes(&self) -> usize {
-        let excused = |end: &&End| end.on_probe && end.in_common_loss;
-        let excused = self.ends.iter().filter(excused).count().min(MOST_EXCUSED);
-        self.ends.iter().filter(|end| end.on_probe).count() - excused + self.unresolved
-    }
-
-    fn is_over(&self, now: Duration) -> bool {
-        let is_past = |at: Option<Duration>, life| at.is_none_or(|at| now >= at + life);
-        is_past(self.last_end(), LIFE) && is_past(self.cleared, LIFE_OF_CLEARED)
-    }
-
-    /// Order in which contents give way.
-    fn worth(&self) -> (usize, Option<Duration>) {
-        (self.count().min(FREE_ENDS), self.last_end())
-    }
-}
-
 /// The contents under which servers have ended.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -372,68 +247,6 @@
     record.ends.iter().map(end).collect()
 }
 
-/// Contents that have come to a good end of late, at this entry. One that ends every server that runs it
-/// never has; so these are not held when some servers end with them aboard, by chance or by another
-/// request. Callers who all ask the same are aboard wherever a server ends.
-#[derive(Debug, Default)]
-pub struct GoodContents {
-    /// Ends of servers since the latest good end, by content.
-    newer: HashMap<Content, usize>,
-    older: HashMap<Content, usize>,
-    /// When the older ones were the newer ones.
-    turned: Duration,
-}
-
-impl GoodContents {
-    /// A run of a content came to a good end.
-    pub fn note_whole(&mut self, content: Content, now: Duration) {
-        if self.newer.len() >= MOST_GOOD || now >= self.turned + LIFE_OF_GOOD {
-            self.older = std::mem::take(&mut self.newer);
-            self.turned = now;
-        }
-        self.newer.insert(content, 0);
-    }
-
-    /// A server ended under a content, here or at another entry.
-    pub fn note_end(&mut self, content: Content) {
-        let (newer, older) = (self.newer.get_mut(&content), self.older.get_mut(&content));
-        if let Some(ends) = newer.or(older) {
-            *ends += 1;
-        }
-    }
-
-    /// Whether a content is known to be good.
-    pub fn holds(&self, content: Content) -> bool {
-        let ends = self.newer.get(&content).or(self.older.get(&content));
-        ends.is_some_and(|ends| *ends <= MOST_FORGIVEN)
-    }
-}
-
-/// Servers that ended at about the same moment, each with the contents that it ran.
-#[derive(Debug, Default)]
-pub struct Loss {
-    servers: HashSet<u64>,
-    /// Servers that ran each content.
-    servers_of: HashMap<Content, HashSet<u64>>,
-}
-
-impl Loss {
-    /// A request was aboard of a server that ended.
-    pub fn note(&mut self, content: Content, server: &str) {
-        let server = hash_text(server);
-        self.servers.insert(server);
-        self.servers_of.entry(content).or_default().insert(server);
-    }
-
-    /// Whether a content is not what ended most of these servers: others ended that did not run it,
-    /// either several or, in a service of `servers`, all that there are.
-    pub fn excuses(&self, content: Content, servers: usize) -> bool {
-        let ran = self.servers_of.get(&content).map_or(0, HashSet::len);
-        let others = self.servers.len() - ran;
-        others >= OTHERS_OF_LOSS || others > 0 && self.servers.len() >= servers
-    }
-}
-
 /// The hash of a server's identity, as ends carry it.
 pub fn server_hash(server: &str) -> u64 {
     hash_text(server)
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -17,7 +17,7 @@
     journal::Journal,
     membership::{NewsLog, Outbox, Roster, Source},
     metrics::Metrics,
-    quarantine::SeenEnds,
+    quarantine::{HeldThoughGood, SeenEnds},
     state::State,
     upstream::Connect,
 };
@@ -72,6 +72,8 @@
     pub under_way: Cell<usize>,
     /// Ends of servers seen a moment ago.
     pub seen_ends: SeenEnds,
+    /// Contents that others hold and that came to a good end here.
+    pub held_though_good: HeldThoughGood,
     /// What changes.
     pub state: RefCell<State>,
 }
@@ -107,6 +109,7 @@
             something_new: Notify::new(),
             under_way: Cell::new(0),
             seen_ends: SeenEnds::default(),
+            held_though_good: HeldThoughGood::default(),
             state: RefCell::new(state),
         }
     }
