Failing test: a probe that reaches no server is used up

Found by reading: while all servers are away each try of an innocent request that is held takes a probe, and after three it is held for ten minutes.

--- a/crates/direct/tests/ends_servers_widely.rs
+++ b/crates/direct/tests/ends_servers_widely.rs
@@ -366,3 +366,35 @@
         });
     }
 }
+
+#[test]
+fn a_probe_that_reaches_no_server_is_not_used_up() {
+    for entries in [1, 5] {
+        play(|world| async move {
+            let net = Net::default();
+            let entries = start(&world, &net, &again(), entries).await;
+            let ask = async |n: usize| {
+                let sent =
+                    with_body(request("/again/x", &format!("a{n}")), "lost with all servers");
+                world.ask_at(&entries[n % entries.len()], sent).await.status.as_u16()
+            };
+            world.make_lethal("s", "lost with all servers", ENDS_AFTER);
+            assert_eq!(ask(0).await, 502);
+            world.backends.clear_lethal();
+            sleep(Duration::from_secs(2)).await;
+            for n in 1..=30 {
+                world.backends.stop(address(n));
+            }
+            // NB: it comes again and again while there is no server at all.
+            for n in 0..20 {
+                assert!([429, 503].contains(&ask(n).await));
+                sleep(QUICK).await;
+            }
+            for n in 1..=30 {
+                world.start_server(n, "s", "v1", again().usual);
+            }
+            sleep(Duration::from_secs(3)).await;
+            assert_eq!(ask(0).await, 200, "at {} entries", entries.len());
+        });
+    }
+}
