Leave to run once is given back if no server was reached

A probe is a lease: dropped without its request having left for a server, or with the server's word that it did not run it, it goes back to the entry that granted it.

--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -193,6 +193,13 @@
         }
     }
 
+    /// A probe that this entry granted has reached no server; another may be granted.
+    pub fn give_back(&mut self, content: Content) {
+        if let Some(record) = self.records.get_mut(&content) {
+            record.resolve_probe();
+        }
+    }
+
     /// The ends of a content, with the time since each.
     pub fn ends_of(&self, content: Content, now: Duration) -> Vec<(ServerEnd, Duration)> {
         let record = self.records.get(&content);
--- a/crates/decide/src/direct/quarantine/record.rs
+++ b/crates/decide/src/direct/quarantine/record.rs
@@ -83,6 +83,9 @@
         if self.probed_until.take().is_some() {
             self.unresolved = self.unresolved.saturating_sub(1);
         }
+        if self.unresolved == 0 {
+            self.unresolved_at = None;
+        }
     }
 
     /// Keeps an end; of many, the latest and those under probes.
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -248,3 +248,18 @@
     ];
     assert!(others.iter().all(|other| *other != base));
 }
+
+#[test]
+fn a_probe_given_back_is_granted_again_at_once_and_was_none() {
+    let mut table = after(3);
+    for _ in 0..10 {
+        assert_eq!(table.grant(probe(true), s(1.0)), Grant::Given);
+        table.give_back(CONTENT);
+    }
+    assert_eq!(table.grant(probe(true), s(1.0)), Grant::Given);
+    assert_eq!(table.standing(CONTENT, s(1.1)), Standing::Probed);
+    // NB: nothing is heard of this one, so the next has to wait for longer.
+    assert_eq!(table.standing(CONTENT, s(10.0)), Standing::OnProbe);
+    assert_eq!(table.grant(probe(true), s(10.0)), Grant::Given);
+    assert_eq!(table.standing(CONTENT, s(19.5)), Standing::Held { until: s(40.0) });
+}
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -17,7 +17,7 @@
     journal::Journal,
     membership::{NewsLog, Outbox, Roster, Source},
     metrics::Metrics,
-    quarantine::{HeldThoughGood, SeenEnds},
+    quarantine::{GivenBack, HeldThoughGood, SeenEnds},
     state::State,
     upstream::Connect,
 };
@@ -74,6 +74,8 @@
     pub seen_ends: SeenEnds,
     /// Contents that others hold and that came to a good end here.
     pub held_though_good: HeldThoughGood,
+    /// Leave to run that is to be given back.
+    pub given_back: GivenBack,
     /// What changes.
     pub state: RefCell<State>,
 }
@@ -110,6 +112,7 @@
             under_way: Cell::new(0),
             seen_ends: SeenEnds::default(),
             held_though_good: HeldThoughGood::default(),
+            given_back: GivenBack::default(),
             state: RefCell::new(state),
         }
     }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -104,6 +104,7 @@
         let conductor = Rc::clone(&self.conductor);
         spawn_local(membership::pass_on(Rc::clone(&self.core)));
         spawn_local(quarantine::speak_for_good_contents(Rc::clone(&self.core)));
+        spawn_local(quarantine::give_back_probes(Rc::clone(&self.core)));
         spawn_local(follow(Rc::clone(&self.core), self.port.clone(), conductor));
         let core = Rc::clone(&self.core);
         spawn_local(async move {
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -21,6 +21,7 @@
     journal::Rank,
     metrics::{Counter, Timer},
     placement::{NoPlace, Placement},
+    quarantine::ProbeLease,
     request::{Job, key_still_holds},
     upstream::{self, Exchange, SendError},
 };
@@ -73,8 +74,8 @@
     pub failed_version: Option<VersionId>,
     /// Whether any send may have run.
     pub may_have_run: bool,
-    /// Whether it runs as a probe, under which no server has ended yet.
-    pub is_probe: bool,
+    /// Leave by which it runs as a probe, as long as no server has ended under it.
+    pub probe: Option<Rc<ProbeLease>>,
     _under_way: UnderWay,
 }
 
@@ -92,7 +93,7 @@
             dropped: Vec::new(),
             failed_version: None,
             may_have_run: false,
-            is_probe: false,
+            probe: None,
             _under_way: under_way,
         }
     }
@@ -108,7 +109,7 @@
             dropped: Vec::new(),
             failed_version: self.failed_version.clone(),
             may_have_run: true,
-            is_probe: self.is_probe,
+            probe: self.probe.clone(),
             _under_way: UnderWay::enter(&self.core),
         }
     }
@@ -119,22 +120,24 @@
     /// NB: every send is looked at, not every try of the caller: a stream that goes on elsewhere, a
     /// larger model and a retry each reach one more server.
     pub async fn ask_to_run(&mut self) -> Result<(), Duration> {
-        if self.is_probe {
+        if self.probe.is_some() {
             return Ok(());
         }
-        let granted = match self.core.standing(&self.job) {
+        let refused = match self.core.standing(&self.job) {
             Standing::Free => return Ok(()),
             Standing::Held { until } => return Err(until),
             Standing::Probed => Grant::Probed,
-            Standing::OnProbe => self.core.ask_for_probe(&self.job).await,
+            Standing::OnProbe => match self.core.ask_for_probe(&self.job).await {
+                Ok(lease) => {
+                    self.probe = Some(Rc::new(lease));
+                    return Ok(());
+                }
+                Err(refused) => refused,
+            },
         };
-        match granted {
-            Grant::Given => {
-                self.is_probe = true;
-                Ok(())
-            }
-            Grant::Probed => self.wait_for_probe().await,
+        match refused {
             Grant::Refused { until } => Err(until),
+            Grant::Probed | Grant::Given => self.wait_for_probe().await,
         }
     }
 
@@ -156,7 +159,7 @@
 
     /// Whether what is known of its content lets it be sent now, without asking anybody.
     fn is_not_held(&self) -> bool {
-        self.is_probe || self.core.standing(&self.job) == Standing::Free
+        self.probe.is_some() || self.core.standing(&self.job) == Standing::Free
     }
 
     /// A place for the next send.
@@ -199,8 +202,8 @@
         until: Duration,
         last_event_id: Option<&str>,
     ) -> Result<Exchange, SendError> {
-        if self.is_probe {
-            placement.runs_as_probe();
+        if self.probe.is_some() {
+            placement.mark_probe();
         }
         let request = self.outgoing(placement, last_event_id);
         let until = self.core.clock.instant(until);
@@ -213,6 +216,7 @@
             self.core.metrics.count(Counter::Withheld);
         }
         if !matches!(sent, Err(SendError::NotSent { .. } | SendError::Withheld)) {
+            self.probe_has_reached(true);
             self.sends += 1;
             self.core.metrics.count(Counter::Sends);
             if self.sends > 1 {
@@ -222,6 +226,13 @@
         sent
     }
 
+    /// A server was reached by the probe that this is, if it is one, or says that it did not run it.
+    pub fn probe_has_reached(&self, has_reached: bool) {
+        if let Some(probe) = &self.probe {
+            probe.set_reached(has_reached);
+        }
+    }
+
     /// Whether the request may still be sent: its key must be held by a state that is fresh.
     pub fn may_send(&self) -> bool {
         if self.job.key.is_none() {
@@ -347,8 +358,8 @@
             after_ms: self.after_ms(),
         };
         self.core.journal.note(Rank::Failure, &event);
-        placement.is_over();
-        let on_probe = std::mem::take(&mut self.is_probe);
+        placement.settle();
+        let on_probe = self.probe.take().is_some();
         self.core.note_server_end(&self.job, placement, on_probe);
     }
 
@@ -371,7 +382,7 @@
         status: StatusCode,
     ) {
         let after_ms = self.after_ms();
-        placement.is_over();
+        placement.settle();
         self.core.note_good_end(&self.job);
         self.core.metrics.count(Counter::Answered);
         self.core.metrics.time(Timer::WholeAnswer, Duration::from_millis(after_ms));
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -131,7 +131,7 @@
                 Verdict::Next
             }
             Err(SendError::Withheld) => {
-                placement.is_over();
+                placement.settle();
                 self.note_failed(&placement, "withheld", String::new());
                 if self.may_send() { Verdict::Next } else { Verdict::Refuse(Refusal::Stale) }
             }
@@ -205,7 +205,7 @@
         }
         if failed && self.job.route.kind.may_repeat() && self.take_further_send(0.0) {
             self.may_have_run = true;
-            placement.is_over();
+            placement.settle();
             self.note_failed(&placement, "failed", status.to_string());
             self.failed_version = Some(placement.version.clone());
             self.avoid.push(placement.server().clone());
@@ -222,6 +222,7 @@
 
     fn after_not_run(&mut self, status: StatusCode, placement: &Placement) -> Verdict {
         self.core.metrics.count(Counter::NotRun);
+        self.probe_has_reached(false);
         if status == StatusCode::MISDIRECTED_REQUEST {
             placement.leaves();
         } else {
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -130,12 +130,12 @@
     }
 
     /// The request runs there as a probe.
-    pub fn runs_as_probe(&self) {
+    pub fn mark_probe(&self) {
         self.is_probe.set(true);
     }
 
     /// The run there is over, or never began.
-    pub fn is_over(&self) {
+    pub fn settle(&self) {
         self.is_settled.set(true);
     }
 
@@ -258,7 +258,7 @@
 
     /// The server could not be reached; other entries are told if it may be cold by that.
     pub fn unreached(&self, why: Unreached) {
-        self.is_over();
+        self.settle();
         let now = self.core.clock.now();
         let service = &self.job.service.name;
         let mut state = self.core.state.borrow_mut();
@@ -274,7 +274,7 @@
 
     /// The server turned the request away.
     pub fn refused(&self) {
-        self.is_over();
+        self.settle();
         let now = self.core.clock.now();
         let mut state = self.core.state.borrow_mut();
         if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
@@ -284,7 +284,7 @@
 
     /// The server is leaving, or another has its address.
     pub fn leaves(&self) {
-        self.is_over();
+        self.settle();
         let mut state = self.core.state.borrow_mut();
         if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
             fleet.leaves(&self.ticket);
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -5,6 +5,7 @@
 
 mod ask;
 mod good;
+mod lease;
 mod report;
 mod seen;
 mod stored;
@@ -14,6 +15,7 @@
 use pondwalk_decide::direct::{Content, Grant, Probe, ServerEnd, Standing};
 
 pub use good::{HeldThoughGood, speak_for_good_contents};
+pub use lease::{GivenBack, ProbeLease, give_back_probes};
 pub use report::QuarantineEvent;
 pub use seen::SeenEnds;
 pub use stored::{MOST_STORED, QUARANTINE_KEY, StoredQuarantine};
--- a/crates/direct/src/quarantine/ask.rs
+++ b/crates/direct/src/quarantine/ask.rs
@@ -1,12 +1,12 @@
 //! Asks the entry that grants a content's probes, and answers such questions.
 
-use std::time::Duration;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use pondwalk_decide::direct::{Content, Grant};
 use serde::{Deserialize, Serialize};
 
-use super::{AgedEnd, QuarantineEvent};
+use super::{AgedEnd, ProbeLease, QuarantineEvent};
 use crate::{
     content::content_text,
     core::Core,
@@ -22,20 +22,27 @@
 /// Pause before a request may be tried again whose probe nobody could grant.
 const UNANSWERED_PAUSE: Duration = Duration::from_secs(1);
 
-/// Asks for leave to run a content once.
+/// What an entry that grants probes is asked.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ProbeQuestion {
-    /// The content.
-    pub content: Content,
-    /// Longest time that the run may take.
-    pub lease: Duration,
-    /// The ends that the asker knows of, which may not have come to the other yet.
-    pub ends: Vec<AgedEnd>,
+pub enum ProbeQuestion {
+    /// For leave to run a content once.
+    Ask {
+        /// The content.
+        content: Content,
+        /// Longest time that the run may take.
+        lease: Duration,
+        /// The ends that the asker knows of, which may not have come to the other yet.
+        ends: Vec<AgedEnd>,
+    },
+    /// To take it back, since it was of no use.
+    GiveBack(Content),
 }
 
 /// Tells whether it may.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ProbeAnswer {
+    /// It is taken back.
+    TakenBack,
     /// It may run once.
     Given,
     /// Another one of its content runs as a probe now.
@@ -48,21 +55,26 @@
 }
 
 impl Core {
-    /// Asks for leave to run a request once; whoever is asked keeps all others from it meanwhile.
-    pub async fn ask_for_probe(&self, job: &Job) -> Grant {
+    /// Asks for leave to run a request once; whoever is asked keeps all others from it meanwhile. Given
+    /// leave comes as a lease.
+    pub async fn ask_for_probe(self: &Rc<Self>, job: &Job) -> Result<ProbeLease, Grant> {
         let lease = job.give_up.saturating_sub(self.clock.now());
         let content = job.content();
         let mut error = None;
         for (name, address) in self.roster.granting_order(content).into_iter().take(MOST_ASKED) {
             let Some(address) = address else {
-                return self.note_grant(job, self.grant_probe(content, lease), &name);
+                let grant = self.grant_probe(content, lease);
+                return self.take_grant(job, grant, None, &name);
             };
             match self.ask_at(address, content, lease).await {
-                Ok(ProbeAnswer::Given) => return self.note_grant(job, Grant::Given, &name),
-                Ok(ProbeAnswer::Probed) => return Grant::Probed,
+                Ok(ProbeAnswer::Given) => {
+                    return self.take_grant(job, Grant::Given, Some(address), &name);
+                }
+                Ok(ProbeAnswer::Probed) => return Err(Grant::Probed),
                 Ok(ProbeAnswer::Refused { opens_in }) => {
-                    return Grant::Refused { until: self.clock.now() + opens_in };
+                    return Err(Grant::Refused { until: self.clock.now() + opens_in });
                 }
+                Ok(ProbeAnswer::TakenBack) => error = Some(MessageError::Contradictory.into()),
                 Err(failed) => error = Some(failed),
             }
         }
@@ -73,18 +85,34 @@
             error,
         };
         self.journal.note(Rank::Failure, &event);
-        Grant::Refused { until: self.clock.now() + UNANSWERED_PAUSE }
+        Err(Grant::Refused { until: self.clock.now() + UNANSWERED_PAUSE })
     }
 
     async fn ask_at(
         &self,
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         content: Content,
         lease: Duration,
     ) -> Result<ProbeAnswer, AskError> {
         let ends = self.state.borrow().quarantine.ends_of(content, self.clock.now());
+        self.exchange(address, &ProbeQuestion::Ask { content, lease, ends }).await
+    }
+
+    /// Tells the entry that granted a probe that it was of no use.
+    pub async fn tell_given_back(&self, address: SocketAddr, question: ProbeQuestion) {
+        if let Err(error) = self.exchange(address, &question).await {
+            let event = QuarantineEvent::ProbeNotGivenBack { error: error.to_string() };
+            self.journal.note(Rank::Failure, &event);
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        question: &ProbeQuestion,
+    ) -> Result<ProbeAnswer, AskError> {
         let store = self.settings.store.address;
-        let question = to_message(store, &ProbeQuestion { content, lease, ends })?;
+        let question = to_message(store, question)?;
         self.metrics.count_many(Counter::PeerBytesTold, question.len());
         let answer =
             PeerClient::exchange_once(&self.connect, address, PROBE_PATH, question).await?;
@@ -94,9 +122,17 @@
     /// Answers another entry's question.
     pub fn answer_probe(&self, question: &[u8]) -> Result<Bytes, MessageError> {
         let store = self.settings.store.address;
-        let question: ProbeQuestion = from_message(question, store)?;
-        self.hear_ends(&question.ends, Duration::ZERO);
-        let answer = match self.grant_probe(question.content, question.lease) {
+        let (content, lease) = match from_message(question, store)? {
+            ProbeQuestion::Ask { content, lease, ends } => {
+                self.hear_ends(&ends, Duration::ZERO);
+                (content, lease)
+            }
+            ProbeQuestion::GiveBack(content) => {
+                self.state.borrow_mut().quarantine.give_back(content);
+                return to_message(store, &ProbeAnswer::TakenBack);
+            }
+        };
+        let answer = match self.grant_probe(content, lease) {
             Grant::Given => ProbeAnswer::Given,
             Grant::Probed => ProbeAnswer::Probed,
             Grant::Refused { until } => {
@@ -106,17 +142,24 @@
         to_message(store, &answer)
     }
 
-    fn note_grant(&self, job: &Job, grant: Grant, by: &str) -> Grant {
-        if grant == Grant::Given {
-            self.metrics.count(Counter::Probes);
-            let event = QuarantineEvent::ProbeGranted {
-                request: &job.id,
-                content: &content_text(job.content()),
-                servers_ended: self.ends_under(job),
-                by,
-            };
-            self.journal.note(Rank::Failure, &event);
+    fn take_grant(
+        self: &Rc<Self>,
+        job: &Job,
+        grant: Grant,
+        granted_by: Option<SocketAddr>,
+        by: &str,
+    ) -> Result<ProbeLease, Grant> {
+        if grant != Grant::Given {
+            return Err(grant);
         }
-        grant
+        self.metrics.count(Counter::Probes);
+        let event = QuarantineEvent::ProbeGranted {
+            request: &job.id,
+            content: &content_text(job.content()),
+            servers_ended: self.ends_under(job),
+            by,
+        };
+        self.journal.note(Rank::Failure, &event);
+        Ok(ProbeLease::new(self, job.content(), granted_by))
     }
 }
--- a/crates/direct/src/quarantine/report.rs
+++ b/crates/direct/src/quarantine/report.rs
@@ -14,6 +14,8 @@
     VersionTripped { request: &'a str, service: &'a str, version: &'a str },
     /// A request of it runs once more, by leave of an entry.
     ProbeGranted { request: &'a str, content: &'a str, servers_ended: usize, by: &'a str },
+    /// The entry that granted a probe could not be told that it was of no use.
+    ProbeNotGivenBack { error: String },
     /// No entry could be asked for leave.
     ProbeUnanswered { request: &'a str, content: &'a str, error: String },
     /// What the store holds of such contents cannot be read, or could not be written.
--- a/crates/direct/tests/acts_as_one.rs
+++ b/crates/direct/tests/acts_as_one.rs
@@ -8,7 +8,7 @@
 use common::{
     World, address, catalog, catalog_warming, catalog_with_keys,
     net::{Impostor, Net, peer_address, whole_state},
-    play, request, with,
+    play, request, total, with,
 };
 use pondwalk_decide::direct::WarmUp;
 use pondwalk_direct::{
@@ -51,16 +51,6 @@
     seen
 }
 
-/// Sum of a counter over entries.
-fn total(entries: &[Entry], name: &str) -> u64 {
-    let of_one = |entry: &Entry| {
-        let text = entry.metrics_text();
-        let line = text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
-        line.unwrap_or(0)
-    };
-    entries.iter().map(of_one).sum()
-}
-
 fn store_calls(entries: &[Entry], cause: &str) -> u64 {
     total(entries, &format!("pondwalk_store_calls_total{{cause=\"{cause}\"}}"))
 }
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -430,3 +430,13 @@
 pub fn with_body(request: Request<Full<Bytes>>, body: &str) -> Request<Full<Bytes>> {
     request.map(|_| Full::from(body.to_owned()))
 }
+
+/// Sum of a counter or gauge over entries.
+pub fn total(entries: &[Entry], name: &str) -> u64 {
+    let of_one = |entry: &Entry| {
+        let text = entry.metrics_text();
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
+        line.unwrap_or(0)
+    };
+    entries.iter().map(of_one).sum()
+}
--- a/crates/direct/tests/ends_servers_widely.rs
+++ b/crates/direct/tests/ends_servers_widely.rs
@@ -12,7 +12,7 @@
         further_runs_of, lethal, lethal_body, start,
     },
     net::Net,
-    play, request, stream, with, with_body,
+    play, request, stream, total, with, with_body,
 };
 use pondwalk_direct::Entry;
 use pondwalk_standin::memory_store::Weather;
@@ -296,16 +296,6 @@
     });
 }
 
-/// Sum of a counter or gauge over entries.
-fn total(entries: &[Entry], name: &str) -> u64 {
-    let of_one = |entry: &Entry| {
-        let text = entry.metrics_text();
-        let line = text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
-        line.unwrap_or(0)
-    };
-    entries.iter().map(of_one).sum()
-}
-
 #[test]
 fn a_loss_of_all_servers_with_thousands_aboard_costs_little_and_holds_nobody() {
     play(|world| async move {
