--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -26,7 +26,7 @@
 pub use loss::Loss;
 
 use super::hash::{hash_text, mix};
-use record::{End, PROBE_PAUSES, Record};
+use record::{End, FREE_ENDS, PROBE_PAUSES, Record};
 
 /// What a request carries, as a number by which all entries know it again.
 pub type Content = u128;
@@ -103,6 +103,11 @@
 }
 
 impl Quarantine {
+    /// Whether so many ends hold a content.
+    pub fn holds_from(ends: usize) -> bool {
+        ends >= FREE_ENDS
+    }
+
     /// Whether nothing is known against any content, so that none need be worked out.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
@@ -156,16 +161,16 @@
         true
     }
 
-    /// A run of this content came to a good end. Returns whether that clears it of anything.
-    pub fn note_whole(&mut self, content: Content, at: Duration) -> bool {
-        let Some(record) = self.records.get_mut(&content) else { return false };
-        let before = record.ends.len();
+    /// A run of this content came to a good end. Returns how many ends of servers counted against it.
+    pub fn note_whole(&mut self, content: Content, at: Duration) -> usize {
+        let Some(record) = self.records.get_mut(&content) else { return 0 };
+        let before = record.count();
         record.ends.retain(|end| end.at > at);
         record.cleared = record.cleared.max(Some(at));
         record.resolve_probe();
         record.unresolved = 0;
         record.unresolved_at = None;
-        record.ends.len() < before
+        before
     }
 
     /// Whether a request of this content may run.
--- a/crates/decide/src/direct/quarantine/record.rs
+++ b/crates/decide/src/direct/quarantine/record.rs
@@ -6,7 +6,7 @@
 
 /// Ends of servers after which a request counts as their cause. A request whose server ends by chance
 /// goes on elsewhere; that this happens to the same one three times is rare.
-const FREE_ENDS: usize = 3;
+pub const FREE_ENDS: usize = 3;
 /// Pauses after the latest end before the request may run once more: a chance for one that is innocent
 /// as soon as servers are back, two more when others that end servers are held, and then so seldom that
 /// one that ends every server costs one in ten minutes.
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -121,12 +121,12 @@
 #[test]
 fn a_good_end_clears_and_late_word_of_ends_before_it_counts_for_nothing() {
     let mut table = after(3);
-    assert!(table.note_whole(CONTENT, s(2.0)));
+    assert_eq!(table.note_whole(CONTENT, s(2.0)), 3);
     assert_eq!(table.standing(CONTENT, s(2.0)), Standing::Free);
     assert!(!table.note_end(end(CONTENT, 9), s(1.9), s(2.1)));
     assert!(table.note_end(end(CONTENT, 10), s(2.1), s(2.1)));
     assert_eq!(table.ends(CONTENT), 1);
-    assert!(!table.note_whole(8, s(2.0)), "nothing was known of another");
+    assert_eq!(table.note_whole(8, s(2.0)), 0, "nothing was known of another");
 }
 
 #[test]
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -12,7 +12,7 @@
 
 use std::time::Duration;
 
-use pondwalk_decide::direct::{Content, Grant, Probe, ServerEnd, Standing};
+use pondwalk_decide::direct::{Content, Grant, Probe, Quarantine, ServerEnd, Standing};
 
 pub use good::{HeldThoughGood, speak_for_good_contents};
 pub use lease::{GivenBack, ProbeLease, give_back_probes};
@@ -77,9 +77,8 @@
     /// Hears of a good end at another entry.
     pub fn hear_cleared(&self, content: Content, from: &str, age: Duration) {
         let at = self.clock.now().saturating_sub(age);
-        if self.state.borrow_mut().quarantine.note_whole(content, at) {
-            self.note_cleared(content, from);
-        }
+        let ends = self.state.borrow_mut().quarantine.note_whole(content, at);
+        self.note_cleared(content, ends, from);
     }
 
     /// What an entry that has heard nothing from this one is to know.
@@ -136,7 +135,11 @@
         self.journal.note(Rank::Failure, &event);
     }
 
-    fn note_cleared(&self, content: Content, from: &str) {
+    /// Logs that a content is cleared of so many ends, if it was held by them.
+    fn note_cleared(&self, content: Content, ends: usize, from: &str) {
+        if !Quarantine::holds_from(ends) {
+            return;
+        }
         let event = QuarantineEvent::ContentCleared { content: &content_text(content), from };
         self.journal.note(Rank::Failure, &event);
     }
--- a/crates/direct/src/quarantine/good.rs
+++ b/crates/direct/src/quarantine/good.rs
@@ -7,6 +7,9 @@
 
 use crate::{core::Core, membership::News, request::Job};
 
+/// Ends of servers from which others are told that a content is cleared of them. A single one holds
+/// nothing; where many servers end it would double the messages, some two hundred on a day with trouble.
+const TOLD_FROM: usize = 2;
 /// Turns over which entries spread their word for a content that came to a good end there.
 const SPEAKERS: usize = 10;
 /// Time between two of them.
@@ -59,8 +62,9 @@
     }
 
     fn clear(&self, content: Content) {
-        if self.state.borrow_mut().quarantine.note_whole(content, self.clock.now()) {
-            self.note_cleared(content, &self.settings.name);
+        let ends = self.state.borrow_mut().quarantine.note_whole(content, self.clock.now());
+        if ends >= TOLD_FROM {
+            self.note_cleared(content, ends, &self.settings.name);
             self.tell_news(News::Cleared { content });
         }
     }
