Log and count what servers ask in their answers: that they leave, and to be sent nothing for a while

It is read from the head of every answer now and logged with server, status and time; no decision rests on it yet.

--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -35,6 +35,8 @@
     pub confidence: HeaderName,
     /// A backend server's load, as `RUNNING,WAITING,SLOTS`; not every server tells it.
     pub load: HeaderName,
+    /// Tells in an answer, by `1`, that its backend server is leaving.
+    pub leaving: HeaderName,
     /// Headers that only the entry may set; those of callers are dropped.
     pub reserved: Vec<HeaderName>,
     /// Scheme of the `authorization` header that carries a key.
@@ -65,6 +67,7 @@
             signature: name("pondwalk-signature"),
             confidence: name("pondwalk-confidence"),
             load: name("pondwalk-load"),
+            leaving: name("server-leaving"),
             reserved: ["pondwalk-workspace", "pondwalk-expected-server", "pondwalk-priority"]
                 .map(name)
                 .to_vec(),
--- a/crates/direct/src/http/report.rs
+++ b/crates/direct/src/http/report.rs
@@ -29,6 +29,16 @@
         detail: String,
         after_ms: u64,
     },
+    /// A backend server said in an answer to this request that it leaves.
+    ServerToldLeaving { request: &'a str, server: &'a str, status: u16, after_ms: u64 },
+    /// A backend server asked in an answer to this request to be sent nothing for a while.
+    ServerAskedBackoff {
+        request: &'a str,
+        server: &'a str,
+        status: u16,
+        backoff_ms: u64,
+        after_ms: u64,
+    },
     /// The connection broke while the request was at a backend server, which may have ended.
     ServerBroke { request: &'a str, server: &'a str, content: &'a str, after_ms: u64 },
     /// A smaller model's answer was dropped for a stronger model's.
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -20,6 +20,7 @@
     core::Core,
     journal::Rank,
     metrics::{Counter, Timer},
+    notice::Notice,
     placement::{NoPlace, Placement},
     quarantine::ProbeLease,
     request::{Job, key_still_holds},
@@ -223,9 +224,33 @@
                 self.core.metrics.count(Counter::FurtherSends);
             }
         }
+        if let Ok(exchange) = &sent {
+            self.hear_notice(placement, &exchange.response);
+        }
         sent
     }
 
+    /// Takes in what the server asks of this entry, whatever becomes of the answer.
+    fn hear_notice(&self, placement: &Placement, response: &Response<Incoming>) {
+        let (status, headers) = (response.status(), response.headers());
+        let not_run = self.says_not_run(response);
+        let notice = Notice::read(&self.core.dialect, status, headers, not_run);
+        let (request, server) = (self.job.id.as_str(), placement.server());
+        let (status, after_ms) = (status.as_u16(), self.after_ms());
+        if notice.leaves {
+            self.core.metrics.count(Counter::ToldLeaving);
+            let event = RequestEvent::ServerToldLeaving { request, server, status, after_ms };
+            self.core.journal.note(Rank::Failure, &event);
+        }
+        if let Some(backoff) = notice.backoff {
+            self.core.metrics.count(Counter::AskedBackoff);
+            let backoff_ms = u64::try_from(backoff.as_millis()).unwrap_or(u64::MAX);
+            let event =
+                RequestEvent::ServerAskedBackoff { request, server, status, backoff_ms, after_ms };
+            self.core.journal.note(Rank::Failure, &event);
+        }
+    }
+
     /// A server was reached by the probe that this is, if it is one, or says that it did not run it.
     pub fn probe_has_reached(&self, has_reached: bool) {
         if let Some(probe) = &self.probe {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod journal;
 pub mod membership;
 mod metrics;
+mod notice;
 mod placement;
 mod quarantine;
 mod request;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -30,6 +30,10 @@
     FurtherSends,
     /// Sends that a backend server turned away without running them.
     NotRun,
+    /// Backend servers that said in an answer that they leave.
+    ToldLeaving,
+    /// Times that a backend server asked to be sent nothing for a while.
+    AskedBackoff,
     /// Requests held back until a cold server could take one more.
     HeldForCold,
     /// Requests that did not leave, since their server's data centre was evacuated or it turned cold.
@@ -69,6 +73,8 @@
             Counter::Sends => "sends_total",
             Counter::FurtherSends => "further_sends_total",
             Counter::NotRun => "not_run_total",
+            Counter::ToldLeaving => "told_leaving_total",
+            Counter::AskedBackoff => "asked_backoff_total",
             Counter::HeldForCold => "held_for_cold_total",
             Counter::Withheld => "withheld_total",
             Counter::ServersDoubted => "servers_doubted_total",
--- /dev/null
+++ b/crates/direct/src/notice.rs
@@ -0,0 +1,54 @@
+//! What a backend server asks of this entry in the head of an answer, whatever the answer is.
+
+use std::time::Duration;
+
+use hyper::{HeaderMap, StatusCode, header::RETRY_AFTER};
+
+use crate::dialect::Dialect;
+
+/// What a backend server asks of this entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Notice {
+    /// It leaves: it wants no further requests in this life.
+    pub leaves: bool,
+    /// It wants no request for so long.
+    pub backoff: Option<Duration>,
+}
+
+impl Notice {
+    /// Reads the head of an answer; `not_run` tells whether the server says that it did not run the
+    /// request.
+    ///
+    /// NB: a 421 comes from whoever listens there now, which is not the server that was meant.
+    pub fn read(
+        dialect: &Dialect,
+        status: StatusCode,
+        headers: &HeaderMap,
+        not_run: bool,
+    ) -> Notice {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return Notice::default();
+        }
+        // NB: a 429 that ran is an answer to the caller, about the caller's own rate.
+        let asks_entry = status == StatusCode::SERVICE_UNAVAILABLE
+            || (not_run && status == StatusCode::TOO_MANY_REQUESTS);
+        let backoff = text(headers, &RETRY_AFTER).filter(|_| asks_entry).and_then(read_seconds);
+        let leaves = text(headers, &dialect.leaving).is_some_and(|text| text == "1");
+        Notice { leaves, backoff }
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &hyper::header::HeaderName) -> Option<&'a str> {
+    Some(headers.get(name)?.to_str().ok()?.trim())
+}
+
+/// Reads seconds, with fractions. A date, a negative number and what is no number ask for nothing that
+/// can be kept to, and leave the pause to the entry.
+fn read_seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.parse().ok()?;
+    // NB: a number too large for a duration is as good as the largest.
+    match seconds {
+        seconds if seconds.is_nan() || seconds <= 0.0 => None,
+        seconds => Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)),
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/notices_are_seen.rs
@@ -0,0 +1,61 @@
+//! From the logs and counters alone: when a backend server asked something of an entry, in which answer.
+
+mod common;
+
+use common::{World, address, catalog, play, request, stream};
+use pondwalk_standin::backends::Act;
+use serde_json::Value;
+
+fn lines(world: &World, event: &str) -> Vec<Value> {
+    let text = world.entry.gathered_lines();
+    let lines = text.lines().map(|line| serde_json::from_str::<Value>(line).expect("JSON"));
+    lines.filter(|line| line["event"] == event).collect()
+}
+
+#[test]
+fn a_server_that_leaves_is_logged_with_the_answer_that_told_it() {
+    play(|world| async move {
+        world.configure(catalog(1));
+        world.start_server(1, "s", "v1", stream(3, None));
+        world.backends.tell(address(1), "server-leaving", "1");
+        world.start().await;
+        world.ask(request("/stream/", "r1")).await;
+        let told = lines(&world, "server_told_leaving");
+        assert_eq!(told.len(), 1);
+        assert_eq!((&told[0]["request"], &told[0]["server"]), (&"r1".into(), &"s1".into()));
+        assert_eq!(told[0]["status"], 200);
+        assert!(world.entry.metrics_text().contains("pondwalk_told_leaving_total 1"));
+    });
+}
+
+#[test]
+fn a_server_that_asks_for_a_pause_is_logged_with_how_long() {
+    play(|world| async move {
+        world.configure(catalog(1));
+        world.start_server(1, "s", "v1", Act::NotRun(503));
+        world.backends.tell(address(1), "retry-after", "2.5");
+        world.start().await;
+        world.ask(request("/again/x", "r1")).await;
+        let asked = lines(&world, "server_asked_backoff");
+        assert_eq!(asked.len(), 1);
+        assert_eq!((&asked[0]["request"], &asked[0]["server"]), (&"r1".into(), &"s1".into()));
+        assert_eq!(asked[0]["backoff_ms"], 2_500);
+        assert!(world.entry.metrics_text().contains("pondwalk_asked_backoff_total 1"));
+    });
+}
+
+#[test]
+fn words_that_make_no_sense_ask_for_nothing() {
+    for word in ["-3", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "NaN", "", "0", "-inf", "3s"] {
+        play(move |world| async move {
+            world.configure(catalog(1));
+            world.start_server(1, "s", "v1", Act::NotRun(503));
+            world.backends.tell(address(1), "retry-after", word);
+            world.backends.tell(address(1), "server-leaving", "0");
+            world.start().await;
+            world.ask(request("/again/x", "r1")).await;
+            assert_eq!(lines(&world, "server_asked_backoff").len(), 0, "{word}");
+            assert_eq!(lines(&world, "server_told_leaving").len(), 0, "{word}");
+        });
+    }
+}
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -93,6 +93,8 @@
     script: RefCell<VecDeque<Act>>,
     usual: RefCell<Act>,
     seen: RefCell<Vec<Seen>>,
+    /// Headers that all its answers carry besides.
+    tells: RefCell<Vec<(String, String)>>,
     /// Whether its process has ended, with all that it was working on.
     ended: Cell<bool>,
     ending: Notify,
@@ -166,6 +168,7 @@
             script: RefCell::default(),
             usual: RefCell::new(usual),
             seen: RefCell::default(),
+            tells: RefCell::default(),
             ended: Cell::new(false),
             ending: Notify::new(),
         };
@@ -229,6 +232,21 @@
         }
     }
 
+    /// Lets all answers of a server carry a header from now on, in place of one of that name.
+    pub fn tell(&self, address: SocketAddr, name: &str, value: &str) {
+        self.tell_no_more(address, name);
+        if let Some(server) = self.servers.borrow().get(&address) {
+            server.tells.borrow_mut().push((name.to_owned(), value.to_owned()));
+        }
+    }
+
+    /// Takes a header off the answers of a server.
+    pub fn tell_no_more(&self, address: SocketAddr, name: &str) {
+        if let Some(server) = self.servers.borrow().get(&address) {
+            server.tells.borrow_mut().retain(|(told, _)| told != name);
+        }
+    }
+
     /// Requests that a server has read.
     pub fn seen(&self, address: SocketAddr) -> Vec<Seen> {
         let servers = self.servers.borrow();
@@ -290,52 +308,71 @@
         act = Act::Silent;
     }
     let act = if another { Act::NotRun(421) } else { act };
-    let whole = answer(names, &seen, &act, &mut io).await.is_ok();
+    let told = told_by(server);
+    let reply = Reply { names, seen: &seen, told: &told };
+    let whole = answer(&reply, &act, &mut io).await.is_ok();
     server.seen.borrow_mut()[index].cancelled = !whole;
 }
 
-async fn answer(names: &Names, seen: &Seen, act: &Act, io: &mut DuplexStream) -> io::Result<()> {
+/// Lines of a head that a server's answers carry besides.
+fn told_by(server: &Server) -> String {
+    let tells = server.tells.borrow();
+    tells.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect()
+}
+
+/// What an answer is made from.
+struct Reply<'a> {
+    names: &'a Names,
+    seen: &'a Seen,
+    /// Further lines of its head.
+    told: &'a str,
+}
+
+async fn answer(reply: &Reply<'_>, act: &Act, io: &mut DuplexStream) -> io::Result<()> {
+    let Reply { names, seen, told } = reply;
     match act {
-        Act::Echo => io.write_all(&plain(names, seen, 200, id_of(names, seen))).await,
-        Act::Answer(status, body) => io.write_all(&plain(names, seen, *status, body)).await,
+        Act::Echo => io.write_all(&plain(reply, 200, id_of(names, seen))).await,
+        Act::Answer(status, body) => io.write_all(&plain(reply, *status, body)).await,
         Act::Surplus(body) => {
-            io.write_all(&plain(names, seen, 200, body)).await?;
-            io.write_all(&plain(names, seen, 200, "surplus")).await
+            io.write_all(&plain(reply, 200, body)).await?;
+            io.write_all(&plain(reply, 200, "surplus")).await
         }
         Act::NotRun(status) => {
+            let not_run = &names.not_run;
             let head =
-                format!("HTTP/1.1 {status} X\r\n{}: 1\r\ncontent-length: 0\r\n\r\n", names.not_run);
+                format!("HTTP/1.1 {status} X\r\n{not_run}: 1\r\n{told}content-length: 0\r\n\r\n");
             io.write_all(head.as_bytes()).await
         }
         Act::LoseAnswer => Ok(()),
         Act::Silent => wait_for_close(io).await,
         Act::AnswerAnother => {
-            let mut other = seen.clone();
+            let mut other = (*seen).clone();
             other.headers.insert(names.request_id.clone(), "another".into());
-            io.write_all(&plain(names, &other, 200, "another's")).await
+            let reply = Reply { seen: &other, ..*reply };
+            io.write_all(&plain(&reply, 200, "another's")).await
         }
         Act::Unsigned => {
             let id = id_of(names, seen);
             let head = format!(
-                "HTTP/1.1 200 X\r\n{}: {id}\r\ncontent-length: 2\r\n\r\nno",
+                "HTTP/1.1 200 X\r\n{}: {id}\r\n{told}content-length: 2\r\n\r\nno",
                 names.request_id
             );
             io.write_all(head.as_bytes()).await
         }
         Act::Stream { last, gap, confidence, cut_in } => {
-            stream(names, seen, (*last, *gap, *confidence, *cut_in), io).await
+            stream(reply, (*last, *gap, *confidence, *cut_in), io).await
         }
     }
 }
 
 async fn stream(
-    names: &Names,
-    seen: &Seen,
+    reply: &Reply<'_>,
     (last, gap, confidence, cut_in): (u32, Duration, Option<u8>, Option<u32>),
     io: &mut DuplexStream,
 ) -> io::Result<()> {
+    let Reply { names, seen, told } = reply;
     let mut head = format!(
-        "HTTP/1.1 200 X\r\n{}: {}\r\n{}: proof\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n",
+        "HTTP/1.1 200 X\r\n{}: {}\r\n{}: proof\r\n{told}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n",
         names.request_id,
         id_of(names, seen),
         names.signature,
@@ -366,9 +403,10 @@
     Err(io::ErrorKind::ConnectionReset.into())
 }
 
-fn plain(names: &Names, seen: &Seen, status: u16, body: &str) -> Vec<u8> {
+fn plain(reply: &Reply<'_>, status: u16, body: &str) -> Vec<u8> {
+    let Reply { names, seen, told } = reply;
     let head = format!(
-        "HTTP/1.1 {status} X\r\n{}: {}\r\n{}: proof\r\ncontent-length: {}\r\n\r\n{body}",
+        "HTTP/1.1 {status} X\r\n{}: {}\r\n{}: proof\r\n{told}content-length: {}\r\n\r\n{body}",
         names.request_id,
         id_of(names, seen),
         names.signature,
