Servers that say in an answer that they leave get nothing more in that life

Cause: the header was read by nobody; an entry knew of leaving by the list and by refusals alone, and an entry that lapsed and came back was a new server to it. What a server asks for is kept with its life (start, address, version), outlives its entry in the store, and decides: it is looked at when a server is chosen and again when the bytes leave. Ruled out: the list taking it back, a weight in the cost (both by the log of the failing tests). An answer at hand, also a failure, is no longer dropped where no other server could take the request; with all leaving callers hear all_leaving at once.

--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -47,8 +47,8 @@
 pub use cascade::{Cascade, ModelNumber, Terms};
 pub use engine::{Engine, Estimate, ServiceModel};
 pub use fleet::{
-    Ask, Fleet, Forecast, LoadError, PromptPart, ServerFacts, ServerIndex, ServerLoad, Ticket,
-    Unreached, VersionRule, Weighed,
+    Ask, Fleet, Forecast, LoadError, Opening, PromptPart, ServerFacts, ServerIndex, ServerLoad,
+    Shut, Ticket, Unreached, VersionRule, Weighed, spread_of,
 };
 pub use freshness::Freshness;
 pub use pool::{Pool, Seen, Tally};
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -7,23 +7,26 @@
 
 mod ask;
 mod load;
+mod notice;
 mod places;
 mod server;
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use pondwalk_types::{DataCentreId, ServerId, VersionId};
 use rand::Rng;
 
 pub use ask::{Ask, Forecast, PromptPart, Ticket, VersionRule};
 pub use load::{LoadError, ServerLoad};
-pub use places::Unreached;
+pub use notice::spread_of;
+pub use places::{Opening, Shut, Unreached};
 pub use server::{Life, ServerFacts};
 
 use super::{
     hash::mix,
     warm_up::{Pacing, Sharers},
 };
+use notice::{AskedFor, LifeMark, Notice};
 use server::Server;
 
 /// Position of a server in its fleet; reused once the server is gone.
@@ -81,6 +84,8 @@
     sharers: Sharers,
     /// Lives of servers known so far.
     lives: Life,
+    /// What servers asked for whose entries are gone, by their identities; an entry may come back.
+    remembered: HashMap<ServerId, (LifeMark, Notice)>,
     /// Time that a request placed here takes to be read, in milliseconds, on the average; other
     /// entries' requests are taken to be alike.
     usual_read_ms: f64,
@@ -103,6 +108,7 @@
             pacing: None,
             sharers: Sharers::default(),
             lives: 0,
+            remembered: HashMap::new(),
             usual_read_ms: READ_PRIOR_MS,
         }
     }
@@ -112,16 +118,22 @@
     pub fn put(&mut self, facts: ServerFacts) {
         let known = self.servers.iter_mut().flatten().find(|one| one.facts.id == facts.id);
         if let Some(server) = known {
+            let is_same = LifeMark::of(&server.facts).is_same(&LifeMark::of(&facts));
+            let notice =
+                if is_same { std::mem::take(&mut server.notice) } else { Notice::default() };
             if server.is_born_anew(&facts) {
                 self.lives += 1;
                 *server = Server::new(facts, self.lives);
             } else {
                 server.is_told(facts);
             }
+            server.notice = notice;
             return;
         }
         self.lives += 1;
-        let server = Server::new(facts, self.lives);
+        let notice = self.recall(&facts);
+        let mut server = Server::new(facts, self.lives);
+        server.notice = notice;
         match self.servers.iter_mut().find(|slot| slot.is_none()) {
             Some(slot) => *slot = Some(server),
             None => self.servers.push(Some(server)),
@@ -181,12 +193,21 @@
     /// Forgets a server.
     pub fn remove(&mut self, id: &str) {
         for slot in &mut self.servers {
-            if slot.as_ref().is_some_and(|server| server.facts.id == id) {
-                *slot = None;
+            let Some(server) = slot.take_if(|server| server.facts.id == id) else { continue };
+            if server.notice != Notice::default() {
+                let mark = LifeMark::of(&server.facts);
+                self.remembered.insert(server.facts.id, (mark, server.notice));
             }
         }
     }
 
+    /// What a server asked for in the life that the store tells of again.
+    fn recall(&mut self, facts: &ServerFacts) -> Notice {
+        let remembered = self.remembered.remove(&facts.id);
+        let same = remembered.filter(|(mark, _)| mark.is_same(&LifeMark::of(facts)));
+        same.map(|(_, notice)| notice).unwrap_or_default()
+    }
+
     /// What is known of a server.
     pub fn facts(&self, id: &str) -> Option<&ServerFacts> {
         self.servers.iter().flatten().map(|server| &server.facts).find(|facts| facts.id == id)
@@ -220,6 +241,7 @@
             index: best.index,
             server: server.facts.id.clone(),
             life: server.life,
+            mark: LifeMark::of(&server.facts),
             placed: now,
             expected_ms,
             read_tokens: best.read_ms / ask.read_ms_per_token.max(f64::MIN_POSITIVE),
@@ -271,7 +293,7 @@
         let waiting = std::mem::replace(&mut ticket.waiting, false);
         let delays = self.weighed.delays;
         if let Some(server) = self.server_of(ticket).filter(|_| waiting) {
-            server.began(ticket);
+            server.began(ticket, now);
             if delays {
                 server.was_late(took_ms - ticket.due_ms(), now);
             }
@@ -309,10 +331,51 @@
         }
     }
 
-    /// The server says it is leaving, or another one has its address.
-    pub fn leaves(&mut self, ticket: &Ticket) {
+    /// The server said in an answer that it leaves. Returns whether that is news.
+    pub fn told_leaving(&mut self, ticket: &Ticket, now: Duration) -> bool {
+        self.notice_of(ticket, now).is_some_and(|notice| notice.leaves(now))
+    }
+
+    /// The server asked in an answer to be sent nothing for a while; `spread` (0 to 1) parts the entries that
+    /// heard the same. Returns until when it gets nothing.
+    pub fn asked_backoff(
+        &mut self,
+        ticket: &Ticket,
+        asked: Duration,
+        spread: f64,
+        now: Duration,
+    ) -> Option<Duration> {
+        Some(self.notice_of(ticket, now)?.backs_off(asked, spread, now))
+    }
+
+    /// Where what a server asks in an answer is noted, unless it was another life of it that asked.
+    ///
+    /// NB: its entry may be gone for a moment just then, or may have come back at another position.
+    fn notice_of(&mut self, ticket: &Ticket, now: Duration) -> Option<&mut Notice> {
+        let listed = self.servers.iter_mut().flatten();
+        if let Some(server) = listed.into_iter().find(|one| one.facts.id == ticket.server) {
+            let is_same = LifeMark::of(&server.facts).is_same(&ticket.mark);
+            return is_same.then_some(&mut server.notice);
+        }
+        self.remembered.retain(|_, (_, notice)| !notice.is_over(now));
+        let absent = || (ticket.mark.clone(), Notice::default());
+        let (mark, notice) = self.remembered.entry(ticket.server.clone()).or_insert_with(absent);
+        mark.is_same(&ticket.mark).then_some(notice)
+    }
+
+    /// Servers that gave notice: those that leave, and those that want nothing for a while.
+    pub fn count_notices(&self, now: Duration) -> (usize, usize) {
+        let asked = self.servers.iter().flatten().filter_map(|one| one.notice.asked_for(now));
+        asked.fold((0, 0), |(leaving, backing_off), asked| match asked {
+            AskedFor::Leaving => (leaving + 1, backing_off),
+            AskedFor::Backoff => (leaving, backing_off + 1),
+        })
+    }
+
+    /// Another server has its address, or it has another identity now.
+    pub fn is_replaced(&mut self, ticket: &Ticket) {
         if let Some(server) = self.server_of(ticket) {
-            server.leave();
+            server.is_replaced();
         }
     }
 
@@ -323,7 +386,8 @@
 
     /// The server that hashing names for a shared part.
     ///
-    /// NB: never a cold one. All that share the part would turn to a server that takes a few of them.
+    /// NB: never a cold one, or one that wants nothing. All that share the part would turn to a server that
+    /// takes a few of them.
     fn named_for(
         &self,
         part: u64,
@@ -333,7 +397,9 @@
         let servers = self.servers.iter().enumerate();
         let servers = servers.filter_map(|(index, server)| Some((index, server.as_ref()?)));
         let open = servers.filter(|(_, server)| {
-            self.may_serve(server, versions, now) && !self.is_cold(server, now)
+            self.may_serve(server, versions, now)
+                && !self.is_cold(server, now)
+                && server.notice.backs_off_until(now).is_none()
         });
         let named = open.max_by_key(|(_, server)| mix(server.hash ^ part));
         named.map(|(index, _)| index)
--- a/crates/decide/src/direct/fleet/ask.rs
+++ b/crates/decide/src/direct/fleet/ask.rs
@@ -4,7 +4,7 @@
 
 use pondwalk_types::ServerId;
 
-use super::{Life, ServerIndex};
+use super::{Life, ServerIndex, notice::LifeMark};
 use crate::direct::engine::ServiceModel;
 
 /// One part of a prompt.
@@ -64,6 +64,8 @@
     pub server: ServerId,
     /// The life of the server that it was placed in; a server may start again under its identity.
     pub(super) life: Life,
+    /// What tells that life from another, though its entry in the store should go.
+    pub(super) mark: LifeMark,
     /// When it was placed.
     pub(super) placed: Duration,
     /// Time until its answer was expected to begin, in milliseconds, with nothing before it.
--- /dev/null
+++ b/crates/decide/src/direct/fleet/notice.rs
@@ -0,0 +1,142 @@
+//! What one backend server has asked of this entry: that it leaves, or wants nothing for a while.
+//!
+//! Both are decisions of the server and bind this entry, so they are no weights in its cost. They belong to
+//! one life of the server, and outlive its entry in the store, which may lapse and come back.
+
+use std::{net::SocketAddr, time::Duration};
+
+use pondwalk_types::VersionId;
+
+use super::server::ServerFacts;
+
+/// Time for which a server that says it leaves is believed to, from its latest word. Servers serve on for some
+/// seconds after it and end; one that is still listed after ten minutes was wrong, or never went. A wrong
+/// word costs this entry one server for that long; a shorter time would send requests to servers that take
+/// minutes to end.
+const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+/// Longest time for which one word keeps requests from a server. One that asks for hours or years would be lost
+/// for good; asked again after five minutes, it can repeat its word, and gets one request for each of them.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(300);
+/// Requests whose answers have not begun that a server may have from this entry when a pause ends.
+const FIRST_LIMIT: u32 = 1;
+
+/// What tells one life of a server from another under the same identity.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LifeMark {
+    born_ms: Option<u64>,
+    address: SocketAddr,
+    version: VersionId,
+}
+
+impl LifeMark {
+    /// The life that the store tells of.
+    pub fn of(facts: &ServerFacts) -> Self {
+        LifeMark { born_ms: facts.born_ms, address: facts.address, version: facts.version.clone() }
+    }
+
+    /// Whether both speak of the same life, as far as they tell. A server keeps address and version for
+    /// its life, and where it does not tell its start, it has a new identity in each.
+    pub fn is_same(&self, other: &LifeMark) -> bool {
+        let both_born = self.born_ms.zip(other.born_ms);
+        let is_same_start = both_born.is_none_or(|(one, other)| one == other);
+        is_same_start && self.address == other.address && self.version == other.version
+    }
+}
+
+/// Why a server that is listed as ready gets nothing for now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AskedFor {
+    /// It leaves.
+    Leaving,
+    /// It wants nothing for a while.
+    Backoff,
+}
+
+/// What one server has asked for.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Notice {
+    /// When it last said that it leaves.
+    left_at: Option<Duration>,
+    /// Until when it wants nothing.
+    backs_off_until: Duration,
+    /// Most requests that may wait there for the beginning of their answers, after a pause.
+    limit: Option<u32>,
+}
+
+impl Notice {
+    /// It said that it leaves. Returns whether that is news.
+    pub fn leaves(&mut self, now: Duration) -> bool {
+        let is_news = !self.is_leaving(now);
+        self.left_at = Some(now);
+        // NB: should it still be there when the word is no longer believed, it is tried with one request.
+        self.limit = Some(FIRST_LIMIT);
+        is_news
+    }
+
+    /// It wants nothing for `asked`; `spread` (0 to 1) parts the entries that heard the same. Returns until when
+    /// it gets nothing.
+    ///
+    /// NB: a later, shorter word does not shorten an earlier one; both were meant.
+    pub fn backs_off(&mut self, asked: Duration, spread: f64, now: Duration) -> Duration {
+        let asked = asked.min(LONGEST_BACKOFF);
+        let until = now + asked + spread_of(asked, spread);
+        self.backs_off_until = self.backs_off_until.max(until);
+        self.limit = Some(FIRST_LIMIT);
+        self.backs_off_until
+    }
+
+    /// Whether it has said that it leaves, and is still believed to.
+    pub fn is_leaving(&self, now: Duration) -> bool {
+        self.left_at.is_some_and(|at| now < at + LEAVING_MEMORY)
+    }
+
+    /// Until when it wants nothing, if it does.
+    pub fn backs_off_until(&self, now: Duration) -> Option<Duration> {
+        Some(self.backs_off_until).filter(|until| now < *until)
+    }
+
+    /// What keeps requests from it.
+    pub fn asked_for(&self, now: Duration) -> Option<AskedFor> {
+        if self.is_leaving(now) {
+            return Some(AskedFor::Leaving);
+        }
+        self.backs_off_until(now).map(|_| AskedFor::Backoff)
+    }
+
+    /// Whether one more request may wait there beside those that do.
+    pub fn has_room(&self, waiting: u32) -> bool {
+        self.limit.is_none_or(|limit| waiting < limit)
+    }
+
+    /// An answer began there; the server takes requests, so it may get twice as many at once, up to all.
+    ///
+    /// NB: all who waited for the end of a pause would come at that moment, and the server would ask for
+    /// the next one.
+    pub fn took_one(&mut self, slots: u32, now: Duration) {
+        if self.asked_for(now).is_some() {
+            return;
+        }
+        self.left_at = None;
+        self.limit = self.limit.map(|limit| limit * 2).filter(|limit| *limit < slots);
+    }
+
+    /// It turned a request away without asking for anything.
+    pub fn refused(&mut self) {
+        self.limit = self.limit.map(|_| FIRST_LIMIT);
+    }
+
+    /// Whether anything of it still matters.
+    pub fn is_over(&self, now: Duration) -> bool {
+        self.asked_for(now).is_none()
+    }
+}
+
+/// Part of a pause by which its end is put off at most, and the longest such time.
+const SPREAD_PART: f64 = 0.25;
+const LONGEST_SPREAD: Duration = Duration::from_secs(1);
+
+/// Time by which an entry or a caller comes back later than a pause asks for, so that those who heard the same
+/// come one after the other; `spread` is drawn from 0 to 1.
+pub fn spread_of(pause: Duration, spread: f64) -> Duration {
+    pause.mul_f64(SPREAD_PART).min(LONGEST_SPREAD).mul_f64(spread)
+}
--- a/crates/decide/src/direct/fleet/places.rs
+++ b/crates/decide/src/direct/fleet/places.rs
@@ -4,12 +4,15 @@
 
 use rand::{Rng, seq::IteratorRandom};
 
-use super::{Ask, Fleet, Ticket, server::Server};
+use super::{Ask, Fleet, Ticket, VersionRule, server::Server};
 use crate::direct::warm_up::{Coldness, Pacing, Sharers};
 
 /// Times in a row that a server must be silent before it counts as one that may have started anew.
 /// On links that lose one packet in twenty, a single silence is mostly a lost packet.
 const SILENCES: u32 = 2;
+/// Time after which a server is looked at again that takes few requests at once after a pause: its answers
+/// begin within some tens of milliseconds.
+const LIMIT_LOOK: Duration = Duration::from_millis(20);
 
 /// Why a server could not be reached.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,6 +23,24 @@
     Silent,
 }
 
+/// What keeps requests from a server that is open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shut {
+    /// It is cold, and has got what it may for now.
+    Cold,
+    /// It asked for a pause, or takes few requests at once right after one.
+    Backoff,
+}
+
+/// When a server may get one more request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Opening {
+    /// When that is.
+    pub at: Duration,
+    /// What keeps requests from it until then.
+    pub shut: Shut,
+}
+
 impl Fleet {
     /// Sets what cold servers may get; nothing is held back without it.
     pub fn set_pacing(&mut self, pacing: Option<Pacing>) {
@@ -101,7 +122,8 @@
     pub fn may_leave(&mut self, ticket: &Ticket, now: Duration) -> bool {
         let server = self.servers.get(ticket.index).and_then(Option::as_ref);
         let Some(server) = server.filter(|server| server.life == ticket.life) else { return false };
-        if self.is_evacuated(&server.facts.data_centre) {
+        // NB: it may have asked to be left alone while the connection opened.
+        if self.is_evacuated(&server.facts.data_centre) || server.notice.asked_for(now).is_some() {
             return false;
         }
         if self.pacing.is_none() || now <= ticket.placed {
@@ -132,11 +154,27 @@
         server.warmth.coldness(now)
     }
 
-    /// When a request that no server may take now could be placed, if any server is merely cold.
-    pub fn opens_at(&self, ask: &Ask<'_>, now: Duration) -> Option<Duration> {
+    /// When a request that no server may take now could be placed, if any server is merely cold or pauses.
+    pub fn opens_at(&self, ask: &Ask<'_>, now: Duration) -> Option<Opening> {
         let open = self.open(ask.versions, now);
         let open = open.filter(|server| !ask.avoid.contains(&server.facts.id));
-        open.map(|server| self.opens_to(server, now)).min()
+        open.filter_map(|server| self.opening(server, now)).min_by_key(|opening| opening.at)
+    }
+
+    /// Whether another server than `server` could take the request now.
+    pub fn has_other(&self, ask: &Ask<'_>, server: &str, now: Duration) -> bool {
+        let mut open = self.open(ask.versions, now);
+        open.any(|other| {
+            other.facts.id != server
+                && !ask.avoid.contains(&other.facts.id)
+                && self.has_room(other, now)
+        })
+    }
+
+    /// Whether servers are known that would be used but for their word that they leave, or the store's.
+    pub fn has_leaving(&self, versions: VersionRule<'_>, now: Duration) -> bool {
+        let mut servers = self.servers.iter().flatten();
+        servers.any(|server| versions.allows(&server.facts.version) && server.leaves(now))
     }
 
     /// Servers that count as cold.
@@ -150,11 +188,25 @@
 
     /// Whether a server may get one more request now, by what it bears.
     pub(super) fn has_room(&self, server: &Server, now: Duration) -> bool {
-        !self.is_cold(server, now) || self.opens_to(server, now) <= now
+        self.opening(server, now).is_none()
+    }
+
+    /// When a server may get one more request of this entry, if not now.
+    fn opening(&self, server: &Server, now: Duration) -> Option<Opening> {
+        let shut_until = |at, shut| (at > now).then_some(Opening { at, shut });
+        let cold = self.is_cold(server, now).then(|| self.warms_to(server, now));
+        let cold = cold.and_then(|at| shut_until(at, Shut::Cold));
+        let notice = &server.notice;
+        let pause = match notice.backs_off_until(now) {
+            None if !notice.has_room(server.waiting) => Some(now + LIMIT_LOOK),
+            until => until,
+        };
+        let pause = pause.and_then(|at| shut_until(at, Shut::Backoff));
+        cold.into_iter().chain(pause).max_by_key(|opening| opening.at)
     }
 
-    /// When a server may get one more request of this entry.
-    fn opens_to(&self, server: &Server, now: Duration) -> Duration {
+    /// When a cold server may get one more request of this entry.
+    fn warms_to(&self, server: &Server, now: Duration) -> Duration {
         let Some(pacing) = self.pacing.filter(|_| self.is_cold(server, now)) else { return now };
         let warm = server.warmth.cold_until();
         match server.warmth.opens_at(self.share_of(server)) {
--- a/crates/decide/src/direct/fleet/server.rs
+++ b/crates/decide/src/direct/fleet/server.rs
@@ -7,6 +7,7 @@
 use super::{
     ask::{Ask, PromptPart, Ticket},
     load::{OthersLoad, ServerLoad},
+    notice::Notice,
 };
 use crate::direct::{hash::hash_text, warm_up::Warmth};
 
@@ -78,8 +79,10 @@
     pub warmth: Warmth,
     /// Hash of its identity, by which rendezvous hashing names servers.
     pub hash: u64,
-    /// Seen to be leaving or replaced, whatever the store says.
-    leaving: bool,
+    /// What it has asked of this entry.
+    pub notice: Notice,
+    /// Another one was seen at its address, whatever the store says.
+    replaced: bool,
     /// Until when it gets work though the store no longer lists it.
     lapses_at: Option<Duration>,
     /// Sum of `expected_ms` of the requests whose answers have not begun.
@@ -87,7 +90,7 @@
     /// Requests of this entry that wait or run there.
     pub running: u32,
     /// Those of them whose answers have not begun.
-    waiting: u32,
+    pub waiting: u32,
     /// Requests of other entries, where the server tells its load.
     others: OthersLoad,
     failure_share: f64,
@@ -111,7 +114,8 @@
             facts,
             life,
             warmth,
-            leaving: false,
+            notice: Notice::default(),
+            replaced: false,
             lapses_at: None,
             waiting_ms: 0.0,
             running: 0,
@@ -130,7 +134,12 @@
 
     /// Whether it takes new work.
     pub fn is_open(&self, now: Duration) -> bool {
-        self.facts.ready && !self.leaving && self.is_listed(now)
+        self.facts.ready && !self.replaced && !self.notice.is_leaving(now) && self.is_listed(now)
+    }
+
+    /// Whether it is known to leave, by its own word or the store's.
+    pub fn leaves(&self, now: Duration) -> bool {
+        !self.facts.ready || self.notice.is_leaving(now)
     }
 
     /// Whether the store lists it, or may have lost it a short time ago.
@@ -203,9 +212,9 @@
         self.lapses_at.get_or_insert(now + LAPSE_TIME);
     }
 
-    /// It says that it is leaving, or another one has its address.
-    pub fn leave(&mut self) {
-        self.leaving = true;
+    /// Another one has its address.
+    pub fn is_replaced(&mut self) {
+        self.replaced = true;
     }
 
     /// A request is sent there.
@@ -224,7 +233,8 @@
     }
 
     /// An answer began.
-    pub fn began(&mut self, ticket: &Ticket) {
+    pub fn began(&mut self, ticket: &Ticket, now: Duration) {
+        self.notice.took_one(self.facts.slots, now);
         self.waiting = self.waiting.saturating_sub(1);
         self.waiting_ms = (self.waiting_ms - ticket.expected_ms).max(0.0);
     }
@@ -275,6 +285,7 @@
     /// It could not be reached, or refused without running; it is left alone a while. Returns how
     /// many times in a row that has happened.
     pub fn refused(&mut self, now: Duration) -> u32 {
+        self.notice.refused();
         let pause = FIRST_PAUSE * 2u32.pow(self.refusals.min(4));
         self.paused_until = now + pause.min(LONGEST_PAUSE);
         self.refusals = self.refusals.saturating_add(1);
--- a/crates/decide/tests/direct.rs
+++ b/crates/decide/tests/direct.rs
@@ -139,7 +139,7 @@
                     }
                     if let Some(ticket) = placed {
                         fleet.ended(&ticket);
-                        fleet.leaves(&ticket);
+                        fleet.is_replaced(&ticket);
                     }
                     closed[n] = true;
                 }
--- a/crates/decide/tests/warm_up.rs
+++ b/crates/decide/tests/warm_up.rs
@@ -148,7 +148,7 @@
     assert_eq!(tickets.len(), 20, "a warm server takes all");
     fleet.put(cold("s0", ms(13_000)));
     assert!(fleet.place(&ask(&[]), ms(10_500), &mut rng).is_none());
-    assert_eq!(fleet.opens_at(&ask(&[]), ms(10_500)), Some(ms(11_050)));
+    assert_eq!(fleet.opens_at(&ask(&[]), ms(10_500)).map(|opening| opening.at), Some(ms(11_050)));
     assert!(fleet.place(&ask(&[]), ms(11_050), &mut rng).is_some());
 }
 
@@ -250,7 +250,7 @@
     let first = fleet.place(&ask(&prompt), ms(0), &mut rng).expect("a place");
     let cached = fleet.forecast(&ask(&prompt), ms(1)).expect("a place").read_ms;
     (0..4).for_each(|_| fleet.answered(&first, true, ms(2)));
-    fleet.leaves(&first);
+    fleet.is_replaced(&first);
     assert!(fleet.place(&ask(&prompt), ms(3), &mut rng).is_none(), "it is leaving");
     fleet.put(born(2_000));
     let anew = fleet.forecast(&ask(&prompt), ms(4)).expect("it takes work again");
@@ -260,7 +260,7 @@
     let second = fleet.place(&ask(&prompt), ms(5), &mut rng).expect("a place");
     assert!(fleet.may_leave(&second, ms(5)));
     // NB: what belongs to the life before changes nothing any more.
-    fleet.leaves(&first);
+    fleet.is_replaced(&first);
     fleet.ended(&first);
     assert_eq!(fleet.under_way(pondwalk_decide::direct::VersionRule::Any), 1);
     fleet.ended(&second);
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -171,7 +171,12 @@
         let asks_store = !matches!(self.source(), Source::Entry { .. });
         let state = self.state.borrow();
         let cold = state.fleets.values().map(|fleet| fleet.count_cold(self.clock.now()));
+        let notices = state.fleets.values().map(|fleet| fleet.count_notices(self.clock.now()));
+        let (leaving, backing_off) =
+            notices.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let mut gauges = vec![
+            ("servers_told_leaving", leaving as u64),
+            ("servers_backing_off", backing_off as u64),
             ("servers_cold", cold.sum::<usize>() as u64),
             ("data_centres_evacuated", state.evacuated.len() as u64),
             ("contents_remembered", state.quarantine.len() as u64),
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -260,10 +260,12 @@
     }
 }
 
-/// The server is left alone for a while; one that was not reached may be cold when it is.
+/// The server is left alone for a while, unless the request was kept from it; one that was not reached may
+/// be cold when it is.
 fn note_unsent(placement: &Placement, error: &SendError) {
     match error {
         SendError::NotSent { why, .. } => placement.unreached(*why),
+        SendError::Withheld => placement.settle(),
         _ => placement.refused(),
     }
 }
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -169,26 +169,42 @@
         Placement::find(&self.core, &self.job, self.model, &self.avoid, failed)
     }
 
-    /// Whether another model could be asked without waiting for room at cold servers.
-    pub fn is_at_hand(&self, model: ModelNumber) -> bool {
+    /// Whether the request could be sent with a model now, and if not, why.
+    pub fn outlook(&self, model: ModelNumber) -> Result<(), NoPlace> {
         let failed = self.failed_version.as_deref();
-        Placement::is_at_hand(&self.core, &self.job, model, &self.avoid, failed)
+        Placement::outlook(&self.core, &self.job, model, &self.avoid, failed)
     }
 
-    /// A place for the next send, waited for if the servers that could take it are merely cold. There
-    /// is room again within a fraction of a second, and a refusal costs its caller a new attempt.
-    pub async fn wait_for_place(&self) -> Result<Placement, NoPlace> {
-        let asked = self.core.clock.now();
+    /// Whether it could be sent once more to a server other than this one, now or after a short wait.
+    pub fn could_go_on(&self, besides: &Placement) -> bool {
+        let mut avoid = self.avoid.clone();
+        avoid.push(besides.server().clone());
+        let failed = Some(besides.version.as_str());
+        match Placement::outlook(&self.core, &self.job, self.model, &avoid, failed) {
+            Ok(()) => true,
+            Err(NoPlace::Shut(opening)) => opening.at < self.wait_until(),
+            Err(_) => false,
+        }
+    }
+
+    /// Until when a request waits for a server that is shut.
+    fn wait_until(&self) -> Duration {
         let longest = longest_wait(self.job.route.objective);
-        let until = (asked + longest).min(self.job.give_up);
+        (self.core.clock.now() + longest).min(self.job.give_up)
+    }
+
+    /// A place for the next send, waited for if the servers that could take it are merely cold or pause. There
+    /// may be room again within a fraction of a second, and a refusal costs its caller a new attempt.
+    pub async fn wait_for_place(&self) -> Result<Placement, NoPlace> {
+        let until = self.wait_until();
         let mut has_waited = false;
         loop {
             let opens_at = match self.find_place() {
-                Err(NoPlace::Cold { opens_at }) if opens_at < until => opens_at,
+                Err(NoPlace::Shut(opening)) if opening.at < until => opening.at,
                 found => return found,
             };
             if !std::mem::replace(&mut has_waited, true) {
-                self.core.metrics.count(Counter::HeldForCold);
+                self.core.metrics.count(Counter::HeldForRoom);
             }
             // NB: others may have taken the room by then, so the shortest pause is more than none.
             let at = opens_at.max(self.core.clock.now() + SHORTEST_PAUSE);
@@ -237,7 +253,7 @@
         let notice = Notice::read(&self.core.dialect, status, headers, not_run);
         let (request, server) = (self.job.id.as_str(), placement.server());
         let (status, after_ms) = (status.as_u16(), self.after_ms());
-        if notice.leaves {
+        if notice.leaves && placement.told_leaving() {
             self.core.metrics.count(Counter::ToldLeaving);
             let event = RequestEvent::ServerToldLeaving { request, server, status, after_ms };
             self.core.journal.note(Rank::Failure, &event);
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -4,7 +4,8 @@
 
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming, http::response::Parts};
-use pondwalk_decide::direct::{ModelNumber, Standing};
+use pondwalk_decide::direct::{ModelNumber, Opening, Shut, Standing, spread_of};
+use rand::Rng;
 use tokio::time::timeout_at;
 
 use super::{
@@ -32,6 +33,9 @@
 const STREAM_PATIENCE: Duration = Duration::from_millis(1_100);
 /// How many times the expected time may pass before that.
 const PATIENCE_FACTOR: f64 = 4.0;
+/// Least time over part of which callers are spread who are told of the same opening. A server takes one
+/// request at first after a pause, and all of its usual ones some answers later.
+const LEAST_SPREAD_OVER: Duration = Duration::from_secs(1);
 /// Share of the budget of further sends that escalations leave to retries.
 const RETRY_RESERVE: f64 = 0.15;
 
@@ -93,15 +97,25 @@
     fn no_server(&self, no_place: NoPlace) -> Refusal {
         match no_place {
             _ if self.may_have_run => Refusal::OutcomeUnknown,
-            NoPlace::Cold { opens_at } => {
-                let opens_in = opens_at.saturating_sub(self.core.clock.now());
-                Refusal::AllCold { opens_in }
+            NoPlace::Shut(Opening { at, shut }) => {
+                let opens_in = at.saturating_sub(self.core.clock.now());
+                match shut {
+                    Shut::Cold => Refusal::AllCold { opens_in },
+                    Shut::Backoff => Refusal::AllBackingOff { opens_in: self.spread(opens_in) },
+                }
             }
+            NoPlace::Leaving => Refusal::AllLeaving,
             NoPlace::Closed if self.avoid.is_empty() => Refusal::NoServer,
             NoPlace::Closed => Refusal::TurnedAway,
         }
     }
 
+    /// When callers that hear of the same opening come back, one a little later than another.
+    fn spread(&self, opens_in: Duration) -> Duration {
+        let drawn = self.core.state.borrow_mut().rng.random_range(0.0..1.0);
+        opens_in + spread_of(opens_in.max(LEAST_SPREAD_OVER), drawn)
+    }
+
     fn refuse(&self, refusal: Refusal) -> Response<AnswerBody> {
         // NB: a promise that nothing ran must be true whatever led here.
         let refusal = if self.may_have_run && !refusal.may_have_run() {
@@ -203,7 +217,9 @@
         if placement.answered(failed) {
             self.note_tripped(&placement);
         }
-        if failed && self.job.route.kind.may_repeat() && self.take_further_send(0.0) {
+        let is_tried_again = failed && self.job.route.kind.may_repeat();
+        // NB: a server's failure is still an answer; with nowhere else to go the caller gets it.
+        if is_tried_again && self.could_go_on(&placement) && self.take_further_send(0.0) {
             self.may_have_run = true;
             placement.settle();
             self.note_failed(&placement, "failed", status.to_string());
@@ -224,7 +240,7 @@
         self.core.metrics.count(Counter::NotRun);
         self.probe_has_reached(false);
         if status == StatusCode::MISDIRECTED_REQUEST {
-            placement.leaves();
+            placement.is_replaced();
         } else {
             placement.refused();
         }
@@ -244,7 +260,7 @@
         }
         let Some(confidence) = self.confidence(response.headers()) else { return false };
         let Some(next) = self.next_model(confidence, placement) else { return false };
-        if !self.is_at_hand(next) || !self.take_further_send(RETRY_RESERVE) {
+        if self.outlook(next).is_err() || !self.take_further_send(RETRY_RESERVE) {
             return false;
         }
         self.may_have_run = true;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -34,8 +34,8 @@
     ToldLeaving,
     /// Times that a backend server asked to be sent nothing for a while.
     AskedBackoff,
-    /// Requests held back until a cold server could take one more.
-    HeldForCold,
+    /// Requests held back until a server that was cold or paused could take one more.
+    HeldForRoom,
     /// Requests that did not leave, since their server's data centre was evacuated or it turned cold.
     Withheld,
     /// Backend servers that could not be reached and count as cold when they are again.
@@ -75,7 +75,7 @@
             Counter::NotRun => "not_run_total",
             Counter::ToldLeaving => "told_leaving_total",
             Counter::AskedBackoff => "asked_backoff_total",
-            Counter::HeldForCold => "held_for_cold_total",
+            Counter::HeldForRoom => "held_for_room_total",
             Counter::Withheld => "withheld_total",
             Counter::ServersDoubted => "servers_doubted_total",
             Counter::Broke => "connections_broken_total",
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -6,10 +6,11 @@
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use pondwalk_decide::direct::{
-    Ask, Evidence, Fleet, ModelNumber, ServerLoad, ServiceModel, Ticket, Unreached, VersionRule,
+    Ask, Evidence, Fleet, ModelNumber, Opening, ServerLoad, ServiceModel, Ticket, Unreached,
+    VersionRule,
 };
 use pondwalk_types::{ModelId, ServerId, VersionId};
-use rand::{Rng, rngs::SmallRng};
+use rand::Rng;
 
 use crate::{
     catalog::ServiceId,
@@ -26,11 +27,10 @@
 pub enum NoPlace {
     /// No server takes new work.
     Closed,
-    /// Those that do are cold, and have taken what they may for now.
-    Cold {
-        /// When the first of them may take one more.
-        opens_at: Duration,
-    },
+    /// All that could take it leave.
+    Leaving,
+    /// Those that do are cold and have taken what they may for now, or asked for a pause.
+    Shut(Opening),
 }
 
 /// A place at one backend server.
@@ -80,10 +80,12 @@
             if job.chooses_model { job.route.models.get(usize::from(number)) } else { None };
         let model = model.cloned();
         let ask = ask_for(engine, job, number, avoid, rule);
-        let ticket = place(fleet, &ask, roll_out.map(|one| one.target().as_str()), now, rng)?;
+        let target = roll_out.map(|one| one.target().as_str());
+        let place = |fleet: &mut Fleet, ask: &Ask<'_>| fleet.place(ask, now, rng);
+        let ticket = by_rule(fleet, &ask, target, now, place)?;
         let facts = fleet.facts(&ticket.server).ok_or(NoPlace::Closed)?;
         let (address, version) = (facts.address, facts.version.clone());
-        let has_alternative = fleet.open_servers(rule, now) > avoid.len() + 1;
+        let has_alternative = fleet.has_other(&ask, &ticket.server, now);
         if let Some(session) = job.session {
             sessions.note(session, &version, now);
         }
@@ -104,20 +106,20 @@
         })
     }
 
-    /// Whether a request could go on with a model without waiting for room at cold servers.
+    /// Whether a request could be sent with a model now, and if not, why.
     ///
     /// NB: it is asked before an answer that was made is dropped for another one.
-    pub fn is_at_hand(
+    pub fn outlook(
         core: &Core,
         job: &Job,
         number: ModelNumber,
         avoid: &[ServerId],
         failed: Option<&str>,
-    ) -> bool {
+    ) -> Result<(), NoPlace> {
         let now = core.clock.now();
         let mut state = core.state.borrow_mut();
         let State { fleets, roll_outs, sessions, engines, .. } = &mut *state;
-        let Some(fleet) = fleets.get(&job.service.name) else { return false };
+        let fleet = fleets.get_mut(&job.service.name).ok_or(NoPlace::Closed)?;
         let roll_out = roll_outs.get(&job.service.name);
         let rule = match (roll_out, job.session) {
             (Some(roll_out), Some(session)) => {
@@ -126,7 +128,8 @@
             _ => VersionRule::Any,
         };
         let ask = ask_for(engine_of(engines, job), job, number, avoid, rule);
-        fleet.forecast(&ask, now).is_some() || fleet.opens_at(&ask, now).is_none()
+        let target = roll_out.map(|one| one.target().as_str());
+        by_rule(fleet, &ask, target, now, |fleet, ask| fleet.forecast(ask, now)).map(|_| ())
     }
 
     /// The request runs there as a probe.
@@ -282,12 +285,20 @@
         }
     }
 
-    /// The server is leaving, or another has its address.
-    pub fn leaves(&self) {
+    /// The server said in an answer that it leaves. Returns whether that is news.
+    pub fn told_leaving(&self) -> bool {
+        let now = self.core.clock.now();
+        let mut state = self.core.state.borrow_mut();
+        let fleet = state.fleets.get_mut(&self.job.service.name);
+        fleet.is_some_and(|fleet| fleet.told_leaving(&self.ticket, now))
+    }
+
+    /// Another server has its address.
+    pub fn is_replaced(&self) {
         self.settle();
         let mut state = self.core.state.borrow_mut();
         if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
-            fleet.leaves(&self.ticket);
+            fleet.is_replaced(&self.ticket);
         }
     }
 }
@@ -309,30 +320,39 @@
     }
 }
 
-/// Places by the rule; where a version has no server open, any other than the one on trial.
+/// Finds something by the rule; where a version has no server open, at any other than the one on trial.
 ///
-/// NB: not where its servers are merely cold. A session that went to another version for a moment would
-/// be on two of them.
-fn place(
+/// NB: not where its servers are merely cold or pause. A session that went to another version for a moment
+/// would be on two of them.
+fn by_rule<T>(
     fleet: &mut Fleet,
     ask: &Ask<'_>,
     target: Option<&str>,
     now: Duration,
-    rng: &mut SmallRng,
-) -> Result<Ticket, NoPlace> {
-    if let Some(ticket) = fleet.place(ask, now, rng) {
-        return Ok(ticket);
-    }
-    if let Some(opens_at) = fleet.opens_at(ask, now) {
-        return Err(NoPlace::Cold { opens_at });
+    mut find: impl FnMut(&mut Fleet, &Ask<'_>) -> Option<T>,
+) -> Result<T, NoPlace> {
+    if let Some(found) = find(fleet, ask) {
+        return Ok(found);
     }
+    let no_place = why_none(fleet, ask, now);
     let (VersionRule::Only(_), Some(target)) = (ask.versions, target) else {
-        return Err(NoPlace::Closed);
+        return Err(no_place);
     };
+    if matches!(no_place, NoPlace::Shut(_)) {
+        return Err(no_place);
+    }
     let other = Ask { versions: VersionRule::Except(target), ..*ask };
-    let placed = fleet.place(&other, now, rng);
-    placed.ok_or_else(|| match fleet.opens_at(&other, now) {
-        Some(opens_at) => NoPlace::Cold { opens_at },
-        None => NoPlace::Closed,
+    find(fleet, &other).ok_or_else(|| match why_none(fleet, &other, now) {
+        NoPlace::Closed => no_place,
+        other => other,
     })
 }
+
+/// Why no server may take a request now.
+fn why_none(fleet: &Fleet, ask: &Ask<'_>, now: Duration) -> NoPlace {
+    match fleet.opens_at(ask, now) {
+        Some(opening) => NoPlace::Shut(opening),
+        None if fleet.has_leaving(ask.versions, now) => NoPlace::Leaving,
+        None => NoPlace::Closed,
+    }
+}
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -51,6 +51,15 @@
         /// Time until one has room.
         opens_in: Duration,
     },
+    /// All backend servers that could take it leave.
+    #[error("all backend servers are leaving")]
+    AllLeaving,
+    /// The backend servers that could take it have asked to be sent nothing for a while.
+    #[error("all backend servers have asked for a pause")]
+    AllBackingOff {
+        /// Time until one may be asked again.
+        opens_in: Duration,
+    },
     /// Backend servers have ended under requests of this content, and it may not run for now.
     #[error("backend servers have ended under this very request; it is not worth repeating")]
     EndsServers {
@@ -90,6 +99,8 @@
             | Refusal::Closing
             | Refusal::NoServer
             | Refusal::AllCold { .. }
+            | Refusal::AllLeaving
+            | Refusal::AllBackingOff { .. }
             | Refusal::TurnedAway
             | Refusal::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -108,6 +119,8 @@
             Refusal::UnknownKey => "unknown_key",
             Refusal::NoServer => "no_server",
             Refusal::AllCold { .. } => "all_cold",
+            Refusal::AllLeaving => "all_leaving",
+            Refusal::AllBackingOff { .. } => "all_backing_off",
             Refusal::EndsServers { .. } => "ends_servers",
             Refusal::EndedServers => "ended_servers",
             Refusal::TurnedAway => "turned_away",
@@ -138,6 +151,13 @@
                 let (least, most) = COLD_PAUSES;
                 Some(opens_in.clamp(least, most))
             }
+            // NB: those that replace them are heard of within a heartbeat of their start, or once the store is
+            // back.
+            (Refusal::AllLeaving, None) => Some(PAUSE_FOR_REPLACEMENT),
+            (Refusal::AllLeaving, Some(outage)) => {
+                Some(outage.clamp(PAUSE_FOR_REPLACEMENT, START_PAUSES.1))
+            }
+            (Refusal::AllBackingOff { opens_in }, _) => Some(opens_in.max(SHORTEST_BACKOFF)),
             (Refusal::EndsServers { opens_in }, _) => Some(opens_in.max(SHORTEST_HOLD)),
             (Refusal::NoServer | Refusal::TurnedAway, _) => Some(Duration::from_millis(200)),
             _ => None,
@@ -157,6 +177,12 @@
 /// for each server, and servers are cold for some seconds.
 const COLD_PAUSES: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
 
+/// Pause for callers while all servers leave: a server tells of itself each second or so, and word of it takes
+/// about as long.
+const PAUSE_FOR_REPLACEMENT: Duration = Duration::from_secs(1);
+/// Shortest pause for callers while all servers pause.
+const SHORTEST_BACKOFF: Duration = Duration::from_millis(200);
+
 /// Shortest pause for callers of a request that is held: a run of it may be under way.
 const SHORTEST_HOLD: Duration = Duration::from_millis(200);
 
