Servers that ask for a pause get nothing until it is over, and few requests at once then

Cause: the time in a refusal was not read; it paused a server for 0.1 to 1.6 s, as a cost that any busier server outweighs. A pause now decides, like a server's leaving; it is neither a failure nor slowness. Found by a test of lives: a start that the store tells no longer was taken for another life's.

--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -345,7 +345,10 @@
         spread: f64,
         now: Duration,
     ) -> Option<Duration> {
-        Some(self.notice_of(ticket, now)?.backs_off(asked, spread, now))
+        // NB: each entry comes back with one request, which few entries need not be parted for.
+        let slots = self.server_of(ticket).map_or(1, |server| server.facts.slots.max(1));
+        let crowd = (self.sharers.count() as f64 / f64::from(slots)).min(1.0);
+        Some(self.notice_of(ticket, now)?.backs_off(asked, spread * crowd, now))
     }
 
     /// Where what a server asks in an answer is noted, unless it was another life of it that asked.
--- a/crates/decide/src/direct/fleet/notice.rs
+++ b/crates/decide/src/direct/fleet/notice.rs
@@ -34,6 +34,11 @@
         LifeMark { born_ms: facts.born_ms, address: facts.address, version: facts.version.clone() }
     }
 
+    /// The same life as the store tells of it now; a start that it no longer tells is kept.
+    pub fn told_again(self, told: LifeMark) -> Self {
+        LifeMark { born_ms: told.born_ms.or(self.born_ms), ..told }
+    }
+
     /// Whether both speak of the same life, as far as they tell. A server keeps address and version for
     /// its life, and where it does not tell its start, it has a new identity in each.
     pub fn is_same(&self, other: &LifeMark) -> bool {
--- a/crates/decide/src/direct/fleet/server.rs
+++ b/crates/decide/src/direct/fleet/server.rs
@@ -7,7 +7,7 @@
 use super::{
     ask::{Ask, PromptPart, Ticket},
     load::{OthersLoad, ServerLoad},
-    notice::Notice,
+    notice::{LifeMark, Notice},
 };
 use crate::direct::{hash::hash_text, warm_up::Warmth};
 
@@ -79,6 +79,8 @@
     pub warmth: Warmth,
     /// Hash of its identity, by which rendezvous hashing names servers.
     pub hash: u64,
+    /// What tells this life from another.
+    pub mark: LifeMark,
     /// What it has asked of this entry.
     pub notice: Notice,
     /// Another one was seen at its address, whatever the store says.
@@ -111,6 +113,7 @@
         warmth.is_told(facts.cold_until);
         Server {
             hash: hash_text(&facts.id),
+            mark: LifeMark::of(&facts),
             facts,
             life,
             warmth,
--- a/crates/decide/src/direct/warm_up.rs
+++ b/crates/decide/src/direct/warm_up.rs
@@ -77,6 +77,11 @@
         self.turn += 1;
     }
 
+    /// Entries that are listed.
+    pub fn count(&self) -> usize {
+        self.listed.len()
+    }
+
     /// Requests that this entry may send to a server within a second, where all entries together may
     /// send `most`. Nothing as long as it is not listed, since the others don't count it then.
     pub fn share(&self, server: u64, most: u32) -> u32 {
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -219,7 +219,9 @@
                 Ok(exchange) => {
                     let status = exchange.response.status().to_string();
                     run.note_failed(&placement, "not_resumed", status);
-                    placement.refused();
+                    if run.notice(&exchange.response).backoff.is_none() {
+                        placement.refused();
+                    }
                 }
                 Err(error) => {
                     run.note_failed(&placement, "not_resumed", error.to_string());
--- a/crates/direct/src/http/report.rs
+++ b/crates/direct/src/http/report.rs
@@ -37,6 +37,8 @@
         server: &'a str,
         status: u16,
         backoff_ms: u64,
+        /// How long it gets nothing; none if it has started anew since.
+        kept_ms: Option<u64>,
         after_ms: u64,
     },
     /// The connection broke while the request was at a backend server, which may have ended.
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -246,13 +246,17 @@
         sent
     }
 
+    /// What the server asks of this entry with an answer.
+    pub fn notice(&self, response: &Response<Incoming>) -> Notice {
+        let not_run = self.says_not_run(response);
+        Notice::read(&self.core.dialect, response.status(), response.headers(), not_run)
+    }
+
     /// Takes in what the server asks of this entry, whatever becomes of the answer.
     fn hear_notice(&self, placement: &Placement, response: &Response<Incoming>) {
-        let (status, headers) = (response.status(), response.headers());
-        let not_run = self.says_not_run(response);
-        let notice = Notice::read(&self.core.dialect, status, headers, not_run);
+        let notice = self.notice(response);
         let (request, server) = (self.job.id.as_str(), placement.server());
-        let (status, after_ms) = (status.as_u16(), self.after_ms());
+        let (status, after_ms) = (response.status().as_u16(), self.after_ms());
         if notice.leaves && placement.told_leaving() {
             self.core.metrics.count(Counter::ToldLeaving);
             let event = RequestEvent::ServerToldLeaving { request, server, status, after_ms };
@@ -260,9 +264,15 @@
         }
         if let Some(backoff) = notice.backoff {
             self.core.metrics.count(Counter::AskedBackoff);
-            let backoff_ms = u64::try_from(backoff.as_millis()).unwrap_or(u64::MAX);
-            let event =
-                RequestEvent::ServerAskedBackoff { request, server, status, backoff_ms, after_ms };
+            let kept = placement.asked_backoff(backoff);
+            let event = RequestEvent::ServerAskedBackoff {
+                request,
+                server,
+                status,
+                backoff_ms: u64::try_from(backoff.as_millis()).unwrap_or(u64::MAX),
+                kept_ms: kept.map(|kept| kept.as_millis() as u64),
+                after_ms,
+            };
             self.core.journal.note(Rank::Failure, &event);
         }
     }
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -204,7 +204,8 @@
     async fn judge(&mut self, exchange: Exchange, mut placement: Placement) -> Verdict {
         let status = exchange.response.status();
         if self.says_not_run(&exchange.response) {
-            return self.after_not_run(status, &placement);
+            let asks_backoff = self.notice(&exchange.response).backoff.is_some();
+            return self.after_not_run(status, &placement, asks_backoff);
         }
         if !self.is_authentic(&exchange.response) {
             return self.after_loss(&placement, "not_its_answer", status.to_string());
@@ -236,20 +237,32 @@
         self.pass_whole(exchange, placement).await
     }
 
-    fn after_not_run(&mut self, status: StatusCode, placement: &Placement) -> Verdict {
+    fn after_not_run(
+        &mut self,
+        status: StatusCode,
+        placement: &Placement,
+        asks_backoff: bool,
+    ) -> Verdict {
         self.core.metrics.count(Counter::NotRun);
         self.probe_has_reached(false);
         if status == StatusCode::MISDIRECTED_REQUEST {
             placement.is_replaced();
-        } else {
+        } else if !asks_backoff {
             placement.refused();
         }
         self.note_failed(placement, "not_run", status.to_string());
-        self.avoid.push(placement.server().clone());
+        // NB: one that asked for a pause may be asked again after it, also by this request.
+        if !asks_backoff {
+            self.avoid.push(placement.server().clone());
+        }
         if self.take_further_send(0.0) {
-            Verdict::Next
-        } else {
-            Verdict::Refuse(Refusal::TurnedAway)
+            return Verdict::Next;
+        }
+        match self.outlook(self.model) {
+            Err(no_place @ (NoPlace::Shut(_) | NoPlace::Leaving)) => {
+                Verdict::Refuse(self.no_server(no_place))
+            }
+            _ => Verdict::Refuse(Refusal::TurnedAway),
         }
     }
 
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -293,6 +293,16 @@
         fleet.is_some_and(|fleet| fleet.told_leaving(&self.ticket, now))
     }
 
+    /// The server asked in an answer to be sent nothing for a while. Returns how long it gets nothing.
+    pub fn asked_backoff(&self, asked: Duration) -> Option<Duration> {
+        let now = self.core.clock.now();
+        let mut state = self.core.state.borrow_mut();
+        let State { fleets, rng, .. } = &mut *state;
+        let fleet = fleets.get_mut(&self.job.service.name)?;
+        let until = fleet.asked_backoff(&self.ticket, asked, rng.random_range(0.0..1.0), now)?;
+        Some(until.saturating_sub(now))
+    }
+
     /// Another server has its address.
     pub fn is_replaced(&self) {
         self.settle();
--- a/crates/direct/tests/servers_that_back_off.rs
+++ b/crates/direct/tests/servers_that_back_off.rs
@@ -243,7 +243,8 @@
             asked.push(spawn_local(async move { world.ask(sent).await }));
         }
         // NB: the first to go shows whether the server takes requests again.
-        while seen(&world, 1) == 0 {
+        let end = Instant::now() + Duration::from_secs(2);
+        while seen(&world, 1) == 0 && Instant::now() < end {
             sleep(Duration::from_millis(1)).await;
         }
         assert_eq!(seen(&world, 1), 1);
