--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -118,22 +118,28 @@
     pub fn put(&mut self, facts: ServerFacts) {
         let known = self.servers.iter_mut().flatten().find(|one| one.facts.id == facts.id);
         if let Some(server) = known {
-            let is_same = LifeMark::of(&server.facts).is_same(&LifeMark::of(&facts));
-            let notice =
-                if is_same { std::mem::take(&mut server.notice) } else { Notice::default() };
+            let told = LifeMark::of(&facts);
+            let (mark, notice) = match server.mark.is_same(&told) {
+                true => (server.mark.clone().told_again(told), std::mem::take(&mut server.notice)),
+                false => (told, Notice::default()),
+            };
             if server.is_born_anew(&facts) {
                 self.lives += 1;
                 *server = Server::new(facts, self.lives);
             } else {
                 server.is_told(facts);
             }
+            server.mark = mark;
             server.notice = notice;
             return;
         }
         self.lives += 1;
-        let notice = self.recall(&facts);
+        let recalled = self.recall(&facts);
         let mut server = Server::new(facts, self.lives);
-        server.notice = notice;
+        if let Some((mark, notice)) = recalled {
+            server.mark = mark.told_again(server.mark);
+            server.notice = notice;
+        }
         match self.servers.iter_mut().find(|slot| slot.is_none()) {
             Some(slot) => *slot = Some(server),
             None => self.servers.push(Some(server)),
@@ -195,17 +201,15 @@
         for slot in &mut self.servers {
             let Some(server) = slot.take_if(|server| server.facts.id == id) else { continue };
             if server.notice != Notice::default() {
-                let mark = LifeMark::of(&server.facts);
-                self.remembered.insert(server.facts.id, (mark, server.notice));
+                self.remembered.insert(server.facts.id, (server.mark, server.notice));
             }
         }
     }
 
     /// What a server asked for in the life that the store tells of again.
-    fn recall(&mut self, facts: &ServerFacts) -> Notice {
+    fn recall(&mut self, facts: &ServerFacts) -> Option<(LifeMark, Notice)> {
         let remembered = self.remembered.remove(&facts.id);
-        let same = remembered.filter(|(mark, _)| mark.is_same(&LifeMark::of(facts)));
-        same.map(|(_, notice)| notice).unwrap_or_default()
+        remembered.filter(|(mark, _)| mark.is_same(&LifeMark::of(facts)))
     }
 
     /// What is known of a server.
@@ -241,7 +245,7 @@
             index: best.index,
             server: server.facts.id.clone(),
             life: server.life,
-            mark: LifeMark::of(&server.facts),
+            mark: server.mark.clone(),
             placed: now,
             expected_ms,
             read_tokens: best.read_ms / ask.read_ms_per_token.max(f64::MIN_POSITIVE),
@@ -357,7 +361,7 @@
     fn notice_of(&mut self, ticket: &Ticket, now: Duration) -> Option<&mut Notice> {
         let listed = self.servers.iter_mut().flatten();
         if let Some(server) = listed.into_iter().find(|one| one.facts.id == ticket.server) {
-            let is_same = LifeMark::of(&server.facts).is_same(&ticket.mark);
+            let is_same = server.mark.is_same(&ticket.mark);
             return is_same.then_some(&mut server.notice);
         }
         self.remembered.retain(|_, (_, notice)| !notice.is_over(now));
