A server that started anew is served though the store is away; agents keep to the pause that their server asked for

Leaving binds for a life, and only the store tells of the next one: with it away, servers restarted in place would stay left out for ten minutes. While nobody confirms the state, connections without a byte are opened to them, five each half second at most; once nothing has listened for a second, three times in a row, whatever listens again is another process. Agents told a fixed 0.5 s whatever their server asked for, and went on to send: their queue now pauses, callers hear for how long, and it is no evidence against a version. Found by going through what servers say.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -7,9 +7,9 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Mutex, time::Duration};
 
 use pondwalk_config::{AgentSettings, agent::BackendKind};
-use pondwalk_types::{Refusal, TokenUsage, VersionId, Work};
+use pondwalk_types::{Refusal, TokenUsage, VersionId, Work, read_retry_after};
 use pondwalk_wire::{FrameKind, OrderKind, OrderRefusal, StartRequest};
-use reqwest::{RequestBuilder, Response, StatusCode};
+use reqwest::{RequestBuilder, Response, StatusCode, header::RETRY_AFTER};
 use tracing::Instrument;
 
 use crate::core::lock;
@@ -33,6 +33,8 @@
     },
     /// The backend server never got the request, or said that it did not run it.
     NotRun(Refusal),
+    /// It did not run it, and wants nothing for so long.
+    AskedBackoff(Duration),
     /// It failed or broke off, and may have run.
     Broken(Refusal),
 }
@@ -122,12 +124,19 @@
 }
 
 fn check_status(response: Response) -> Result<Response, BackendEnd> {
+    /// Pause for callers where the server asks for none, in milliseconds.
     const RETRY_AFTER_MS: u64 = 500;
     match response.status() {
         // NB: by its meaning in HTTP, 429 is an answer to a request that was not acted on.
         StatusCode::TOO_MANY_REQUESTS => {
-            let retry_after_ms = RETRY_AFTER_MS;
-            Err(BackendEnd::NotRun(Refusal::Overloaded { retry_after_ms }))
+            let asked = response.headers().get(RETRY_AFTER).and_then(|value| value.to_str().ok());
+            Err(match asked.and_then(read_retry_after) {
+                Some(asked) => BackendEnd::AskedBackoff(asked),
+                None => {
+                    let retry_after_ms = RETRY_AFTER_MS;
+                    BackendEnd::NotRun(Refusal::Overloaded { retry_after_ms })
+                }
+            })
         }
         status if status.is_server_error() => Err(BackendEnd::Broken(Refusal::BackendFailed)),
         _ => Ok(response),
--- a/crates/agent/src/runs.rs
+++ b/crates/agent/src/runs.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use pondwalk_decide::{Admission, Admitted, QueuedWork};
-use pondwalk_types::{Incarnation, Refusal, VersionId};
+use pondwalk_types::{Incarnation, LONGEST_BACKOFF, Refusal, VersionId};
 use pondwalk_wire::{FrameKind, RunKey, StartRequest};
 use tokio::task::AbortHandle;
 use tracing::{Instrument, Span};
@@ -152,7 +152,11 @@
 
 fn report(core: &Core, run: RunKey, version: &VersionId, end: BackendEnd) {
     let failed = !matches!(end, BackendEnd::Whole { .. });
-    lock(&core.trials).ended(core.now(), version, failed);
+    match end {
+        // NB: a server that asks for a pause is neither failing nor of a bad version by that.
+        BackendEnd::AskedBackoff(_) => lock(&core.trials).never_ran(version),
+        _ => lock(&core.trials).ended(core.now(), version, failed),
+    }
     let kind = match end {
         BackendEnd::Whole { usage, service } => {
             core.backend.learn_service(version, service);
@@ -163,6 +167,14 @@
             core.count("runs.not_run");
             FrameKind::NotRun(refusal)
         }
+        BackendEnd::AskedBackoff(asked) => {
+            core.count("runs.asked_backoff");
+            let backoff_ms = asked.as_millis() as u64;
+            spdlog::warn!("the backend server asked for a pause", kv: { backoff_ms });
+            lock(&core.queue).pause(core.now(), asked);
+            let retry_after_ms = asked.min(LONGEST_BACKOFF).as_millis() as u64;
+            FrameKind::NotRun(Refusal::Overloaded { retry_after_ms })
+        }
         BackendEnd::Broken(refusal) => {
             core.count("runs.broken");
             FrameKind::Failed(refusal)
--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use pondwalk_types::{Refusal, WorkspaceId};
+use pondwalk_types::{LONGEST_BACKOFF, Refusal, WorkspaceId};
 
 /// A request that asks for a slot.
 #[derive(Debug, Clone, PartialEq)]
@@ -66,6 +66,8 @@
     clock: f64,
     clocks: HashMap<WorkspaceId, f64>,
     waiting: Vec<Waiting<T>>,
+    /// Until when the server wants nothing.
+    paused_until: Duration,
 }
 
 impl<T: Clone + PartialEq> AdmissionQueue<T> {
@@ -78,6 +80,7 @@
             clock: 0.0,
             clocks: HashMap::new(),
             waiting: Vec::new(),
+            paused_until: Duration::ZERO,
         }
     }
 
@@ -96,6 +99,11 @@
         if now >= work.deadline {
             return Admission::Refused(too_late(&work));
         }
+        if now < self.paused_until {
+            let left = self.paused_until - now;
+            let retry_after_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+            return Admission::Refused(Refusal::Overloaded { retry_after_ms });
+        }
         if self.running < self.slots && self.waiting.is_empty() {
             let tag = self.tag(&work);
             self.begin(tag);
@@ -112,6 +120,11 @@
         self.displace(work, tag)
     }
 
+    /// The server asked to be sent nothing for a while. A later, shorter word does not shorten an earlier one.
+    pub fn pause(&mut self, now: Duration, asked: Duration) {
+        self.paused_until = self.paused_until.max(now + asked.min(LONGEST_BACKOFF));
+    }
+
     /// A running request ended; the next one may start.
     pub fn finish(&mut self, now: Duration) -> Admitted<T> {
         self.running = self.running.saturating_sub(1);
@@ -121,7 +134,7 @@
     /// Starts the next waiting request if a slot is free, and sheds what is late.
     pub fn admit(&mut self, now: Duration) -> Admitted<T> {
         let mut admitted = Admitted { start: None, shed: self.shed_late(now) };
-        if self.running >= self.slots {
+        if self.running >= self.slots || now < self.paused_until {
             return admitted;
         }
         let first = (0..self.waiting.len())
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -11,7 +11,7 @@
 mod places;
 mod server;
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use pondwalk_types::{DataCentreId, ServerId, VersionId};
 use rand::Rng;
@@ -370,6 +370,25 @@
         mark.is_same(&ticket.mark).then_some(notice)
     }
 
+    /// Servers that said they leave and are still listed, with where they listen.
+    pub fn told_leaving_at(&self, now: Duration) -> Vec<(ServerId, SocketAddr)> {
+        let servers = self.servers.iter().flatten();
+        let leaving = servers.filter(|server| server.facts.ready && server.notice.is_leaving(now));
+        leaving.map(|server| (server.facts.id.clone(), server.facts.address)).collect()
+    }
+
+    /// Whether something listens at the address of a server that said it leaves. Returns whether that is its
+    /// next life.
+    pub fn listens(&mut self, id: &str, listens: bool, now: Duration) -> bool {
+        let server = self.servers.iter_mut().flatten().find(|server| server.facts.id == id);
+        let Some(server) = server else { return false };
+        if !listens {
+            server.notice.is_unheard(now);
+            return false;
+        }
+        server.notice.is_heard(now)
+    }
+
     /// Servers that gave notice: those that leave, and those that want nothing for a while.
     pub fn count_notices(&self, now: Duration) -> (usize, usize) {
         let asked = self.servers.iter().flatten().filter_map(|one| one.notice.asked_for(now));
--- a/crates/decide/src/direct/fleet/notice.rs
+++ b/crates/decide/src/direct/fleet/notice.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use pondwalk_types::VersionId;
+use pondwalk_types::{LONGEST_BACKOFF, VersionId};
 
 use super::server::ServerFacts;
 
@@ -14,9 +14,10 @@
 /// word costs this entry one server for that long; a shorter time would send requests to servers that take
 /// minutes to end.
 const LEAVING_MEMORY: Duration = Duration::from_secs(600);
-/// Longest time for which one word keeps requests from a server. One that asks for hours or years would be lost
-/// for good; asked again after five minutes, it can repeat its word, and gets one request for each of them.
-const LONGEST_BACKOFF: Duration = Duration::from_secs(300);
+/// Times in a row, over at least as long a time, that nothing must listen at the address of a leaving server
+/// for its process to be over. A server may reset a connection now and then while it is there.
+const UNHEARD: u32 = 3;
+const UNHEARD_TIME: Duration = Duration::from_secs(1);
 /// Requests whose answers have not begun that a server may have from this entry when a pause ends.
 const FIRST_LIMIT: u32 = 1;
 
@@ -66,6 +67,8 @@
     backs_off_until: Duration,
     /// Most requests that may wait there for the beginning of their answers, after a pause.
     limit: Option<u32>,
+    /// How often in a row nothing listened at its address since it left, and since when.
+    unheard: Option<(u32, Duration)>,
 }
 
 impl Notice {
@@ -78,6 +81,24 @@
         is_news
     }
 
+    /// Nothing listens at its address, though it is thought to leave.
+    pub fn is_unheard(&mut self, now: Duration) {
+        let (times, since) = self.unheard.unwrap_or((0, now));
+        self.unheard = Some((times.saturating_add(1), since));
+    }
+
+    /// Something listens at its address. If nothing did for long before, it is another process: the life that
+    /// left is over. Returns whether it is.
+    pub fn is_heard(&mut self, now: Duration) -> bool {
+        let unheard = self.unheard.take();
+        let is_over =
+            unheard.is_some_and(|(times, since)| times >= UNHEARD && now >= since + UNHEARD_TIME);
+        if is_over {
+            self.left_at = None;
+        }
+        is_over
+    }
+
     /// It wants nothing for `asked`; `spread` (0 to 1) parts the entries that heard the same. Returns until when
     /// it gets nothing.
     ///
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -87,3 +87,21 @@
     assert_eq!(started.count(), 3);
     assert_eq!((queue.running(), queue.load()), (3, 50));
 }
+
+#[test]
+fn a_server_that_asked_for_a_pause_is_left_alone_and_callers_hear_for_how_long() {
+    let mut queue = AdmissionQueue::new(2, 8);
+    assert_eq!(queue.offer(Duration::ZERO, work(0, "one", 5)), Admission::Start);
+    assert_eq!(queue.offer(Duration::ZERO, work(1, "one", 5)), Admission::Start);
+    queue.offer(Duration::ZERO, work(2, "one", 5));
+    queue.pause(Duration::ZERO, SECOND * 4);
+    queue.pause(Duration::ZERO, SECOND);
+    assert_eq!(queue.finish(SECOND).start, None, "what waits goes on waiting");
+    let refused = queue.offer(SECOND, work(3, "one", 5));
+    assert_eq!(
+        refused,
+        Admission::Refused(Refusal::Overloaded { retry_after_ms: 3_000 }),
+        "the shorter word does not shorten the longer one"
+    );
+    assert_eq!(queue.admit(SECOND * 4).start, Some(2));
+}
--- a/crates/decide/tests/notices.rs
+++ b/crates/decide/tests/notices.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use pondwalk_decide::direct::{Ask, Fleet, ServerFacts, Sharers, Shut, Ticket, VersionRule};
-use rand::{SeedableRng, rngs::SmallRng};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 
 fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
@@ -34,7 +35,7 @@
 }
 
 fn place(fleet: &mut Fleet, now: Duration) -> Option<Ticket> {
-    fleet.place(&ask(), now, &mut SmallRng::seed_from_u64(1))
+    fleet.place(&ask(), now, &mut Pcg64Mcg::seed_from_u64(1))
 }
 
 /// A fleet of one server, with a request there.
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -159,6 +159,14 @@
         self.state.borrow().freshness.age(self.clock.now())
     }
 
+    /// Whether nobody has confirmed this entry's state for so long, and `further`, that the store may be away.
+    pub fn is_out_of_date(&self, further: Duration) -> bool {
+        let state = self.state.borrow();
+        // NB: where the store answers late to all, one more that asks it learns nothing sooner.
+        let limit = self.settings.membership.times.fallback_age + state.store_takes + further;
+        state.freshness.age(self.clock.now()).is_none_or(|age| age > limit)
+    }
+
     /// Lets the bounds of cold servers be shared by the entries that are listed now.
     pub fn share_bounds(&self) {
         let names = self.roster.names();
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -19,6 +19,7 @@
     follow::follow,
     http::{self, Gate},
     journal::{Journal, Rank},
+    leavers::look_after_leavers,
     membership, quarantine,
     upstream::Connect,
 };
@@ -105,6 +106,7 @@
         spawn_local(membership::pass_on(Rc::clone(&self.core)));
         spawn_local(quarantine::speak_for_good_contents(Rc::clone(&self.core)));
         spawn_local(quarantine::give_back_probes(Rc::clone(&self.core)));
+        spawn_local(look_after_leavers(Rc::clone(&self.core)));
         spawn_local(follow(Rc::clone(&self.core), self.port.clone(), conductor));
         let core = Rc::clone(&self.core);
         spawn_local(async move {
--- a/crates/direct/src/follow/learn.rs
+++ b/crates/direct/src/follow/learn.rs
@@ -141,7 +141,8 @@
         // NB: what others tell while this entry alone has lost the store has not lapsed.
         // And one that asks the store after long silence, for the first time, may be the first to
         // hear from it again.
-        let lost = (self.lost || self.is_out_of_date()) && self.learns_from == Heard::FromStore;
+        let lost = (self.lost || self.core.is_out_of_date(Duration::ZERO))
+            && self.learns_from == Heard::FromStore;
         lost || self.core.state.borrow().store_returned.is_some_and(returned)
     }
 
--- a/crates/direct/src/follow/others.rs
+++ b/crates/direct/src/follow/others.rs
@@ -35,19 +35,7 @@
             return true;
         }
         let spread = FALLBACK_SPREAD * self.core.roster.rank() as u32;
-        self.core.clock.now() >= self.fallback_from && self.is_older_than_it_should(spread)
-    }
-
-    /// Whether nobody has confirmed this entry's state for so long that the store may be away.
-    pub(super) fn is_out_of_date(&self) -> bool {
-        self.is_older_than_it_should(Duration::ZERO)
-    }
-
-    fn is_older_than_it_should(&self, further: Duration) -> bool {
-        let state = self.core.state.borrow();
-        // NB: where the store answers late to all, one more that asks it learns nothing sooner.
-        let limit = self.core.settings.membership.times.fallback_age + state.store_takes + further;
-        state.freshness.age(self.core.clock.now()).is_none_or(|age| age > limit)
+        self.core.clock.now() >= self.fallback_from && self.core.is_out_of_date(spread)
     }
 
     /// Asks the store beside the others, and puts off the next such question.
--- /dev/null
+++ b/crates/direct/src/leavers.rs
@@ -0,0 +1,88 @@
+//! Looks whether servers that said they leave have started anew, while the store can't tell.
+//!
+//! A server's word that it leaves binds for its life. The store tells of the next one; while it is away, all
+//! servers that were restarted in place would be left out, and callers with them. So connections are opened to
+//! their addresses and closed again, without a byte: once nothing has listened there for long, whatever
+//! listens again is another process.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use pondwalk_types::ServerId;
+use serde::Serialize;
+use tokio::time::{sleep, timeout};
+
+use crate::{catalog::ServiceId, core::Core, journal::Rank};
+
+/// Time between two looks; a server that starts anew in place is mostly away for some seconds.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Servers looked at each time. When hundreds are replaced while the store is away, hundreds of entries open at
+/// most some ten connections a second each.
+const MOST_LOOKS: usize = 5;
+/// Longest time for a connection to open; one that takes longer tells nothing.
+const CONNECT_LIMIT: Duration = Duration::from_millis(100);
+
+/// A server that said it leaves has started anew.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum LeaverEvent<'a> {
+    LeaverStartedAnew { server: &'a str },
+}
+
+/// A server to look at.
+struct Leaver {
+    service: ServiceId,
+    server: ServerId,
+    address: SocketAddr,
+}
+
+/// Looks after servers that leave for as long as the process runs.
+pub async fn look_after_leavers(core: Rc<Core>) {
+    let mut first = 0;
+    loop {
+        sleep(LOOK_INTERVAL).await;
+        let leavers = leavers(&core);
+        if leavers.is_empty() {
+            continue;
+        }
+        // NB: by turns, so that each is looked at however many there are.
+        let turn = leavers.iter().cycle().skip(first % leavers.len());
+        for leaver in turn.take(MOST_LOOKS.min(leavers.len())) {
+            look_at(&core, leaver).await;
+        }
+        first += MOST_LOOKS;
+    }
+}
+
+/// Servers whose next life nobody could tell of.
+fn leavers(core: &Core) -> Vec<Leaver> {
+    if !core.is_out_of_date(Duration::ZERO) {
+        return Vec::new();
+    }
+    let now = core.clock.now();
+    let state = core.state.borrow();
+    let of_fleets = state.fleets.iter().flat_map(|(service, fleet)| {
+        let leaving = fleet.told_leaving_at(now).into_iter();
+        leaving.map(|(server, address)| Leaver { service: service.clone(), server, address })
+    });
+    let mut leavers: Vec<Leaver> = of_fleets.collect();
+    leavers.sort_by(|one, other| one.server.cmp(&other.server));
+    leavers
+}
+
+async fn look_at(core: &Core, leaver: &Leaver) {
+    let listens = match timeout(CONNECT_LIMIT, (core.connect)(leaver.address)).await {
+        Ok(Ok(_)) => true,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => false,
+        // NB: silence, or a reset, is no sign that nothing listens.
+        _ => return,
+    };
+    let now = core.clock.now();
+    let mut state = core.state.borrow_mut();
+    let fleet = state.fleets.get_mut(&leaver.service);
+    let is_anew = fleet.is_some_and(|fleet| fleet.listens(&leaver.server, listens, now));
+    drop(state);
+    if is_anew {
+        let event = LeaverEvent::LeaverStartedAnew { server: &leaver.server };
+        core.journal.note(Rank::State, &event);
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,6 +18,7 @@
 mod foresight;
 mod http;
 pub mod journal;
+mod leavers;
 pub mod membership;
 mod metrics;
 mod notice;
--- a/crates/direct/src/notice.rs
+++ b/crates/direct/src/notice.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use hyper::{HeaderMap, StatusCode, header::RETRY_AFTER};
+use hyper::{
+    HeaderMap, StatusCode,
+    header::{HeaderName, RETRY_AFTER},
+};
+use pondwalk_types::read_retry_after;
 
 use crate::dialect::Dialect;
 
@@ -32,23 +36,12 @@
         // NB: a 429 that ran is an answer to the caller, about the caller's own rate.
         let asks_entry = status == StatusCode::SERVICE_UNAVAILABLE
             || (not_run && status == StatusCode::TOO_MANY_REQUESTS);
-        let backoff = text(headers, &RETRY_AFTER).filter(|_| asks_entry).and_then(read_seconds);
+        let backoff = text(headers, &RETRY_AFTER).filter(|_| asks_entry).and_then(read_retry_after);
         let leaves = text(headers, &dialect.leaving).is_some_and(|text| text == "1");
         Notice { leaves, backoff }
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &hyper::header::HeaderName) -> Option<&'a str> {
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     Some(headers.get(name)?.to_str().ok()?.trim())
 }
-
-/// Reads seconds, with fractions. A date, a negative number and what is no number ask for nothing that
-/// can be kept to, and leave the pause to the entry.
-fn read_seconds(text: &str) -> Option<Duration> {
-    let seconds: f64 = text.parse().ok()?;
-    // NB: a number too large for a duration is as good as the largest.
-    match seconds {
-        seconds if seconds.is_nan() || seconds <= 0.0 => None,
-        seconds => Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)),
-    }
-}
--- a/crates/direct/tests/servers_that_leave.rs
+++ b/crates/direct/tests/servers_that_leave.rs
@@ -253,3 +253,44 @@
         assert_eq!(world.ask(request("/again/x", "r2")).await.status.as_u16(), 200);
     });
 }
+
+#[test]
+fn the_next_life_of_a_server_is_served_though_the_store_is_away() {
+    play(|world| async move {
+        world.configure(catalog(1));
+        world.start_server(1, "s", "v1", made());
+        says_it_leaves(&world, 1);
+        world.start().await;
+        assert_eq!(world.ask(request("/open/x", "r1")).await.status.as_u16(), 200);
+        world.store.set_weather(Weather::Refused);
+        // NB: it serves on for a while, and nobody can tell when it goes.
+        sleep(Duration::from_secs(6)).await;
+        assert_eq!(world.ask(request("/open/x", "r2")).await.status.as_u16(), 503);
+        world.backends.stop(address(1));
+        sleep(Duration::from_secs(4)).await;
+        world.backends.start(address(1), "s1", made());
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(world.ask(request("/open/x", "r3")).await.status.as_u16(), 200);
+    });
+}
+
+#[test]
+fn a_leaving_server_that_resets_a_connection_now_and_then_is_not_taken_for_its_next_life() {
+    play(|world| async move {
+        world.configure(catalog(1));
+        world.start_server(1, "s", "v1", made());
+        says_it_leaves(&world, 1);
+        world.start().await;
+        world.ask(request("/open/x", "r1")).await;
+        world.store.set_weather(Weather::Refused);
+        sleep(Duration::from_secs(4)).await;
+        for n in 0..20 {
+            world.backends.stop(address(1));
+            sleep(Duration::from_millis(600)).await;
+            world.backends.start(address(1), "s1", made());
+            sleep(Duration::from_millis(1_400)).await;
+            let answer = world.ask(request("/open/x", &format!("r2-{n}"))).await;
+            assert_eq!(answer.status.as_u16(), 503);
+        }
+    });
+}
--- /dev/null
+++ b/crates/types/src/backoff.rs
@@ -0,0 +1,18 @@
+//! How a backend server says for how long it wants no requests.
+
+use std::time::Duration;
+
+/// Longest time for which one word keeps requests from a server. One that asks for hours or years would be lost
+/// for good; asked again after five minutes, it can repeat its word, and gets one request for each of them.
+pub const LONGEST_BACKOFF: Duration = Duration::from_secs(300);
+
+/// Reads the seconds of a `retry-after`, with fractions. A date, a negative number and what is no number ask for
+/// nothing that can be kept to, and leave the pause to the reader.
+pub fn read_retry_after(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    if seconds.is_nan() || seconds <= 0.0 {
+        return None;
+    }
+    // NB: a number too large for a duration is as good as the largest.
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -1,11 +1,13 @@
 //! Identifiers, units and the checked policy that all of pondwalk shares.
 
 pub mod answer;
+pub mod backoff;
 pub mod ids;
 pub mod policy;
 pub mod refusal;
 
 pub use answer::{TokenUsage, Work};
+pub use backoff::{LONGEST_BACKOFF, read_retry_after};
 pub use ids::*;
 pub use policy::{
     Policy, Price, RollOut, SessionOnWithdrawal, TaskPolicy, VersionSpec, VersionState,
