A version all of whose servers turn everything away is told, and left if it is on trial

A request that was not run is no evidence, so a version that takes nothing was told complete, and the servers of the one before would have stopped.

--- a/crates/decide/src/direct/fleet/notice.rs
+++ b/crates/decide/src/direct/fleet/notice.rs
@@ -18,6 +18,9 @@
 /// for its process to be over. A server may reset a connection now and then while it is there.
 const UNHEARD: u32 = 3;
 const UNHEARD_TIME: Duration = Duration::from_secs(1);
+/// Pauses in a row that a server must ask for, without taking a request between them, to count as one that turns
+/// everything away. One that turns away half of what it gets does so to an entry with little work now and then.
+const TURNED_AWAY_PAUSES: u32 = 3;
 /// Requests whose answers have not begun that a server may have from this entry when a pause ends.
 const FIRST_LIMIT: u32 = 1;
 
@@ -67,6 +70,8 @@
     backs_off_until: Duration,
     /// Most requests that may wait there for the beginning of their answers, after a pause.
     limit: Option<u32>,
+    /// Pauses in a row that it asked for without taking a request between them, and since when.
+    turned_away: Option<(u32, Duration)>,
     /// How often in a row nothing listened at its address since it left, and since when.
     unheard: Option<(u32, Duration)>,
 }
@@ -104,6 +109,10 @@
     ///
     /// NB: a later, shorter word does not shorten an earlier one; both were meant.
     pub fn backs_off(&mut self, asked: Duration, spread: f64, now: Duration) -> Duration {
+        if self.backs_off_until(now).is_none() {
+            let (pauses, since) = self.turned_away.unwrap_or((0, now));
+            self.turned_away = Some((pauses.saturating_add(1), since));
+        }
         let asked = asked.min(LONGEST_BACKOFF);
         let until = now + asked + spread_of(asked, spread);
         self.backs_off_until = self.backs_off_until.max(until);
@@ -129,6 +138,12 @@
         self.backs_off_until(now).map(|_| AskedFor::Backoff)
     }
 
+    /// Since when it has turned everything away, if it has done so several times in a row.
+    pub fn turns_away_since(&self) -> Option<Duration> {
+        let (pauses, since) = self.turned_away?;
+        (pauses >= TURNED_AWAY_PAUSES).then_some(since)
+    }
+
     /// Whether one more request may wait there beside those that do.
     pub fn has_room(&self, waiting: u32) -> bool {
         self.limit.is_none_or(|limit| waiting < limit)
@@ -142,6 +157,7 @@
         if self.asked_for(now).is_some() {
             return;
         }
+        self.turned_away = None;
         self.left_at = None;
         self.limit = self.limit.map(|limit| limit * 2).filter(|limit| *limit < slots);
     }
--- a/crates/decide/src/direct/fleet/places.rs
+++ b/crates/decide/src/direct/fleet/places.rs
@@ -1,7 +1,8 @@
 //! Which servers have room at this moment: evacuated data centres, and cold servers.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
+use pondwalk_types::VersionId;
 use rand::{Rng, seq::IteratorRandom};
 
 use super::{Ask, Fleet, Ticket, VersionRule, server::Server};
@@ -171,6 +172,19 @@
         })
     }
 
+    /// Versions all of whose servers, those that leave aside, have turned everything away for at least `time`.
+    pub fn versions_turning_away(&self, time: Duration, now: Duration) -> BTreeSet<VersionId> {
+        let takes = |server: &&Server| {
+            let since = server.notice.turns_away_since();
+            since.is_none_or(|since| now.saturating_sub(since) < time)
+        };
+        let open = || self.servers.iter().flatten().filter(|server| server.is_open(now));
+        let taking: BTreeSet<&VersionId> =
+            open().filter(takes).map(|server| &server.facts.version).collect();
+        let versions = open().map(|server| &server.facts.version);
+        versions.filter(|version| !taking.contains(version)).cloned().collect()
+    }
+
     /// Whether servers are known that would be used but for their word that they leave, or the store's.
     pub fn has_leaving(&self, versions: VersionRule<'_>, now: Duration) -> bool {
         let mut servers = self.servers.iter().flatten();
--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -270,6 +270,12 @@
         }
     }
 
+    /// The new version's servers turn everything away, so that nothing can show whether it is good; true if
+    /// it is left by that.
+    pub fn turns_away(&mut self) -> bool {
+        self.may_trip() && self.trip_if(true)
+    }
+
     fn may_trip(&self) -> bool {
         !self.tripped && !matches!(self.known_stage, Some(Stage::Completed | Stage::Reverted))
     }
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -9,6 +9,7 @@
 mod listing;
 mod quarantine;
 mod records;
+mod turning_away;
 mod turns;
 
 use std::{
@@ -23,6 +24,7 @@
 use tokio::{sync::Notify, time::timeout};
 
 use records::{RollOutEvent, StageRecord};
+use turning_away::TurningAway;
 use turns::{Turns, wait_in_order};
 
 use crate::{
@@ -64,6 +66,8 @@
     listed_until: Cell<Duration>,
     /// What the store holds of contents that are held.
     kept: quarantine::Kept,
+    /// Versions all of whose servers turn everything away.
+    turning_away: RefCell<TurningAway>,
 }
 
 impl Conductor {
@@ -79,6 +83,7 @@
             unanswered: RefCell::default(),
             listed_until: Cell::default(),
             kept: quarantine::Kept::default(),
+            turning_away: RefCell::default(),
         }
     }
 
@@ -96,6 +101,7 @@
             let _ = timeout(pause, self.wake.notified()).await;
             self.tell_seen();
             self.weigh_trials();
+            self.look_for_turning_away();
             let due = self.due();
             let now = self.core.clock.now();
             let (ready, next) =
--- a/crates/direct/src/conductor/records.rs
+++ b/crates/direct/src/conductor/records.rs
@@ -32,6 +32,12 @@
     /// What all entries have seen calls the version bad.
     #[serde(rename = "version_found_bad_together")]
     FoundBadTogether { service: &'a str },
+    /// All servers of a version have turned everything away for long.
+    #[serde(rename = "version_turns_away")]
+    TurnsAway { service: &'a str, version: &'a str },
+    /// One of them takes requests again, or the version is gone.
+    #[serde(rename = "version_takes_again")]
+    TakesAgain { service: &'a str, version: &'a str },
     /// A step could not be written.
     #[serde(rename = "roll_out_step_failed")]
     StepFailed { service: &'a str, step: String, error: String },
--- /dev/null
+++ b/crates/direct/src/conductor/turning_away.rs
@@ -0,0 +1,56 @@
+//! Versions all of whose servers turn everything away.
+//!
+//! A server that asks for a pause is no evidence against its version, nor is a request that it did not run.
+//! A version none of whose servers takes anything would so be told complete, and those of the version
+//! before it would stop.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use pondwalk_types::VersionId;
+
+use super::{Conductor, records::RollOutEvent};
+use crate::{catalog::ServiceId, journal::Rank};
+
+/// Time after which such a version is told as one, and left if it is on trial. Servers ask for pauses of a few
+/// seconds while they are full; one that has just started is full for as long at most.
+const TURNS_AWAY_TIME: Duration = Duration::from_secs(10);
+
+/// Versions that turn everything away, by service.
+pub type TurningAway = BTreeSet<(ServiceId, VersionId)>;
+
+impl Conductor {
+    /// Tells of versions that begin or cease to turn everything away, and leaves one that is on trial.
+    pub(super) fn look_for_turning_away(&self) {
+        let found = self.find_turning_away();
+        let known = self.turning_away.replace(found.clone());
+        for (service, version) in found.difference(&known) {
+            let event = RollOutEvent::TurnsAway { service, version };
+            self.core.journal.note(Rank::State, &event);
+            self.leave_on_trial(service, version);
+        }
+        for (service, version) in known.difference(&found) {
+            let event = RollOutEvent::TakesAgain { service, version };
+            self.core.journal.note(Rank::State, &event);
+        }
+    }
+
+    fn find_turning_away(&self) -> TurningAway {
+        let now = self.core.clock.now();
+        let state = self.core.state.borrow();
+        let of_fleets = state.fleets.iter().flat_map(|(service, fleet)| {
+            let versions = fleet.versions_turning_away(TURNS_AWAY_TIME, now).into_iter();
+            versions.map(|version| (service.clone(), version))
+        });
+        of_fleets.collect()
+    }
+
+    fn leave_on_trial(&self, service: &ServiceId, version: &str) {
+        let mut state = self.core.state.borrow_mut();
+        let roll_out = state.roll_outs.get_mut(service).filter(|one| one.target() == version);
+        let is_left = roll_out.is_some_and(|roll_out| roll_out.turns_away());
+        drop(state);
+        if is_left {
+            self.tell_bad(service);
+        }
+    }
+}
--- a/crates/direct/tests/servers_that_back_off.rs
+++ b/crates/direct/tests/servers_that_back_off.rs
@@ -303,3 +303,39 @@
         });
     }
 }
+
+/// A roll-out within 30 s to a version whose servers do `act` and ask for pauses of two seconds.
+async fn roll_out_to(world: World, act: Act) -> String {
+    let world = Rc::new(world);
+    servers(&world, 3, "s", &made());
+    for n in 11..=12 {
+        world.start_server(n, "s", "v2", act.clone());
+        world.backends.tell(address(n), "retry-after", "2");
+    }
+    world.start().await;
+    world.store.put("order/s", "v2 30");
+    let mut asked = Vec::new();
+    for n in 0..800 {
+        let (world, session) = (Rc::clone(&world), format!("a{n}"));
+        let sent = with(request("/again/x", &format!("r{n}")), "pondwalk-session", &session);
+        asked.push(spawn_local(async move { world.ask(sent).await }));
+        sleep(Duration::from_millis(40)).await;
+    }
+    let lines = world.entry.gathered_lines();
+    assert_eq!(lines.contains("version_turns_away"), matches!(act, Act::NotRun(_)));
+    world.store.value("progress/s").expect("it is told")
+}
+
+#[test]
+fn a_version_all_of_whose_servers_turn_everything_away_is_reverted() {
+    play(|world| async move {
+        assert_eq!(roll_out_to(world, Act::NotRun(503)).await, "v2 Reverted");
+    });
+}
+
+#[test]
+fn a_version_whose_servers_serve_is_completed() {
+    play(|world| async move {
+        assert_eq!(roll_out_to(world, made()).await, "v2 Completed");
+    });
+}
