Soak with servers that leave by their word and that ask for pauses; a request turned away is not aboard; unasked encodings

Soak: two kinds of fault and two promises, sixteen in all; a server's process tells which words its answers carried.

--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -219,6 +219,9 @@
                 Ok(exchange) => {
                     let status = exchange.response.status().to_string();
                     run.note_failed(&placement, "not_resumed", status);
+                    if run.says_not_run(&exchange.response) {
+                        placement.settle();
+                    }
                     if run.notice(&exchange.response).backoff.is_none() {
                         placement.refused();
                     }
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -6,7 +6,7 @@
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
-    header::{HOST, HeaderName, HeaderValue},
+    header::{ACCEPT_ENCODING, CONTENT_ENCODING, HOST, HeaderName, HeaderValue},
 };
 use pondwalk_decide::direct::{
     Grant, ModelNumber, RESUMED, ServerLoad, Standing, longest_wait, rank_of,
@@ -357,10 +357,17 @@
 
     /// Whether the answer is the server's own, to this request.
     pub fn is_authentic(&self, response: &Response<Incoming>) -> bool {
-        let dialect = &self.core.dialect;
-        let id = response.headers().get(&dialect.request_id);
+        let (dialect, headers) = (&self.core.dialect, response.headers());
+        let id = headers.get(&dialect.request_id);
         let its = id.is_some_and(|id| id.as_bytes() == self.job.id.as_bytes());
-        its && response.headers().contains_key(&dialect.signature)
+        its && headers.contains_key(&dialect.signature) && !self.is_encoded_unasked(headers)
+    }
+
+    /// Whether an answer is encoded in a way that its caller did not ask for, which is not what the server made.
+    fn is_encoded_unasked(&self, headers: &HeaderMap) -> bool {
+        let encoding = headers.get(CONTENT_ENCODING);
+        let is_encoded = encoding.is_some_and(|encoding| encoding != "identity");
+        is_encoded && !self.job.headers.contains_key(ACCEPT_ENCODING)
     }
 
     /// The model's own opinion of its answer, 0 to 100, if it tells one.
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -245,6 +245,8 @@
     ) -> Verdict {
         self.core.metrics.count(Counter::NotRun);
         self.probe_has_reached(false);
+        // NB: it is not aboard of the server, should that break off a moment later.
+        placement.settle();
         if status == StatusCode::MISDIRECTED_REQUEST {
             placement.is_replaced();
         } else if !asks_backoff {
--- a/crates/direct/tests/servers_that_back_off.rs
+++ b/crates/direct/tests/servers_that_back_off.rs
@@ -10,7 +10,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use common::{Answer, World, address, catalog, play, request, stream, with};
+use common::{Answer, World, address, catalog, play, request, stream, with, with_body};
 use pondwalk_direct::facts::RollOutOrder;
 use pondwalk_standin::backends::Act;
 use tokio::{
@@ -339,3 +339,65 @@
         assert_eq!(roll_out_to(world, made()).await, "v2 Completed");
     });
 }
+
+/// Requests at the only server within the pause that it asked for with such an answer.
+async fn in_a_pause(world: World, path: &'static str, act: Act) -> usize {
+    let world = Rc::new(world);
+    servers(&world, 1, "s", &act);
+    world.backends.tell(address(1), "retry-after", "6");
+    world.start().await;
+    world.ask(request(path, "first")).await;
+    let before = seen(&world, 1);
+    let asked = send_for(&world, path, Duration::from_millis(40), Duration::from_secs(5)).await;
+    answers(asked).await;
+    seen(&world, 1) - before
+}
+
+#[test]
+fn a_pause_counts_with_whatever_answer_of_the_server_it_comes() {
+    let busy = || Act::Answer(503, "busy".into());
+    for (path, act) in [
+        ("/once/x", Act::NotRun(429)),
+        ("/once/x", busy()),
+        ("/again/x", busy()),
+        ("/stream/x", Act::NotRun(503)),
+        ("/fixed/x", busy()),
+    ] {
+        play(move |world| async move {
+            assert_eq!(in_a_pause(world, path, act.clone()).await, 0, "{path} {act:?}");
+        });
+    }
+}
+
+#[test]
+fn an_answer_about_the_callers_own_rate_or_of_another_kind_asks_nothing_of_the_entry() {
+    for status in [200, 404, 429] {
+        play(move |world| async move {
+            let act = Act::Answer(status, "for the caller".into());
+            assert_eq!(in_a_pause(world, "/once/x", act).await, 125, "{status}");
+        });
+    }
+}
+
+#[test]
+fn a_request_that_was_turned_away_does_not_count_as_aboard_of_the_server() {
+    play(|world| async move {
+        let world = Rc::new(world);
+        servers(&world, 1, "s", &made());
+        turns_away(&world, 1, "0.3");
+        world.start().await;
+        for n in 0..6 {
+            let refused = world.ask(request("/once/x", &format!("r{n}"))).await;
+            assert_eq!(refused.status.as_u16(), 503, "{}", refused.body);
+            sleep(Duration::from_millis(400)).await;
+            // NB: another request breaks off there soon after, as if the server had ended.
+            world.backends.script(address(1), [Act::LoseAnswer]);
+            let other = request("/once/x", &format!("other{n}"));
+            world.ask(with_body(other, &format!("other {n}"))).await;
+            sleep(Duration::from_millis(100)).await;
+        }
+        serves_again(&world, 1, made());
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(world.ask(request("/once/x", "last")).await.status.as_u16(), 200);
+    });
+}
--- a/crates/direct/tests/servers_that_leave.rs
+++ b/crates/direct/tests/servers_that_leave.rs
@@ -294,3 +294,15 @@
         }
     });
 }
+
+#[test]
+fn a_suspended_machine_takes_nothing_back() {
+    play(|world| {
+        leave_meanwhile(world, "/open/x", made(), |world| async move {
+            spawn_local(async move {
+                sleep(Duration::from_secs(3)).await;
+                world.entry.pretend_suspended(Duration::from_secs(60));
+            });
+        })
+    });
+}
--- a/crates/direct/tests/survives_backend_faults.rs
+++ b/crates/direct/tests/survives_backend_faults.rs
@@ -321,3 +321,20 @@
         assert_eq!(world.backends.seen(address(1)).len(), 0);
     });
 }
+
+#[test]
+fn an_encoded_answer_that_nobody_asked_for_is_not_passed_on() {
+    play(|world| async move {
+        world.configure(catalog(1));
+        world.start_server(1, "s", "v1", Act::Answer(200, "encoded".into()));
+        world.backends.tell(address(1), "content-encoding", "gzip");
+        world.start().await;
+        let answer = world.ask(request("/once/x", "r1")).await;
+        assert_eq!(answer.status.as_u16(), 502);
+        world.backends.tell(address(1), "content-encoding", "identity");
+        assert_eq!(world.ask(request("/once/x", "r2")).await.body, "encoded");
+        world.backends.tell(address(1), "content-encoding", "gzip");
+        let asked = with(request("/once/x", "r3"), "accept-encoding", "gzip");
+        assert_eq!(world.ask(asked).await.body, "encoded", "this caller asked for it");
+    });
+}
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -42,6 +42,13 @@
 /// their entry stay with another one, so that an entry may have none.
 const WORK: usize = 60;
 
+/// Time after a server has asked for a pause in which requests that had left already may arrive.
+const ON_THE_WAY: Duration = Duration::from_millis(500);
+/// Requests that it may get in the rest of the pause.
+const IN_A_PAUSE: usize = 2;
+/// Time by which a run may be noticed late, so that the pause from then on ends as much too late.
+const NOTICED_LATE: Duration = Duration::from_millis(50);
+
 /// Servers that a request may end before it is known for that.
 const ENDS: usize = 3;
 /// Runs of it that are allowed later than that.
@@ -64,7 +71,7 @@
 pub type Check = fn(&Records) -> Finding;
 
 /// All checks.
-pub const CHECKS: [Check; 14] = [
+pub const CHECKS: [Check; 16] = [
     runs_at_most_once,
     refusals_are_true,
     answers_are_whole_and_own,
@@ -74,6 +81,8 @@
     configurations_never_revert,
     keys_are_dead_in_time,
     leaving_servers_are_left,
+    servers_that_say_they_leave_are_left,
+    servers_that_ask_for_a_pause_get_it,
     evacuated_data_centres_are_left,
     cold_servers_are_spared,
     servers_born_anew_are_used,
@@ -237,6 +246,55 @@
     })
 }
 
+/// A server that has told an entry in an answer that it leaves gets nothing more from it, whatever is disturbed
+/// but the entry itself.
+pub fn servers_that_say_they_leave_are_left(records: &Records) -> Finding {
+    let by_id = records.by_id();
+    let mut heard_us: BTreeMap<(&str, usize), TimeUs> = BTreeMap::new();
+    for run in records.runs.iter().filter(|run| run.told_leaving) {
+        let Some(exchange) = by_id.get(run.request.as_str()) else { continue };
+        let heard = heard_us.entry((&run.server, exchange.entry)).or_insert(exchange.ended_us);
+        *heard = exchange.ended_us.min(*heard);
+    }
+    finding("servers that say they leave are left", heard_us, |((server, entry), heard_us)| {
+        let late = records.runs.iter().filter(|run| run.server == *server).filter(|run| {
+            let exchange = by_id.get(run.request.as_str());
+            exchange.is_some_and(|exchange| {
+                exchange.entry == *entry
+                    && exchange.sent_us > heard_us + us(LEAVE_BOUND + SLACK)
+                    && !records.was_disturbed(*entry, *heard_us, run.at_us)
+                    // NB: it may have started again under its identity.
+                    && !records.was_killed(server, *heard_us, run.at_us)
+            })
+        });
+        let late = late.count();
+        (late > 0).then(|| format!("{server} got {late} from entry {entry} after its word"))
+    })
+}
+
+/// A server that has asked an entry for a pause gets two requests from it within that at most.
+pub fn servers_that_ask_for_a_pause_get_it(records: &Records) -> Finding {
+    let by_id = records.by_id();
+    let asked = records.runs.iter().filter_map(|run| {
+        let pause = Duration::from_millis(run.asked_backoff_ms?);
+        let entry = by_id.get(run.request.as_str())?.entry;
+        let from_us = run.at_us + us(ON_THE_WAY);
+        let to_us = (run.at_us + us(pause)).saturating_sub(us(NOTICED_LATE));
+        let is_disturbed = records.was_disturbed(entry, run.at_us, to_us)
+            || records.was_killed(&run.server, run.at_us, to_us);
+        (!is_disturbed).then_some((run.server.as_str(), entry, from_us..to_us))
+    });
+    finding("servers that ask for a pause get it", asked, |(server, entry, pause)| {
+        let within = records.runs.iter().filter(|run| {
+            run.server == *server
+                && pause.contains(&run.at_us)
+                && by_id.get(run.request.as_str()).is_some_and(|one| one.entry == *entry)
+        });
+        let got = within.count();
+        (got > IN_A_PAUSE).then(|| format!("{server} got {got} from entry {entry} in a pause"))
+    })
+}
+
 /// Nothing reaches the servers of a data centre that is evacuated, once that must be known.
 pub fn evacuated_data_centres_are_left(records: &Records) -> Finding {
     let by_id = records.by_id();
--- a/crates/soak/src/deployment/servers.rs
+++ b/crates/soak/src/deployment/servers.rs
@@ -70,9 +70,22 @@
         let (key, value) = server_entry(&word);
         self.put(&key, value.to_string()).await?;
         self.records.borrow_mut().left_us.insert(server.id.clone(), now_us());
+        self.give_way(server, place).await
+    }
+
+    /// A server says in its answers alone that it leaves, goes, and another comes in its place.
+    pub async fn leave_by_word(&self, place: usize) -> anyhow::Result<()> {
+        let Some(server) = self.servers.borrow_mut()[place].take() else { return Ok(()) };
+        server.child.signal(Signal::SIGUSR1);
+        self.give_way(server, place).await
+    }
+
+    /// Another server comes in the place of one that leaves, which serves on for a while.
+    async fn give_way(&self, server: ServerSlot, place: usize) -> anyhow::Result<()> {
         let next = self.start_server(place).await?;
         self.servers.borrow_mut()[place] = Some(next);
         sleep(LEAVING).await;
+        let (key, _) = server_entry(&word(&server, place));
         self.remove(&key).await?;
         // NB: what it runs is told until the end, so it goes on a while longer.
         sleep(LEAVING).await;
@@ -80,6 +93,13 @@
         Ok(())
     }
 
+    /// A server turns everything away for a while, and asks for pauses.
+    pub fn turn_away(&self, place: usize) {
+        if let Some(server) = &self.servers.borrow()[place] {
+            server.child.signal(Signal::SIGUSR2);
+        }
+    }
+
     /// A server turns cold and says so, until it is warm again.
     pub async fn cool(&self, place: usize) -> anyhow::Result<()> {
         let Some(server) = self.servers.borrow_mut()[place].take() else { return Ok(()) };
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time::Duration};
 
-use pondwalk_standin::platform_store::WeatherOrder;
+use pondwalk_standin::{platform_server::TURNING_AWAY, platform_store::WeatherOrder};
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64Mcg;
 
@@ -49,6 +49,10 @@
     SilenceServer(usize),
     /// A server says that it leaves, goes, and another comes in its place.
     Replace(usize),
+    /// A server says in its answers alone that it leaves, goes, and another comes in its place.
+    Leave(usize),
+    /// A server turns everything away for a while, and asks for pauses.
+    TurnAway(usize),
     /// A server turns cold, and says so.
     Cool(usize),
     /// A server is killed, and starts again after a while under the identity that it had.
@@ -99,7 +103,8 @@
         Act::EndServers(_, time) => time + SERVER_RESTART + COLD_TIME,
         Act::KillServer(_, time) => time + COLD_TIME,
         Act::Cool(_) => COLD_TIME,
-        Act::Stop(_) | Act::Replace(_) => LONGEST_LEAVING,
+        Act::Stop(_) | Act::Replace(_) | Act::Leave(_) => LONGEST_LEAVING,
+        Act::TurnAway(_) => TURNING_AWAY,
         Act::Kill(_) => RESTART,
         Act::Forget | Act::Configure | Act::Litter => Duration::ZERO,
         Act::SilenceStore | Act::ResetStore | Act::SilenceServer(_) => Duration::ZERO,
@@ -107,7 +112,7 @@
 }
 
 fn series(rng: &mut Pcg64Mcg, from: Duration, size: Size, steps: &mut Vec<Step>) {
-    let kinds: [fn(&mut Pcg64Mcg, Size) -> Act; 15] = [
+    let kinds: [fn(&mut Pcg64Mcg, Size) -> Act; 17] = [
         |rng, size| Act::Stop(rng.random_range(0..size.entries)),
         |rng, size| Act::Kill(rng.random_range(0..size.entries)),
         |rng, size| {
@@ -121,6 +126,8 @@
         |_, _| Act::ResetStore,
         |rng, size| Act::SilenceServer(rng.random_range(0..2 * size.servers)),
         |rng, size| Act::Replace(rng.random_range(0..2 * size.servers)),
+        |rng, size| Act::Leave(rng.random_range(0..2 * size.servers)),
+        |rng, size| Act::TurnAway(rng.random_range(0..2 * size.servers)),
         |rng, size| Act::Cool(rng.random_range(0..2 * size.servers)),
         |rng, size| {
             let time = Duration::from_millis(rng.random_range(100..2_500));
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -79,6 +79,11 @@
         }
         Act::Configure => deployment.configure().await,
         Act::Replace(place) => deployment.replace(place).await,
+        Act::Leave(place) => deployment.leave_by_word(place).await,
+        Act::TurnAway(place) => {
+            deployment.turn_away(place);
+            Ok(())
+        }
         Act::Cool(place) => deployment.cool(place).await,
         Act::KillServer(place, time) => deployment.kill_server(place, time).await,
         Act::Evacuate(data_centre, time) => deployment.evacuate(data_centre, time).await,
--- a/crates/soak/tests/checks_notice.rs
+++ b/crates/soak/tests/checks_notice.rs
@@ -31,7 +31,8 @@
 }
 
 fn run(id: &str, at_s: f64) -> Run {
-    Run { server: "s0".to_owned(), request: id.to_owned(), ran: true, at_us: at(at_s) }
+    let (server, request) = ("s0".to_owned(), id.to_owned());
+    Run { server, request, ran: true, at_us: at(at_s), ..Run::default() }
 }
 
 /// A run in which all is as promised: ten requests that ran and were answered.
@@ -265,3 +266,35 @@
     tries(&mut records, 6, 3, 31.0);
     assert_eq!(broken(checks::requests_that_end_servers_are_left, &records), 0);
 }
+
+#[test]
+fn work_at_a_server_that_said_it_leaves_is_noticed_unless_its_entry_was_killed() {
+    // The answer that says so is passed on at 12.1 s; the request at 15 s comes 2.9 s later.
+    let says = |records: &mut Records| {
+        records.runs.iter_mut().take(6).skip(2).for_each(|run| run.told_leaving = true);
+        for run in records.runs.iter_mut().skip(6) {
+            run.server = "s1".to_owned();
+        }
+    };
+    notices(checks::servers_that_say_they_leave_are_left, says);
+    let mut records = kept();
+    says(&mut records);
+    records.disturbed.insert(0, vec![Span { from_us: at(12.5), to_us: at(13.0) }]);
+    assert_eq!(broken(checks::servers_that_say_they_leave_are_left, &records), 0);
+    let mut records = kept();
+    says(&mut records);
+    records.killed_us.insert("s0".to_owned(), vec![at(12.5)]);
+    assert_eq!(broken(checks::servers_that_say_they_leave_are_left, &records), 0, "born anew");
+}
+
+#[test]
+fn three_requests_in_a_pause_are_noticed_and_two_are_allowed() {
+    let asks = |records: &mut Records, pause_ms: u64| {
+        records.runs[2].asked_backoff_ms = Some(pause_ms);
+    };
+    // It asks at 12.05 s; the next come at 13.05, 14.05 and 15.05 s.
+    notices(checks::servers_that_ask_for_a_pause_get_it, |records| asks(records, 3_200));
+    let mut records = kept();
+    asks(&mut records, 2_900);
+    assert_eq!(broken(checks::servers_that_ask_for_a_pause_get_it, &records), 0);
+}
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -83,6 +83,8 @@
     pub body: Vec<u8>,
     /// Whether it was run.
     pub ran: bool,
+    /// Further headers that its answer carries.
+    pub told: Vec<(String, String)>,
     /// Whether the connection was closed before the answer was whole.
     pub cancelled: bool,
 }
@@ -247,6 +249,13 @@
         }
     }
 
+    /// Lets a server do something else with its requests from now on.
+    pub fn does(&self, address: SocketAddr, usual: Act) {
+        if let Some(server) = self.servers.borrow().get(&address) {
+            server.usual.replace(usual);
+        }
+    }
+
     /// Requests that a server has read.
     pub fn seen(&self, address: SocketAddr) -> Vec<Seen> {
         let servers = self.servers.borrow();
@@ -303,7 +312,8 @@
     let another = expected.is_some_and(|expected| *expected != server.id);
     let ran = !another && !matches!(act, Act::NotRun(_));
     let index = server.seen.borrow().len();
-    server.seen.borrow_mut().push(Seen { ran, ..seen.clone() });
+    let told = server.tells.borrow().clone();
+    server.seen.borrow_mut().push(Seen { ran, told, ..seen.clone() });
     if ran && is_lethal(&seen) && !matches!(act, Act::Stream { .. }) {
         act = Act::Silent;
     }
--- a/crates/standin/src/platform_server.rs
+++ b/crates/standin/src/platform_server.rs
@@ -9,9 +9,15 @@
 };
 
 use serde::{Deserialize, Serialize};
-use tokio::{io::copy_bidirectional, net::TcpListener, task::spawn_local, time::sleep};
+use tokio::{
+    io::copy_bidirectional,
+    net::TcpListener,
+    signal::unix::{Signal, SignalKind, signal},
+    task::spawn_local,
+    time::sleep,
+};
 
-use crate::backends::{Act, Backends, Lethal, Names};
+use crate::backends::{Act, Backends, Lethal, Names, Seen};
 
 /// Time between two looks at what was run; a run is told that much late at most.
 const LOOK: Duration = Duration::from_millis(10);
@@ -25,8 +31,17 @@
 /// Status of a process that ended so.
 const ENDED_STATUS: i32 = 3;
 
+/// Tells in its answers that the server leaves.
+const LEAVING_HEADER: &str = "server-leaving";
+/// Tells in its answers for how many seconds it wants no requests.
+const RETRY_AFTER_HEADER: &str = "retry-after";
+/// Time for which a server that was told to turns everything away.
+pub const TURNING_AWAY: Duration = Duration::from_secs(5);
+/// Seconds without requests that it asks for meanwhile.
+const PAUSE_S: &str = "2.5";
+
 /// One request that a server has read.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
     /// Server that read it.
     pub server: String,
@@ -36,6 +51,12 @@
     pub ran: bool,
     /// Time of day at which it was noticed, in microseconds.
     pub at_us: u64,
+    /// Whether the answer said that the server leaves.
+    #[serde(default)]
+    pub told_leaving: bool,
+    /// For how long the server wanted nothing more, if it asked for that with the answer, in milliseconds.
+    #[serde(default)]
+    pub asked_backoff_ms: Option<u64>,
 }
 
 /// Time of day in microseconds.
@@ -57,11 +78,34 @@
     }
 }
 
+impl Run {
+    fn of(server: &str, seen: &Seen) -> Self {
+        let told = |name: &str| {
+            let told = seen.told.iter().find(|(told, _)| told == name);
+            told.map(|(_, value)| value.as_str())
+        };
+        let pause_s = told(RETRY_AFTER_HEADER).and_then(|text| text.parse::<f64>().ok());
+        Run {
+            server: server.to_owned(),
+            request: seen.headers.get(&names().request_id).cloned().unwrap_or_default(),
+            ran: seen.ran,
+            at_us: now_us(),
+            told_leaving: told(LEAVING_HEADER).is_some(),
+            asked_backoff_ms: pause_s.map(|pause_s| (pause_s * 1_000.0) as u64),
+        }
+    }
+}
+
 /// Serves as `id` on connections to `listener`, on the current thread's local tasks.
 pub async fn serve(id: String, usual: Act, listener: TcpListener) -> io::Result<()> {
     let address = listener.local_addr()?;
     let backends = Backends::new(names());
-    backends.start(address, &id, usual);
+    backends.start(address, &id, usual.clone());
+    // NB: a signal that nobody listens for yet would end the process.
+    let (leave, turn_away) =
+        (signal(SignalKind::user_defined1())?, signal(SignalKind::user_defined2())?);
+    spawn_local(leaves(backends.clone(), address, leave));
+    spawn_local(turns_away(backends.clone(), address, usual, turn_away));
     backends.add_lethal(Lethal {
         body: LETHAL_BODY.as_bytes().to_vec(),
         after: ENDS_AFTER,
@@ -80,15 +124,31 @@
     }
 }
 
+/// Says in all answers that the server leaves, from the first such signal on.
+async fn leaves(backends: Backends, address: SocketAddr, mut signal: Signal) {
+    while signal.recv().await.is_some() {
+        backends.tell(address, LEAVING_HEADER, "1");
+    }
+}
+
+/// Turns everything away for a while at each such signal, and asks for a pause with each answer.
+async fn turns_away(backends: Backends, address: SocketAddr, usual: Act, mut signal: Signal) {
+    while signal.recv().await.is_some() {
+        backends.does(address, Act::NotRun(503));
+        backends.tell(address, RETRY_AFTER_HEADER, PAUSE_S);
+        sleep(TURNING_AWAY).await;
+        backends.does(address, usual.clone());
+        backends.tell_no_more(address, RETRY_AFTER_HEADER);
+    }
+}
+
 /// Tells each request once, a line each.
 async fn tell(backends: Backends, address: SocketAddr, id: String) {
     let mut told = 0;
     loop {
         for seen in backends.seen_from(address, told) {
             told += 1;
-            let request = seen.headers.get(&names().request_id).cloned().unwrap_or_default();
-            let run = Run { server: id.clone(), request, ran: seen.ran, at_us: now_us() };
-            let line = serde_json::to_string(&run).unwrap_or_default();
+            let line = serde_json::to_string(&Run::of(&id, &seen)).unwrap_or_default();
             // NB: whoever started it reads this; without a reader there is nothing to serve for.
             if writeln!(io::stdout(), "{line}").is_err() {
                 return;
