--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -187,6 +187,7 @@
 
     /// Forgets the servers that lapsed and did not come back in time, and tells which.
     pub fn take_lapsed(&mut self, now: Duration) -> Vec<ServerId> {
+        self.remembered.retain(|_, (_, notice)| !notice.is_over(now));
         let over = |server: &&Server| !server.is_listed(now);
         let lapsed = self.servers.iter().flatten().filter(over);
         let lapsed: Vec<ServerId> = lapsed.map(|server| server.facts.id.clone()).collect();
@@ -337,7 +338,7 @@
 
     /// The server said in an answer that it leaves. Returns whether that is news.
     pub fn told_leaving(&mut self, ticket: &Ticket, now: Duration) -> bool {
-        self.notice_of(ticket, now).is_some_and(|notice| notice.leaves(now))
+        self.notice_of(ticket).is_some_and(|notice| notice.leaves(now))
     }
 
     /// The server asked in an answer to be sent nothing for a while; `spread` (0 to 1) parts the entries that
@@ -352,19 +353,18 @@
         // NB: each entry comes back with one request, which few entries need not be parted for.
         let slots = self.server_of(ticket).map_or(1, |server| server.facts.slots.max(1));
         let crowd = (self.sharers.count() as f64 / f64::from(slots)).min(1.0);
-        Some(self.notice_of(ticket, now)?.backs_off(asked, spread * crowd, now))
+        Some(self.notice_of(ticket)?.backs_off(asked, spread * crowd, now))
     }
 
     /// Where what a server asks in an answer is noted, unless it was another life of it that asked.
     ///
     /// NB: its entry may be gone for a moment just then, or may have come back at another position.
-    fn notice_of(&mut self, ticket: &Ticket, now: Duration) -> Option<&mut Notice> {
-        let listed = self.servers.iter_mut().flatten();
-        if let Some(server) = listed.into_iter().find(|one| one.facts.id == ticket.server) {
+    fn notice_of(&mut self, ticket: &Ticket) -> Option<&mut Notice> {
+        let mut listed = self.servers.iter_mut().flatten();
+        if let Some(server) = listed.find(|one| one.facts.id == ticket.server) {
             let is_same = server.mark.is_same(&ticket.mark);
             return is_same.then_some(&mut server.notice);
         }
-        self.remembered.retain(|_, (_, notice)| !notice.is_over(now));
         let absent = || (ticket.mark.clone(), Notice::default());
         let (mark, notice) = self.remembered.entry(ticket.server.clone()).or_insert_with(absent);
         mark.is_same(&ticket.mark).then_some(notice)
--- a/crates/decide/src/direct/fleet/notice.rs
+++ b/crates/decide/src/direct/fleet/notice.rs
@@ -21,6 +21,8 @@
 /// Pauses in a row that a server must ask for, without taking a request between them, to count as one that turns
 /// everything away. One that turns away half of what it gets does so to an entry with little work now and then.
 const TURNED_AWAY_PAUSES: u32 = 3;
+/// Time after the last of them for which that is believed. With work to do, it is tried at once.
+const TURNED_AWAY_MEMORY: Duration = Duration::from_secs(5);
 /// Requests whose answers have not begun that a server may have from this entry when a pause ends.
 const FIRST_LIMIT: u32 = 1;
 
@@ -139,9 +141,10 @@
     }
 
     /// Since when it has turned everything away, if it has done so several times in a row.
-    pub fn turns_away_since(&self) -> Option<Duration> {
+    pub fn turns_away_since(&self, now: Duration) -> Option<Duration> {
         let (pauses, since) = self.turned_away?;
-        (pauses >= TURNED_AWAY_PAUSES).then_some(since)
+        let is_recent = now < self.backs_off_until + TURNED_AWAY_MEMORY;
+        (is_recent && pauses >= TURNED_AWAY_PAUSES).then_some(since)
     }
 
     /// Whether one more request may wait there beside those that do.
--- a/crates/decide/src/direct/fleet/places.rs
+++ b/crates/decide/src/direct/fleet/places.rs
@@ -175,7 +175,7 @@
     /// Versions all of whose servers, those that leave aside, have turned everything away for at least `time`.
     pub fn versions_turning_away(&self, time: Duration, now: Duration) -> BTreeSet<VersionId> {
         let takes = |server: &&Server| {
-            let since = server.notice.turns_away_since();
+            let since = server.notice.turns_away_since(now);
             since.is_none_or(|since| now.saturating_sub(since) < time)
         };
         let open = || self.servers.iter().flatten().filter(|server| server.is_open(now));
--- a/crates/decide/tests/notices.rs
+++ b/crates/decide/tests/notices.rs
@@ -188,3 +188,35 @@
     assert!(place(&mut fleet, secs(303)).is_some());
     fleet.asked_backoff(&ticket, Duration::ZERO, 1.0, secs(400));
 }
+
+/// A fleet whose only server has asked for pauses of two seconds, one after the other, and when the last ends.
+fn paused(count: u64) -> (Fleet, Duration) {
+    let (mut fleet, ticket) = fleet(None);
+    fleet.ended(&ticket);
+    for pause in 0..count {
+        let at = secs(1 + 4 * pause);
+        let ticket = place(&mut fleet, at).expect("a place");
+        fleet.ended(&ticket);
+        fleet.asked_backoff(&ticket, secs(2), 0.0, at);
+    }
+    (fleet, secs(4 * count - 1))
+}
+
+fn turns_away(fleet: &Fleet, now: Duration) -> bool {
+    fleet.versions_turning_away(secs(10), now).contains("v1")
+}
+
+#[test]
+fn a_version_turns_away_once_all_its_servers_have_done_so_for_long() {
+    let (full, ended) = paused(2);
+    assert!(!turns_away(&full, ended), "a server that is full for a while");
+    let (mut fleet, ended) = paused(4);
+    assert!(turns_away(&fleet, ended));
+    assert!(!turns_away(&fleet, ended + secs(6)), "nobody has tried it since");
+    fleet.put(facts("s2", None));
+    assert!(!turns_away(&fleet, ended), "another one of the version takes requests");
+    fleet.remove("s2");
+    let mut taken = place(&mut fleet, ended).expect("a place");
+    fleet.began(&mut taken, 20.0, ended);
+    assert!(!turns_away(&fleet, ended), "it takes requests again");
+}
