--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -97,16 +97,27 @@
     fn no_server(&self, no_place: NoPlace) -> Refusal {
         match no_place {
             _ if self.may_have_run => Refusal::OutcomeUnknown,
-            NoPlace::Shut(Opening { at, shut }) => {
-                let opens_in = at.saturating_sub(self.core.clock.now());
-                match shut {
-                    Shut::Cold => Refusal::AllCold { opens_in },
-                    Shut::Backoff => Refusal::AllBackingOff { opens_in: self.spread(opens_in) },
-                }
-            }
+            NoPlace::Shut(opening) => self.shut(opening),
+            _ if !self.avoid.is_empty() => self.turned_away(),
             NoPlace::Leaving => Refusal::AllLeaving,
-            NoPlace::Closed if self.avoid.is_empty() => Refusal::NoServer,
-            NoPlace::Closed => Refusal::TurnedAway,
+            NoPlace::Closed => Refusal::NoServer,
+        }
+    }
+
+    /// Why a request is refused that servers have turned away: what holds for its next try counts.
+    fn turned_away(&self) -> Refusal {
+        match Placement::outlook(&self.core, &self.job, self.model, &[], None) {
+            Err(NoPlace::Shut(opening)) => self.shut(opening),
+            Err(NoPlace::Leaving) => Refusal::AllLeaving,
+            Ok(()) | Err(NoPlace::Closed) => Refusal::TurnedAway,
+        }
+    }
+
+    fn shut(&self, Opening { at, shut }: Opening) -> Refusal {
+        let opens_in = at.saturating_sub(self.core.clock.now());
+        match shut {
+            Shut::Cold => Refusal::AllCold { opens_in },
+            Shut::Backoff => Refusal::AllBackingOff { opens_in: self.spread(opens_in) },
         }
     }
 
@@ -260,12 +271,7 @@
         if self.take_further_send(0.0) {
             return Verdict::Next;
         }
-        match self.outlook(self.model) {
-            Err(no_place @ (NoPlace::Shut(_) | NoPlace::Leaving)) => {
-                Verdict::Refuse(self.no_server(no_place))
-            }
-            _ => Verdict::Refuse(Refusal::TurnedAway),
-        }
+        Verdict::Refuse(self.turned_away())
     }
 
     /// Drops a smaller model's answer if it is not confident and a larger model may be asked.
--- a/crates/direct/tests/servers_that_leave.rs
+++ b/crates/direct/tests/servers_that_leave.rs
@@ -306,3 +306,19 @@
         })
     });
 }
+
+#[test]
+fn callers_hear_that_all_leave_only_if_all_do() {
+    play(|world| async move {
+        world.configure(catalog(1));
+        world.start_server(1, "s", "v1", Act::NotRun(503));
+        world.start_server(2, "s", "v1", Act::NotRun(503));
+        world.start().await;
+        says_it_leaves(&world, 1);
+        let refused = world.ask(request("/again/x", "r1")).await;
+        assert!(refused.body.contains("turned_away"), "{}", refused.body);
+        says_it_leaves(&world, 2);
+        let refused = world.ask(request("/again/x", "r2")).await;
+        assert!(refused.body.contains("all_leaving"), "{}", refused.body);
+    });
+}
