--- a/crates/direct/tests/servers_that_leave.rs
+++ b/crates/direct/tests/servers_that_leave.rs
@@ -10,7 +10,7 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
-use common::{Answer, World, address, catalog, play, request, stream};
+use common::{Answer, World, address, catalog, net::Net, play, request, stream};
 use pondwalk_standin::{backends::Act, memory_store::Weather};
 use tokio::{
     task::spawn_local,
@@ -322,3 +322,29 @@
         assert!(refused.body.contains("all_leaving"), "{}", refused.body);
     });
 }
+
+#[test]
+fn each_entry_learns_from_its_own_first_answer_while_the_store_is_away() {
+    play(|world| async move {
+        let net = Net::default();
+        four_servers(&world, "s", &made());
+        let entries = net.start_many(&world, 20, "");
+        sleep(Duration::from_secs(5)).await;
+        world.store.set_weather(Weather::Refused);
+        says_it_leaves(&world, 1);
+        for n in 0..12 {
+            for (entry, number) in entries.iter().zip(0..) {
+                let asked = request("/open/x", &format!("r{n}-{number}"));
+                assert_eq!(world.ask_at(entry, asked).await.status.as_u16(), 200);
+            }
+            sleep(GAP).await;
+        }
+        let mut from = HashMap::<String, usize>::new();
+        for seen in world.backends.seen(address(1)) {
+            let id = &seen.headers["x-request-id"];
+            *from.entry(id[id.find('-').expect("one")..].to_owned()).or_default() += 1;
+        }
+        assert!(from.values().all(|count| *count == 1), "{from:?}");
+        assert!(from.len() >= 15, "most entries have met it: {from:?}");
+    });
+}
