Agent and entry: the circles of imports over core are cut but for the entry's links

Runs under way (a table) and their execution are apart; a lock that both roles had is one, beside their threads; bills and spend slices are handed what they need and tell what came of it. Left: entry's link and fleet hold core, to which frames and news come back.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -7,13 +7,12 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Mutex, time::Duration};
 
 use pondwalk_config::{AgentSettings, agent::BackendKind};
+use pondwalk_threads::lock;
 use pondwalk_types::{Refusal, TokenUsage, VersionId, Work, read_retry_after};
 use pondwalk_wire::{FrameKind, OrderKind, OrderRefusal, StartRequest};
 use reqwest::{RequestBuilder, Response, StatusCode, header::RETRY_AFTER};
 use tracing::Instrument;
 
-use crate::core::lock;
-
 /// Header that carries the request's id to the backend server.
 const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Where the backend server takes orders.
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -7,12 +7,13 @@
 
 use pondwalk_ledger::{Bill, BillBook, bills};
 use pondwalk_store::Store;
+use pondwalk_threads::lock;
 use pondwalk_types::Incarnation;
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::{
-    core::{Core, lock},
-    runs::{self, SHED_EVERY},
+    core::Core,
+    execution::{self, SHED_EVERY},
 };
 
 /// How often silent entries are looked for, and bills left behind are written.
@@ -28,7 +29,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        runs::shed_late(core);
+        execution::shed_late(core);
     }
 }
 
@@ -40,7 +41,7 @@
         ticks.tick().await;
         for entry in core.outboxes.drop_silent(core.settings.retain) {
             spdlog::warn!("entry fell silent", kv: { entry });
-            runs::cancel_all(core, entry);
+            execution::cancel_all(core, entry);
             adopt_bills(core, &book, entry);
         }
         if lock(&book).backlog() > 0 && bills::flush(&book, store).await.is_err() {
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -12,6 +12,7 @@
 use cadence::{CountedExt, StatsdClient};
 use pondwalk_config::AgentSettings;
 use pondwalk_decide::AdmissionQueue;
+use pondwalk_threads::lock;
 use pondwalk_types::{Incarnation, Policy, Refusal, VersionState, WorkspacePolicy};
 use pondwalk_wire::{AgentNews, Configuration, HeldBill, RunKey, StartRequest};
 use tokio::{runtime::Handle, time::Instant};
@@ -192,8 +193,3 @@
         let _ = self.metrics.incr(name);
     }
 }
-
-/// Locks a mutex; a panic elsewhere does not spread.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 mod backend;
 mod control;
 mod core;
+mod execution;
 mod orders;
 mod outbox;
 mod runs;
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -9,11 +9,12 @@
     atomic::{AtomicU32, Ordering},
 };
 
+use pondwalk_threads::lock;
 use pondwalk_types::VersionId;
 use pondwalk_wire::{Order, OrderKind, OrderRefusal};
 use tokio::time::Instant;
 
-use crate::{backend::Backend, core::lock};
+use crate::backend::Backend;
 
 /// Versions hosted, and the state of orders.
 #[derive(Debug)]
--- a/crates/agent/src/outbox.rs
+++ b/crates/agent/src/outbox.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use pondwalk_threads::lock;
 use pondwalk_types::{AttemptId, Incarnation};
 use pondwalk_wire::{Frame, FrameKind, RunKey, TakeFrames};
 use tokio::{
@@ -16,8 +17,6 @@
     time::{Instant, timeout},
 };
 
-use crate::core::lock;
-
 /// Most frames returned at a time.
 const BATCH_LIMIT: usize = 1_024;
 /// How long tokens in mid-answer wait for others, so that one reply carries many.
--- a/crates/agent/src/runs.rs
+++ b/crates/agent/src/runs.rs
@@ -1,23 +1,19 @@
-//! Runs from admission to their last frame.
+//! The runs that wait or are under way, by name.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::collections::HashMap;
 
-use pondwalk_decide::{Admission, Admitted, QueuedWork};
-use pondwalk_types::{Incarnation, LONGEST_BACKOFF, Refusal, VersionId};
-use pondwalk_wire::{FrameKind, RunKey, StartRequest};
+use pondwalk_types::{Incarnation, VersionId};
+use pondwalk_wire::{RunKey, StartRequest};
 use tokio::task::AbortHandle;
-use tracing::{Instrument, Span};
-
-use crate::{
-    backend::BackendEnd,
-    core::{Core, lock},
-};
+use tracing::Span;
 
 /// A run that waits for a slot.
 #[derive(Debug)]
 pub struct WaitingRun {
-    request: StartRequest,
-    span: Span,
+    /// What it asks for.
+    pub request: StartRequest,
+    /// The span that it is traced in.
+    pub span: Span,
 }
 
 impl WaitingRun {
@@ -27,10 +23,18 @@
     }
 }
 
+/// How far a run has come.
 #[derive(Debug)]
-enum Stage {
+pub enum Stage {
+    /// It waits for a slot.
     Waiting(Box<WaitingRun>),
-    Running { task: AbortHandle, version: VersionId },
+    /// It is under way.
+    Running {
+        /// Ends it.
+        task: AbortHandle,
+        /// Version that it runs on.
+        version: VersionId,
+    },
 }
 
 /// Runs by name.
@@ -64,164 +68,18 @@
         }
     }
 
-    fn of_entry(&self, entry: Incarnation) -> Vec<RunKey> {
-        self.runs.keys().filter(|run| run.entry == entry).copied().collect()
-    }
-}
-
-/// Admits a run or refuses it; a refused run has truly not run.
-pub fn admit(core: &Arc<Core>, request: StartRequest) -> Result<(), Refusal> {
-    let workspace = core.check(&request)?;
-    let now = core.now();
-    let version = request.work.version();
-    let work = QueuedWork {
-        ticket: request.run,
-        workspace: request.workspace.clone(),
-        priority: workspace.priority,
-        share_weight: workspace.share_weight,
-        expected_service: core.backend.expected_service(version),
-        deadline: now + request.deadline_left,
-        stated_deadline: request.stated_deadline,
-    };
-    lock(&core.trials).admit(version)?;
-    let run = request.run;
-    let waiting = WaitingRun { request, span: Span::current() };
-    lock(&core.runs).runs.insert(run, Stage::Waiting(Box::new(waiting)));
-    let admission = lock(&core.queue).offer(now, work);
-    match admission {
-        Admission::Start => start(core, run),
-        Admission::Queued { displaced } => {
-            if let Some((out, refusal)) = displaced {
-                give_up(core, out, refusal);
-            }
-        }
-        Admission::Refused(refusal) => {
-            forget(core, run);
-            return Err(refusal);
-        }
-    }
-    Ok(())
-}
-
-/// Stops a run whose answer nobody wants.
-pub fn cancel(core: &Arc<Core>, run: RunKey) {
-    let stage = lock(&core.runs).runs.remove(&run);
-    match stage {
-        Some(Stage::Waiting(_)) => {
-            lock(&core.queue).withdraw(&run);
-        }
-        Some(Stage::Running { task, .. }) => {
-            task.abort();
-            next(core);
-        }
-        None => {}
-    }
-}
-
-/// Stops all runs of an entry that is gone.
-pub fn cancel_all(core: &Arc<Core>, entry: Incarnation) {
-    let runs = lock(&core.runs).of_entry(entry);
-    for run in runs {
-        cancel(core, run);
-    }
-}
-
-fn start(core: &Arc<Core>, run: RunKey) {
-    let mut runs = lock(&core.runs);
-    let Some(waiting) = runs.remove(&run) else {
-        return;
-    };
-    let span = waiting.span.clone();
-    let version = waiting.version();
-    let task = core.traffic.spawn(execute(core.clone(), run, waiting.request).instrument(span));
-    runs.runs.insert(run, Stage::Running { task: task.abort_handle(), version });
-}
-
-async fn execute(core: Arc<Core>, run: RunKey, request: StartRequest) {
-    let version = request.work.version().clone();
-    core.outboxes.push(run, FrameKind::Began);
-    let outboxes = &core.outboxes;
-    let end = core.backend.run(&request, |kind| outboxes.push(run, kind)).await;
-    let was_open = lock(&core.runs).runs.remove(&run).is_some();
-    if !was_open {
-        return;
-    }
-    report(&core, run, &version, end);
-    next(&core);
-}
-
-fn report(core: &Core, run: RunKey, version: &VersionId, end: BackendEnd) {
-    let failed = !matches!(end, BackendEnd::Whole { .. });
-    match end {
-        // NB: a server that asks for a pause is neither failing nor of a bad version by that.
-        BackendEnd::AskedBackoff(_) => lock(&core.trials).never_ran(version),
-        _ => lock(&core.trials).ended(core.now(), version, failed),
+    /// A run waits, or is under way, from now on.
+    pub fn insert(&mut self, run: RunKey, stage: Stage) {
+        self.runs.insert(run, stage);
     }
-    let kind = match end {
-        BackendEnd::Whole { usage, service } => {
-            core.backend.learn_service(version, service);
-            core.count("runs.whole");
-            FrameKind::Ended { usage, service }
-        }
-        BackendEnd::NotRun(refusal) => {
-            core.count("runs.not_run");
-            FrameKind::NotRun(refusal)
-        }
-        BackendEnd::AskedBackoff(asked) => {
-            core.count("runs.asked_backoff");
-            let backoff_ms = asked.as_millis() as u64;
-            spdlog::warn!("the backend server asked for a pause", kv: { backoff_ms });
-            lock(&core.queue).pause(core.now(), asked);
-            let retry_after_ms = asked.min(LONGEST_BACKOFF).as_millis() as u64;
-            FrameKind::NotRun(Refusal::Overloaded { retry_after_ms })
-        }
-        BackendEnd::Broken(refusal) => {
-            core.count("runs.broken");
-            FrameKind::Failed(refusal)
-        }
-    };
-    core.outboxes.push(run, kind);
-}
 
-/// A slot is free: starts what may start and gives up what came too late.
-fn next(core: &Arc<Core>) {
-    let mut admitted = lock(&core.queue).finish(core.now());
-    loop {
-        let Admitted { start: first, shed } = admitted;
-        for (run, refusal) in shed {
-            give_up(core, run, refusal);
-        }
-        let Some(run) = first else {
-            return;
-        };
-        start(core, run);
-        admitted = lock(&core.queue).admit(core.now());
+    /// Forgets a run; tells how far it has come.
+    pub fn take(&mut self, run: &RunKey) -> Option<Stage> {
+        self.runs.remove(run)
     }
-}
-
-/// Sheds waiting runs whose deadline has passed.
-pub fn shed_late(core: &Arc<Core>) {
-    let admitted = lock(&core.queue).admit(core.now());
-    for (run, refusal) in admitted.shed {
-        give_up(core, run, refusal);
-    }
-    if let Some(run) = admitted.start {
-        start(core, run);
-    }
-}
 
-fn give_up(core: &Core, run: RunKey, refusal: Refusal) {
-    core.count("runs.shed");
-    forget(core, run);
-    core.outboxes.push(run, FrameKind::NotRun(refusal));
-}
-
-fn forget(core: &Core, run: RunKey) {
-    let waiting = lock(&core.runs).remove(&run);
-    if let Some(waiting) = waiting {
-        lock(&core.trials).never_ran(&waiting.version());
+    /// All runs of an entry.
+    pub fn of_entry(&self, entry: Incarnation) -> Vec<RunKey> {
+        self.runs.keys().filter(|run| run.entry == entry).copied().collect()
     }
 }
-
-/// Longest time between two checks for late work.
-pub const SHED_EVERY: Duration = Duration::from_millis(100);
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use futures::StreamExt;
+use pondwalk_threads::lock;
 use pondwalk_types::{Generation, RequestId, VersionId};
 use pondwalk_wire::{
     Agent, AgentStatus, Configuration, FrameBatch, HeldBill, Order, OrderKind, OrderRefusal,
@@ -11,10 +12,7 @@
 use tarpc::{context::Context, server::Channel};
 use tokio::net::TcpListener;
 
-use crate::{
-    core::{Core, lock},
-    runs,
-};
+use crate::{core::Core, execution};
 
 /// Longest wait of one call for frames.
 const LONGEST_TAKE: Duration = Duration::from_secs(30);
@@ -46,7 +44,7 @@
 
 impl Agent for Server {
     async fn start(self, _: Context, request: StartRequest) -> StartReply {
-        let refusal = runs::admit(&self.core, request).err();
+        let refusal = execution::admit(&self.core, request).err();
         if refusal.is_some() {
             self.core.count("runs.refused");
         }
@@ -60,7 +58,7 @@
     }
 
     async fn cancel(self, _: Context, run: RunKey) {
-        runs::cancel(&self.core, run);
+        execution::cancel(&self.core, run);
     }
 
     async fn hold_bill(self, _: Context, bill: HeldBill) {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -4,15 +4,16 @@
 
 use pondwalk_config::PolicyRecord;
 use pondwalk_generations::{OnRace, change, withdraw};
+use pondwalk_threads::lock;
 use pondwalk_types::VersionState;
 use pondwalk_wire::Configuration;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::{
-    bills, conductor,
-    core::{Core, lock},
+    calls::call_context,
+    conductor,
+    core::Core,
     instances::{Instance, InstanceState, Role, read_list},
-    link::Link,
     watcher,
 };
 
@@ -59,7 +60,7 @@
         ticks.tick().await;
         let ahead = core.fleet.all().into_iter().find(|l| l.generation() > core.generation());
         if let Some(client) = ahead.and_then(|link| link.client())
-            && let Ok(Some(newer)) = client.configuration(Link::call_context()).await
+            && let Ok(Some(newer)) = client.configuration(call_context()).await
         {
             core.install(newer);
         }
@@ -138,7 +139,7 @@
         // NB: until then each bill is held by two processes.
         let share = core.fleet.entries() as f64 / BILL_WRITES_PER_SECOND;
         sleep(BILLS_EVERY.max(Duration::from_secs_f64(share))).await;
-        if bills::flush(core).await.is_err() {
+        if core.bills.flush(&core.store, &core.fleet).await.is_err() {
             core.count("bills.flush_failed");
         }
     }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{HashMap, HashSet},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
@@ -14,6 +14,7 @@
 use pondwalk_decide::Router;
 use pondwalk_ledger::Claims;
 use pondwalk_store::Store;
+use pondwalk_threads::lock;
 use pondwalk_types::{AttemptId, Incarnation, Price, WorkspaceId};
 use pondwalk_wire::Configuration;
 use tokio::{runtime::Handle, time::Instant};
@@ -194,8 +195,3 @@
     }
     keys
 }
-
-/// Locks a mutex; a panic elsewhere does not spread.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -9,12 +9,10 @@
     },
 };
 
+use pondwalk_threads::lock;
 use pondwalk_types::ServerId;
 
-use crate::{
-    core::{Core, lock},
-    link::Link,
-};
+use crate::{core::Core, link::Link};
 
 /// Links by server.
 #[derive(Debug, Default)]
--- a/crates/entry/src/http/health.rs
+++ b/crates/entry/src/http/health.rs
@@ -5,7 +5,8 @@
 use poem::{Response, handler, http::StatusCode, web::Data};
 use serde_json::json;
 
-use crate::core::{Core, lock};
+use crate::core::Core;
+use pondwalk_threads::lock;
 
 /// Answers as long as the process runs.
 #[handler]
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod bills;
+mod calls;
 mod claim;
 mod conductor;
 mod control;
@@ -99,7 +100,8 @@
             None => true,
         };
         let billed = tokio::time::timeout(limit, self.write_bills()).await.is_ok();
-        spend::give_back_all(&self.core).await;
+        let Core { slices, router, store, .. } = &*self.core;
+        slices.give_back_all(router, store).await;
         self.stop();
         ended && billed
     }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -12,22 +12,24 @@
 };
 
 use pondwalk_decide::{ServerReport, Trip};
+use pondwalk_threads::lock;
 use pondwalk_types::{AttemptId, Generation, Incarnation, Refusal, ServerId, VersionId};
 use pondwalk_wire::{
     AgentClient, AgentNews, AgentStatus, Configuration, Frame, FrameBatch, FrameKind, RunKey,
     StartReply, StartRequest, TakeFrames, connect,
 };
-use tarpc::{client::RpcError, context::Context};
+use tarpc::client::RpcError;
 use tokio::{sync::mpsc, task::AbortHandle, time::Instant};
 
-use crate::core::{Core, lock};
+use crate::{
+    calls::{call_context, context},
+    core::Core,
+};
 
 /// Longest wait of one call for frames.
 const TAKE_WAIT: Duration = Duration::from_secs(5);
 /// Time on top of that before the connection is taken for lost.
 const TAKE_MARGIN: Duration = Duration::from_secs(2);
-/// Longest time of other calls.
-const CALL_LIMIT: Duration = Duration::from_secs(3);
 /// Time without a connection after which open runs are given up.
 const LOST_AFTER: Duration = Duration::from_secs(3);
 /// First pause before a connection is tried again.
@@ -131,7 +133,7 @@
     /// `None` means that there was no connection, so nothing was sent.
     pub async fn start(&self, request: StartRequest) -> Option<Result<StartReply, RpcError>> {
         let client = lock(&self.state).client.clone()?;
-        let reply = client.start(context(CALL_LIMIT), request).await;
+        let reply = client.start(call_context(), request).await;
         if let Ok(reply) = &reply {
             self.absorb(&reply.news);
         }
@@ -142,7 +144,7 @@
     pub async fn cancel(&self, run: RunKey) {
         if let Some(client) = self.client() {
             // NB: an agent that cannot be told finds out by itself when it is not asked for frames.
-            let _ = client.cancel(context(CALL_LIMIT), run).await;
+            let _ = client.cancel(call_context(), run).await;
         }
     }
 
@@ -152,7 +154,7 @@
             return false;
         };
         let wanted = configuration.generation;
-        let reached = client.configure(context(CALL_LIMIT), configuration).await;
+        let reached = client.configure(call_context(), configuration).await;
         if let Ok(generation) = reached {
             lock(&self.state).generation = generation;
         }
@@ -164,11 +166,6 @@
         lock(&self.state).client.clone()
     }
 
-    /// Context for such calls.
-    pub fn call_context() -> Context {
-        context(CALL_LIMIT)
-    }
-
     async fn keep(self: Arc<Self>) {
         let mut pause = RETRY_PAUSE;
         loop {
@@ -186,7 +183,7 @@
 
     async fn connect(&self) -> Option<AgentStatus> {
         let client = connect(self.address).await.ok()?;
-        let status = client.status(context(CALL_LIMIT)).await.ok()?;
+        let status = client.status(call_context()).await.ok()?;
         let mut state = lock(&self.state);
         let replaced = state.agent != 0 && state.agent != status.news.incarnation;
         state.client = Some(client);
@@ -241,7 +238,7 @@
 
     /// Asks again what the server hosts; tells whether the agent answered.
     async fn ask_hosting(&self, client: &AgentClient) -> bool {
-        match client.status(context(CALL_LIMIT)).await {
+        match client.status(call_context()).await {
             Ok(status) => self.welcome(&status),
             Err(_) => return false,
         }
@@ -315,10 +312,3 @@
         }
     }
 }
-
-/// The current span's context, with a limit.
-fn context(limit: Duration) -> Context {
-    let mut context = Context::current();
-    context.deadline = std::time::Instant::now() + limit;
-    context
-}
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -4,19 +4,20 @@
 
 use pondwalk_decide::{Flight, Next, Receipt, Request, Step};
 use pondwalk_ledger::{Bill, BillItem, ClaimTicket};
+use pondwalk_threads::lock;
 use pondwalk_types::{Ran, Refusal};
 use pondwalk_wire::RatingReport;
 use tokio::sync::mpsc;
 
 use crate::{
     answer::{Answer, Failure, Opening, Piece},
-    bills, claim,
-    core::{Core, lock},
+    bills::Copies,
+    calls::call_context,
+    claim,
+    core::Core,
     incoming::Incoming,
-    link::Link,
     pins::Pin,
     rating::{RATING_TIMEOUT, RatingRequest},
-    spend,
     step::{StepEnd, StepRun},
 };
 
@@ -91,8 +92,21 @@
         let _ = self.out.send(Piece::Fail(failure)).await;
     }
 
+    /// Takes a further slice of the workspace's spend cap if its own is more than half used.
+    async fn top_up_slice(&self) {
+        let Core { slices, router, store, .. } = &*self.core;
+        let workspace = &self.incoming.workspace;
+        let installed = self.core.installed();
+        let policy = installed.as_ref().map(|installed| &installed.configuration.policy);
+        let cap = policy.and_then(|policy| policy.workspaces.get(workspace)?.spend_cap);
+        let Some(cap) = cap else { return };
+        if slices.top_up(workspace, cap, router, store).await.is_err() {
+            self.core.count("spend.store_failed");
+        }
+    }
+
     async fn follow_plan(&mut self) -> Outcome {
-        spend::top_up(&self.core, &self.incoming.workspace).await;
+        self.top_up_slice().await;
         let (mut flight, mut step) = match self.begin() {
             Ok(begun) => begun,
             Err(refusal) => return Outcome::Failed(Failure::not_run(refusal)),
@@ -246,7 +260,10 @@
             return Outcome::Failed(Failure { refusal, ran: self.began });
         };
         let bill = self.bill(&answer);
-        bills::hold(&self.core, bill, &answer.server).await;
+        let Core { bills, fleet, store, incarnation, .. } = &*self.core;
+        if bills.hold(bill, &answer.server, *incarnation, fleet, store).await == Copies::One {
+            self.core.count("bills.single_copy");
+        }
         let receipt = lock(&self.core.router).delivered(self.core.now(), flight);
         let shown = self.was_shown(flight, &answer);
         if !shown {
@@ -321,6 +338,6 @@
     let report = RatingReport { version: answer.version.clone(), task: task.to_owned(), quality };
     core.traffic.spawn(async move {
         // NB: a rating lost is one sample less.
-        let _ = client.rate(Link::call_context(), report).await;
+        let _ = client.rate(call_context(), report).await;
     });
 }
--- a/crates/entry/src/spend.rs
+++ b/crates/entry/src/spend.rs
@@ -2,15 +2,17 @@
 
 use std::{
     collections::HashMap,
+    sync,
     time::{SystemTime, UNIX_EPOCH},
 };
 
+use pondwalk_decide::Router;
 use pondwalk_ledger::spend::{SLICES, give_back, take_slice};
+use pondwalk_store::{Store, StoreError};
+use pondwalk_threads::lock;
 use pondwalk_types::WorkspaceId;
 use tokio::sync::Mutex;
 
-use crate::core::{Core, lock};
-
 const SECONDS_PER_DAY: u64 = 86_400;
 
 /// Slices taken, by workspace.
@@ -31,49 +33,48 @@
     used_up: bool,
 }
 
-/// Takes a further slice for a workspace whose own is more than half used.
-pub async fn top_up(core: &Core, workspace: &WorkspaceId) {
-    let cap = core
-        .installed()
-        .and_then(|installed| installed.configuration.policy.workspaces.get(workspace)?.spend_cap);
-    let Some(cap) = cap else {
-        return;
-    };
-    let enough = || {
-        let left = lock(&core.router).spend_left(workspace);
-        left.is_some_and(|left| left >= cap / SLICES / 2.0)
-    };
-    if enough() {
-        return;
-    }
-    let mut slices = core.slices.taken.lock().await;
-    let taken = slices.entry(workspace.clone()).or_default();
-    let day = today();
-    let spent = lock(&core.router).spent(workspace);
-    if taken.day != day {
-        *taken = Taken { day, limit: spent, spent_before: spent, used_up: false };
-    }
-    if taken.used_up || enough() {
-        return;
-    }
-    match take_slice(&core.store, workspace, day, cap, rand::random()).await {
-        Ok(slice) => {
-            taken.used_up = slice == 0.0;
-            taken.limit += slice;
-            lock(&core.router).set_spend_slice(workspace, Some(taken.limit));
+impl Slices {
+    /// Takes a further slice for a workspace whose own is more than half used.
+    pub async fn top_up(
+        &self,
+        workspace: &WorkspaceId,
+        cap: f64,
+        router: &sync::Mutex<Router>,
+        store: &Store,
+    ) -> Result<(), StoreError> {
+        let enough = || {
+            let left = lock(router).spend_left(workspace);
+            left.is_some_and(|left| left >= cap / SLICES / 2.0)
+        };
+        if enough() {
+            return Ok(());
         }
-        Err(_) => core.count("spend.store_failed"),
+        let mut slices = self.taken.lock().await;
+        let taken = slices.entry(workspace.clone()).or_default();
+        let day = today();
+        let spent = lock(router).spent(workspace);
+        if taken.day != day {
+            *taken = Taken { day, limit: spent, spent_before: spent, used_up: false };
+        }
+        if taken.used_up || enough() {
+            return Ok(());
+        }
+        let slice = take_slice(store, workspace, day, cap, rand::random()).await?;
+        taken.used_up = slice == 0.0;
+        taken.limit += slice;
+        lock(router).set_spend_slice(workspace, Some(taken.limit));
+        Ok(())
     }
-}
 
-/// Gives back what this process has not spent, before a planned stop ends.
-pub async fn give_back_all(core: &Core) {
-    let mut slices = core.slices.taken.lock().await;
-    for (workspace, taken) in slices.drain() {
-        let unspent = taken.limit - lock(&core.router).spent(&workspace).max(taken.spent_before);
-        if unspent > 0.0 && taken.day == today() {
-            // NB: a slice that cannot be given back is lost to its day.
-            let _ = give_back(&core.store, &workspace, taken.day, unspent, rand::random()).await;
+    /// Gives back what this process has not spent, before a planned stop ends.
+    pub async fn give_back_all(&self, router: &sync::Mutex<Router>, store: &Store) {
+        let mut slices = self.taken.lock().await;
+        for (workspace, taken) in slices.drain() {
+            let unspent = taken.limit - lock(router).spent(&workspace).max(taken.spent_before);
+            if unspent > 0.0 && taken.day == today() {
+                // NB: a slice that cannot be given back is lost to its day.
+                let _ = give_back(store, &workspace, taken.day, unspent, rand::random()).await;
+            }
         }
     }
 }
--- a/crates/threads/src/lib.rs
+++ b/crates/threads/src/lib.rs
@@ -1,6 +1,12 @@
 //! The threads of a role: several for traffic, and one for control state.
 
-use std::{future::Future, io, net::SocketAddr, thread::JoinHandle};
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    thread::JoinHandle,
+};
 
 use thiserror::Error;
 use tokio::{runtime::Runtime, sync::oneshot};
@@ -66,3 +72,8 @@
         let _ = self.thread.join();
     }
 }
+
+/// Locks a mutex; a panic elsewhere does not spread.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
