Soak: a server that came back and gave way to another later need not be used

The check passed over those that had left by the list; it now passes over all that gave way, whichever way they said so. Test beside it.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -356,7 +356,7 @@
         });
         near.count() >= WORK
     };
-    let back = records.killed_us.keys().filter(|server| !records.left_us.contains_key(*server));
+    let back = records.killed_us.keys().filter(|server| !records.replaced.contains(*server));
     let back = back.filter(has_work);
     finding("servers born anew are used", back, |server| {
         let is_used =
--- a/crates/soak/src/deployment/servers.rs
+++ b/crates/soak/src/deployment/servers.rs
@@ -82,6 +82,7 @@
 
     /// Another server comes in the place of one that leaves, which serves on for a while.
     async fn give_way(&self, server: ServerSlot, place: usize) -> anyhow::Result<()> {
+        self.records.borrow_mut().replaced.insert(server.id.clone());
         let next = self.start_server(place).await?;
         self.servers.borrow_mut()[place] = Some(next);
         sleep(LEAVING).await;
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -1,6 +1,6 @@
 //! What callers and backend servers have seen, and when what was disturbed.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 pub use pondwalk_standin::platform_server::{Run, now_us};
 
@@ -89,6 +89,8 @@
     pub configured_us: HashMap<Version, TimeUs>,
     /// When it was acknowledged that a server leaves.
     pub left_us: HashMap<String, TimeUs>,
+    /// Servers that have given way to others, whichever way they said that they leave.
+    pub replaced: HashSet<String>,
     /// When each server was killed.
     pub killed_us: HashMap<String, Vec<TimeUs>>,
     /// When each server was cold and said so.
--- a/crates/soak/tests/checks_notice.rs
+++ b/crates/soak/tests/checks_notice.rs
@@ -298,3 +298,16 @@
     asks(&mut records, 2_900);
     assert_eq!(broken(checks::servers_that_ask_for_a_pause_get_it, &records), 0);
 }
+
+#[test]
+fn a_server_that_came_back_and_gave_way_to_another_later_need_not_be_used() {
+    let mut records = kept();
+    records.killed_us.insert("s2".to_owned(), vec![at(5.0)]);
+    records.data_centre_of.insert("s2".to_owned(), "dc1".to_owned());
+    for number in 0..60 {
+        records.exchanges.push(exchange(&format!("w{number}"), 20.0, answered(200)));
+    }
+    assert_eq!(broken(checks::servers_born_anew_are_used, &records), 1);
+    records.replaced.insert("s2".to_owned());
+    assert_eq!(broken(checks::servers_born_anew_are_used, &records), 0);
+}
