--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -8,10 +8,11 @@
 mod ask;
 mod load;
 mod notice;
+mod notices;
 mod places;
 mod server;
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 use pondwalk_types::{DataCentreId, ServerId, VersionId};
 use rand::Rng;
@@ -26,7 +27,7 @@
     hash::mix,
     warm_up::{Pacing, Sharers},
 };
-use notice::{AskedFor, LifeMark, Notice};
+use notice::{LifeMark, Notice};
 use server::Server;
 
 /// Position of a server in its fleet; reused once the server is gone.
@@ -207,12 +208,6 @@
         }
     }
 
-    /// What a server asked for in the life that the store tells of again.
-    fn recall(&mut self, facts: &ServerFacts) -> Option<(LifeMark, Notice)> {
-        let remembered = self.remembered.remove(&facts.id);
-        remembered.filter(|(mark, _)| mark.is_same(&LifeMark::of(facts)))
-    }
-
     /// What is known of a server.
     pub fn facts(&self, id: &str) -> Option<&ServerFacts> {
         self.servers.iter().flatten().map(|server| &server.facts).find(|facts| facts.id == id)
@@ -336,68 +331,6 @@
         }
     }
 
-    /// The server said in an answer that it leaves. Returns whether that is news.
-    pub fn told_leaving(&mut self, ticket: &Ticket, now: Duration) -> bool {
-        self.notice_of(ticket).is_some_and(|notice| notice.leaves(now))
-    }
-
-    /// The server asked in an answer to be sent nothing for a while; `spread` (0 to 1) parts the entries that
-    /// heard the same. Returns until when it gets nothing.
-    pub fn asked_backoff(
-        &mut self,
-        ticket: &Ticket,
-        asked: Duration,
-        spread: f64,
-        now: Duration,
-    ) -> Option<Duration> {
-        // NB: each entry comes back with one request, which few entries need not be parted for.
-        let slots = self.server_of(ticket).map_or(1, |server| server.facts.slots.max(1));
-        let crowd = (self.sharers.count() as f64 / f64::from(slots)).min(1.0);
-        Some(self.notice_of(ticket)?.backs_off(asked, spread * crowd, now))
-    }
-
-    /// Where what a server asks in an answer is noted, unless it was another life of it that asked.
-    ///
-    /// NB: its entry may be gone for a moment just then, or may have come back at another position.
-    fn notice_of(&mut self, ticket: &Ticket) -> Option<&mut Notice> {
-        let mut listed = self.servers.iter_mut().flatten();
-        if let Some(server) = listed.find(|one| one.facts.id == ticket.server) {
-            let is_same = server.mark.is_same(&ticket.mark);
-            return is_same.then_some(&mut server.notice);
-        }
-        let absent = || (ticket.mark.clone(), Notice::default());
-        let (mark, notice) = self.remembered.entry(ticket.server.clone()).or_insert_with(absent);
-        mark.is_same(&ticket.mark).then_some(notice)
-    }
-
-    /// Servers that said they leave and are still listed, with where they listen.
-    pub fn told_leaving_at(&self, now: Duration) -> Vec<(ServerId, SocketAddr)> {
-        let servers = self.servers.iter().flatten();
-        let leaving = servers.filter(|server| server.facts.ready && server.notice.is_leaving(now));
-        leaving.map(|server| (server.facts.id.clone(), server.facts.address)).collect()
-    }
-
-    /// Whether something listens at the address of a server that said it leaves. Returns whether that is its
-    /// next life.
-    pub fn listens(&mut self, id: &str, listens: bool, now: Duration) -> bool {
-        let server = self.servers.iter_mut().flatten().find(|server| server.facts.id == id);
-        let Some(server) = server else { return false };
-        if !listens {
-            server.notice.is_unheard(now);
-            return false;
-        }
-        server.notice.is_heard(now)
-    }
-
-    /// Servers that gave notice: those that leave, and those that want nothing for a while.
-    pub fn count_notices(&self, now: Duration) -> (usize, usize) {
-        let asked = self.servers.iter().flatten().filter_map(|one| one.notice.asked_for(now));
-        asked.fold((0, 0), |(leaving, backing_off), asked| match asked {
-            AskedFor::Leaving => (leaving + 1, backing_off),
-            AskedFor::Backoff => (leaving, backing_off + 1),
-        })
-    }
-
     /// Another server has its address, or it has another identity now.
     pub fn is_replaced(&mut self, ticket: &Ticket) {
         if let Some(server) = self.server_of(ticket) {
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -3,6 +3,7 @@
 mod body;
 mod intake;
 mod listen;
+mod notes;
 mod refuse;
 mod relay;
 mod report;
