--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -213,11 +213,6 @@
         self.servers.iter().flatten().map(|server| &server.facts).find(|facts| facts.id == id)
     }
 
-    /// Servers that take new work, of the versions allowed.
-    pub fn open_servers(&self, versions: VersionRule<'_>, now: Duration) -> usize {
-        self.open(versions, now).count()
-    }
-
     /// Requests under way at servers of the versions allowed, sent by this entry.
     pub fn under_way(&self, versions: VersionRule<'_>) -> u32 {
         let servers = self.servers.iter().flatten();
--- a/crates/direct/tests/servers_that_leave.rs
+++ b/crates/direct/tests/servers_that_leave.rs
@@ -348,3 +348,20 @@
         assert!(from.len() >= 15, "most entries have met it: {from:?}");
     });
 }
+
+#[test]
+fn an_answer_at_hand_is_passed_on_where_its_server_was_the_last_that_stays() {
+    for (path, service, act, status) in [
+        ("/models/x", "m", stream(3, Some(5)), 200),
+        ("/again/x", "s", Act::Answer(500, "failed".into()), 500),
+    ] {
+        play(move |world| async move {
+            world.configure(catalog(1));
+            world.start_server(1, service, "v1", act);
+            says_it_leaves(&world, 1);
+            world.start().await;
+            let answer = world.ask(request(path, "r1")).await;
+            assert_eq!((answer.status.as_u16(), answer.whole), (status, true), "{path}");
+        });
+    }
+}
