--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -23,6 +23,15 @@
 /// deployments of the users have.
 const DEFAULT_HEARTBEAT_MS: f64 = 1_200.0;
 
+/// Time for which the holder of a duty is not passed over where nothing is told, in milliseconds.
+const DEFAULT_DUTY_LEASE_MS: u64 = 3_000;
+/// Length of the windows of usage where nothing is told, in seconds.
+const DEFAULT_REPORT_INTERVAL_S: f64 = 5.0;
+/// Time after a window's end by which its report is due where nothing is told, in seconds.
+const DEFAULT_USAGE_DELAY_S: f64 = 10.0;
+/// Shortest such time: counts take a second to be gathered, and two calls must fit in behind.
+const SHORTEST_USAGE_DELAY: Duration = Duration::from_secs(2);
+
 /// Time in which a data centre must be left where that cannot be read, in milliseconds.
 const DEFAULT_EVACUATION_MS: u64 = 5_000;
 
@@ -59,6 +68,8 @@
     pub roll_out: RollOutSettings,
     /// What servers that are cold may get; without it none is held back.
     pub warm_up: Option<WarmUpSettings>,
+    /// Calls to the platform that one entry makes for all; without it there are none.
+    pub duties: Option<DutySettings>,
     /// Time from the signal to stop until the process is ended from outside.
     pub grace: Duration,
     /// Time after its last request for which a session lasts.
@@ -126,6 +137,19 @@
     pub heartbeat: Duration,
 }
 
+/// `[duties]`: calls to the platform that one entry makes for all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DutySettings {
+    /// Where the platform takes them.
+    pub address: SocketAddr,
+    /// Time for which a holder is not passed over.
+    pub lease: Duration,
+    /// Length of the windows in which usage is counted.
+    pub report_interval: Duration,
+    /// Time after a window's end by which its report is due.
+    pub usage_delay: Duration,
+}
+
 impl TryFrom<RawFile> for DirectSettings {
     type Error = ConfigError;
 
@@ -166,6 +190,7 @@
     let share = "a share from 0 to 1";
     let exposure = file.within("roll_out", "exposure", share, (0.0, 1.0), 0.1);
     let warm_up = read_warm_up(file);
+    let duties = read_duties(file);
     let membership = MembershipSettings::read(file, state_bound);
     check_evacuation(file, &membership);
     let store = StoreSettings::read(file);
@@ -185,6 +210,7 @@
         policy,
         roll_out: RollOutSettings { exposure },
         warm_up,
+        duties,
         grace,
         session_ttl,
         log_lines_per_s,
@@ -263,6 +289,47 @@
     }
 }
 
+/// Tasks among `tasks` that this entry takes part in.
+const USAGE_TASK: &str = "metering";
+
+/// The calls that the platform asks for; a template leaves them blank where there are none.
+fn read_duties(file: &mut RawFile) -> Option<DutySettings> {
+    let tasks = file.text("duties", "tasks").unwrap_or_default();
+    let lease = millis_if_told(file, "lease_ms", DEFAULT_DUTY_LEASE_MS);
+    let report_interval = seconds_if_told(file, "report_interval_s", DEFAULT_REPORT_INTERVAL_S);
+    let usage_delay = seconds_if_told(file, "usage_delay_s", DEFAULT_USAGE_DELAY_S);
+    let is_asked = RawFile::items(&tasks).iter().any(|task| task == USAGE_TASK);
+    if !is_asked {
+        file.mark_used("duties", "address");
+        return None;
+    }
+    let address = file.required("duties", "address", ADDRESS)?;
+    if usage_delay < SHORTEST_USAGE_DELAY {
+        let found = file.text("duties", "usage_delay_s").unwrap_or_default();
+        let expected = "a time in which counts can be gathered, 2 seconds or more";
+        file.fault("duties", "usage_delay_s", Problem::Invalid { found, expected });
+    }
+    Some(DutySettings { address, lease, report_interval, usage_delay })
+}
+
+fn is_blank(file: &mut RawFile, key: &str) -> bool {
+    file.text("duties", key).unwrap_or_default().trim().is_empty()
+}
+
+fn millis_if_told(file: &mut RawFile, key: &str, default_ms: u64) -> Duration {
+    if is_blank(file, key) {
+        return Duration::from_millis(default_ms);
+    }
+    file.millis("duties", key, default_ms)
+}
+
+fn seconds_if_told(file: &mut RawFile, key: &str, default_s: f64) -> Duration {
+    if is_blank(file, key) {
+        return Duration::from_secs_f64(default_s);
+    }
+    file.seconds("duties", key, default_s)
+}
+
 fn read_retries(file: &mut RawFile) -> RetrySettings {
     let share = "a share from 0 to 10";
     let number = "a number from 0 to 1000000";
--- a/crates/config/tests/rejects_faulty_files.rs
+++ b/crates/config/tests/rejects_faulty_files.rs
@@ -161,3 +161,15 @@
     let membership = "[membership]\nevacuation_ms = soon\n";
     assert_eq!(fault_of_direct(membership), place("membership", "evacuation_ms"));
 }
+
+#[test]
+fn reports_of_usage_without_an_address_or_time_are_faults() {
+    let place = |key: &str| ("duties".to_owned(), key.to_owned());
+    let duties = |lines: &str| fault_of_direct(&format!("[duties]\ntasks = metering\n{lines}\n"));
+    assert_eq!(duties(""), place("address"));
+    assert_eq!(duties("address = somewhere"), place("address"));
+    let address = "address = 127.0.0.1:4\n";
+    assert_eq!(duties(&format!("{address}lease_ms = 0")), place("lease_ms"));
+    assert_eq!(duties(&format!("{address}report_interval_s = inf")), place("report_interval_s"));
+    assert_eq!(duties(&format!("{address}usage_delay_s = 1")), place("usage_delay_s"));
+}
--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -27,11 +27,14 @@
 //! 6. **And if a server fails?** A further send is taken out of [`WindowBudget`], which all retries
 //!    and larger models share.
 //!
+//! Beside the requests, [`Duty`] decides who reports the usage of all entries ([`UsageTotals`]), and when.
+//!
 //! What the answer shows goes back into the estimates: [`Fleet::began`], [`Fleet::tells_load`],
 //! [`Fleet::answered`], [`Engine::note_beginning`], [`Cascade::learn`], [`Cascade::note_strain`]
 //! [`RollOut::note`] and [`Pool`].
 
 mod cascade;
+mod duty;
 mod engine;
 mod fleet;
 mod freshness;
@@ -41,10 +44,16 @@
 mod rank;
 mod roll_out;
 mod sessions;
+mod true_time;
+mod usage;
 mod warm_up;
 mod window_budget;
 
 pub use cascade::{Cascade, ModelNumber, Terms};
+pub use duty::{
+    CallEnd, DueWindows, Duty, DutyOrder, DutyRecord, DutyStep, FencingToken, UsageCounts,
+    WindowId, WriteEnd,
+};
 pub use engine::{Engine, Estimate, ServiceModel};
 pub use fleet::{
     Ask, Fleet, Forecast, LoadError, Opening, PromptPart, ServerFacts, ServerIndex, ServerLoad,
@@ -59,5 +68,7 @@
 pub use rank::{RESUMED, Rank, rank_of};
 pub use roll_out::{Evidence, Move, RollOut, Stage};
 pub use sessions::{SessionKey, Sessions, session_key};
+pub use true_time::TrueTime;
+pub use usage::{Teller, UsageMeter, UsageTotals};
 pub use warm_up::{ColdBound, Coldness, Pacing, Sharers, WarmUp, longest_wait};
 pub use window_budget::{WindowBudget, WindowLimits};
--- /dev/null
+++ b/crates/decide/src/direct/duty.rs
@@ -0,0 +1,313 @@
+//! Who may speak for all entries, and the words that are said only once.
+//!
+//! A duty is a call to the platform that one entry makes for all: a report of usage. The record in the
+//! store names the holder, a fencing number that rises with each change of holder, and the words of the
+//! latest report. Whoever is to say something first writes it there, under the condition that nobody
+//! has written since it last heard. So there is one order of holders, numbers and words, and an entry
+//! that takes over repeats the words that it finds, letter by letter, as it can't know whether they
+//! were heard.
+//!
+//! A write allows its writer to call for part of the lease, counted from when the write was sent.
+//! Others wait for the whole lease after they heard of it. So one that was paused, or cut off from the
+//! store, stops by its own clock before another begins.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use pondwalk_types::WorkspaceId;
+use serde::{Deserialize, Serialize};
+
+/// Number of a window of true time: the time since 1970 in lengths of a window.
+pub type WindowId = u64;
+/// Number that rises with each change of the holder of a duty.
+pub type FencingToken = u64;
+/// Requests that began to run in a window, by workspace.
+pub type UsageCounts = BTreeMap<WorkspaceId, u64>;
+
+/// Part of the lease for which a write allows calls. The rest is left to calls that arrive late.
+const CALLING_PART: f64 = 0.5;
+/// Time in calls that get no answer after which another entry is let try: the way from here to the
+/// platform may be cut alone.
+const FRUITLESS_TIME: Duration = Duration::from_secs(3);
+/// Time for which an entry whose calls got no answer leaves the duty to others.
+const ASIDE_TIME: Duration = Duration::from_secs(10);
+
+/// What the store holds of a duty.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct DutyRecord {
+    /// Name of the entry that holds it.
+    pub holder: String,
+    /// Random number of that life of the entry.
+    pub incarnation: u64,
+    /// Its number as a holder.
+    pub fencing_token: FencingToken,
+    /// Window of the latest report.
+    pub window: WindowId,
+    /// What that report says.
+    pub counts: UsageCounts,
+}
+
+/// What became of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum CallEnd {
+    /// It was taken.
+    Taken,
+    /// The platform has seen a higher number.
+    Refused,
+    /// It was not taken, or got no answer.
+    Failed,
+}
+
+/// What became of a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum WriteEnd {
+    /// It was done, and the record has this revision.
+    Done(u64),
+    /// It was not done.
+    NotDone,
+    /// Its answer was lost.
+    Unknown,
+}
+
+/// What is to be done next.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum DutyStep {
+    /// Write this record if the one in the store has this revision; without one, if there is none.
+    Write(DutyRecord, Option<u64>),
+    /// Say the words of this record, until this time at most.
+    Call(DutyRecord, Duration),
+}
+
+/// The windows that could be reported, as this entry sees them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct DueWindows {
+    /// The oldest that can still be reported in time.
+    pub oldest_in_time: WindowId,
+    /// The newest for which all counts should have arrived.
+    pub newest_complete: WindowId,
+}
+
+/// How long this entry leaves to others what is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct DutyOrder {
+    /// Wait by its place in the order.
+    pub by_place: Duration,
+    /// Further wait while another entry is the holder.
+    pub to_holder: Duration,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Known {
+    record: DutyRecord,
+    revision: u64,
+    /// When this entry heard of it.
+    since: Duration,
+}
+
+/// One entry's part in a duty.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Duty {
+    name: String,
+    incarnation: u64,
+    lease: Duration,
+    known: Option<Known>,
+    /// Highest number ever heard of, also in records that are gone.
+    highest_token: FencingToken,
+    /// Number under which the platform refused a call.
+    refused_token: FencingToken,
+    /// Until when it may say the words of the record, which it wrote itself.
+    may_call_until: Duration,
+    /// Since when calls have come to nothing.
+    fruitless_since: Option<Duration>,
+    /// Until when a write is left alone whose answer was lost: it may be done yet.
+    awaits_word_until: Duration,
+    /// Newest window whose report this life has seen taken.
+    taken: Option<WindowId>,
+    /// Window that is due, and since when.
+    due_since: Option<(WindowId, Duration)>,
+    aside_until: Duration,
+}
+
+impl Duty {
+    /// Knows of no record yet. `lease` is the time for which a holder is not passed over.
+    pub fn new(name: &str, incarnation: u64, lease: Duration) -> Self {
+        Duty {
+            name: name.to_owned(),
+            incarnation,
+            lease,
+            known: None,
+            highest_token: 0,
+            refused_token: 0,
+            may_call_until: Duration::ZERO,
+            fruitless_since: None,
+            awaits_word_until: Duration::ZERO,
+            taken: None,
+            due_since: None,
+            aside_until: Duration::ZERO,
+        }
+    }
+
+    /// The record as this entry knows it.
+    pub fn record(&self) -> Option<&DutyRecord> {
+        self.known.as_ref().map(|known| &known.record)
+    }
+
+    /// Newest window whose words stand in the store.
+    pub fn newest_written(&self) -> Option<WindowId> {
+        self.record().map(|record| record.window)
+    }
+
+    /// Hears what the store holds, or that the record is gone.
+    pub fn learn(&mut self, record: Option<(DutyRecord, u64)>, now: Duration) {
+        let Some((record, revision)) = record else {
+            self.known = None;
+            self.may_call_until = Duration::ZERO;
+            return;
+        };
+        if self.known.as_ref().is_some_and(|known| known.revision >= revision) {
+            return;
+        }
+        self.highest_token = self.highest_token.max(record.fencing_token);
+        // NB: also where it shows a write of this entry whose answer was lost. Which of several like writes was
+        // done, and so when it was sent, cannot be told.
+        self.may_call_until = Duration::ZERO;
+        self.awaits_word_until = Duration::ZERO;
+        self.known = Some(Known { record, revision, since: now });
+    }
+
+    /// What became of a write sent at `sent`.
+    pub fn written(&mut self, record: DutyRecord, sent: Duration, end: WriteEnd, now: Duration) {
+        match end {
+            WriteEnd::Done(revision) => {
+                self.learn(Some((record, revision)), now);
+                let is_latest = self.known.as_ref().is_some_and(|known| known.revision == revision);
+                if is_latest {
+                    self.may_call_until = sent + self.lease.mul_f64(CALLING_PART);
+                }
+            }
+            // NB: whoever was first is heard of with all other changes.
+            WriteEnd::NotDone => {}
+            WriteEnd::Unknown => self.awaits_word_until = sent + self.lease,
+        }
+    }
+
+    /// What became of a call with the words of the record.
+    pub fn called(&mut self, record: &DutyRecord, end: CallEnd, now: Duration) {
+        match end {
+            CallEnd::Taken => {
+                self.taken = self.taken.max(Some(record.window));
+                self.fruitless_since = None;
+            }
+            CallEnd::Refused => {
+                self.refused_token = self.refused_token.max(record.fencing_token);
+            }
+            CallEnd::Failed => self.note_fruitless(now),
+        }
+    }
+
+    fn note_fruitless(&mut self, now: Duration) {
+        let since = *self.fruitless_since.get_or_insert(now);
+        if now.saturating_sub(since) >= FRUITLESS_TIME {
+            self.fruitless_since = None;
+            self.aside_until = now + ASIDE_TIME;
+        }
+    }
+
+    /// What this entry is to do now, if anything; `counts` tells what a window's report is to say.
+    pub fn next(
+        &mut self,
+        windows: DueWindows,
+        order: DutyOrder,
+        now: Duration,
+        counts: impl FnOnce(WindowId) -> UsageCounts,
+    ) -> Option<DutyStep> {
+        // NB: a write whose answer was lost may still be done; what the store tells ends the wait.
+        if now < self.aside_until || now < self.awaits_word_until {
+            return None;
+        }
+        if let Some(step) = self.finish_words(windows, now) {
+            return Some(step);
+        }
+        let window = self.next_window(windows)?;
+        let due_since = match self.due_since {
+            Some((due, since)) if due == window => since,
+            _ => now,
+        };
+        self.due_since = Some((window, due_since));
+        if !self.may_write(order, due_since, now) {
+            return None;
+        }
+        let token = self.own_token();
+        let (window, counts) = match self.words_to_repeat(windows) {
+            Some(record) => (record.window, record.counts.clone()),
+            None => (window, counts(window)),
+        };
+        Some(self.write(token, window, counts))
+    }
+
+    /// Says the words that it has written, or asks for more time to do so.
+    fn finish_words(&self, windows: DueWindows, now: Duration) -> Option<DutyStep> {
+        let record = self.record().filter(|record| self.continues(record))?;
+        if self.taken >= Some(record.window) || record.window < windows.oldest_in_time {
+            return None;
+        }
+        if now < self.may_call_until {
+            return Some(DutyStep::Call(record.clone(), self.may_call_until));
+        }
+        Some(self.write(record.fencing_token, record.window, record.counts.clone()))
+    }
+
+    /// The window to be reported next.
+    fn next_window(&self, windows: DueWindows) -> Option<WindowId> {
+        let after = self.newest_written().map_or(0, |window| window.saturating_add(1));
+        let window = after.max(windows.oldest_in_time);
+        (window <= windows.newest_complete).then_some(window)
+    }
+
+    /// Words that another holder, or an earlier life, may have left unsaid.
+    fn words_to_repeat(&self, windows: DueWindows) -> Option<&DutyRecord> {
+        let record = self.record()?;
+        let is_left = !self.continues(record) && record.window >= windows.oldest_in_time;
+        is_left.then_some(record)
+    }
+
+    fn may_write(&self, order: DutyOrder, due_since: Duration, now: Duration) -> bool {
+        let Some(known) = &self.known else { return now >= due_since + order.by_place };
+        if known.record.holder == self.name {
+            return true;
+        }
+        let wait = order.by_place + order.to_holder;
+        now >= due_since + wait && now >= known.since + self.lease
+    }
+
+    /// Whether it goes on under the number of the record.
+    fn continues(&self, record: &DutyRecord) -> bool {
+        self.is_own(record) && record.fencing_token > self.refused_token
+    }
+
+    fn is_own(&self, record: &DutyRecord) -> bool {
+        record.holder == self.name && record.incarnation == self.incarnation
+    }
+
+    fn own_token(&self) -> FencingToken {
+        match self.record() {
+            Some(record) if self.continues(record) => record.fencing_token,
+            _ => self.highest_token.max(self.refused_token) + 1,
+        }
+    }
+
+    fn write(
+        &self,
+        fencing_token: FencingToken,
+        window: WindowId,
+        counts: UsageCounts,
+    ) -> DutyStep {
+        let record = DutyRecord {
+            holder: self.name.clone(),
+            incarnation: self.incarnation,
+            fencing_token,
+            window,
+            counts,
+        };
+        DutyStep::Write(record, self.known.as_ref().map(|known| known.revision))
+    }
+}
--- a/crates/direct/src/clock.rs
+++ b/crates/direct/src/clock.rs
@@ -5,7 +5,11 @@
 //! configurations elsewhere grow old meanwhile, so everything that compares ages must count that time:
 //! it is what `CLOCK_BOOTTIME` has gained on the steady clock.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use nix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
@@ -24,6 +28,8 @@
     suspended: Rc<Cell<Duration>>,
     /// Suspended time that a test makes up.
     made_up: Rc<Cell<Duration>>,
+    /// What a test makes the time of day be at the start of the clock, in milliseconds since 1970.
+    made_up_unix_ms: Rc<Cell<Option<u64>>>,
 }
 
 impl Clock {
@@ -36,6 +42,7 @@
             lead_at_start: lead(counting, steady),
             suspended: Rc::default(),
             made_up: Rc::default(),
+            made_up_unix_ms: Rc::default(),
         }
     }
 
@@ -62,6 +69,20 @@
         self.suspended.get() + self.made_up.get()
     }
 
+    /// The time of day by the machine's own clock, in milliseconds since 1970. It may jump.
+    pub fn unix_ms(&self) -> u64 {
+        let since = match self.made_up_unix_ms.get() {
+            Some(at_start) => Duration::from_millis(at_start) + self.uptime(),
+            None => SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+        };
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Lets the time of day be as if it had been this at the start; for tests.
+    pub fn pretend_unix_ms(&self, at_start: u64) {
+        self.made_up_unix_ms.set(Some(at_start));
+    }
+
     /// The instant of a time, for timers; one that has passed counts as now, or as the start.
     pub fn instant(&self, at: Duration) -> Instant {
         self.origin + at.saturating_sub(HEAD_START + self.suspended())
--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -138,7 +138,7 @@
     }
 
     /// How long this entry leaves to those before it what is due at all.
-    fn wait_in_order(&self) -> Duration {
+    pub(crate) fn wait_in_order(&self) -> Duration {
         wait_in_order(self.core.roster.rank(), self.time_to_hear())
     }
 
@@ -281,7 +281,11 @@
     }
 
     /// Writes to the store, counted and timed.
-    async fn commit(&self, changes: Vec<Change>, cause: StoreCause) -> Result<u64, StoreError> {
+    pub(crate) async fn commit(
+        &self,
+        changes: Vec<Change>,
+        cause: StoreCause,
+    ) -> Result<u64, StoreError> {
         let sent = self.core.clock.now();
         let written = (self.port.store.commit)(changes).await;
         self.core.metrics.time(Timer::StoreCall, self.core.clock.now().saturating_sub(sent));
--- a/crates/direct/src/conductor/learn.rs
+++ b/crates/direct/src/conductor/learn.rs
@@ -10,6 +10,7 @@
 };
 use crate::{
     catalog::ServiceId,
+    duties::USAGE_KEY,
     facts::{Outcome, Progress, RollOutOrder},
     journal::Rank,
     quarantine::QUARANTINE_KEY,
@@ -18,6 +19,9 @@
 impl Conductor {
     /// Learns the last change of a key, or that the key is gone.
     pub fn learn_revision(&self, key: &str, entry: Option<&Fetched>) {
+        if key == USAGE_KEY {
+            self.core.learn_usage_record(entry);
+        }
         let Some(entry) = entry else {
             self.revisions.borrow_mut().remove(key);
             return;
@@ -80,6 +84,9 @@
 
     /// Forgets the revisions of keys that a whole reading does not show.
     pub fn forget_all_but(&self, entries: &[Fetched]) {
+        if entries.iter().all(|entry| entry.key != USAGE_KEY) {
+            self.core.learn_usage_record(None);
+        }
         let mut revisions = self.revisions.borrow_mut();
         revisions.retain(|key, _| entries.iter().any(|entry| entry.key == *key));
     }
--- a/crates/direct/src/conductor/quarantine.rs
+++ b/crates/direct/src/conductor/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use super::Conductor;
@@ -34,7 +34,7 @@
             // NB: another writer's, or another version's; whatever is held here is written over it.
             Err(error) => return self.note_not_stored(error.to_string()),
         };
-        self.core.hear_ends(&stored.ends, stored.age(unix_ms()));
+        self.core.hear_ends(&stored.ends, stored.age(self.core.clock.unix_ms()));
         *self.kept.stored.borrow_mut() = stored;
     }
 
@@ -84,15 +84,10 @@
         let room = MOST_STORED.saturating_sub(ends.len());
         ends.extend(missing.iter().take(room));
         let has_more = room > 0 && !missing.is_empty();
-        has_more.then(|| StoredQuarantine { written_ms: unix_ms(), ends })
+        has_more.then(|| StoredQuarantine { written_ms: self.core.clock.unix_ms(), ends })
     }
 
     fn note_not_stored(&self, error: String) {
         self.core.journal.note(Rank::State, &QuarantineEvent::QuarantineNotStored { error });
     }
 }
-
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -14,8 +14,9 @@
 use crate::{
     clock::Clock,
     dialect::Dialect,
+    duties::Usage,
     journal::Journal,
-    membership::{NewsLog, Outbox, Roster, Source},
+    membership::{LEAST_INFORMED, NewsLog, Outbox, Roster, Source, roots},
     metrics::Metrics,
     quarantine::{GivenBack, HeldThoughGood, SeenEnds},
     state::State,
@@ -76,6 +77,8 @@
     pub held_though_good: HeldThoughGood,
     /// Leave to run that is to be given back.
     pub given_back: GivenBack,
+    /// Usage that is counted and reported, where the deployment asks for that.
+    pub usage: Option<Usage>,
     /// What changes.
     pub state: RefCell<State>,
 }
@@ -93,6 +96,7 @@
         let state = State::new(&settings, seed);
         let roster = Roster::new(&settings);
         let incarnation = SmallRng::seed_from_u64(seed).random();
+        let usage = settings.duties.map(|duties| Usage::new(&settings.name, incarnation, duties));
         Core {
             settings,
             dialect,
@@ -113,6 +117,7 @@
             seen_ends: SeenEnds::default(),
             held_though_good: HeldThoughGood::default(),
             given_back: GivenBack::default(),
+            usage,
             state: RefCell::new(state),
         }
     }
@@ -154,6 +159,12 @@
         }
     }
 
+    /// Whether all news that goes up reaches this entry: it asks the store, or stands next in order to.
+    pub fn hears_all_news(&self) -> bool {
+        let asks_store = !matches!(self.source(), Source::Entry { .. });
+        asks_store || self.roster.rank() < roots(self.roster.count()).max(LEAST_INFORMED)
+    }
+
     /// Age of the last confirmation by the store that the state rests on, if any.
     pub fn state_age(&self) -> Option<Duration> {
         self.state.borrow().freshness.age(self.clock.now())
--- /dev/null
+++ b/crates/direct/src/duties.rs
@@ -0,0 +1,385 @@
+//! Counts usage, gathers it, and reports it to the platform: one entry for all.
+//!
+//! Each entry counts what it saw begin to run and tells its counts up the tree, several times in a window.
+//! The entries at the top know them all. Which of them reports, under which number and in which words, is
+//! settled in the store by [`Duty`]. Nothing of it is needed to answer a caller.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use pondwalk_config::DutySettings;
+use pondwalk_decide::direct::{
+    CallEnd, DueWindows, Duty, DutyOrder, DutyRecord, DutyStep, TrueTime, UsageCounts, UsageMeter,
+    UsageTotals, WindowId, WriteEnd,
+};
+use pondwalk_store::{Change, Expect, Fetched, StoreError};
+use serde::Serialize;
+use tokio::time::sleep;
+
+use crate::{
+    conductor::Conductor,
+    core::Core,
+    facts::{DutyCallError, Port, UsageReport},
+    journal::Rank,
+    membership::{Item, News, Source},
+    metrics::{Counter, StoreCause},
+};
+
+/// Key of the record of who reports usage, and what was reported last.
+pub const USAGE_KEY: &str = "pondwalk/duty/usage";
+
+/// Time between two looks at what is to be told or reported.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two readings of the time of day.
+const READING_INTERVAL: Duration = Duration::from_secs(10);
+/// Least time between two tellings of an entry. What it has not told is lost with it.
+const LEAST_TELLING_INTERVAL: Duration = Duration::from_millis(500);
+/// The same for each entry: together they tell at most 400 times a second.
+const TELLING_OF_ONE: Duration = Duration::from_micros(2_500);
+/// Part of the delay allowed in which counts gather after a window's end, besides the time between two
+/// tellings.
+const GATHER_PART: f64 = 0.2;
+/// Part of that delay for which an entry that heard only part of a window leaves it to others.
+const PARTLY_INFORMED_PART: f64 = 0.2;
+/// Part of that delay for which others leave to the holder what is due.
+const TO_HOLDER_PART: f64 = 0.1;
+/// Windows ahead of the time of day for which counts are believed; clocks of machines differ.
+const MOST_AHEAD: u64 = 2;
+/// Pause after a call that came to nothing; each costs the platform something.
+const CALL_PAUSE: Duration = Duration::from_millis(500);
+/// Longest wait for the answer to a call. It comes in milliseconds.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+/// A step of the duty, under the name of the event.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event")]
+enum UsageEvent {
+    /// This entry has become the holder.
+    #[serde(rename = "usage_duty_taken")]
+    Taken { fencing_token: u64 },
+    /// The platform took a report.
+    #[serde(rename = "usage_reported")]
+    Reported { window: WindowId, requests: u64, workspaces: usize, fencing_token: u64 },
+    /// A call came to nothing.
+    #[serde(rename = "usage_call_failed")]
+    CallFailed { window: WindowId, fencing_token: u64, error: String },
+    /// A report could not be written before it was to be said.
+    #[serde(rename = "usage_not_written")]
+    NotWritten { window: WindowId, error: String },
+    /// The store holds something else in the record's place.
+    #[serde(rename = "usage_record_unreadable")]
+    RecordUnreadable { error: String },
+    /// Counts came of a window that is reported already, or too far off.
+    #[serde(rename = "usage_counts_ignored")]
+    CountsIgnored { from: String, window: WindowId },
+}
+
+/// What an entry counts and knows of usage.
+#[derive(Debug)]
+pub struct Usage {
+    settings: DutySettings,
+    meter: RefCell<UsageMeter>,
+    totals: RefCell<UsageTotals>,
+    time: RefCell<TrueTime>,
+    duty: RefCell<Duty>,
+    /// Since when all counts reach this entry.
+    informed_since: Cell<Option<Duration>>,
+    /// Whether the record in the store cannot be read: it is another version's, and left to that.
+    is_foreign: Cell<bool>,
+}
+
+impl Usage {
+    /// Nothing is counted yet.
+    pub fn new(name: &str, incarnation: u64, settings: DutySettings) -> Self {
+        Usage {
+            settings,
+            meter: RefCell::default(),
+            totals: RefCell::default(),
+            time: RefCell::default(),
+            duty: RefCell::new(Duty::new(name, incarnation, settings.lease)),
+            informed_since: Cell::default(),
+            is_foreign: Cell::default(),
+        }
+    }
+
+    fn window_of(&self, unix_ms: u64) -> WindowId {
+        unix_ms / self.interval_ms()
+    }
+
+    fn interval_ms(&self) -> u64 {
+        whole_ms(self.settings.report_interval).max(1)
+    }
+
+    /// The oldest window that can still be reported in time.
+    fn oldest_in_time(&self, unix_ms: u64) -> WindowId {
+        self.window_of(unix_ms.saturating_sub(whole_ms(self.settings.usage_delay)))
+    }
+
+    /// The windows that could be reported at a time of day, if counts take `gathering` to arrive where some
+    /// entry may have more to tell.
+    fn due(&self, unix_ms: u64, gathering: Duration, now: Duration) -> DueWindows {
+        let waited_for = unix_ms.saturating_sub(whole_ms(gathering));
+        let latest = self.window_of(unix_ms).saturating_sub(1);
+        let (from_ms, to_ms) = (latest * self.interval_ms(), (latest + 1) * self.interval_ms());
+        let is_whole = self.totals.borrow().have_all_told(from_ms, to_ms)
+            && self.is_informed_of(latest, now, unix_ms);
+        let newest_complete =
+            if is_whole { latest } else { self.window_of(waited_for).saturating_sub(1) };
+        DueWindows { oldest_in_time: self.oldest_in_time(unix_ms), newest_complete }
+    }
+
+    /// The first window that can still be reported and whose words are not written.
+    fn first_open(&self, unix_ms: u64) -> WindowId {
+        let written = self.duty.borrow().newest_written();
+        let after = written.map_or(0, |written| written.saturating_add(1));
+        after.max(self.oldest_in_time(unix_ms))
+    }
+
+    /// Whether counts of a window are of use at a time of day.
+    fn is_open(&self, window: WindowId, unix_ms: u64) -> bool {
+        let newest = self.window_of(unix_ms) + MOST_AHEAD;
+        (self.first_open(unix_ms)..=newest).contains(&window)
+    }
+
+    /// Whether this entry has heard all counts of a window from its beginning.
+    fn is_informed_of(&self, window: WindowId, now: Duration, unix_ms: u64) -> bool {
+        let Some(since) = self.informed_since.get() else { return false };
+        let since_ms = unix_ms.saturating_sub(whole_ms(now.saturating_sub(since)));
+        window * self.interval_ms() >= since_ms
+    }
+
+    fn part_of_delay(&self, part: f64) -> Duration {
+        self.settings.usage_delay.mul_f64(part)
+    }
+}
+
+impl Core {
+    /// A request of a workspace has begun to run.
+    pub fn count_usage(&self, workspace: &str) {
+        let Some(usage) = &self.usage else { return };
+        // NB: by the clock by which it tells until when it has counted.
+        if let Some(unix_ms) = usage.time.borrow().own_unix_ms(self.clock.now()) {
+            usage.meter.borrow_mut().note(usage.window_of(unix_ms), workspace);
+        }
+    }
+
+    /// An entry told what it has counted.
+    pub fn hear_used(&self, item: &Item, window: WindowId, counts: &UsageCounts, told_ms: u64) {
+        let Some(usage) = &self.usage else { return };
+        let now = self.clock.now();
+        let mut time = usage.time.borrow_mut();
+        time.hear(&item.origin, told_ms, now.saturating_sub(item.age));
+        let Some(unix_ms) = time.unix_ms(now) else { return };
+        drop(time);
+        if !usage.is_open(window, unix_ms) {
+            let from = item.origin.clone();
+            self.journal.note(Rank::State, &UsageEvent::CountsIgnored { from, window });
+            return;
+        }
+        let teller = (item.origin.clone(), item.incarnation);
+        let mut totals = usage.totals.borrow_mut();
+        totals.hear_until(&item.origin, told_ms);
+        totals.hear(teller, item.number, window, counts.clone());
+    }
+
+    /// Hears what the store holds of the duty, or that its record is gone.
+    pub fn learn_usage_record(&self, entry: Option<&Fetched>) {
+        let Some(usage) = &self.usage else { return };
+        let now = self.clock.now();
+        let mut duty = usage.duty.borrow_mut();
+        usage.is_foreign.set(false);
+        let Some(entry) = entry else { return duty.learn(None, now) };
+        match serde_json::from_slice::<DutyRecord>(&entry.value) {
+            Ok(record) => duty.learn(Some((record, entry.revision)), now),
+            Err(error) => {
+                usage.is_foreign.set(true);
+                let error = error.to_string();
+                self.journal.note(Rank::State, &UsageEvent::RecordUnreadable { error });
+            }
+        }
+    }
+
+    /// Time between two tellings of what this entry has counted.
+    fn usage_telling_interval(&self) -> Duration {
+        (TELLING_OF_ONE * self.roster.count() as u32).max(LEAST_TELLING_INTERVAL)
+    }
+
+    /// Tells the counts that have changed.
+    fn tell_counts(&self, usage: &Usage) {
+        let Some(unix_ms) = usage.time.borrow().own_unix_ms(self.clock.now()) else { return };
+        let mut meter = usage.meter.borrow_mut();
+        meter.forget_before(usage.first_open(unix_ms));
+        meter.open(usage.window_of(unix_ms));
+        let untold = meter.take_untold();
+        drop(meter);
+        for (window, counts) in untold {
+            self.tell_news(News::Used { window, counts, unix_ms });
+        }
+    }
+}
+
+/// Tells other entries what this one has counted, for as long as the process runs.
+pub async fn tell_usage(core: Rc<Core>) {
+    let Some(usage) = &core.usage else { return };
+    let mut read_at = Duration::ZERO;
+    let mut tell_at = Duration::ZERO;
+    let mut source = None;
+    loop {
+        let now = core.clock.now();
+        if now >= read_at {
+            read_at = now + READING_INTERVAL;
+            usage.time.borrow_mut().note_reading(core.clock.unix_ms(), now);
+        }
+        // NB: who was told before may be gone, and with it what it had not passed on.
+        let heard_by = core.above();
+        if source.as_ref() != Some(&heard_by) {
+            source = Some(heard_by);
+            usage.meter.borrow_mut().tell_again();
+        }
+        if now >= tell_at {
+            tell_at = now + core.usage_telling_interval();
+            core.tell_counts(usage);
+        }
+        sleep(LOOK_INTERVAL).await;
+    }
+}
+
+/// Reports usage where that is this entry's to do, for as long as the process runs.
+pub async fn report_usage(core: Rc<Core>, port: Port, conductor: Rc<Conductor>) {
+    let (Some(usage), Some(report)) = (&core.usage, &port.report_usage) else { return };
+    loop {
+        sleep(LOOK_INTERVAL).await;
+        while let Some(step) = next_step(&core, usage, &conductor) {
+            let has_moved = match step {
+                DutyStep::Write(record, expected) => {
+                    write(&core, usage, &conductor, record, expected).await
+                }
+                DutyStep::Call(record, until) => {
+                    let limit = until.saturating_sub(core.clock.now()).min(CALL_LIMIT);
+                    let calling = report(report_of(&record), limit);
+                    note_called(&core, usage, &record, calling.await)
+                }
+            };
+            if !has_moved {
+                sleep(CALL_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// What this entry is to do now, if anything.
+fn next_step(core: &Core, usage: &Usage, conductor: &Conductor) -> Option<DutyStep> {
+    let now = core.clock.now();
+    if !core.hears_all_news() {
+        usage.informed_since.set(None);
+    } else if usage.informed_since.get().is_none() {
+        usage.informed_since.set(Some(now));
+    }
+    // NB: an entry that asks others hears too late who was first.
+    if matches!(core.source(), Source::Entry { .. }) || usage.is_foreign.get() {
+        return None;
+    }
+    if core.outage().is_some() || core.state.borrow().catalog.is_none() {
+        return None;
+    }
+    let unix_ms = usage.time.borrow().unix_ms(now)?;
+    let gathering = usage.part_of_delay(GATHER_PART) + core.usage_telling_interval();
+    let windows = usage.due(unix_ms, gathering, now);
+    let mut order = DutyOrder {
+        by_place: conductor.wait_in_order(),
+        to_holder: usage.part_of_delay(TO_HOLDER_PART),
+    };
+    let next = usage.first_open(unix_ms);
+    usage.totals.borrow_mut().forget_before(next);
+    if !usage.is_informed_of(next, now, unix_ms) {
+        order.by_place += usage.part_of_delay(PARTLY_INFORMED_PART);
+    }
+    let mut duty = usage.duty.borrow_mut();
+    duty.next(windows, order, now, |window| usage.totals.borrow().total(window))
+}
+
+/// Writes a record; tells whether that has brought the duty forward.
+async fn write(
+    core: &Core,
+    usage: &Usage,
+    conductor: &Conductor,
+    record: DutyRecord,
+    expected: Option<u64>,
+) -> bool {
+    let sent = core.clock.now();
+    // NB: a record of texts and numbers always serializes.
+    let value = serde_json::to_vec(&record).unwrap_or_default();
+    let expect = expected.map_or(Expect::Absent, Expect::Revision);
+    let change = Change { key: USAGE_KEY.to_owned(), value, expect, lease: None };
+    let written = conductor.commit(vec![change], StoreCause::Duty).await;
+    if let Err(error) = &written {
+        let (window, error) = (record.window, error.to_string());
+        core.journal.note(Rank::State, &UsageEvent::NotWritten { window, error });
+    }
+    let is_done = written.is_ok();
+    let end = match written {
+        Ok(revision) => WriteEnd::Done(revision),
+        Err(StoreError::AnswerLost | StoreError::AnswerStopped(_) | StoreError::Malformed) => {
+            WriteEnd::Unknown
+        }
+        Err(StoreError::Conflict | StoreError::Unreachable | StoreError::LeaseLapsed) => {
+            WriteEnd::NotDone
+        }
+    };
+    let fencing_token = record.fencing_token;
+    let mut duty = usage.duty.borrow_mut();
+    let before = duty.record().map(|record| record.fencing_token);
+    duty.written(record, sent, end, core.clock.now());
+    if is_done && before != Some(fencing_token) {
+        core.journal.note(Rank::State, &UsageEvent::Taken { fencing_token });
+    }
+    is_done
+}
+
+fn report_of(record: &DutyRecord) -> UsageReport {
+    UsageReport {
+        holder: record.holder.clone(),
+        fencing_token: record.fencing_token,
+        window: record.window,
+        counts: record.counts.clone(),
+    }
+}
+
+/// Takes in what became of a call; tells whether that has brought the duty forward.
+fn note_called(
+    core: &Core,
+    usage: &Usage,
+    record: &DutyRecord,
+    called: Result<(), DutyCallError>,
+) -> bool {
+    let (window, fencing_token) = (record.window, record.fencing_token);
+    let end = match &called {
+        Ok(()) => CallEnd::Taken,
+        Err(DutyCallError::Refused) => CallEnd::Refused,
+        Err(_) => CallEnd::Failed,
+    };
+    usage.duty.borrow_mut().called(record, end, core.clock.now());
+    match called {
+        Ok(()) => {
+            core.metrics.count(Counter::UsageReports);
+            let requests = record.counts.values().sum();
+            let workspaces = record.counts.len();
+            let event = UsageEvent::Reported { window, requests, workspaces, fencing_token };
+            core.journal.note(Rank::State, &event);
+        }
+        Err(error) => {
+            core.metrics.count(Counter::UsageCallsFailed);
+            let error = error.to_string();
+            let event = UsageEvent::CallFailed { window, fencing_token, error };
+            core.journal.note(Rank::State, &event);
+        }
+    }
+    end == CallEnd::Taken
+}
+
+fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -15,6 +15,7 @@
     conductor::Conductor,
     core::{Core, Stopping},
     dialect::Dialect,
+    duties,
     facts::Port,
     follow::follow,
     http::{self, Gate},
@@ -106,6 +107,11 @@
         spawn_local(membership::pass_on(Rc::clone(&self.core)));
         spawn_local(quarantine::speak_for_good_contents(Rc::clone(&self.core)));
         spawn_local(quarantine::give_back_probes(Rc::clone(&self.core)));
+        if self.core.usage.is_some() {
+            spawn_local(duties::tell_usage(Rc::clone(&self.core)));
+            let conductor = Rc::clone(&self.conductor);
+            spawn_local(duties::report_usage(Rc::clone(&self.core), self.port.clone(), conductor));
+        }
         spawn_local(look_after_leavers(Rc::clone(&self.core)));
         spawn_local(follow(Rc::clone(&self.core), self.port.clone(), conductor));
         let core = Rc::clone(&self.core);
@@ -172,6 +178,11 @@
         self.core.clock.pretend_suspended(time);
     }
 
+    /// Lets the time of day be as if it had been this at the start, in milliseconds since 1970; for tests.
+    pub fn pretend_unix_ms(&self, at_start: u64) {
+        self.core.clock.pretend_unix_ms(at_start);
+    }
+
     /// Log lines gathered and not yet handed to the writer.
     pub fn gathered_lines(&self) -> String {
         self.core.journal.gathered()
--- a/crates/direct/src/facts.rs
+++ b/crates/direct/src/facts.rs
@@ -1,7 +1,8 @@
 //! What lies in the platform's store, in the product's terms.
 
-use std::{rc::Rc, time::Duration};
+use std::{future::Future, pin::Pin, rc::Rc, time::Duration};
 
+use pondwalk_decide::direct::{FencingToken, UsageCounts, WindowId};
 use pondwalk_store::{Fetched, StorePort};
 use pondwalk_types::{DataCentreId, ServerId, VersionId};
 use serde::{Deserialize, Serialize};
@@ -85,7 +86,42 @@
 /// Key and value under which a roll-out's progress is told.
 pub type WriteProgress = Rc<dyn Fn(&Progress) -> (String, Vec<u8>)>;
 
-/// The platform's store: its calls, and how to read and write what lies in it.
+/// A report of usage, with what shows who speaks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UsageReport {
+    /// Name of the entry that holds the duty.
+    pub holder: String,
+    /// Its number as a holder.
+    pub fencing_token: FencingToken,
+    /// Window that it is of.
+    pub window: WindowId,
+    /// Requests that began to run in it, by workspace.
+    pub counts: UsageCounts,
+}
+
+/// Why a call to the platform that one entry makes for all came to nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum DutyCallError {
+    /// The platform has seen a higher number.
+    #[error("a higher number has been seen")]
+    Refused,
+    /// The platform takes no more calls for now, or answers otherwise than it should.
+    #[error("the platform answers {0}")]
+    NotTaken(u16),
+    /// It cannot be reached.
+    #[error("the platform cannot be reached")]
+    Unreachable,
+    /// No answer came; the call may be carried out yet.
+    #[error("no answer came")]
+    NoAnswer,
+}
+
+/// Future of one such call.
+pub type DutyFuture = Pin<Box<dyn Future<Output = Result<(), DutyCallError>>>>;
+/// Reports usage to the platform, in the given time at most.
+pub type ReportUsage = Rc<dyn Fn(UsageReport, Duration) -> DutyFuture>;
+
+/// The platform: its store's calls, how to read and write what lies there, and other calls.
 #[derive(Clone)]
 pub struct Port {
     /// The calls.
@@ -94,6 +130,8 @@
     pub read: ReadFact,
     /// Writes progress.
     pub write_progress: WriteProgress,
+    /// Reports usage, where the deployment asks for that.
+    pub report_usage: Option<ReportUsage>,
 }
 
 impl Port {
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -71,6 +71,8 @@
     pub failed_version: Option<VersionId>,
     /// Whether any send may have run.
     pub may_have_run: bool,
+    /// Whether it counts in its workspace's usage: some server has begun to run it.
+    pub is_counted: bool,
     /// Leave by which it runs as a probe, as long as no server has ended under it.
     pub probe: Option<Rc<ProbeLease>>,
     _under_way: UnderWay,
@@ -90,6 +92,7 @@
             dropped: Vec::new(),
             failed_version: None,
             may_have_run: false,
+            is_counted: false,
             probe: None,
             _under_way: under_way,
         }
@@ -106,11 +109,22 @@
             dropped: Vec::new(),
             failed_version: self.failed_version.clone(),
             may_have_run: true,
+            is_counted: self.is_counted,
             probe: self.probe.clone(),
             _under_way: UnderWay::enter(&self.core),
         }
     }
 
+    /// A server has begun to run it. Whatever runs follow, it is one request of its workspace.
+    pub fn note_begun(&mut self) {
+        if std::mem::replace(&mut self.is_counted, true) {
+            return;
+        }
+        if let Some(workspace) = &self.job.workspace {
+            self.core.count_usage(&workspace.name);
+        }
+    }
+
     /// Whether it may be sent to a server now, by what is known of its content; asks for leave if one is
     /// needed. Tells until when it is held if not.
     ///
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -222,6 +222,7 @@
             return self.after_loss(&placement, "not_its_answer", status.to_string());
         }
         placement.began();
+        self.note_begun();
         if let Some(load) = self.load(exchange.response.headers()) {
             placement.tells_load(load);
         }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod content;
 mod core;
 pub mod dialect;
+mod duties;
 mod entry;
 pub mod events;
 pub mod facts;
@@ -31,5 +32,5 @@
 
 pub use dialect::Dialect;
 pub use entry::Entry;
-pub use facts::{Fact, Port};
+pub use facts::{DutyCallError, Fact, Port, UsageReport};
 pub use run::{RunError, run};
--- a/crates/direct/src/membership.rs
+++ b/crates/direct/src/membership.rs
@@ -35,6 +35,10 @@
 /// Where entries are listed, by name.
 pub const ENTRY_PREFIX: &str = "pondwalk/entries/";
 
+/// Entries that hear all news that goes up, at least. One in eight times all of them are gone with half of the
+/// entries.
+pub const LEAST_INFORMED: usize = 3;
+
 /// Where an entry is asked for its state.
 const STATE_PATH: &str = "/state";
 /// Where an entry is asked for leave to run a request under which servers have ended.
--- a/crates/direct/src/membership/news.rs
+++ b/crates/direct/src/membership/news.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use pondwalk_decide::direct::{Content, Seen, ServerEnd, SessionKey, Stage};
+use pondwalk_decide::direct::{Content, Seen, ServerEnd, SessionKey, Stage, UsageCounts, WindowId};
 use pondwalk_types::ServerId;
 use serde::{Deserialize, Serialize};
 
@@ -80,6 +80,15 @@
         /// The content.
         content: Content,
     },
+    /// Requests that it has seen begin to run in a window, all of them so far. This only goes up.
+    Used {
+        /// The window.
+        window: WindowId,
+        /// The requests, by workspace.
+        counts: UsageCounts,
+        /// Milliseconds since 1970 when it told this, by its own clocks.
+        unix_ms: u64,
+    },
     /// It has started and is to be listed.
     Joined {
         /// Where other entries may ask it, and over which link.
@@ -144,7 +153,7 @@
 impl Item {
     /// Whether it only goes up the tree.
     pub fn only_goes_up(&self) -> bool {
-        matches!(self.news, News::Seen { .. })
+        matches!(self.news, News::Seen { .. } | News::Used { .. })
     }
 
     fn id(&self) -> ItemId {
--- a/crates/direct/src/membership/roster.rs
+++ b/crates/direct/src/membership/roster.rs
@@ -11,6 +11,7 @@
 use pondwalk_decide::direct::{Content, granting_order, session_key};
 
 use super::{
+    LEAST_INFORMED,
     client::AskError,
     listing::Listing,
     tree::{self, Place},
@@ -167,13 +168,13 @@
         able.map(|(key, one)| (key.2.clone(), one.listing.address)).collect()
     }
 
-    /// The other entries that ask the store, as far as this one can tell; one at least, so that what
-    /// this one finds is not known to it alone.
+    /// The other entries that ask the store, as far as this one can tell, and those next in order, so that
+    /// what this one finds is not lost with it.
     pub fn other_roots(&self, now: Duration) -> Vec<SocketAddr> {
         let listed = self.listed.borrow();
         let able =
             listed.iter().filter(|(key, one)| **key == self.own || one.passed_over_until <= now);
-        let roots = tree::roots(able.clone().count()).max(2);
+        let roots = tree::roots(able.clone().count()).max(LEAST_INFORMED);
         let others = able.take(roots).filter(|(key, _)| **key != self.own);
         others.map(|(_, one)| one.listing.address).collect()
     }
--- a/crates/direct/src/membership/spread.rs
+++ b/crates/direct/src/membership/spread.rs
@@ -113,6 +113,7 @@
             | News::Unreached { .. }
             | News::Ended { .. }
             | News::Cleared { .. }
+            | News::Used { .. }
             | News::Joined { .. } => return,
         };
         let (service, target) = (item.service(), item.target());
@@ -122,6 +123,9 @@
 
     fn apply(&self, item: &Item) {
         match &item.news {
+            News::Used { window, counts, unix_ms } => {
+                return self.hear_used(item, *window, counts, *unix_ms);
+            }
             News::Unreached { fleet, server } => return self.hear_unreached(fleet, server, item),
             News::Ended { ends } => return self.hear_ends(ends, item.age),
             News::Cleared { content } => {
@@ -146,6 +150,7 @@
             News::Unreached { .. }
             | News::Ended { .. }
             | News::Cleared { .. }
+            | News::Used { .. }
             | News::Joined { .. } => {}
         }
     }
@@ -176,6 +181,7 @@
             News::Unreached { .. }
             | News::Ended { .. }
             | News::Cleared { .. }
+            | News::Used { .. }
             | News::Joined { .. } => None,
         }
     }
@@ -190,6 +196,7 @@
             News::Unreached { .. }
             | News::Ended { .. }
             | News::Cleared { .. }
+            | News::Used { .. }
             | News::Joined { .. } => None,
         }
     }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -56,6 +56,10 @@
     StoreFailures,
     /// Questions of other entries answered with a state.
     QuestionsAnswered,
+    /// Reports of usage that the platform took from this entry.
+    UsageReports,
+    /// Calls with such reports that came to nothing.
+    UsageCallsFailed,
     /// Bytes of states and news told to other entries.
     PeerBytesTold,
     /// Bytes of states heard from other entries.
@@ -86,6 +90,8 @@
             Counter::Resumes => "resumes_total",
             Counter::StoreFailures => "store_failures_total",
             Counter::QuestionsAnswered => "questions_answered_total",
+            Counter::UsageReports => "usage_reports_total",
+            Counter::UsageCallsFailed => "usage_calls_failed_total",
             Counter::PeerBytesTold => "peer_bytes_told_total",
             Counter::PeerBytesHeard => "peer_bytes_heard_total",
         }
@@ -109,6 +115,8 @@
     Listing,
     /// Contents that are held were written.
     Quarantine,
+    /// The record of a duty was written.
+    Duty,
     /// A step of a roll-out was written.
     StepWon,
     /// A step of a roll-out could not be written, mostly since another entry was first.
@@ -125,6 +133,7 @@
             StoreCause::Probing => "probing",
             StoreCause::Listing => "listing",
             StoreCause::Quarantine => "quarantine",
+            StoreCause::Duty => "duty",
             StoreCause::StepWon => "step_won",
             StoreCause::StepLost => "step_lost",
         }
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -14,17 +14,18 @@
 use pondwalk_config::{DirectSettings, MembershipTimes, RawFile};
 use pondwalk_decide::direct::WarmUp;
 use pondwalk_direct::{
-    Dialect, Entry, Fact, Port,
+    Dialect, DutyCallError, Entry, Fact, Port, UsageReport,
     catalog::{
         BackendServer, Catalog, Engine, Limits, ModelPrice, Route, RouteKind, ServerState, Service,
         Share, Workspace,
     },
-    facts::{Evacuation, Outcome, Progress, RollOutOrder, UnreadableFact},
+    facts::{DutyFuture, Evacuation, Outcome, Progress, RollOutOrder, UnreadableFact},
     journal::Journal,
     upstream::{BoxedDuplex, Connect},
 };
 use pondwalk_standin::{
     backends::{Act, Backends, Lethal, Names},
+    duty_platform::{DutyPlatform, ReportAnswer, UsageCall},
     memory_store::{MemoryStore, Weather},
 };
 use tokio::{
@@ -62,17 +63,47 @@
 pub struct World {
     pub store: MemoryStore,
     pub backends: Backends,
+    /// Takes reports of usage, where the settings of an entry ask for them.
+    pub duty_platform: DutyPlatform,
     pub entry: Entry,
     catalogs: Rc<RefCell<HashMap<u64, Catalog>>>,
     ways: Rc<RefCell<HashMap<String, MemoryStore>>>,
 }
 
-fn port_of(store: &MemoryStore, catalogs: &Rc<RefCell<HashMap<u64, Catalog>>>) -> Port {
+fn port_of(
+    store: &MemoryStore,
+    platform: &DutyPlatform,
+    catalogs: &Rc<RefCell<HashMap<u64, Catalog>>>,
+) -> Port {
     let known = Rc::clone(catalogs);
+    let platform = platform.clone();
     Port {
         store: store.port(),
         read: Rc::new(move |key, value| read(&known.borrow(), key, value)),
         write_progress: Rc::new(write_progress),
+        report_usage: Some(Rc::new(move |report, limit| {
+            let platform = platform.clone();
+            Box::pin(async move { report_to(&platform, report, limit).await }) as DutyFuture
+        })),
+    }
+}
+
+async fn report_to(
+    platform: &DutyPlatform,
+    report: UsageReport,
+    limit: Duration,
+) -> Result<(), DutyCallError> {
+    let call = UsageCall {
+        holder: report.holder,
+        fencing_token: report.fencing_token,
+        window: report.window,
+        counts: report.counts,
+    };
+    match platform.take(call, limit).await {
+        ReportAnswer::Taken => Ok(()),
+        ReportAnswer::Refused => Err(DutyCallError::Refused),
+        ReportAnswer::TooMany => Err(DutyCallError::NotTaken(429)),
+        ReportAnswer::None => Err(DutyCallError::NoAnswer),
     }
 }
 
@@ -108,7 +139,8 @@
         let store = MemoryStore::default();
         let catalogs = Rc::new(RefCell::new(HashMap::new()));
         let ways = Rc::new(RefCell::new(HashMap::new()));
-        let port = port_of(&store, &catalogs);
+        let duty_platform = DutyPlatform::default();
+        let port = port_of(&store, &duty_platform, &catalogs);
         let opened = backends.clone();
         let connect = Rc::new(move |address| {
             let opened = opened.clone();
@@ -117,16 +149,18 @@
         });
         let journal = Journal::silent("e1", 1_000);
         let entry = Entry::new(settings, dialect, port, connect, journal, 7);
-        World { store, backends, entry, catalogs, ways }
+        World { store, backends, duty_platform, entry, catalogs, ways }
     }
 
     /// Another entry in the same world, with a way of its own to the store.
     pub fn entry_with(&self, settings: DirectSettings, connect: Connect) -> Entry {
         let way = self.store.another_way();
-        let port = port_of(&way, &self.catalogs);
+        let port = port_of(&way, &self.duty_platform, &self.catalogs);
         let journal = Journal::silent(&settings.name, 1_000);
         let name = settings.name.clone();
-        let seed = name.len() as u64;
+        // NB: an entry that starts anew under its name is told apart from its life before.
+        let is_anew = self.ways.borrow().contains_key(&name);
+        let seed = name.len() as u64 + if is_anew { 1_000 } else { 0 };
         let entry = Entry::new(settings, Dialect::own(), port, connect, journal, seed);
         self.ways.borrow_mut().insert(name, way);
         entry
--- a/crates/pondwalk/src/commands/direct.rs
+++ b/crates/pondwalk/src/commands/direct.rs
@@ -9,7 +9,11 @@
 /// Runs the entry until it is told to stop.
 pub fn run(settings: &Path) -> anyhow::Result<Exit> {
     let settings = DirectSettings::try_from(RawFile::load(settings)?)?;
-    let port = pondwalk_platform::port(settings.store.address, settings.store.timeout);
+    let port = pondwalk_platform::port(
+        settings.store.address,
+        settings.store.timeout,
+        settings.duties.map(|duties| duties.address),
+    );
     pondwalk_direct::run(settings, pondwalk_platform::dialect(), port)?;
     Ok(Exit::Success)
 }
--- a/crates/soak/src/roles.rs
+++ b/crates/soak/src/roles.rs
@@ -31,7 +31,11 @@
 pub fn entry(settings: &Path) -> anyhow::Result<()> {
     end_with_parent();
     let settings = DirectSettings::try_from(RawFile::load(settings)?)?;
-    let port = pondwalk_platform::port(settings.store.address, settings.store.timeout);
+    let port = pondwalk_platform::port(
+        settings.store.address,
+        settings.store.timeout,
+        settings.duties.map(|duties| duties.address),
+    );
     pondwalk_direct::run(settings, pondwalk_platform::dialect(), port)?;
     Ok(())
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! to fail in the ways that the real system fails.
 
 pub mod backends;
+pub mod duty_platform;
 pub mod engine;
 pub mod instances;
 pub mod kv;
