--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -90,8 +90,6 @@
     pub extra: f64,
     /// Length of the window.
     pub window: Duration,
-    /// Entries that share `extra`.
-    pub entries: u32,
 }
 
 /// `[policy]`: mechanisms of the decision, all on unless switched off.
@@ -337,6 +335,5 @@
         ratio: file.within("retries", "ratio", share, (0.0, 10.0), 0.1),
         extra: file.within("retries", "extra", number, (0.0, 1e6), 10.0),
         window: file.seconds("retries", "window_s", 10.0),
-        entries: file.within("retries", "entries", "a number from 1 to 10000", (1, 10_000), 32),
     }
 }
--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -44,6 +44,7 @@
 mod rank;
 mod roll_out;
 mod sessions;
+mod sharers;
 mod true_time;
 mod usage;
 mod warm_up;
@@ -68,7 +69,8 @@
 pub use rank::{RESUMED, Rank, rank_of};
 pub use roll_out::{Evidence, Move, RollOut, Stage};
 pub use sessions::{SessionKey, Sessions, session_key};
+pub use sharers::Sharers;
 pub use true_time::TrueTime;
 pub use usage::{Teller, UsageMeter, UsageTotals};
-pub use warm_up::{ColdBound, Coldness, Pacing, Sharers, WarmUp, longest_wait};
+pub use warm_up::{ColdBound, Coldness, Pacing, WarmUp, longest_wait};
 pub use window_budget::{WindowBudget, WindowLimits};
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -23,10 +23,7 @@
 pub use places::{Opening, Shut, Unreached};
 pub use server::{Life, ServerFacts};
 
-use super::{
-    hash::mix,
-    warm_up::{Pacing, Sharers},
-};
+use super::{hash::mix, sharers::Sharers, warm_up::Pacing};
 use notice::{LifeMark, Notice};
 use server::Server;
 
--- a/crates/decide/src/direct/fleet/places.rs
+++ b/crates/decide/src/direct/fleet/places.rs
@@ -6,7 +6,10 @@
 use rand::{Rng, seq::IteratorRandom};
 
 use super::{Ask, Fleet, Ticket, VersionRule, server::Server};
-use crate::direct::warm_up::{Coldness, Pacing, Sharers};
+use crate::direct::{
+    sharers::Sharers,
+    warm_up::{Coldness, Pacing},
+};
 
 /// Times in a row that a server must be silent before it counts as one that may have started anew.
 /// On links that lose one packet in twenty, a single silence is mostly a lost packet.
--- a/crates/decide/src/direct/warm_up.rs
+++ b/crates/decide/src/direct/warm_up.rs
@@ -10,10 +10,8 @@
 
 use std::{cell::Cell, collections::VecDeque, time::Duration};
 
-use super::hash::{hash_text, mix};
+use super::sharers::Sharers;
 
-/// Sets of owners that may be in force at once, by different views of which entries are listed.
-const VIEWS: u32 = 2;
 /// Time within which a server's requests are counted: a second, and what timers may be off by.
 const WINDOW: Duration = Duration::from_millis(1_050);
 /// Most sends to one server that are remembered; more than any bound in use lets an entry send.
@@ -56,50 +54,6 @@
     }
 }
 
-/// The entries that share the bounds of cold servers, as this entry knows them.
-#[derive(Debug, Clone, Default)]
-pub struct Sharers {
-    own: u64,
-    listed: Vec<u64>,
-    /// Changes with the entries known, so that shares worked out before are found to be old.
-    turn: u64,
-}
-
-impl Sharers {
-    /// This entry alone, listed nowhere yet.
-    pub fn new(own: &str) -> Self {
-        Sharers { own: hash_text(own), listed: Vec::new(), turn: 0 }
-    }
-
-    /// The entries listed have changed.
-    pub fn are<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
-        self.listed = names.map(hash_text).collect();
-        self.turn += 1;
-    }
-
-    /// Entries that are listed.
-    pub fn count(&self) -> usize {
-        self.listed.len()
-    }
-
-    /// Requests that this entry may send to a server within a second, where all entries together may
-    /// send `most`. Nothing as long as it is not listed, since the others don't count it then.
-    pub fn share(&self, server: u64, most: u32) -> u32 {
-        let planned = most / VIEWS;
-        let owners = planned.min(self.listed.len() as u32);
-        if owners == 0 || !self.listed.contains(&self.own) {
-            return 0;
-        }
-        let order = |entry: u64| (mix(server ^ mix(entry)), entry);
-        let own = order(self.own);
-        let before = self.listed.iter().filter(|entry| order(**entry) > own).count() as u32;
-        if before >= owners {
-            return 0;
-        }
-        planned / owners + u32::from(before < planned % owners)
-    }
-}
-
 /// Why a server counts as cold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Coldness {
@@ -193,10 +147,10 @@
     /// This entry's share of what the server with this hash may get.
     pub fn share(&self, server: u64, most: u32, sharers: &Sharers) -> u32 {
         match self.share.get() {
-            Some((turn, share)) if turn == sharers.turn => share,
+            Some((turn, share)) if turn == sharers.turn() => share,
             _ => {
                 let share = sharers.share(server, most);
-                self.share.set(Some((sharers.turn, share)));
+                self.share.set(Some((sharers.turn(), share)));
                 share
             }
         }
--- a/crates/decide/src/direct/window_budget.rs
+++ b/crates/decide/src/direct/window_budget.rs
@@ -1,7 +1,7 @@
 //! The limit on sends beyond each request's first, over a sliding window.
 //!
-//! Every entry keeps its part: a ratio of its own requests, and an equal share of the fixed
-//! extra. The parts add up to no more than the whole, so entries need not agree on anything.
+//! Every entry keeps its part: a ratio of its own requests, and the part of the fixed extra that
+//! [`Sharers::part`](super::Sharers::part) gives it. The parts add up to no more than the whole.
 
 use std::time::Duration;
 
@@ -43,6 +43,11 @@
         WindowBudget { limits, slices: [Slice::default(); SLICES], newest: 0 }
     }
 
+    /// Further sends beyond the share have changed, as the entries that share them have.
+    pub fn set_extra(&mut self, extra: f64) {
+        self.limits.extra = extra;
+    }
+
     /// Counts a request.
     pub fn note_request(&mut self, now: Duration) {
         self.current(now).requests += 1;
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -178,7 +178,7 @@
         state.freshness.age(self.clock.now()).is_none_or(|age| age > limit)
     }
 
-    /// Lets the bounds of cold servers be shared by the entries that are listed now.
+    /// Lets the bounds over all entries be shared by the entries that are listed now.
     pub fn share_bounds(&self) {
         let names = self.roster.names();
         self.state.borrow_mut().set_sharers(names.iter().map(String::as_str));
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -66,6 +66,7 @@
     pub good_contents: GoodContents,
     /// Source of random numbers.
     pub rng: SmallRng,
+    /// Limits on further sends, of which `extra` is what all entries share.
     limits: WindowLimits,
     home: String,
     weighed: Weighed,
@@ -99,7 +100,7 @@
             rng: SmallRng::seed_from_u64(seed),
             limits: WindowLimits {
                 ratio: retries.ratio,
-                extra: retries.extra / f64::from(retries.entries),
+                extra: retries.extra,
                 window: retries.window,
             },
             home: settings.data_centre.clone(),
@@ -113,7 +114,10 @@
                 tolerance: warm_up.tolerance,
                 told_after: warm_up.heartbeat * HEARTBEATS_TO_TELL,
             }),
-            sharers: Sharers::new(&settings.name),
+            sharers: match settings.peers {
+                Some(_) => Sharers::new(&settings.name),
+                None => Sharers::alone(&settings.name),
+            },
         }
     }
 
@@ -146,9 +150,11 @@
         }
     }
 
-    /// The bounds of cold servers are shared by the entries of these names.
+    /// The bounds over all entries are shared by those of these names.
     pub fn set_sharers<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
         self.sharers.are(names);
+        let extra = self.own_limits().extra;
+        self.budgets.values_mut().for_each(|budget| budget.set_extra(extra));
         for fleet in self.fleets.values_mut() {
             fleet.set_sharers(&self.sharers);
         }
@@ -169,9 +175,14 @@
         was_evacuated
     }
 
+    /// This entry's part of the limits on further sends.
+    fn own_limits(&self) -> WindowLimits {
+        WindowLimits { extra: self.limits.extra * self.sharers.part(), ..self.limits }
+    }
+
     /// The budget of a service.
     pub fn budget(&mut self, service: &ServiceId) -> &mut WindowBudget {
-        let limits = self.limits;
+        let limits = self.own_limits();
         self.budgets.entry(service.clone()).or_insert_with(|| WindowBudget::new(limits))
     }
 
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -35,7 +35,7 @@
 };
 
 // NB: the entry's own section comes last, so that further lines belong to it.
-const SETTINGS: &str = "[retries]\nratio=0.9\nextra=40\nwindow_s=10\nentries=1\n\
+const SETTINGS: &str = "[retries]\nratio=0.9\nextra=40\nwindow_s=10\n\
     [roll_out]\nexposure=0.1\n\
     [store]\naddress=127.0.0.1:3\ntimeout_ms=1000\nwatch_wait_ms=1500\n\
     [direct]\ndata_centre=dc1\ncallers=127.0.0.1:1\nreadiness=127.0.0.1:2\n\
--- a/crates/soak/src/deployment/entries.rs
+++ b/crates/soak/src/deployment/entries.rs
@@ -133,12 +133,11 @@
              readiness = {readiness}\npeers = {peers}\nkey_bound_ms = 5000\ngrace_s = 6\n\
              session_ttl_s = 5\n[membership]\nseeds = {}\npropagation_ms = 2000\n\
              evacuation_ms = 2000\n[warm_up]\novershoot = {COLD_OVERSHOOT}\n\
-             tolerance = {COLD_TOLERANCE}\nheartbeat_ms = 1200\n[retries]\nratio = 0.9\nextra = 54\nwindow_s = 10\nentries = {}\n\
+             tolerance = {COLD_TOLERANCE}\nheartbeat_ms = 1200\n[retries]\nratio = 0.9\nextra = 54\nwindow_s = 10\n\
              [roll_out]\nexposure = 0.08\n\
              [store]\naddress = {store}\ntimeout_ms = 1500\nwatch_wait_ms = 1500\n",
             data_centre_of(entry),
             seeds.join(","),
-            plan.size.entries,
         );
         fs::write(&settings, text)?;
         let (child, is_ready) = (RefCell::default(), Cell::new(false));
