--- a/crates/decide/src/direct/fleet/load.rs
+++ b/crates/decide/src/direct/fleet/load.rs
@@ -32,21 +32,33 @@
 /// Why a server's word on its load is of no use.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum LoadError {
-    /// It does not hold three numbers.
-    #[error("a load is three numbers by commas: running, waiting, slots")]
+    /// It does not hold three numbers, or four.
+    #[error("a load is three numbers by commas: running, waiting, slots; a pace may follow")]
     NotThree,
     /// One of them is no number.
     #[error("a load holds no number: {0}")]
     NotANumber(#[from] ParseIntError),
+    /// Its pace is no time.
+    #[error("a load's pace is no number from 0 on")]
+    NotAPace,
 }
 
-/// Reads `RUNNING,WAITING,SLOTS`.
+/// Reads `RUNNING,WAITING,SLOTS`, or the same with the pace of the moment behind it: how long work takes, 100
+/// for as usual.
+///
+/// NB: the pace changes many times a second, while an entry hears from a server about once a second, so it
+/// says nothing of the next request and is not kept.
 impl TryFrom<&str> for ServerLoad {
     type Error = LoadError;
 
     fn try_from(text: &str) -> Result<Self, LoadError> {
         let numbers: Vec<&str> = text.split(',').map(str::trim).collect();
-        let [running, waiting, slots] = numbers[..] else { return Err(LoadError::NotThree) };
+        let (running, waiting, slots) = match numbers[..] {
+            [running, waiting, slots] => (running, waiting, slots),
+            [running, waiting, slots, pace] if is_pace(pace) => (running, waiting, slots),
+            [_, _, _, _] => return Err(LoadError::NotAPace),
+            _ => return Err(LoadError::NotThree),
+        };
         Ok(ServerLoad {
             running: running.parse()?,
             waiting: waiting.parse()?,
@@ -55,6 +67,10 @@
     }
 }
 
+fn is_pace(text: &str) -> bool {
+    text.parse::<f64>().is_ok_and(|pace| pace.is_finite() && pace >= 0.0)
+}
+
 /// Requests of other entries at one server, from its own word.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct OthersLoad {
