--- a/crates/types/src/backoff.rs
+++ b/crates/types/src/backoff.rs
@@ -6,11 +6,17 @@
 /// for good; asked again after five minutes, it can repeat its word, and gets one request for each of them.
 pub const LONGEST_BACKOFF: Duration = Duration::from_secs(300);
 
-/// Reads the seconds of a `retry-after`, with fractions. A date, a negative number and what is no number ask for
-/// nothing that can be kept to, and leave the pause to the reader.
+/// Reads the seconds of a `retry-after`, with fractions. A date, a number with a sign or an exponent and what is
+/// no number ask for nothing that can be kept to, and leave the pause to the reader.
+///
+/// NB: the language's own reading takes `inf` and `1e9` for numbers too.
 pub fn read_retry_after(text: &str) -> Option<Duration> {
-    let seconds: f64 = text.trim().parse().ok()?;
-    if seconds.is_nan() || seconds <= 0.0 {
+    let text = text.trim();
+    if !text.chars().all(|one| one.is_ascii_digit() || one == '.') {
+        return None;
+    }
+    let seconds: f64 = text.parse().ok()?;
+    if seconds <= 0.0 {
         return None;
     }
     // NB: a number too large for a duration is as good as the largest.
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -4,6 +4,8 @@
 pub type RequestId = String;
 /// Names a customer whose requests are billed and limited together.
 pub type WorkspaceId = String;
+/// Names a region, which holds one or more data centres.
+pub type RegionId = String;
 /// Names a conversation within one workspace.
 pub type SessionId = String;
 /// Names a model version as `MODEL/VERSION`, or a plain service by its bare name.
