--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -1,6 +1,8 @@
 //! Settings of an entry that reaches backend servers directly.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use pondwalk_types::{DataCentreId, RegionId};
 
 use crate::{
     error::{ConfigError, Problem},
@@ -42,6 +44,8 @@
     pub name: String,
     /// Data centre it runs in.
     pub data_centre: String,
+    /// Region of each data centre, as far as it is told.
+    pub regions: BTreeMap<DataCentreId, RegionId>,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether this process is ready.
@@ -173,6 +177,7 @@
 fn read(file: &mut RawFile) -> Option<DirectSettings> {
     let name = file.required("direct", "name", "a name");
     let data_centre = file.required("direct", "data_centre", "a name");
+    let regions = read_regions(file);
     let callers = file.required("direct", "callers", ADDRESS);
     let readiness = file.required("direct", "readiness", ADDRESS);
     let metrics = file.optional("direct", "metrics", ADDRESS);
@@ -195,6 +200,7 @@
     Some(DirectSettings {
         name: name?,
         data_centre: data_centre?,
+        regions,
         callers: callers?,
         readiness: readiness?,
         metrics,
@@ -215,6 +221,27 @@
     })
 }
 
+/// Region of each data centre, as `DATA CENTRE:REGION` by commas. A template may leave it blank, or fill it in
+/// as a table in JSON, which has the same pairs in quotes and braces.
+fn read_regions(file: &mut RawFile) -> BTreeMap<DataCentreId, RegionId> {
+    let text = file.text("direct", "regions").unwrap_or_default();
+    let bare = text.trim().trim_start_matches('{').trim_end_matches('}');
+    let mut regions = BTreeMap::new();
+    for pair in RawFile::items(bare) {
+        let unquoted = |name: &str| name.trim().trim_matches('"').to_owned();
+        match pair.split_once(':') {
+            Some((data_centre, region)) => {
+                regions.insert(unquoted(data_centre), unquoted(region));
+            }
+            None => {
+                let expected = "pairs of a data centre and its region, as DATA CENTRE:REGION";
+                file.fault("direct", "regions", Problem::Invalid { found: pair, expected });
+            }
+        }
+    }
+    regions
+}
+
 /// Bounds of the state's age and of the age at which keys are still honoured.
 fn read_bounds(file: &mut RawFile) -> (Duration, Duration) {
     let strict = file.millis("direct", "key_bound_ms", 5_000).mul_f64(1.0 - KEY_BOUND_MARGIN);
--- a/crates/config/tests/accepts_sample_files.rs
+++ b/crates/config/tests/accepts_sample_files.rs
@@ -62,6 +62,7 @@
     let values = [
         ("{{node_name}}", "edge-1"),
         ("{{zone}}", "z1"),
+        ("{{zones}}", r#"{"z1":"north","z2":"south"}"#),
         ("{{ip}}", "10.1.0.40"),
         ("{{listen.frontend}}", "10.1.0.40:8227"),
         ("{{listen.readiness}}", "10.1.0.40:8220"),
@@ -125,6 +126,7 @@
     assert_eq!(settings.session_ttl.as_millis(), 5_500);
     assert!(settings.peers.is_some() && settings.metrics.is_some());
     assert_eq!(settings.link_mbps, 10);
+    assert_eq!((settings.regions.len(), settings.regions["z2"].as_str()), (2, "south"));
 }
 
 #[test]
--- a/crates/decide/examples/placing.rs
+++ b/crates/decide/examples/placing.rs
@@ -5,7 +5,7 @@
 
 use std::{error::Error, time::Duration};
 
-use pondwalk_decide::direct::{Ask, Fleet, PromptPart, ServerFacts, VersionRule};
+use pondwalk_decide::direct::{Ask, Fleet, Homes, PromptPart, ServerFacts, VersionRule};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -47,6 +47,7 @@
             base_ms: 20.0,
             avoid: &[],
             versions: VersionRule::Any,
+            homes: Homes::Anywhere,
         };
         let mut ticket = fleet.place(&ask, now, &mut rng).ok_or("no server takes it")?;
         fleet.began(&mut ticket, 30.0, now);
--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -57,8 +57,8 @@
 };
 pub use engine::{Engine, Estimate, ServiceModel};
 pub use fleet::{
-    Ask, Fleet, Forecast, LoadError, Opening, PromptPart, ServerFacts, ServerIndex, ServerLoad,
-    Shut, Ticket, Unreached, VersionRule, Weighed, spread_of,
+    Ask, Fleet, Forecast, Homes, LoadError, Opening, PromptPart, ServerFacts, ServerIndex,
+    ServerLoad, Shut, Ticket, Unreached, VersionRule, Weighed, spread_of,
 };
 pub use freshness::Freshness;
 pub use pool::{Pool, Seen, Tally};
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -17,7 +17,7 @@
 use pondwalk_types::{DataCentreId, ServerId, VersionId};
 use rand::Rng;
 
-pub use ask::{Ask, Forecast, PromptPart, Ticket, VersionRule};
+pub use ask::{Ask, Forecast, Homes, PromptPart, Ticket, VersionRule};
 pub use load::{LoadError, ServerLoad};
 pub use notice::spread_of;
 pub use places::{Opening, Shut, Unreached};
@@ -257,13 +257,13 @@
     ) -> Option<Candidate> {
         let shared = shared_part(ask.parts);
         let hashed = shared.filter(|_| self.weighed.named_servers);
-        let named = hashed.and_then(|part| self.named_for(part.id, ask.versions, now));
+        let named = hashed.and_then(|part| self.named_for(part.id, ask, now));
         let stranger_ms = NAMED_HOLDS * ask.read_ms_per_token + READ_AGAIN_MS_PER_K / 1_000.0;
         let mut best: Option<Candidate> = None;
         for (index, server) in self.servers.iter().enumerate() {
             let Some(server) = server else { continue };
             let open = self.may_serve(server, ask.versions, now) && self.has_room(server, now);
-            if !open || ask.avoid.contains(&server.facts.id) {
+            if !open || !ask.allows(&server.facts) {
                 continue;
             }
             let read_ms = server.tokens_to_read(ask, now) * ask.read_ms_per_token;
@@ -339,16 +339,12 @@
     ///
     /// NB: never a cold one, or one that wants nothing. All that share the part would turn to a server that
     /// takes a few of them.
-    fn named_for(
-        &self,
-        part: u64,
-        versions: VersionRule<'_>,
-        now: Duration,
-    ) -> Option<ServerIndex> {
+    fn named_for(&self, part: u64, ask: &Ask<'_>, now: Duration) -> Option<ServerIndex> {
         let servers = self.servers.iter().enumerate();
         let servers = servers.filter_map(|(index, server)| Some((index, server.as_ref()?)));
         let open = servers.filter(|(_, server)| {
-            self.may_serve(server, versions, now)
+            self.may_serve(server, ask.versions, now)
+                && ask.homes.allow(&server.facts.data_centre)
                 && !self.is_cold(server, now)
                 && server.notice.backs_off_until(now).is_none()
         });
--- a/crates/decide/src/direct/fleet/ask.rs
+++ b/crates/decide/src/direct/fleet/ask.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use pondwalk_types::ServerId;
+use pondwalk_types::{DataCentreId, ServerId};
 
-use super::{Life, ServerIndex, notice::LifeMark};
+use super::{Life, ServerFacts, ServerIndex, notice::LifeMark};
 use crate::direct::engine::ServiceModel;
 
 /// One part of a prompt.
@@ -53,6 +53,35 @@
     pub avoid: &'a [ServerId],
     /// Versions that may run it.
     pub versions: VersionRule<'a>,
+    /// Data centres whose servers may run it.
+    pub homes: Homes<'a>,
+}
+
+impl Ask<'_> {
+    /// Whether a server may run it, apart from what the server itself can do now.
+    pub fn allows(&self, server: &ServerFacts) -> bool {
+        !self.avoid.contains(&server.id) && self.homes.allow(&server.data_centre)
+    }
+}
+
+/// The data centres that a request must not leave.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Homes<'a> {
+    /// It may go anywhere.
+    #[default]
+    Anywhere,
+    /// It may go to these only, of which there may be none.
+    Only(&'a [DataCentreId]),
+}
+
+impl Homes<'_> {
+    /// Whether it may go to a data centre.
+    pub fn allow(&self, data_centre: &str) -> bool {
+        match self {
+            Homes::Anywhere => true,
+            Homes::Only(homes) => homes.iter().any(|home| home == data_centre),
+        }
+    }
 }
 
 /// A request placed on a server, to be handed back when it ends.
--- a/crates/decide/src/direct/fleet/places.rs
+++ b/crates/decide/src/direct/fleet/places.rs
@@ -5,7 +5,7 @@
 use pondwalk_types::VersionId;
 use rand::{Rng, seq::IteratorRandom};
 
-use super::{Ask, Fleet, Ticket, VersionRule, server::Server};
+use super::{Ask, Fleet, Ticket, server::Server};
 use crate::direct::{
     sharers::Sharers,
     warm_up::{Coldness, Pacing},
@@ -161,7 +161,7 @@
     /// When a request that no server may take now could be placed, if any server is merely cold or pauses.
     pub fn opens_at(&self, ask: &Ask<'_>, now: Duration) -> Option<Opening> {
         let open = self.open(ask.versions, now);
-        let open = open.filter(|server| !ask.avoid.contains(&server.facts.id));
+        let open = open.filter(|server| ask.allows(&server.facts));
         open.filter_map(|server| self.opening(server, now)).min_by_key(|opening| opening.at)
     }
 
@@ -169,9 +169,7 @@
     pub fn has_other(&self, ask: &Ask<'_>, server: &str, now: Duration) -> bool {
         let mut open = self.open(ask.versions, now);
         open.any(|other| {
-            other.facts.id != server
-                && !ask.avoid.contains(&other.facts.id)
-                && self.has_room(other, now)
+            other.facts.id != server && ask.allows(&other.facts) && self.has_room(other, now)
         })
     }
 
@@ -192,9 +190,14 @@
     }
 
     /// Whether servers are known that would be used but for their word that they leave, or the store's.
-    pub fn has_leaving(&self, versions: VersionRule<'_>, now: Duration) -> bool {
+    pub fn has_leaving(&self, ask: &Ask<'_>, now: Duration) -> bool {
         let mut servers = self.servers.iter().flatten();
-        servers.any(|server| versions.allows(&server.facts.version) && server.leaves(now))
+        servers.any(|server| {
+            let facts = &server.facts;
+            let may_run =
+                ask.versions.allows(&facts.version) && ask.homes.allow(&facts.data_centre);
+            may_run && server.leaves(now)
+        })
     }
 
     /// Servers that count as cold.
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use pondwalk_decide::direct::{Ask, Fleet, PromptPart, ServerFacts, VersionRule};
+use pondwalk_decide::direct::{Ask, Fleet, Homes, PromptPart, ServerFacts, VersionRule};
 
 /// Milliseconds.
 pub fn ms(ms: u64) -> Duration {
@@ -41,6 +41,7 @@
         base_ms: 20.0,
         avoid: &[],
         versions: VersionRule::Any,
+        homes: Homes::Anywhere,
     }
 }
 
--- a/crates/decide/tests/engines.rs
+++ b/crates/decide/tests/engines.rs
@@ -6,7 +6,7 @@
 
 use common::fleet;
 use pondwalk_decide::direct::{
-    Ask, Cascade, Engine, Estimate, Fleet, PromptPart, Terms, VersionRule,
+    Ask, Cascade, Engine, Estimate, Fleet, Homes, PromptPart, Terms, VersionRule,
 };
 use quickcheck::{Gen, QuickCheck};
 use rand::{Rng, SeedableRng};
@@ -123,6 +123,7 @@
                 base_ms: engine.begins_ms(),
                 avoid: &[],
                 versions: VersionRule::Any,
+                homes: Homes::Anywhere,
             };
             let forecast = fleet.forecast(&ask, Duration::ZERO).expect("a server");
             let begins = forecast.begins_ms / 2_000.0;
--- a/crates/decide/tests/notices.rs
+++ b/crates/decide/tests/notices.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pondwalk_decide::direct::{Ask, Fleet, ServerFacts, Sharers, Shut, Ticket, VersionRule};
+use pondwalk_decide::direct::{Ask, Fleet, Homes, ServerFacts, Sharers, Shut, Ticket, VersionRule};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -31,6 +31,7 @@
         base_ms: 20.0,
         avoid: &[],
         versions: VersionRule::Any,
+        homes: Homes::Anywhere,
     }
 }
 
--- a/crates/direct/src/catalog.rs
+++ b/crates/direct/src/catalog.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use pondwalk_decide::direct::WarmUp;
-use pondwalk_types::{ModelId, ServerId, VersionId, WorkspaceId};
+use pondwalk_types::{ModelId, RegionId, ServerId, VersionId, WorkspaceId};
 
 /// Names a group of backend servers that serve the same routes.
 pub type ServiceId = Rc<str>;
@@ -73,6 +73,8 @@
     pub max_attempts: u32,
     /// Whether no key is asked for.
     pub anonymous: bool,
+    /// Regions that its requests must not leave; empty if they may go anywhere.
+    pub allowed_regions: Vec<RegionId>,
 }
 
 /// A model that a service's backend servers run.
@@ -119,6 +121,8 @@
     pub keys: Vec<String>,
     /// Rank of its requests, if it goes before that of the route.
     pub priority: Option<u8>,
+    /// Regions that its requests must not leave; empty if they may go anywhere.
+    pub allowed_regions: Vec<RegionId>,
 }
 
 /// Bounds on what callers may send.
--- a/crates/direct/src/foresight.rs
+++ b/crates/direct/src/foresight.rs
@@ -70,6 +70,7 @@
         base_ms: engine.begins_ms(),
         avoid,
         versions,
+        homes: job.homes(),
     }
 }
 
--- a/crates/direct/src/http/intake.rs
+++ b/crates/direct/src/http/intake.rs
@@ -18,7 +18,7 @@
     catalog::{Catalog, Route, Service, Workspace},
     core::{Core, Stopping},
     metrics::Timer,
-    request::{Job, Prompt, Refusal, strip_connection_headers},
+    request::{Job, Prompt, Refusal, homes_of, strip_connection_headers},
 };
 
 /// Longest time for which a request waits for the first configuration. An entry that starts hears it
@@ -157,6 +157,7 @@
     if checked.key.is_some() {
         parts.headers.remove(header::AUTHORIZATION);
     }
+    let homes = homes_of(&checked.route, checked.workspace.as_deref(), &core.settings.regions);
     let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     Job {
         id: checked.id,
@@ -173,6 +174,7 @@
         chooses_model,
         prompt,
         session,
+        homes,
         last_event_id,
         catalog_version: checked.catalog.version,
         known_content: OnceCell::new(),
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -100,6 +100,7 @@
             NoPlace::Shut(opening) => self.shut(opening),
             _ if !self.avoid.is_empty() => self.turned_away(),
             NoPlace::Leaving => Refusal::AllLeaving,
+            NoPlace::Closed if self.job.homes.is_some() => Refusal::NoServerAtHome,
             NoPlace::Closed => Refusal::NoServer,
         }
     }
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -362,7 +362,7 @@
 fn why_none(fleet: &Fleet, ask: &Ask<'_>, now: Duration) -> NoPlace {
     match fleet.opens_at(ask, now) {
         Some(opening) => NoPlace::Shut(opening),
-        None if fleet.has_leaving(ask.versions, now) => NoPlace::Leaving,
+        None if fleet.has_leaving(ask, now) => NoPlace::Leaving,
         None => NoPlace::Closed,
     }
 }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -1,13 +1,14 @@
 //! One request as read from a caller, checked against the configuration in force.
 
-use std::{cell::OnceCell, rc::Rc, time::Duration};
+use std::{cell::OnceCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{
     HeaderMap, Method, StatusCode,
     header::{self, HeaderName},
 };
-use pondwalk_decide::direct::{Content, ModelNumber, PromptPart, ServiceModel, SessionKey};
+use pondwalk_decide::direct::{Content, Homes, ModelNumber, PromptPart, ServiceModel, SessionKey};
+use pondwalk_types::{DataCentreId, RegionId};
 use thiserror::Error;
 
 use crate::{
@@ -45,6 +46,9 @@
     /// No backend server takes new work.
     #[error("no backend server takes new work")]
     NoServer,
+    /// No backend server takes new work in the regions that it must not leave.
+    #[error("no backend server takes new work in the regions that the request must not leave")]
+    NoServerAtHome,
     /// The backend servers that could take it are cold, and have no room soon enough.
     #[error("all backend servers are cold")]
     AllCold {
@@ -98,6 +102,7 @@
             | Refusal::Stale
             | Refusal::Closing
             | Refusal::NoServer
+            | Refusal::NoServerAtHome
             | Refusal::AllCold { .. }
             | Refusal::AllLeaving
             | Refusal::AllBackingOff { .. }
@@ -118,6 +123,7 @@
             Refusal::NoRoute => "no_route",
             Refusal::UnknownKey => "unknown_key",
             Refusal::NoServer => "no_server",
+            Refusal::NoServerAtHome => "no_server_at_home",
             Refusal::AllCold { .. } => "all_cold",
             Refusal::AllLeaving => "all_leaving",
             Refusal::AllBackingOff { .. } => "all_backing_off",
@@ -159,7 +165,9 @@
             }
             (Refusal::AllBackingOff { opens_in }, _) => Some(opens_in.max(SHORTEST_BACKOFF)),
             (Refusal::EndsServers { opens_in }, _) => Some(opens_in.max(SHORTEST_HOLD)),
-            (Refusal::NoServer | Refusal::TurnedAway, _) => Some(Duration::from_millis(200)),
+            (Refusal::NoServer | Refusal::NoServerAtHome | Refusal::TurnedAway, _) => {
+                Some(Duration::from_millis(200))
+            }
             _ => None,
         }
     }
@@ -244,6 +252,8 @@
     pub prompt: Prompt,
     /// Its conversation, if it belongs to one.
     pub session: Option<SessionKey>,
+    /// Data centres that it must not leave, if there are any such.
+    pub homes: Option<Vec<DataCentreId>>,
     /// Last event of a stream that the caller has already.
     pub last_event_id: Option<String>,
     /// Configuration it was checked against.
@@ -253,6 +263,11 @@
 }
 
 impl Job {
+    /// The data centres whose servers may run it.
+    pub fn homes(&self) -> Homes<'_> {
+        self.homes.as_deref().map_or(Homes::Anywhere, Homes::Only)
+    }
+
     /// What it carries, by which it is known again when its caller tries once more.
     pub fn content(&self) -> Content {
         *self.known_content.get_or_init(|| {
@@ -311,6 +326,24 @@
     Some(PromptPart { id: u64::from_str_radix(id, 16).ok()?, tokens: tokens.parse().ok()? })
 }
 
+/// The data centres that lie in the regions allowed by a route and by a workspace; `None` if neither names
+/// any. One whose region is not known lies in none.
+pub fn homes_of(
+    route: &Route,
+    workspace: Option<&Workspace>,
+    regions: &BTreeMap<DataCentreId, RegionId>,
+) -> Option<Vec<DataCentreId>> {
+    let of_workspace = workspace.map_or(&[][..], |workspace| &workspace.allowed_regions);
+    if route.allowed_regions.is_empty() && of_workspace.is_empty() {
+        return None;
+    }
+    let allows = |allowed: &[RegionId], region| allowed.is_empty() || allowed.contains(region);
+    let inside = regions.iter().filter(|(_, region)| {
+        allows(&route.allowed_regions, region) && allows(of_workspace, region)
+    });
+    Some(inside.map(|(data_centre, _)| data_centre.clone()).collect())
+}
+
 /// Whether a job's key is still held by the same workspace.
 pub fn key_still_holds(job: &Job, catalog: &Catalog) -> bool {
     let (Some(key), Some(workspace)) = (&job.key, &job.workspace) else { return true };
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -200,7 +200,12 @@
 
     /// Lists a backend server in a state.
     pub fn list_server(&self, n: u16, service: &str, version: &str, state: &str) {
-        let value = format!("{service} {} dc1 {version} {state}", address(n));
+        self.list_server_in("dc1", n, service, version, state);
+    }
+
+    /// The same in a data centre.
+    pub fn list_server_in(&self, centre: &str, n: u16, service: &str, version: &str, state: &str) {
+        let value = format!("{service} {} {centre} {version} {state}", address(n));
         self.store.put(&format!("server/s{n}"), &value);
     }
 
@@ -302,15 +307,26 @@
 
 /// The same, with these keys.
 pub fn catalog_with_keys(version: u64, keys: &[&str]) -> Catalog {
-    catalog_of(version, keys, None)
+    catalog_of(version, keys, None, (&[], &[]))
+}
+
+/// The usual one, whose routes and whose workspace must not leave these regions.
+pub fn catalog_in_regions(version: u64, routes: &[&str], workspace: &[&str]) -> Catalog {
+    catalog_of(version, &["k1", "k2"], None, (routes, workspace))
 }
 
 /// The usual one, whose services' servers warm up.
 pub fn catalog_warming(version: u64, warm_up: Option<WarmUp>) -> Catalog {
-    catalog_of(version, &["k1", "k2"], warm_up)
+    catalog_of(version, &["k1", "k2"], warm_up, (&[], &[]))
 }
 
-fn catalog_of(version: u64, keys: &[&str], warm_up: Option<WarmUp>) -> Catalog {
+fn catalog_of(
+    version: u64,
+    keys: &[&str],
+    warm_up: Option<WarmUp>,
+    (of_routes, of_workspace): (&[&str], &[&str]),
+) -> Catalog {
+    let owned = |regions: &[&str]| regions.iter().map(|region| (*region).to_owned()).collect();
     let route = |prefix: &str, kind, service: &str, models: &[&str]| Route {
         name: prefix.trim_matches('/').to_owned(),
         host: "h.example".to_owned(),
@@ -324,6 +340,7 @@
         shares: vec![Share { service: service.into(), weight: 1.0 }],
         max_attempts: 3,
         anonymous: false,
+        allowed_regions: owned(of_routes),
     };
     let price = |model: &str, price| ModelPrice { model: model.to_owned(), price };
     let models = ["small", "middle", "large"];
@@ -349,7 +366,12 @@
         Service { name: "m".into(), max_connections: 100, engine: Some(engine), warm_up },
     ];
     let keys = keys.iter().map(|key| (*key).to_owned()).collect();
-    let workspaces = vec![Workspace { name: "w1".into(), keys, priority: None }];
+    let workspaces = vec![Workspace {
+        name: "w1".into(),
+        keys,
+        priority: None,
+        allowed_regions: owned(of_workspace),
+    }];
     let limits = Limits { max_body_bytes: 1_000, ..Limits::default() };
     Catalog::new(version, limits, routes, services, workspaces)
 }
