--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -16,7 +16,7 @@
     dialect::Dialect,
     duties::Usage,
     journal::Journal,
-    membership::{LEAST_INFORMED, NewsLog, Outbox, Roster, Source, roots},
+    membership::{FirstStates, LEAST_INFORMED, NewsLog, Outbox, Roster, Source, roots},
     metrics::Metrics,
     quarantine::{GivenBack, HeldThoughGood, SeenEnds},
     state::State,
@@ -59,6 +59,8 @@
     pub incarnation: u64,
     /// Entry that told the first state, as long as no other is known.
     pub told_by: Cell<Option<SocketAddr>>,
+    /// First states told to entries that start.
+    pub first_states: FirstStates,
     /// News that all entries are to hear.
     pub news: RefCell<NewsLog>,
     /// News that only goes up the tree.
@@ -95,6 +97,7 @@
     ) -> Self {
         let state = State::new(&settings, seed);
         let roster = Roster::new(&settings);
+        let first_states = FirstStates::new(settings.link_mbps);
         let incarnation = SmallRng::seed_from_u64(seed).random();
         let usage = settings.duties.map(|duties| Usage::new(&settings.name, incarnation, duties));
         Core {
@@ -108,6 +111,7 @@
             roster,
             incarnation,
             told_by: Cell::new(None),
+            first_states,
             news: RefCell::new(NewsLog::for_all()),
             news_for_above: RefCell::new(NewsLog::for_above()),
             news_told: Cell::new(0),
--- a/crates/direct/src/follow/others.rs
+++ b/crates/direct/src/follow/others.rs
@@ -128,7 +128,13 @@
     }
 
     fn question(&self, after: u64, need: Need, until: Instant) -> Question {
-        Question { store: self.core.settings.store.address, after, need, until }
+        Question {
+            store: self.core.settings.store.address,
+            after,
+            need,
+            until,
+            own: self.core.settings.peers,
+        }
     }
 
     /// Takes in what another entry told, and from when it is.
