--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -17,8 +17,6 @@
 /// Longest time for which a key is honoured without a confirmation, in milliseconds, where the
 /// deployment puts service before strictness. Outages of the store that last minutes are rarer
 /// than those of seconds, and a key taken away because it leaked must not outlive one by long.
-/// Against the strict bound it gained 0.18 of the credit owed on a simulated day on which the
-/// store is away for 8 s (mean of four plays).
 const LENIENT_KEY_BOUND_MS: u64 = 60_000;
 
 /// Time between two words of a server on itself where nothing is told, in milliseconds: what all
--- a/crates/config/src/membership.rs
+++ b/crates/config/src/membership.rs
@@ -22,8 +22,7 @@
 const HOLD_PART: f64 = 0.1;
 /// Part of the propagation time after which an entry that heard nothing asks the store itself.
 const FALLBACK_PART: f64 = 0.7;
-/// Time that a message takes to another entry and back, where both are busy. On simulated machines
-/// with a tenth of a core it is 20 to 80 ms.
+/// Time that a message takes to another entry and back, where both are busy.
 const EXCHANGE: Duration = Duration::from_millis(100);
 /// Confirmations that may fail or come late before others look for another way.
 const CONFIRMATIONS: u32 = 2;
--- a/crates/decide/src/direct/cascade.rs
+++ b/crates/decide/src/direct/cascade.rs
@@ -21,13 +21,11 @@
 /// scatter is 10 points (docs/decisions/0015-cascade.md).
 ///
 /// NB: not learned from the scatter between two answers to one request. Only doubtful answers are
-/// followed by another, so that scatter is too large; learned, it cost 0.014 of the credit owed
-/// (mean of fifteen simulated days with faults).
+/// followed by another, so that scatter is too large.
 const CONFIDENCE_STEP: f64 = 6.2;
 /// Part of a request's worth that an answer which does not do forgoes.
 const POOR_LOSS: f64 = 0.95;
-/// Price of the largest model's answer, as a part of its worth. From the users' sheets; 0.15 to
-/// 0.17 for each kind of request.
+/// Price of the largest model's answer, as a part of its worth.
 const LARGEST_PRICE: f64 = 0.16;
 /// Part of the worth that an answer which begins after its objective keeps.
 const LATE_WORTH: f64 = 0.3;
--- a/crates/decide/src/direct/engine.rs
+++ b/crates/decide/src/direct/engine.rs
@@ -6,8 +6,7 @@
 //! prior within some tens of answers, follows a change, and no outlier counts for more than any
 //! other late answer. A lower quantile than the median is followed, since most of what spoils a
 //! sample, such as requests of other entries, makes it longer. Nothing is kept over a restart: an
-//! entry that starts anew learns anew. On engines half as fast as the priors it gained 0.022 of the
-//! credit owed, on those that the priors fit nothing (means of ten to twenty simulated days).
+//! entry that starts anew learns anew.
 
 use std::collections::HashMap;
 
--- a/crates/decide/src/direct/fleet/load.rs
+++ b/crates/decide/src/direct/fleet/load.rs
@@ -2,8 +2,7 @@
 //!
 //! A server that puts its load into its answers tells the truth about all entries at once, while
 //! an entry sees only its own requests. The truth ages: what was waiting is read within about a
-//! second, and what was running ends within a few. It gained 0.005 of the credit owed with three
-//! entries and 0.012 with 32 (means of twenty and five simulated days with faults).
+//! second, and what was running ends within a few.
 
 use std::{num::ParseIntError, time::Duration};
 
--- a/crates/decide/src/direct/fleet/server.rs
+++ b/crates/decide/src/direct/fleet/server.rs
@@ -261,8 +261,7 @@
     ///
     /// NB: a time, not a multiple of what was expected. A request of 30 ms that waits for 200 ms
     /// would tell of a server seven times as slow, and drive the long prompts away whose shared
-    /// parts it holds. As a time it gained 0.037, 0.008 and 0.008 of the credit owed on three
-    /// deployments (means of twenty simulated days with faults each).
+    /// parts it holds.
     pub fn delay_ms(&self, now: Duration) -> f64 {
         let quiet = now.saturating_sub(self.delay_noted).as_secs_f64();
         self.delay_ms * (-quiet / DELAY_MEMORY.as_secs_f64()).exp()
--- a/crates/decide/src/direct/pool.rs
+++ b/crates/decide/src/direct/pool.rs
@@ -17,10 +17,8 @@
 const WINDOW: Duration = Duration::from_secs(8);
 /// Time whose answers are added up.
 const STEP: Duration = Duration::from_millis(500);
-/// Logarithm of the likelihood ratio from which a version is called bad. Of versions that are as
-/// good as the old one, at most 1 in 1,000 reaches it in a trial of 400 answers; of versions of
-/// which half of the answers fail, 99 in 100 reach it within 40 answers, and within 80 where half
-/// are slow (simulated).
+/// Logarithm of the likelihood ratio from which a version is called bad: so high that hardly any good one
+/// reaches it in a trial.
 const BAD_FROM: f64 = 10.0;
 /// Part of it that one server can make up.
 const MOST_OF_ONE_SERVER: f64 = 0.4;
@@ -44,11 +42,9 @@
 /// Failures: a few in a hundred are usual.
 const FAILURES: Shares =
     Shares { least_good: 0.05, good_ratio: 1.5, least_bad: 0.25, bad_ratio: 3.0 };
-/// Answers slower than seven in ten of the old version's. Of good versions, whose servers have little
-/// work yet, one in ten was in trials on simulated deployments; of versions that took eight times as
-/// long for half of their requests, six in ten. Fewer are much slower than usual, since most of the
-/// time until an answer begins goes into reading the prompt: by the slowest twentieth of the old
-/// version's, a bad one was told 1 to 2 s later, which is too late at a hundred entries.
+/// Answers slower than seven in ten of the old version's. Few answers of a slow version are much slower
+/// than usual, since most of the time until one begins goes into reading the prompt; by the slowest twentieth
+/// of the old version's, a bad one is told too late.
 const SLOWNESS: Shares =
     Shares { least_good: 0.33, good_ratio: 1.1, least_bad: 0.53, bad_ratio: 1.6 };
 /// Largest share that is expected of a bad version.
--- a/crates/decide/src/direct/roll_out/own.rs
+++ b/crates/decide/src/direct/roll_out/own.rs
@@ -28,11 +28,10 @@
 const ORDINARY_QUANTILE: f64 = 0.7;
 const SLOW_FACTOR: f64 = 2.5;
 /// Slow answers among the latest of all kinds from which a version is called bad. Of an equal
-/// version 1 in 20 is slow; with 7, 6 of 1,000 equal versions were called bad after 60 answers.
+/// version 1 in 20 is slow.
 const MIN_SLOW: usize = 8;
 /// The same once the share widens. The old version's times are then from before, when the new
 /// one had little load and its servers had not yet to read every shared part.
-// NB: with 7, good versions went back on all of four calm simulated days.
 const MIN_SLOW_WIDENING: usize = 13;
 
 /// One answer, as evidence about a version.
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -32,8 +32,7 @@
 /// Time after the signal to stop for which all new work is still taken. The balancer asks once a
 /// second and needs two misses; where others are stopped in turn, each tenth of a second more
 /// closes a gap in which none is open. A stream taken later than three seconds after the signal
-/// would have too little time left. Against 2.6 s it gained 0.007 of the credit owed where three
-/// entries are stopped 2 s apart (mean of eight simulated days).
+/// would have too little time left.
 const LEAVING_TIME: Duration = Duration::from_millis(2_900);
 /// Part of the grace time by which the process has ended.
 const GRACE_PART: f64 = 0.95;
--- a/crates/direct/src/http/intake.rs
+++ b/crates/direct/src/http/intake.rs
@@ -42,8 +42,6 @@
     let late_calls = core.settings.policy.late_calls;
     match core.stopping.get() {
         // NB: streams last too variably to be foreseen; one that is cut is lost to its caller.
-        // Taking the calls gained 0.014 of the credit owed where all entries are stopped 2 s apart
-        // (mean of eight simulated days).
         Stopping::Closing { end } if job.give_up > end || !late_calls => Err(Refusal::Closing),
         _ => Ok(job),
     }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -177,8 +177,7 @@
 const PAUSE_WHILE_READING: Duration = Duration::from_millis(50);
 /// Shortest and longest pause for callers of an entry that started without the store. An outage is
 /// expected to last about as long again as it has lasted; a caller that tries only once more is
-/// not served if it comes back too soon, and only late if it comes back too late. Against a pause
-/// of 0.5 s it gained 0.004 of the credit owed with 32 entries (mean of ten simulated days).
+/// not served if it comes back too soon, and only late if it comes back too late.
 const START_PAUSES: (Duration, Duration) = (Duration::from_millis(1_000), Duration::from_secs(4));
 
 /// Shortest and longest pause for callers while all servers are cold. Room comes several times a second
