--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -23,8 +23,8 @@
 /// deployments of the users have.
 const DEFAULT_HEARTBEAT_MS: f64 = 1_200.0;
 
-/// Time for which the holder of a duty is not passed over where nothing is told, in milliseconds.
-const DEFAULT_DUTY_LEASE_MS: u64 = 3_000;
+/// Time for which the reporter of usage is not passed over where nothing is told, in milliseconds.
+const DEFAULT_REPORTER_LEASE_MS: u64 = 3_000;
 /// Length of the windows of usage where nothing is told, in seconds.
 const DEFAULT_REPORT_INTERVAL_S: f64 = 5.0;
 /// Time after a window's end by which its report is due where nothing is told, in seconds.
@@ -71,7 +71,7 @@
     /// What servers that are cold may get; without it none is held back.
     pub warm_up: Option<WarmUpSettings>,
     /// Calls to the platform that one entry makes for all; without it there are none.
-    pub duties: Option<DutySettings>,
+    pub usage: Option<UsageSettings>,
     /// Time from the signal to stop until the process is ended from outside.
     pub grace: Duration,
     /// Time after its last request for which a session lasts.
@@ -137,9 +137,9 @@
     pub heartbeat: Duration,
 }
 
-/// `[duties]`: calls to the platform that one entry makes for all.
+/// `[usage]`: calls to the platform that one entry makes for all.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct DutySettings {
+pub struct UsageSettings {
     /// Where the platform takes them.
     pub address: SocketAddr,
     /// Time for which a holder is not passed over.
@@ -191,7 +191,7 @@
     let share = "a share from 0 to 1";
     let exposure = file.within("roll_out", "exposure", share, (0.0, 1.0), 0.1);
     let warm_up = read_warm_up(file);
-    let duties = read_duties(file);
+    let usage = read_usage(file);
     let membership = MembershipSettings::read(file, state_bound);
     check_evacuation(file, &membership);
     let store = StoreSettings::read(file);
@@ -212,7 +212,7 @@
         policy,
         roll_out: RollOutSettings { exposure },
         warm_up,
-        duties,
+        usage,
         grace,
         session_ttl,
         log_lines_per_s,
@@ -316,41 +316,41 @@
 const USAGE_TASK: &str = "metering";
 
 /// The calls that the platform asks for; a template leaves them blank where there are none.
-fn read_duties(file: &mut RawFile) -> Option<DutySettings> {
-    let tasks = file.text("duties", "tasks").unwrap_or_default();
-    let lease = millis_if_told(file, "lease_ms", DEFAULT_DUTY_LEASE_MS);
+fn read_usage(file: &mut RawFile) -> Option<UsageSettings> {
+    let tasks = file.text("usage", "tasks").unwrap_or_default();
+    let lease = millis_if_told(file, "lease_ms", DEFAULT_REPORTER_LEASE_MS);
     let report_interval = seconds_if_told(file, "report_interval_s", DEFAULT_REPORT_INTERVAL_S);
     let usage_delay = seconds_if_told(file, "usage_delay_s", DEFAULT_USAGE_DELAY_S);
     let is_asked = RawFile::items(&tasks).iter().any(|task| task == USAGE_TASK);
     if !is_asked {
-        file.mark_used("duties", "address");
+        file.mark_used("usage", "address");
         return None;
     }
-    let address = file.required("duties", "address", ADDRESS)?;
+    let address = file.required("usage", "address", ADDRESS)?;
     if usage_delay < SHORTEST_USAGE_DELAY {
-        let found = file.text("duties", "usage_delay_s").unwrap_or_default();
+        let found = file.text("usage", "usage_delay_s").unwrap_or_default();
         let expected = "a time in which counts can be gathered, 2 seconds or more";
-        file.fault("duties", "usage_delay_s", Problem::Invalid { found, expected });
+        file.fault("usage", "usage_delay_s", Problem::Invalid { found, expected });
     }
-    Some(DutySettings { address, lease, report_interval, usage_delay })
+    Some(UsageSettings { address, lease, report_interval, usage_delay })
 }
 
 fn is_blank(file: &mut RawFile, key: &str) -> bool {
-    file.text("duties", key).unwrap_or_default().trim().is_empty()
+    file.text("usage", key).unwrap_or_default().trim().is_empty()
 }
 
 fn millis_if_told(file: &mut RawFile, key: &str, default_ms: u64) -> Duration {
     if is_blank(file, key) {
         return Duration::from_millis(default_ms);
     }
-    file.millis("duties", key, default_ms)
+    file.millis("usage", key, default_ms)
 }
 
 fn seconds_if_told(file: &mut RawFile, key: &str, default_s: f64) -> Duration {
     if is_blank(file, key) {
         return Duration::from_secs_f64(default_s);
     }
-    file.seconds("duties", key, default_s)
+    file.seconds("usage", key, default_s)
 }
 
 fn read_retries(file: &mut RawFile) -> RetrySettings {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod shared;
 
 pub use agent::AgentSettings;
-pub use direct::{DirectSettings, DutySettings, WarmUpSettings};
+pub use direct::{DirectSettings, UsageSettings, WarmUpSettings};
 pub use entry::EntrySettings;
 pub use error::{ConfigError, Fault, Problem};
 pub use membership::{MembershipSettings, MembershipTimes};
--- a/crates/config/tests/accepts_sample_files.rs
+++ b/crates/config/tests/accepts_sample_files.rs
@@ -79,7 +79,7 @@
         ("{{guarantees.retry_min_extra}}", "54"),
         ("{{guarantees.retry_window_s}}", "10"),
     ];
-    for (gap, value) in values.into_iter().chain(COLD_SERVERS).chain(DUTIES) {
+    for (gap, value) in values.into_iter().chain(COLD_SERVERS).chain(USAGE) {
         text = text.replace(gap, value);
     }
     text
@@ -94,7 +94,7 @@
 ];
 
 /// Gaps that only deployments with calls which one entry makes for all fill.
-const DUTIES: [(&str, &str); 5] = [
+const USAGE: [(&str, &str); 5] = [
     ("{{cloud_api.address}}", "10.200.0.113:8424"),
     ("{{cloud_api.tasks}}", "metering,autoscaling"),
     ("{{guarantees.lease_timeout_ms}}", "3000"),
@@ -146,10 +146,10 @@
 
 #[test]
 fn usage_is_reported_where_the_deployment_asks_for_it() {
-    let duties = settings_of(&filled_template("true")).duties.expect("an address for reports");
-    assert_eq!(duties.address.port(), 8_424);
-    assert_eq!((duties.lease.as_secs(), duties.report_interval.as_secs()), (3, 5));
-    assert_eq!(duties.usage_delay.as_secs(), 10);
+    let usage = settings_of(&filled_template("true")).usage.expect("an address for reports");
+    assert_eq!(usage.address.port(), 8_424);
+    assert_eq!((usage.lease.as_secs(), usage.report_interval.as_secs()), (3, 5));
+    assert_eq!(usage.usage_delay.as_secs(), 10);
     // NB: other deployments leave the gaps blank, or ask for other calls only.
     let mut text = filled_template("true");
     for key in ["address = 10.200.0.113:8424", "lease_ms = 3000", "report_interval_s = 5"] {
@@ -158,8 +158,8 @@
     }
     let without = text.replace("usage_delay_s = 10", "usage_delay_s =");
     let of_others = without.replace("tasks = metering,", "tasks = ");
-    assert_eq!(settings_of(&of_others).duties, None);
-    assert_eq!(settings_of(&without.replace("metering,autoscaling", "")).duties, None);
+    assert_eq!(settings_of(&of_others).usage, None);
+    assert_eq!(settings_of(&without.replace("metering,autoscaling", "")).usage, None);
 }
 
 #[test]
--- a/crates/config/tests/rejects_faulty_files.rs
+++ b/crates/config/tests/rejects_faulty_files.rs
@@ -164,12 +164,12 @@
 
 #[test]
 fn reports_of_usage_without_an_address_or_time_are_faults() {
-    let place = |key: &str| ("duties".to_owned(), key.to_owned());
-    let duties = |lines: &str| fault_of_direct(&format!("[duties]\ntasks = metering\n{lines}\n"));
-    assert_eq!(duties(""), place("address"));
-    assert_eq!(duties("address = somewhere"), place("address"));
+    let place = |key: &str| ("usage".to_owned(), key.to_owned());
+    let usage = |lines: &str| fault_of_direct(&format!("[usage]\ntasks = metering\n{lines}\n"));
+    assert_eq!(usage(""), place("address"));
+    assert_eq!(usage("address = somewhere"), place("address"));
     let address = "address = 127.0.0.1:4\n";
-    assert_eq!(duties(&format!("{address}lease_ms = 0")), place("lease_ms"));
-    assert_eq!(duties(&format!("{address}report_interval_s = inf")), place("report_interval_s"));
-    assert_eq!(duties(&format!("{address}usage_delay_s = 1")), place("usage_delay_s"));
+    assert_eq!(usage(&format!("{address}lease_ms = 0")), place("lease_ms"));
+    assert_eq!(usage(&format!("{address}report_interval_s = inf")), place("report_interval_s"));
+    assert_eq!(usage(&format!("{address}usage_delay_s = 1")), place("usage_delay_s"));
 }
--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -27,14 +27,13 @@
 //! 6. **And if a server fails?** A further send is taken out of [`WindowBudget`], which all retries
 //!    and larger models share.
 //!
-//! Beside the requests, [`Duty`] decides who reports the usage of all entries ([`UsageTotals`]), and when.
+//! Beside the requests, [`Reporter`] decides who reports the usage of all entries ([`UsageTotals`]), and when.
 //!
 //! What the answer shows goes back into the estimates: [`Fleet::began`], [`Fleet::tells_load`],
 //! [`Fleet::answered`], [`Engine::note_beginning`], [`Cascade::learn`], [`Cascade::note_strain`]
 //! [`RollOut::note`] and [`Pool`].
 
 mod cascade;
-mod duty;
 mod engine;
 mod fleet;
 mod freshness;
@@ -42,6 +41,7 @@
 mod pool;
 mod quarantine;
 mod rank;
+mod reporter;
 mod roll_out;
 mod sessions;
 mod sharers;
@@ -51,10 +51,6 @@
 mod window_budget;
 
 pub use cascade::{Cascade, ModelNumber, Terms};
-pub use duty::{
-    CallEnd, DueWindows, Duty, DutyOrder, DutyRecord, DutyStep, FencingToken, UsageCounts,
-    WindowId, WriteEnd,
-};
 pub use engine::{Engine, Estimate, ServiceModel};
 pub use fleet::{
     Ask, Fleet, Forecast, Homes, LoadError, Opening, PromptPart, ServerFacts, ServerIndex,
@@ -67,6 +63,10 @@
     granting_order, server_hash,
 };
 pub use rank::{RESUMED, Rank, rank_of};
+pub use reporter::{
+    CallEnd, DueWindows, FencingToken, Reporter, ReporterOrder, ReporterRecord, ReporterStep,
+    UsageCounts, WindowId, WriteEnd,
+};
 pub use roll_out::{Evidence, Move, RollOut, Stage};
 pub use sessions::{SessionKey, Sessions, session_key};
 pub use sharers::Sharers;
--- a/crates/decide/src/direct/duty.rs
+++ b/crates/decide/src/direct/reporter.rs
@@ -1,11 +1,10 @@
 //! Who may speak for all entries, and the words that are said only once.
 //!
-//! A duty is a call to the platform that one entry makes for all: a report of usage. The record in the
-//! store names the holder, a fencing number that rises with each change of holder, and the words of the
-//! latest report. Whoever is to say something first writes it there, under the condition that nobody
-//! has written since it last heard. So there is one order of holders, numbers and words, and an entry
-//! that takes over repeats the words that it finds, letter by letter, as it can't know whether they
-//! were heard.
+//! One entry reports usage to the platform for all. The record in the store names the holder of that
+//! task, a fencing number that rises with each change of holder, and the words of the latest report.
+//! Whoever is to say something first writes it there, under the condition that nobody has written since
+//! it last heard. So there is one order of holders, numbers and words, and an entry that takes over
+//! repeats the words that it finds, letter by letter, as it can't know whether they were heard.
 //!
 //! A write allows its writer to call for part of the lease, counted from when the write was sent.
 //! Others wait for the whole lease after they heard of it. So one that was paused, or cut off from the
@@ -18,7 +17,7 @@
 
 /// Number of a window of true time: the time since 1970 in lengths of a window.
 pub type WindowId = u64;
-/// Number that rises with each change of the holder of a duty.
+/// Number that rises with each change of holder.
 pub type FencingToken = u64;
 /// Requests that began to run in a window, by workspace.
 pub type UsageCounts = BTreeMap<WorkspaceId, u64>;
@@ -28,12 +27,12 @@
 /// Time in calls that get no answer after which another entry is let try: the way from here to the
 /// platform may be cut alone.
 const FRUITLESS_TIME: Duration = Duration::from_secs(3);
-/// Time for which an entry whose calls got no answer leaves the duty to others.
+/// Time for which an entry whose calls got no answer leaves the task to others.
 const ASIDE_TIME: Duration = Duration::from_secs(10);
 
-/// What the store holds of a duty.
+/// What the store holds of the task.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct DutyRecord {
+pub struct ReporterRecord {
     /// Name of the entry that holds it.
     pub holder: String,
     /// Random number of that life of the entry.
@@ -70,11 +69,11 @@
 
 /// What is to be done next.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub enum DutyStep {
+pub enum ReporterStep {
     /// Write this record if the one in the store has this revision; without one, if there is none.
-    Write(DutyRecord, Option<u64>),
+    Write(ReporterRecord, Option<u64>),
     /// Say the words of this record, until this time at most.
-    Call(DutyRecord, Duration),
+    Call(ReporterRecord, Duration),
 }
 
 /// The windows that could be reported, as this entry sees them.
@@ -88,7 +87,7 @@
 
 /// How long this entry leaves to others what is due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct DutyOrder {
+pub struct ReporterOrder {
     /// Wait by its place in the order.
     pub by_place: Duration,
     /// Further wait while another entry is the holder.
@@ -97,15 +96,15 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Known {
-    record: DutyRecord,
+    record: ReporterRecord,
     revision: u64,
     /// When this entry heard of it.
     since: Duration,
 }
 
-/// One entry's part in a duty.
+/// One entry's part in the task.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Duty {
+pub struct Reporter {
     name: String,
     incarnation: u64,
     lease: Duration,
@@ -127,10 +126,10 @@
     aside_until: Duration,
 }
 
-impl Duty {
+impl Reporter {
     /// Knows of no record yet. `lease` is the time for which a holder is not passed over.
     pub fn new(name: &str, incarnation: u64, lease: Duration) -> Self {
-        Duty {
+        Reporter {
             name: name.to_owned(),
             incarnation,
             lease,
@@ -147,7 +146,7 @@
     }
 
     /// The record as this entry knows it.
-    pub fn record(&self) -> Option<&DutyRecord> {
+    pub fn record(&self) -> Option<&ReporterRecord> {
         self.known.as_ref().map(|known| &known.record)
     }
 
@@ -157,7 +156,7 @@
     }
 
     /// Hears what the store holds, or that the record is gone.
-    pub fn learn(&mut self, record: Option<(DutyRecord, u64)>, now: Duration) {
+    pub fn learn(&mut self, record: Option<(ReporterRecord, u64)>, now: Duration) {
         let Some((record, revision)) = record else {
             self.known = None;
             self.may_call_until = Duration::ZERO;
@@ -175,7 +174,13 @@
     }
 
     /// What became of a write sent at `sent`.
-    pub fn written(&mut self, record: DutyRecord, sent: Duration, end: WriteEnd, now: Duration) {
+    pub fn written(
+        &mut self,
+        record: ReporterRecord,
+        sent: Duration,
+        end: WriteEnd,
+        now: Duration,
+    ) {
         match end {
             WriteEnd::Done(revision) => {
                 self.learn(Some((record, revision)), now);
@@ -191,7 +196,7 @@
     }
 
     /// What became of a call with the words of the record.
-    pub fn called(&mut self, record: &DutyRecord, end: CallEnd, now: Duration) {
+    pub fn called(&mut self, record: &ReporterRecord, end: CallEnd, now: Duration) {
         match end {
             CallEnd::Taken => {
                 self.taken = self.taken.max(Some(record.window));
@@ -216,10 +221,10 @@
     pub fn next(
         &mut self,
         windows: DueWindows,
-        order: DutyOrder,
+        order: ReporterOrder,
         now: Duration,
         counts: impl FnOnce(WindowId) -> UsageCounts,
-    ) -> Option<DutyStep> {
+    ) -> Option<ReporterStep> {
         // NB: a write whose answer was lost may still be done; what the store tells ends the wait.
         if now < self.aside_until || now < self.awaits_word_until {
             return None;
@@ -245,13 +250,13 @@
     }
 
     /// Says the words that it has written, or asks for more time to do so.
-    fn finish_words(&self, windows: DueWindows, now: Duration) -> Option<DutyStep> {
+    fn finish_words(&self, windows: DueWindows, now: Duration) -> Option<ReporterStep> {
         let record = self.record().filter(|record| self.continues(record))?;
         if self.taken >= Some(record.window) || record.window < windows.oldest_in_time {
             return None;
         }
         if now < self.may_call_until {
-            return Some(DutyStep::Call(record.clone(), self.may_call_until));
+            return Some(ReporterStep::Call(record.clone(), self.may_call_until));
         }
         Some(self.write(record.fencing_token, record.window, record.counts.clone()))
     }
@@ -264,13 +269,13 @@
     }
 
     /// Words that another holder, or an earlier life, may have left unsaid.
-    fn words_to_repeat(&self, windows: DueWindows) -> Option<&DutyRecord> {
+    fn words_to_repeat(&self, windows: DueWindows) -> Option<&ReporterRecord> {
         let record = self.record()?;
         let is_left = !self.continues(record) && record.window >= windows.oldest_in_time;
         is_left.then_some(record)
     }
 
-    fn may_write(&self, order: DutyOrder, due_since: Duration, now: Duration) -> bool {
+    fn may_write(&self, order: ReporterOrder, due_since: Duration, now: Duration) -> bool {
         let Some(known) = &self.known else { return now >= due_since + order.by_place };
         if known.record.holder == self.name {
             return true;
@@ -280,11 +285,11 @@
     }
 
     /// Whether it goes on under the number of the record.
-    fn continues(&self, record: &DutyRecord) -> bool {
+    fn continues(&self, record: &ReporterRecord) -> bool {
         self.is_own(record) && record.fencing_token > self.refused_token
     }
 
-    fn is_own(&self, record: &DutyRecord) -> bool {
+    fn is_own(&self, record: &ReporterRecord) -> bool {
         record.holder == self.name && record.incarnation == self.incarnation
     }
 
@@ -300,14 +305,14 @@
         fencing_token: FencingToken,
         window: WindowId,
         counts: UsageCounts,
-    ) -> DutyStep {
-        let record = DutyRecord {
+    ) -> ReporterStep {
+        let record = ReporterRecord {
             holder: self.name.clone(),
             incarnation: self.incarnation,
             fencing_token,
             window,
             counts,
         };
-        DutyStep::Write(record, self.known.as_ref().map(|known| known.revision))
+        ReporterStep::Write(record, self.known.as_ref().map(|known| known.revision))
     }
 }
--- a/crates/decide/src/direct/usage.rs
+++ b/crates/decide/src/direct/usage.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::duty::{UsageCounts, WindowId};
+use super::reporter::{UsageCounts, WindowId};
 
 /// Windows that are kept at most, by one entry and in the totals.
 const MOST_WINDOWS: usize = 32;
--- a/crates/decide/tests/duty.rs
+++ b/crates/decide/tests/reporter.rs
@@ -8,12 +8,13 @@
 };
 
 use pondwalk_decide::direct::{
-    CallEnd, DueWindows, Duty, DutyOrder, DutyRecord, DutyStep, FencingToken, UsageCounts,
-    WindowId, WriteEnd,
+    CallEnd, DueWindows, FencingToken, Reporter, ReporterOrder, ReporterRecord, ReporterStep,
+    UsageCounts, WindowId, WriteEnd,
 };
 
 const LEASE: Duration = Duration::from_secs(3);
-const NO_WAIT: DutyOrder = DutyOrder { by_place: Duration::ZERO, to_holder: Duration::ZERO };
+const NO_WAIT: ReporterOrder =
+    ReporterOrder { by_place: Duration::ZERO, to_holder: Duration::ZERO };
 
 fn at(ms: u64) -> Duration {
     Duration::from_millis(1_000_000 + ms)
@@ -27,41 +28,48 @@
     UsageCounts::from([("w1".to_owned(), of_w1)])
 }
 
-fn next(duty: &mut Duty, window: WindowId, now: Duration) -> Option<DutyStep> {
-    duty.next(due(window), NO_WAIT, now, |_| counts(1))
+fn next(reporter: &mut Reporter, window: WindowId, now: Duration) -> Option<ReporterStep> {
+    reporter.next(due(window), NO_WAIT, now, |_| counts(1))
 }
 
 /// Lets an entry write what it wants to; returns the record and its revision.
-fn write(duty: &mut Duty, window: WindowId, revision: u64, now: Duration) -> (DutyRecord, u64) {
-    let Some(DutyStep::Write(record, _)) = next(duty, window, now) else {
+fn write(
+    reporter: &mut Reporter,
+    window: WindowId,
+    revision: u64,
+    now: Duration,
+) -> (ReporterRecord, u64) {
+    let Some(ReporterStep::Write(record, _)) = next(reporter, window, now) else {
         panic!("it does not write");
     };
-    duty.written(record.clone(), now, WriteEnd::Done(revision), now);
+    reporter.written(record.clone(), now, WriteEnd::Done(revision), now);
     (record, revision)
 }
 
 #[test]
 fn a_report_is_written_before_it_is_said_and_said_until_it_is_taken() {
-    let mut duty = Duty::new("e1", 1, LEASE);
-    let (record, _) = write(&mut duty, 5, 1, at(0));
+    let mut reporter = Reporter::new("e1", 1, LEASE);
+    let (record, _) = write(&mut reporter, 5, 1, at(0));
     assert_eq!((record.fencing_token, record.window), (1, 4));
-    let Some(DutyStep::Call(called, until)) = next(&mut duty, 5, at(10)) else { panic!("no call") };
+    let Some(ReporterStep::Call(called, until)) = next(&mut reporter, 5, at(10)) else {
+        panic!("no call")
+    };
     assert_eq!((called.clone(), until), (record, at(1_500)));
-    duty.called(&called, CallEnd::Failed, at(20));
-    assert!(matches!(next(&mut duty, 5, at(30)), Some(DutyStep::Call(..))));
-    duty.called(&called, CallEnd::Taken, at(40));
+    reporter.called(&called, CallEnd::Failed, at(20));
+    assert!(matches!(next(&mut reporter, 5, at(30)), Some(ReporterStep::Call(..))));
+    reporter.called(&called, CallEnd::Taken, at(40));
     // The next window goes under the same number.
-    let (record, _) = write(&mut duty, 5, 2, at(50));
+    let (record, _) = write(&mut reporter, 5, 2, at(50));
     assert_eq!((record.fencing_token, record.window), (1, 5));
-    duty.called(&record, CallEnd::Taken, at(60));
-    assert_eq!(next(&mut duty, 5, at(70)), None);
+    reporter.called(&record, CallEnd::Taken, at(60));
+    assert_eq!(next(&mut reporter, 5, at(70)), None);
 }
 
 #[test]
 fn one_whose_leave_has_run_out_writes_anew_before_it_calls() {
-    let mut duty = Duty::new("e1", 1, LEASE);
-    let (record, _) = write(&mut duty, 5, 1, at(0));
-    let Some(DutyStep::Write(again, Some(1))) = next(&mut duty, 5, at(1_500)) else {
+    let mut reporter = Reporter::new("e1", 1, LEASE);
+    let (record, _) = write(&mut reporter, 5, 1, at(0));
+    let Some(ReporterStep::Write(again, Some(1))) = next(&mut reporter, 5, at(1_500)) else {
         panic!("it calls without leave");
     };
     assert_eq!(again, record);
@@ -69,22 +77,22 @@
 
 #[test]
 fn another_entry_waits_for_the_lease_and_repeats_the_words() {
-    let mut first = Duty::new("e1", 1, LEASE);
-    let mut second = Duty::new("e2", 2, LEASE);
+    let mut first = Reporter::new("e1", 1, LEASE);
+    let mut second = Reporter::new("e2", 2, LEASE);
     let (record, revision) = write(&mut first, 5, 1, at(0));
     second.learn(Some((record.clone(), revision)), at(400));
     assert_eq!(next(&mut second, 5, at(3_399)), None);
     let step = second.next(due(5), NO_WAIT, at(3_400), |_| counts(99));
-    let Some(DutyStep::Write(taken, Some(1))) = step else { panic!("it does not take over") };
+    let Some(ReporterStep::Write(taken, Some(1))) = step else { panic!("it does not take over") };
     assert_eq!((taken.fencing_token, taken.window), (2, record.window));
     assert_eq!(taken.counts, record.counts);
 }
 
 #[test]
 fn a_holder_goes_on_only_after_the_lease_of_one_that_took_over() {
-    let mut first = Duty::new("e1", 1, LEASE);
+    let mut first = Reporter::new("e1", 1, LEASE);
     let (_, _) = write(&mut first, 5, 1, at(0));
-    let other = DutyRecord {
+    let other = ReporterRecord {
         holder: "e2".to_owned(),
         incarnation: 2,
         fencing_token: 2,
@@ -93,7 +101,7 @@
     };
     first.learn(Some((other, 2)), at(100));
     assert_eq!(next(&mut first, 9, at(3_000)), None);
-    let Some(DutyStep::Write(record, Some(2))) = next(&mut first, 9, at(3_100)) else {
+    let Some(ReporterStep::Write(record, Some(2))) = next(&mut first, 9, at(3_100)) else {
         panic!("it does not take over");
     };
     assert_eq!(record.fencing_token, 3);
@@ -101,10 +109,10 @@
 
 #[test]
 fn a_refused_number_is_not_used_again() {
-    let mut duty = Duty::new("e1", 1, LEASE);
-    let (record, _) = write(&mut duty, 5, 1, at(0));
-    duty.called(&record, CallEnd::Refused, at(10));
-    let Some(DutyStep::Write(record, Some(1))) = next(&mut duty, 5, at(20)) else {
+    let mut reporter = Reporter::new("e1", 1, LEASE);
+    let (record, _) = write(&mut reporter, 5, 1, at(0));
+    reporter.called(&record, CallEnd::Refused, at(10));
+    let Some(ReporterStep::Write(record, Some(1))) = next(&mut reporter, 5, at(20)) else {
         panic!("it calls again");
     };
     assert_eq!(record.fencing_token, 2);
@@ -112,47 +120,51 @@
 
 #[test]
 fn a_write_whose_answer_was_lost_is_left_alone_until_the_store_shows_it() {
-    let mut duty = Duty::new("e1", 1, LEASE);
-    let Some(DutyStep::Write(record, None)) = next(&mut duty, 5, at(0)) else { panic!("no write") };
-    duty.written(record.clone(), at(0), WriteEnd::Unknown, at(1_000));
-    assert_eq!(next(&mut duty, 5, at(1_100)), None);
-    duty.learn(Some((record.clone(), 9)), at(1_200));
+    let mut reporter = Reporter::new("e1", 1, LEASE);
+    let Some(ReporterStep::Write(record, None)) = next(&mut reporter, 5, at(0)) else {
+        panic!("no write")
+    };
+    reporter.written(record.clone(), at(0), WriteEnd::Unknown, at(1_000));
+    assert_eq!(next(&mut reporter, 5, at(1_100)), None);
+    reporter.learn(Some((record.clone(), 9)), at(1_200));
     // NB: when the write that was done had been sent cannot be told, so it gives no leave to call.
-    let Some(DutyStep::Write(again, Some(9))) = next(&mut duty, 5, at(1_210)) else {
+    let Some(ReporterStep::Write(again, Some(9))) = next(&mut reporter, 5, at(1_210)) else {
         panic!("it does not ask for leave");
     };
     assert_eq!(again, record);
-    duty.written(again, at(1_210), WriteEnd::Done(10), at(1_220));
-    assert!(matches!(next(&mut duty, 5, at(1_230)), Some(DutyStep::Call(..))));
+    reporter.written(again, at(1_210), WriteEnd::Done(10), at(1_220));
+    assert!(matches!(next(&mut reporter, 5, at(1_230)), Some(ReporterStep::Call(..))));
 }
 
 #[test]
-fn one_that_cannot_reach_the_platform_leaves_the_duty_to_others() {
-    let mut duty = Duty::new("e1", 1, LEASE);
+fn one_that_cannot_reach_the_platform_leaves_the_task_to_others() {
+    let mut reporter = Reporter::new("e1", 1, LEASE);
     let mut now = 0;
     let mut revision = 0;
     while now < 4_000 {
-        match next(&mut duty, 5, at(now)) {
-            Some(DutyStep::Write(record, _)) => {
+        match next(&mut reporter, 5, at(now)) {
+            Some(ReporterStep::Write(record, _)) => {
                 revision += 1;
-                duty.written(record, at(now), WriteEnd::Done(revision), at(now));
+                reporter.written(record, at(now), WriteEnd::Done(revision), at(now));
+            }
+            Some(ReporterStep::Call(record, _)) => {
+                reporter.called(&record, CallEnd::Failed, at(now))
             }
-            Some(DutyStep::Call(record, _)) => duty.called(&record, CallEnd::Failed, at(now)),
             None => break,
         }
         now += 100;
     }
     assert!((3_000..3_500).contains(&now), "it leaves it after {now} ms");
-    assert_eq!(next(&mut duty, 5, at(now + 5_000)), None);
-    assert!(next(&mut duty, 9, at(now + 11_000)).is_some());
+    assert_eq!(next(&mut reporter, 5, at(now + 5_000)), None);
+    assert!(next(&mut reporter, 9, at(now + 11_000)).is_some());
 }
 
 #[test]
 fn windows_that_can_no_longer_be_in_time_are_left_out() {
-    let mut duty = Duty::new("e1", 1, LEASE);
-    let (record, _) = write(&mut duty, 5, 1, at(0));
-    duty.called(&record, CallEnd::Taken, at(10));
-    let (record, _) = write(&mut duty, 20, 2, at(60_000));
+    let mut reporter = Reporter::new("e1", 1, LEASE);
+    let (record, _) = write(&mut reporter, 5, 1, at(0));
+    reporter.called(&record, CallEnd::Taken, at(10));
+    let (record, _) = write(&mut reporter, 20, 2, at(60_000));
     assert_eq!(record.window, 19);
 }
 
@@ -173,13 +185,13 @@
 /// The record as a plain row, which has an order.
 type RecordOfModel = (String, u64, FencingToken, WindowId, u64);
 
-fn row(record: &DutyRecord) -> RecordOfModel {
+fn row(record: &ReporterRecord) -> RecordOfModel {
     let count = record.counts.get("w1").copied().unwrap_or_default();
     (record.holder.clone(), record.incarnation, record.fencing_token, record.window, count)
 }
 
-fn record_of(row: &RecordOfModel) -> DutyRecord {
-    DutyRecord {
+fn record_of(row: &RecordOfModel) -> ReporterRecord {
+    ReporterRecord {
         holder: row.0.clone(),
         incarnation: row.1,
         fencing_token: row.2,
@@ -194,7 +206,7 @@
     tick: u64,
     /// Steps of the clock that are searched.
     ticks: u64,
-    duties: Vec<Duty>,
+    reporters: Vec<Reporter>,
     lives: Vec<u64>,
     store: Option<(RecordOfModel, u64)>,
     revision: u64,
@@ -216,7 +228,7 @@
         Moment {
             tick: 0,
             ticks,
-            duties: (0..entries).map(|n| Duty::new(&name(n), n as u64, LEASE)).collect(),
+            reporters: (0..entries).map(|n| Reporter::new(&name(n), n as u64, LEASE)).collect(),
             lives: vec![0; entries],
             store: None,
             revision: 0,
@@ -245,7 +257,7 @@
         if self.tick < self.ticks {
             followers.push(Moment { tick: self.tick + 1, ..self.clone() });
         }
-        for n in 0..self.duties.len() {
+        for n in 0..self.reporters.len() {
             followers.extend(self.steps_of(n));
             followers.extend(self.hearing_of(n));
             followers.extend(self.restart_of(n));
@@ -268,7 +280,7 @@
     fn hearing_of(&self, n: usize) -> Option<Moment> {
         let (record, revision) = self.store.as_ref()?;
         let mut next = self.clone();
-        next.duties[n].learn(Some((record_of(record), *revision)), self.now());
+        next.reporters[n].learn(Some((record_of(record), *revision)), self.now());
         (next != *self).then_some(next)
     }
 
@@ -279,7 +291,7 @@
         let mut next = self.clone();
         next.restarts_left -= 1;
         next.lives[n] += 1;
-        next.duties[n] = Duty::new(&format!("e{n}"), 100 + n as u64, LEASE);
+        next.reporters[n] = Reporter::new(&format!("e{n}"), 100 + n as u64, LEASE);
         Some(next)
     }
 
@@ -287,50 +299,50 @@
         let mut asked = self.clone();
         // NB: entries have heard different counts, and an entry in its second life others again.
         let own = 10 * (n as u64 + 1) + self.lives[n];
-        let step = asked.duties[n].next(self.windows(), NO_WAIT, self.now(), |_| counts(own));
+        let step = asked.reporters[n].next(self.windows(), NO_WAIT, self.now(), |_| counts(own));
         match step {
-            Some(DutyStep::Write(record, expected)) => asked.after_write(n, &record, expected),
-            Some(DutyStep::Call(record, _)) => asked.after_call(n, &record),
+            Some(ReporterStep::Write(record, expected)) => asked.after_write(n, &record, expected),
+            Some(ReporterStep::Call(record, _)) => asked.after_call(n, &record),
             None => Vec::new(),
         }
     }
 
-    fn after_write(&self, n: usize, record: &DutyRecord, expected: Option<u64>) -> Vec<Moment> {
+    fn after_write(&self, n: usize, record: &ReporterRecord, expected: Option<u64>) -> Vec<Moment> {
         let now = self.now();
         let mut answered = self.clone();
         let revision = answered.carry_out_write(&row(record), expected);
         let end = revision.map_or(WriteEnd::NotDone, WriteEnd::Done);
-        answered.duties[n].written(record.clone(), now, end, now);
+        answered.reporters[n].written(record.clone(), now, end, now);
         let mut followers = vec![answered];
         if let Some(mut lost) = self.with_fault() {
             lost.carry_out_write(&row(record), expected);
-            lost.duties[n].written(record.clone(), now, WriteEnd::Unknown, now);
+            lost.reporters[n].written(record.clone(), now, WriteEnd::Unknown, now);
             followers.push(lost);
         }
         if let Some(mut late) = self.with_fault() {
             late.late.push(Late::Write { record: row(record), expected });
             late.late.sort();
-            late.duties[n].written(record.clone(), now, WriteEnd::Unknown, now);
+            late.reporters[n].written(record.clone(), now, WriteEnd::Unknown, now);
             followers.push(late);
         }
         followers
     }
 
-    fn after_call(&self, n: usize, record: &DutyRecord) -> Vec<Moment> {
+    fn after_call(&self, n: usize, record: &ReporterRecord) -> Vec<Moment> {
         let now = self.now();
         let mut answered = self.clone();
         let end = answered.carry_out_call(&row(record), true);
-        answered.duties[n].called(record, end, now);
+        answered.reporters[n].called(record, end, now);
         let mut followers = vec![answered];
         if let Some(mut lost) = self.with_fault() {
             lost.carry_out_call(&row(record), true);
-            lost.duties[n].called(record, CallEnd::Failed, now);
+            lost.reporters[n].called(record, CallEnd::Failed, now);
             followers.push(lost);
         }
         if let Some(mut late) = self.with_fault() {
             late.late.push(Late::Call { record: row(record) });
             late.late.sort();
-            late.duties[n].called(record, CallEnd::Failed, now);
+            late.reporters[n].called(record, CallEnd::Failed, now);
             followers.push(late);
         }
         followers
--- a/crates/direct/src/conductor/learn.rs
+++ b/crates/direct/src/conductor/learn.rs
@@ -10,10 +10,10 @@
 };
 use crate::{
     catalog::ServiceId,
-    duties::USAGE_KEY,
     facts::{Outcome, Progress, RollOutOrder},
     journal::Rank,
     quarantine::QUARANTINE_KEY,
+    usage::USAGE_KEY,
 };
 
 impl Conductor {
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -14,13 +14,13 @@
 use crate::{
     clock::Clock,
     dialect::Dialect,
-    duties::Usage,
     journal::Journal,
     membership::{FirstStates, LEAST_INFORMED, NewsLog, Outbox, Roster, Source, roots},
     metrics::Metrics,
     quarantine::{GivenBack, HeldThoughGood, SeenEnds},
     state::State,
     upstream::Connect,
+    usage::Usage,
 };
 
 /// Whether the process is to end.
@@ -99,7 +99,7 @@
         let roster = Roster::new(&settings);
         let first_states = FirstStates::new(settings.link_mbps);
         let incarnation = SmallRng::seed_from_u64(seed).random();
-        let usage = settings.duties.map(|duties| Usage::new(&settings.name, incarnation, duties));
+        let usage = settings.usage.map(|usage| Usage::new(&settings.name, incarnation, usage));
         Core {
             settings,
             dialect,
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -15,7 +15,6 @@
     conductor::Conductor,
     core::{Core, Stopping},
     dialect::Dialect,
-    duties,
     facts::Port,
     follow::follow,
     http::{self, Gate},
@@ -23,6 +22,7 @@
     leavers::look_after_leavers,
     membership, quarantine,
     upstream::Connect,
+    usage,
 };
 
 /// Time between two batches of log lines.
@@ -107,9 +107,9 @@
         spawn_local(quarantine::speak_for_good_contents(Rc::clone(&self.core)));
         spawn_local(quarantine::give_back_probes(Rc::clone(&self.core)));
         if self.core.usage.is_some() {
-            spawn_local(duties::tell_usage(Rc::clone(&self.core)));
+            spawn_local(usage::tell_usage(Rc::clone(&self.core)));
             let conductor = Rc::clone(&self.conductor);
-            spawn_local(duties::report_usage(Rc::clone(&self.core), self.port.clone(), conductor));
+            spawn_local(usage::report_usage(Rc::clone(&self.core), self.port.clone(), conductor));
         }
         spawn_local(look_after_leavers(Rc::clone(&self.core)));
         spawn_local(follow(Rc::clone(&self.core), self.port.clone(), conductor));
--- a/crates/direct/src/facts.rs
+++ b/crates/direct/src/facts.rs
@@ -89,7 +89,7 @@
 /// A report of usage, with what shows who speaks.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UsageReport {
-    /// Name of the entry that holds the duty.
+    /// Name of the entry that holds the task.
     pub holder: String,
     /// Its number as a holder.
     pub fencing_token: FencingToken,
@@ -101,7 +101,7 @@
 
 /// Why a call to the platform that one entry makes for all came to nothing.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum DutyCallError {
+pub enum ReportError {
     /// The platform has seen a higher number.
     #[error("a higher number has been seen")]
     Refused,
@@ -117,9 +117,9 @@
 }
 
 /// Future of one such call.
-pub type DutyFuture = Pin<Box<dyn Future<Output = Result<(), DutyCallError>>>>;
+pub type ReportFuture = Pin<Box<dyn Future<Output = Result<(), ReportError>>>>;
 /// Reports usage to the platform, in the given time at most.
-pub type ReportUsage = Rc<dyn Fn(UsageReport, Duration) -> DutyFuture>;
+pub type ReportUsage = Rc<dyn Fn(UsageReport, Duration) -> ReportFuture>;
 
 /// The platform: its store's calls, how to read and write what lies there, and other calls.
 #[derive(Clone)]
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod content;
 mod core;
 pub mod dialect;
-mod duties;
 mod entry;
 pub mod events;
 pub mod facts;
@@ -29,8 +28,9 @@
 mod run;
 mod state;
 pub mod upstream;
+mod usage;
 
 pub use dialect::Dialect;
 pub use entry::Entry;
-pub use facts::{DutyCallError, Fact, Port, UsageReport};
+pub use facts::{Fact, Port, ReportError, UsageReport};
 pub use run::{RunError, run};
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -121,8 +121,8 @@
     Listing,
     /// Contents that are held were written.
     Quarantine,
-    /// The record of a duty was written.
-    Duty,
+    /// The record of who reports usage was written.
+    UsageRecord,
     /// A step of a roll-out was written.
     StepWon,
     /// A step of a roll-out could not be written, mostly since another entry was first.
@@ -139,7 +139,7 @@
             StoreCause::Probing => "probing",
             StoreCause::Listing => "listing",
             StoreCause::Quarantine => "quarantine",
-            StoreCause::Duty => "duty",
+            StoreCause::UsageRecord => "usage_record",
             StoreCause::StepWon => "step_won",
             StoreCause::StepLost => "step_lost",
         }
--- a/crates/direct/src/duties.rs
+++ b/crates/direct/src/usage.rs
@@ -2,7 +2,7 @@
 //!
 //! Each entry counts what it saw begin to run and tells its counts up the tree, several times in a window.
 //! The entries at the top know them all. Which of them reports, under which number and in which words, is
-//! settled in the store by [`Duty`]. Nothing of it is needed to answer a caller.
+//! settled in the store by [`Reporter`]. Nothing of it is needed to answer a caller.
 
 use std::{
     cell::{Cell, RefCell},
@@ -10,10 +10,10 @@
     time::Duration,
 };
 
-use pondwalk_config::DutySettings;
+use pondwalk_config::UsageSettings;
 use pondwalk_decide::direct::{
-    CallEnd, DueWindows, Duty, DutyOrder, DutyRecord, DutyStep, TrueTime, UsageCounts, UsageMeter,
-    UsageTotals, WindowId, WriteEnd,
+    CallEnd, DueWindows, Reporter, ReporterOrder, ReporterRecord, ReporterStep, TrueTime,
+    UsageCounts, UsageMeter, UsageTotals, WindowId, WriteEnd,
 };
 use pondwalk_store::{Change, Expect, Fetched, StoreError};
 use serde::Serialize;
@@ -22,14 +22,14 @@
 use crate::{
     conductor::Conductor,
     core::Core,
-    facts::{DutyCallError, Port, UsageReport},
+    facts::{Port, ReportError, UsageReport},
     journal::Rank,
     membership::{Item, News, Source},
     metrics::{Counter, StoreCause},
 };
 
 /// Key of the record of who reports usage, and what was reported last.
-pub const USAGE_KEY: &str = "pondwalk/duty/usage";
+pub const USAGE_KEY: &str = "pondwalk/usage-reporter";
 
 /// Time between two looks at what is to be told or reported.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
@@ -53,12 +53,12 @@
 /// Longest wait for the answer to a call. It comes in milliseconds.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 
-/// A step of the duty, under the name of the event.
+/// A step of the task, under the name of the event.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event")]
 enum UsageEvent {
     /// This entry has become the holder.
-    #[serde(rename = "usage_duty_taken")]
+    #[serde(rename = "usage_reporter_changed")]
     Taken { fencing_token: u64 },
     /// The platform took a report.
     #[serde(rename = "usage_reported")]
@@ -80,11 +80,11 @@
 /// What an entry counts and knows of usage.
 #[derive(Debug)]
 pub struct Usage {
-    settings: DutySettings,
+    settings: UsageSettings,
     meter: RefCell<UsageMeter>,
     totals: RefCell<UsageTotals>,
     time: RefCell<TrueTime>,
-    duty: RefCell<Duty>,
+    reporter: RefCell<Reporter>,
     /// Since when all counts reach this entry.
     informed_since: Cell<Option<Duration>>,
     /// Whether the record in the store cannot be read: it is another version's, and left to that.
@@ -93,13 +93,13 @@
 
 impl Usage {
     /// Nothing is counted yet.
-    pub fn new(name: &str, incarnation: u64, settings: DutySettings) -> Self {
+    pub fn new(name: &str, incarnation: u64, settings: UsageSettings) -> Self {
         Usage {
             settings,
             meter: RefCell::default(),
             totals: RefCell::default(),
             time: RefCell::default(),
-            duty: RefCell::new(Duty::new(name, incarnation, settings.lease)),
+            reporter: RefCell::new(Reporter::new(name, incarnation, settings.lease)),
             informed_since: Cell::default(),
             is_foreign: Cell::default(),
         }
@@ -133,7 +133,7 @@
 
     /// The first window that can still be reported and whose words are not written.
     fn first_open(&self, unix_ms: u64) -> WindowId {
-        let written = self.duty.borrow().newest_written();
+        let written = self.reporter.borrow().newest_written();
         let after = written.map_or(0, |written| written.saturating_add(1));
         after.max(self.oldest_in_time(unix_ms))
     }
@@ -185,15 +185,15 @@
         totals.hear(teller, item.number, window, counts.clone());
     }
 
-    /// Hears what the store holds of the duty, or that its record is gone.
+    /// Hears what the store holds of the task, or that its record is gone.
     pub fn learn_usage_record(&self, entry: Option<&Fetched>) {
         let Some(usage) = &self.usage else { return };
         let now = self.clock.now();
-        let mut duty = usage.duty.borrow_mut();
+        let mut reporter = usage.reporter.borrow_mut();
         usage.is_foreign.set(false);
-        let Some(entry) = entry else { return duty.learn(None, now) };
-        match serde_json::from_slice::<DutyRecord>(&entry.value) {
-            Ok(record) => duty.learn(Some((record, entry.revision)), now),
+        let Some(entry) = entry else { return reporter.learn(None, now) };
+        match serde_json::from_slice::<ReporterRecord>(&entry.value) {
+            Ok(record) => reporter.learn(Some((record, entry.revision)), now),
             Err(error) => {
                 usage.is_foreign.set(true);
                 let error = error.to_string();
@@ -254,10 +254,10 @@
         sleep(LOOK_INTERVAL).await;
         while let Some(step) = next_step(&core, usage, &conductor) {
             let has_moved = match step {
-                DutyStep::Write(record, expected) => {
+                ReporterStep::Write(record, expected) => {
                     write(&core, usage, &conductor, record, expected).await
                 }
-                DutyStep::Call(record, until) => {
+                ReporterStep::Call(record, until) => {
                     let limit = until.saturating_sub(core.clock.now()).min(CALL_LIMIT);
                     let calling = report(report_of(&record), limit);
                     note_called(&core, usage, &record, calling.await)
@@ -271,7 +271,7 @@
 }
 
 /// What this entry is to do now, if anything.
-fn next_step(core: &Core, usage: &Usage, conductor: &Conductor) -> Option<DutyStep> {
+fn next_step(core: &Core, usage: &Usage, conductor: &Conductor) -> Option<ReporterStep> {
     let now = core.clock.now();
     if !core.hears_all_news() {
         usage.informed_since.set(None);
@@ -288,7 +288,7 @@
     let unix_ms = usage.time.borrow().unix_ms(now)?;
     let gathering = usage.part_of_delay(GATHER_PART) + core.usage_telling_interval();
     let windows = usage.due(unix_ms, gathering, now);
-    let mut order = DutyOrder {
+    let mut order = ReporterOrder {
         by_place: conductor.wait_in_order(),
         to_holder: usage.part_of_delay(TO_HOLDER_PART),
     };
@@ -297,16 +297,16 @@
     if !usage.is_informed_of(next, now, unix_ms) {
         order.by_place += usage.part_of_delay(PARTLY_INFORMED_PART);
     }
-    let mut duty = usage.duty.borrow_mut();
-    duty.next(windows, order, now, |window| usage.totals.borrow().total(window))
+    let mut reporter = usage.reporter.borrow_mut();
+    reporter.next(windows, order, now, |window| usage.totals.borrow().total(window))
 }
 
-/// Writes a record; tells whether that has brought the duty forward.
+/// Writes a record; tells whether that has brought the task forward.
 async fn write(
     core: &Core,
     usage: &Usage,
     conductor: &Conductor,
-    record: DutyRecord,
+    record: ReporterRecord,
     expected: Option<u64>,
 ) -> bool {
     let sent = core.clock.now();
@@ -314,7 +314,7 @@
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let expect = expected.map_or(Expect::Absent, Expect::Revision);
     let change = Change { key: USAGE_KEY.to_owned(), value, expect, lease: None };
-    let written = conductor.commit(vec![change], StoreCause::Duty).await;
+    let written = conductor.commit(vec![change], StoreCause::UsageRecord).await;
     if let Err(error) = &written {
         let (window, error) = (record.window, error.to_string());
         core.journal.note(Rank::State, &UsageEvent::NotWritten { window, error });
@@ -330,16 +330,16 @@
         }
     };
     let fencing_token = record.fencing_token;
-    let mut duty = usage.duty.borrow_mut();
-    let before = duty.record().map(|record| record.fencing_token);
-    duty.written(record, sent, end, core.clock.now());
+    let mut reporter = usage.reporter.borrow_mut();
+    let before = reporter.record().map(|record| record.fencing_token);
+    reporter.written(record, sent, end, core.clock.now());
     if is_done && before != Some(fencing_token) {
         core.journal.note(Rank::State, &UsageEvent::Taken { fencing_token });
     }
     is_done
 }
 
-fn report_of(record: &DutyRecord) -> UsageReport {
+fn report_of(record: &ReporterRecord) -> UsageReport {
     UsageReport {
         holder: record.holder.clone(),
         fencing_token: record.fencing_token,
@@ -348,20 +348,20 @@
     }
 }
 
-/// Takes in what became of a call; tells whether that has brought the duty forward.
+/// Takes in what became of a call; tells whether that has brought the task forward.
 fn note_called(
     core: &Core,
     usage: &Usage,
-    record: &DutyRecord,
-    called: Result<(), DutyCallError>,
+    record: &ReporterRecord,
+    called: Result<(), ReportError>,
 ) -> bool {
     let (window, fencing_token) = (record.window, record.fencing_token);
     let end = match &called {
         Ok(()) => CallEnd::Taken,
-        Err(DutyCallError::Refused) => CallEnd::Refused,
+        Err(ReportError::Refused) => CallEnd::Refused,
         Err(_) => CallEnd::Failed,
     };
-    usage.duty.borrow_mut().called(record, end, core.clock.now());
+    usage.reporter.borrow_mut().called(record, end, core.clock.now());
     match called {
         Ok(()) => {
             core.metrics.count(Counter::UsageReports);
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -14,19 +14,19 @@
 use pondwalk_config::{DirectSettings, MembershipTimes, RawFile};
 use pondwalk_decide::direct::WarmUp;
 use pondwalk_direct::{
-    Dialect, DutyCallError, Entry, Fact, Port, UsageReport,
+    Dialect, Entry, Fact, Port, ReportError, UsageReport,
     catalog::{
         BackendServer, Catalog, Engine, Limits, ModelPrice, Route, RouteKind, ServerState, Service,
         Share, Workspace,
     },
-    facts::{DutyFuture, Evacuation, Outcome, Progress, RollOutOrder, UnreadableFact},
+    facts::{Evacuation, Outcome, Progress, ReportFuture, RollOutOrder, UnreadableFact},
     journal::Journal,
     upstream::{BoxedDuplex, Connect},
 };
 use pondwalk_standin::{
     backends::{Act, Backends, Lethal, Names},
-    duty_platform::{DutyPlatform, ReportAnswer, UsageCall},
     memory_store::{MemoryStore, Weather},
+    usage_sink::{ReportAnswer, UsageCall, UsageSink},
 };
 use tokio::{
     io::duplex,
@@ -64,7 +64,7 @@
     pub store: MemoryStore,
     pub backends: Backends,
     /// Takes reports of usage, where the settings of an entry ask for them.
-    pub duty_platform: DutyPlatform,
+    pub usage_sink: UsageSink,
     pub entry: Entry,
     catalogs: Rc<RefCell<HashMap<u64, Catalog>>>,
     ways: Rc<RefCell<HashMap<String, MemoryStore>>>,
@@ -72,7 +72,7 @@
 
 fn port_of(
     store: &MemoryStore,
-    platform: &DutyPlatform,
+    platform: &UsageSink,
     catalogs: &Rc<RefCell<HashMap<u64, Catalog>>>,
 ) -> Port {
     let known = Rc::clone(catalogs);
@@ -83,16 +83,16 @@
         write_progress: Rc::new(write_progress),
         report_usage: Some(Rc::new(move |report, limit| {
             let platform = platform.clone();
-            Box::pin(async move { report_to(&platform, report, limit).await }) as DutyFuture
+            Box::pin(async move { report_to(&platform, report, limit).await }) as ReportFuture
         })),
     }
 }
 
 async fn report_to(
-    platform: &DutyPlatform,
+    platform: &UsageSink,
     report: UsageReport,
     limit: Duration,
-) -> Result<(), DutyCallError> {
+) -> Result<(), ReportError> {
     let call = UsageCall {
         holder: report.holder,
         fencing_token: report.fencing_token,
@@ -101,9 +101,9 @@
     };
     match platform.take(call, limit).await {
         ReportAnswer::Taken => Ok(()),
-        ReportAnswer::Refused => Err(DutyCallError::Refused),
-        ReportAnswer::TooMany => Err(DutyCallError::NotTaken(429)),
-        ReportAnswer::None => Err(DutyCallError::NoAnswer),
+        ReportAnswer::Refused => Err(ReportError::Refused),
+        ReportAnswer::TooMany => Err(ReportError::NotTaken(429)),
+        ReportAnswer::None => Err(ReportError::NoAnswer),
     }
 }
 
@@ -139,8 +139,8 @@
         let store = MemoryStore::default();
         let catalogs = Rc::new(RefCell::new(HashMap::new()));
         let ways = Rc::new(RefCell::new(HashMap::new()));
-        let duty_platform = DutyPlatform::default();
-        let port = port_of(&store, &duty_platform, &catalogs);
+        let usage_sink = UsageSink::default();
+        let port = port_of(&store, &usage_sink, &catalogs);
         let opened = backends.clone();
         let connect = Rc::new(move |address| {
             let opened = opened.clone();
@@ -149,13 +149,13 @@
         });
         let journal = Journal::silent("e1", 1_000);
         let entry = Entry::new(settings, dialect, port, connect, journal, 7);
-        World { store, backends, duty_platform, entry, catalogs, ways }
+        World { store, backends, usage_sink, entry, catalogs, ways }
     }
 
     /// Another entry in the same world, with a way of its own to the store.
     pub fn entry_with(&self, settings: DirectSettings, connect: Connect) -> Entry {
         let way = self.store.another_way();
-        let port = port_of(&way, &self.duty_platform, &self.catalogs);
+        let port = port_of(&way, &self.usage_sink, &self.catalogs);
         let journal = Journal::silent(&settings.name, 1_000);
         let name = settings.name.clone();
         // NB: an entry that starts anew under its name is told apart from its life before.
--- a/crates/direct/tests/reports_usage.rs
+++ b/crates/direct/tests/reports_usage.rs
@@ -6,10 +6,10 @@
 
 use common::{World, catalog, net::Net, play, request, total};
 use pondwalk_direct::Entry;
-use pondwalk_standin::{backends::Act, duty_platform::Reach, memory_store::Weather};
+use pondwalk_standin::{backends::Act, memory_store::Weather, usage_sink::Reach};
 use tokio::time::{Instant, sleep};
 
-const DUTIES: &str = "[duties]\naddress=127.0.0.1:4\ntasks=metering,autoscaling\nlease_ms=3000\n\
+const USAGE: &str = "[usage]\naddress=127.0.0.1:4\ntasks=metering,autoscaling\nlease_ms=3000\n\
     report_interval_s=5\nusage_delay_s=10\n";
 /// A time of day at which a window begins.
 const START_MS: u64 = 1_790_000_000_000;
@@ -35,7 +35,7 @@
             world.start_server(n, "s", "v1", Act::Answer(200, "made".into()));
         }
         let started = Instant::now();
-        let entries = net.start_many(world, count, DUTIES);
+        let entries = net.start_many(world, count, USAGE);
         entries.iter().for_each(|entry| entry.pretend_unix_ms(START_MS));
         let deployment = Deployment { world, net, entries, started, asked: BTreeMap::new() };
         sleep(Duration::from_secs(10)).await;
@@ -69,7 +69,7 @@
 
     /// Position of the entry that reported last.
     fn holder(&self) -> usize {
-        let name = self.world.duty_platform.holder().expect("somebody has reported");
+        let name = self.world.usage_sink.holder().expect("somebody has reported");
         self.entries.iter().position(|entry| entry.name() == name).expect("one of them")
     }
 
@@ -79,13 +79,13 @@
         let number = entry.name().trim_start_matches('e').parse().expect("a number");
         self.net.end(number);
         self.world.cut_store_for(&entry, Weather::Silent(Duration::from_secs(3_600)));
-        self.world.duty_platform.cut(Some(entry.name()));
+        self.world.usage_sink.cut(Some(entry.name()));
         entry
     }
 
     /// Windows whose report is off by more than a share, or missing.
     fn windows_off_by(&self, tolerance: f64) -> Vec<(u64, u64, Option<u64>)> {
-        let reported = self.world.duty_platform.reported();
+        let reported = self.world.usage_sink.reported();
         let sum = |window: &u64| reported.get(window).map(|counts| counts.values().sum::<u64>());
         let rows = self.asked.iter().map(|(window, asked)| (*window, *asked, sum(window)));
         let is_off = |asked: u64, told: Option<u64>| {
@@ -95,7 +95,7 @@
     }
 
     fn assert_one_voice(&self) {
-        assert_eq!(self.world.duty_platform.broken(), Vec::<String>::new());
+        assert_eq!(self.world.usage_sink.broken(), Vec::<String>::new());
     }
 }
 
@@ -110,14 +110,14 @@
             all.wait_until_due().await;
             assert_eq!(all.windows_off_by(0.0), NOTHING, "{count} entries");
             all.assert_one_voice();
-            let taken = world.duty_platform.taken();
+            let taken = world.usage_sink.taken();
             for one in &taken {
                 let due_ms = (one.call.window + 1 + DUE_AFTER) * WINDOW_MS - START_MS;
                 assert!(one.at <= all.started + Duration::from_millis(due_ms));
             }
-            let windows = world.duty_platform.reported().len();
+            let windows = world.usage_sink.reported().len();
             assert_eq!(taken.len(), windows, "no call more than one a window");
-            let writes = total(&all.entries, "pondwalk_store_calls_total{cause=\"duty\"}");
+            let writes = total(&all.entries, "pondwalk_store_calls_total{cause=\"usage_record\"}");
             assert_eq!(writes as usize, windows, "no write more than one a window");
         });
     }
@@ -167,7 +167,7 @@
 }
 
 #[test]
-fn a_holder_that_the_store_turns_away_gives_the_duty_up() {
+fn a_holder_that_the_store_turns_away_gives_the_task_up() {
     play(|world| async move {
         let mut all = Deployment::start(&world, 24).await;
         all.ask_for(Duration::from_secs(12), 40).await;
@@ -184,12 +184,12 @@
 }
 
 #[test]
-fn a_holder_that_cannot_reach_the_platform_gives_the_duty_up() {
+fn a_holder_that_cannot_reach_the_platform_gives_the_task_up() {
     play(|world| async move {
         let mut all = Deployment::start(&world, 24).await;
         all.ask_for(Duration::from_secs(12), 40).await;
         let before = all.entries[all.holder()].name().to_owned();
-        world.duty_platform.cut(Some(&before));
+        world.usage_sink.cut(Some(&before));
         all.ask_for(Duration::from_secs(30), 40).await;
         all.wait_until_due().await;
         let missed = all.windows_off_by(0.0).len();
@@ -205,9 +205,9 @@
         play(|world| async move {
             let mut all = Deployment::start(&world, 24).await;
             all.ask_for(Duration::from_secs(12), 40).await;
-            world.duty_platform.set_reach(reach);
+            world.usage_sink.set_reach(reach);
             all.ask_for(Duration::from_secs(6), 40).await;
-            world.duty_platform.set_reach(Reach::Fair);
+            world.usage_sink.set_reach(Reach::Fair);
             all.ask_for(Duration::from_secs(15), 40).await;
             all.wait_until_due().await;
             assert_eq!(all.windows_off_by(0.0), NOTHING, "{reach:?}");
@@ -248,7 +248,7 @@
             let later = all.net.start_with(
                 &world,
                 100 + n,
-                &format!("[membership]\nseeds={}\n{DUTIES}", common::net::peer_address(0)),
+                &format!("[membership]\nseeds={}\n{USAGE}", common::net::peer_address(0)),
             );
             later.pretend_unix_ms(START_MS + 8_000);
         }
@@ -265,14 +265,14 @@
     play(|world| async move {
         let mut all = Deployment::start(&world, 3).await;
         all.ask_for(Duration::from_secs(12), 40).await;
-        let before = world.duty_platform.taken().last().expect("a report").call.fencing_token;
+        let before = world.usage_sink.taken().last().expect("a report").call.fencing_token;
         for _ in 0..3 {
             all.end(0);
         }
-        world.duty_platform.cut(None);
+        world.usage_sink.cut(None);
         all.net.cut.borrow_mut().clear();
         let at_start = START_MS + all.started.elapsed().as_millis() as u64;
-        all.entries = all.net.start_many(&world, 3, DUTIES);
+        all.entries = all.net.start_many(&world, 3, USAGE);
         all.entries.iter().for_each(|entry| entry.pretend_unix_ms(at_start));
         all.asked.clear();
         sleep(Duration::from_millis(WINDOW_MS)).await;
@@ -281,7 +281,7 @@
         let first = *all.asked.keys().next().expect("some were asked");
         all.asked.remove(&first);
         assert_eq!(all.windows_off_by(0.0), NOTHING);
-        assert!(world.duty_platform.taken().last().expect("a report").call.fencing_token > before);
+        assert!(world.usage_sink.taken().last().expect("a report").call.fencing_token > before);
         all.assert_one_voice();
     });
 }
@@ -289,11 +289,11 @@
 #[test]
 fn a_record_of_another_writer_is_left_alone_and_logged() {
     play(|world| async move {
-        world.store.put("pondwalk/duty/usage", "no record");
+        world.store.put("pondwalk/usage-reporter", "no record");
         let mut all = Deployment::start(&world, 3).await;
         all.ask_for(Duration::from_secs(10), 20).await;
         all.wait_until_due().await;
-        assert_eq!(world.duty_platform.calls(), 0);
+        assert_eq!(world.usage_sink.calls(), 0);
         let logged = |entry: &Entry| entry.gathered_lines().contains("usage_record_unreadable");
         assert!(total(&all.entries, "pondwalk_requests_total") > 0);
         assert!(all.entries.iter().any(logged));
--- a/crates/pondwalk/src/commands/direct.rs
+++ b/crates/pondwalk/src/commands/direct.rs
@@ -12,7 +12,7 @@
     let port = pondwalk_platform::port(
         settings.store.address,
         settings.store.timeout,
-        settings.duties.map(|duties| duties.address),
+        settings.usage.map(|usage| usage.address),
     );
     pondwalk_direct::run(settings, pondwalk_platform::dialect(), port)?;
     Ok(Exit::Success)
--- a/crates/soak/src/roles.rs
+++ b/crates/soak/src/roles.rs
@@ -34,7 +34,7 @@
     let port = pondwalk_platform::port(
         settings.store.address,
         settings.store.timeout,
-        settings.duties.map(|duties| duties.address),
+        settings.usage.map(|usage| usage.address),
     );
     pondwalk_direct::run(settings, pondwalk_platform::dialect(), port)?;
     Ok(())
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,7 +4,6 @@
 //! to fail in the ways that the real system fails.
 
 pub mod backends;
-pub mod duty_platform;
 pub mod engine;
 pub mod instances;
 pub mod kv;
@@ -14,6 +13,7 @@
 pub mod platform_store;
 pub mod rating;
 pub mod service;
+pub mod usage_sink;
 
 pub use engine::{Engine, EngineFaults, VersionProfile};
 pub use instances::{InstanceList, ListedInstance};
--- a/crates/standin/src/duty_platform.rs
+++ b/crates/standin/src/usage_sink.rs
@@ -80,7 +80,7 @@
 
 /// The platform's address.
 #[derive(Debug, Clone, Default)]
-pub struct DutyPlatform {
+pub struct UsageSink {
     state: Rc<RefCell<State>>,
     reach: Rc<Cell<Reach>>,
     /// Entry whose calls alone are lost, if any is.
@@ -90,7 +90,7 @@
 /// Time for which a holder is not to be passed over, as the tests' deployments have it.
 const LEASE: Duration = Duration::from_secs(3);
 
-impl DutyPlatform {
+impl UsageSink {
     /// Sets how calls fare from now on.
     pub fn set_reach(&self, reach: Reach) {
         self.reach.set(reach);
