--- a/crates/direct/src/follow/first.rs
+++ b/crates/direct/src/follow/first.rs
@@ -3,7 +3,7 @@
 //! After a restart of all entries the seeds read the store and all others hear it from them; an
 //! entry that starts while the store is away learns what others still hold.
 
-use std::{collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
 
 use tokio::{
     task::JoinSet,
@@ -64,11 +64,12 @@
     };
     let end = Instant::now() + limit;
     let mut asking = JoinSet::new();
+    let hearing = Rc::default();
     for (place, seed) in seeds.into_iter().enumerate() {
-        let core = Rc::clone(core);
+        let (core, hearing) = (Rc::clone(core), Rc::clone(&hearing));
         asking.spawn_local(async move {
             sleep(NEXT_SEED * place as u32).await;
-            ask_until(&core, seed, need, end).await
+            ask_until(&core, seed, need, end, &hearing).await
         });
     }
     while let Some(heard) = asking.join_next().await {
@@ -80,13 +81,26 @@
 }
 
 /// Asks one seed again and again until `end`, or those it names.
-async fn ask_until(core: &Core, seed: SocketAddr, need: Need, end: Instant) -> Option<FirstState> {
-    let client = PeerClient::default();
+///
+/// While `hearing` says that another has begun to tell the state, nobody else is asked for it: a large one
+/// would only take part of the link from it.
+async fn ask_until(
+    core: &Core,
+    seed: SocketAddr,
+    need: Need,
+    end: Instant,
+    hearing: &Rc<Cell<usize>>,
+) -> Option<FirstState> {
+    let client = PeerClient::beside(hearing);
     let mut end = end;
     let longest = Instant::now() + LONGEST_TIME;
     let mut named: VecDeque<SocketAddr> = VecDeque::new();
     let mut last = None;
-    while Instant::now() < end {
+    while Instant::now() < end || hearing.get() > 0 {
+        if hearing.get() > 0 {
+            sleep(PAUSE).await;
+            continue;
+        }
         let asked = named.pop_front().unwrap_or(seed);
         let question = Question {
             store: core.settings.store.address,
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -1,6 +1,12 @@
 //! Asks another entry for its state.
 
-use std::{cell::RefCell, net::SocketAddr, pin::pin, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
@@ -120,6 +126,8 @@
 pub struct PeerClient {
     kept: RefCell<Option<(SocketAddr, Sender)>>,
     heard: RefCell<Heard>,
+    /// Answers that are being read, by all clients that share it.
+    hearing: Rc<Cell<usize>>,
 }
 
 /// What the last answer of the entry asked last told.
@@ -133,6 +141,11 @@
 }
 
 impl PeerClient {
+    /// A client beside others, which sees by `hearing` whether one of them is being told something.
+    pub fn beside(hearing: &Rc<Cell<usize>>) -> Self {
+        PeerClient { hearing: Rc::clone(hearing), ..PeerClient::default() }
+    }
+
     /// Asks the entry at `address`.
     ///
     /// A kept connection may have gone silent without a word while new ones work, so silence on one
@@ -285,7 +298,11 @@
         let answering = timeout_at(question.until, asking).await;
         let (sender, answer) = answering.map_err(|_| AskError::Silent)??;
         let status = answer.status();
-        let body = read_while_moving(answer.into_body()).await?;
+        let is_told = usize::from(status == StatusCode::OK);
+        self.hearing.set(self.hearing.get() + is_told);
+        let body = read_while_moving(answer.into_body()).await;
+        self.hearing.set(self.hearing.get() - is_told);
+        let body = body?;
         *self.kept.borrow_mut() = Some((address, sender));
         match status {
             StatusCode::OK => Ok(body),
--- a/crates/direct/tests/first_states.rs
+++ b/crates/direct/tests/first_states.rs
@@ -2,18 +2,22 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use common::{
     World, address, catalog,
-    net::{Net, peer_address},
+    net::{Impostor, Net, peer_address, whole_state},
     play, total,
 };
 use pondwalk_direct::{
     Entry,
     membership::{FirstAnswer, FirstStates},
 };
-use tokio::time::sleep;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt, DuplexStream},
+    task::spawn_local,
+    time::sleep,
+};
 
 /// Servers of the state, which packs to some 4.5 KB.
 const SERVERS: u16 = 1_500;
@@ -56,6 +60,47 @@
     }
 }
 
+/// Tells a state in two pieces, some time apart, and counts who asks for one.
+fn telling_in_pieces(asked: &Rc<Cell<usize>>) -> Impostor {
+    let asked = Rc::clone(asked);
+    Rc::new(move |mut stream: DuplexStream| {
+        let asked = Rc::clone(&asked);
+        spawn_local(async move {
+            let mut question = [0; 4_096];
+            while stream.read(&mut question).await.is_ok_and(|bytes| bytes > 0) {
+                asked.set(asked.get() + 1);
+                let state = whole_state(&[("catalog", "1")], 100);
+                let body = state.to_bytes().expect("it serializes");
+                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+                let _ = stream.write_all(head.as_bytes()).await;
+                let (first, second) = body.split_at(body.len() / 2);
+                let _ = stream.write_all(first).await;
+                sleep(Duration::from_millis(300)).await;
+                let _ = stream.write_all(second).await;
+            }
+        });
+    })
+}
+
+#[test]
+fn nobody_else_is_asked_while_one_tells() {
+    play(|world| async move {
+        let net = Net::default();
+        world.configure(catalog(1));
+        let asked = Rc::default();
+        for n in 0..3 {
+            net.impostors.borrow_mut().insert(peer_address(n), telling_in_pieces(&asked));
+        }
+        let seeds: Vec<String> = (0..3).map(|n| peer_address(n).to_string()).collect();
+        let further = format!("[membership]\nseeds={}\n", seeds.join(","));
+        let entry = net.start_with(&world, 9, &further);
+        sleep(Duration::from_millis(290)).await;
+        assert_eq!(asked.get(), 1);
+        sleep(Duration::from_millis(60)).await;
+        assert!(entry.gathered_lines().contains("first_state"), "{}", entry.gathered_lines());
+    });
+}
+
 fn asker(n: u16) -> std::net::SocketAddr {
     address(n)
 }
