--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -10,6 +10,7 @@
 mod run;
 mod serve;
 mod sides;
+mod waiting;
 
 pub use listen::{Gate, accept, connection};
 pub use sides::{serve_metrics, serve_peers, serve_readiness};
--- a/crates/direct/src/http/body.rs
+++ b/crates/direct/src/http/body.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use thiserror::Error;
-use tokio::sync::mpsc::Receiver;
+
+use super::waiting::PieceReceiver;
 
 /// The answer cannot be finished; its connection is closed so that it does not look whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -21,7 +22,7 @@
     /// All of it.
     Whole(Option<Bytes>),
     /// Pieces as they come.
-    Pieces(Receiver<Result<Bytes, Cut>>),
+    Pieces(PieceReceiver),
 }
 
 impl AnswerBody {
@@ -44,7 +45,7 @@
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
             AnswerBody::Pieces(pieces) => {
-                pieces.poll_recv(context).map(|piece| piece.map(|piece| piece.map(Frame::data)))
+                pieces.poll_next(context).map(|piece| piece.map(|piece| piece.map(Frame::data)))
             }
         }
     }
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -2,17 +2,15 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{StatusCode, body::Incoming};
-use tokio::{
-    select,
-    sync::mpsc::{Receiver, Sender, channel},
-    task::spawn_local,
-    time::timeout_at,
-};
+use tokio::{select, task::spawn_local, time::timeout_at};
 
-use super::{body::Cut, report::RequestEvent, run::Run};
+use super::{
+    report::RequestEvent,
+    run::Run,
+    waiting::{PieceReceiver, PieceSender, pieces},
+};
 use crate::{
     events::EventSplitter,
     journal::Rank,
@@ -21,8 +19,6 @@
     upstream::{Connection, Exchange, SendError},
 };
 
-/// Pieces that may wait for a slow caller before the backend server is held up.
-const WAITING_PIECES: usize = 16;
 /// Silence after which a stream is resumed elsewhere, as a multiple of the longest pause in time.
 /// Most streams that pause that long go on by themselves, so a shorter one wins nothing.
 const SILENCE_PART: f64 = 1.3;
@@ -81,8 +77,8 @@
     body: Incoming,
     connection: Connection,
     placement: Placement,
-) -> Receiver<Result<Bytes, Cut>> {
-    let (sender, receiver) = channel(WAITING_PIECES);
+) -> PieceReceiver {
+    let (sender, receiver) = pieces();
     let last_id = follower.run.job.last_event_id.clone();
     let is_resumed = last_id.is_some();
     let relay = Relay { follower, sender, last_id };
@@ -93,7 +89,7 @@
 
 struct Relay {
     follower: Follower,
-    sender: Sender<Result<Bytes, Cut>>,
+    sender: PieceSender,
     last_id: Option<String>,
 }
 
@@ -114,7 +110,7 @@
                     return;
                 }
                 End::TimedOut => {
-                    self.cut(&source, "timed_out").await;
+                    self.cut(&source, "timed_out");
                     return;
                 }
                 End::Silent => {
@@ -134,7 +130,7 @@
                     match self.resume(&source).await {
                         Some(next) => source = next,
                         None => {
-                            self.cut(&source, reason).await;
+                            self.cut(&source, reason);
                             return;
                         }
                     }
@@ -190,7 +186,7 @@
         if whole.last_id.is_some() {
             self.last_id = whole.last_id;
         }
-        self.sender.send(Ok(whole.bytes)).await.is_ok()
+        self.sender.send(whole.bytes).await.is_ok()
     }
 
     /// Goes on after the last event delivered, at another backend server.
@@ -239,7 +235,7 @@
         None
     }
 
-    async fn cut(&self, source: &Source, reason: &'static str) {
+    fn cut(&self, source: &Source, reason: &'static str) {
         let run = &self.follower.run;
         run.core.metrics.count(Counter::Failed);
         let event = RequestEvent::StreamCut {
@@ -249,8 +245,7 @@
             after_ms: run.after_ms(),
         };
         run.core.journal.note(Rank::Failure, &event);
-        // NB: a caller that has left needs no sign.
-        let _ = self.sender.send(Err(Cut)).await;
+        self.sender.cut();
     }
 
     fn note_left(&self, source: &Source) {
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -28,6 +28,10 @@
 /// Time without bytes after which a connection is probed, and between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Bytes of an answer that are read before anybody takes them; what a caller who reads slowly leaves beyond them
+/// stays with the server.
+const READ_BYTES: usize = 64 * 1024;
+
 /// A two-way stream of bytes.
 pub trait Duplex: AsyncRead + AsyncWrite + Unpin {}
 
@@ -107,7 +111,8 @@
 ) -> Result<Exchange, SendError> {
     let limit = until.min(Instant::now() + CONNECT_LIMIT);
     let stream = timeout_at(limit, connect(address)).await.map_err(silent)?.map_err(unreached)?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new().max_buf_size(READ_BYTES).handshake(TokioIo::new(stream));
+    let handshake = handshake.await;
     let (mut sender, connection) = handshake.map_err(silent)?;
     if !may_send() {
         return Err(SendError::Withheld);
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -100,6 +100,8 @@
     /// Whether its process has ended, with all that it was working on.
     ended: Cell<bool>,
     ending: Notify,
+    /// Bytes of streams that were taken from it.
+    taken_bytes: Cell<usize>,
 }
 
 impl Server {
@@ -173,6 +175,7 @@
             tells: RefCell::default(),
             ended: Cell::new(false),
             ending: Notify::new(),
+            taken_bytes: Cell::default(),
         };
         self.servers.borrow_mut().insert(address, Rc::new(server));
     }
@@ -256,6 +259,11 @@
         }
     }
 
+    /// Bytes of streams that were taken from a server.
+    pub fn taken_bytes(&self, address: SocketAddr) -> usize {
+        self.servers.borrow().get(&address).map_or(0, |server| server.taken_bytes.get())
+    }
+
     /// Requests that a server has read.
     pub fn seen(&self, address: SocketAddr) -> Vec<Seen> {
         let servers = self.servers.borrow();
@@ -319,7 +327,8 @@
     }
     let act = if another { Act::NotRun(421) } else { act };
     let told = told_by(server);
-    let reply = Reply { names, seen: &seen, told: &told };
+    let taken_bytes = &server.taken_bytes;
+    let reply = Reply { names, seen: &seen, told: &told, taken_bytes };
     let whole = answer(&reply, &act, &mut io).await.is_ok();
     server.seen.borrow_mut()[index].cancelled = !whole;
 }
@@ -336,10 +345,12 @@
     seen: &'a Seen,
     /// Further lines of its head.
     told: &'a str,
+    /// Bytes of streams that were taken so far.
+    taken_bytes: &'a Cell<usize>,
 }
 
 async fn answer(reply: &Reply<'_>, act: &Act, io: &mut DuplexStream) -> io::Result<()> {
-    let Reply { names, seen, told } = reply;
+    let Reply { names, seen, told, .. } = reply;
     match act {
         Act::Echo => io.write_all(&plain(reply, 200, id_of(names, seen))).await,
         Act::Answer(status, body) => io.write_all(&plain(reply, *status, body)).await,
@@ -380,7 +391,7 @@
     (last, gap, confidence, cut_in): (u32, Duration, Option<u8>, Option<u32>),
     io: &mut DuplexStream,
 ) -> io::Result<()> {
-    let Reply { names, seen, told } = reply;
+    let Reply { names, seen, told, taken_bytes } = reply;
     let mut head = format!(
         "HTTP/1.1 200 X\r\n{}: {}\r\n{}: proof\r\n{told}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n",
         names.request_id,
@@ -402,6 +413,7 @@
             return Ok(());
         }
         io.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+        taken_bytes.set(taken_bytes.get() + event.len());
     }
     io.write_all(b"0\r\n\r\n").await
 }
@@ -414,7 +426,7 @@
 }
 
 fn plain(reply: &Reply<'_>, status: u16, body: &str) -> Vec<u8> {
-    let Reply { names, seen, told } = reply;
+    let Reply { names, seen, told, .. } = reply;
     let head = format!(
         "HTTP/1.1 {status} X\r\n{}: {}\r\n{}: proof\r\n{told}content-length: {}\r\n\r\n{body}",
         names.request_id,
