--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -15,7 +15,7 @@
     clock::Clock,
     dialect::Dialect,
     journal::Journal,
-    membership::{FirstStates, LEAST_INFORMED, NewsLog, Outbox, Roster, Source, roots},
+    membership::{LEAST_INFORMED, NewsLog, Outbox, Roster, Source, roots},
     metrics::Metrics,
     quarantine::{GivenBack, HeldThoughGood, SeenEnds},
     state::State,
@@ -59,8 +59,6 @@
     pub incarnation: u64,
     /// Entry that told the first state, as long as no other is known.
     pub told_by: Cell<Option<SocketAddr>>,
-    /// First states told to entries that start.
-    pub first_states: FirstStates,
     /// News that all entries are to hear.
     pub news: RefCell<NewsLog>,
     /// News that only goes up the tree.
@@ -97,7 +95,6 @@
     ) -> Self {
         let state = State::new(&settings, seed);
         let roster = Roster::new(&settings);
-        let first_states = FirstStates::new(settings.link_mbps);
         let incarnation = SmallRng::seed_from_u64(seed).random();
         let usage = settings.usage.map(|usage| Usage::new(&settings.name, incarnation, usage));
         Core {
@@ -111,7 +108,6 @@
             roster,
             incarnation,
             told_by: Cell::new(None),
-            first_states,
             news: RefCell::new(NewsLog::for_all()),
             news_for_above: RefCell::new(NewsLog::for_above()),
             news_told: Cell::new(0),
--- a/crates/direct/src/follow/first.rs
+++ b/crates/direct/src/follow/first.rs
@@ -3,7 +3,7 @@
 //! After a restart of all entries the seeds read the store and all others hear it from them; an
 //! entry that starts while the store is away learns what others still hold.
 
-use std::{cell::Cell, collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use tokio::{
     task::JoinSet,
@@ -19,9 +19,6 @@
 
 /// Time for which an entry that starts asks others before it reads the store.
 const TIME_LIMIT: Duration = Duration::from_millis(900);
-/// The same once another has said that it tells the state, only not to all at once: the store would tell them
-/// no sooner, if all of them asked it.
-const LONGEST_TIME: Duration = Duration::from_secs(5);
 /// The same for a seed, which others wait for.
 const SEED_TIME_LIMIT: Duration = Duration::from_millis(60);
 /// Time after which the next seed is asked too.
@@ -31,9 +28,6 @@
 /// Pause before a seed is asked again; it may be about to start too.
 const PAUSE: Duration = Duration::from_millis(30);
 
-/// Entries to be asked next that are remembered.
-const MOST_NAMED: usize = 8;
-
 /// What a seed told, and the way to it.
 pub struct FirstState {
     /// The seed.
@@ -80,7 +74,7 @@
     None
 }
 
-/// Asks one seed again and again until `end`, or those it names.
+/// Asks one seed again and again until `end`.
 ///
 /// While `hearing` says that another has begun to tell the state, nobody else is asked for it: a large one
 /// would only take part of the link from it.
@@ -92,38 +86,23 @@
     hearing: &Rc<Cell<usize>>,
 ) -> Option<FirstState> {
     let client = PeerClient::beside(hearing);
-    let mut end = end;
-    let longest = Instant::now() + LONGEST_TIME;
-    let mut named: VecDeque<SocketAddr> = VecDeque::new();
     let mut last = None;
     while Instant::now() < end || hearing.get() > 0 {
         if hearing.get() > 0 {
             sleep(PAUSE).await;
             continue;
         }
-        let asked = named.pop_front().unwrap_or(seed);
         let question = Question {
             store: core.settings.store.address,
             after: 0,
             need,
             until: end.min(Instant::now() + ANSWER_LIMIT),
-            own: core.settings.peers,
         };
-        match client.ask(&core.connect, &core.clock, asked, question).await {
-            Ok(told) => return Some(FirstState { from: asked, told, client }),
-            Err(AskError::Elsewhere(others)) => {
-                if need == Need::FirstState {
-                    end = longest;
-                }
-                named.extend(others.into_iter().filter(|other| *other != seed));
-                named.truncate(MOST_NAMED);
-            }
+        match client.ask(&core.connect, &core.clock, seed, question).await {
+            Ok(told) => return Some(FirstState { from: seed, told, client }),
             Err(error) => last = Some(error),
         }
-        // NB: those named are asked at once; each has told nobody yet.
-        if named.is_empty() {
-            sleep(PAUSE).await;
-        }
+        sleep(PAUSE).await;
     }
     note_failed(core, seed, last);
     None
--- a/crates/direct/src/follow/others.rs
+++ b/crates/direct/src/follow/others.rs
@@ -128,13 +128,7 @@
     }
 
     fn question(&self, after: u64, need: Need, until: Instant) -> Question {
-        Question {
-            store: self.core.settings.store.address,
-            after,
-            need,
-            until,
-            own: self.core.settings.peers,
-        }
+        Question { store: self.core.settings.store.address, after, need, until }
     }
 
     /// Takes in what another entry told, and from when it is.
--- a/crates/direct/src/membership.rs
+++ b/crates/direct/src/membership.rs
@@ -12,7 +12,6 @@
 
 mod client;
 mod clocks;
-mod first_states;
 mod listing;
 mod message;
 mod news;
@@ -24,7 +23,6 @@
 
 pub use client::{AskError, Need, PeerClient, Question, Told};
 pub use clocks::ClockOffset;
-pub use first_states::{FirstAnswer, FirstStates};
 pub use listing::{Listing, UnreadableListing};
 pub use message::{FORMAT, KeyChange, MessageError, State, StateHead, from_message, to_message};
 pub use news::{Item, MOST_SESSIONS, News, NewsLog, StageWord};
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -26,7 +26,7 @@
 
 use super::{
     ClockOffset, Item, KeyChange, MessageError, NEWS_PATH, STATE_PATH, State,
-    message::{MAX_MESSAGE_BYTES, from_message},
+    message::MAX_MESSAGE_BYTES,
 };
 use crate::{clock::Clock, upstream::Connect};
 
@@ -54,9 +54,6 @@
     /// It has lost the store itself, or was last confirmed too long ago.
     #[error("its confirmation is old")]
     Old,
-    /// It tells others just now; these have heard from it and can be asked.
-    #[error("it tells others, and names {}", .0.len())]
-    Elsewhere(Vec<SocketAddr>),
     /// Its answer is refused.
     #[error("its answer is refused: {0}")]
     Refused(#[from] MessageError),
@@ -86,8 +83,6 @@
     pub need: Need,
     /// When the answer is given up.
     pub until: Instant,
-    /// Where the asker answers others, if it does.
-    pub own: Option<SocketAddr>,
 }
 
 /// What another entry told.
@@ -258,8 +253,8 @@
         let after = question.after;
         match question.need {
             Need::Changes | Need::ChangesNow => {}
-            Need::FirstState => return first_path("wait", question.own),
-            Need::FirstStateNow => return first_path("now", question.own),
+            Need::FirstState => return format!("{STATE_PATH}?first=wait"),
+            Need::FirstStateNow => return format!("{STATE_PATH}?first=now"),
         }
         let heard = self.heard.borrow();
         let now = if question.need == Need::ChangesNow { "&now=1" } else { "" };
@@ -306,21 +301,12 @@
         *self.kept.borrow_mut() = Some((address, sender));
         match status {
             StatusCode::OK => Ok(body),
-            StatusCode::SEE_OTHER => Err(AskError::Elsewhere(from_message(&body, question.store)?)),
             StatusCode::SERVICE_UNAVAILABLE => Err(AskError::Old),
             status => Err(AskError::Failed(status.to_string())),
         }
     }
 }
 
-/// Path of a question for a whole state, with where the asker can be asked in its turn.
-fn first_path(way: &str, own: Option<SocketAddr>) -> String {
-    match own {
-        Some(own) => format!("{STATE_PATH}?first={way}&from={own}"),
-        None => format!("{STATE_PATH}?first={way}"),
-    }
-}
-
 /// Reads an answer for as long as it comes. A large state over a narrow link takes longer than any
 /// time in which another entry should begin to answer.
 async fn read_while_moving(body: Incoming) -> Result<Bytes, AskError> {
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -1,6 +1,6 @@
 //! Answers other entries.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{convert::Infallible, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -15,9 +15,8 @@
 };
 
 use super::{
-    FORMAT, FirstAnswer, Item, MessageError, NEWS_PATH, Need, PROBE_PATH, STATE_PATH, State,
-    StateHead,
-    message::{from_message, to_message},
+    FORMAT, Item, MessageError, NEWS_PATH, Need, PROBE_PATH, STATE_PATH, State, StateHead,
+    message::from_message,
 };
 use crate::{core::Core, journal::Rank, metrics::Counter};
 
@@ -39,8 +38,6 @@
     /// What the answer that the asker heard last said of itself.
     heard: Option<Heard>,
     need: Need,
-    /// Where the asker answers others, if it tells.
-    from: Option<SocketAddr>,
 }
 
 /// The life of the process that told it, its turn, and the end of its news.
@@ -62,20 +59,15 @@
 }
 
 impl Asked {
-    fn asks_for_first_state(self) -> bool {
-        matches!(self.need, Need::FirstState | Need::FirstStateNow)
-    }
-
     /// Reads the query of a question.
     fn parse(query: &str) -> Option<Self> {
-        let mut asked = Asked { after: 0, heard: None, need: Need::Changes, from: None };
+        let mut asked = Asked { after: 0, heard: None, need: Need::Changes };
         for pair in query.split('&') {
             match pair.split_once('=')? {
                 ("after", text) => asked.after = text.parse().ok()?,
                 ("now", "1") => asked.need = Need::ChangesNow,
                 ("first", "wait") => asked.need = Need::FirstState,
                 ("first", "now") => asked.need = Need::FirstStateNow,
-                ("from", text) => asked.from = Some(text.parse().ok()?),
                 ("heard", text) => asked.heard = Some(Heard::parse(text)?),
                 _ => return None,
             }
@@ -145,7 +137,6 @@
         return with_status(StatusCode::BAD_REQUEST, Bytes::new());
     };
     match wait_for_state(core, asked).await {
-        Some(Ok(bytes)) if asked.asks_for_first_state() => tell_first_state(core, asked, bytes),
         Some(Ok(bytes)) => {
             core.metrics.count(Counter::QuestionsAnswered);
             core.metrics.count_many(Counter::PeerBytesTold, bytes.len());
@@ -156,25 +147,6 @@
     }
 }
 
-/// Tells a whole state, unless this entry's link has enough of them to carry.
-fn tell_first_state(core: &Core, asked: Asked, bytes: Bytes) -> Response<Full<Bytes>> {
-    match core.first_states.take(bytes.len(), asked.from, core.clock.now()) {
-        FirstAnswer::Told => {
-            core.metrics.count(Counter::QuestionsAnswered);
-            core.metrics.count(Counter::FirstStatesTold);
-            core.metrics.count_many(Counter::PeerBytesTold, bytes.len());
-            with_status(StatusCode::OK, bytes)
-        }
-        FirstAnswer::Ask(others) => {
-            core.metrics.count(Counter::FirstStatesReferred);
-            match to_message(core.settings.store.address, &others) {
-                Ok(bytes) => with_status(StatusCode::SEE_OTHER, bytes),
-                Err(_) => with_status(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
-            }
-        }
-    }
-}
-
 /// Holds a question until there is something to tell; `None` once the own confirmation has grown
 /// too old to be of use.
 async fn wait_for_state(core: &Core, asked: Asked) -> Option<Result<Bytes, MessageError>> {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -60,10 +60,6 @@
     UsageReports,
     /// Calls with such reports that came to nothing.
     UsageCallsFailed,
-    /// Whole states told to entries that start.
-    FirstStatesTold,
-    /// Entries that start sent on to others for a whole state.
-    FirstStatesReferred,
     /// Bytes of states and news told to other entries.
     PeerBytesTold,
     /// Bytes of states heard from other entries.
@@ -96,8 +92,6 @@
             Counter::QuestionsAnswered => "questions_answered_total",
             Counter::UsageReports => "usage_reports_total",
             Counter::UsageCallsFailed => "usage_calls_failed_total",
-            Counter::FirstStatesTold => "first_states_told_total",
-            Counter::FirstStatesReferred => "first_states_referred_total",
             Counter::PeerBytesTold => "peer_bytes_told_total",
             Counter::PeerBytesHeard => "peer_bytes_heard_total",
         }
