--- a/crates/decide/src/direct/sharers.rs
+++ b/crates/decide/src/direct/sharers.rs
@@ -59,6 +59,17 @@
         }
     }
 
+    /// A number from 0 to 1 that differs evenly from entry to entry, by which parts of a whole are rounded; 0 as
+    /// long as this entry takes no part.
+    pub fn rounding(&self) -> f64 {
+        if self.is_alone || !self.listed.contains(&self.own) {
+            return 0.0;
+        }
+        // NB: by its place among the others, so that few entries differ as evenly as many.
+        let before = self.listed.iter().filter(|entry| mix(**entry) < mix(self.own)).count();
+        before as f64 / self.listed.len() as f64
+    }
+
     /// Requests that this entry may send to a server within a second, where all entries together may
     /// send `most`. Such a bound is small and cannot be cut into as many pieces as there are entries, so
     /// rendezvous hashing (Thaler and Ravishankar, 1998) names a few owners for each server.
--- a/crates/decide/src/direct/window_budget.rs
+++ b/crates/decide/src/direct/window_budget.rs
@@ -21,6 +21,10 @@
     pub extra: f64,
     /// Length of the window.
     pub window: Duration,
+    /// Part of a send, below 1, that is added to what is allowed before it is cut to whole sends. Entries that
+    /// differ evenly in it allow together what their parts add up to, and not half a send less each, which is
+    /// much where an entry has few.
+    pub rounding: f64,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -43,9 +47,9 @@
         WindowBudget { limits, slices: [Slice::default(); SLICES], newest: 0 }
     }
 
-    /// Further sends beyond the share have changed, as the entries that share them have.
-    pub fn set_extra(&mut self, extra: f64) {
-        self.limits.extra = extra;
+    /// The limits have changed, as the entries that share them have.
+    pub fn set_limits(&mut self, limits: WindowLimits) {
+        self.limits = limits;
     }
 
     /// Counts a request.
@@ -69,7 +73,7 @@
         let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
         let extras: u32 = self.slices.iter().map(|slice| slice.extras).sum();
         let allowed = USED_SHARE * (self.limits.ratio * f64::from(requests) + self.limits.extra);
-        f64::from(extras) + 1.0 <= allowed * (1.0 - spare)
+        f64::from(extras) + 1.0 <= allowed * (1.0 - spare) + self.limits.rounding
     }
 
     fn current(&mut self, now: Duration) -> &mut Slice {
--- a/crates/decide/tests/direct.rs
+++ b/crates/decide/tests/direct.rs
@@ -39,7 +39,7 @@
 #[test]
 fn further_sends_stay_within_the_window_whatever_the_order() {
     fn property(events: Vec<(bool, u8)>) -> bool {
-        let limits = WindowLimits { ratio: 0.5, extra: 6.0, window: ms(10_000) };
+        let limits = WindowLimits { ratio: 0.5, extra: 6.0, window: ms(10_000), rounding: 0.0 };
         let mut budget = WindowBudget::new(limits);
         let (mut now, mut requests, mut extras) = (Duration::ZERO, Vec::new(), Vec::new());
         for (is_request, pause) in events {
@@ -64,8 +64,12 @@
 
 #[test]
 fn a_reserve_is_left_for_more_urgent_sends() {
-    let mut budget =
-        WindowBudget::new(WindowLimits { ratio: 0.0, extra: 20.0, window: ms(10_000) });
+    let mut budget = WindowBudget::new(WindowLimits {
+        ratio: 0.0,
+        extra: 20.0,
+        window: ms(10_000),
+        rounding: 0.0,
+    });
     let patient = (0..100).filter(|_| budget.try_take(ms(1), 0.5)).count();
     let urgent = (0..100).filter(|_| budget.try_take(ms(1), 0.0)).count();
     assert!(patient >= 7 && urgent >= 7, "{patient} {urgent}");
--- a/crates/decide/tests/shared_bounds.rs
+++ b/crates/decide/tests/shared_bounds.rs
@@ -23,7 +23,8 @@
 
 /// Sends beyond its share that one entry takes in a window in which everything fails.
 fn taken(sharers: &Sharers, requests: u32) -> f64 {
-    let limits = WindowLimits { ratio: 0.9, extra: EXTRA * sharers.part(), window: WINDOW };
+    let (extra, rounding) = (EXTRA * sharers.part(), sharers.rounding());
+    let limits = WindowLimits { ratio: 0.9, extra, window: WINDOW, rounding };
     let mut budget = WindowBudget::new(limits);
     let now = Duration::from_secs(100);
     (0..requests).for_each(|_| budget.note_request(now));
@@ -66,6 +67,17 @@
     }
 }
 
+#[test]
+fn what_entries_of_few_requests_may_send_is_not_lost_in_fractions() {
+    // NB: with 3 requests each, 0.85 of 2.7 further sends and of the extra are 2.3 and a little each.
+    for size in SIZES.into_iter().filter(|size| *size > 1) {
+        let all: f64 = (0..size).map(|own| taken(&sharers(own, 0..size), 3)).sum();
+        let planned = 0.85 * (0.9 * 3.0 * size as f64 + EXTRA / 2.0);
+        assert!(all >= planned - 1.0, "{size} entries take {all} of {planned}");
+        assert!(all <= 0.9 * 3.0 * size as f64 + EXTRA, "{size} entries take {all}");
+    }
+}
+
 #[test]
 fn an_entry_that_is_alone_for_good_has_it_whole() {
     assert_eq!(Sharers::alone("e1").part(), 1.0);
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -102,6 +102,7 @@
                 ratio: retries.ratio,
                 extra: retries.extra,
                 window: retries.window,
+                rounding: 0.0,
             },
             home: settings.data_centre.clone(),
             weighed: Weighed {
@@ -153,8 +154,8 @@
     /// The bounds over all entries are shared by those of these names.
     pub fn set_sharers<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
         self.sharers.are(names);
-        let extra = self.own_limits().extra;
-        self.budgets.values_mut().for_each(|budget| budget.set_extra(extra));
+        let limits = self.own_limits();
+        self.budgets.values_mut().for_each(|budget| budget.set_limits(limits));
         for fleet in self.fleets.values_mut() {
             fleet.set_sharers(&self.sharers);
         }
@@ -177,7 +178,11 @@
 
     /// This entry's part of the limits on further sends.
     fn own_limits(&self) -> WindowLimits {
-        WindowLimits { extra: self.limits.extra * self.sharers.part(), ..self.limits }
+        WindowLimits {
+            extra: self.limits.extra * self.sharers.part(),
+            rounding: self.sharers.rounding(),
+            ..self.limits
+        }
     }
 
     /// The budget of a service.
