Rate limits that servers name are read and logged (server_named_limit, server_lifted_limit); nothing follows from them yet

No log line, counter or gauge told that a server had named a limit. The header is read from the head of every answer; a change is logged with the request that brought it, and counted. Test: notices_are_seen.

--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -53,8 +53,9 @@
 pub use cascade::{Cascade, ModelNumber, Terms};
 pub use engine::{Engine, Estimate, ServiceModel};
 pub use fleet::{
-    Ask, Fleet, Forecast, Homes, LoadError, Opening, PromptPart, ServerFacts, ServerIndex,
-    ServerLoad, Shut, Ticket, Unreached, VersionRule, Weighed, spread_of,
+    Ask, Fleet, Forecast, Homes, LimitError, LimitWord, LoadError, Opening, PromptPart,
+    ServerFacts, ServerIndex, ServerLimit, ServerLoad, Shut, Ticket, Unreached, VersionRule,
+    Weighed, spread_of,
 };
 pub use freshness::Freshness;
 pub use pool::{Pool, Seen, Tally};
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -6,6 +6,7 @@
 //! shared part brings requests that share it to the same servers from every entry.
 
 mod ask;
+mod limit;
 mod load;
 mod notice;
 mod notices;
@@ -18,6 +19,7 @@
 use rand::Rng;
 
 pub use ask::{Ask, Forecast, Homes, PromptPart, Ticket, VersionRule};
+pub use limit::{LimitError, LimitWord, ServerLimit};
 pub use load::{LoadError, ServerLoad};
 pub use notice::spread_of;
 pub use places::{Opening, Shut, Unreached};
--- a/crates/decide/src/direct/fleet/notice.rs
+++ b/crates/decide/src/direct/fleet/notice.rs
@@ -7,7 +7,10 @@
 
 use pondwalk_types::{LONGEST_BACKOFF, VersionId};
 
-use super::server::ServerFacts;
+use super::{
+    limit::{KnownLimit, LimitWord, ServerLimit},
+    server::ServerFacts,
+};
 
 /// Time for which a server that says it leaves is believed to, from its latest word. Servers serve on for some
 /// seconds after it and end; one that is still listed after ten minutes was wrong, or never went. A wrong
@@ -76,6 +79,8 @@
     turned_away: Option<(u32, Duration)>,
     /// How often in a row nothing listened at its address since it left, and since when.
     unheard: Option<(u32, Duration)>,
+    /// The rate limit that it names.
+    rate: KnownLimit,
 }
 
 impl Notice {
@@ -170,6 +175,16 @@
         self.limit = self.limit.map(|_| FIRST_LIMIT);
     }
 
+    /// An answer to a request sent at `sent` spoke of its rate limit. Returns whether that has changed.
+    pub fn tells_limit(&mut self, word: LimitWord, sent: Duration, now: Duration) -> bool {
+        self.rate.hear(word, sent, now)
+    }
+
+    /// The rate limit that it names, if any.
+    pub fn rate_limit(&self) -> Option<ServerLimit> {
+        self.rate.limit()
+    }
+
     /// Whether anything of it still matters.
     pub fn is_over(&self, now: Duration) -> bool {
         self.asked_for(now).is_none()
--- a/crates/decide/src/direct/fleet/notices.rs
+++ b/crates/decide/src/direct/fleet/notices.rs
@@ -5,7 +5,7 @@
 use pondwalk_types::ServerId;
 
 use super::{
-    Fleet, ServerFacts, Ticket,
+    Fleet, LimitWord, ServerFacts, Ticket,
     notice::{AskedFor, LifeMark, Notice},
 };
 
@@ -30,6 +30,18 @@
         Some(self.notice_of(ticket)?.backs_off(asked, spread * crowd, now))
     }
 
+    /// An answer spoke of its server's rate limit. Returns whether that has changed.
+    pub fn told_limit(&mut self, ticket: &Ticket, word: LimitWord, now: Duration) -> bool {
+        let sent = ticket.placed;
+        self.notice_of(ticket).is_some_and(|notice| notice.tells_limit(word, sent, now))
+    }
+
+    /// Servers that name a rate limit.
+    pub fn count_limited(&self) -> usize {
+        let servers = self.servers.iter().flatten();
+        servers.filter(|server| server.notice.rate_limit().is_some()).count()
+    }
+
     /// Where what a server asks in an answer is noted, unless it was another life of it that asked.
     ///
     /// NB: its entry may be gone for a moment just then, or may have come back at another position.
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -8,6 +8,7 @@
 };
 
 use pondwalk_config::DirectSettings;
+use pondwalk_decide::direct::Fleet;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::sync::Notify;
 
@@ -191,11 +192,13 @@
         let state = self.state.borrow();
         let cold = state.fleets.values().map(|fleet| fleet.count_cold(self.clock.now()));
         let notices = state.fleets.values().map(|fleet| fleet.count_notices(self.clock.now()));
+        let limited = state.fleets.values().map(Fleet::count_limited);
         let (leaving, backing_off) =
             notices.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let mut gauges = vec![
             ("servers_told_leaving", leaving as u64),
             ("servers_backing_off", backing_off as u64),
+            ("servers_limited", limited.sum::<usize>() as u64),
             ("servers_cold", cold.sum::<usize>() as u64),
             ("data_centres_evacuated", state.evacuated.len() as u64),
             ("contents_remembered", state.quarantine.len() as u64),
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -37,6 +37,9 @@
     pub load: HeaderName,
     /// Tells in an answer, by `1`, that its backend server is leaving.
     pub leaving: HeaderName,
+    /// Requests a second that a backend server takes from all entries together, as a decimal number; told by one
+    /// in need.
+    pub limit: HeaderName,
     /// Headers that only the entry may set; those of callers are dropped.
     pub reserved: Vec<HeaderName>,
     /// Scheme of the `authorization` header that carries a key.
@@ -68,6 +71,7 @@
             confidence: name("pondwalk-confidence"),
             load: name("pondwalk-load"),
             leaving: name("server-leaving"),
+            limit: name("server-limit"),
             reserved: ["pondwalk-workspace", "pondwalk-expected-server", "pondwalk-priority"]
                 .map(name)
                 .to_vec(),
--- a/crates/direct/src/http/notes.rs
+++ b/crates/direct/src/http/notes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hyper::{Response, StatusCode, body::Incoming};
+use pondwalk_decide::direct::LimitWord;
 
 use super::{report::RequestEvent, run::Run};
 use crate::{
@@ -30,6 +31,9 @@
             let event = RequestEvent::ServerToldLeaving { request, server, status, after_ms };
             self.core.journal.note(Rank::Failure, &event);
         }
+        if placement.told_limit(notice.limit) {
+            self.note_limit(placement, notice.limit, status);
+        }
         if let Some(backoff) = notice.backoff {
             self.core.metrics.count(Counter::AskedBackoff);
             let kept = placement.asked_backoff(backoff);
@@ -45,6 +49,23 @@
         }
     }
 
+    /// Counts and logs that a server's rate limit has changed.
+    fn note_limit(&self, placement: &Placement, word: LimitWord, status: u16) {
+        self.core.metrics.count(Counter::LimitsChanged);
+        let (request, server) = (self.job.id.as_str(), placement.server());
+        let after_ms = self.after_ms();
+        let event = match word {
+            LimitWord::Named(limit) => {
+                let per_s = limit.per_s();
+                RequestEvent::ServerNamedLimit { request, server, status, per_s, after_ms }
+            }
+            LimitWord::Unnamed | LimitWord::Unsaid => {
+                RequestEvent::ServerLiftedLimit { request, server, status, after_ms }
+            }
+        };
+        self.core.journal.note(Rank::Failure, &event);
+    }
+
     /// Logs a send that brought no answer to pass on.
     pub fn note_failed(&self, placement: &Placement, outcome: &'static str, detail: String) {
         let event = RequestEvent::SendFailed {
--- a/crates/direct/src/http/report.rs
+++ b/crates/direct/src/http/report.rs
@@ -41,6 +41,10 @@
         kept_ms: Option<u64>,
         after_ms: u64,
     },
+    /// A backend server named another rate limit than before in an answer to this request.
+    ServerNamedLimit { request: &'a str, server: &'a str, status: u16, per_s: f64, after_ms: u64 },
+    /// A backend server names no rate limit any more.
+    ServerLiftedLimit { request: &'a str, server: &'a str, status: u16, after_ms: u64 },
     /// The connection broke while the request was at a backend server, which may have ended.
     ServerBroke { request: &'a str, server: &'a str, content: &'a str, after_ms: u64 },
     /// A smaller model's answer was dropped for a stronger model's.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -34,6 +34,8 @@
     ToldLeaving,
     /// Times that a backend server asked to be sent nothing for a while.
     AskedBackoff,
+    /// Changes of rate limits that backend servers name.
+    LimitsChanged,
     /// Requests held back until a server that was cold or paused could take one more.
     HeldForRoom,
     /// Requests that did not leave, since their server's data centre was evacuated or it turned cold.
@@ -79,6 +81,7 @@
             Counter::NotRun => "not_run_total",
             Counter::ToldLeaving => "told_leaving_total",
             Counter::AskedBackoff => "asked_backoff_total",
+            Counter::LimitsChanged => "server_limits_changed_total",
             Counter::HeldForRoom => "held_for_room_total",
             Counter::Withheld => "withheld_total",
             Counter::ServersDoubted => "servers_doubted_total",
--- a/crates/direct/src/notice.rs
+++ b/crates/direct/src/notice.rs
@@ -6,6 +6,7 @@
     HeaderMap, StatusCode,
     header::{HeaderName, RETRY_AFTER},
 };
+use pondwalk_decide::direct::{LimitWord, ServerLimit};
 use pondwalk_types::read_retry_after;
 
 use crate::dialect::Dialect;
@@ -17,6 +18,8 @@
     pub leaves: bool,
     /// It wants no request for so long.
     pub backoff: Option<Duration>,
+    /// What it says of its rate limit.
+    pub limit: LimitWord,
 }
 
 impl Notice {
@@ -38,10 +41,20 @@
             || (not_run && status == StatusCode::TOO_MANY_REQUESTS);
         let backoff = text(headers, &RETRY_AFTER).filter(|_| asks_entry).and_then(read_retry_after);
         let leaves = text(headers, &dialect.leaving).is_some_and(|text| text == "1");
-        Notice { leaves, backoff }
+        let limit = limit_word(dialect, headers, status.is_success() && !not_run);
+        Notice { leaves, backoff, limit }
     }
 }
 
+/// What a head says of its server's rate limit; `is_whole_word` tells whether a head without a limit lifts it.
+fn limit_word(dialect: &Dialect, headers: &HeaderMap, is_whole_word: bool) -> LimitWord {
+    if !headers.contains_key(&dialect.limit) {
+        return if is_whole_word { LimitWord::Unnamed } else { LimitWord::Unsaid };
+    }
+    let limit = text(headers, &dialect.limit).map(ServerLimit::try_from);
+    limit.and_then(Result::ok).map_or(LimitWord::Unsaid, LimitWord::Named)
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     Some(headers.get(name)?.to_str().ok()?.trim())
 }
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -6,8 +6,8 @@
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use pondwalk_decide::direct::{
-    Ask, Evidence, Fleet, ModelNumber, Opening, ServerLoad, ServiceModel, Ticket, Unreached,
-    VersionRule,
+    Ask, Evidence, Fleet, LimitWord, ModelNumber, Opening, ServerLoad, ServiceModel, Ticket,
+    Unreached, VersionRule,
 };
 use pondwalk_types::{ModelId, ServerId, VersionId};
 use rand::Rng;
@@ -293,6 +293,14 @@
         fleet.is_some_and(|fleet| fleet.told_leaving(&self.ticket, now))
     }
 
+    /// An answer of the server spoke of its rate limit. Returns whether that has changed.
+    pub fn told_limit(&self, word: LimitWord) -> bool {
+        let now = self.core.clock.now();
+        let mut state = self.core.state.borrow_mut();
+        let fleet = state.fleets.get_mut(&self.job.service.name);
+        fleet.is_some_and(|fleet| fleet.told_limit(&self.ticket, word, now))
+    }
+
     /// The server asked in an answer to be sent nothing for a while. Returns how long it gets nothing.
     pub fn asked_backoff(&self, asked: Duration) -> Option<Duration> {
         let now = self.core.clock.now();
--- a/crates/direct/tests/notices_are_seen.rs
+++ b/crates/direct/tests/notices_are_seen.rs
@@ -2,9 +2,12 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{World, address, catalog, play, request, stream};
 use pondwalk_standin::backends::Act;
 use serde_json::Value;
+use tokio::time::sleep;
 
 fn lines(world: &World, event: &str) -> Vec<Value> {
     let text = world.entry.gathered_lines();
@@ -59,3 +62,28 @@
         });
     }
 }
+
+#[test]
+fn a_servers_limit_is_logged_when_it_changes_and_only_then() {
+    play(|world| async move {
+        world.configure(catalog(1));
+        world.start_server(1, "s", "v1", stream(3, None));
+        world.start().await;
+        for (number, word) in ["1.7", "1.7", "0.4"].into_iter().enumerate() {
+            world.backends.tell(address(1), "server-limit", word);
+            world.ask(request("/stream/", &format!("r{number}"))).await;
+            sleep(Duration::from_secs(5)).await;
+        }
+        assert!(world.entry.metrics_text().contains("pondwalk_servers_limited 1"));
+        world.backends.tell_no_more(address(1), "server-limit");
+        world.ask(request("/stream/", "r3")).await;
+        let named = lines(&world, "server_named_limit");
+        let told: Vec<_> = named.iter().map(|line| (&line["request"], &line["per_s"])).collect();
+        assert_eq!(told, [(&"r0".into(), &1.7.into()), (&"r2".into(), &0.4.into())]);
+        let lifted = lines(&world, "server_lifted_limit");
+        assert_eq!(lifted.len(), 1);
+        assert_eq!((&lifted[0]["request"], &lifted[0]["server"]), (&"r3".into(), &"s1".into()));
+        assert!(world.entry.metrics_text().contains("pondwalk_server_limits_changed_total 3"));
+        assert!(world.entry.metrics_text().contains("pondwalk_servers_limited 0"));
+    });
+}
