--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod lethal;
+pub mod limits;
 pub mod net;
 
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -81,6 +81,8 @@
     pub headers: HashMap<String, String>,
     /// Body.
     pub body: Vec<u8>,
+    /// When it was read.
+    pub at: Option<Instant>,
     /// Whether it was run.
     pub ran: bool,
     /// Further headers that its answer carries.
@@ -321,7 +323,7 @@
     let ran = !another && !matches!(act, Act::NotRun(_));
     let index = server.seen.borrow().len();
     let told = server.tells.borrow().clone();
-    server.seen.borrow_mut().push(Seen { ran, told, ..seen.clone() });
+    server.seen.borrow_mut().push(Seen { ran, told, at: Some(Instant::now()), ..seen.clone() });
     if ran && is_lethal(&seen) && !matches!(act, Act::Stream { .. }) {
         act = Act::Silent;
     }
