Rate limits that servers name are kept by all entries together: one entry grants the permits for each server

What servers saw: one that had named 1.7 requests a second got 26 in 4 s from entries it had told (15 allowed). Cause: the header was read by nobody; and no entry could keep such a bound alone, since a limit of one or two a second is less than one request for each entry. Class: a word of the other side that is not read, and a bound over all entries that nobody keeps for all. Why this works: for each server rendezvous hashing names one entry that grants permits from a token bucket at the rate that the server named, so what it takes is used wherever its callers are (in memory, 4 to 357 entries: no more than allowed in any 4 s, and 80 % or more of what it takes used by one entry of 24). Whoever cannot reach it asks the next in order, which grants .3 of the limit after it has tried those before it itself; both together, with what is saved up and permits used 250 ms late, stay below 1.5 times the limit and five (decide/permits). Every send needs a permit, as every send is placed in one function; a word that comes while a connection opens holds the send back. Limits are told to all entries as news, so that not each of them exceeds it once; an answer at hand is dropped for a send only once its permit is there. Refusal all_limited, at once and with when to come back. Messages of format 6.

--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -18,7 +18,8 @@
 //!    that [`Engine`] has learned; then the way to another data centre, failures of late, and a
 //!    surcharge for all but the server that rendezvous hashing names for the prompt's shared part.
 //!    Servers of an evacuated data centre get nothing; cold ones get what this entry's share of their
-//!    bound lets it send ([`Sharers`]). The request gets a rank there, shortest first ([`rank_of`]).
+//!    bound lets it send ([`Sharers`]); those that name a rate limit get what permits are
+//!    given for ([`PermitBuckets`]). The request gets a rank there, shortest first ([`rank_of`]).
 //! 5. **Pass it on, or ask a larger model?** [`Cascade::next_model`] compares what the answer at
 //!    hand is worth with what each larger model's would be: the chance that it does, by all
 //!    confidences told, less its price, the servers' time at the price of the moment, and what it
@@ -38,6 +39,7 @@
 mod fleet;
 mod freshness;
 mod hash;
+mod permits;
 mod pool;
 mod quarantine;
 mod rank;
@@ -53,11 +55,12 @@
 pub use cascade::{Cascade, ModelNumber, Terms};
 pub use engine::{Engine, Estimate, ServiceModel};
 pub use fleet::{
-    Ask, Fleet, Forecast, Homes, LimitError, LimitWord, LoadError, Opening, PromptPart,
-    ServerFacts, ServerIndex, ServerLimit, ServerLoad, Shut, Ticket, Unreached, VersionRule,
-    Weighed, spread_of,
+    Ask, Certainty, Fleet, Forecast, Homes, LifeMark, LimitError, LimitWord, LoadError, Opening,
+    PromptPart, ServerFacts, ServerIndex, ServerLimit, ServerLoad, Shut, Ticket, Unreached,
+    VersionRule, WantedPermit, Weighed, spread_of,
 };
 pub use freshness::Freshness;
+pub use permits::{Granter, PermitBuckets};
 pub use pool::{Pool, Seen, Tally};
 pub use quarantine::{
     Content, EndId, GoodContents, Grant, Loss, Probe, Quarantine, ServerEnd, Standing, end_id,
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -10,6 +10,7 @@
 mod load;
 mod notice;
 mod notices;
+mod permit;
 mod places;
 mod server;
 
@@ -21,12 +22,13 @@
 pub use ask::{Ask, Forecast, Homes, PromptPart, Ticket, VersionRule};
 pub use limit::{LimitError, LimitWord, ServerLimit};
 pub use load::{LoadError, ServerLoad};
-pub use notice::spread_of;
-pub use places::{Opening, Shut, Unreached};
+pub use notice::{LifeMark, spread_of};
+pub use places::{Certainty, Opening, Shut, Unreached, WantedPermit};
 pub use server::{Life, ServerFacts};
 
 use super::{hash::mix, sharers::Sharers, warm_up::Pacing};
-use notice::{LifeMark, Notice};
+use notice::Notice;
+use places::Permission;
 use server::Server;
 
 /// Position of a server in its fleet; reused once the server is gone.
@@ -84,6 +86,8 @@
     sharers: Sharers,
     /// Lives of servers known so far.
     lives: Life,
+    /// Whether any server may name a rate limit.
+    may_limit: bool,
     /// What servers asked for whose entries are gone, by their identities; an entry may come back.
     remembered: HashMap<ServerId, (LifeMark, Notice)>,
     /// Time that a request placed here takes to be read, in milliseconds, on the average; other
@@ -108,6 +112,7 @@
             pacing: None,
             sharers: Sharers::default(),
             lives: 0,
+            may_limit: false,
             remembered: HashMap::new(),
             usual_read_ms: READ_PRIOR_MS,
         }
@@ -221,7 +226,7 @@
 
     /// Chooses a server and counts the request there; `None` if no server may take it now.
     pub fn place(&mut self, ask: &Ask<'_>, now: Duration, rng: &mut impl Rng) -> Option<Ticket> {
-        let best = self.best(ask, now, || rng.random_range(0.0..1.0))?;
+        let best = self.best(ask, now, Permission::AtHand, || rng.random_range(0.0..1.0))?;
         let expected_ms = best.read_ms + ask.base_ms;
         self.usual_read_ms += READ_GAIN * (expected_ms - self.usual_read_ms);
         let is_paced = self.pacing.is_some();
@@ -229,6 +234,7 @@
         if is_paced {
             server.warmth.note_sent(now);
         }
+        let permit = server.notice.rate_limit().and_then(|_| server.permits.take(now));
         let ahead_ms = server.waiting_ms;
         server.admit(ask, expected_ms, now);
         Some(Ticket {
@@ -237,6 +243,7 @@
             life: server.life,
             mark: server.mark.clone(),
             placed: now,
+            permit,
             expected_ms,
             read_tokens: best.read_ms / ask.read_ms_per_token.max(f64::MIN_POSITIVE),
             ahead_ms,
@@ -244,9 +251,10 @@
         })
     }
 
-    /// What placing a request now would lead to; `None` if no server may take it now.
+    /// What placing a request now would lead to; `None` if no server may take it now. Permits that may be asked
+    /// for count as given.
     pub fn forecast(&self, ask: &Ask<'_>, now: Duration) -> Option<Forecast> {
-        let best = self.best(ask, now, || 0.0)?;
+        let best = self.best(ask, now, Permission::Possible, || 0.0)?;
         Some(Forecast { begins_ms: best.begins_ms, read_ms: best.read_ms })
     }
 
@@ -255,6 +263,7 @@
         &self,
         ask: &Ask<'_>,
         now: Duration,
+        permission: Permission,
         mut scatter: impl FnMut() -> f64,
     ) -> Option<Candidate> {
         let shared = shared_part(ask.parts);
@@ -264,13 +273,18 @@
         let mut best: Option<Candidate> = None;
         for (index, server) in self.servers.iter().enumerate() {
             let Some(server) = server else { continue };
-            let open = self.may_serve(server, ask.versions, now) && self.has_room(server, now);
+            let open =
+                self.may_serve(server, ask.versions, now) && self.has_room(server, permission, now);
             if !open || !ask.allows(&server.facts) {
                 continue;
             }
             let read_ms = server.tokens_to_read(ask, now) * ask.read_ms_per_token;
             let begins_ms = server.begins_ms(ask, read_ms, self.usual_read_ms, now);
-            let mut cost = server.cost(ask, begins_ms, now, &self.home) + scatter();
+            let mut cost = server.cost(ask, begins_ms, now, &self.home);
+            // NB: a server that won by chance when a permit was asked for wins again once it is at hand.
+            if !server.permits.is_at_hand(now) {
+                cost += scatter();
+            }
             if named.is_some_and(|named| named != index) {
                 let tokens = shared.map_or(0, |part| part.tokens);
                 cost += f64::from(tokens) * stranger_ms;
@@ -339,8 +353,8 @@
 
     /// The server that hashing names for a shared part.
     ///
-    /// NB: never a cold one, or one that wants nothing. All that share the part would turn to a server that
-    /// takes a few of them.
+    /// NB: never a cold one, one that wants nothing or one that names a rate limit. All that share the part would
+    /// turn to a server that takes a few of them.
     fn named_for(&self, part: u64, ask: &Ask<'_>, now: Duration) -> Option<ServerIndex> {
         let servers = self.servers.iter().enumerate();
         let servers = servers.filter_map(|(index, server)| Some((index, server.as_ref()?)));
@@ -349,6 +363,7 @@
                 && ask.homes.allow(&server.facts.data_centre)
                 && !self.is_cold(server, now)
                 && server.notice.backs_off_until(now).is_none()
+                && server.notice.rate_limit().is_none()
         });
         let named = open.max_by_key(|(_, server)| mix(server.hash ^ part));
         named.map(|(index, _)| index)
--- a/crates/decide/src/direct/fleet/ask.rs
+++ b/crates/decide/src/direct/fleet/ask.rs
@@ -97,6 +97,8 @@
     pub(super) mark: LifeMark,
     /// When it was placed.
     pub(super) placed: Duration,
+    /// When the permit was given by which it may go there, if it has one.
+    pub(super) permit: Option<Duration>,
     /// Time until its answer was expected to begin, in milliseconds, with nothing before it.
     pub expected_ms: f64,
     /// Tokens of its prompt that were to be read.
--- a/crates/decide/src/direct/fleet/limit.rs
+++ b/crates/decide/src/direct/fleet/limit.rs
@@ -8,6 +8,12 @@
 
 /// Thousandths in one.
 const MILLI: f64 = 1_000.0;
+/// Time for which a limit is remembered after its server's entry is gone.
+const MEMORY: Duration = Duration::from_secs(60);
+/// Least time between two tellings of one server's limit; a server may name another in each answer.
+const TELL_AGAIN: Duration = Duration::from_secs(1);
+/// Part by which a limit must change to be told to entries that know of it. They hear the rest in answers.
+const TOLD_PART: f64 = 0.1;
 
 /// A rate limit of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -60,6 +66,8 @@
     limit: Option<ServerLimit>,
     /// When it was said.
     said_at: Option<Duration>,
+    /// What all entries know, and since when.
+    told: Option<(Option<ServerLimit>, Duration)>,
 }
 
 impl KnownLimit {
@@ -68,20 +76,58 @@
         self.limit
     }
 
+    /// When the latest word came, if any did.
+    pub fn said_at(&self) -> Option<Duration> {
+        self.said_at
+    }
+
+    /// Whether the limit was named so recently that it may still hold though the server's entry is gone.
+    pub fn is_recent(&self, now: Duration) -> bool {
+        self.limit.is_some() && self.said_at.is_some_and(|at| now < at + MEMORY)
+    }
+
     /// Takes in what an answer says whose request was sent at `sent`. Returns whether the limit has changed.
     ///
     /// NB: of answers under way when the word came, only one that lowers the limit is certainly no older.
     pub fn hear(&mut self, word: LimitWord, sent: Duration, now: Duration) -> bool {
         let may_raise = self.said_at.is_none_or(|at| sent >= at);
         let limit = match (word, self.limit) {
-            (LimitWord::Unsaid, _) => return false,
-            (LimitWord::Unnamed, None) => return false,
+            (LimitWord::Unsaid, _) | (LimitWord::Unnamed, None) => return false,
             (LimitWord::Unnamed, Some(_)) if !may_raise => return false,
-            (LimitWord::Unnamed, Some(_)) => None,
             (LimitWord::Named(named), Some(known)) if named > known && !may_raise => return false,
+            (LimitWord::Unnamed, Some(_)) => None,
             (LimitWord::Named(named), _) => Some(named),
         };
         self.said_at = Some(now);
         std::mem::replace(&mut self.limit, limit) != limit
     }
+
+    /// Takes in what another entry heard at `at`. Returns whether the limit has changed.
+    pub fn is_told(&mut self, limit: Option<ServerLimit>, at: Duration) -> bool {
+        if self.said_at.is_some_and(|said| said >= at) {
+            return false;
+        }
+        self.said_at = Some(at);
+        self.told = Some((limit, at));
+        std::mem::replace(&mut self.limit, limit) != limit
+    }
+
+    /// Whether all entries should be told of it now; they count as told then.
+    pub fn take_news(&mut self, now: Duration) -> bool {
+        let is_news = match self.told {
+            None => self.limit.is_some(),
+            Some((told, at)) => now >= at + TELL_AGAIN && differ(told, self.limit),
+        };
+        if is_news {
+            self.told = Some((self.limit, now));
+        }
+        is_news
+    }
+}
+
+/// Whether two limits differ by enough to be told of.
+fn differ(one: Option<ServerLimit>, other: Option<ServerLimit>) -> bool {
+    let (Some(one), Some(other)) = (one, other) else { return one != other };
+    let (low, high) = (one.min(other).milli_per_s, one.max(other).milli_per_s);
+    (high - low) as f64 > high as f64 * TOLD_PART
 }
--- a/crates/decide/src/direct/fleet/notice.rs
+++ b/crates/decide/src/direct/fleet/notice.rs
@@ -6,9 +6,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use pondwalk_types::{LONGEST_BACKOFF, VersionId};
+use serde::{Deserialize, Serialize};
 
 use super::{
-    limit::{KnownLimit, LimitWord, ServerLimit},
+    limit::{KnownLimit, ServerLimit},
     server::ServerFacts,
 };
 
@@ -30,7 +31,7 @@
 const FIRST_LIMIT: u32 = 1;
 
 /// What tells one life of a server from another under the same identity.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LifeMark {
     born_ms: Option<u64>,
     address: SocketAddr,
@@ -175,19 +176,19 @@
         self.limit = self.limit.map(|_| FIRST_LIMIT);
     }
 
-    /// An answer to a request sent at `sent` spoke of its rate limit. Returns whether that has changed.
-    pub fn tells_limit(&mut self, word: LimitWord, sent: Duration, now: Duration) -> bool {
-        self.rate.hear(word, sent, now)
-    }
-
     /// The rate limit that it names, if any.
     pub fn rate_limit(&self) -> Option<ServerLimit> {
         self.rate.limit()
     }
 
+    /// All that is known of its rate limit.
+    pub fn rate(&mut self) -> &mut KnownLimit {
+        &mut self.rate
+    }
+
     /// Whether anything of it still matters.
     pub fn is_over(&self, now: Duration) -> bool {
-        self.asked_for(now).is_none()
+        self.asked_for(now).is_none() && !self.rate.is_recent(now)
     }
 }
 
--- a/crates/decide/src/direct/fleet/notices.rs
+++ b/crates/decide/src/direct/fleet/notices.rs
@@ -5,7 +5,7 @@
 use pondwalk_types::ServerId;
 
 use super::{
-    Fleet, LimitWord, ServerFacts, Ticket,
+    Fleet, LimitWord, ServerFacts, ServerLimit, Ticket,
     notice::{AskedFor, LifeMark, Notice},
 };
 
@@ -33,7 +33,54 @@
     /// An answer spoke of its server's rate limit. Returns whether that has changed.
     pub fn told_limit(&mut self, ticket: &Ticket, word: LimitWord, now: Duration) -> bool {
         let sent = ticket.placed;
-        self.notice_of(ticket).is_some_and(|notice| notice.tells_limit(word, sent, now))
+        self.may_limit |= matches!(word, LimitWord::Named(_));
+        let notice = self.notice_of(ticket);
+        notice.is_some_and(|notice| notice.rate().hear(word, sent, now))
+    }
+
+    /// Whether any server may name a rate limit.
+    pub fn may_limit(&self) -> bool {
+        self.may_limit
+    }
+
+    /// What all entries are to be told of a server's rate limit now, if anything; they count as told then.
+    pub fn take_limit_news(
+        &mut self,
+        ticket: &Ticket,
+        now: Duration,
+    ) -> Option<(LifeMark, Option<ServerLimit>)> {
+        if !self.may_limit {
+            return None;
+        }
+        let rate = self.notice_of(ticket)?.rate();
+        rate.take_news(now).then(|| (ticket.mark.clone(), rate.limit()))
+    }
+
+    /// Another entry heard at `at` which rate limit a server names in that life, or that it names none. Returns
+    /// whether that changes what is known.
+    pub fn is_told_limit(
+        &mut self,
+        id: &str,
+        life: &LifeMark,
+        limit: Option<ServerLimit>,
+        at: Duration,
+    ) -> bool {
+        let server = self.servers.iter_mut().flatten().find(|server| server.facts.id == id);
+        let Some(server) = server.filter(|server| server.mark.is_same(life)) else { return false };
+        self.may_limit |= limit.is_some();
+        server.notice.rate().is_told(limit, at)
+    }
+
+    /// The rate limit of a server in that life by the latest word, and when that was said; `None` if nothing was.
+    pub fn limit_of(
+        &mut self,
+        id: &str,
+        life: &LifeMark,
+    ) -> Option<(Option<ServerLimit>, Duration)> {
+        let server = self.servers.iter_mut().flatten().find(|server| server.facts.id == id);
+        let server = server.filter(|server| server.mark.is_same(life))?;
+        let rate = server.notice.rate();
+        Some((rate.limit(), rate.said_at()?))
     }
 
     /// Servers that name a rate limit.
--- a/crates/decide/src/direct/fleet/places.rs
+++ b/crates/decide/src/direct/fleet/places.rs
@@ -2,10 +2,10 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use pondwalk_types::VersionId;
+use pondwalk_types::{ServerId, VersionId};
 use rand::{Rng, seq::IteratorRandom};
 
-use super::{Ask, Fleet, Ticket, server::Server};
+use super::{Ask, Fleet, LifeMark, ServerLimit, Ticket, permit, server::Server};
 use crate::direct::{
     sharers::Sharers,
     warm_up::{Coldness, Pacing},
@@ -34,6 +34,39 @@
     Cold,
     /// It asked for a pause, or takes few requests at once right after one.
     Backoff,
+    /// It names a rate limit, and there is no permit for it now.
+    Limited,
+}
+
+/// Whether a server that names a rate limit may be chosen without a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Permission {
+    /// Only with one at hand.
+    AtHand,
+    /// Also if one may be asked for.
+    Possible,
+}
+
+/// How sure it is that a request would be placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Certainty {
+    /// A server could take it now.
+    Sure,
+    /// One could if a permit for it is given.
+    IfPermitted,
+}
+
+/// A permit that is to be asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WantedPermit {
+    /// The server that it is for.
+    pub server: ServerId,
+    /// The life of the server that named the limit.
+    pub life: LifeMark,
+    /// The limit.
+    pub limit: ServerLimit,
+    /// When it was said.
+    pub said_at: Duration,
 }
 
 /// When a server may get one more request.
@@ -130,6 +163,10 @@
         if self.is_evacuated(&server.facts.data_centre) || server.notice.asked_for(now).is_some() {
             return false;
         }
+        let is_limited = server.notice.rate_limit().is_some();
+        if is_limited && !ticket.permit.is_some_and(|given| permit::holds(given, now)) {
+            return false;
+        }
         if self.pacing.is_none() || now <= ticket.placed {
             return true;
         }
@@ -169,10 +206,63 @@
     pub fn has_other(&self, ask: &Ask<'_>, server: &str, now: Duration) -> bool {
         let mut open = self.open(ask.versions, now);
         open.any(|other| {
-            other.facts.id != server && ask.allows(&other.facts) && self.has_room(other, now)
+            other.facts.id != server
+                && ask.allows(&other.facts)
+                && self.has_room(other, Permission::AtHand, now)
         })
     }
 
+    /// Whether any server would take a request now, and how surely; `None` if none would.
+    pub fn certainty(&self, ask: &Ask<'_>, now: Duration) -> Option<Certainty> {
+        let could_take = |permission| {
+            let mut open = self.open(ask.versions, now);
+            open.any(|server| ask.allows(&server.facts) && self.has_room(server, permission, now))
+        };
+        if could_take(Permission::AtHand) {
+            return Some(Certainty::Sure);
+        }
+        could_take(Permission::Possible).then_some(Certainty::IfPermitted)
+    }
+
+    /// The permit that a request is to ask for: the server that it would go to names a rate limit, and none is at
+    /// hand.
+    pub fn want_permit(
+        &mut self,
+        ask: &Ask<'_>,
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Option<WantedPermit> {
+        if !self.may_limit {
+            return None;
+        }
+        self.may_limit = self.count_limited() > 0;
+        let scatter = || rng.random_range(0.0..1.0);
+        let best = self.best(ask, now, Permission::Possible, scatter)?;
+        let server = self.servers[best.index].as_mut()?;
+        let limit = server.notice.rate_limit()?;
+        if server.permits.is_at_hand(now) {
+            return None;
+        }
+        server.permits.is_asked_for(now);
+        let said_at = server.notice.rate().said_at().unwrap_or(now);
+        Some(WantedPermit {
+            server: server.facts.id.clone(),
+            life: server.mark.clone(),
+            limit,
+            said_at,
+        })
+    }
+
+    /// A permit for a server was given, or refused until some time.
+    pub fn take_permit(&mut self, id: &str, permit: Result<(), Duration>, now: Duration) {
+        let server = self.servers.iter_mut().flatten().find(|server| server.facts.id == id);
+        let Some(server) = server else { return };
+        match permit {
+            Ok(()) => server.permits.is_given(now),
+            Err(until) => server.permits.is_refused(until),
+        }
+    }
+
     /// Versions all of whose servers, those that leave aside, have turned everything away for at least `time`.
     pub fn versions_turning_away(&self, time: Duration, now: Duration) -> BTreeSet<VersionId> {
         let takes = |server: &&Server| {
@@ -210,10 +300,12 @@
     }
 
     /// Whether a server may get one more request now, by what it bears.
-    pub(super) fn has_room(&self, server: &Server, now: Duration) -> bool {
+    pub(super) fn has_room(&self, server: &Server, permission: Permission, now: Duration) -> bool {
         let notice = &server.notice;
         let pauses = notice.backs_off_until(now).is_some() || !notice.has_room(server.waiting);
-        !pauses && (!self.is_cold(server, now) || self.warms_to(server, now) <= now)
+        !pauses
+            && is_permitted(server, permission, now)
+            && (!self.is_cold(server, now) || self.warms_to(server, now) <= now)
     }
 
     /// When a server may get one more request of this entry, if not now.
@@ -227,7 +319,10 @@
             until => until,
         };
         let pause = pause.and_then(|at| shut_until(at, Shut::Backoff));
-        cold.into_iter().chain(pause).max_by_key(|opening| opening.at)
+        let needs_permit = !is_permitted(server, Permission::AtHand, now);
+        let permit = needs_permit.then(|| server.permits.opens_at(now));
+        let permit = permit.and_then(|at| shut_until(at, Shut::Limited));
+        cold.into_iter().chain(pause).chain(permit).max_by_key(|opening| opening.at)
     }
 
     /// When a cold server may get one more request of this entry.
@@ -246,6 +341,13 @@
     }
 }
 
+/// Whether the rate limit of a server lets it be chosen.
+fn is_permitted(server: &Server, permission: Permission, now: Duration) -> bool {
+    server.notice.rate_limit().is_none()
+        || server.permits.is_at_hand(now)
+        || permission == Permission::Possible && server.permits.may_be_asked_for(now)
+}
+
 /// A server was not reached at `at`. By the time it has told of a new start, it is warm or says that it
 /// is not.
 fn doubt_unreached(server: &mut Server, pacing: Pacing, at: Duration) -> bool {
--- a/crates/decide/src/direct/fleet/server.rs
+++ b/crates/decide/src/direct/fleet/server.rs
@@ -8,6 +8,7 @@
     ask::{Ask, PromptPart, Ticket},
     load::{OthersLoad, ServerLoad},
     notice::{LifeMark, Notice},
+    permit::Permits,
 };
 use crate::direct::{hash::hash_text, warm_up::Warmth};
 
@@ -83,6 +84,8 @@
     pub mark: LifeMark,
     /// What it has asked of this entry.
     pub notice: Notice,
+    /// Permits for it, where it names a rate limit.
+    pub permits: Permits,
     /// Another one was seen at its address, whatever the store says.
     replaced: bool,
     /// Until when it gets work though the store no longer lists it.
@@ -118,6 +121,7 @@
             life,
             warmth,
             notice: Notice::default(),
+            permits: Permits::default(),
             replaced: false,
             lapses_at: None,
             waiting_ms: 0.0,
--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -271,9 +271,10 @@
     texts.chain(numbers.iter().copied()).fold(0, step)
 }
 
-/// The entries of these names in the order in which they may grant a content's probes.
-pub fn granting_order(content: Content, names: &mut [String]) {
-    let low = content as u64;
+/// The entries of these names in the order in which they may grant what is asked for by a key: the probes of a
+/// content, or the permits of a server by the hash of its identity.
+pub fn granting_order(key: u128, names: &mut [String]) {
+    let low = key as u64;
     names.sort_by_cached_key(|name| {
         (std::cmp::Reverse(mix(low ^ mix(hash_text(name)))), name.clone())
     });
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -9,15 +9,18 @@
     header::{ACCEPT_ENCODING, CONTENT_ENCODING, HOST, HeaderName, HeaderValue},
 };
 use pondwalk_decide::direct::{
-    Grant, ModelNumber, RESUMED, ServerLoad, Standing, longest_wait, rank_of,
+    Certainty, Grant, ModelNumber, RESUMED, ServerLoad, Shut, Standing, longest_wait, rank_of,
 };
 use pondwalk_types::{ServerId, VersionId};
-use tokio::time::{sleep, sleep_until};
+use tokio::{
+    task::spawn_local,
+    time::{sleep, sleep_until, timeout},
+};
 
 use crate::{
     core::Core,
     metrics::Counter,
-    placement::{NoPlace, Placement},
+    placement::{NextSend, NoPlace, Placement},
     quarantine::ProbeLease,
     request::{Job, key_still_holds},
     upstream::{self, Exchange, SendError},
@@ -28,6 +31,11 @@
 /// Shortest pause of a request that waits for room at a cold server.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
 
+/// Permits that a request asks for in a row before it looks where it may go.
+const MOST_PERMITS_ASKED: usize = 4;
+/// Time for which a request waits for a permit before it looks for another server.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(20);
+
 /// Time between two looks at what has come of a probe.
 const PROBE_LOOK: Duration = Duration::from_millis(25);
 /// Pause for callers of a request while another one of its content runs as a probe: most runs have come
@@ -73,6 +81,8 @@
     pub may_have_run: bool,
     /// Whether it counts in its workspace's usage: some server has begun to run it.
     pub is_counted: bool,
+    /// Place of the next send, where one was taken ahead.
+    reserved: Option<Placement>,
     /// Leave by which it runs as a probe, as long as no server has ended under it.
     pub probe: Option<Rc<ProbeLease>>,
     _under_way: UnderWay,
@@ -93,6 +103,7 @@
             failed_version: None,
             may_have_run: false,
             is_counted: false,
+            reserved: None,
             probe: None,
             _under_way: under_way,
         }
@@ -110,6 +121,7 @@
             failed_version: self.failed_version.clone(),
             may_have_run: true,
             is_counted: self.is_counted,
+            reserved: None,
             probe: self.probe.clone(),
             _under_way: UnderWay::enter(&self.core),
         }
@@ -173,27 +185,53 @@
         self.probe.is_some() || self.core.standing(&self.job) == Standing::Free
     }
 
-    /// A place for the next send.
-    fn find_place(&self) -> Result<Placement, NoPlace> {
+    /// What the next send asks for.
+    fn next_send(&self) -> NextSend<'_> {
         let failed = self.failed_version.as_deref();
-        Placement::find(&self.core, &self.job, self.model, &self.avoid, failed)
+        NextSend { model: self.model, avoid: &self.avoid, failed }
     }
 
-    /// Whether the request could be sent with a model now, and if not, why.
-    pub fn outlook(&self, model: ModelNumber) -> Result<(), NoPlace> {
-        let failed = self.failed_version.as_deref();
-        Placement::outlook(&self.core, &self.job, model, &self.avoid, failed)
+    /// How surely the request could be sent with a model now, and if it could not, why.
+    pub fn outlook(&self, model: ModelNumber) -> Result<Certainty, NoPlace> {
+        Placement::outlook(&self.core, &self.job, NextSend { model, ..self.next_send() })
     }
 
     /// Whether it could be sent once more to a server other than this one, now or after a short wait.
-    pub fn could_go_on(&self, besides: &Placement) -> bool {
+    pub fn could_go_on(&self, besides: &Placement) -> Result<Certainty, NoPlace> {
         let mut avoid = self.avoid.clone();
         avoid.push(besides.server().clone());
         let failed = Some(besides.version.as_str());
-        match Placement::outlook(&self.core, &self.job, self.model, &avoid, failed) {
-            Ok(()) => true,
-            Err(NoPlace::Shut(opening)) => opening.at < self.wait_until(),
-            Err(_) => false,
+        let next = NextSend { model: self.model, avoid: &avoid, failed };
+        match Placement::outlook(&self.core, &self.job, next) {
+            Err(NoPlace::Shut(opening)) if opening.at < self.wait_until() => match opening.shut {
+                Shut::Limited => Ok(Certainty::IfPermitted),
+                Shut::Cold | Shut::Backoff => Ok(Certainty::Sure),
+            },
+            outlook => outlook,
+        }
+    }
+
+    /// Takes the place of the next send already, where it hangs on a permit. Returns whether the send is sure of a
+    /// place, so that an answer at hand may be dropped for it.
+    pub async fn secure(&mut self, certainty: Certainty) -> bool {
+        if certainty == Certainty::IfPermitted {
+            self.reserved = self.wait_for_place().await.ok();
+            return self.reserved.is_some();
+        }
+        true
+    }
+
+    /// Asks for the permits that stand between the request and the servers it would go to, a few at most.
+    ///
+    /// NB: a permit that comes late serves the next request; this one goes elsewhere meanwhile.
+    async fn ask_for_permits(&self) {
+        for _ in 0..MOST_PERMITS_ASKED {
+            let wanted = Placement::wanted_permit(&self.core, &self.job, self.next_send());
+            let Some(wanted) = wanted else { return };
+            let core = Rc::clone(&self.core);
+            let asking = spawn_local(core.ask_for_permit(self.job.service.name.clone(), wanted));
+            // NB: what came of it stands in the fleet.
+            let _ = timeout(PERMIT_PATIENCE, asking).await;
         }
     }
 
@@ -203,13 +241,17 @@
         (self.core.clock.now() + longest).min(self.job.give_up)
     }
 
-    /// A place for the next send, waited for if the servers that could take it are merely cold or pause. There
+    /// A place for the next send, waited for if the servers that could take it are merely shut for now. There
     /// may be room again within a fraction of a second, and a refusal costs its caller a new attempt.
-    pub async fn wait_for_place(&self) -> Result<Placement, NoPlace> {
+    pub async fn wait_for_place(&mut self) -> Result<Placement, NoPlace> {
+        if let Some(reserved) = self.reserved.take() {
+            return Ok(reserved);
+        }
         let until = self.wait_until();
         let mut has_waited = false;
         loop {
-            let opens_at = match self.find_place() {
+            self.ask_for_permits().await;
+            let opens_at = match Placement::find(&self.core, &self.job, self.next_send()) {
                 Err(NoPlace::Shut(opening)) if opening.at < until => opening.at,
                 found => return found,
             };
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -21,7 +21,7 @@
     foresight,
     journal::Rank,
     metrics::{Counter, Timer},
-    placement::{NoPlace, Placement},
+    placement::{NextSend, NoPlace, Placement},
     request::{Refusal, strip_connection_headers},
     upstream::{Exchange, SendError},
 };
@@ -107,10 +107,11 @@
 
     /// Why a request is refused that servers have turned away: what holds for its next try counts.
     fn turned_away(&self) -> Refusal {
-        match Placement::outlook(&self.core, &self.job, self.model, &[], None) {
+        let next = NextSend { model: self.model, avoid: &[], failed: None };
+        match Placement::outlook(&self.core, &self.job, next) {
             Err(NoPlace::Shut(opening)) => self.shut(opening),
             Err(NoPlace::Leaving) => Refusal::AllLeaving,
-            Ok(()) | Err(NoPlace::Closed) => Refusal::TurnedAway,
+            Ok(_) | Err(NoPlace::Closed) => Refusal::TurnedAway,
         }
     }
 
@@ -119,6 +120,7 @@
         match shut {
             Shut::Cold => Refusal::AllCold { opens_in },
             Shut::Backoff => Refusal::AllBackingOff { opens_in: self.spread(opens_in) },
+            Shut::Limited => Refusal::AllLimited { opens_in: self.spread(opens_in) },
         }
     }
 
@@ -233,15 +235,13 @@
         }
         let is_tried_again = failed && self.job.route.kind.may_repeat();
         // NB: a server's failure is still an answer; with nowhere else to go the caller gets it.
-        if is_tried_again && self.could_go_on(&placement) && self.take_further_send(0.0) {
+        if is_tried_again && self.goes_on_after(&placement).await {
             self.may_have_run = true;
             placement.settle();
             self.note_failed(&placement, "failed", status.to_string());
-            self.failed_version = Some(placement.version.clone());
-            self.avoid.push(placement.server().clone());
             return Verdict::Next;
         }
-        if status.is_success() && self.should_escalate(&exchange.response, &placement) {
+        if status.is_success() && self.should_escalate(&exchange.response, &placement).await {
             return Verdict::Next;
         }
         if status.is_success() && self.job.route.kind.is_stream() {
@@ -250,6 +250,22 @@
         self.pass_whole(exchange, placement).await
     }
 
+    /// Whether a request that a server has failed goes on at another one, which is then sure to take it.
+    async fn goes_on_after(&mut self, placement: &Placement) -> bool {
+        let Ok(certainty) = self.could_go_on(placement) else { return false };
+        if !self.take_further_send(0.0) {
+            return false;
+        }
+        let failed = self.failed_version.replace(placement.version.clone());
+        self.avoid.push(placement.server().clone());
+        if self.secure(certainty).await {
+            return true;
+        }
+        self.avoid.pop();
+        self.failed_version = failed;
+        false
+    }
+
     fn after_not_run(
         &mut self,
         status: StatusCode,
@@ -277,28 +293,37 @@
     }
 
     /// Drops a smaller model's answer if it is not confident and a larger model may be asked.
-    fn should_escalate(&mut self, response: &Response<Incoming>, placement: &Placement) -> bool {
+    async fn should_escalate(
+        &mut self,
+        response: &Response<Incoming>,
+        placement: &Placement,
+    ) -> bool {
         if !self.job.chooses_model {
             return false;
         }
         let Some(confidence) = self.confidence(response.headers()) else { return false };
         let Some(next) = self.next_model(confidence, placement) else { return false };
-        if self.outlook(next).is_err() || !self.take_further_send(RETRY_RESERVE) {
+        let Ok(certainty) = self.outlook(next) else { return false };
+        if !self.take_further_send(RETRY_RESERVE) {
+            return false;
+        }
+        let dropped = std::mem::replace(&mut self.model, next);
+        if !self.secure(certainty).await {
+            self.model = dropped;
             return false;
         }
         self.may_have_run = true;
-        self.dropped.push((self.model, confidence));
+        self.dropped.push((dropped, confidence));
         self.core.metrics.count(Counter::Escalations);
         let event = RequestEvent::Escalated {
             request: &self.job.id,
             server: placement.server(),
-            from_model: self.model,
+            from_model: dropped,
             to_model: next,
             confidence: Some(confidence),
             after_ms: self.after_ms(),
         };
         self.core.journal.note(Rank::Success, &event);
-        self.model = next;
         true
     }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod membership;
 mod metrics;
 mod notice;
+mod permits;
 mod placement;
 mod quarantine;
 mod request;
--- a/crates/direct/src/membership.rs
+++ b/crates/direct/src/membership.rs
@@ -43,5 +43,7 @@
 const STATE_PATH: &str = "/state";
 /// Where an entry is asked for leave to run a request under which servers have ended.
 pub const PROBE_PATH: &str = "/probe";
+/// Where an entry is asked for a permit to send to a backend server that names a rate limit.
+pub const PERMIT_PATH: &str = "/permit";
 /// Where an entry is told news.
 const NEWS_PATH: &str = "/news";
--- a/crates/direct/src/membership/message.rs
+++ b/crates/direct/src/membership/message.rs
@@ -18,7 +18,7 @@
 use super::Item;
 
 /// Number of this form of the messages; an entry of another one is not listened to.
-pub const FORMAT: u16 = 5;
+pub const FORMAT: u16 = 6;
 /// Bytes of a message that are read at most. The store holds some hundred keys and one large
 /// configuration, which pack to a tenth of this.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
--- a/crates/direct/src/membership/news.rs
+++ b/crates/direct/src/membership/news.rs
@@ -9,7 +9,9 @@
     time::Duration,
 };
 
-use pondwalk_decide::direct::{Content, Seen, ServerEnd, SessionKey, Stage, UsageCounts, WindowId};
+use pondwalk_decide::direct::{
+    Content, LifeMark, Seen, ServerEnd, ServerLimit, SessionKey, Stage, UsageCounts, WindowId,
+};
 use pondwalk_types::ServerId;
 use serde::{Deserialize, Serialize};
 
@@ -70,6 +72,17 @@
         /// The server.
         server: ServerId,
     },
+    /// A backend server names a rate limit, or none any more.
+    Limited {
+        /// Service of the server.
+        fleet: String,
+        /// The server.
+        server: ServerId,
+        /// The life in which it said so.
+        life: LifeMark,
+        /// The limit.
+        limit: Option<ServerLimit>,
+    },
     /// Servers ended under requests of these contents; each with the time since, when this was told.
     Ended {
         /// The ends.
--- a/crates/direct/src/membership/roster.rs
+++ b/crates/direct/src/membership/roster.rs
@@ -8,7 +8,7 @@
 };
 
 use pondwalk_config::DirectSettings;
-use pondwalk_decide::direct::{Content, granting_order, session_key};
+use pondwalk_decide::direct::{granting_order, session_key};
 
 use super::{
     LEAST_INFORMED,
@@ -179,17 +179,17 @@
         others.map(|(_, one)| one.listing.address).collect()
     }
 
-    /// Entries in the order in which they may grant a content's probes, each with where it is asked;
+    /// Entries in the order in which they may grant what is asked for by a key, each with where it is asked;
     /// this entry, which is not asked, has none.
     ///
     /// NB: those that are passed over keep their places, so that an entry knows whether it is first
     /// whoever can be reached.
-    pub fn granting_order(&self, content: Content) -> Vec<(String, Option<SocketAddr>)> {
+    pub fn granting_order(&self, key: u128) -> Vec<(String, Option<SocketAddr>)> {
         let mut names = self.names();
         if names.is_empty() {
             names.push(self.own.2.clone());
         }
-        granting_order(content, &mut names);
+        granting_order(key, &mut names);
         let address = |name: &String| self.listing_of(name).map(|listing| listing.address);
         let asked = |name: String| match name == self.own.2 {
             true => Some((name, None)),
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -15,8 +15,8 @@
 };
 
 use super::{
-    FORMAT, Item, MessageError, NEWS_PATH, Need, PROBE_PATH, STATE_PATH, State, StateHead,
-    message::from_message,
+    FORMAT, Item, MessageError, NEWS_PATH, Need, PERMIT_PATH, PROBE_PATH, STATE_PATH, State,
+    StateHead, message::from_message,
 };
 use crate::{core::Core, journal::Rank, metrics::Counter};
 
@@ -87,7 +87,11 @@
             let response = match request.uri().path() {
                 STATE_PATH => tell_state(&core, &request).await,
                 NEWS_PATH => hear_news(&core, request).await,
-                PROBE_PATH => answer_probe(&core, request).await,
+                PROBE_PATH => {
+                    answer_question(&core, request, async |core, body| core.answer_probe(body))
+                        .await
+                }
+                PERMIT_PATH => answer_question(&core, request, Core::answer_permit).await,
                 _ => with_status(StatusCode::NOT_FOUND, Bytes::new()),
             };
             Ok::<_, Infallible>(response)
@@ -116,11 +120,15 @@
     }
 }
 
-/// Answers whether a request under which servers have ended may run once more.
-async fn answer_probe(core: &Core, request: Request<Incoming>) -> Response<Full<Bytes>> {
+/// Answers a question that comes as a message, as `answer` does.
+async fn answer_question(
+    core: &Core,
+    request: Request<Incoming>,
+    answer: impl AsyncFnOnce(&Core, &[u8]) -> Result<Bytes, MessageError>,
+) -> Response<Full<Bytes>> {
     let body = Limited::new(request.into_body(), MAX_NEWS_BYTES).collect().await;
     let answer = match body {
-        Ok(body) => core.answer_probe(&body.to_bytes()),
+        Ok(body) => answer(core, &body.to_bytes()).await,
         Err(_) => Err(MessageError::Unreadable),
     };
     match answer {
--- a/crates/direct/src/membership/spread.rs
+++ b/crates/direct/src/membership/spread.rs
@@ -111,6 +111,7 @@
             News::Kept { .. }
             | News::Seen { .. }
             | News::Unreached { .. }
+            | News::Limited { .. }
             | News::Ended { .. }
             | News::Cleared { .. }
             | News::Used { .. }
@@ -127,6 +128,7 @@
                 return self.hear_used(item, *window, counts, *unix_ms);
             }
             News::Unreached { fleet, server } => return self.hear_unreached(fleet, server, item),
+            News::Limited { .. } => return self.hear_limit(item),
             News::Ended { ends } => return self.hear_ends(ends, item.age),
             News::Cleared { content } => {
                 return self.hear_cleared(*content, &item.origin, item.age);
@@ -148,6 +150,7 @@
             News::Stage { stage, .. } => roll_out.learn_stage((*stage).into(), self.clock.now()),
             News::Bad { .. } => roll_out.learn_bad(),
             News::Unreached { .. }
+            | News::Limited { .. }
             | News::Ended { .. }
             | News::Cleared { .. }
             | News::Used { .. }
@@ -179,6 +182,7 @@
             | News::Stage { service, .. }
             | News::Bad { service, .. } => Some(service),
             News::Unreached { .. }
+            | News::Limited { .. }
             | News::Ended { .. }
             | News::Cleared { .. }
             | News::Used { .. }
@@ -194,6 +198,7 @@
             | News::Stage { target, .. }
             | News::Bad { target, .. } => Some(target),
             News::Unreached { .. }
+            | News::Limited { .. }
             | News::Ended { .. }
             | News::Cleared { .. }
             | News::Used { .. }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -36,6 +36,10 @@
     AskedBackoff,
     /// Changes of rate limits that backend servers name.
     LimitsChanged,
+    /// Permits that were given to this entry for servers that name a rate limit.
+    PermitsGiven,
+    /// Permits that it asked for in vain.
+    PermitsRefused,
     /// Requests held back until a server that was cold or paused could take one more.
     HeldForRoom,
     /// Requests that did not leave, since their server's data centre was evacuated or it turned cold.
@@ -82,6 +86,8 @@
             Counter::ToldLeaving => "told_leaving_total",
             Counter::AskedBackoff => "asked_backoff_total",
             Counter::LimitsChanged => "server_limits_changed_total",
+            Counter::PermitsGiven => "permits_given_total",
+            Counter::PermitsRefused => "permits_refused_total",
             Counter::HeldForRoom => "held_for_room_total",
             Counter::Withheld => "withheld_total",
             Counter::ServersDoubted => "servers_doubted_total",
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -6,11 +6,11 @@
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use pondwalk_decide::direct::{
-    Ask, Evidence, Fleet, LimitWord, ModelNumber, Opening, ServerLoad, ServiceModel, Ticket,
-    Unreached, VersionRule,
+    Ask, Certainty, Evidence, Fleet, LimitWord, ModelNumber, Opening, ServerLoad, ServiceModel,
+    SessionKey, Ticket, Unreached, VersionRule, WantedPermit,
 };
 use pondwalk_types::{ModelId, ServerId, VersionId};
-use rand::Rng;
+use rand::{Rng, rngs::SmallRng};
 
 use crate::{
     catalog::ServiceId,
@@ -29,10 +29,21 @@
     Closed,
     /// All that could take it leave.
     Leaving,
-    /// Those that do are cold and have taken what they may for now, or asked for a pause.
+    /// Those that do are cold or name a rate limit and have taken what they may for now, or asked for a pause.
     Shut(Opening),
 }
 
+/// What the next send of a request asks for.
+#[derive(Debug, Clone, Copy)]
+pub struct NextSend<'a> {
+    /// Its model, among those of the route.
+    pub model: ModelNumber,
+    /// Servers that are not asked again.
+    pub avoid: &'a [ServerId],
+    /// The version whose server failed the request before.
+    pub failed: Option<&'a str>,
+}
+
 /// A place at one backend server.
 pub struct Placement {
     core: Rc<Core>,
@@ -58,41 +69,29 @@
 }
 
 impl Placement {
-    /// Finds a place for a job, if any server may take it now; `failed` is the version whose server
-    /// failed it before.
-    pub fn find(
-        core: &Rc<Core>,
-        job: &Rc<Job>,
-        number: ModelNumber,
-        avoid: &[ServerId],
-        failed: Option<&str>,
-    ) -> Result<Self, NoPlace> {
+    /// Finds a place for a job, if any server may take it now.
+    pub fn find(core: &Rc<Core>, job: &Rc<Job>, next: NextSend<'_>) -> Result<Self, NoPlace> {
         let now = core.clock.now();
         let mut state = core.state.borrow_mut();
-        let State { fleets, roll_outs, sessions, engines, rng, .. } = &mut *state;
-        let engine = engine_of(engines, job);
-        let fleet = fleets.get_mut(&job.service.name).ok_or(NoPlace::Closed)?;
-        let session = job.session.unwrap_or_else(|| rng.random());
-        let pinned = job.session.and_then(|session| sessions.version(session, now));
-        let roll_out = roll_outs.get(&job.service.name);
-        let rule = roll_out.map_or(VersionRule::Any, |one| one.rule(session, pinned, failed, now));
-        let model =
-            if job.chooses_model { job.route.models.get(usize::from(number)) } else { None };
-        let model = model.cloned();
-        let ask = ask_for(engine, job, number, avoid, rule);
-        let target = roll_out.map(|one| one.target().as_str());
-        let place = |fleet: &mut Fleet, ask: &Ask<'_>| fleet.place(ask, now, rng);
-        let ticket = by_rule(fleet, &ask, target, now, place)?;
-        let facts = fleet.facts(&ticket.server).ok_or(NoPlace::Closed)?;
-        let (address, version) = (facts.address, facts.version.clone());
-        let has_alternative = fleet.has_other(&ask, &ticket.server, now);
+        let session = job.session.unwrap_or_else(|| state.rng.random());
+        let found = find_by_rule(&mut state, job, next, Some(session), now, |fleet, ask, rng| {
+            let ticket = fleet.place(ask, now, rng)?;
+            let facts = fleet.facts(&ticket.server)?;
+            let (address, version) = (facts.address, facts.version.clone());
+            let has_alternative = fleet.has_other(ask, &ticket.server, now);
+            Some((ticket, address, version, has_alternative))
+        });
+        let (ticket, address, version, has_alternative) = found?;
         if let Some(session) = job.session {
-            sessions.note(session, &version, now);
+            state.sessions.note(session, &version, now);
         }
+        drop(state);
+        let model = job.route.models.get(usize::from(next.model)).filter(|_| job.chooses_model);
+        let model = model.cloned();
         let (core, job) = (Rc::clone(core), Rc::clone(job));
         Ok(Placement {
             core,
-            number: job.service_model(number),
+            number: job.service_model(next.model),
             job,
             ticket,
             sent: now,
@@ -106,30 +105,28 @@
         })
     }
 
-    /// Whether a request could be sent with a model now, and if not, why.
+    /// How surely a request could be sent now, and if it could not, why.
     ///
     /// NB: it is asked before an answer that was made is dropped for another one.
-    pub fn outlook(
-        core: &Core,
-        job: &Job,
-        number: ModelNumber,
-        avoid: &[ServerId],
-        failed: Option<&str>,
-    ) -> Result<(), NoPlace> {
+    pub fn outlook(core: &Core, job: &Job, next: NextSend<'_>) -> Result<Certainty, NoPlace> {
+        let now = core.clock.now();
+        let mut state = core.state.borrow_mut();
+        let certainty =
+            |fleet: &mut Fleet, ask: &Ask<'_>, _: &mut SmallRng| fleet.certainty(ask, now);
+        find_by_rule(&mut state, job, next, job.session, now, certainty)
+    }
+
+    /// The permit that a request needs first where it would go to a server that names a rate limit.
+    pub fn wanted_permit(core: &Core, job: &Job, next: NextSend<'_>) -> Option<WantedPermit> {
         let now = core.clock.now();
         let mut state = core.state.borrow_mut();
-        let State { fleets, roll_outs, sessions, engines, .. } = &mut *state;
-        let fleet = fleets.get_mut(&job.service.name).ok_or(NoPlace::Closed)?;
-        let roll_out = roll_outs.get(&job.service.name);
-        let rule = match (roll_out, job.session) {
-            (Some(roll_out), Some(session)) => {
-                roll_out.rule(session, sessions.version(session, now), failed, now)
-            }
-            _ => VersionRule::Any,
-        };
-        let ask = ask_for(engine_of(engines, job), job, number, avoid, rule);
-        let target = roll_out.map(|one| one.target().as_str());
-        by_rule(fleet, &ask, target, now, |fleet, ask| fleet.forecast(ask, now)).map(|_| ())
+        if !state.fleets.get(&job.service.name)?.may_limit() {
+            return None;
+        }
+        let session = job.session.unwrap_or_else(|| state.rng.random());
+        let wanted =
+            |fleet: &mut Fleet, ask: &Ask<'_>, rng: &mut SmallRng| fleet.want_permit(ask, now, rng);
+        find_by_rule(&mut state, job, next, Some(session), now, wanted).ok()
     }
 
     /// The request runs there as a probe.
@@ -297,8 +294,15 @@
     pub fn told_limit(&self, word: LimitWord) -> bool {
         let now = self.core.clock.now();
         let mut state = self.core.state.borrow_mut();
-        let fleet = state.fleets.get_mut(&self.job.service.name);
-        fleet.is_some_and(|fleet| fleet.told_limit(&self.ticket, word, now))
+        let Some(fleet) = state.fleets.get_mut(&self.job.service.name) else { return false };
+        let changes = fleet.told_limit(&self.ticket, word, now);
+        let news = fleet.take_limit_news(&self.ticket, now);
+        drop(state);
+        if let Some((life, limit)) = news {
+            let (fleet, server) = (self.job.service.name.to_string(), self.ticket.server.clone());
+            self.core.tell_news(News::Limited { fleet, server, life, limit });
+        }
+        changes
     }
 
     /// The server asked in an answer to be sent nothing for a while. Returns how long it gets nothing.
@@ -338,6 +342,28 @@
     }
 }
 
+/// Finds something for a send by the rule of its session's version; a request without a session may go to any.
+fn find_by_rule<T>(
+    state: &mut State,
+    job: &Job,
+    next: NextSend<'_>,
+    session: Option<SessionKey>,
+    now: Duration,
+    mut find: impl FnMut(&mut Fleet, &Ask<'_>, &mut SmallRng) -> Option<T>,
+) -> Result<T, NoPlace> {
+    let State { fleets, roll_outs, sessions, engines, rng, .. } = state;
+    let fleet = fleets.get_mut(&job.service.name).ok_or(NoPlace::Closed)?;
+    let pinned = job.session.and_then(|session| sessions.version(session, now));
+    let roll_out = roll_outs.get(&job.service.name);
+    let rule = match (roll_out, session) {
+        (Some(roll_out), Some(session)) => roll_out.rule(session, pinned, next.failed, now),
+        _ => VersionRule::Any,
+    };
+    let ask = ask_for(engine_of(engines, job), job, next.model, next.avoid, rule);
+    let target = roll_out.map(|one| one.target().as_str());
+    by_rule(fleet, &ask, target, now, |fleet, ask| find(fleet, ask, rng))
+}
+
 /// Finds something by the rule; where a version has no server open, at any other than the one on trial.
 ///
 /// NB: not where its servers are merely cold or pause. A session that went to another version for a moment
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -64,6 +64,12 @@
         /// Time until one may be asked again.
         opens_in: Duration,
     },
+    /// The backend servers that could take it name rate limits, which other requests have used up.
+    #[error("all backend servers take no more requests for now")]
+    AllLimited {
+        /// Time until one may take another.
+        opens_in: Duration,
+    },
     /// Backend servers have ended under requests of this content, and it may not run for now.
     #[error("backend servers have ended under this very request; it is not worth repeating")]
     EndsServers {
@@ -106,6 +112,7 @@
             | Refusal::AllCold { .. }
             | Refusal::AllLeaving
             | Refusal::AllBackingOff { .. }
+            | Refusal::AllLimited { .. }
             | Refusal::TurnedAway
             | Refusal::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -127,6 +134,7 @@
             Refusal::AllCold { .. } => "all_cold",
             Refusal::AllLeaving => "all_leaving",
             Refusal::AllBackingOff { .. } => "all_backing_off",
+            Refusal::AllLimited { .. } => "all_limited",
             Refusal::EndsServers { .. } => "ends_servers",
             Refusal::EndedServers => "ended_servers",
             Refusal::TurnedAway => "turned_away",
@@ -163,7 +171,9 @@
             (Refusal::AllLeaving, Some(outage)) => {
                 Some(outage.clamp(PAUSE_FOR_REPLACEMENT, START_PAUSES.1))
             }
-            (Refusal::AllBackingOff { opens_in }, _) => Some(opens_in.max(SHORTEST_BACKOFF)),
+            (Refusal::AllBackingOff { opens_in } | Refusal::AllLimited { opens_in }, _) => {
+                Some(opens_in.max(SHORTEST_BACKOFF))
+            }
             (Refusal::EndsServers { opens_in }, _) => Some(opens_in.max(SHORTEST_HOLD)),
             (Refusal::NoServer | Refusal::NoServerAtHome | Refusal::TurnedAway, _) => {
                 Some(Duration::from_millis(200))
@@ -187,7 +197,7 @@
 /// Pause for callers while all servers leave: a server tells of itself each second or so, and word of it takes
 /// about as long.
 const PAUSE_FOR_REPLACEMENT: Duration = Duration::from_secs(1);
-/// Shortest pause for callers while all servers pause.
+/// Shortest pause for callers while all servers pause, or have got what they take.
 const SHORTEST_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Shortest pause for callers of a request that is held: a run of it may be under way.
--- a/crates/direct/tests/servers_that_limit_widely.rs
+++ b/crates/direct/tests/servers_that_limit_widely.rs
@@ -51,6 +51,21 @@
     keeps_to_limit(103);
 }
 
+#[test]
+fn what_a_server_takes_is_used_and_no_more_by_357_entries_with_a_request_each_nine_seconds() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, (1, "s", made()), 357).await;
+        name_limit(&world, 1, "1.7");
+        let world = Rc::new(world);
+        let named = Instant::now();
+        answers(load_evenly(&world, &entries, load(20)).await).await;
+        check(&world, 1, 1.7, named);
+        let count = count_from(&world, 1, named + Duration::from_secs(2));
+        assert!(count >= 24, "{count} of the 30 that it takes in 18 s");
+    });
+}
+
 #[test]
 fn what_a_server_takes_is_used_by_one_entry_of_24() {
     play(|world| async move {
