Requests beyond the permits that may still come are refused without a wait; an answer at hand waits for no permit

What callers got: where all servers of a service name limits, each request waited a quarter of its objective for a permit, whether one could come or not (a test: 0 of 20 refused at once where two servers take one a second each; at least 16 now). Callers who know at once come back sooner, to entries or moments with room. Cause: each request looked at the next opening alone, not at those that wait for it already. No more wait now than permits may come in that time. With it: an answer at hand is passed on at once where no permit is; an answer that is not the server's own lifts no limit; raised limits are told every five seconds at most; an entry that answers is not passed over while it is asked.

--- a/crates/decide/src/direct/fleet/limit.rs
+++ b/crates/decide/src/direct/fleet/limit.rs
@@ -12,8 +12,10 @@
 const MEMORY: Duration = Duration::from_secs(60);
 /// Least time between two tellings of one server's limit; a server may name another in each answer.
 const TELL_AGAIN: Duration = Duration::from_secs(1);
+/// The same for a limit that was raised, which does no harm to whoever hears of it late.
+const TELL_RAISED_AGAIN: Duration = Duration::from_secs(5);
 /// Part by which a limit must change to be told to entries that know of it. They hear the rest in answers.
-const TOLD_PART: f64 = 0.1;
+const TOLD_PART: f64 = 0.25;
 
 /// A rate limit of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -116,7 +118,9 @@
     pub fn take_news(&mut self, now: Duration) -> bool {
         let is_news = match self.told {
             None => self.limit.is_some(),
-            Some((told, at)) => now >= at + TELL_AGAIN && differ(told, self.limit),
+            Some((told, at)) => {
+                differ(told, self.limit) && now >= at + tell_again(told, self.limit)
+            }
         };
         if is_news {
             self.told = Some((self.limit, now));
@@ -125,6 +129,11 @@
     }
 }
 
+fn tell_again(told: Option<ServerLimit>, limit: Option<ServerLimit>) -> Duration {
+    let is_raised = told.zip(limit).is_some_and(|(told, limit)| limit > told);
+    if is_raised { TELL_RAISED_AGAIN } else { TELL_AGAIN }
+}
+
 /// Whether two limits differ by enough to be told of.
 fn differ(one: Option<ServerLimit>, other: Option<ServerLimit>) -> bool {
     let (Some(one), Some(other)) = (one, other) else { return one != other };
--- a/crates/decide/src/direct/fleet/places.rs
+++ b/crates/decide/src/direct/fleet/places.rs
@@ -253,6 +253,17 @@
         })
     }
 
+    /// Permits that may come for a request before `until`, at most.
+    pub fn permits_before(&self, ask: &Ask<'_>, until: Duration, now: Duration) -> usize {
+        let open = self.open(ask.versions, now).filter(|server| ask.allows(&server.facts));
+        let of_one = |server: &Server| {
+            let limit = server.notice.rate_limit()?;
+            let left = until.checked_sub(server.permits.opens_at(now))?;
+            Some(1 + (limit.per_s() * left.as_secs_f64()) as usize)
+        };
+        open.filter_map(of_one).fold(0, usize::saturating_add)
+    }
+
     /// A permit for a server was given, or refused until some time.
     pub fn take_permit(&mut self, id: &str, permit: Result<(), Duration>, now: Duration) {
         let server = self.servers.iter_mut().flatten().find(|server| server.facts.id == id);
--- a/crates/direct/src/http/notes.rs
+++ b/crates/direct/src/http/notes.rs
@@ -18,7 +18,14 @@
     /// What the server asks of this entry with an answer.
     pub fn notice(&self, response: &Response<Incoming>) -> Notice {
         let not_run = self.says_not_run(response);
-        Notice::read(&self.core.dialect, response.status(), response.headers(), not_run)
+        let is_authentic = !not_run && self.is_authentic(response);
+        Notice::read(
+            &self.core.dialect,
+            response.status(),
+            response.headers(),
+            not_run,
+            is_authentic,
+        )
     }
 
     /// Takes in what the server asks of this entry, whatever becomes of the answer.
--- a/crates/direct/src/http/run.rs
+++ b/crates/direct/src/http/run.rs
@@ -20,6 +20,7 @@
 use crate::{
     core::Core,
     metrics::Counter,
+    permits::WaitingForPermit,
     placement::{NextSend, NoPlace, Placement},
     quarantine::ProbeLease,
     request::{Job, key_still_holds},
@@ -203,10 +204,11 @@
         let failed = Some(besides.version.as_str());
         let next = NextSend { model: self.model, avoid: &avoid, failed };
         match Placement::outlook(&self.core, &self.job, next) {
-            Err(NoPlace::Shut(opening)) if opening.at < self.wait_until() => match opening.shut {
-                Shut::Limited => Ok(Certainty::IfPermitted),
-                Shut::Cold | Shut::Backoff => Ok(Certainty::Sure),
-            },
+            Err(NoPlace::Shut(opening))
+                if opening.shut != Shut::Limited && opening.at < self.wait_until() =>
+            {
+                Ok(Certainty::Sure)
+            }
             outlook => outlook,
         }
     }
@@ -214,11 +216,15 @@
     /// Takes the place of the next send already, where it hangs on a permit. Returns whether the send is sure of a
     /// place, so that an answer at hand may be dropped for it.
     pub async fn secure(&mut self, certainty: Certainty) -> bool {
-        if certainty == Certainty::IfPermitted {
-            self.reserved = self.wait_for_place().await.ok();
-            return self.reserved.is_some();
+        if certainty == Certainty::Sure {
+            return true;
+        }
+        self.ask_for_permits().await;
+        self.reserved = Placement::find(&self.core, &self.job, self.next_send()).ok();
+        if let Some(reserved) = &self.reserved {
+            reserved.settle();
         }
-        true
+        self.reserved.is_some()
     }
 
     /// Asks for the permits that stand between the request and the servers it would go to, a few at most.
@@ -235,6 +241,13 @@
         }
     }
 
+    /// Joins those that wait for a permit, if as many may come before `until`; whoever comes later has nothing to wait
+    /// for.
+    fn wait_for_permit(&self, until: Duration) -> Option<WaitingForPermit> {
+        let most = Placement::permits_before(&self.core, &self.job, self.next_send(), until);
+        WaitingForPermit::enter(&self.core, &self.job.service.name, most)
+    }
+
     /// Until when a request waits for a server that is shut.
     fn wait_until(&self) -> Duration {
         let longest = longest_wait(self.job.route.objective);
@@ -245,21 +258,29 @@
     /// may be room again within a fraction of a second, and a refusal costs its caller a new attempt.
     pub async fn wait_for_place(&mut self) -> Result<Placement, NoPlace> {
         if let Some(reserved) = self.reserved.take() {
+            reserved.unsettle();
             return Ok(reserved);
         }
         let until = self.wait_until();
         let mut has_waited = false;
+        let mut waiting = None;
         loop {
             self.ask_for_permits().await;
-            let opens_at = match Placement::find(&self.core, &self.job, self.next_send()) {
-                Err(NoPlace::Shut(opening)) if opening.at < until => opening.at,
+            let opening = match Placement::find(&self.core, &self.job, self.next_send()) {
+                Err(NoPlace::Shut(opening)) if opening.at < until => opening,
                 found => return found,
             };
+            if opening.shut == Shut::Limited && waiting.is_none() {
+                waiting = self.wait_for_permit(until);
+                if waiting.is_none() {
+                    return Err(NoPlace::Shut(opening));
+                }
+            }
             if !std::mem::replace(&mut has_waited, true) {
                 self.core.metrics.count(Counter::HeldForRoom);
             }
             // NB: others may have taken the room by then, so the shortest pause is more than none.
-            let at = opens_at.max(self.core.clock.now() + SHORTEST_PAUSE);
+            let at = opening.at.max(self.core.clock.now() + SHORTEST_PAUSE);
             sleep_until(self.core.clock.instant(at)).await;
         }
     }
--- a/crates/direct/src/notice.rs
+++ b/crates/direct/src/notice.rs
@@ -24,7 +24,7 @@
 
 impl Notice {
     /// Reads the head of an answer; `not_run` tells whether the server says that it did not run the
-    /// request.
+    /// request, `is_authentic` whether the answer is its own.
     ///
     /// NB: a 421 comes from whoever listens there now, which is not the server that was meant.
     pub fn read(
@@ -32,6 +32,7 @@
         status: StatusCode,
         headers: &HeaderMap,
         not_run: bool,
+        is_authentic: bool,
     ) -> Notice {
         if status == StatusCode::MISDIRECTED_REQUEST {
             return Notice::default();
@@ -41,7 +42,7 @@
             || (not_run && status == StatusCode::TOO_MANY_REQUESTS);
         let backoff = text(headers, &RETRY_AFTER).filter(|_| asks_entry).and_then(read_retry_after);
         let leaves = text(headers, &dialect.leaving).is_some_and(|text| text == "1");
-        let limit = limit_word(dialect, headers, status.is_success() && !not_run);
+        let limit = limit_word(dialect, headers, status.is_success() && is_authentic);
         Notice { leaves, backoff, limit }
     }
 }
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -30,7 +30,7 @@
 const PASS_OVER: Duration = Duration::from_secs(2);
 /// Time after which a permit may be asked for again that nobody could grant.
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(500);
-/// Entries that did not answer which are remembered; the oldest are forgotten first.
+/// Entries that did not answer which are remembered before those of long ago are forgotten.
 const MOST_SILENT: usize = 512;
 
 /// What an entry that grants permits is asked.
@@ -64,19 +64,56 @@
     buckets: RefCell<PermitBuckets>,
     /// Until when entries that did not answer are passed over.
     silent: RefCell<HashMap<SocketAddr, Duration>>,
+    /// Requests that wait for a permit, by service.
+    waiting: RefCell<HashMap<ServiceId, usize>>,
+}
+
+/// Counts a request as one that waits for a permit until it is dropped.
+pub struct WaitingForPermit {
+    core: Rc<Core>,
+    service: ServiceId,
+}
+
+impl WaitingForPermit {
+    /// Lets one more request of a service wait, unless `most` do.
+    pub fn enter(core: &Rc<Core>, service: &ServiceId, most: usize) -> Option<Self> {
+        let mut waiting = core.permits.waiting.borrow_mut();
+        let count = waiting.entry(service.clone()).or_default();
+        if *count >= most {
+            return None;
+        }
+        *count += 1;
+        Some(WaitingForPermit { core: Rc::clone(core), service: service.clone() })
+    }
+}
+
+impl Drop for WaitingForPermit {
+    fn drop(&mut self) {
+        let mut waiting = self.core.permits.waiting.borrow_mut();
+        if let Some(count) = waiting.get_mut(&self.service) {
+            *count -= 1;
+        }
+    }
 }
 
 impl Permits {
+    /// Whether an entry is passed over. One that did not answer is tried again by one request at a time.
     fn is_passed_over(&self, address: SocketAddr, now: Duration) -> bool {
-        self.silent.borrow().get(&address).is_some_and(|until| now < *until)
+        let mut silent = self.silent.borrow_mut();
+        let Some(until) = silent.get_mut(&address) else { return false };
+        if now < *until {
+            return true;
+        }
+        *until = now + PASS_OVER;
+        false
     }
 
     fn pass_over(&self, address: SocketAddr, now: Duration) {
         let mut silent = self.silent.borrow_mut();
-        silent.retain(|_, until| now < *until);
-        if silent.len() < MOST_SILENT {
-            silent.insert(address, now + PASS_OVER);
+        if silent.len() >= MOST_SILENT {
+            silent.retain(|_, until| now < *until);
         }
+        silent.insert(address, now + PASS_OVER);
     }
 
     fn has_answered(&self, address: SocketAddr) {
@@ -188,8 +225,14 @@
             }
             asked += 1;
             match self.ask_granter(address, question).await {
-                Ok(answer) => return Walk::Decided(answer),
-                Err(failed) => error = Some(failed),
+                Ok(answer) => {
+                    self.permits.has_answered(address);
+                    return Walk::Decided(answer);
+                }
+                Err(failed) => {
+                    self.permits.pass_over(address, self.clock.now());
+                    error = Some(failed);
+                }
             }
         }
         Walk::Unanswered(error)
@@ -200,15 +243,11 @@
         address: SocketAddr,
         question: &PermitQuestion,
     ) -> Result<PermitAnswer, AskError> {
-        // NB: while one request tries an entry that may be gone, the others need not.
-        self.permits.pass_over(address, self.clock.now());
         let store = self.settings.store.address;
         let question = to_message(store, question)?;
         self.metrics.count_many(Counter::PeerBytesTold, question.len());
         let answer = PeerClient::exchange_once(&self.connect, address, PERMIT_PATH, question);
-        let answer = from_message(&answer.await?, store)?;
-        self.permits.has_answered(address);
-        Ok(answer)
+        Ok(from_message(&answer.await?, store)?)
     }
 
     /// Answers another entry's question.
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -129,6 +129,16 @@
         find_by_rule(&mut state, job, next, Some(session), now, wanted).ok()
     }
 
+    /// Permits that may come before `until` for a request that no server takes without one, at most.
+    pub fn permits_before(core: &Core, job: &Job, next: NextSend<'_>, until: Duration) -> usize {
+        let now = core.clock.now();
+        let mut state = core.state.borrow_mut();
+        let permits = |fleet: &mut Fleet, ask: &Ask<'_>, _: &mut SmallRng| {
+            Some(fleet.permits_before(ask, until, now))
+        };
+        find_by_rule(&mut state, job, next, job.session, now, permits).unwrap_or_default()
+    }
+
     /// The request runs there as a probe.
     pub fn mark_probe(&self) {
         self.is_probe.set(true);
@@ -139,6 +149,11 @@
         self.is_settled.set(true);
     }
 
+    /// The place was taken ahead, and the run there begins only now.
+    pub fn unsettle(&self) {
+        self.is_settled.set(false);
+    }
+
     /// Identity of the server.
     pub fn server(&self) -> &ServerId {
         &self.ticket.server
--- a/crates/direct/tests/servers_that_limit.rs
+++ b/crates/direct/tests/servers_that_limit.rs
@@ -15,7 +15,10 @@
 };
 use pondwalk_direct::Entry;
 use pondwalk_standin::{backends::Act, memory_store::Weather};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    task::spawn_local,
+    time::{Instant, sleep},
+};
 
 const ENTRIES: u16 = 4;
 
@@ -275,3 +278,64 @@
         );
     });
 }
+
+#[test]
+fn callers_beyond_what_servers_take_soon_are_refused_without_a_wait() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, (2, "s", made()), ENTRIES).await;
+        (1..=2).for_each(|n| name_limit(&world, n, "1"));
+        let world = Rc::new(world);
+        answers(load_evenly(&world, &entries, load("/again/x", 5)).await).await;
+        let asked = Instant::now();
+        let callers = (0..20).map(|n| {
+            let (world, entry) = (Rc::clone(&world), entries[0].clone());
+            spawn_local(async move {
+                let answer = world.ask_at(&entry, request("/again/x", &format!("c{n}"))).await;
+                (answer, asked.elapsed())
+            })
+        });
+        let mut at_once = 0;
+        for caller in callers.collect::<Vec<_>>() {
+            let (answer, took) = caller.await.expect("an answer");
+            let is_refused = answer.status.as_u16() == 503;
+            at_once += usize::from(is_refused && took <= Duration::from_millis(50));
+        }
+        assert!(at_once >= 16, "{at_once} of 20, where two servers take one a second each");
+    });
+}
+
+#[test]
+fn an_answer_that_is_not_the_servers_own_lifts_no_limit() {
+    for act in
+        [Act::Unsigned, Act::AnswerAnother, Act::NotRun(503), Act::Answer(500, "failed".into())]
+    {
+        play(move |world| async move {
+            let (world, _net, entries) = one_limits(world, ("s", made()), "1").await;
+            answers(load_evenly(&world, &entries, load("/again/x", 5)).await).await;
+            let named = Instant::now();
+            world.backends.tell_no_more(address(1), "server-limit");
+            world.backends.does(address(1), act.clone());
+            answers(load_evenly(&world, &entries, load("/again/x", 10)).await).await;
+            check(&world, 1, 1.0, named);
+        });
+    }
+}
+
+#[test]
+fn a_server_born_anew_under_its_identity_has_no_limit() {
+    play(|world| async move {
+        let (world, _net, entries) = one_limits(world, ("s", made()), "0").await;
+        let list = |born: u32| {
+            world.store.put("server/s1", &format!("s {} dc1 v1 ready 0 {born}", address(1)));
+        };
+        list(1);
+        answers(load_evenly(&world, &entries, load("/again/x", 3)).await).await;
+        world.backends.start(address(1), "s1", made());
+        list(2);
+        sleep(Duration::from_secs(1)).await;
+        let from = Instant::now();
+        answers(load_evenly(&world, &entries, load("/again/x", 5)).await).await;
+        assert!(count_from(&world, 1, from) >= 20, "{}", count_from(&world, 1, from));
+    });
+}
