Soak: servers that name a limit for ten seconds, and the promise that entries which have heard it keep to it

A seventeenth promise, an eighteenth kind of fault; the check notices 15 requests where 11 are allowed in 4 s.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -2,7 +2,10 @@
 //!
 //! Each check counts what it has looked at, so that one that has looked at nothing is noticed.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use crate::{
     callers::DEADLINE,
@@ -46,6 +49,11 @@
 const ON_THE_WAY: Duration = Duration::from_millis(500);
 /// Requests that it may get in the rest of the pause.
 const IN_A_PAUSE: usize = 2;
+/// Time within which requests at a server that names a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Factor on what it takes in that time, and requests on top of that.
+const LIMIT_OVERSHOOT: f64 = 1.5;
+const LIMIT_TOLERANCE: f64 = 5.0;
 /// Time by which a run may be noticed late, so that the pause from then on ends as much too late.
 const NOTICED_LATE: Duration = Duration::from_millis(50);
 
@@ -71,7 +79,7 @@
 pub type Check = fn(&Records) -> Finding;
 
 /// All checks.
-pub const CHECKS: [Check; 16] = [
+pub const CHECKS: [Check; 17] = [
     runs_at_most_once,
     refusals_are_true,
     answers_are_whole_and_own,
@@ -83,6 +91,7 @@
     leaving_servers_are_left,
     servers_that_say_they_leave_are_left,
     servers_that_ask_for_a_pause_get_it,
+    limits_of_servers_are_kept,
     evacuated_data_centres_are_left,
     cold_servers_are_spared,
     servers_born_anew_are_used,
@@ -295,6 +304,54 @@
     })
 }
 
+/// A server that names a limit gets no more than that allows from the entries that have heard it, all together.
+pub fn limits_of_servers_are_kept(records: &Records) -> Finding {
+    let by_id = records.by_id();
+    let mut runs: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+    for run in &records.runs {
+        runs.entry(&run.server).or_default().push(run);
+    }
+    let windows = runs.values().flat_map(|runs| limited_windows(records, &by_id, runs));
+    finding("limits of servers are kept", windows, |(server, limit_per_s, got)| {
+        let takes = limit_per_s * LIMIT_WINDOW.as_secs_f64();
+        let allowed = takes * LIMIT_OVERSHOOT + LIMIT_TOLERANCE;
+        let is_broken = *got as f64 > allowed;
+        is_broken.then(|| format!("{server} got {got} in 4 s, and takes {limit_per_s} a second"))
+    })
+}
+
+/// For each run at a server that names a limit: the limit, and the runs of entries that had heard it in the four
+/// seconds up to then.
+fn limited_windows<'a>(
+    records: &Records,
+    by_id: &HashMap<&str, &Exchange>,
+    runs: &[&'a Run],
+) -> Vec<(&'a str, f64, usize)> {
+    let mut heard_us: BTreeMap<usize, TimeUs> = BTreeMap::new();
+    let mut counted: Vec<TimeUs> = Vec::new();
+    let mut windows = Vec::new();
+    for run in runs {
+        let Some(limit_per_s) = run.limit_per_s else {
+            // NB: it names none any more, or is another life that does not know of it.
+            heard_us.clear();
+            counted.clear();
+            continue;
+        };
+        let Some(exchange) = by_id.get(run.request.as_str()) else { continue };
+        let entry = exchange.entry;
+        let heard = *heard_us.entry(entry).or_insert(exchange.ended_us);
+        let has_heard = heard + us(ON_THE_WAY) <= run.at_us;
+        if !has_heard || records.was_disturbed(entry, heard, run.at_us) {
+            continue;
+        }
+        counted.push(run.at_us);
+        let from_us = run.at_us.saturating_sub(us(LIMIT_WINDOW));
+        let got = counted.iter().filter(|at_us| **at_us > from_us).count();
+        windows.push((run.server.as_str(), limit_per_s, got));
+    }
+    windows
+}
+
 /// Nothing reaches the servers of a data centre that is evacuated, once that must be known.
 pub fn evacuated_data_centres_are_left(records: &Records) -> Finding {
     let by_id = records.by_id();
--- a/crates/soak/src/deployment/servers.rs
+++ b/crates/soak/src/deployment/servers.rs
@@ -101,6 +101,13 @@
         }
     }
 
+    /// A server names a rate limit in its answers for a while.
+    pub fn limit(&self, place: usize) {
+        if let Some(server) = &self.servers.borrow()[place] {
+            server.child.signal(Signal::SIGHUP);
+        }
+    }
+
     /// A server turns cold and says so, until it is warm again.
     pub async fn cool(&self, place: usize) -> anyhow::Result<()> {
         let Some(server) = self.servers.borrow_mut()[place].take() else { return Ok(()) };
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -2,7 +2,10 @@
 
 use std::{fmt, time::Duration};
 
-use pondwalk_standin::{platform_server::TURNING_AWAY, platform_store::WeatherOrder};
+use pondwalk_standin::{
+    platform_server::{LIMITING, TURNING_AWAY},
+    platform_store::WeatherOrder,
+};
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64Mcg;
 
@@ -53,6 +56,8 @@
     Leave(usize),
     /// A server turns everything away for a while, and asks for pauses.
     TurnAway(usize),
+    /// A server names a rate limit in its answers for a while.
+    Limit(usize),
     /// A server turns cold, and says so.
     Cool(usize),
     /// A server is killed, and starts again after a while under the identity that it had.
@@ -105,6 +110,7 @@
         Act::Cool(_) => COLD_TIME,
         Act::Stop(_) | Act::Replace(_) | Act::Leave(_) => LONGEST_LEAVING,
         Act::TurnAway(_) => TURNING_AWAY,
+        Act::Limit(_) => LIMITING,
         Act::Kill(_) => RESTART,
         Act::Forget | Act::Configure | Act::Litter => Duration::ZERO,
         Act::SilenceStore | Act::ResetStore | Act::SilenceServer(_) => Duration::ZERO,
@@ -112,7 +118,7 @@
 }
 
 fn series(rng: &mut Pcg64Mcg, from: Duration, size: Size, steps: &mut Vec<Step>) {
-    let kinds: [fn(&mut Pcg64Mcg, Size) -> Act; 17] = [
+    let kinds: [fn(&mut Pcg64Mcg, Size) -> Act; 18] = [
         |rng, size| Act::Stop(rng.random_range(0..size.entries)),
         |rng, size| Act::Kill(rng.random_range(0..size.entries)),
         |rng, size| {
@@ -128,6 +134,7 @@
         |rng, size| Act::Replace(rng.random_range(0..2 * size.servers)),
         |rng, size| Act::Leave(rng.random_range(0..2 * size.servers)),
         |rng, size| Act::TurnAway(rng.random_range(0..2 * size.servers)),
+        |rng, size| Act::Limit(rng.random_range(0..2 * size.servers)),
         |rng, size| Act::Cool(rng.random_range(0..2 * size.servers)),
         |rng, size| {
             let time = Duration::from_millis(rng.random_range(100..2_500));
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -84,6 +84,10 @@
             deployment.turn_away(place);
             Ok(())
         }
+        Act::Limit(place) => {
+            deployment.limit(place);
+            Ok(())
+        }
         Act::Cool(place) => deployment.cool(place).await,
         Act::KillServer(place, time) => deployment.kill_server(place, time).await,
         Act::Evacuate(data_centre, time) => deployment.evacuate(data_centre, time).await,
--- a/crates/soak/tests/checks_notice.rs
+++ b/crates/soak/tests/checks_notice.rs
@@ -299,6 +299,31 @@
     assert_eq!(broken(checks::servers_that_ask_for_a_pause_get_it, &records), 0);
 }
 
+#[test]
+fn more_than_a_servers_limit_is_noticed() {
+    let limits = |records: &mut Records, requests: u32, limit_per_s: f64| {
+        for number in 0..requests {
+            let (id, time) = (format!("l{number}"), 30.0 + 0.25 * f64::from(number));
+            records.exchanges.push(exchange(&id, time, answered(200)));
+            let server = "s1".to_owned();
+            records.runs.push(Run { server, limit_per_s: Some(limit_per_s), ..run(&id, time) });
+        }
+    };
+    let broken_by = |requests, limit_per_s| {
+        let mut records = kept();
+        limits(&mut records, requests, limit_per_s);
+        broken(checks::limits_of_servers_are_kept, &records)
+    };
+    // The entry has heard it at 30.1 s, so what runs from 30.75 s on counts; 11 are allowed.
+    notices(checks::limits_of_servers_are_kept, |records| limits(records, 15, 1.0));
+    assert_eq!(broken_by(14, 1.0), 0);
+    assert_eq!(broken_by(60, 2.0), 0, "16 in four seconds, where 17 are allowed");
+    let mut records = kept();
+    limits(&mut records, 15, 1.0);
+    records.disturbed.insert(0, vec![Span { from_us: at(30.2), to_us: at(30.3) }]);
+    assert_eq!(broken(checks::limits_of_servers_are_kept, &records), 0, "it was disturbed");
+}
+
 #[test]
 fn a_server_that_came_back_and_gave_way_to_another_later_need_not_be_used() {
     let mut records = kept();
--- a/crates/standin/src/platform_server.rs
+++ b/crates/standin/src/platform_server.rs
@@ -35,13 +35,19 @@
 const LEAVING_HEADER: &str = "server-leaving";
 /// Tells in its answers for how many seconds it wants no requests.
 const RETRY_AFTER_HEADER: &str = "retry-after";
+/// Tells in its answers how many requests a second it takes from all entries together.
+const LIMIT_HEADER: &str = "server-limit";
+/// Time for which a server that was told to names a limit.
+pub const LIMITING: Duration = Duration::from_secs(10);
+/// Requests a second that it takes meanwhile.
+const LIMIT_PER_S: &str = "1.6";
 /// Time for which a server that was told to turns everything away.
 pub const TURNING_AWAY: Duration = Duration::from_secs(5);
 /// Seconds without requests that it asks for meanwhile.
 const PAUSE_S: &str = "2.5";
 
 /// One request that a server has read.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Run {
     /// Server that read it.
     pub server: String,
@@ -57,6 +63,9 @@
     /// For how long the server wanted nothing more, if it asked for that with the answer, in milliseconds.
     #[serde(default)]
     pub asked_backoff_ms: Option<u64>,
+    /// Requests a second that the server takes from all entries together, if the answer named that.
+    #[serde(default)]
+    pub limit_per_s: Option<f64>,
 }
 
 /// Time of day in microseconds.
@@ -92,6 +101,7 @@
             at_us: now_us(),
             told_leaving: told(LEAVING_HEADER).is_some(),
             asked_backoff_ms: pause_s.map(|pause_s| (pause_s * 1_000.0) as u64),
+            limit_per_s: told(LIMIT_HEADER).and_then(|text| text.parse().ok()),
         }
     }
 }
@@ -104,8 +114,10 @@
     // NB: a signal that nobody listens for yet would end the process.
     let (leave, turn_away) =
         (signal(SignalKind::user_defined1())?, signal(SignalKind::user_defined2())?);
+    let limit = signal(SignalKind::hangup())?;
     spawn_local(leaves(backends.clone(), address, leave));
     spawn_local(turns_away(backends.clone(), address, usual, turn_away));
+    spawn_local(limits(backends.clone(), address, limit));
     backends.add_lethal(Lethal {
         body: LETHAL_BODY.as_bytes().to_vec(),
         after: ENDS_AFTER,
@@ -142,6 +154,15 @@
     }
 }
 
+/// Names a limit in all answers for a while at each such signal.
+async fn limits(backends: Backends, address: SocketAddr, mut signal: Signal) {
+    while signal.recv().await.is_some() {
+        backends.tell(address, LIMIT_HEADER, LIMIT_PER_S);
+        sleep(LIMITING).await;
+        backends.tell_no_more(address, LIMIT_HEADER);
+    }
+}
+
 /// Tells each request once, a line each.
 async fn tell(backends: Backends, address: SocketAddr, id: String) {
     let mut told = 0;
