--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -7,6 +7,7 @@
 
 mod ask;
 mod limit;
+mod limited;
 mod load;
 mod notice;
 mod notices;
@@ -21,14 +22,15 @@
 
 pub use ask::{Ask, Forecast, Homes, PromptPart, Ticket, VersionRule};
 pub use limit::{LimitError, LimitWord, ServerLimit};
+pub use limited::{Certainty, WantedPermit};
 pub use load::{LoadError, ServerLoad};
 pub use notice::{LifeMark, spread_of};
-pub use places::{Certainty, Opening, Shut, Unreached, WantedPermit};
+pub use places::{Opening, Shut, Unreached};
 pub use server::{Life, ServerFacts};
 
 use super::{hash::mix, sharers::Sharers, warm_up::Pacing};
+use limited::Permission;
 use notice::Notice;
-use places::Permission;
 use server::Server;
 
 /// Position of a server in its fleet; reused once the server is gone.
--- a/crates/decide/src/direct/fleet/places.rs
+++ b/crates/decide/src/direct/fleet/places.rs
@@ -2,10 +2,15 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use pondwalk_types::{ServerId, VersionId};
+use pondwalk_types::VersionId;
 use rand::{Rng, seq::IteratorRandom};
 
-use super::{Ask, Fleet, LifeMark, ServerLimit, Ticket, permit, server::Server};
+use super::{
+    Ask, Fleet, Ticket,
+    limited::{Permission, is_permitted},
+    permit,
+    server::Server,
+};
 use crate::direct::{
     sharers::Sharers,
     warm_up::{Coldness, Pacing},
@@ -38,37 +43,6 @@
     Limited,
 }
 
-/// Whether a server that names a rate limit may be chosen without a permit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Permission {
-    /// Only with one at hand.
-    AtHand,
-    /// Also if one may be asked for.
-    Possible,
-}
-
-/// How sure it is that a request would be placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Certainty {
-    /// A server could take it now.
-    Sure,
-    /// One could if a permit for it is given.
-    IfPermitted,
-}
-
-/// A permit that is to be asked for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WantedPermit {
-    /// The server that it is for.
-    pub server: ServerId,
-    /// The life of the server that named the limit.
-    pub life: LifeMark,
-    /// The limit.
-    pub limit: ServerLimit,
-    /// When it was said.
-    pub said_at: Duration,
-}
-
 /// When a server may get one more request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Opening {
@@ -212,68 +186,6 @@
         })
     }
 
-    /// Whether any server would take a request now, and how surely; `None` if none would.
-    pub fn certainty(&self, ask: &Ask<'_>, now: Duration) -> Option<Certainty> {
-        let could_take = |permission| {
-            let mut open = self.open(ask.versions, now);
-            open.any(|server| ask.allows(&server.facts) && self.has_room(server, permission, now))
-        };
-        if could_take(Permission::AtHand) {
-            return Some(Certainty::Sure);
-        }
-        could_take(Permission::Possible).then_some(Certainty::IfPermitted)
-    }
-
-    /// The permit that a request is to ask for: the server that it would go to names a rate limit, and none is at
-    /// hand.
-    pub fn want_permit(
-        &mut self,
-        ask: &Ask<'_>,
-        now: Duration,
-        rng: &mut impl Rng,
-    ) -> Option<WantedPermit> {
-        if !self.may_limit {
-            return None;
-        }
-        self.may_limit = self.count_limited() > 0;
-        let scatter = || rng.random_range(0.0..1.0);
-        let best = self.best(ask, now, Permission::Possible, scatter)?;
-        let server = self.servers[best.index].as_mut()?;
-        let limit = server.notice.rate_limit()?;
-        if server.permits.is_at_hand(now) {
-            return None;
-        }
-        server.permits.is_asked_for(now);
-        let said_at = server.notice.rate().said_at().unwrap_or(now);
-        Some(WantedPermit {
-            server: server.facts.id.clone(),
-            life: server.mark.clone(),
-            limit,
-            said_at,
-        })
-    }
-
-    /// Permits that may come for a request before `until`, at most.
-    pub fn permits_before(&self, ask: &Ask<'_>, until: Duration, now: Duration) -> usize {
-        let open = self.open(ask.versions, now).filter(|server| ask.allows(&server.facts));
-        let of_one = |server: &Server| {
-            let limit = server.notice.rate_limit()?;
-            let left = until.checked_sub(server.permits.opens_at(now))?;
-            Some(1 + (limit.per_s() * left.as_secs_f64()) as usize)
-        };
-        open.filter_map(of_one).fold(0, usize::saturating_add)
-    }
-
-    /// A permit for a server was given, or refused until some time.
-    pub fn take_permit(&mut self, id: &str, permit: Result<(), Duration>, now: Duration) {
-        let server = self.servers.iter_mut().flatten().find(|server| server.facts.id == id);
-        let Some(server) = server else { return };
-        match permit {
-            Ok(()) => server.permits.is_given(now),
-            Err(until) => server.permits.is_refused(until),
-        }
-    }
-
     /// Versions all of whose servers, those that leave aside, have turned everything away for at least `time`.
     pub fn versions_turning_away(&self, time: Duration, now: Duration) -> BTreeSet<VersionId> {
         let takes = |server: &&Server| {
@@ -352,13 +264,6 @@
     }
 }
 
-/// Whether the rate limit of a server lets it be chosen.
-fn is_permitted(server: &Server, permission: Permission, now: Duration) -> bool {
-    server.notice.rate_limit().is_none()
-        || server.permits.is_at_hand(now)
-        || permission == Permission::Possible && server.permits.may_be_asked_for(now)
-}
-
 /// A server was not reached at `at`. By the time it has told of a new start, it is warm or says that it
 /// is not.
 fn doubt_unreached(server: &mut Server, pacing: Pacing, at: Duration) -> bool {
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -18,7 +18,7 @@
     journal::Journal,
     membership::{LEAST_INFORMED, NewsLog, Outbox, Roster, Source, roots},
     metrics::Metrics,
-    permits::Permits,
+    permits::PermitState,
     quarantine::{GivenBack, HeldThoughGood, SeenEnds},
     state::State,
     upstream::Connect,
@@ -78,7 +78,7 @@
     /// Contents that others hold and that came to a good end here.
     pub held_though_good: HeldThoughGood,
     /// Permits granted for servers that name a rate limit.
-    pub permits: Permits,
+    pub permits: PermitState,
     /// Leave to run that is to be given back.
     pub given_back: GivenBack,
     /// Usage that is counted and reported, where the deployment asks for that.
@@ -120,7 +120,7 @@
             under_way: Cell::new(0),
             seen_ends: SeenEnds::default(),
             held_though_good: HeldThoughGood::default(),
-            permits: Permits::default(),
+            permits: PermitState::default(),
             given_back: GivenBack::default(),
             usage,
             state: RefCell::new(state),
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -4,6 +4,7 @@
 mod intake;
 mod listen;
 mod notes;
+mod placing;
 mod refuse;
 mod relay;
 mod report;
--- /dev/null
+++ b/crates/direct/src/http/placing.rs
@@ -0,0 +1,125 @@
+//! Where a request under way may go next, and the wait for it.
+
+use std::{rc::Rc, time::Duration};
+
+use pondwalk_decide::direct::{Certainty, ModelNumber, Shut, longest_wait};
+use tokio::{
+    task::spawn_local,
+    time::{sleep_until, timeout},
+};
+
+use super::run::Run;
+use crate::{
+    metrics::Counter,
+    permits::WaitingForPermit,
+    placement::{NextSend, NoPlace, Placement},
+};
+
+/// Shortest pause of a request that waits for room at a cold server.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
+
+/// Permits that a request asks for in a row before it looks where it may go.
+const MOST_PERMITS_ASKED: usize = 4;
+/// Time for which a request waits for a permit before it looks for another server.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(20);
+
+impl Run {
+    /// What the next send asks for.
+    fn next_send(&self) -> NextSend<'_> {
+        let failed = self.failed_version.as_deref();
+        NextSend { model: self.model, avoid: &self.avoid, failed }
+    }
+
+    /// How surely the request could be sent with a model now, and if it could not, why.
+    pub fn outlook(&self, model: ModelNumber) -> Result<Certainty, NoPlace> {
+        Placement::outlook(&self.core, &self.job, NextSend { model, ..self.next_send() })
+    }
+
+    /// Whether it could be sent once more to a server other than this one, now or after a short wait.
+    pub fn could_go_on(&self, besides: &Placement) -> Result<Certainty, NoPlace> {
+        let mut avoid = self.avoid.clone();
+        avoid.push(besides.server().clone());
+        let failed = Some(besides.version.as_str());
+        let next = NextSend { model: self.model, avoid: &avoid, failed };
+        match Placement::outlook(&self.core, &self.job, next) {
+            Err(NoPlace::Shut(opening))
+                if opening.shut != Shut::Limited && opening.at < self.wait_until() =>
+            {
+                Ok(Certainty::Sure)
+            }
+            outlook => outlook,
+        }
+    }
+
+    /// Takes the place of the next send already, where it hangs on a permit. Returns whether the send is sure of a
+    /// place, so that an answer at hand may be dropped for it.
+    pub async fn secure(&mut self, certainty: Certainty) -> bool {
+        if certainty == Certainty::Sure {
+            return true;
+        }
+        self.ask_for_permits().await;
+        self.reserved = Placement::find(&self.core, &self.job, self.next_send()).ok();
+        if let Some(reserved) = &self.reserved {
+            reserved.settle();
+        }
+        self.reserved.is_some()
+    }
+
+    /// Asks for the permits that stand between the request and the servers it would go to, a few at most.
+    ///
+    /// NB: a permit that comes late serves the next request; this one goes elsewhere meanwhile.
+    async fn ask_for_permits(&self) {
+        for _ in 0..MOST_PERMITS_ASKED {
+            let wanted = Placement::wanted_permit(&self.core, &self.job, self.next_send());
+            let Some(wanted) = wanted else { return };
+            let core = Rc::clone(&self.core);
+            let asking = spawn_local(core.ask_for_permit(self.job.service.name.clone(), wanted));
+            // NB: what came of it stands in the fleet.
+            let _ = timeout(PERMIT_PATIENCE, asking).await;
+        }
+    }
+
+    /// Joins those that wait for a permit, if as many may come before `until`; whoever comes later has nothing to wait
+    /// for.
+    fn wait_for_permit(&self, until: Duration) -> Option<WaitingForPermit> {
+        let most = Placement::permits_before(&self.core, &self.job, self.next_send(), until);
+        WaitingForPermit::enter(&self.core, &self.job.service.name, most)
+    }
+
+    /// Until when a request waits for a server that is shut.
+    fn wait_until(&self) -> Duration {
+        let longest = longest_wait(self.job.route.objective);
+        (self.core.clock.now() + longest).min(self.job.give_up)
+    }
+
+    /// A place for the next send, waited for if the servers that could take it are merely shut for now. There
+    /// may be room again within a fraction of a second, and a refusal costs its caller a new attempt.
+    pub async fn wait_for_place(&mut self) -> Result<Placement, NoPlace> {
+        if let Some(reserved) = self.reserved.take() {
+            reserved.unsettle();
+            return Ok(reserved);
+        }
+        let until = self.wait_until();
+        let mut has_waited = false;
+        let mut waiting = None;
+        loop {
+            self.ask_for_permits().await;
+            let opening = match Placement::find(&self.core, &self.job, self.next_send()) {
+                Err(NoPlace::Shut(opening)) if opening.at < until => opening,
+                found => return found,
+            };
+            if opening.shut == Shut::Limited && waiting.is_none() {
+                waiting = self.wait_for_permit(until);
+                if waiting.is_none() {
+                    return Err(NoPlace::Shut(opening));
+                }
+            }
+            if !std::mem::replace(&mut has_waited, true) {
+                self.core.metrics.count(Counter::HeldForRoom);
+            }
+            // NB: others may have taken the room by then, so the shortest pause is more than none.
+            let at = opening.at.max(self.core.clock.now() + SHORTEST_PAUSE);
+            sleep_until(self.core.clock.instant(at)).await;
+        }
+    }
+}
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -60,7 +60,7 @@
 
 /// What an entry grants, and which others it could not ask.
 #[derive(Debug, Default)]
-pub struct Permits {
+pub struct PermitState {
     buckets: RefCell<PermitBuckets>,
     /// Until when entries that did not answer are passed over.
     silent: RefCell<HashMap<SocketAddr, Duration>>,
@@ -96,7 +96,7 @@
     }
 }
 
-impl Permits {
+impl PermitState {
     /// Whether an entry is passed over. One that did not answer is tried again by one request at a time.
     fn is_passed_over(&self, address: SocketAddr, now: Duration) -> bool {
         let mut silent = self.silent.borrow_mut();
