An agent keeps its server to the rate limit that it names

What a server in need would get: all that its agent admits. The agent is the only one that sends it anything, so one bucket beside its queue is the whole bound; what has no permit is refused at once, not run, with when to come back, and what waits starts at the rate named. Tests of the queue; the few lines that read the header have none.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -4,15 +4,23 @@
 mod events;
 mod service;
 
-use std::{collections::HashMap, net::SocketAddr, sync::Mutex, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
 
 use pondwalk_config::{AgentSettings, agent::BackendKind};
+use pondwalk_decide::direct::{KnownLimit, LimitWord, ServerLimit};
 use pondwalk_threads::lock;
 use pondwalk_types::{Refusal, TokenUsage, VersionId, Work, read_retry_after};
 use pondwalk_wire::{FrameKind, OrderKind, OrderRefusal, StartRequest};
 use reqwest::{RequestBuilder, Response, StatusCode, header::RETRY_AFTER};
 use tracing::Instrument;
 
+/// Header in which a backend server names how many requests a second it takes.
+const LIMIT_HEADER: &str = "server-limit";
 /// Header that carries the request's id to the backend server.
 const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Where the backend server takes orders.
@@ -46,6 +54,8 @@
     idle_timeout: Duration,
     client: reqwest::Client,
     service_times: Mutex<HashMap<VersionId, Duration>>,
+    started: Instant,
+    limit: Mutex<KnownLimit>,
 }
 
 impl Backend {
@@ -57,6 +67,8 @@
             idle_timeout: settings.idle_timeout,
             client: reqwest::Client::new(),
             service_times: Mutex::default(),
+            started: Instant::now(),
+            limit: Mutex::default(),
         }
     }
 
@@ -109,11 +121,36 @@
         format!("http://{}{path}", self.address)
     }
 
+    /// The rate limit that the server names, if it names one.
+    pub fn rate_limit(&self) -> Option<ServerLimit> {
+        lock(&self.limit).limit()
+    }
+
+    /// Takes in what an answer says of the rate limit, to a request sent at `sent`.
+    fn hear_limit(&self, response: &Response, sent: Duration) {
+        let word = match response.headers().get(LIMIT_HEADER) {
+            None if response.status().is_success() => LimitWord::Unnamed,
+            None => LimitWord::Unsaid,
+            Some(value) => {
+                let limit = value.to_str().ok().and_then(|text| ServerLimit::try_from(text).ok());
+                limit.map_or(LimitWord::Unsaid, LimitWord::Named)
+            }
+        };
+        if lock(&self.limit).hear(word, sent, self.started.elapsed()) {
+            let per_s = self.rate_limit().map_or(f64::INFINITY, ServerLimit::per_s);
+            spdlog::warn!("the backend server's rate limit has changed", kv: { per_s });
+        }
+    }
+
     /// Sends a request up to the head of its answer.
     async fn send(&self, request: RequestBuilder) -> Result<Response, BackendEnd> {
+        let begun = self.started.elapsed();
         let sent = tokio::time::timeout(self.idle_timeout, traced(request).send()).await;
         match sent {
-            Ok(Ok(response)) => check_status(response),
+            Ok(Ok(response)) => {
+                self.hear_limit(&response, begun);
+                check_status(response)
+            }
             // NB: without a connection no byte of the request was sent.
             Ok(Err(error)) if error.is_connect() => Err(BackendEnd::NotRun(Refusal::ContactLost)),
             Ok(Err(_)) => Err(BackendEnd::Broken(Refusal::ContactLost)),
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -96,6 +96,13 @@
         generation
     }
 
+    /// The queue, by the latest word on the server's rate limit.
+    pub fn admission(&self) -> MutexGuard<'_, AdmissionQueue<RunKey>> {
+        let mut queue = lock(&self.queue);
+        queue.set_rate_limit(self.backend.rate_limit());
+        queue
+    }
+
     /// What the agent says of itself.
     pub fn news(&self) -> AgentNews {
         AgentNews {
--- a/crates/agent/src/execution.rs
+++ b/crates/agent/src/execution.rs
@@ -32,7 +32,7 @@
     let run = request.run;
     let waiting = WaitingRun { request, span: Span::current() };
     lock(&core.runs).insert(run, Stage::Waiting(Box::new(waiting)));
-    let admission = lock(&core.queue).offer(now, work);
+    let admission = core.admission().offer(now, work);
     match admission {
         Admission::Start => start(core, run),
         Admission::Queued { displaced } => {
@@ -130,7 +130,7 @@
 
 /// A slot is free: starts what may start and gives up what came too late.
 fn next(core: &Arc<Core>) {
-    let mut admitted = lock(&core.queue).finish(core.now());
+    let mut admitted = core.admission().finish(core.now());
     loop {
         let Admitted { start: first, shed } = admitted;
         for (run, refusal) in shed {
@@ -140,13 +140,13 @@
             return;
         };
         start(core, run);
-        admitted = lock(&core.queue).admit(core.now());
+        admitted = core.admission().admit(core.now());
     }
 }
 
 /// Sheds waiting runs whose deadline has passed.
 pub fn shed_late(core: &Arc<Core>) {
-    let admitted = lock(&core.queue).admit(core.now());
+    let admitted = core.admission().admit(core.now());
     for (run, refusal) in admitted.shed {
         give_up(core, run, refusal);
     }
--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -9,6 +9,8 @@
 
 use pondwalk_types::{LONGEST_BACKOFF, Refusal, WorkspaceId};
 
+use crate::direct::{Granter, PermitBuckets, ServerLimit};
+
 /// A request that asks for a slot.
 #[derive(Debug, Clone, PartialEq)]
 pub struct QueuedWork<T> {
@@ -68,6 +70,9 @@
     waiting: Vec<Waiting<T>>,
     /// Until when the server wants nothing.
     paused_until: Duration,
+    /// The rate limit that the server names.
+    rate_limit: Option<ServerLimit>,
+    permits: PermitBuckets,
 }
 
 impl<T: Clone + PartialEq> AdmissionQueue<T> {
@@ -81,6 +86,8 @@
             clocks: HashMap::new(),
             waiting: Vec::new(),
             paused_until: Duration::ZERO,
+            rate_limit: None,
+            permits: PermitBuckets::default(),
         }
     }
 
@@ -105,6 +112,11 @@
             return Admission::Refused(Refusal::Overloaded { retry_after_ms });
         }
         if self.running < self.slots && self.waiting.is_empty() {
+            if let Err(opens_at) = self.take_permit(now) {
+                let left = opens_at.saturating_sub(now);
+                let retry_after_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+                return Admission::Refused(Refusal::Overloaded { retry_after_ms });
+            }
             let tag = self.tag(&work);
             self.begin(tag);
             return Admission::Start;
@@ -125,6 +137,20 @@
         self.paused_until = self.paused_until.max(now + asked.min(LONGEST_BACKOFF));
     }
 
+    /// The server names a rate limit, or none any more. The agent is the only one that sends it anything, so no
+    /// other counts against it.
+    pub fn set_rate_limit(&mut self, limit: Option<ServerLimit>) {
+        self.rate_limit = limit;
+    }
+
+    /// Takes the permit of one start, or tells when there may be one.
+    fn take_permit(&mut self, now: Duration) -> Result<(), Duration> {
+        /// There is one server, so its name tells nothing.
+        const OWN_SERVER: &str = "";
+        self.rate_limit
+            .map_or(Ok(()), |limit| self.permits.take(OWN_SERVER, limit, Granter::First, now))
+    }
+
     /// A running request ended; the next one may start.
     pub fn finish(&mut self, now: Duration) -> Admitted<T> {
         self.running = self.running.saturating_sub(1);
@@ -139,7 +165,7 @@
         }
         let first = (0..self.waiting.len())
             .min_by(|a, b| self.waiting[*a].tag.total_cmp(&self.waiting[*b].tag));
-        if let Some(first) = first {
+        if let Some(first) = first.filter(|_| self.take_permit(now).is_ok()) {
             let Waiting { work, tag } = self.waiting.remove(first);
             self.begin(tag);
             admitted.start = Some(work.ticket);
--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -55,9 +55,9 @@
 pub use cascade::{Cascade, ModelNumber, Terms};
 pub use engine::{Engine, Estimate, ServiceModel};
 pub use fleet::{
-    Ask, Certainty, Fleet, Forecast, Homes, LifeMark, LimitError, LimitWord, LoadError, Opening,
-    PromptPart, ServerFacts, ServerIndex, ServerLimit, ServerLoad, Shut, Ticket, Unreached,
-    VersionRule, WantedPermit, Weighed, spread_of,
+    Ask, Certainty, Fleet, Forecast, Homes, KnownLimit, LifeMark, LimitError, LimitWord, LoadError,
+    Opening, PromptPart, ServerFacts, ServerIndex, ServerLimit, ServerLoad, Shut, Ticket,
+    Unreached, VersionRule, WantedPermit, Weighed, spread_of,
 };
 pub use freshness::Freshness;
 pub use permits::{Granter, PermitBuckets};
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -21,7 +21,7 @@
 use rand::Rng;
 
 pub use ask::{Ask, Forecast, Homes, PromptPart, Ticket, VersionRule};
-pub use limit::{LimitError, LimitWord, ServerLimit};
+pub use limit::{KnownLimit, LimitError, LimitWord, ServerLimit};
 pub use limited::{Certainty, WantedPermit};
 pub use load::{LoadError, ServerLoad};
 pub use notice::{LifeMark, spread_of};
--- a/crates/decide/src/direct/permits.rs
+++ b/crates/decide/src/direct/permits.rs
@@ -65,7 +65,7 @@
 }
 
 /// The permits that this entry grants, by server.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct PermitBuckets {
     buckets: HashMap<ServerId, Bucket>,
     sweep_at: usize,
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pondwalk_decide::{Admission, AdmissionQueue, QueuedWork};
+use pondwalk_decide::{Admission, AdmissionQueue, QueuedWork, direct::ServerLimit};
 use pondwalk_types::Refusal;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -105,3 +105,44 @@
     );
     assert_eq!(queue.admit(SECOND * 4).start, Some(2));
 }
+
+#[test]
+fn a_server_that_names_a_limit_starts_no_more_and_callers_hear_when_to_come_back() {
+    let mut queue = AdmissionQueue::new(8, 8);
+    let limit = ServerLimit::try_from("2").expect("a limit");
+    queue.set_rate_limit(Some(limit));
+    let mut started = 0;
+    for ms in (0..10_000).step_by(20) {
+        let now = Duration::from_millis(ms);
+        match queue.offer(now, QueuedWork { deadline: SECOND * 60, ..work(ms as u32, "one", 5) }) {
+            Admission::Start => started += 1,
+            Admission::Refused(Refusal::Overloaded { retry_after_ms }) => {
+                assert!(retry_after_ms <= 5_000);
+            }
+            other => panic!("{other:?}"),
+        }
+        while queue.running() > 0 {
+            queue.finish(now);
+        }
+    }
+    assert!((18..=20).contains(&started), "{started} in ten seconds");
+    queue.set_rate_limit(None);
+    let last = QueuedWork { deadline: SECOND * 60, ..work(0, "one", 5) };
+    assert_eq!(queue.offer(SECOND * 10, last), Admission::Start);
+}
+
+#[test]
+fn what_waits_when_a_server_names_a_limit_starts_at_its_rate() {
+    let mut queue = AdmissionQueue::new(1, 20);
+    (0..12).for_each(|n| {
+        let patient = QueuedWork { deadline: SECOND * 600, ..work(n, "one", 5) };
+        queue.offer(Duration::ZERO, patient);
+    });
+    queue.set_rate_limit(Some(ServerLimit::try_from("1").expect("a limit")));
+    let mut started = 0;
+    for ms in (0..8_000).step_by(100) {
+        let now = Duration::from_millis(ms);
+        started += u32::from(queue.finish(now).start.is_some());
+    }
+    assert!((6..=8).contains(&started), "{started} in eight seconds");
+}
