Demo and its tests: servers that name a rate limit, behind agents and two entries

Three engines that take one request a second each get no more than half as many again and five, from a hundred requests in four seconds; what they do not take is refused, not run. Fails where the agent does not read the header. The stand-in engine can name a limit.

--- a/crates/demo/src/faults.rs
+++ b/crates/demo/src/faults.rs
@@ -4,6 +4,7 @@
 
 mod configuration;
 mod leaving;
+mod limits;
 mod once;
 mod orders;
 mod plan;
@@ -75,11 +76,13 @@
     ConductorKilled,
     /// An entry that has nothing to do for longer than agents keep answers.
     IdleEntry,
+    /// Servers that name rate limits.
+    ServerLimits,
 }
 
 impl Fault {
     /// All faults, in the order of the demo.
-    pub const ALL: [Fault; 12] = [
+    pub const ALL: [Fault; 13] = [
         Fault::RepeatedKeys,
         Fault::AgentKilled,
         Fault::StoreDown,
@@ -92,6 +95,7 @@
         Fault::StaleOrders,
         Fault::ConductorKilled,
         Fault::IdleEntry,
+        Fault::ServerLimits,
     ];
 
     /// Brings the fault about on a deployment of its own.
@@ -112,6 +116,7 @@
             Fault::CutAnswers => streams::cut_answers(&deployment).await,
             Fault::StaleOrders => orders::stale_orders(&deployment).await,
             Fault::IdleEntry => leaving::idle_entry(&deployment).await,
+            Fault::ServerLimits => limits::server_limits(&deployment).await,
             Fault::ConductorKilled => orders::conductor_killed(&mut deployment).await,
         }
     }
--- a/crates/demo/tests/survives_faults.rs
+++ b/crates/demo/tests/survives_faults.rs
@@ -32,4 +32,5 @@
     stale_orders_are_not_carried_out => StaleOrders,
     an_idle_entry_is_not_taken_for_gone => IdleEntry,
     a_roll_out_outlives_its_conductor => ConductorKilled,
+    servers_that_name_a_limit_get_no_more => ServerLimits,
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -27,6 +27,8 @@
 
 /// Header that carries the request's id.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header that names a rate limit.
+const LIMIT_HEADER: &str = "server-limit";
 
 /// How a version answers.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -54,11 +56,20 @@
     pub fail: bool,
     /// Answers break off after this many tokens.
     pub cut_after: Option<u64>,
+    /// Answers name this rate limit, in requests a second.
+    pub limit_per_s: Option<f64>,
 }
 
 impl Default for EngineFaults {
     fn default() -> Self {
-        EngineFaults { slowness: 1.0, quality: 1.0, refuse: false, fail: false, cut_after: None }
+        EngineFaults {
+            slowness: 1.0,
+            quality: 1.0,
+            refuse: false,
+            fail: false,
+            cut_after: None,
+            limit_per_s: None,
+        }
     }
 }
 
@@ -188,9 +199,11 @@
             Some((event?, Some(answer)))
         }
     });
-    Response::builder()
-        .header(header::CONTENT_TYPE, "text/event-stream")
-        .body(Body::from_bytes_stream(events))
+    let mut response = Response::builder().header(header::CONTENT_TYPE, "text/event-stream");
+    if let Some(limit_per_s) = faults.limit_per_s {
+        response = response.header(LIMIT_HEADER, limit_per_s.to_string());
+    }
+    response.body(Body::from_bytes_stream(events))
 }
 
 #[handler]
