--- a/crates/direct/src/http/refuse.rs
+++ b/crates/direct/src/http/refuse.rs
@@ -1,14 +1,27 @@
 //! Answers of the entry's own.
 
+use std::time::Duration;
+
 use hyper::{
     Response,
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
+use pondwalk_decide::direct::{Opening, Shut, Standing, spread_of};
+use rand::Rng;
 use serde::Serialize;
 
-use super::{body::AnswerBody, report::RequestEvent};
-use crate::{core::Core, journal::Rank, metrics::Counter, request::Refusal};
+use super::{body::AnswerBody, report::RequestEvent, run::Run};
+use crate::{
+    core::Core,
+    journal::Rank,
+    metrics::Counter,
+    placement::{NextSend, NoPlace, Placement},
+    request::Refusal,
+};
 
+/// Least time over part of which callers are spread who are told of the same opening. A server takes one
+/// request at first after a pause, and all of its usual ones some answers later.
+const LEAST_SPREAD_OVER: Duration = Duration::from_secs(1);
 /// Body of a refusal.
 #[derive(Debug, Serialize)]
 struct RefusalBody {
@@ -38,7 +51,7 @@
     /// The route, if one was found.
     pub route: Option<&'a str>,
     /// When the request arrived.
-    pub arrived: std::time::Duration,
+    pub arrived: Duration,
     /// Backend servers that it was sent to.
     pub sends: u32,
 }
@@ -64,6 +77,69 @@
     response
 }
 
+impl Run {
+    /// Why a request is refused that is held until some time.
+    pub(super) fn held(&self, until: Duration) -> Refusal {
+        match self.may_have_run {
+            true => Refusal::EndedServers,
+            false => self.core.refusal_until(until),
+        }
+    }
+
+    pub(super) fn no_server(&self, no_place: NoPlace) -> Refusal {
+        match no_place {
+            _ if self.may_have_run => Refusal::OutcomeUnknown,
+            NoPlace::Shut(opening) => self.shut(opening),
+            _ if !self.avoid.is_empty() => self.turned_away(),
+            NoPlace::Leaving => Refusal::AllLeaving,
+            NoPlace::Closed if self.job.homes.is_some() => Refusal::NoServerAtHome,
+            NoPlace::Closed => Refusal::NoServer,
+        }
+    }
+
+    /// Why a request is refused that servers have turned away: what holds for its next try counts.
+    pub(super) fn turned_away(&self) -> Refusal {
+        let next = NextSend { model: self.model, avoid: &[], failed: None };
+        match Placement::outlook(&self.core, &self.job, next) {
+            Err(NoPlace::Shut(opening)) => self.shut(opening),
+            Err(NoPlace::Leaving) => Refusal::AllLeaving,
+            Ok(_) | Err(NoPlace::Closed) => Refusal::TurnedAway,
+        }
+    }
+
+    fn shut(&self, Opening { at, shut }: Opening) -> Refusal {
+        let opens_in = at.saturating_sub(self.core.clock.now());
+        match shut {
+            Shut::Cold => Refusal::AllCold { opens_in },
+            Shut::Backoff => Refusal::AllBackingOff { opens_in: self.spread(opens_in) },
+            Shut::Limited => Refusal::AllLimited { opens_in: self.spread(opens_in) },
+        }
+    }
+
+    /// When callers that hear of the same opening come back, one a little later than another.
+    fn spread(&self, opens_in: Duration) -> Duration {
+        let drawn = self.core.state.borrow_mut().rng.random_range(0.0..1.0);
+        opens_in + spread_of(opens_in.max(LEAST_SPREAD_OVER), drawn)
+    }
+
+    pub(super) fn refuse(&self, refusal: Refusal) -> Response<AnswerBody> {
+        // NB: a promise that nothing ran must be true whatever led here.
+        let refusal = if self.may_have_run && !refusal.may_have_run() {
+            Refusal::OutcomeUnknown
+        } else {
+            refusal
+        };
+        let is_held = || self.core.standing(&self.job) != Standing::Free;
+        let refusal = match refusal {
+            Refusal::OutcomeUnknown if is_held() => Refusal::EndedServers,
+            refusal => refusal,
+        };
+        let route = Some(self.job.route.name.as_str());
+        let (request, arrived) = (self.job.id.as_str(), self.job.arrived);
+        refuse(&self.core, &Refused { request, route, arrived, sends: self.sends }, refusal)
+    }
+}
+
 fn log(core: &Core, refused: &Refused<'_>, refusal: Refusal) {
     let now = core.clock.now();
     let state = core.state.borrow();
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -4,8 +4,7 @@
 
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming, http::response::Parts};
-use pondwalk_decide::direct::{ModelNumber, Opening, Shut, Standing, spread_of};
-use rand::Rng;
+use pondwalk_decide::direct::ModelNumber;
 use tokio::time::timeout_at;
 
 use super::{
@@ -21,7 +20,7 @@
     foresight,
     journal::Rank,
     metrics::{Counter, Timer},
-    placement::{NextSend, NoPlace, Placement},
+    placement::Placement,
     request::{Refusal, strip_connection_headers},
     upstream::{Exchange, SendError},
 };
@@ -33,9 +32,6 @@
 const STREAM_PATIENCE: Duration = Duration::from_millis(1_100);
 /// How many times the expected time may pass before that.
 const PATIENCE_FACTOR: f64 = 4.0;
-/// Least time over part of which callers are spread who are told of the same opening. A server takes one
-/// request at first after a pause, and all of its usual ones some answers later.
-const LEAST_SPREAD_OVER: Duration = Duration::from_secs(1);
 /// Share of the budget of further sends that escalations leave to retries.
 const RETRY_RESERVE: f64 = 0.15;
 
@@ -86,67 +82,6 @@
         }
     }
 
-    /// Why a request is refused that is held until some time.
-    fn held(&self, until: Duration) -> Refusal {
-        match self.may_have_run {
-            true => Refusal::EndedServers,
-            false => self.core.refusal_until(until),
-        }
-    }
-
-    fn no_server(&self, no_place: NoPlace) -> Refusal {
-        match no_place {
-            _ if self.may_have_run => Refusal::OutcomeUnknown,
-            NoPlace::Shut(opening) => self.shut(opening),
-            _ if !self.avoid.is_empty() => self.turned_away(),
-            NoPlace::Leaving => Refusal::AllLeaving,
-            NoPlace::Closed if self.job.homes.is_some() => Refusal::NoServerAtHome,
-            NoPlace::Closed => Refusal::NoServer,
-        }
-    }
-
-    /// Why a request is refused that servers have turned away: what holds for its next try counts.
-    fn turned_away(&self) -> Refusal {
-        let next = NextSend { model: self.model, avoid: &[], failed: None };
-        match Placement::outlook(&self.core, &self.job, next) {
-            Err(NoPlace::Shut(opening)) => self.shut(opening),
-            Err(NoPlace::Leaving) => Refusal::AllLeaving,
-            Ok(_) | Err(NoPlace::Closed) => Refusal::TurnedAway,
-        }
-    }
-
-    fn shut(&self, Opening { at, shut }: Opening) -> Refusal {
-        let opens_in = at.saturating_sub(self.core.clock.now());
-        match shut {
-            Shut::Cold => Refusal::AllCold { opens_in },
-            Shut::Backoff => Refusal::AllBackingOff { opens_in: self.spread(opens_in) },
-            Shut::Limited => Refusal::AllLimited { opens_in: self.spread(opens_in) },
-        }
-    }
-
-    /// When callers that hear of the same opening come back, one a little later than another.
-    fn spread(&self, opens_in: Duration) -> Duration {
-        let drawn = self.core.state.borrow_mut().rng.random_range(0.0..1.0);
-        opens_in + spread_of(opens_in.max(LEAST_SPREAD_OVER), drawn)
-    }
-
-    fn refuse(&self, refusal: Refusal) -> Response<AnswerBody> {
-        // NB: a promise that nothing ran must be true whatever led here.
-        let refusal = if self.may_have_run && !refusal.may_have_run() {
-            Refusal::OutcomeUnknown
-        } else {
-            refusal
-        };
-        let is_held = || self.core.standing(&self.job) != Standing::Free;
-        let refusal = match refusal {
-            Refusal::OutcomeUnknown if is_held() => Refusal::EndedServers,
-            refusal => refusal,
-        };
-        let route = Some(self.job.route.name.as_str());
-        let (request, arrived) = (self.job.id.as_str(), self.job.arrived);
-        refuse(&self.core, &Refused { request, route, arrived, sends: self.sends }, refusal)
-    }
-
     async fn attempt(&mut self, placement: Placement) -> Verdict {
         let until = self.patience(&placement);
         let job = Rc::clone(&self.job);
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -3,46 +3,26 @@
 //! What is seen of the server while the request is there is noted where it belongs: in the fleet,
 //! the engine's times, the roll-out's evidence and the session's version.
 
+mod choice;
+
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{
-    Ask, Certainty, Evidence, Fleet, LimitWord, ModelNumber, Opening, ServerLoad, ServiceModel,
-    SessionKey, Ticket, Unreached, VersionRule, WantedPermit,
-};
+use pondwalk_decide::direct::{Evidence, LimitWord, ServerLoad, ServiceModel, Ticket, Unreached};
 use pondwalk_types::{ModelId, ServerId, VersionId};
-use rand::{Rng, rngs::SmallRng};
+use rand::Rng;
 
 use crate::{
     catalog::ServiceId,
     core::Core,
-    foresight::{ask_for, engine_of},
+    foresight::engine_of,
     membership::News,
     metrics::{Counter, Timer},
     request::Job,
     state::State,
 };
 
-/// Why there is no place for a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NoPlace {
-    /// No server takes new work.
-    Closed,
-    /// All that could take it leave.
-    Leaving,
-    /// Those that do are cold or name a rate limit and have taken what they may for now, or asked for a pause.
-    Shut(Opening),
-}
-
-/// What the next send of a request asks for.
-#[derive(Debug, Clone, Copy)]
-pub struct NextSend<'a> {
-    /// Its model, among those of the route.
-    pub model: ModelNumber,
-    /// Servers that are not asked again.
-    pub avoid: &'a [ServerId],
-    /// The version whose server failed the request before.
-    pub failed: Option<&'a str>,
-}
+use choice::find_by_rule;
+pub use choice::{NextSend, NoPlace};
 
 /// A place at one backend server.
 pub struct Placement {
@@ -105,40 +85,6 @@
         })
     }
 
-    /// How surely a request could be sent now, and if it could not, why.
-    ///
-    /// NB: it is asked before an answer that was made is dropped for another one.
-    pub fn outlook(core: &Core, job: &Job, next: NextSend<'_>) -> Result<Certainty, NoPlace> {
-        let now = core.clock.now();
-        let mut state = core.state.borrow_mut();
-        let certainty =
-            |fleet: &mut Fleet, ask: &Ask<'_>, _: &mut SmallRng| fleet.certainty(ask, now);
-        find_by_rule(&mut state, job, next, job.session, now, certainty)
-    }
-
-    /// The permit that a request needs first where it would go to a server that names a rate limit.
-    pub fn wanted_permit(core: &Core, job: &Job, next: NextSend<'_>) -> Option<WantedPermit> {
-        let now = core.clock.now();
-        let mut state = core.state.borrow_mut();
-        if !state.fleets.get(&job.service.name)?.may_limit() {
-            return None;
-        }
-        let session = job.session.unwrap_or_else(|| state.rng.random());
-        let wanted =
-            |fleet: &mut Fleet, ask: &Ask<'_>, rng: &mut SmallRng| fleet.want_permit(ask, now, rng);
-        find_by_rule(&mut state, job, next, Some(session), now, wanted).ok()
-    }
-
-    /// Permits that may come before `until` for a request that no server takes without one, at most.
-    pub fn permits_before(core: &Core, job: &Job, next: NextSend<'_>, until: Duration) -> usize {
-        let now = core.clock.now();
-        let mut state = core.state.borrow_mut();
-        let permits = |fleet: &mut Fleet, ask: &Ask<'_>, _: &mut SmallRng| {
-            Some(fleet.permits_before(ask, until, now))
-        };
-        find_by_rule(&mut state, job, next, job.session, now, permits).unwrap_or_default()
-    }
-
     /// The request runs there as a probe.
     pub fn mark_probe(&self) {
         self.is_probe.set(true);
@@ -356,62 +302,3 @@
         }
     }
 }
-
-/// Finds something for a send by the rule of its session's version; a request without a session may go to any.
-fn find_by_rule<T>(
-    state: &mut State,
-    job: &Job,
-    next: NextSend<'_>,
-    session: Option<SessionKey>,
-    now: Duration,
-    mut find: impl FnMut(&mut Fleet, &Ask<'_>, &mut SmallRng) -> Option<T>,
-) -> Result<T, NoPlace> {
-    let State { fleets, roll_outs, sessions, engines, rng, .. } = state;
-    let fleet = fleets.get_mut(&job.service.name).ok_or(NoPlace::Closed)?;
-    let pinned = job.session.and_then(|session| sessions.version(session, now));
-    let roll_out = roll_outs.get(&job.service.name);
-    let rule = match (roll_out, session) {
-        (Some(roll_out), Some(session)) => roll_out.rule(session, pinned, next.failed, now),
-        _ => VersionRule::Any,
-    };
-    let ask = ask_for(engine_of(engines, job), job, next.model, next.avoid, rule);
-    let target = roll_out.map(|one| one.target().as_str());
-    by_rule(fleet, &ask, target, now, |fleet, ask| find(fleet, ask, rng))
-}
-
-/// Finds something by the rule; where a version has no server open, at any other than the one on trial.
-///
-/// NB: not where its servers are merely cold or pause. A session that went to another version for a moment
-/// would be on two of them.
-fn by_rule<T>(
-    fleet: &mut Fleet,
-    ask: &Ask<'_>,
-    target: Option<&str>,
-    now: Duration,
-    mut find: impl FnMut(&mut Fleet, &Ask<'_>) -> Option<T>,
-) -> Result<T, NoPlace> {
-    if let Some(found) = find(fleet, ask) {
-        return Ok(found);
-    }
-    let no_place = why_none(fleet, ask, now);
-    let (VersionRule::Only(_), Some(target)) = (ask.versions, target) else {
-        return Err(no_place);
-    };
-    if matches!(no_place, NoPlace::Shut(_)) {
-        return Err(no_place);
-    }
-    let other = Ask { versions: VersionRule::Except(target), ..*ask };
-    find(fleet, &other).ok_or_else(|| match why_none(fleet, &other, now) {
-        NoPlace::Closed => no_place,
-        other => other,
-    })
-}
-
-/// Why no server may take a request now.
-fn why_none(fleet: &Fleet, ask: &Ask<'_>, now: Duration) -> NoPlace {
-    match fleet.opens_at(ask, now) {
-        Some(opening) => NoPlace::Shut(opening),
-        None if fleet.has_leaving(ask, now) => NoPlace::Leaving,
-        None => NoPlace::Closed,
-    }
-}
