A server with a limit whose entry lapses and comes back is asked for permits again

What callers would get: nothing of that server any more; with all of a service's servers limiting around an outage of the store, nothing at all. Cause: whether any server limits was forgotten with the entry, and its limit was not, so it needed a permit that nobody asked for. Found by reading; the test got 0 requests at the server before, 12 and more now.

--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -144,6 +144,7 @@
         let recalled = self.recall(&facts);
         let mut server = Server::new(facts, self.lives);
         if let Some((mark, notice)) = recalled {
+            self.may_limit |= notice.rate_limit().is_some();
             server.mark = mark.told_again(server.mark);
             server.notice = notice;
         }
--- a/crates/direct/tests/servers_that_limit.rs
+++ b/crates/direct/tests/servers_that_limit.rs
@@ -339,3 +339,20 @@
         assert!(count_from(&world, 1, from) >= 20, "{}", count_from(&world, 1, from));
     });
 }
+
+#[test]
+fn a_server_with_a_limit_whose_entry_lapses_and_is_back_is_used_again() {
+    play(|world| async move {
+        let (world, _net, entries) = one_limits(world, ("s", made()), "1.7").await;
+        answers(load_evenly(&world, &entries, load("/again/x", 5)).await).await;
+        world.store.remove("server/s1");
+        sleep(Duration::from_secs(3)).await;
+        answers(load_evenly(&world, &entries, load("/again/x", 3)).await).await;
+        world.list_server(1, "s", "v1", "ready");
+        sleep(Duration::from_secs(1)).await;
+        let back = Instant::now();
+        answers(load_evenly(&world, &entries, load("/again/x", 15)).await).await;
+        check(&world, 1, 1.7, back);
+        assert!(count_from(&world, 1, back) >= 12, "{}", count_from(&world, 1, back));
+    });
+}
