Answers of servers that name no limit cost no search for their server

Each answer looked its server up among all of a service to note that it named no limit: at 10,000 servers as many comparisons for each answer, by reading. Nothing is looked up now as long as no server limits.

--- a/crates/decide/src/direct/fleet/notices.rs
+++ b/crates/decide/src/direct/fleet/notices.rs
@@ -34,6 +34,10 @@
     pub fn told_limit(&mut self, ticket: &Ticket, word: LimitWord, now: Duration) -> bool {
         let sent = ticket.placed;
         self.may_limit |= matches!(word, LimitWord::Named(_));
+        // NB: most servers name no limit, and a look at each answer would cost a search among all servers.
+        if !self.may_limit {
+            return false;
+        }
         let notice = self.notice_of(ticket);
         notice.is_some_and(|notice| notice.rate().hear(word, sent, now))
     }
