A stand-in answers in time while the entry that grants a server's permits stands still

What callers would get: of a server with a limit 3 requests in 28 s where a stand-in grants 14. Cause: the stand-in waited as long for the first in order as its asker waited for it, so the asker gave both up, again and again. It waits 75 ms for each now; a test that failed before (10 and more now).

--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -12,6 +12,7 @@
 };
 use pondwalk_types::ServerId;
 use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
 
 use crate::{
     catalog::ServiceId,
@@ -26,6 +27,8 @@
 /// Entries that are tried in turn before a question is given up. More that do not answer say that this entry is
 /// cut off itself.
 const MOST_ASKED: usize = 3;
+/// Longest time for each of those that a stand-in asks, so that its own answer comes before its asker gives up.
+const PASSED_ON_LIMIT: Duration = Duration::from_millis(75);
 /// Time for which an entry that did not answer is passed over.
 const PASS_OVER: Duration = Duration::from_secs(2);
 /// Time after which a permit may be asked for again that nobody could grant.
@@ -244,10 +247,14 @@
         question: &PermitQuestion,
     ) -> Result<PermitAnswer, AskError> {
         let store = self.settings.store.address;
-        let question = to_message(store, question)?;
-        self.metrics.count_many(Counter::PeerBytesTold, question.len());
-        let answer = PeerClient::exchange_once(&self.connect, address, PERMIT_PATH, question);
-        Ok(from_message(&answer.await?, store)?)
+        let bytes = to_message(store, question)?;
+        self.metrics.count_many(Counter::PeerBytesTold, bytes.len());
+        let answer = PeerClient::exchange_once(&self.connect, address, PERMIT_PATH, bytes);
+        let answer = match question.is_passed_on {
+            true => timeout(PASSED_ON_LIMIT, answer).await.map_err(|_| AskError::Silent)?,
+            false => answer.await,
+        };
+        Ok(from_message(&answer?, store)?)
     }
 
     /// Answers another entry's question.
--- a/crates/direct/tests/servers_that_limit_widely.rs
+++ b/crates/direct/tests/servers_that_limit_widely.rs
@@ -7,12 +7,16 @@
 use common::{
     World,
     limits::{Load, answers, check, count_from, load_at, load_evenly, name_limit, start},
-    net::Net,
+    net::{Impostor, Net, peer_address},
     play, stream,
 };
+use pondwalk_decide::direct::{granting_order, server_hash};
 use pondwalk_direct::Entry;
 use pondwalk_standin::backends::Act;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    task::spawn_local,
+    time::{Instant, sleep},
+};
 
 fn made() -> Act {
     Act::Answer(200, "made".into())
@@ -173,3 +177,33 @@
         assert!(served >= 512, "{served} of the 640 that they take in 20 s");
     });
 }
+
+#[test]
+fn a_part_of_what_a_server_takes_is_used_while_the_entry_that_grants_its_permits_stands_still() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, (1, "s", made()), 6).await;
+        let mut names: Vec<String> = entries.iter().map(|entry| entry.name().to_owned()).collect();
+        granting_order(u128::from(server_hash("s1")), &mut names);
+        let granter = entries.iter().position(|entry| entry.name() == names[0]).expect("it is");
+        let stands_still: Impostor = Rc::new(|io| {
+            spawn_local(async move {
+                sleep(Duration::from_secs(3_600)).await;
+                drop(io);
+            });
+        });
+        let address = peer_address(u16::try_from(granter).expect("a few"));
+        net.impostors.borrow_mut().insert(address, stands_still);
+        name_limit(&world, 1, "1.7");
+        let world = Rc::new(world);
+        let named = Instant::now();
+        let others = load_at(&world, &entries, load(30), |number| {
+            let place = number % 5;
+            if place >= granter { place + 1 } else { place }
+        });
+        answers(others.await).await;
+        check(&world, 1, 1.7, named);
+        let count = count_from(&world, 1, named + Duration::from_secs(2));
+        assert!(count >= 10, "{count} of the 14 that a stand-in grants in 28 s");
+    });
+}
