--- a/crates/direct/src/membership.rs
+++ b/crates/direct/src/membership.rs
@@ -21,7 +21,7 @@
 mod spread;
 mod tree;
 
-pub use client::{AskError, Need, PeerClient, Question, Told};
+pub use client::{AskError, Need, PeerClient, Question, Told, ask_question};
 pub use clocks::ClockOffset;
 pub use listing::{Listing, UnreadableListing};
 pub use message::{FORMAT, KeyChange, MessageError, State, StateHead, from_message, to_message};
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -18,6 +18,7 @@
 };
 use hyper_util::rt::TokioIo;
 use pondwalk_store::StoreEvent;
+use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 use tokio::{
     task::spawn_local,
@@ -26,9 +27,9 @@
 
 use super::{
     ClockOffset, Item, KeyChange, MessageError, NEWS_PATH, STATE_PATH, State,
-    message::MAX_MESSAGE_BYTES,
+    message::{MAX_MESSAGE_BYTES, from_message, to_message},
 };
-use crate::{clock::Clock, upstream::Connect};
+use crate::{clock::Clock, core::Core, metrics::Counter, upstream::Connect};
 
 /// Longest time for a connection to open. One opens in a millisecond; a machine without power says
 /// nothing, and one that is just coming up would be found a second later.
@@ -307,6 +308,20 @@
     }
 }
 
+/// Sends another entry a question, on a connection of its own, and reads its answer.
+pub async fn ask_question<Q: Serialize, A: DeserializeOwned>(
+    core: &Core,
+    address: SocketAddr,
+    path: &str,
+    question: &Q,
+) -> Result<A, AskError> {
+    let store = core.settings.store.address;
+    let question = to_message(store, question)?;
+    core.metrics.count_many(Counter::PeerBytesTold, question.len());
+    let answer = PeerClient::exchange_once(&core.connect, address, path, question).await?;
+    Ok(from_message(&answer, store)?)
+}
+
 /// Reads an answer for as long as it comes. A large state over a narrow link takes longer than any
 /// time in which another entry should begin to answer.
 async fn read_while_moving(body: Incoming) -> Result<Bytes, AskError> {
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -19,7 +19,7 @@
     core::Core,
     journal::Rank,
     membership::{
-        AskError, Item, MessageError, News, PERMIT_PATH, PeerClient, from_message, to_message,
+        AskError, Item, MessageError, News, PERMIT_PATH, ask_question, from_message, to_message,
     },
     metrics::Counter,
 };
@@ -246,15 +246,11 @@
         address: SocketAddr,
         question: &PermitQuestion,
     ) -> Result<PermitAnswer, AskError> {
-        let store = self.settings.store.address;
-        let bytes = to_message(store, question)?;
-        self.metrics.count_many(Counter::PeerBytesTold, bytes.len());
-        let answer = PeerClient::exchange_once(&self.connect, address, PERMIT_PATH, bytes);
-        let answer = match question.is_passed_on {
+        let answer = ask_question(self, address, PERMIT_PATH, question);
+        match question.is_passed_on {
             true => timeout(PASSED_ON_LIMIT, answer).await.map_err(|_| AskError::Silent)?,
             false => answer.await,
-        };
-        Ok(from_message(&answer?, store)?)
+        }
     }
 
     /// Answers another entry's question.
--- a/crates/direct/src/quarantine/ask.rs
+++ b/crates/direct/src/quarantine/ask.rs
@@ -11,7 +11,7 @@
     content::content_text,
     core::Core,
     journal::Rank,
-    membership::{AskError, MessageError, PROBE_PATH, PeerClient, from_message, to_message},
+    membership::{AskError, MessageError, PROBE_PATH, ask_question, from_message, to_message},
     metrics::Counter,
     request::Job,
 };
@@ -111,12 +111,7 @@
         address: SocketAddr,
         question: &ProbeQuestion,
     ) -> Result<ProbeAnswer, AskError> {
-        let store = self.settings.store.address;
-        let question = to_message(store, question)?;
-        self.metrics.count_many(Counter::PeerBytesTold, question.len());
-        let answer =
-            PeerClient::exchange_once(&self.connect, address, PROBE_PATH, question).await?;
-        Ok(from_message(&answer, store)?)
+        ask_question(self, address, PROBE_PATH, question).await
     }
 
     /// Answers another entry's question.
