A request asks for few permits where hundreds of servers have none to give

What entries would pay: 51 questions for each request at 300 servers that all limit (a test), and more with more servers, since it asked four at each look, every 5 ms. Four at first and one each 25 ms now: 24 at most in a quarter of the objective, whatever the number of servers.

--- a/crates/direct/src/http/placing.rs
+++ b/crates/direct/src/http/placing.rs
@@ -18,8 +18,12 @@
 /// Shortest pause of a request that waits for room at a cold server.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
 
-/// Permits that a request asks for in a row before it looks where it may go.
-const MOST_PERMITS_ASKED: usize = 4;
+/// Permits that a request asks for in a row before it looks where it may go, at first and each time that it has
+/// waited. Where hundreds of servers have none to give, each is asked seldom.
+const PERMITS_AT_FIRST: usize = 4;
+const PERMITS_LATER: usize = 1;
+/// Shortest pause of a request that waits for a permit.
+const PERMIT_PAUSE: Duration = Duration::from_millis(25);
 /// Time for which a request waits for a permit before it looks for another server.
 const PERMIT_PATIENCE: Duration = Duration::from_millis(20);
 
@@ -57,7 +61,7 @@
         if certainty == Certainty::Sure {
             return true;
         }
-        self.ask_for_permits().await;
+        self.ask_for_permits(PERMITS_AT_FIRST).await;
         self.reserved = Placement::find(&self.core, &self.job, self.next_send()).ok();
         if let Some(reserved) = &self.reserved {
             reserved.settle();
@@ -65,11 +69,11 @@
         self.reserved.is_some()
     }
 
-    /// Asks for the permits that stand between the request and the servers it would go to, a few at most.
+    /// Asks for the permits that stand between the request and the servers it would go to, `most` at most.
     ///
     /// NB: a permit that comes late serves the next request; this one goes elsewhere meanwhile.
-    async fn ask_for_permits(&self) {
-        for _ in 0..MOST_PERMITS_ASKED {
+    async fn ask_for_permits(&self, most: usize) {
+        for _ in 0..most {
             let wanted = Placement::wanted_permit(&self.core, &self.job, self.next_send());
             let Some(wanted) = wanted else { return };
             let core = Rc::clone(&self.core);
@@ -102,8 +106,9 @@
         let until = self.wait_until();
         let mut has_waited = false;
         let mut waiting = None;
+        let mut permits = PERMITS_AT_FIRST;
         loop {
-            self.ask_for_permits().await;
+            self.ask_for_permits(std::mem::replace(&mut permits, PERMITS_LATER)).await;
             let opening = match Placement::find(&self.core, &self.job, self.next_send()) {
                 Err(NoPlace::Shut(opening)) if opening.at < until => opening,
                 found => return found,
@@ -118,7 +123,8 @@
                 self.core.metrics.count(Counter::HeldForRoom);
             }
             // NB: others may have taken the room by then, so the shortest pause is more than none.
-            let at = opening.at.max(self.core.clock.now() + SHORTEST_PAUSE);
+            let pause = if opening.shut == Shut::Limited { PERMIT_PAUSE } else { SHORTEST_PAUSE };
+            let at = opening.at.max(self.core.clock.now() + pause);
             sleep_until(self.core.clock.instant(at)).await;
         }
     }
--- a/crates/direct/tests/servers_that_limit_widely.rs
+++ b/crates/direct/tests/servers_that_limit_widely.rs
@@ -8,7 +8,7 @@
     World,
     limits::{Load, answers, check, count_from, load_at, load_evenly, name_limit, start},
     net::{Impostor, Net, peer_address},
-    play, stream,
+    play, stream, total,
 };
 use pondwalk_decide::direct::{granting_order, server_hash};
 use pondwalk_direct::Entry;
@@ -207,3 +207,23 @@
         assert!(count >= 10, "{count} of the 14 that a stand-in grants in 28 s");
     });
 }
+
+#[test]
+fn requests_ask_for_few_permits_where_hundreds_of_servers_have_none_to_give() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, (300, "s", made()), 4).await;
+        (1..=300).for_each(|n| name_limit(&world, n, "0"));
+        let world = Rc::new(world);
+        answers(load_evenly(&world, &entries, load(10)).await).await;
+        let asked = || {
+            let names = ["pondwalk_permits_given_total", "pondwalk_permits_refused_total"];
+            names.iter().map(|name| total(&entries, name)).sum::<u64>()
+        };
+        let before = asked();
+        let seldom = Load { gap: Duration::from_millis(400), ..load(20) };
+        let requests = answers(load_evenly(&world, &entries, seldom).await).await.len();
+        let of_each = (asked() - before) as f64 / requests as f64;
+        assert!(of_each <= 24.0, "{of_each} permits asked for by each request");
+    });
+}
