Silence of a version's servers counts as failure, so that one which answers a third of its requests in time is left

Evidence: 41 of some 60 sends to the new version were silent between 4 and 22 s, 29 of some 550 to the old one. Why this works: failures are weighed against the old version's of the same time at every stage.

--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -171,10 +171,11 @@
         self.note_evidence(failed)
     }
 
-    /// The answer did not begin in the time given, which is slow; true if a roll-out is off.
+    /// The answer did not begin in the time given, which counts as a failure of the server and its version; true
+    /// if a roll-out is off.
     pub fn was_silent(&self) -> bool {
         self.broke();
-        self.note_evidence(false)
+        self.note_evidence(true)
     }
 
     /// Service of the server.
