--- a/crates/direct/tests/servers_that_limit.rs
+++ b/crates/direct/tests/servers_that_limit.rs
@@ -356,3 +356,15 @@
         assert!(count_from(&world, 1, back) >= 12, "{}", count_from(&world, 1, back));
     });
 }
+
+#[test]
+fn requests_tried_elsewhere_after_silence_keep_to_a_servers_limit() {
+    play(|world| async move {
+        let (world, _net, entries) = one_limits(world, ("s", made()), "1.4").await;
+        (2..=4).for_each(|n| world.backends.does(address(n), Act::Silent));
+        let named = Instant::now();
+        answers(load_evenly(&world, &entries, load("/again/x", 10)).await).await;
+        check(&world, 1, 1.4, named);
+        assert!(count_from(&world, 1, named) >= 10, "it is used");
+    });
+}
