--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -20,7 +20,7 @@
 };
 
 use pondwalk_decide::direct::{Move, RollOut, SessionKey, Stage};
-use pondwalk_store::{Change, Expect, StoreError};
+use pondwalk_store::{Change, Expect, Position, StoreError};
 use tokio::{sync::Notify, time::timeout};
 
 use records::{RollOutEvent, StageRecord};
@@ -271,10 +271,12 @@
         running.filter(|session| roll_out.would_try(*session)).collect()
     }
 
-    fn note_written(&self, service: &str, step: Move, written: &Result<u64, StoreError>) {
+    fn note_written(&self, service: &str, step: Move, written: &Result<Position, StoreError>) {
         let step = format!("{step:?}").to_lowercase();
         let event = match written {
-            Ok(revision) => RollOutEvent::StepWritten { service, step, revision: *revision },
+            Ok(Position { revision, .. }) => {
+                RollOutEvent::StepWritten { service, step, revision: *revision }
+            }
             Err(error) => RollOutEvent::StepFailed { service, step, error: error.to_string() },
         };
         self.core.journal.note(Rank::State, &event);
@@ -285,7 +287,7 @@
         &self,
         changes: Vec<Change>,
         cause: StoreCause,
-    ) -> Result<u64, StoreError> {
+    ) -> Result<Position, StoreError> {
         let sent = self.core.clock.now();
         let written = (self.port.store.commit)(changes).await;
         self.core.metrics.time(Timer::StoreCall, self.core.clock.now().saturating_sub(sent));
--- a/crates/direct/src/conductor/quarantine.rs
+++ b/crates/direct/src/conductor/quarantine.rs
@@ -61,7 +61,8 @@
         };
         let change = self.change(QUARANTINE_KEY.to_owned(), value);
         match self.commit(vec![change], StoreCause::Quarantine).await {
-            Ok(revision) => {
+            Ok(position) => {
+                let revision = position.revision;
                 let ends = record.ends.len();
                 self.core
                     .journal
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -12,7 +12,7 @@
 
 use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
-use pondwalk_store::{Fetched, Listing, StoreError, StoreEvent, WatchReply};
+use pondwalk_store::{Era, Fetched, Listing, Position, StoreError, StoreEvent, WatchReply};
 use pondwalk_types::ServerId;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -229,9 +229,11 @@
                 self.started = true;
                 self.listing.clear();
                 self.learns_from = Heard::FromStore;
-                self.take_whole(&listing.entries, listing.revision);
-                self.confirm(sent, listing.revision, Heard::FromStore);
-                Some(listing.revision)
+                let Position { era, revision } = listing.position;
+                self.note_era(era, revision);
+                self.take_whole(&listing.entries, revision);
+                self.confirm(sent, revision, Heard::FromStore);
+                Some(revision)
             }
             Err(error) => {
                 self.note_failure(&error);
@@ -246,7 +248,8 @@
         self.started = true;
         self.listing.clear();
         let revision = first.told.revision;
-        let event = Learned::FirstState { from: first.from.to_string(), revision };
+        let era = first.told.era;
+        let event = Learned::FirstState { from: first.from.to_string(), era, revision };
         self.core.journal.note(Rank::State, &event);
         self.client = first.client;
         self.core.told_by.set(Some(first.from));
@@ -282,7 +285,17 @@
             if heard_from == Heard::FromStore {
                 self.core.state.borrow_mut().store_returned = Some(self.core.clock.now());
             }
-            self.core.journal.note(Rank::State, &Learned::StoreRegained { revision });
+            let era = self.core.state.borrow().era;
+            self.core.journal.note(Rank::State, &Learned::StoreRegained { era, revision });
+        }
+    }
+
+    /// Notes the era of an answer, or of what another entry told.
+    fn note_era(&self, era: Era, revision: u64) {
+        let before = std::mem::replace(&mut self.core.state.borrow_mut().era, era);
+        if before != era {
+            let event = Learned::EraChanged { before, era, revision };
+            self.core.journal.note(Rank::State, &event);
         }
     }
 
--- a/crates/direct/src/follow/learn.rs
+++ b/crates/direct/src/follow/learn.rs
@@ -166,8 +166,9 @@
             return;
         }
         state.install(catalog);
+        let store_era = state.era;
         drop(state);
-        let event = Learned::ConfigurationInForce { version, store_revision };
+        let event = Learned::ConfigurationInForce { version, store_era, store_revision };
         self.core.journal.note(Rank::State, &event);
     }
 
--- a/crates/direct/src/follow/others.rs
+++ b/crates/direct/src/follow/others.rs
@@ -135,6 +135,7 @@
     pub(super) fn take_told(&mut self, mut told: Told, revision: u64) {
         self.core.metrics.count_many(Counter::PeerBytesHeard, told.bytes);
         let confirmed = told.confirmed;
+        self.note_era(told.era, told.revision);
         // NB: most entries make no calls to the store, and hear of its loss only with its return.
         let mut state = self.core.state.borrow_mut();
         state.store_returned = state.store_returned.max(told.store_returned);
--- a/crates/direct/src/follow/report.rs
+++ b/crates/direct/src/follow/report.rs
@@ -1,5 +1,6 @@
 //! Log lines about what the process believes.
 
+use pondwalk_store::Era;
 use serde::Serialize;
 
 /// A change of what the process believes.
@@ -8,6 +9,7 @@
 pub enum Learned<'a> {
     ConfigurationInForce {
         version: u64,
+        store_era: Era,
         store_revision: u64,
     },
     OlderConfigurationIgnored {
@@ -48,10 +50,12 @@
         freshness_ms: Option<u64>,
     },
     StoreRegained {
+        era: Era,
         revision: u64,
     },
     FirstState {
         from: String,
+        era: Era,
         revision: u64,
     },
     SourceChanged {
@@ -61,7 +65,13 @@
         entry: &'a str,
         error: String,
     },
+    EraChanged {
+        before: Era,
+        era: Era,
+        revision: u64,
+    },
     HistoryGone {
+        era: Era,
         revision: u64,
     },
     AnswerTookLong {
--- a/crates/direct/src/follow/watching.rs
+++ b/crates/direct/src/follow/watching.rs
@@ -101,8 +101,9 @@
     ) -> Option<u64> {
         let Answered { asked, bytes, answer } = answered;
         match answer {
-            Ok(WatchReply::Changes(events, position)) => {
-                let next = position.max(revision);
+            Ok(WatchReply::Changes(events, told)) => {
+                self.note_era(told.era, told.revision);
+                let next = told.revision.max(revision);
                 self.note_answer(asked, bytes);
                 self.learns_from = Heard::FromStore;
                 // NB: calls overlap; what an answer of a later one has brought is not gone back on.
@@ -123,7 +124,8 @@
             // NB: of the history that an earlier question asked for, nothing is needed any more.
             Ok(WatchReply::HistoryGone) if asked.after < revision => Some(revision),
             Ok(WatchReply::HistoryGone) => {
-                self.core.journal.note(Rank::State, &Learned::HistoryGone { revision });
+                let era = self.core.state.borrow().era;
+                self.core.journal.note(Rank::State, &Learned::HistoryGone { era, revision });
                 self.watching.clear();
                 None
             }
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -17,7 +17,7 @@
     header::HOST,
 };
 use hyper_util::rt::TokioIo;
-use pondwalk_store::StoreEvent;
+use pondwalk_store::{Era, StoreEvent};
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 use tokio::{
@@ -96,7 +96,9 @@
     pub store_returned: Option<Duration>,
     /// How long the store's last answer took where the state comes from.
     pub store_takes: Duration,
-    /// Revision that the state leads to.
+    /// Era of the store that the state is of.
+    pub era: Era,
+    /// Revision that it leads to.
     pub revision: u64,
     /// Whether it is the whole state, and not only what changed.
     pub whole: bool,
@@ -204,6 +206,7 @@
             confirmed: heard.clock.own_time(head.confirmed),
             store_returned: head.store_returned.and_then(|at| heard.clock.own_time(at)),
             store_takes: head.store_takes,
+            era: head.era,
             revision: head.revision,
             whole: head.whole,
             bytes,
--- a/crates/direct/src/membership/message.rs
+++ b/crates/direct/src/membership/message.rs
@@ -11,14 +11,14 @@
 
 use bytes::Bytes;
 use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
-use pondwalk_store::{Fetched, StoreEvent};
+use pondwalk_store::{Era, Fetched, StoreEvent};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
 use super::Item;
 
 /// Number of this form of the messages; an entry of another one is not listened to.
-pub const FORMAT: u16 = 6;
+pub const FORMAT: u16 = 7;
 /// Bytes of a message that are read at most. The store holds some hundred keys and one large
 /// configuration, which pack to a tenth of this.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
@@ -88,7 +88,9 @@
     /// Confirmations that it had counted; the next question names it, and is answered at once only
     /// if there are more.
     pub turn: u64,
-    /// Revision of the store that the state leads to.
+    /// Era of the store that the state is of.
+    pub era: Era,
+    /// Revision that it leads to.
     pub revision: u64,
     /// Whether the body is the whole state, and not only what changed.
     pub whole: bool,
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -234,6 +234,7 @@
         store_returned: state.store_returned,
         store_takes: state.store_takes,
         turn: state.turn,
+        era: state.era,
         revision: state.replica.revision(),
         whole,
         // NB: filled in when the bytes are made.
--- a/crates/direct/src/usage.rs
+++ b/crates/direct/src/usage.rs
@@ -321,7 +321,7 @@
     }
     let is_done = written.is_ok();
     let end = match written {
-        Ok(revision) => WriteEnd::Done(revision),
+        Ok(position) => WriteEnd::Done(position.revision),
         Err(StoreError::AnswerLost | StoreError::AnswerStopped(_) | StoreError::Malformed) => {
             WriteEnd::Unknown
         }
--- a/crates/direct/tests/common/net.rs
+++ b/crates/direct/tests/common/net.rs
@@ -48,6 +48,7 @@
         store_returned: None,
         store_takes: Duration::ZERO,
         turn: revision,
+        era: 0,
         revision,
         whole: true,
         body_bytes: 0,
--- a/crates/direct/tests/membership_messages.rs
+++ b/crates/direct/tests/membership_messages.rs
@@ -34,6 +34,7 @@
         store_returned: None,
         store_takes: Duration::ZERO,
         turn: 3,
+        era: 0,
         revision,
         whole: true,
         body_bytes: 0,
--- a/crates/standin/src/memory_store.rs
+++ b/crates/standin/src/memory_store.rs
@@ -12,8 +12,8 @@
 };
 
 use pondwalk_store::{
-    Change, Expect, Fetched, Listing, PortCall, Progress, StoreError, StoreEvent, StorePort,
-    WatchReply,
+    Change, Era, Expect, Fetched, Listing, PortCall, Position, Progress, StoreError, StoreEvent,
+    StorePort, WatchReply,
 };
 use tokio::{
     sync::Notify,
@@ -51,6 +51,7 @@
 #[derive(Debug, Default)]
 struct State {
     weather: Weather,
+    era: Era,
     revision: u64,
     keys: BTreeMap<String, (Vec<u8>, u64)>,
     history: Vec<(u64, String, Written)>,
@@ -58,6 +59,14 @@
     calls: u64,
 }
 
+/// What the store held at some time.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    revision: u64,
+    keys: BTreeMap<String, (Vec<u8>, u64)>,
+    history: Vec<(u64, String, Written)>,
+}
+
 /// The store.
 #[derive(Debug, Clone, Default)]
 pub struct MemoryStore {
@@ -136,6 +145,33 @@
         self.changed.notify_waiters();
     }
 
+    /// What the store holds now, to be restored later.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.borrow();
+        StoreCopy {
+            revision: state.revision,
+            keys: state.keys.clone(),
+            history: state.history.clone(),
+        }
+    }
+
+    /// Goes back to a copy, in an era of its own. What was written since is gone, and its revisions
+    /// are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.state.borrow_mut();
+        state.era += 1;
+        state.revision = copy.revision;
+        state.keys = copy.keys;
+        state.history = copy.history;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Era that the store is in.
+    pub fn era(&self) -> Era {
+        self.state.borrow().era
+    }
+
     /// Calls made so far.
     pub fn calls(&self) -> u64 {
         self.state.borrow().calls
@@ -165,9 +201,9 @@
                 return Ok(reply);
             }
             if timeout_at(until, changed).await.is_err() {
-                let revision = self.state.borrow().revision;
+                let position = self.state.borrow().position();
                 self.carry(0, progress).await;
-                return Ok(WatchReply::Changes(Vec::new(), revision));
+                return Ok(WatchReply::Changes(Vec::new(), position));
             }
             if !self.weather().lets_watches_wait() {
                 return self.meet_weather().await.and(Err(StoreError::AnswerLost));
@@ -175,7 +211,7 @@
         }
     }
 
-    async fn commit(&self, changes: Vec<Change>) -> Result<u64, StoreError> {
+    async fn commit(&self, changes: Vec<Change>) -> Result<Position, StoreError> {
         self.meet_weather().await?;
         let done = self.state.borrow_mut().commit(changes);
         if done.is_ok() {
@@ -259,6 +295,10 @@
 }
 
 impl State {
+    fn position(&self) -> Position {
+        Position { era: self.era, revision: self.revision }
+    }
+
     fn listing(&self, prefix: &str) -> Listing {
         let found = self.keys.iter().filter(|(key, _)| key.starts_with(prefix));
         let entries = found.map(|(key, (value, revision))| Fetched {
@@ -266,11 +306,11 @@
             value: value.clone(),
             revision: *revision,
         });
-        Listing { entries: entries.collect(), revision: self.revision }
+        Listing { entries: entries.collect(), position: self.position() }
     }
 
     /// Makes all changes, if all their conditions hold.
-    fn commit(&mut self, changes: Vec<Change>) -> Result<u64, StoreError> {
+    fn commit(&mut self, changes: Vec<Change>) -> Result<Position, StoreError> {
         let holds = changes.iter().all(|change| {
             let current = self.keys.get(&change.key).map(|(_, revision)| *revision);
             match change.expect {
@@ -284,7 +324,7 @@
         for change in changes {
             self.apply(&change.key, Some(change.value));
         }
-        Ok(self.revision)
+        Ok(self.position())
     }
 
     fn apply(&mut self, key: &str, value: Written) {
@@ -303,7 +343,7 @@
 
     /// What a watch after `since` has to tell, if anything.
     fn changes(&self, prefix: &str, since: u64) -> Option<WatchReply> {
-        if since < self.forgotten {
+        if since < self.forgotten || since > self.revision {
             return Some(WatchReply::HistoryGone);
         }
         let newer = self.history.iter().filter(|(revision, _, _)| *revision > since);
@@ -318,6 +358,6 @@
                 None => StoreEvent::Removed { key: key.clone(), revision: *revision },
             })
             .collect();
-        (!events.is_empty()).then_some(WatchReply::Changes(events, self.revision))
+        (!events.is_empty()).then_some(WatchReply::Changes(events, self.position()))
     }
 }
--- a/crates/standin/src/platform_store.rs
+++ b/crates/standin/src/platform_store.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    Method, Request, Response, StatusCode, body::Incoming, header::HeaderValue,
+    server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::TokioIo;
 use pondwalk_store::{Change, Expect, Fetched, StoreError, StoreEvent, WatchReply};
@@ -21,6 +22,8 @@
 
 /// Keys in one page of a reading.
 const PAGE: usize = 50;
+/// Header in which each answer names the era of the store.
+const ERA_HEADER: &str = "store-era";
 /// Start of the paths of orders.
 const ORDER_PREFIX: &str = "/order/";
 
@@ -195,11 +198,13 @@
         "/api/kv-txn" => transact(&store, &body).await,
         _ => Ok((StatusCode::NOT_FOUND, Value::Null)),
     };
-    match answered {
-        Ok((status, value)) => Ok(respond(status, &value)),
-        Err(StoreError::Unreachable) => Ok(respond(StatusCode::SERVICE_UNAVAILABLE, &Value::Null)),
-        Err(error) => Err(error),
-    }
+    let mut response = match answered {
+        Ok((status, value)) => respond(status, &value),
+        Err(StoreError::Unreachable) => respond(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
+        Err(error) => return Err(error),
+    };
+    response.headers_mut().insert(ERA_HEADER, HeaderValue::from(store.era()));
+    Ok(response)
 }
 
 fn take_order(
@@ -245,7 +250,7 @@
     let page: Vec<Value> = left.iter().take(PAGE).map(|entry| item(entry)).collect();
     let truncated = left.len() > PAGE;
     let body = json!({
-        "entries": page, "truncated": truncated, "position_revision": listing.revision
+        "entries": page, "truncated": truncated, "position_revision": listing.position.revision
     });
     Ok((StatusCode::OK, body))
 }
@@ -261,7 +266,10 @@
         WatchReply::HistoryGone => Ok((StatusCode::GONE, Value::Null)),
         WatchReply::Changes(events, position) => {
             let events: Vec<Value> = events.iter().map(event).collect();
-            Ok((StatusCode::OK, json!({ "events": events, "position_revision": position })))
+            Ok((
+                StatusCode::OK,
+                json!({ "events": events, "position_revision": position.revision }),
+            ))
         }
     }
 }
@@ -285,7 +293,7 @@
         });
     }
     match (store.port().commit)(changes).await {
-        Ok(revision) => Ok((StatusCode::OK, json!({ "revision": revision }))),
+        Ok(written) => Ok((StatusCode::OK, json!({ "revision": written.revision }))),
         Err(StoreError::Conflict) => {
             Ok((StatusCode::PRECONDITION_FAILED, json!({ "entries": [] })))
         }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,6 +17,6 @@
 #[cfg(feature = "gateway")]
 pub use http::http_transport;
 pub use port::{
-    CommitCall, ListCall, Listing, PortCall, PortFuture, Progress, StoreEvent, StorePort,
-    WatchCall, WatchReply,
+    CommitCall, Era, ListCall, Listing, PortCall, PortFuture, Position, Progress, StoreEvent,
+    StorePort, WatchCall, WatchReply,
 };
--- a/crates/store/src/port.rs
+++ b/crates/store/src/port.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
 use tokio::{sync::Notify, time::Instant};
 
 use crate::client::{Change, Fetched, StoreError};
@@ -99,13 +100,31 @@
     }
 }
 
+/// Number of a history of the store: it rises by one when the store is restored from a copy. 0 where the
+/// store names none.
+pub type Era = u64;
+
+/// A place in the history of the store.
+///
+/// NB: a restored store gives revisions out again, so they are compared within one era only; every place of
+/// a later era comes after all of an earlier one.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Position {
+    /// Era that the revision belongs to.
+    pub era: Era,
+    /// Number of the last change within it.
+    pub revision: u64,
+}
+
 /// All keys under a prefix, as one or more reads found them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Listing {
     /// Keys with their values.
     pub entries: Vec<Fetched>,
-    /// Revision from which a watch misses nothing: that of the first read.
-    pub revision: u64,
+    /// Place from which a watch misses nothing: that of the first read.
+    pub position: Position,
 }
 
 /// One change that a watch brought.
@@ -135,8 +154,10 @@
 /// What a watch brought.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WatchReply {
-    /// The changes in order, none if the wait ran out, and the revision to go on from.
-    Changes(Vec<StoreEvent>, u64),
+    /// The changes in order, none if the wait ran out, and the place to go on from.
+    ///
+    /// NB: the changes follow the revision asked for only if the place is of the era that it belongs to.
+    Changes(Vec<StoreEvent>, Position),
     /// The history after the given revision is gone; read everything anew.
     HistoryGone,
 }
@@ -145,8 +166,8 @@
 pub type ListCall = Rc<dyn Fn(String) -> PortCall<Listing>>;
 /// Waits for changes under a prefix after a revision, at most for a time.
 pub type WatchCall = Rc<dyn Fn(String, u64, Duration) -> PortCall<WatchReply>>;
-/// Writes all changes or none, and returns their revision.
-pub type CommitCall = Rc<dyn Fn(Vec<Change>) -> PortFuture<u64>>;
+/// Writes all changes or none, and returns their place in the history.
+pub type CommitCall = Rc<dyn Fn(Vec<Change>) -> PortFuture<Position>>;
 
 /// The calls to a key-value service that a process on one thread makes.
 #[derive(Clone)]
