Failing tests: a store restored from a copy, whose revisions are given out again

Callers: a key that was revoked goes on to be honoured (CONFIG), a server that said it leaves goes on to be asked (DRAIN).

--- a/crates/direct/tests/reports_usage.rs
+++ b/crates/direct/tests/reports_usage.rs
@@ -6,7 +6,11 @@
 
 use common::{World, catalog, net::Net, play, request, total};
 use pondwalk_direct::Entry;
-use pondwalk_standin::{backends::Act, memory_store::Weather, usage_sink::Reach};
+use pondwalk_standin::{
+    backends::Act,
+    memory_store::{StoreCopy, Weather},
+    usage_sink::Reach,
+};
 use tokio::time::{Instant, sleep};
 
 const USAGE: &str = "[usage]\naddress=127.0.0.1:4\ntasks=metering,autoscaling\nlease_ms=3000\n\
@@ -299,3 +303,73 @@
         assert!(all.entries.iter().any(logged));
     });
 }
+
+/// The store is away for a while and comes back from a copy.
+async fn restore(world: &World, copy: &StoreCopy) {
+    world.store.set_weather(Weather::Silent(Duration::from_secs(30)));
+    sleep(Duration::from_millis(2_400)).await;
+    world.store.restore(copy.clone());
+    world.store.set_weather(Weather::Fair);
+}
+
+#[test]
+fn usage_is_reported_on_in_one_voice_where_the_store_loses_the_record() {
+    for copy_after_s in [1, 6, 11] {
+        play(|world| async move {
+            let mut all = Deployment::start(&world, 5).await;
+            all.ask_for(Duration::from_secs(copy_after_s), 20).await;
+            let copy = world.store.copy();
+            all.ask_for(Duration::from_secs(9), 20).await;
+            restore(&world, &copy).await;
+            all.ask_for(Duration::from_secs(25), 20).await;
+            all.wait_until_due().await;
+            all.assert_one_voice();
+            assert_eq!(all.windows_off_by(0.05), NOTHING, "copy after {copy_after_s} s");
+        });
+    }
+}
+
+#[test]
+fn no_window_is_reported_in_two_ways_where_the_holder_ends_as_the_store_loses_the_record() {
+    for copy_after_s in [1, 6, 11] {
+        play(|world| async move {
+            let mut all = Deployment::start(&world, 5).await;
+            all.ask_for(Duration::from_secs(copy_after_s), 20).await;
+            let copy = world.store.copy();
+            all.ask_for(Duration::from_secs(9), 20).await;
+            let holder = all.holder();
+            all.end(holder);
+            restore(&world, &copy).await;
+            all.ask_for(Duration::from_secs(25), 20).await;
+            all.wait_until_due().await;
+            all.assert_one_voice();
+        });
+    }
+}
+
+#[test]
+fn no_number_is_used_by_two_holders_where_nobody_remembers_what_the_store_lost() {
+    for copy_after_s in [1, 6, 11] {
+        play(|world| async move {
+            let mut all = Deployment::start(&world, 4).await;
+            all.ask_for(Duration::from_secs(copy_after_s), 20).await;
+            let copy = world.store.copy();
+            let holder = all.holder();
+            all.end(holder);
+            all.ask_for(Duration::from_secs(14), 20).await;
+            while !all.entries.is_empty() {
+                all.end(0);
+            }
+            restore(&world, &copy).await;
+            all.entries = (10..14).map(|n| all.net.start_with(&world, n, USAGE)).collect();
+            let now_ms = START_MS + all.started.elapsed().as_millis() as u64;
+            all.entries.iter().for_each(|entry| entry.pretend_unix_ms(now_ms));
+            sleep(Duration::from_secs(10)).await;
+            all.ask_for(Duration::from_secs(15), 20).await;
+            all.wait_until_due().await;
+            let broken = world.usage_sink.broken();
+            let of_numbers = broken.iter().filter(|rule| rule.contains("the number"));
+            assert_eq!(of_numbers.count(), 0, "{broken:?}");
+        });
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/store_restored.rs
@@ -0,0 +1,516 @@
+//! A store that is restored from a copy some seconds old: its revisions are given out again, and what entries
+//! wrote since is gone.
+
+mod common;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use common::{
+    World, address, catalog, catalog_with_keys, lethal, net::Net, play, request, total, with,
+};
+use pondwalk_direct::{Entry, membership::Roster};
+use pondwalk_standin::{
+    backends::Act,
+    memory_store::{StoreCopy, Weather},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::time::sleep;
+
+/// Time in which the store is away before it comes back from a copy.
+const AWAY: Duration = Duration::from_millis(2_400);
+/// Time after the restoration from which changes must be in force in time again.
+const SETTLED: Duration = Duration::from_secs(3);
+/// Time in which a change must be in force at all entries.
+const IN_FORCE: Duration = Duration::from_secs(1);
+/// Changes that are lost with the restoration.
+const LOST: u32 = 12;
+
+async fn start(world: &World, net: &Net, count: u16) -> Vec<Entry> {
+    world.configure(catalog(1));
+    for n in 1..=3 {
+        world.start_server(n, "s", "v1", Act::Answer(200, "made".into()));
+    }
+    let entries = net.start_many(world, count, "");
+    sleep(Duration::from_secs(6)).await;
+    entries
+}
+
+fn write_what_is_lost(world: &World) {
+    for n in 0..LOST {
+        world.store.put(&format!("other/{n}"), "written after the copy");
+    }
+}
+
+/// The store is away for some time and comes back from the copy.
+async fn restore(world: &World, copy: &StoreCopy, away: Duration) {
+    if !away.is_zero() {
+        world.store.set_weather(Weather::Silent(Duration::from_secs(30)));
+        sleep(away).await;
+    }
+    world.store.restore(copy.clone());
+    world.store.set_weather(Weather::Fair);
+}
+
+async fn status(world: &World, entry: &Entry, key: &str) -> u16 {
+    let sent = with(request("/again/", "r"), "authorization", &format!("Bearer {key}"));
+    world.ask_at(entry, sent).await.status.as_u16()
+}
+
+/// Entries at which a key of the configuration in force is refused, or another one is not.
+async fn astray(world: &World, entries: &[Entry], honoured: &str, refused: &str) -> Vec<String> {
+    let mut astray = Vec::new();
+    for entry in entries {
+        let found = (status(world, entry, honoured).await, status(world, entry, refused).await);
+        if found != (200, 401) {
+            astray.push(format!("{}: {found:?}", entry.name()));
+        }
+    }
+    astray
+}
+
+/// Requests that reach a server which all entries should have left.
+async fn sent_to(world: &World, entries: &[Entry], n: u16) -> usize {
+    let before = world.backends.seen(address(n)).len();
+    for entry in entries {
+        for number in 0..6 {
+            world.ask_at(entry, request("/again/", &format!("r{number}"))).await;
+        }
+    }
+    world.backends.seen(address(n)).len() - before
+}
+
+fn changes_reach_all(count: u16, away: Duration) {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, count).await;
+        let copy = world.store.copy();
+        write_what_is_lost(&world);
+        sleep(IN_FORCE).await;
+        restore(&world, &copy, away).await;
+        sleep(SETTLED).await;
+        world.configure(catalog_with_keys(2, &["k1"]));
+        world.list_server(1, "s", "v1", "draining");
+        sleep(IN_FORCE).await;
+        assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
+        assert_eq!(sent_to(&world, &entries, 1).await, 0);
+    });
+}
+
+#[test]
+fn changes_after_a_restoration_reach_all_of_4_entries() {
+    changes_reach_all(4, AWAY);
+}
+
+#[test]
+fn changes_after_a_restoration_reach_all_of_24_entries() {
+    changes_reach_all(24, AWAY);
+}
+
+#[test]
+fn changes_after_a_restoration_reach_all_of_103_entries() {
+    changes_reach_all(103, AWAY);
+}
+
+#[test]
+fn changes_after_a_restoration_without_an_outage_reach_all() {
+    changes_reach_all(24, Duration::ZERO);
+}
+
+#[test]
+fn changes_under_revisions_already_passed_when_first_asked_reach_all() {
+    for count in [1, 4, 24] {
+        play(|world| async move {
+            let net = Net::default();
+            let entries = start(&world, &net, count).await;
+            let copy = world.store.copy();
+            write_what_is_lost(&world);
+            sleep(IN_FORCE).await;
+            restore(&world, &copy, Duration::ZERO).await;
+            world.configure(catalog_with_keys(2, &["k1"]));
+            world.list_server(1, "s", "v1", "draining");
+            write_what_is_lost(&world);
+            sleep(IN_FORCE).await;
+            assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
+            assert_eq!(sent_to(&world, &entries, 1).await, 0, "{count} entries");
+        });
+    }
+}
+
+#[test]
+fn changes_reach_an_entry_that_cannot_reach_the_restored_store() {
+    for position in 0..4 {
+        play(|world| async move {
+            let net = Net::default();
+            let entries = start(&world, &net, 4).await;
+            let copy = world.store.copy();
+            write_what_is_lost(&world);
+            sleep(IN_FORCE).await;
+            world.cut_store_for(&entries[position], Weather::Silent(Duration::from_secs(30)));
+            restore(&world, &copy, AWAY).await;
+            sleep(SETTLED).await;
+            world.configure(catalog_with_keys(2, &["k1"]));
+            world.list_server(1, "s", "v1", "draining");
+            sleep(2 * IN_FORCE).await;
+            assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
+            assert_eq!(sent_to(&world, &entries, 1).await, 0);
+        });
+    }
+}
+
+#[test]
+fn answers_of_the_era_before_that_come_late_hide_no_change() {
+    for late_ms in [150, 400, 900, 1_500] {
+        play(|world| async move {
+            let net = Net::default();
+            let entries = start(&world, &net, 4).await;
+            let copy = world.store.copy();
+            write_what_is_lost(&world);
+            world.store.set_weather(Weather::Late(Duration::from_millis(late_ms)));
+            sleep(2 * SETTLED).await;
+            world.store.restore(copy);
+            sleep(2 * SETTLED).await;
+            world.configure(catalog_with_keys(2, &["k1"]));
+            world.list_server(1, "s", "v1", "draining");
+            sleep(2 * IN_FORCE + 2 * Duration::from_millis(late_ms)).await;
+            assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
+            assert_eq!(sent_to(&world, &entries, 1).await, 0, "{late_ms} ms");
+        });
+    }
+}
+
+#[test]
+fn entries_that_start_beside_others_of_the_era_before_hear_all_changes() {
+    play(|world| async move {
+        let net = Net::default();
+        let mut entries = start(&world, &net, 8).await;
+        let copy = world.store.copy();
+        write_what_is_lost(&world);
+        sleep(IN_FORCE).await;
+        world.store.set_weather(Weather::Silent(Duration::from_secs(30)));
+        sleep(AWAY).await;
+        entries.extend((8..12).map(|n| net.start_later(&world, n)));
+        sleep(Duration::from_millis(300)).await;
+        restore(&world, &copy, Duration::ZERO).await;
+        entries.extend((12..16).map(|n| net.start_later(&world, n)));
+        sleep(SETTLED).await;
+        world.configure(catalog_with_keys(2, &["k1"]));
+        world.list_server(1, "s", "v1", "draining");
+        sleep(IN_FORCE).await;
+        assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
+        assert_eq!(sent_to(&world, &entries, 1).await, 0);
+    });
+}
+
+#[test]
+fn changes_and_restorations_in_any_order_leave_all_with_what_the_store_holds() {
+    for seed in 0..24 {
+        play(|world| async move {
+            let net = Net::default();
+            let entries = start(&world, &net, 5).await;
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let mut version = 1;
+            let mut copy = world.store.copy();
+            for _ in 0..30 {
+                match rng.random_range(0..6) {
+                    0 => copy = world.store.copy(),
+                    1 => {
+                        let away = Duration::from_millis(rng.random_range(0..3_000));
+                        restore(&world, &copy, if rng.random() { away } else { Duration::ZERO })
+                            .await;
+                        copy = world.store.copy();
+                    }
+                    2 => write_what_is_lost(&world),
+                    3 => {
+                        version += 1;
+                        world.configure(catalog(version));
+                    }
+                    _ => sleep(Duration::from_millis(rng.random_range(0..900))).await,
+                }
+            }
+            // NB: the operator writes its last configuration again after a restoration.
+            world.configure(catalog_with_keys(version + 1, &["k1"]));
+            world.list_server(1, "s", "v1", "draining");
+            sleep(SETTLED).await;
+            assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
+            assert_eq!(sent_to(&world, &entries, 1).await, 0, "seed {seed}");
+        });
+    }
+}
+
+#[test]
+fn no_configuration_reverts_with_the_store() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, 4).await;
+        let copy = world.store.copy();
+        world.configure(catalog_with_keys(2, &["k1"]));
+        sleep(IN_FORCE).await;
+        restore(&world, &copy, AWAY).await;
+        for _ in 0..20 {
+            sleep(Duration::from_millis(100)).await;
+            for entry in &entries {
+                assert_eq!(status(&world, entry, "k2").await, 401);
+            }
+        }
+    });
+}
+
+#[test]
+fn a_server_that_leaves_gets_nothing_though_the_copy_calls_it_ready() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, 4).await;
+        let copy = world.store.copy();
+        world.list_server(1, "s", "v1", "draining");
+        sleep(IN_FORCE).await;
+        restore(&world, &copy, AWAY).await;
+        for _ in 0..10 {
+            sleep(Duration::from_millis(150)).await;
+            assert_eq!(sent_to(&world, &entries, 1).await, 0);
+        }
+    });
+}
+
+#[test]
+fn a_server_that_starts_anew_after_the_copy_serves_again() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, 4).await;
+        let copy = world.store.copy();
+        world.list_server(1, "s", "v1", "draining");
+        sleep(IN_FORCE).await;
+        restore(&world, &copy, AWAY).await;
+        sleep(IN_FORCE).await;
+        let next = format!("s {} dc1 v1 ready 0 77", address(1));
+        world.store.put("server/s1", &next);
+        sleep(IN_FORCE).await;
+        assert!(sent_to(&world, &entries, 1).await > 0);
+    });
+}
+
+#[test]
+fn servers_that_the_copy_lacks_serve_on_until_they_should_be_back() {
+    for away in [AWAY, Duration::ZERO] {
+        play(|world| async move {
+            let net = Net::default();
+            let entries = start(&world, &net, 4).await;
+            for n in 1..=3 {
+                world.store.remove(&format!("server/s{n}"));
+            }
+            let copy = world.store.copy();
+            for n in 1..=3 {
+                world.list_server(n, "s", "v1", "ready");
+            }
+            sleep(IN_FORCE).await;
+            restore(&world, &copy, away).await;
+            for _ in 0..12 {
+                sleep(Duration::from_millis(100)).await;
+                for entry in &entries {
+                    assert_eq!(status(&world, entry, "k1").await, 200, "{away:?}");
+                }
+            }
+        });
+    }
+}
+
+#[test]
+fn an_evacuation_that_the_copy_lacks_holds_until_it_should_be_back() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, 4).await;
+        world.start_server(9, "s", "v1", Act::Answer(200, "made".into()));
+        world.list_server_in("dc2", 9, "s", "v1", "ready");
+        let copy = world.store.copy();
+        world.store.put("evacuate/dc2", "");
+        sleep(IN_FORCE).await;
+        restore(&world, &copy, AWAY).await;
+        for _ in 0..10 {
+            sleep(Duration::from_millis(100)).await;
+            assert_eq!(sent_to(&world, &entries, 9).await, 0);
+        }
+        world.store.put("evacuate/dc2", "");
+        sleep(SETTLED).await;
+        assert_eq!(sent_to(&world, &entries, 9).await, 0);
+    });
+}
+
+#[test]
+fn an_evacuation_that_is_not_written_again_ends() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, 4).await;
+        world.start_server(9, "s", "v1", Act::Answer(200, "made".into()));
+        world.list_server_in("dc2", 9, "s", "v1", "ready");
+        let copy = world.store.copy();
+        world.store.put("evacuate/dc2", "");
+        sleep(IN_FORCE).await;
+        restore(&world, &copy, AWAY).await;
+        sleep(2 * SETTLED).await;
+        let served = sent_to(&world, &entries, 9).await;
+        assert!(served > 0, "it is taken back in the end");
+    });
+}
+
+#[test]
+fn entries_whose_listing_is_lost_are_listed_again() {
+    for count in [2_u16, 8, 40] {
+        play(|world| async move {
+            let net = Net::default();
+            let entries = start(&world, &net, 3).await;
+            let copy = world.store.copy();
+            let later: Vec<Entry> = (3..3 + count).map(|n| net.start_later(&world, n)).collect();
+            sleep(Duration::from_secs(6)).await;
+            let listed = |entry: &Entry| {
+                world.store.value(&format!("pondwalk/entries/{}", entry.name())).is_some()
+            };
+            assert!(later.iter().all(listed), "listed before");
+            restore(&world, &copy, AWAY).await;
+            assert!(!later.iter().any(listed), "lost");
+            sleep(2 * SETTLED).await;
+            let unlisted = later.iter().filter(|entry| !listed(entry)).count();
+            assert_eq!(unlisted, 0, "of {count}");
+            world.configure(catalog_with_keys(2, &["k1"]));
+            sleep(IN_FORCE).await;
+            assert_eq!(astray(&world, &later, "k1", "k2").await, Vec::<String>::new());
+            assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
+        });
+    }
+}
+
+#[test]
+fn all_entries_that_the_copy_lacks_are_listed_again() {
+    play(|world| async move {
+        let net = Net::default();
+        let copy = world.store.copy();
+        let entries = start(&world, &net, 24).await;
+        let calls = world.store.calls();
+        restore(&world, &copy, AWAY).await;
+        world.configure(catalog(1));
+        for n in 1..=3 {
+            world.list_server(n, "s", "v1", "ready");
+        }
+        sleep(3 * SETTLED).await;
+        let names: BTreeSet<String> = entries.iter().map(|one| one.name().to_owned()).collect();
+        let listed =
+            |name: &&String| world.store.value(&format!("pondwalk/entries/{name}")).is_some();
+        assert_eq!(names.iter().filter(listed).count(), 24);
+        let calls = world.store.calls() - calls;
+        assert!(calls < 150, "{calls} calls");
+    });
+}
+
+/// Plays a roll-out to its end, and restores the store from a copy taken `before_end` or so before.
+fn outcome_after_restoration(second: Act, copy_after: Duration, down_count: u16) -> Option<String> {
+    let found = std::rc::Rc::new(std::cell::RefCell::new(None));
+    let told = std::rc::Rc::clone(&found);
+    play(move |world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, down_count).await;
+        for n in 11..=13 {
+            world.start_server(n, "s", "v2", second.clone());
+        }
+        world.store.put("order/s", "v2 20");
+        let mut copy = None;
+        for n in 0..900 {
+            if copy.is_none() && Duration::from_millis(n * 40) >= copy_after {
+                copy = Some(world.store.copy());
+            }
+            let entry = &entries[n as usize % entries.len()];
+            let sent =
+                with(request("/again/", &format!("r{n}")), "pondwalk-session", &n.to_string());
+            world.ask_at(entry, sent).await;
+            sleep(Duration::from_millis(40)).await;
+            let over = |text: String| !text.ends_with("InProgress");
+            if world.store.value("progress/s").is_some_and(over) {
+                break;
+            }
+        }
+        sleep(IN_FORCE).await;
+        let before = world.store.value("progress/s");
+        restore(&world, &copy.expect("a copy before the end"), AWAY).await;
+        assert_ne!(world.store.value("progress/s"), before, "it is lost");
+        sleep(2 * SETTLED).await;
+        assert_eq!(world.store.value("progress/s"), before, "it is told again");
+        *told.borrow_mut() = before;
+    });
+    found.take()
+}
+
+#[test]
+fn a_completed_roll_out_that_is_lost_is_told_again() {
+    let good = Act::Answer(200, "new".into());
+    let copy_after = Duration::from_secs(8);
+    let outcome = outcome_after_restoration(good, copy_after, 4);
+    assert_eq!(outcome.as_deref(), Some("v2 Completed"));
+}
+
+#[test]
+fn a_roll_out_whose_beginning_is_lost_too_is_told_again() {
+    let good = Act::Answer(200, "new".into());
+    let outcome = outcome_after_restoration(good, Duration::ZERO, 4);
+    assert_eq!(outcome.as_deref(), Some("v2 Completed"));
+}
+
+#[test]
+fn a_reverted_roll_out_that_is_lost_is_told_again() {
+    let bad = Act::Answer(500, "bad".into());
+    let outcome = outcome_after_restoration(bad, Duration::ZERO, 4);
+    assert_eq!(outcome.as_deref(), Some("v2 Reverted"));
+}
+
+#[test]
+fn contents_that_are_held_are_stored_again() {
+    play(|world| async move {
+        let net = Net::default();
+        let kind = lethal::again();
+        let entries = lethal::start(&world, &net, &kind, 5).await;
+        let copy = world.store.copy();
+        lethal::come_again(&world, &entries, &kind, lethal::QUICK, Duration::from_secs(10)).await;
+        assert!(world.store.value("pondwalk/quarantine").is_some(), "stored before");
+        restore(&world, &copy, AWAY).await;
+        assert!(world.store.value("pondwalk/quarantine").is_none(), "lost");
+        sleep(2 * SETTLED).await;
+        assert!(world.store.value("pondwalk/quarantine").is_some(), "stored again");
+    });
+}
+
+#[test]
+fn logs_and_metrics_tell_the_era() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, 4).await;
+        let copy = world.store.copy();
+        write_what_is_lost(&world);
+        sleep(IN_FORCE).await;
+        restore(&world, &copy, AWAY).await;
+        sleep(SETTLED).await;
+        assert_eq!(total(&entries, "pondwalk_store_era"), 4);
+        for entry in &entries {
+            let lines = entry.gathered_lines();
+            assert!(lines.contains("\"event\":\"era_changed\",\"before\":0,\"era\":1"), "{lines}");
+        }
+    });
+}
+
+#[test]
+fn a_root_that_has_not_read_anew_is_not_believed() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, 5).await;
+        let names: Vec<&str> = entries.iter().map(Entry::name).collect();
+        let root = Roster::first_of(&names);
+        let copy = world.store.copy();
+        write_what_is_lost(&world);
+        sleep(IN_FORCE).await;
+        // NB: the root that most others ask is the last to hear from the restored store.
+        world.cut_store_for(&entries[root], Weather::Silent(Duration::from_secs(30)));
+        restore(&world, &copy, Duration::ZERO).await;
+        world.configure(catalog_with_keys(2, &["k1"]));
+        world.list_server(1, "s", "v1", "draining");
+        sleep(Duration::from_millis(1_500)).await;
+        world.cut_store_for(&entries[root], Weather::Fair);
+        sleep(IN_FORCE).await;
+        assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
+        assert_eq!(sent_to(&world, &entries, 1).await, 0);
+    });
+}
