A place in the store's history is an era and a revision, so that a restored store hides no change

Callers: after the store came back from a copy, a key that had been revoked was still honoured and a server that had said it leaves still got requests, for seconds (CONFIG, DRAIN), until revisions had passed those of before.

Cause: revisions were compared across two histories. An entry that held 31 took 'after 31' from others and from the store, while the restored store gave 28 to 31 out again for other changes; position.max(revision) and Replica::after kept it from ever hearing them.

Why this works: positions order by era first. An answer of the store of another era than the state's makes the entry read all anew; what was asked before a restoration is passed over when it is answered; an entry of an earlier era confirms nothing and tells no changes to one of a later era, and is told the whole state by it.

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -210,7 +210,7 @@
             ("contents_given_way", state.quarantine.given_way()),
             ("entries_listed", self.roster.count() as u64),
             ("asks_store", u64::from(asks_store)),
-            ("store_era", state.era),
+            ("store_era", state.replica.position().era),
             ("news_remembered", self.news.borrow().all(self.clock.now()).count() as u64),
         ];
         drop(state);
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -12,7 +12,7 @@
 
 use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
-use pondwalk_store::{Era, Fetched, Listing, Position, StoreError, StoreEvent, WatchReply};
+use pondwalk_store::{Fetched, Listing, Position, StoreError, StoreEvent, WatchReply};
 use pondwalk_types::ServerId;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -62,10 +62,10 @@
         unreadable: RefCell::default(),
     };
     loop {
-        let Some(mut revision) = follower.read_all().await else { continue };
+        let Some(mut position) = follower.read_all().await else { continue };
         follower.see_to_listing().await;
-        while let Some(next) = follower.next(revision).await {
-            revision = next;
+        while let Some(next) = follower.next(position).await {
+            position = next;
             follower.forget_lapsed();
             follower.see_to_listing().await;
         }
@@ -117,24 +117,24 @@
 }
 
 impl Follower {
-    /// Learns what changed after `revision`, from another entry or from the store; `None` if
+    /// Learns what changed after `position`, from another entry or from the store; `None` if
     /// all must be read anew.
-    async fn next(&mut self, revision: u64) -> Option<u64> {
+    async fn next(&mut self, position: Position) -> Option<Position> {
         match self.core.source() {
             Source::Entry { name, address } => {
                 if self.should_fall_back() {
-                    self.fall_back(revision);
+                    self.fall_back(position);
                 }
                 self.note_source(Some(&name));
-                self.learn_from(&name, address, revision).await
+                self.learn_from(&name, address, position).await
             }
             Source::Store => {
                 self.note_source(None);
-                self.confirm_for_others(revision).await
+                self.confirm_for_others(position).await
             }
             Source::StoreAlone => {
                 self.note_source(None);
-                self.watch_alone(revision).await
+                self.watch_alone(position).await
             }
         }
     }
@@ -168,23 +168,24 @@
         }
     }
 
-    fn take_changes(&self, events: &[StoreEvent], revision: u64) {
+    fn take_changes(&self, events: &[StoreEvent], position: Position) {
         for event in events {
             self.learn(event);
         }
-        self.core.state.borrow_mut().replica.extend(events, revision);
+        self.core.state.borrow_mut().replica.extend(events, position);
     }
 
-    fn take_whole(&self, entries: &[Fetched], revision: u64) {
+    fn take_whole(&self, entries: &[Fetched], position: Position) {
+        self.note_restored(position);
+        self.core.state.borrow_mut().replica.restart(entries, position);
         self.forget_all_but(entries);
         for entry in entries {
             self.learn_written(entry);
         }
-        self.core.state.borrow_mut().replica.restart(entries, revision);
     }
 
     /// Learns everything, from another entry or from the store; `None` if that is to be tried again.
-    async fn read_all(&mut self) -> Option<u64> {
+    async fn read_all(&mut self) -> Option<Position> {
         if !self.started {
             // NB: a reading that is under way goes on; whichever tells first is taken.
             let heard = tokio::select! {
@@ -215,11 +216,11 @@
         let sent = self.core.clock.now();
         let cause = if self.started { StoreCause::Rereading } else { StoreCause::FirstReading };
         self.core.metrics.count_store_call(cause);
-        let asked = Asked { sent, after: 0, wait: Duration::ZERO };
+        let asked = Asked { sent, after: Position::default(), wait: Duration::ZERO };
         self.listing.start(asked, (self.port.store.list)(String::new()));
     }
 
-    async fn take_listing(&mut self, answered: Answered<Listing>) -> Option<u64> {
+    async fn take_listing(&mut self, answered: Answered<Listing>) -> Option<Position> {
         let sent = answered.asked.sent;
         let took = self.core.clock.now().saturating_sub(sent);
         self.core.metrics.time(Timer::StoreCall, took);
@@ -229,11 +230,9 @@
                 self.started = true;
                 self.listing.clear();
                 self.learns_from = Heard::FromStore;
-                let Position { era, revision } = listing.position;
-                self.note_era(era, revision);
-                self.take_whole(&listing.entries, revision);
-                self.confirm(sent, revision, Heard::FromStore);
-                Some(revision)
+                self.take_whole(&listing.entries, listing.position);
+                self.confirm(sent, listing.position, Heard::FromStore);
+                Some(listing.position)
             }
             Err(error) => {
                 self.note_failure(&error);
@@ -244,21 +243,20 @@
         }
     }
 
-    fn take_first_state(&mut self, first: FirstState) -> u64 {
+    fn take_first_state(&mut self, first: FirstState) -> Position {
         self.started = true;
         self.listing.clear();
-        let revision = first.told.revision;
-        let era = first.told.era;
-        let event = Learned::FirstState { from: first.from.to_string(), era, revision };
+        let position = first.told.position;
+        let event = Learned::FirstState { from: first.from.to_string(), position };
         self.core.journal.note(Rank::State, &event);
         self.client = first.client;
         self.core.told_by.set(Some(first.from));
-        self.take_told(first.told, revision);
-        revision
+        self.take_told(first.told, position);
+        position
     }
 
     /// The state was confirmed by the store at `at`; its answer was heard from it, or from others.
-    fn confirm(&mut self, at: Duration, revision: u64, heard_from: Heard) {
+    fn confirm(&mut self, at: Duration, position: Position, heard_from: Heard) {
         let mut state = self.core.state.borrow_mut();
         let before = state.freshness.confirmed();
         state.freshness.confirm(at);
@@ -285,18 +283,22 @@
             if heard_from == Heard::FromStore {
                 self.core.state.borrow_mut().store_returned = Some(self.core.clock.now());
             }
-            let era = self.core.state.borrow().era;
-            self.core.journal.note(Rank::State, &Learned::StoreRegained { era, revision });
+            self.core.journal.note(Rank::State, &Learned::StoreRegained { position });
         }
     }
 
-    /// Notes the era of an answer, or of what another entry told.
-    fn note_era(&self, era: Era, revision: u64) {
-        let before = std::mem::replace(&mut self.core.state.borrow_mut().era, era);
-        if before != era {
-            let event = Learned::EraChanged { before, era, revision };
-            self.core.journal.note(Rank::State, &event);
+    /// Notes it if a whole state is of another era than the one held.
+    fn note_restored(&self, position: Position) {
+        let mut state = self.core.state.borrow_mut();
+        let before = state.replica.position();
+        if !self.started || before.era == position.era {
+            return;
         }
+        // NB: a store that is restored was away, even if nobody noticed.
+        state.store_returned = Some(self.core.clock.now());
+        drop(state);
+        let event = Learned::StoreRestored { before, position };
+        self.core.journal.note(Rank::State, &event);
     }
 
     /// A call failed; the store counts as lost until it answers.
--- a/crates/direct/src/follow/asking.rs
+++ b/crates/direct/src/follow/asking.rs
@@ -6,7 +6,7 @@
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
-use pondwalk_store::{PortCall, Progress, StoreError};
+use pondwalk_store::{PortCall, Position, Progress, StoreError};
 use tokio::{
     sync::Notify,
     task::{AbortHandle, Id, JoinError, JoinSet},
@@ -26,8 +26,8 @@
 pub struct Asked {
     /// Own time at which it was sent.
     pub sent: Duration,
-    /// Revision after which it asks for changes; 0 for a whole reading.
-    pub after: u64,
+    /// Place after which it asks for changes; the first one for a whole reading.
+    pub after: Position,
     /// How long the store was to wait for one.
     pub wait: Duration,
 }
@@ -109,14 +109,14 @@
     }
 
     /// Drops the calls whose answers are being read, but would only bring what is known by
-    /// `revision`.
-    pub fn drop_known(&mut self, revision: u64) {
-        self.drop_if(|call| call.asked.after < revision && call.progress.bytes() > 0);
+    /// `position`.
+    pub fn drop_known(&mut self, position: Position) {
+        self.drop_if(|call| call.asked.after < position && call.progress.bytes() > 0);
     }
 
-    /// Drops the calls for changes after a revision before this one.
-    pub fn drop_before(&mut self, revision: u64) {
-        self.drop_if(|call| call.asked.after < revision);
+    /// Drops the calls for changes after a place before this one.
+    pub fn drop_before(&mut self, position: Position) {
+        self.drop_if(|call| call.asked.after < position);
     }
 
     /// Drops all calls.
--- a/crates/direct/src/follow/first.rs
+++ b/crates/direct/src/follow/first.rs
@@ -5,6 +5,7 @@
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
+use pondwalk_store::Position;
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep},
@@ -94,7 +95,7 @@
         }
         let question = Question {
             store: core.settings.store.address,
-            after: 0,
+            after: Position::default(),
             need,
             until: end.min(Instant::now() + ANSWER_LIMIT),
         };
--- a/crates/direct/src/follow/learn.rs
+++ b/crates/direct/src/follow/learn.rs
@@ -166,7 +166,7 @@
             return;
         }
         state.install(catalog);
-        let store_era = state.era;
+        let store_era = state.replica.position().era;
         drop(state);
         let event = Learned::ConfigurationInForce { version, store_era, store_revision };
         self.core.journal.note(Rank::State, &event);
--- a/crates/direct/src/follow/others.rs
+++ b/crates/direct/src/follow/others.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use pondwalk_store::{Fetched, StoreEvent};
+use pondwalk_store::{Fetched, Position, StoreEvent};
 use tokio::time::Instant;
 
 use super::{Follower, Heard, report::Learned, watching::NO_WAIT};
@@ -39,27 +39,27 @@
     }
 
     /// Asks the store beside the others, and puts off the next such question.
-    pub(super) fn fall_back(&mut self, revision: u64) {
+    pub(super) fn fall_back(&mut self, position: Position) {
         self.unreached = 0;
         self.note_source(None);
-        self.start_watch(revision, NO_WAIT, StoreCause::Fallback);
+        self.start_watch(position, NO_WAIT, StoreCause::Fallback);
         self.fallback_from = self.core.clock.now() + self.fallback_pause;
         self.fallback_pause = (self.fallback_pause * 2).min(LONGEST_FALLBACK_PAUSE);
     }
 
     /// Asks others in turn, a few each time, for what the store does not tell this entry: it may be
     /// among those that are turned away.
-    pub(super) async fn ask_around(&mut self, revision: u64) -> u64 {
+    pub(super) async fn ask_around(&mut self, position: Position) -> Position {
         let others = self.core.roster.others(self.core.clock.now());
         for _ in 0..ASKED_AROUND.min(others.len()) {
             self.asked_around = (self.asked_around + 1) % others.len();
             let (name, address) = &others[self.asked_around];
             let until = Instant::now() + self.core.settings.membership.times.exchange;
-            let question = self.question(revision, Need::ChangesNow, until);
+            let question = self.question(position, Need::ChangesNow, until);
             let asking = self.client.ask(&self.core.connect, &self.core.clock, *address, question);
             match asking.await {
                 Ok(told) => {
-                    let next = told.revision.max(revision);
+                    let next = told.position.max(position);
                     self.take_told(told, next);
                     return next;
                 }
@@ -67,11 +67,11 @@
                 Err(AskError::Old) => {}
                 Err(error) => {
                     self.core.roster.note(name, Some(&error), self.core.clock.now());
-                    return revision;
+                    return position;
                 }
             }
         }
-        revision
+        position
     }
 
     /// Asks another entry once, unless an answer of the store comes before; `None` if all must be
@@ -80,24 +80,29 @@
         &mut self,
         name: &str,
         address: SocketAddr,
-        revision: u64,
-    ) -> Option<u64> {
-        let question = self.question(revision, Need::Changes, self.give_up_at());
+        position: Position,
+    ) -> Option<Position> {
+        let question = self.question(position, Need::Changes, self.give_up_at());
         let asking = self.client.ask(&self.core.connect, &self.core.clock, address, question);
         let told = tokio::select! {
             biased;
-            answered = self.watching.next() => return self.take_answer(answered, revision),
+            answered = self.watching.next() => return self.take_answer(answered, position),
             told = asking => told,
         };
-        Some(self.take_or_leave(name, told, revision))
+        Some(self.take_or_leave(name, told, position))
     }
 
-    fn take_or_leave(&mut self, name: &str, told: Result<Told, AskError>, revision: u64) -> u64 {
+    fn take_or_leave(
+        &mut self,
+        name: &str,
+        told: Result<Told, AskError>,
+        position: Position,
+    ) -> Position {
         self.core.roster.note(name, told.as_ref().err(), self.core.clock.now());
         match told {
             Ok(told) => {
                 self.unreached = 0;
-                let next = told.revision.max(revision);
+                let next = told.position.max(position);
                 self.take_told(told, next);
                 next
             }
@@ -108,7 +113,7 @@
                 }
                 let event = Learned::SourceFailed { entry: name, error: error.to_string() };
                 self.core.journal.note(Rank::State, &event);
-                revision
+                position
             }
         }
     }
@@ -127,33 +132,38 @@
         self.core.clock.instant(until)
     }
 
-    fn question(&self, after: u64, need: Need, until: Instant) -> Question {
+    fn question(&self, after: Position, need: Need, until: Instant) -> Question {
         Question { store: self.core.settings.store.address, after, need, until }
     }
 
-    /// Takes in what another entry told, and from when it is.
-    pub(super) fn take_told(&mut self, mut told: Told, revision: u64) {
+    /// Takes in what another entry told, and from when it is; `position` is where that leads.
+    pub(super) fn take_told(&mut self, mut told: Told, position: Position) {
         self.core.metrics.count_many(Counter::PeerBytesHeard, told.bytes);
+        if told.position.era != position.era {
+            // NB: it has not heard of the restoration yet; a confirmation from before says nothing now.
+            self.core.hear_from_above(std::mem::take(&mut told.news));
+            self.conductor.wake();
+            return;
+        }
         let confirmed = told.confirmed;
-        self.note_era(told.era, told.revision);
         // NB: most entries make no calls to the store, and hear of its loss only with its return.
         let mut state = self.core.state.borrow_mut();
         state.store_returned = state.store_returned.max(told.store_returned);
         state.store_takes = told.store_takes;
         drop(state);
-        self.watching.drop_known(revision);
+        self.watching.drop_known(position);
         self.learns_from = Heard::FromOthers;
         let news = std::mem::take(&mut told.news);
         if told.whole {
             let entries: Vec<Fetched> =
                 told.into_events().into_iter().filter_map(written).collect();
-            self.take_whole(&entries, revision);
+            self.take_whole(&entries, position);
         } else {
-            self.take_changes(&told.into_events(), revision);
+            self.take_changes(&told.into_events(), position);
         }
         self.core.hear_from_above(news);
         if let Some(confirmed) = confirmed {
-            self.confirm(confirmed, revision, Heard::FromOthers);
+            self.confirm(confirmed, position, Heard::FromOthers);
         }
         self.conductor.wake();
     }
--- a/crates/direct/src/follow/report.rs
+++ b/crates/direct/src/follow/report.rs
@@ -1,6 +1,6 @@
 //! Log lines about what the process believes.
 
-use pondwalk_store::Era;
+use pondwalk_store::{Era, Position};
 use serde::Serialize;
 
 /// A change of what the process believes.
@@ -50,13 +50,13 @@
         freshness_ms: Option<u64>,
     },
     StoreRegained {
-        era: Era,
-        revision: u64,
+        #[serde(flatten)]
+        position: Position,
     },
     FirstState {
         from: String,
-        era: Era,
-        revision: u64,
+        #[serde(flatten)]
+        position: Position,
     },
     SourceChanged {
         entry: Option<&'a str>,
@@ -65,14 +65,13 @@
         entry: &'a str,
         error: String,
     },
-    EraChanged {
-        before: Era,
-        era: Era,
-        revision: u64,
+    StoreRestored {
+        before: Position,
+        position: Position,
     },
     HistoryGone {
-        era: Era,
-        revision: u64,
+        #[serde(flatten)]
+        position: Position,
     },
     AnswerTookLong {
         after: u64,
--- a/crates/direct/src/follow/watching.rs
+++ b/crates/direct/src/follow/watching.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pondwalk_store::{StoreError, StoreEvent, WatchReply};
+use pondwalk_store::{Position, StoreError, StoreEvent, WatchReply};
 use tokio::time::{Instant, sleep_until};
 
 use super::{
@@ -39,31 +39,31 @@
     /// NB: a waiting watch would tell a change sooner, but is dated by when it was sent: a change
     /// that ends one late lets the next confirmation come two waits after the last. And a question
     /// that waited for the answer to the one before would make the age two answers' time.
-    pub(super) async fn confirm_for_others(&mut self, revision: u64) -> Option<u64> {
+    pub(super) async fn confirm_for_others(&mut self, position: Position) -> Option<Position> {
         let interval = self.core.settings.membership.times.confirm_interval;
         // NB: one that was alone until now may have put its next question off for longer.
         self.ask_at = self.ask_at.min(Instant::now() + interval);
         if self.may_ask() {
-            self.start_watch(revision, NO_WAIT, StoreCause::Watching);
+            self.start_watch(position, NO_WAIT, StoreCause::Watching);
             self.ask_at = Instant::now() + interval;
         }
         self.note_silence();
         if self.lost && Instant::now() >= self.ask_around_at {
             self.ask_around_at = Instant::now() + interval;
-            return Some(self.ask_around(revision).await);
+            return Some(self.ask_around(position).await);
         }
-        self.answer_until(self.look_at(), revision).await
+        self.answer_until(self.look_at(), position).await
     }
 
     /// Waits at the store for changes; for an entry on which no other rests.
-    pub(super) async fn watch_alone(&mut self, revision: u64) -> Option<u64> {
+    pub(super) async fn watch_alone(&mut self, position: Position) -> Option<Position> {
         if self.may_ask() {
             let wait = self.core.settings.store.watch_wait;
-            self.start_watch(revision, wait, StoreCause::Watching);
+            self.start_watch(position, wait, StoreCause::Watching);
             self.ask_at = Instant::now() + wait + SILENCE;
         }
         self.note_silence();
-        self.answer_until(self.look_at(), revision).await
+        self.answer_until(self.look_at(), position).await
     }
 
     fn may_ask(&self) -> bool {
@@ -75,21 +75,21 @@
         if self.watching.is_moving() { Instant::now() + LOOK } else { self.ask_at }
     }
 
-    /// Starts a call for what has changed after `revision`.
-    pub(super) fn start_watch(&mut self, revision: u64, wait: Duration, cause: StoreCause) {
+    /// Starts a call for what has changed after `position`.
+    pub(super) fn start_watch(&mut self, position: Position, wait: Duration, cause: StoreCause) {
         let sent = self.core.clock.now();
         let wait = if self.lost { wait.min(WAIT_AFTER_LOSS) } else { wait };
         let cause = if self.lost { StoreCause::Probing } else { cause };
         self.core.metrics.count_store_call(cause);
-        let call = (self.port.store.watch)(String::new(), revision, wait);
-        self.watching.start(Asked { sent, after: revision, wait }, call);
+        let call = (self.port.store.watch)(String::new(), position.revision, wait);
+        self.watching.start(Asked { sent, after: position, wait }, call);
     }
 
-    async fn answer_until(&mut self, until: Instant, revision: u64) -> Option<u64> {
+    async fn answer_until(&mut self, until: Instant, position: Position) -> Option<Position> {
         tokio::select! {
             biased;
-            answered = self.watching.next() => self.take_answer(answered, revision),
-            () = sleep_until(until) => Some(revision),
+            answered = self.watching.next() => self.take_answer(answered, position),
+            () = sleep_until(until) => Some(position),
         }
     }
 
@@ -97,18 +97,25 @@
     pub(super) fn take_answer(
         &mut self,
         answered: Answered<WatchReply>,
-        revision: u64,
-    ) -> Option<u64> {
+        position: Position,
+    ) -> Option<Position> {
         let Answered { asked, bytes, answer } = answered;
         match answer {
+            // NB: what was asked before a restoration says nothing of what came after it.
+            Ok(_) if asked.after.era != position.era => Some(position),
+            Ok(WatchReply::Changes(_, told)) if told.era != position.era => {
+                self.watching.clear();
+                None
+            }
             Ok(WatchReply::Changes(events, told)) => {
-                self.note_era(told.era, told.revision);
-                let next = told.revision.max(revision);
+                let next = told.max(position);
                 self.note_answer(asked, bytes);
                 self.learns_from = Heard::FromStore;
                 // NB: calls overlap; what an answer of a later one has brought is not gone back on.
-                let events: Vec<StoreEvent> =
-                    events.into_iter().filter(|event| event.revision() > revision).collect();
+                let events: Vec<StoreEvent> = events
+                    .into_iter()
+                    .filter(|event| event.revision() > position.revision)
+                    .collect();
                 self.take_changes(&events, next);
                 self.confirm(asked.sent, next, Heard::FromStore);
                 if bytes >= LARGE_BYTES {
@@ -122,10 +129,9 @@
                 Some(next)
             }
             // NB: of the history that an earlier question asked for, nothing is needed any more.
-            Ok(WatchReply::HistoryGone) if asked.after < revision => Some(revision),
+            Ok(WatchReply::HistoryGone) if asked.after < position => Some(position),
             Ok(WatchReply::HistoryGone) => {
-                let era = self.core.state.borrow().era;
-                self.core.journal.note(Rank::State, &Learned::HistoryGone { era, revision });
+                self.core.journal.note(Rank::State, &Learned::HistoryGone { position });
                 self.watching.clear();
                 None
             }
@@ -135,7 +141,7 @@
                     self.ask_at = Instant::now() + self.pause;
                     self.pause = self.next_pause();
                 }
-                Some(revision)
+                Some(position)
             }
         }
     }
@@ -151,7 +157,7 @@
         self.core.state.borrow_mut().store_takes = took;
         if bytes >= LARGE_BYTES || took >= SILENCE {
             let took_ms = took.as_millis() as u64;
-            let event = Learned::AnswerTookLong { after: asked.after, bytes, took_ms };
+            let event = Learned::AnswerTookLong { after: asked.after.revision, bytes, took_ms };
             self.core.journal.note(Rank::State, &event);
         }
     }
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -17,7 +17,7 @@
     header::HOST,
 };
 use hyper_util::rt::TokioIo;
-use pondwalk_store::{Era, StoreEvent};
+use pondwalk_store::{Position, StoreEvent};
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 use tokio::{
@@ -78,8 +78,8 @@
 pub struct Question {
     /// Store that both are to speak of.
     pub store: SocketAddr,
-    /// Revision that the asker holds.
-    pub after: u64,
+    /// Place in the store's history up to which the asker knows all.
+    pub after: Position,
     /// What the asker needs.
     pub need: Need,
     /// When the answer is given up.
@@ -96,10 +96,8 @@
     pub store_returned: Option<Duration>,
     /// How long the store's last answer took where the state comes from.
     pub store_takes: Duration,
-    /// Era of the store that the state is of.
-    pub era: Era,
-    /// Revision that it leads to.
-    pub revision: u64,
+    /// Place in the store's history that the state leads to.
+    pub position: Position,
     /// Whether it is the whole state, and not only what changed.
     pub whole: bool,
     /// Bytes of the answer.
@@ -178,8 +176,12 @@
         let state = State::from_bytes(&bytes, question.store)?;
         // NB: what changed after an earlier revision does no harm; a whole state would take the place
         // of a newer one.
-        if state.head.whole && state.head.revision < question.after {
-            return Err(MessageError::Older(state.head.revision).into());
+        if state.head.whole && state.head.position < question.after {
+            return Err(MessageError::Older(state.head.position).into());
+        }
+        // NB: changes within a later era lead there from its own beginning only.
+        if !state.head.whole && state.head.position.era > question.after.era {
+            return Err(MessageError::Contradictory.into());
         }
         self.hear(address, sent, state, bytes.len())
     }
@@ -206,8 +208,7 @@
             confirmed: heard.clock.own_time(head.confirmed),
             store_returned: head.store_returned.and_then(|at| heard.clock.own_time(at)),
             store_takes: head.store_takes,
-            era: head.era,
-            revision: head.revision,
+            position: head.position,
             whole: head.whole,
             bytes,
             changes,
@@ -254,7 +255,7 @@
     }
 
     fn path(&self, address: SocketAddr, question: Question) -> String {
-        let after = question.after;
+        let Position { era, revision } = question.after;
         match question.need {
             Need::Changes | Need::ChangesNow => {}
             Need::FirstState => return format!("{STATE_PATH}?first=wait"),
@@ -264,10 +265,10 @@
         let now = if question.need == Need::ChangesNow { "&now=1" } else { "" };
         match heard.from == Some(address) {
             true => format!(
-                "{STATE_PATH}?after={after}&heard={:x}.{}.{}{now}",
+                "{STATE_PATH}?after={era}.{revision}&heard={:x}.{}.{}{now}",
                 heard.incarnation, heard.turn, heard.news_end
             ),
-            false => format!("{STATE_PATH}?after={after}{now}"),
+            false => format!("{STATE_PATH}?after={era}.{revision}{now}"),
         }
     }
 
--- a/crates/direct/src/membership/message.rs
+++ b/crates/direct/src/membership/message.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
-use pondwalk_store::{Era, Fetched, StoreEvent};
+use pondwalk_store::{Fetched, Position, StoreEvent};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
@@ -34,9 +34,9 @@
     /// It speaks of another store.
     #[error("it speaks of the store at {0}")]
     OtherStore(SocketAddr),
-    /// It is a whole state of an earlier revision than the one held.
-    #[error("it is of revision {0}, which is earlier than what is held")]
-    Older(u64),
+    /// It is a whole state of an earlier place in the store's history than the one held.
+    #[error("it is of revision {} of era {}, which is earlier than what is held", .0.revision, .0.era)]
+    Older(Position),
     /// It is cut, too long or made up.
     #[error("it cannot be read")]
     Unreadable,
@@ -88,10 +88,8 @@
     /// Confirmations that it had counted; the next question names it, and is answered at once only
     /// if there are more.
     pub turn: u64,
-    /// Era of the store that the state is of.
-    pub era: Era,
-    /// Revision that it leads to.
-    pub revision: u64,
+    /// Place in the store's history that the state leads to.
+    pub position: Position,
     /// Whether the body is the whole state, and not only what changed.
     pub whole: bool,
     /// Bytes of the body; what follows is news.
--- a/crates/direct/src/membership/replica.rs
+++ b/crates/direct/src/membership/replica.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use bytes::Bytes;
-use pondwalk_store::{Fetched, StoreEvent};
+use pondwalk_store::{Fetched, Position, StoreEvent};
 
 use super::{KeyChange, MessageError, message};
 
@@ -22,35 +22,35 @@
 pub struct Replica {
     /// All removals after this revision are here.
     start: u64,
-    revision: u64,
+    position: Position,
     held: BTreeMap<String, Held>,
     removed: VecDeque<(u64, String)>,
     /// The whole state as it is sent, with its revision.
-    whole: Option<(u64, Bytes)>,
-    /// The last changes as they were sent, with the revisions between which they lie.
-    sent: Option<(u64, u64, Bytes)>,
+    whole: Option<(Position, Bytes)>,
+    /// The last changes as they were sent, with the places between which they lie.
+    sent: Option<(Position, Position, Bytes)>,
 }
 
 impl Replica {
-    /// Starts anew with everything that was read at `revision`.
-    pub fn restart(&mut self, entries: &[Fetched], revision: u64) {
-        *self = Replica { start: revision, revision, ..Replica::default() };
+    /// Starts anew with everything that was read at `position`.
+    pub fn restart(&mut self, entries: &[Fetched], position: Position) {
+        *self = Replica { start: position.revision, position, ..Replica::default() };
         entries.iter().for_each(|entry| self.hold(entry));
     }
 
-    /// Takes changes in that lead to `revision`.
-    pub fn extend(&mut self, events: &[StoreEvent], revision: u64) {
+    /// Takes changes in that lead to `position`, of the same era.
+    pub fn extend(&mut self, events: &[StoreEvent], position: Position) {
         for event in events {
             match event {
                 StoreEvent::Written(entry) => self.hold(entry),
                 StoreEvent::Removed { key, .. } => {
                     self.held.remove(key);
                     // NB: a removal counts as if it came last, so that no asker misses it.
-                    self.removed.push_back((revision, key.clone()));
+                    self.removed.push_back((position.revision, key.clone()));
                 }
             }
         }
-        self.revision = self.revision.max(revision);
+        self.position = self.position.max(position);
         while self.removed.len() > MAX_REMOVALS {
             let Some((at, _)) = self.removed.pop_front() else { return };
             self.start = self.start.max(at);
@@ -62,23 +62,24 @@
         self.held.insert(entry.key.clone(), Held { value, revision: entry.revision });
     }
 
-    /// Revision up to which changes are known.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Place up to which changes are known.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
-    /// The last change of each key after `revision`, in order; `None` if some removals are no longer
-    /// remembered, so that only the whole state tells.
+    /// The last change of each key after `position`, in order; `None` if some removals are no longer
+    /// remembered or the place is of an earlier era, so that only the whole state tells.
     ///
     /// Earlier changes of a key are left out: an asker that is behind by ten large configurations
     /// needs only the newest, and a slow link could not carry them all in time.
-    pub fn after(&self, revision: u64) -> Option<Vec<KeyChange>> {
-        if revision < self.start {
-            return None;
-        }
-        if revision >= self.revision {
+    pub fn after(&self, position: Position) -> Option<Vec<KeyChange>> {
+        if position >= self.position {
             return Some(Vec::new());
         }
+        let Position { era, revision } = position;
+        if era != self.position.era || revision < self.start {
+            return None;
+        }
         let written = self.held.iter().filter(|(_, held)| held.revision > revision);
         let mut changes: Vec<KeyChange> =
             written.map(|(key, held)| written_change(key, held)).collect();
@@ -95,15 +96,15 @@
 
     /// The changes after `revision` as they are sent; `None` if only the whole state tells. They are
     /// packed once for all that ask for the same: a large configuration takes some 10 ms.
-    pub fn sent_after(&mut self, revision: u64) -> Option<Result<Bytes, MessageError>> {
+    pub fn sent_after(&mut self, position: Position) -> Option<Result<Bytes, MessageError>> {
         if let Some((from, to, bytes)) = &self.sent
-            && (*from, *to) == (revision, self.revision)
+            && (*from, *to) == (position, self.position)
         {
             return Some(Ok(bytes.clone()));
         }
-        let packed = message::pack(&self.after(revision)?);
+        let packed = message::pack(&self.after(position)?);
         if let Ok(bytes) = &packed {
-            self.sent = Some((revision, self.revision, bytes.clone()));
+            self.sent = Some((position, self.position, bytes.clone()));
         }
         Some(packed)
     }
@@ -111,14 +112,14 @@
     /// The whole state as it is sent. It is built once for each revision, since after a restart of
     /// all entries many ask for the same.
     pub fn whole(&mut self) -> Result<Bytes, MessageError> {
-        if let Some((revision, bytes)) = &self.whole
-            && *revision == self.revision
+        if let Some((position, bytes)) = &self.whole
+            && *position == self.position
         {
             return Ok(bytes.clone());
         }
         let all = self.held.iter().map(|(key, held)| written_change(key, held));
         let bytes = message::pack(&all.collect::<Vec<_>>())?;
-        self.whole = Some((self.revision, bytes.clone()));
+        self.whole = Some((self.position, bytes.clone()));
         Ok(bytes)
     }
 }
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -8,6 +8,7 @@
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::TokioIo;
+use pondwalk_store::Position;
 use serde::Serialize;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
@@ -34,7 +35,7 @@
 /// A question as it was read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Asked {
-    after: u64,
+    after: Position,
     /// What the answer that the asker heard last said of itself.
     heard: Option<Heard>,
     need: Need,
@@ -61,10 +62,10 @@
 impl Asked {
     /// Reads the query of a question.
     fn parse(query: &str) -> Option<Self> {
-        let mut asked = Asked { after: 0, heard: None, need: Need::Changes };
+        let mut asked = Asked { after: Position::default(), heard: None, need: Need::Changes };
         for pair in query.split('&') {
             match pair.split_once('=')? {
-                ("after", text) => asked.after = text.parse().ok()?,
+                ("after", text) => asked.after = parse_position(text)?,
                 ("now", "1") => asked.need = Need::ChangesNow,
                 ("first", "wait") => asked.need = Need::FirstState,
                 ("first", "now") => asked.need = Need::FirstStateNow,
@@ -76,6 +77,12 @@
     }
 }
 
+/// Reads a place as a question names it: `ERA.REVISION`.
+fn parse_position(text: &str) -> Option<Position> {
+    let (era, revision) = text.split_once('.')?;
+    Some(Position { era: era.parse().ok()?, revision: revision.parse().ok()? })
+}
+
 /// Answers on one connection from another entry.
 pub async fn serve<I>(core: Rc<Core>, io: I)
 where
@@ -193,7 +200,7 @@
     let is_young = core.clock.now() < too_old_at;
     let state = core.state.borrow();
     let heard = asked.heard.filter(|heard| heard.incarnation == core.incarnation);
-    let has_changes = state.replica.revision() > asked.after;
+    let has_changes = state.replica.position() > asked.after;
     let (is_confirmed_anew, has_news) = match heard {
         Some(heard) => (state.turn != heard.turn, core.news.borrow().end() > heard.news_end),
         None => (true, false),
@@ -234,8 +241,7 @@
         store_returned: state.store_returned,
         store_takes: state.store_takes,
         turn: state.turn,
-        era: state.era,
-        revision: state.replica.revision(),
+        position: state.replica.position(),
         whole,
         // NB: filled in when the bytes are made.
         body_bytes: 0,
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -11,7 +11,6 @@
     Cascade, ColdBound, Engine, Fleet, Freshness, GoodContents, Pacing, Quarantine, RollOut,
     ServerFacts, Sessions, Sharers, Weighed, WindowBudget, WindowLimits,
 };
-use pondwalk_store::Era;
 use pondwalk_types::{DataCentreId, ServerId};
 use rand::{SeedableRng, rngs::SmallRng};
 
@@ -41,8 +40,6 @@
     pub store_takes: Duration,
     /// When the store last came back after an entry that asks it had lost it.
     pub store_returned: Option<Duration>,
-    /// Era of the store that the state was last told of.
-    pub era: Era,
     /// Confirmations so far.
     pub turn: u64,
     /// The store's keys, for other entries.
@@ -88,7 +85,6 @@
             source_lost: false,
             store_takes: Duration::ZERO,
             store_returned: None,
-            era: 0,
             turn: 0,
             replica: Replica::default(),
             fleets: HashMap::new(),
--- a/crates/direct/tests/common/net.rs
+++ b/crates/direct/tests/common/net.rs
@@ -16,7 +16,7 @@
     membership::{FORMAT, Replica, State, StateHead},
     upstream::{BoxedDuplex, Connect, Opening},
 };
-use pondwalk_store::Fetched;
+use pondwalk_store::{Fetched, Position};
 use tokio::{
     io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf, duplex},
     task::spawn_local,
@@ -38,7 +38,8 @@
         revision,
     };
     let mut replica = Replica::default();
-    replica.restart(&keys.iter().map(entry).collect::<Vec<_>>(), revision);
+    let position = Position { era: 0, revision };
+    replica.restart(&keys.iter().map(entry).collect::<Vec<_>>(), position);
     let head = StateHead {
         format: FORMAT,
         store: "127.0.0.1:3".parse().expect("the store of these tests"),
@@ -48,8 +49,7 @@
         store_returned: None,
         store_takes: Duration::ZERO,
         turn: revision,
-        era: 0,
-        revision,
+        position,
         whole: true,
         body_bytes: 0,
         news_end: 0,
--- a/crates/direct/tests/membership_messages.rs
+++ b/crates/direct/tests/membership_messages.rs
@@ -6,12 +6,17 @@
 use pondwalk_direct::membership::{
     ClockOffset, FORMAT, KeyChange, MessageError, Replica, State, StateHead,
 };
-use pondwalk_store::{Fetched, StoreEvent};
+use pondwalk_store::{Fetched, Position, StoreEvent};
 use quickcheck::{Gen, QuickCheck};
 
 const STORE: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::new(127, 0, 0, 1)), 3);
 
+/// A place in the first era.
+fn at(revision: u64) -> Position {
+    Position { era: 0, revision }
+}
+
 fn written(key: &str, revision: u64) -> StoreEvent {
     StoreEvent::Written(fetched(key, revision))
 }
@@ -34,8 +39,7 @@
         store_returned: None,
         store_takes: Duration::ZERO,
         turn: 3,
-        era: 0,
-        revision,
+        position: at(revision),
         whole: true,
         body_bytes: 0,
         news_end: 0,
@@ -45,18 +49,19 @@
 fn whole_state() -> State {
     let mut replica = Replica::default();
     let entries: Vec<Fetched> = (0..300).map(|n| fetched(&format!("servers/{n}"), n)).collect();
-    replica.restart(&entries, 300);
+    replica.restart(&entries, at(300));
     State { head: head(300), body: replica.whole().expect("it packs"), news: Vec::new() }
 }
 
 #[test]
 fn a_replica_tells_only_the_last_of_many_changes_of_a_key() {
     let mut replica = Replica::default();
-    replica.restart(&[], 10);
-    replica.extend(&[written("a", 11)], 11);
-    (12..60).for_each(|revision| replica.extend(&[written("configuration", revision)], revision));
-    replica.extend(&[written("b", 60), removed("a", 61)], 61);
-    let changes = replica.after(10).expect("all are remembered");
+    replica.restart(&[], at(10));
+    replica.extend(&[written("a", 11)], at(11));
+    (12..60)
+        .for_each(|revision| replica.extend(&[written("configuration", revision)], at(revision)));
+    replica.extend(&[written("b", 60), removed("a", 61)], at(61));
+    let changes = replica.after(at(10)).expect("all are remembered");
     let told: Vec<_> = changes.iter().map(|change| (&*change.key, change.revision)).collect();
     assert_eq!(told, [("configuration", 59), ("b", 60), ("a", 61)]);
     assert!(changes[2].value.is_none());
@@ -65,11 +70,11 @@
 #[test]
 fn a_replica_tells_all_changes_after_a_revision_or_that_it_cannot() {
     let mut replica = Replica::default();
-    replica.restart(&[fetched("old", 3)], 10);
-    replica.extend(&[written("a", 11), removed("b", 13)], 13);
-    replica.extend(&[written("c", 15)], 15);
+    replica.restart(&[fetched("old", 3)], at(10));
+    replica.extend(&[written("a", 11), removed("b", 13)], at(13));
+    replica.extend(&[written("c", 15)], at(15));
     let keys = |replica: &Replica, after| {
-        let changes = replica.after(after)?;
+        let changes = replica.after(at(after))?;
         Some(changes.into_iter().map(|change| change.key).collect::<Vec<_>>())
     };
     assert_eq!(keys(&replica, 9), None, "removals before the start are not known");
@@ -77,18 +82,31 @@
     assert_eq!(keys(&replica, 11).expect("newer"), ["b", "c"]);
     assert_eq!(keys(&replica, 15).expect("none"), Vec::<String>::new());
     for number in 0..2_000 {
-        replica.extend(&[removed(&format!("x{number}"), 16 + number)], 16 + number);
+        replica.extend(&[removed(&format!("x{number}"), 16 + number)], at(16 + number));
     }
     assert_eq!(keys(&replica, 15), None, "what was pushed out is not told as if it were whole");
     assert_eq!(keys(&replica, 2_000).map(|keys| keys.len()), Some(15));
 }
 
+#[test]
+fn a_replica_tells_only_the_whole_state_to_one_of_an_earlier_era() {
+    let mut replica = Replica::default();
+    replica.restart(&[fetched("a", 8)], Position { era: 1, revision: 8 });
+    replica.extend(&[written("b", 9)], Position { era: 1, revision: 9 });
+    let after = |era, revision| replica.after(Position { era, revision }).map(|told| told.len());
+    for revision in [0, 8, 9, 50] {
+        assert_eq!(after(0, revision), None, "revision {revision} of the era before");
+        assert_eq!(after(2, revision), Some(0), "revision {revision} of a later era");
+    }
+    assert_eq!(after(1, 8), Some(1));
+}
+
 #[test]
 fn a_key_that_was_removed_and_written_again_is_told_as_written() {
     let mut replica = Replica::default();
-    replica.restart(&[fetched("a", 3)], 10);
-    replica.extend(&[removed("a", 11), written("a", 12)], 12);
-    let changes = replica.after(10).expect("all");
+    replica.restart(&[fetched("a", 3)], at(10));
+    replica.extend(&[removed("a", 11), written("a", 12)], at(12));
+    let changes = replica.after(at(10)).expect("all");
     assert_eq!(changes.len(), 1);
     assert!(changes[0].value.is_some());
 }
@@ -105,10 +123,10 @@
                 true => written(&key, revision),
                 false => removed(&key, revision),
             };
-            source.extend(std::slice::from_ref(&event), revision);
+            source.extend(std::slice::from_ref(&event), at(revision));
             // NB: the hearer asks now and then only.
             if number % 3 == 0 {
-                let Some(changes) = source.after(hearer.revision()) else { return false };
+                let Some(changes) = source.after(hearer.position()) else { return false };
                 let events: Vec<StoreEvent> =
                     changes.into_iter().map(KeyChange::into_event).collect();
                 for event in &events {
@@ -121,8 +139,8 @@
                         }
                     }
                 }
-                hearer.extend(&events, revision);
-                let all = source.after(0).expect("nothing was pushed out");
+                hearer.extend(&events, at(revision));
+                let all = source.after(at(0)).expect("nothing was pushed out");
                 let written = all.into_iter().filter(|change| change.value.is_some());
                 let expected: std::collections::BTreeMap<String, u64> =
                     written.map(|change| (change.key, change.revision)).collect();
@@ -195,7 +213,7 @@
 fn a_state_that_unpacks_to_more_than_is_borne_is_refused() {
     let mut replica = Replica::default();
     let large = Fetched { key: "a".to_owned(), value: vec![0; 20 * 1024 * 1024], revision: 1 };
-    replica.restart(&[large], 1);
+    replica.restart(&[large], at(1));
     let state = State { head: head(1), body: replica.whole().expect("it packs"), news: Vec::new() };
     assert!(state.body.len() < 100_000);
     assert_eq!(state.changes(), Err(MessageError::Unreadable));
--- a/crates/direct/tests/store_restored.rs
+++ b/crates/direct/tests/store_restored.rs
@@ -313,24 +313,38 @@
     }
 }
 
+/// Requests that reach the servers of the data centre that is evacuated.
+async fn sent_to_evacuated(world: &World, entries: &[Entry]) -> usize {
+    let seen = || (1..=3).map(|n| world.backends.seen(address(n)).len()).sum::<usize>();
+    let before = seen();
+    sent_to(world, entries, 1).await;
+    seen() - before
+}
+
+/// Evacuates all but a server elsewhere, and restores the store from a copy without that.
+async fn lose_evacuation(world: &World, entries: &[Entry]) {
+    world.backends.start(address(9), "s9", Act::Answer(200, "made".into()));
+    world.list_server_in("dc2", 9, "s", "v1", "ready");
+    let copy = world.store.copy();
+    world.store.put("evacuate/dc1", "");
+    sleep(IN_FORCE).await;
+    assert_eq!(sent_to_evacuated(world, entries).await, 0, "before");
+    restore(world, &copy, AWAY).await;
+}
+
 #[test]
 fn an_evacuation_that_the_copy_lacks_holds_until_it_should_be_back() {
     play(|world| async move {
         let net = Net::default();
         let entries = start(&world, &net, 4).await;
-        world.start_server(9, "s", "v1", Act::Answer(200, "made".into()));
-        world.list_server_in("dc2", 9, "s", "v1", "ready");
-        let copy = world.store.copy();
-        world.store.put("evacuate/dc2", "");
-        sleep(IN_FORCE).await;
-        restore(&world, &copy, AWAY).await;
+        lose_evacuation(&world, &entries).await;
         for _ in 0..10 {
             sleep(Duration::from_millis(100)).await;
-            assert_eq!(sent_to(&world, &entries, 9).await, 0);
+            assert_eq!(sent_to_evacuated(&world, &entries).await, 0);
         }
-        world.store.put("evacuate/dc2", "");
+        world.store.put("evacuate/dc1", "");
         sleep(SETTLED).await;
-        assert_eq!(sent_to(&world, &entries, 9).await, 0);
+        assert_eq!(sent_to_evacuated(&world, &entries).await, 0);
     });
 }
 
@@ -339,15 +353,9 @@
     play(|world| async move {
         let net = Net::default();
         let entries = start(&world, &net, 4).await;
-        world.start_server(9, "s", "v1", Act::Answer(200, "made".into()));
-        world.list_server_in("dc2", 9, "s", "v1", "ready");
-        let copy = world.store.copy();
-        world.store.put("evacuate/dc2", "");
-        sleep(IN_FORCE).await;
-        restore(&world, &copy, AWAY).await;
+        lose_evacuation(&world, &entries).await;
         sleep(2 * SETTLED).await;
-        let served = sent_to(&world, &entries, 9).await;
-        assert!(served > 0, "it is taken back in the end");
+        assert!(sent_to_evacuated(&world, &entries).await > 0, "it is taken back in the end");
     });
 }
 
@@ -487,7 +495,8 @@
         assert_eq!(total(&entries, "pondwalk_store_era"), 4);
         for entry in &entries {
             let lines = entry.gathered_lines();
-            assert!(lines.contains("\"event\":\"era_changed\",\"before\":0,\"era\":1"), "{lines}");
+            let told = "\"event\":\"store_restored\",\"before\":{\"era\":0,";
+            assert!(lines.contains(told), "{lines}");
         }
     });
 }
