Entries whose listing went with a restored store are listed again

Callers: nothing at once; an entry that no one finds any more is asked by nobody, and new entries build a tree without it.

Cause: an entry told of its start once and took what it had heard of listings as what the store holds.

--- a/crates/direct/src/conductor/listing.rs
+++ b/crates/direct/src/conductor/listing.rs
@@ -67,7 +67,7 @@
         let mut unlisted = Vec::new();
         for (age, item) in news.all(now) {
             let News::Joined { listing } = item.news else { continue };
-            if age >= at_least && self.core.roster.listing_of(&item.origin) != Some(listing) {
+            if age >= at_least && !self.core.roster.is_stored(&item.origin, listing) {
                 unlisted.retain(|(name, _)| *name != item.origin);
                 unlisted.push((item.origin.clone(), listing));
             }
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -25,7 +25,7 @@
     core::Core,
     facts::Port,
     journal::Rank,
-    membership::{self, News, PeerClient, Source},
+    membership::{self, ENTRY_PREFIX, News, PeerClient, Source},
     metrics::{Counter, StoreCause, Timer},
 };
 
@@ -175,8 +175,10 @@
         self.core.state.borrow_mut().replica.extend(events, position);
     }
 
-    fn take_whole(&self, entries: &[Fetched], position: Position) {
-        self.note_restored(position);
+    fn take_whole(&mut self, entries: &[Fetched], position: Position) {
+        if self.is_restored(position) {
+            self.note_restored(entries, position);
+        }
         self.core.state.borrow_mut().replica.restart(entries, position);
         self.forget_all_but(entries);
         for entry in entries {
@@ -227,10 +229,10 @@
         self.core.state.borrow_mut().store_takes = took;
         match answered.answer {
             Ok(listing) => {
-                self.started = true;
                 self.listing.clear();
                 self.learns_from = Heard::FromStore;
                 self.take_whole(&listing.entries, listing.position);
+                self.started = true;
                 self.confirm(sent, listing.position, Heard::FromStore);
                 Some(listing.position)
             }
@@ -244,7 +246,6 @@
     }
 
     fn take_first_state(&mut self, first: FirstState) -> Position {
-        self.started = true;
         self.listing.clear();
         let position = first.told.position;
         let event = Learned::FirstState { from: first.from.to_string(), position };
@@ -252,6 +253,7 @@
         self.client = first.client;
         self.core.told_by.set(Some(first.from));
         self.take_told(first.told, position);
+        self.started = true;
         position
     }
 
@@ -287,18 +289,24 @@
         }
     }
 
-    /// Notes it if a whole state is of another era than the one held.
-    fn note_restored(&self, position: Position) {
+    /// Whether a whole state is of another era than the one held.
+    fn is_restored(&self, position: Position) -> bool {
+        self.started && self.core.state.borrow().replica.position().era != position.era
+    }
+
+    /// The store was restored from a copy, and lacks what was written to it after that.
+    fn note_restored(&mut self, entries: &[Fetched], position: Position) {
         let mut state = self.core.state.borrow_mut();
         let before = state.replica.position();
-        if !self.started || before.era == position.era {
-            return;
-        }
         // NB: a store that is restored was away, even if nobody noticed.
         state.store_returned = Some(self.core.clock.now());
         drop(state);
-        let event = Learned::StoreRestored { before, position };
-        self.core.journal.note(Rank::State, &event);
+        self.core.journal.note(Rank::State, &Learned::StoreRestored { before, position });
+        let listed = entries.iter().filter_map(|entry| entry.key.strip_prefix(ENTRY_PREFIX));
+        self.core.roster.are_stored(&listed.collect());
+        // NB: whoever is not listed any more tells the others, as at its start.
+        self.joined = false;
+        self.list_from = Duration::ZERO;
     }
 
     /// A call failed; the store counts as lost until it answers.
--- a/crates/direct/src/membership/roster.rs
+++ b/crates/direct/src/membership/roster.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     time::Duration,
 };
@@ -55,6 +55,8 @@
 #[derive(Debug)]
 struct Listed {
     listing: Listing,
+    /// Whether the store holds it; a restored one may have lost it.
+    is_stored: bool,
     passed_over_until: Duration,
     failures: u32,
 }
@@ -102,12 +104,33 @@
         if let Some(listing) = listing {
             let place = order_key(name, &listing);
             places.insert(name.to_owned(), place.clone());
-            let fresh = Listed { listing, passed_over_until: Duration::ZERO, failures: 0 };
+            let fresh =
+                Listed { listing, is_stored: true, passed_over_until: Duration::ZERO, failures: 0 };
             listed.insert(place, fresh);
         }
         changes
     }
 
+    /// The store holds the listings of these entries alone.
+    ///
+    /// NB: the others keep their places until they are listed again, since those below ask them.
+    pub fn are_stored(&self, names: &HashSet<&str>) {
+        for (key, one) in self.listed.borrow_mut().iter_mut() {
+            one.is_stored = names.contains(key.2.as_str());
+        }
+        if !names.contains(self.own.2.as_str()) {
+            self.own_listed.set(None);
+        }
+    }
+
+    /// Whether the store holds this listing of an entry.
+    pub fn is_stored(&self, name: &str, listing: Listing) -> bool {
+        let places = self.places.borrow();
+        let listed = self.listed.borrow();
+        let one = places.get(name).and_then(|place| listed.get(place));
+        one.is_some_and(|one| one.is_stored && one.listing == listing)
+    }
+
     /// How this entry is listed.
     pub fn own_listed(&self) -> Option<Listing> {
         self.own_listed.get()
