Steps of roll-outs that went with a restored store are written again

Callers: an operator who was told completed or reverted found the roll-out in progress, or nothing, for good; a good version counts as not completed in time.

Cause: a stage is never taken back in memory, so what was done was not due any more, and whether the store still holds it was not looked at. Evidence: three tests (completed, completed with its beginning, reverted), red before. Now a restoration forgets what the store held; roll-outs that are further than what it holds now have their last step due once more, in the usual order.

--- a/crates/direct/src/conductor.rs
+++ b/crates/direct/src/conductor.rs
@@ -9,12 +9,13 @@
 mod listing;
 mod quarantine;
 mod records;
+mod restored;
 mod turning_away;
 mod turns;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::Duration,
 };
@@ -24,13 +25,14 @@
 use tokio::{sync::Notify, time::timeout};
 
 use records::{RollOutEvent, StageRecord};
+use restored::outcome_at;
 use turning_away::TurningAway;
 use turns::{Turns, wait_in_order};
 
 use crate::{
     catalog::ServiceId,
     core::Core,
-    facts::{Outcome, Port, Progress},
+    facts::{Port, Progress},
     journal::Rank,
     membership::{MOST_SESSIONS, News},
     metrics::{Counter, StoreCause, Timer},
@@ -59,6 +61,8 @@
     revisions: RefCell<HashMap<String, u64>>,
     stages: RefCell<HashMap<ServiceId, StageRecord>>,
     told: RefCell<HashMap<ServiceId, Progress>>,
+    /// Roll-outs of which a restored store was found to lack a step.
+    lost_steps: RefCell<HashSet<ServiceId>>,
     /// Until when a step is left alone whose write got no answer: by then the store tells whether it
     /// was done.
     unanswered: RefCell<HashMap<ServiceId, Duration>>,
@@ -82,6 +86,7 @@
             revisions: RefCell::default(),
             stages: RefCell::default(),
             told: RefCell::default(),
+            lost_steps: RefCell::default(),
             unanswered: RefCell::default(),
             listed_until: Cell::default(),
             kept: quarantine::Kept::default(),
@@ -162,23 +167,30 @@
         let now = self.core.clock.now();
         let state = self.core.state.borrow();
         let due = state.roll_outs.iter();
-        due.filter_map(|(service, one)| Some((service.clone(), one.next_move(now)?))).collect()
+        due.filter_map(|(service, one)| Some((service.clone(), self.next_step(service, one, now)?)))
+            .collect()
     }
 
     fn due_for(&self, service: &ServiceId) -> Option<Move> {
         let now = self.core.clock.now();
-        self.core.state.borrow().roll_outs.get(service)?.next_move(now)
+        let state = self.core.state.borrow();
+        self.next_step(service, state.roll_outs.get(service)?, now)
+    }
+
+    fn next_step(&self, service: &ServiceId, roll_out: &RollOut, now: Duration) -> Option<Move> {
+        self.lost_step(service, roll_out).or_else(|| roll_out.next_move(now))
     }
 
     async fn make(&self, service: &ServiceId, step: Move) {
         let Some(target) = self.target_of(service) else { return };
-        let (stage, outcome) = match step {
-            Move::Begin => (Stage::Trial, Outcome::InProgress),
-            Move::Widen => (Stage::Widening, Outcome::InProgress),
-            Move::Complete => (Stage::Completed, Outcome::Completed),
-            Move::Revert => (Stage::Reverted, Outcome::Reverted),
+        let stage = match step {
+            Move::Begin => Stage::Trial,
+            Move::Widen => Stage::Widening,
+            Move::Complete => Stage::Completed,
+            Move::Revert => Stage::Reverted,
             Move::Keep => return self.tell_kept(service, target),
         };
+        let outcome = outcome_at(stage);
         let progress = Progress { service: service.clone(), target: target.clone(), outcome };
         let (progress_key, progress_value) = (self.port.write_progress)(&progress);
         let record = StageRecord { target, stage: stage.into() };
@@ -205,6 +217,7 @@
             tokio::time::sleep(RETRY_PAUSE).await;
         } else if let Some(roll_out) = self.core.state.borrow_mut().roll_outs.get_mut(service) {
             roll_out.learn_stage(stage, self.core.clock.now());
+            self.lost_steps.borrow_mut().remove(service);
             let (service, stage) = (service.to_string(), stage.into());
             told = Some(News::Stage { service, target: progress.target, stage });
         }
--- /dev/null
+++ b/crates/direct/src/conductor/restored.rs
@@ -0,0 +1,64 @@
+//! Writes again what a store that was restored from a copy has lost of the roll-outs.
+//!
+//! No entry forgets how far a roll-out has come. Where the store holds less than that, the operator was told
+//! less, and the step is due once more.
+
+use pondwalk_decide::direct::{Move, RollOut, Stage};
+
+use super::Conductor;
+use crate::{catalog::ServiceId, facts::Outcome};
+
+impl Conductor {
+    /// Forgets what the store held before it was restored; what it holds now is learned next.
+    pub fn forget_stored(&self) {
+        self.stages.borrow_mut().clear();
+        self.told.borrow_mut().clear();
+    }
+
+    /// Finds the roll-outs that are further than the restored store knows.
+    pub fn find_lost_steps(&self) {
+        let state = self.core.state.borrow();
+        let known = state.roll_outs.iter();
+        let lost = known.filter(|(service, one)| self.lacks_step(service, one));
+        self.lost_steps.borrow_mut().extend(lost.map(|(service, _)| service.clone()));
+    }
+
+    /// The step of a roll-out that the store has lost, if it still lacks it.
+    pub(super) fn lost_step(&self, service: &ServiceId, roll_out: &RollOut) -> Option<Move> {
+        let is_lost = self.lost_steps.borrow().contains(service);
+        if is_lost && self.lacks_step(service, roll_out) {
+            roll_out.known_stage().map(step_to)
+        } else {
+            None
+        }
+    }
+
+    /// Whether the store holds an earlier stage of a roll-out than is known, or the operator was told so.
+    fn lacks_step(&self, service: &ServiceId, roll_out: &RollOut) -> bool {
+        let Some(known) = roll_out.known_stage() else { return false };
+        let (stages, told) = (self.stages.borrow(), self.told.borrow());
+        let stage = stages.get(service).filter(|record| record.target == *roll_out.target());
+        let progress = told.get(service).filter(|told| told.target == *roll_out.target());
+        stage.is_none_or(|record| Stage::from(record.stage) < known)
+            || progress.is_none_or(|told| told.outcome != outcome_at(known))
+    }
+}
+
+/// The step that leads to a stage.
+fn step_to(stage: Stage) -> Move {
+    match stage {
+        Stage::Trial => Move::Begin,
+        Stage::Widening => Move::Widen,
+        Stage::Completed => Move::Complete,
+        Stage::Reverted => Move::Revert,
+    }
+}
+
+/// What the operator is told at a stage.
+pub(super) fn outcome_at(stage: Stage) -> Outcome {
+    match stage {
+        Stage::Trial | Stage::Widening => Outcome::InProgress,
+        Stage::Completed => Outcome::Completed,
+        Stage::Reverted => Outcome::Reverted,
+    }
+}
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -176,14 +176,19 @@
     }
 
     fn take_whole(&mut self, entries: &[Fetched], position: Position) {
-        if self.is_restored(position) {
+        let is_restored = self.is_restored(position);
+        if is_restored {
             self.note_restored(entries, position);
+            self.conductor.forget_stored();
         }
         self.core.state.borrow_mut().replica.restart(entries, position);
         self.forget_all_but(entries);
         for entry in entries {
             self.learn_written(entry);
         }
+        if is_restored {
+            self.conductor.find_lost_steps();
+        }
     }
 
     /// Learns everything, from another entry or from the store; `None` if that is to be tried again.
