Contents that are held are stored again where a restored store lost their record

Callers: after a restart of all entries a request that ends its servers would have ended three more. Cause: what the store held was remembered from before the restoration, so nothing was missing there. Evidence: a test, red before.

--- a/crates/direct/src/conductor/quarantine.rs
+++ b/crates/direct/src/conductor/quarantine.rs
@@ -27,6 +27,11 @@
 }
 
 impl Conductor {
+    /// Forgets what the store held.
+    pub(super) fn forget_stored_quarantine(&self) {
+        self.kept.stored.take();
+    }
+
     /// Learns what the store holds.
     pub(super) fn learn_quarantine(&self, value: &[u8]) {
         let stored: StoredQuarantine = match postcard::from_bytes(value) {
--- a/crates/direct/src/conductor/restored.rs
+++ b/crates/direct/src/conductor/restored.rs
@@ -13,6 +13,7 @@
     pub fn forget_stored(&self) {
         self.stages.borrow_mut().clear();
         self.told.borrow_mut().clear();
+        self.forget_stored_quarantine();
     }
 
     /// Finds the roll-outs that are further than the restored store knows.
