A server's word that it leaves outlasts a copy of the store from before it

Callers: between the store's return and the server's next writing, requests went to a server that had said it leaves (the users' rule holds a word that was heard binding while the store is in disorder, too). Cause: the restored copy's 'ready' took the word's place. A life that leaves does not come back, so within one life (the same start, or none named) a restored copy doesn't end its leaving.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -59,6 +59,7 @@
         asked_around: 0,
         joined: false,
         list_from: Duration::ZERO,
+        takes_copy: false,
         unreadable: RefCell::default(),
     };
     loop {
@@ -112,6 +113,8 @@
     joined: bool,
     /// When it may see to its listing again.
     list_from: Duration,
+    /// Whether the state that is being taken in comes from a restored copy.
+    takes_copy: bool,
     /// Servers whose entries cannot be read, as far as that was logged.
     unreadable: RefCell<BTreeSet<ServerId>>,
 }
@@ -176,8 +179,8 @@
     }
 
     fn take_whole(&mut self, entries: &[Fetched], position: Position) {
-        let is_restored = self.is_restored(position);
-        if is_restored {
+        self.takes_copy = self.is_restored(position);
+        if self.takes_copy {
             self.note_restored(entries, position);
             self.conductor.forget_stored();
         }
@@ -186,7 +189,7 @@
         for entry in entries {
             self.learn_written(entry);
         }
-        if is_restored {
+        if std::mem::take(&mut self.takes_copy) {
             self.conductor.find_lost_steps();
         }
     }
--- a/crates/direct/src/follow/learn.rs
+++ b/crates/direct/src/follow/learn.rs
@@ -6,7 +6,7 @@
 
 use super::{Follower, Heard, report::Learned};
 use crate::{
-    catalog::{BackendServer, Catalog},
+    catalog::{BackendServer, Catalog, ServerState},
     facts::{Evacuation, Fact, UnreadableFact},
     journal::Rank,
     membership::{ENTRY_PREFIX, Listing},
@@ -88,8 +88,12 @@
         }
     }
 
-    fn learn_server(&self, server: BackendServer) {
+    fn learn_server(&self, mut server: BackendServer) {
         self.unreadable.borrow_mut().remove(&server.id);
+        // NB: a copy may be older than the word of a server that it leaves, which binds for its life.
+        if self.takes_copy && self.core.state.borrow().is_leaving(&server) {
+            server.state = ServerState::Draining;
+        }
         let event = Learned::ServerKnown {
             server: &server.id,
             service: &server.service,
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -221,6 +221,12 @@
         is_born_anew
     }
 
+    /// Whether a backend server is known to leave in the life that is spoken of.
+    pub fn is_leaving(&self, server: &BackendServer) -> bool {
+        let known = self.fleets.get(&server.service).and_then(|fleet| fleet.facts(&server.id));
+        known.is_some_and(|facts| !facts.ready && facts.born_ms == server.born_ms)
+    }
+
     /// The store lists a backend server no longer, and may have lost it while away.
     pub fn lapse_server(&mut self, id: &str, now: Duration) {
         if let Some(service) = self.service_of.get(id).cloned() {
