An evacuation that a restored store lacks holds until it should be back

Callers: between the store's return and the operator's next writing, requests went to an evacuated data centre. Cause: what a whole reading doesn't show counts as taken back at once, though a copy may be older than the order.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -10,10 +10,15 @@
 mod report;
 mod watching;
 
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use pondwalk_store::{Fetched, Listing, Position, StoreError, StoreEvent, WatchReply};
-use pondwalk_types::ServerId;
+use pondwalk_types::{DataCentreId, ServerId};
 use tokio::time::{Instant, sleep, timeout};
 
 use asking::{Answered, Asked, Asking};
@@ -60,6 +65,7 @@
         joined: false,
         list_from: Duration::ZERO,
         takes_copy: false,
+        lost_evacuations: RefCell::default(),
         unreadable: RefCell::default(),
     };
     loop {
@@ -115,6 +121,8 @@
     list_from: Duration,
     /// Whether the state that is being taken in comes from a restored copy.
     takes_copy: bool,
+    /// Until when evacuations hold that a restored store lacks and the operator may write again.
+    lost_evacuations: RefCell<BTreeMap<DataCentreId, Duration>>,
     /// Servers whose entries cannot be read, as far as that was logged.
     unreadable: RefCell<BTreeSet<ServerId>>,
 }
--- a/crates/direct/src/follow/learn.rs
+++ b/crates/direct/src/follow/learn.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashSet, time::Duration};
 
 use pondwalk_store::{Fetched, StoreEvent};
+use pondwalk_types::DataCentreId;
 
 use super::{Follower, Heard, report::Learned};
 use crate::{
@@ -122,6 +123,7 @@
 
     fn learn_evacuation(&self, data_centre: &str, evacuation: Evacuation) {
         let now = self.core.clock.now();
+        self.lost_evacuations.borrow_mut().remove(data_centre);
         let mut state = self.core.state.borrow_mut();
         let is_new = match evacuation {
             Evacuation::Ordered => state.evacuate(data_centre),
@@ -150,14 +152,27 @@
         lost || self.core.state.borrow().store_returned.is_some_and(returned)
     }
 
-    /// Forgets the servers that the store's return did not bring back.
+    /// Forgets the servers and evacuations that the store's return did not bring back.
     pub(super) fn forget_lapsed(&self) {
+        self.end_lost_evacuations();
         let lapsed = self.core.state.borrow_mut().take_lapsed(self.core.clock.now());
         for id in &lapsed {
             self.core.journal.note(Rank::State, &Learned::ServerGone { server: id });
         }
     }
 
+    fn end_lost_evacuations(&self) {
+        let now = self.core.clock.now();
+        let over: Vec<DataCentreId> = {
+            let lost = self.lost_evacuations.borrow();
+            let over = lost.iter().filter(|(_, until)| **until <= now);
+            over.map(|(data_centre, _)| data_centre.clone()).collect()
+        };
+        for data_centre in &over {
+            self.learn_evacuation(data_centre, Evacuation::TakenBack);
+        }
+    }
+
     /// Puts a configuration in force unless a newer one is; within one life none reverts.
     fn install(&self, catalog: Catalog, store_revision: u64) {
         let mut state = self.core.state.borrow_mut();
@@ -193,7 +208,12 @@
         }
         let known = self.core.state.borrow().evacuated.clone();
         for data_centre in known.iter().filter(|known| !evacuated.contains(*known)) {
-            self.learn_evacuation(data_centre, Evacuation::TakenBack);
+            if self.takes_copy {
+                let until = self.core.clock.now() + RETURN_TIME;
+                self.lost_evacuations.borrow_mut().insert(data_centre.clone(), until);
+            } else {
+                self.learn_evacuation(data_centre, Evacuation::TakenBack);
+            }
         }
         let known: Vec<String> = self.core.state.borrow().service_of.keys().cloned().collect();
         for id in known.iter().filter(|id| !shown.contains(*id)) {
