Usage is reported on in one voice where a restored store lost the record

Cause: what the store held was taken for all that was ever said, so the record's higher revision in memory hid the restored one, and the next number was drawn from a copy. Evidence: two tests, red before. Now the newest words ever heard stand and are written again, numbers begin with the era of the store, and who can't know what was lost waits for the lease.

--- a/crates/decide/src/direct/reporter.rs
+++ b/crates/decide/src/direct/reporter.rs
@@ -9,6 +9,10 @@
 //! A write allows its writer to call for part of the lease, counted from when the write was sent.
 //! Others wait for the whole lease after they heard of it. So one that was paused, or cut off from the
 //! store, stops by its own clock before another begins.
+//!
+//! A store that is restored from a copy may hold an earlier record, or none. So numbers begin with the era
+//! of the store, above all of the eras before; the newest words that an entry ever heard stand, whatever the
+//! store holds, and are written there again; and whoever can't know what was lost waits for the whole lease.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -22,6 +26,8 @@
 /// Requests that began to run in a window, by workspace.
 pub type UsageCounts = BTreeMap<WorkspaceId, u64>;
 
+/// Numbers of holders in one era of the store.
+const TOKENS_IN_ERA: u64 = 1_000_000;
 /// Part of the lease for which a write allows calls. The rest is left to calls that arrive late.
 const CALLING_PART: f64 = 0.5;
 /// Time in calls that get no answer after which another entry is let try: the way from here to the
@@ -56,6 +62,9 @@
     Failed,
 }
 
+/// Number of a history of the store; 0 where the store names none.
+pub type StoreEra = u64;
+
 /// What became of a write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum WriteEnd {
@@ -108,7 +117,11 @@
     name: String,
     incarnation: u64,
     lease: Duration,
+    /// Era of the store, and since when this entry knows of it.
+    era: (StoreEra, Duration),
     known: Option<Known>,
+    /// The newest words ever heard of, also in records that are gone.
+    newest: Option<ReporterRecord>,
     /// Highest number ever heard of, also in records that are gone.
     highest_token: FencingToken,
     /// Number under which the platform refused a call.
@@ -133,7 +146,9 @@
             name: name.to_owned(),
             incarnation,
             lease,
+            era: (0, Duration::ZERO),
             known: None,
+            newest: None,
             highest_token: 0,
             refused_token: 0,
             may_call_until: Duration::ZERO,
@@ -150,9 +165,23 @@
         self.known.as_ref().map(|known| &known.record)
     }
 
-    /// Newest window whose words stand in the store.
+    /// Newest window whose words are written, or were before the store was restored.
     pub fn newest_written(&self) -> Option<WindowId> {
-        self.record().map(|record| record.window)
+        self.newest.as_ref().map(|record| record.window)
+    }
+
+    /// Era of the store that this entry knows of.
+    pub fn era(&self) -> StoreEra {
+        self.era.0
+    }
+
+    /// The store is in this era; what it holds is heard next.
+    pub fn enter_era(&mut self, era: StoreEra, now: Duration) {
+        if era != self.era.0 {
+            self.era = (era, now);
+            self.known = None;
+            self.may_call_until = Duration::ZERO;
+        }
     }
 
     /// Hears what the store holds, or that the record is gone.
@@ -166,6 +195,9 @@
             return;
         }
         self.highest_token = self.highest_token.max(record.fencing_token);
+        if self.newest.as_ref().is_none_or(|newest| age_order(newest) < age_order(&record)) {
+            self.newest = Some(record.clone());
+        }
         // NB: also where it shows a write of this entry whose answer was lost. Which of several like writes was
         // done, and so when it was sent, cannot be told.
         self.may_call_until = Duration::ZERO;
@@ -232,7 +264,10 @@
         if let Some(step) = self.finish_words(windows, now) {
             return Some(step);
         }
-        let window = self.next_window(windows)?;
+        let window = match self.lost_words(windows) {
+            Some(record) => record.window,
+            None => self.next_window(windows)?,
+        };
         let due_since = match self.due_since {
             Some((due, since)) if due == window => since,
             _ => now,
@@ -251,7 +286,7 @@
 
     /// Says the words that it has written, or asks for more time to do so.
     fn finish_words(&self, windows: DueWindows, now: Duration) -> Option<ReporterStep> {
-        let record = self.record().filter(|record| self.continues(record))?;
+        let record = self.newest.as_ref().filter(|record| self.continues(record))?;
         if self.taken >= Some(record.window) || record.window < windows.oldest_in_time {
             return None;
         }
@@ -270,23 +305,41 @@
 
     /// Words that another holder, or an earlier life, may have left unsaid.
     fn words_to_repeat(&self, windows: DueWindows) -> Option<&ReporterRecord> {
-        let record = self.record()?;
+        let record = self.newest.as_ref()?;
         let is_left = !self.continues(record) && record.window >= windows.oldest_in_time;
         is_left.then_some(record)
     }
 
+    /// Words that the restored store has lost and that could be said in another way.
+    fn lost_words(&self, windows: DueWindows) -> Option<&ReporterRecord> {
+        let newest = self.newest.as_ref()?;
+        let is_lost = self.record().is_none_or(|record| age_order(record) < age_order(newest));
+        (is_lost && newest.window >= windows.oldest_in_time).then_some(newest)
+    }
+
     fn may_write(&self, order: ReporterOrder, due_since: Duration, now: Duration) -> bool {
-        let Some(known) = &self.known else { return now >= due_since + order.by_place };
-        if known.record.holder == self.name {
+        if self.newest.as_ref().is_some_and(|newest| self.is_own(newest)) {
             return true;
         }
-        let wait = order.by_place + order.to_holder;
-        now >= due_since + wait && now >= known.since + self.lease
+        // NB: a record of an earlier era, or none, may not be the last that there was.
+        let of_era = self.known.as_ref().filter(|known| self.is_of_era(&known.record));
+        let heard_at = match of_era {
+            Some(known) if known.record.holder == self.name => return true,
+            Some(known) => Some(known.since),
+            None => (self.era.0 > 0).then_some(self.era.1),
+        };
+        let to_holder = if self.known.is_some() { order.to_holder } else { Duration::ZERO };
+        let has_waited = now >= due_since + order.by_place + to_holder;
+        has_waited && heard_at.is_none_or(|at| now >= at + self.lease)
+    }
+
+    fn is_of_era(&self, record: &ReporterRecord) -> bool {
+        record.fencing_token / TOKENS_IN_ERA == self.era.0
     }
 
     /// Whether it goes on under the number of the record.
     fn continues(&self, record: &ReporterRecord) -> bool {
-        self.is_own(record) && record.fencing_token > self.refused_token
+        self.is_own(record) && self.is_of_era(record) && record.fencing_token > self.refused_token
     }
 
     fn is_own(&self, record: &ReporterRecord) -> bool {
@@ -294,9 +347,9 @@
     }
 
     fn own_token(&self) -> FencingToken {
-        match self.record() {
+        match &self.newest {
             Some(record) if self.continues(record) => record.fencing_token,
-            _ => self.highest_token.max(self.refused_token) + 1,
+            _ => self.highest_token.max(self.refused_token).max(self.era.0 * TOKENS_IN_ERA) + 1,
         }
     }
 
@@ -316,3 +369,8 @@
         ReporterStep::Write(record, self.known.as_ref().map(|known| known.revision))
     }
 }
+
+/// Order in which records were written.
+fn age_order(record: &ReporterRecord) -> (WindowId, FencingToken) {
+    (record.window, record.fencing_token)
+}
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -193,6 +193,7 @@
             self.conductor.forget_stored();
         }
         self.core.state.borrow_mut().replica.restart(entries, position);
+        self.core.learn_usage_era(position.era);
         self.forget_all_but(entries);
         for entry in entries {
             self.learn_written(entry);
--- a/crates/direct/src/usage.rs
+++ b/crates/direct/src/usage.rs
@@ -15,7 +15,7 @@
     CallEnd, DueWindows, Reporter, ReporterOrder, ReporterRecord, ReporterStep, TrueTime,
     UsageCounts, UsageMeter, UsageTotals, WindowId, WriteEnd,
 };
-use pondwalk_store::{Change, Expect, Fetched, StoreError};
+use pondwalk_store::{Change, Era, Expect, Fetched, StoreError};
 use serde::Serialize;
 use tokio::time::sleep;
 
@@ -185,6 +185,12 @@
         totals.hear(teller, item.number, window, counts.clone());
     }
 
+    /// Hears of the era that the store is in, before what it holds.
+    pub fn learn_usage_era(&self, era: Era) {
+        let Some(usage) = &self.usage else { return };
+        usage.reporter.borrow_mut().enter_era(era, self.clock.now());
+    }
+
     /// Hears what the store holds of the task, or that its record is gone.
     pub fn learn_usage_record(&self, entry: Option<&Fetched>) {
         let Some(usage) = &self.usage else { return };
@@ -321,6 +327,8 @@
     }
     let is_done = written.is_ok();
     let end = match written {
+        // NB: after a restoration the condition may have held for another record.
+        Ok(position) if position.era != usage.reporter.borrow().era() => WriteEnd::Unknown,
         Ok(position) => WriteEnd::Done(position.revision),
         Err(StoreError::AnswerLost | StoreError::AnswerStopped(_) | StoreError::Malformed) => {
             WriteEnd::Unknown
--- a/crates/direct/tests/reports_usage.rs
+++ b/crates/direct/tests/reports_usage.rs
@@ -306,7 +306,8 @@
 
 /// The store is away for a while and comes back from a copy.
 async fn restore(world: &World, copy: &StoreCopy) {
-    world.store.set_weather(Weather::Silent(Duration::from_secs(30)));
+    // NB: as long as writers wait for an answer.
+    world.store.set_weather(Weather::Silent(Duration::from_secs(1)));
     sleep(Duration::from_millis(2_400)).await;
     world.store.restore(copy.clone());
     world.store.set_weather(Weather::Fair);
