Each era of the store has a usage record of its own; what may have been reported is left out

The platform: after a restoration two reports of one window could differ, or a number be lower than one seen, where a holder died with its words or a write of before the restoration was done late.

Now a write of an era before can't reach the next one's record; only who is sure to have held the task last goes on at once; others wait for the lease and leave out the windows that were complete by then.

--- a/crates/decide/src/direct/reporter.rs
+++ b/crates/decide/src/direct/reporter.rs
@@ -10,9 +10,11 @@
 //! Others wait for the whole lease after they heard of it. So one that was paused, or cut off from the
 //! store, stops by its own clock before another begins.
 //!
-//! A store that is restored from a copy may hold an earlier record, or none. So numbers begin with the era
-//! of the store, above all of the eras before; the newest words that an entry ever heard stand, whatever the
-//! store holds, and are written there again; and whoever can't know what was lost waits for the whole lease.
+//! A store that is restored from a copy may hold an earlier record, and a write of before the restoration may
+//! still be done to it. So each era of the store has a record of its own, and numbers begin with the era, above
+//! all of the eras before. The newest words that an entry has heard stand, and are written again; whoever can't
+//! know what was lost waits for the whole lease, and leaves out the windows that may have been reported: a
+//! report that is missing does less harm than a second one that differs.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -49,6 +51,10 @@
     pub window: WindowId,
     /// What that report says.
     pub counts: UsageCounts,
+    /// Windows up to this one may have been reported in words that a restored store has lost, and are
+    /// left out.
+    #[serde(default)]
+    pub left_out_to: WindowId,
 }
 
 /// What became of a call.
@@ -128,6 +134,14 @@
     refused_token: FencingToken,
     /// Until when it may say the words of the record, which it wrote itself.
     may_call_until: Duration,
+    /// When its latest write that was done was sent.
+    wrote_at: Option<Duration>,
+    /// Whether this entry, and nobody else, held the task as the era before ended.
+    held_last: bool,
+    /// Whether the windows that are complete by now may have been reported by somebody unknown.
+    is_unsure: bool,
+    /// Newest window that is left out.
+    left_out_to: WindowId,
     /// Since when calls have come to nothing.
     fruitless_since: Option<Duration>,
     /// Until when a write is left alone whose answer was lost: it may be done yet.
@@ -152,6 +166,10 @@
             highest_token: 0,
             refused_token: 0,
             may_call_until: Duration::ZERO,
+            wrote_at: None,
+            held_last: false,
+            is_unsure: false,
+            left_out_to: 0,
             fruitless_since: None,
             awaits_word_until: Duration::ZERO,
             taken: None,
@@ -175,16 +193,19 @@
         self.era.0
     }
 
-    /// The store is in this era; what it holds is heard next.
+    /// The store is in this era; what its record of the era says is heard next.
     pub fn enter_era(&mut self, era: StoreEra, now: Duration) {
         if era != self.era.0 {
             self.era = (era, now);
             self.known = None;
             self.may_call_until = Duration::ZERO;
+            // NB: within the lease of its own write nobody else has written.
+            self.held_last = self.wrote_at.is_some_and(|at| now < at + self.lease);
+            self.is_unsure = !self.held_last;
         }
     }
 
-    /// Hears what the store holds, or that the record is gone.
+    /// Hears what the store holds in its era, or that the record is gone.
     pub fn learn(&mut self, record: Option<(ReporterRecord, u64)>, now: Duration) {
         let Some((record, revision)) = record else {
             self.known = None;
@@ -198,6 +219,8 @@
         if self.newest.as_ref().is_none_or(|newest| age_order(newest) < age_order(&record)) {
             self.newest = Some(record.clone());
         }
+        self.left_out_to = self.left_out_to.max(record.left_out_to);
+        self.is_unsure = false;
         // NB: also where it shows a write of this entry whose answer was lost. Which of several like writes was
         // done, and so when it was sent, cannot be told.
         self.may_call_until = Duration::ZERO;
@@ -219,6 +242,7 @@
                 let is_latest = self.known.as_ref().is_some_and(|known| known.revision == revision);
                 if is_latest {
                     self.may_call_until = sent + self.lease.mul_f64(CALLING_PART);
+                    self.wrote_at = Some(sent);
                 }
             }
             // NB: whoever was first is heard of with all other changes.
@@ -261,6 +285,9 @@
         if now < self.aside_until || now < self.awaits_word_until {
             return None;
         }
+        if std::mem::take(&mut self.is_unsure) {
+            self.left_out_to = self.left_out_to.max(windows.newest_complete);
+        }
         if let Some(step) = self.finish_words(windows, now) {
             return Some(step);
         }
@@ -298,7 +325,8 @@
 
     /// The window to be reported next.
     fn next_window(&self, windows: DueWindows) -> Option<WindowId> {
-        let after = self.newest_written().map_or(0, |window| window.saturating_add(1));
+        let written = self.newest_written().unwrap_or_default();
+        let after = written.max(self.left_out_to).saturating_add(1);
         let window = after.max(windows.oldest_in_time);
         (window <= windows.newest_complete).then_some(window)
     }
@@ -318,19 +346,18 @@
     }
 
     fn may_write(&self, order: ReporterOrder, due_since: Duration, now: Duration) -> bool {
-        if self.newest.as_ref().is_some_and(|newest| self.is_own(newest)) {
-            return true;
+        let has_waited = |wait: Duration| now >= due_since + wait;
+        match &self.known {
+            Some(known) if known.record.holder == self.name => true,
+            Some(known) => {
+                has_waited(order.by_place + order.to_holder) && now >= known.since + self.lease
+            }
+            None if self.held_last => true,
+            // NB: whoever held the task in the era before may not have heard that it is over.
+            None => {
+                has_waited(order.by_place) && (self.era.0 == 0 || now >= self.era.1 + self.lease)
+            }
         }
-        // NB: a record of an earlier era, or none, may not be the last that there was.
-        let of_era = self.known.as_ref().filter(|known| self.is_of_era(&known.record));
-        let heard_at = match of_era {
-            Some(known) if known.record.holder == self.name => return true,
-            Some(known) => Some(known.since),
-            None => (self.era.0 > 0).then_some(self.era.1),
-        };
-        let to_holder = if self.known.is_some() { order.to_holder } else { Duration::ZERO };
-        let has_waited = now >= due_since + order.by_place + to_holder;
-        has_waited && heard_at.is_none_or(|at| now >= at + self.lease)
     }
 
     fn is_of_era(&self, record: &ReporterRecord) -> bool {
@@ -365,6 +392,7 @@
             fencing_token,
             window,
             counts,
+            left_out_to: self.left_out_to,
         };
         ReporterStep::Write(record, self.known.as_ref().map(|known| known.revision))
     }
--- a/crates/direct/src/conductor/learn.rs
+++ b/crates/direct/src/conductor/learn.rs
@@ -13,13 +13,13 @@
     facts::{Outcome, Progress, RollOutOrder},
     journal::Rank,
     quarantine::QUARANTINE_KEY,
-    usage::USAGE_KEY,
+    usage::{is_usage_key, usage_key},
 };
 
 impl Conductor {
     /// Learns the last change of a key, or that the key is gone.
     pub fn learn_revision(&self, key: &str, entry: Option<&Fetched>) {
-        if key == USAGE_KEY {
+        if is_usage_key(key) && key == self.usage_key() {
             self.core.learn_usage_record(entry);
         }
         let Some(entry) = entry else {
@@ -84,13 +84,18 @@
 
     /// Forgets the revisions of keys that a whole reading does not show.
     pub fn forget_all_but(&self, entries: &[Fetched]) {
-        if entries.iter().all(|entry| entry.key != USAGE_KEY) {
+        let usage_key = self.usage_key();
+        if entries.iter().all(|entry| entry.key != usage_key) {
             self.core.learn_usage_record(None);
         }
         let mut revisions = self.revisions.borrow_mut();
         revisions.retain(|key, _| entries.iter().any(|entry| entry.key == *key));
     }
 
+    fn usage_key(&self) -> String {
+        usage_key(self.core.state.borrow().replica.position().era)
+    }
+
     fn learn_stage(&self, service: &ServiceId, value: &[u8]) {
         let Some(record) = self.read::<StageRecord>(service, "read the stage", value) else {
             return;
--- a/crates/direct/src/usage.rs
+++ b/crates/direct/src/usage.rs
@@ -28,8 +28,8 @@
     metrics::{Counter, StoreCause},
 };
 
-/// Key of the record of who reports usage, and what was reported last.
-pub const USAGE_KEY: &str = "pondwalk/usage-reporter";
+/// Key of the record of who reports usage, and what was reported last, where the store names no era.
+const USAGE_KEY: &str = "pondwalk/usage-reporter";
 
 /// Time between two looks at what is to be told or reported.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
@@ -156,6 +156,21 @@
     }
 }
 
+/// Key of the record in an era of the store.
+///
+/// NB: a write of before a restoration may be done after it, so it must not reach the next era's record.
+pub fn usage_key(era: Era) -> String {
+    match era {
+        0 => USAGE_KEY.to_owned(),
+        era => format!("{USAGE_KEY}/{era}"),
+    }
+}
+
+/// Whether a key is that of the record in any era.
+pub fn is_usage_key(key: &str) -> bool {
+    key.starts_with(USAGE_KEY)
+}
+
 impl Core {
     /// A request of a workspace has begun to run.
     pub fn count_usage(&self, workspace: &str) {
@@ -319,7 +334,8 @@
     // NB: a record of texts and numbers always serializes.
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let expect = expected.map_or(Expect::Absent, Expect::Revision);
-    let change = Change { key: USAGE_KEY.to_owned(), value, expect, lease: None };
+    let era = usage.reporter.borrow().era();
+    let change = Change { key: usage_key(era), value, expect, lease: None };
     let written = conductor.commit(vec![change], StoreCause::UsageRecord).await;
     if let Err(error) = &written {
         let (window, error) = (record.window, error.to_string());
@@ -327,8 +343,8 @@
     }
     let is_done = written.is_ok();
     let end = match written {
-        // NB: after a restoration the condition may have held for another record.
-        Ok(position) if position.era != usage.reporter.borrow().era() => WriteEnd::Unknown,
+        // NB: the record of an era before is read by nobody any more.
+        Ok(position) if position.era != era => WriteEnd::Unknown,
         Ok(position) => WriteEnd::Done(position.revision),
         Err(StoreError::AnswerLost | StoreError::AnswerStopped(_) | StoreError::Malformed) => {
             WriteEnd::Unknown
