--- a/crates/direct/tests/store_returns.rs
+++ b/crates/direct/tests/store_returns.rs
@@ -6,7 +6,10 @@
 
 use common::{World, limits, net::Net, play};
 use pondwalk_direct::Entry;
-use pondwalk_standin::{backends::Act, memory_store::Weather};
+use pondwalk_standin::{
+    backends::Act,
+    memory_store::{StoreCopy, Weather},
+};
 use tokio::time::{Instant, sleep};
 
 /// How long the outages last: keys are refused from 4.5 s on.
@@ -34,11 +37,19 @@
     entries.iter().filter(|entry| entry.is_ready()).count()
 }
 
-async fn store_returns(world: &World, entries: &[Entry], outage: Duration) -> Return {
+async fn store_returns(
+    world: &World,
+    entries: &[Entry],
+    outage: Duration,
+    copy: Option<StoreCopy>,
+) -> Return {
     world.store.set_weather(Weather::Silent(Duration::from_secs(30)));
     sleep(outage).await;
     assert_eq!(ready(entries), 0, "keys are refused by then");
     let calls = world.store.calls();
+    if let Some(copy) = copy {
+        world.store.restore(copy);
+    }
     world.store.set_weather(Weather::Fair);
     let back = Instant::now();
     let mut seen = Return::default();
@@ -58,20 +69,35 @@
 
 fn returns_at(count: u16) {
     for outage in OUTAGES {
-        play(move |world| async move {
-            let net = Net::default();
-            let usual = Act::Answer(200, "made".into());
-            let entries = limits::start(&world, &net, (2, "s", usual), count).await;
-            assert_eq!(ready(&entries), entries.len());
-            let seen = store_returns(&world, &entries, outage).await;
-            println!("{count} entries, {outage:?}: {seen:?}");
-            assert!(!seen.all.is_zero() && seen.all <= BACK_WITHIN, "{seen:?}");
-            // NB: an entry that has lost its way asks the store itself; not all may.
-            assert!(seen.calls < u64::from(count).max(FEW_CALLS), "{seen:?}");
-        });
+        returns_after(count, outage, false);
+    }
+}
+
+fn restored_at(count: u16) {
+    for outage in OUTAGES {
+        returns_after(count, outage, true);
     }
 }
 
+fn returns_after(count: u16, outage: Duration, is_restored: bool) {
+    play(move |world| async move {
+        let net = Net::default();
+        let usual = Act::Answer(200, "made".into());
+        let entries = limits::start(&world, &net, (2, "s", usual), count).await;
+        assert_eq!(ready(&entries), entries.len());
+        let copy = is_restored.then(|| world.store.copy());
+        for n in 0..10 {
+            world.store.put(&format!("other/{n}"), "written after the copy");
+        }
+        sleep(Duration::from_secs(1)).await;
+        let seen = store_returns(&world, &entries, outage, copy).await;
+        println!("{count} entries, {outage:?}: {seen:?}");
+        assert!(!seen.all.is_zero() && seen.all <= BACK_WITHIN, "{seen:?}");
+        // NB: an entry that has lost its way asks the store itself; not all may.
+        assert!(seen.calls < u64::from(count).max(FEW_CALLS), "{seen:?}");
+    });
+}
+
 #[test]
 fn keys_are_honoured_again_within_a_second_and_an_interval_at_4_entries() {
     returns_at(4);
@@ -86,3 +112,18 @@
 fn keys_are_honoured_again_within_a_second_and_an_interval_at_103_entries() {
     returns_at(103);
 }
+
+#[test]
+fn keys_are_honoured_again_as_soon_where_the_store_is_restored_at_4_entries() {
+    restored_at(4);
+}
+
+#[test]
+fn keys_are_honoured_again_as_soon_where_the_store_is_restored_at_24_entries() {
+    restored_at(24);
+}
+
+#[test]
+fn keys_are_honoured_again_as_soon_where_the_store_is_restored_at_103_entries() {
+    restored_at(103);
+}
