What a whole reading shows of a server that is known already is not logged

A restored store makes each entry read all anew: 644 lines of server_known at each of 357 entries told nothing new and cost the logs' budget what did.

--- a/crates/direct/src/follow/learn.rs
+++ b/crates/direct/src/follow/learn.rs
@@ -95,6 +95,16 @@
         if self.takes_copy && self.core.state.borrow().is_leaving(&server) {
             server.state = ServerState::Draining;
         }
+        if !self.core.state.borrow().knows_server(&server) {
+            self.note_server(&server);
+        }
+        let id = server.id.clone();
+        if self.core.state.borrow_mut().put_server(server, self.core.clock.now()) {
+            self.core.journal.note(Rank::State, &Learned::ServerBornAnew { server: &id });
+        }
+    }
+
+    fn note_server(&self, server: &BackendServer) {
         let event = Learned::ServerKnown {
             server: &server.id,
             service: &server.service,
@@ -104,10 +114,6 @@
             born_ms: server.born_ms,
         };
         self.core.journal.note(Rank::State, &event);
-        let id = server.id.clone();
-        if self.core.state.borrow_mut().put_server(server, self.core.clock.now()) {
-            self.core.journal.note(Rank::State, &Learned::ServerBornAnew { server: &id });
-        }
     }
 
     /// An entry of a server cannot be read: it names no server, whatever it named before.
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -221,6 +221,18 @@
         is_born_anew
     }
 
+    /// Whether what is told of a backend server is known already.
+    pub fn knows_server(&self, server: &BackendServer) -> bool {
+        let known = self.fleets.get(&server.service).and_then(|fleet| fleet.facts(&server.id));
+        known.is_some_and(|facts| {
+            facts.born_ms == server.born_ms
+                && facts.address == server.address
+                && facts.version == server.version
+                && facts.ready == (server.state == ServerState::Ready)
+                && server.warm_up_left.is_zero()
+        })
+    }
+
     /// Whether a backend server is known to leave in the life that is spoken of.
     pub fn is_leaving(&self, server: &BackendServer) -> bool {
         let known = self.fleets.get(&server.service).and_then(|fleet| fleet.facts(&server.id));
