--- a/crates/direct/tests/store_restored.rs
+++ b/crates/direct/tests/store_restored.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
 use common::{
     World, address, catalog, catalog_with_keys, lethal, net::Net, play, request, total, with,
@@ -79,6 +79,19 @@
     world.backends.seen(address(n)).len() - before
 }
 
+/// Writes changes, which must be in force at all these entries within a time.
+async fn assert_changes_reach(world: &World, entries: &[Entry], within: Duration) {
+    world.configure(catalog_with_keys(2, &["k1"]));
+    world.list_server(1, "s", "v1", "draining");
+    sleep(within).await;
+    assert_in_force(world, entries).await;
+}
+
+async fn assert_in_force(world: &World, entries: &[Entry]) {
+    assert_eq!(astray(world, entries, "k1", "k2").await, Vec::<String>::new());
+    assert_eq!(sent_to(world, entries, 1).await, 0);
+}
+
 fn changes_reach_all(count: u16, away: Duration) {
     play(|world| async move {
         let net = Net::default();
@@ -88,11 +101,7 @@
         sleep(IN_FORCE).await;
         restore(&world, &copy, away).await;
         sleep(SETTLED).await;
-        world.configure(catalog_with_keys(2, &["k1"]));
-        world.list_server(1, "s", "v1", "draining");
-        sleep(IN_FORCE).await;
-        assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
-        assert_eq!(sent_to(&world, &entries, 1).await, 0);
+        assert_changes_reach(&world, &entries, IN_FORCE).await;
     });
 }
 
@@ -130,8 +139,7 @@
             world.list_server(1, "s", "v1", "draining");
             write_what_is_lost(&world);
             sleep(IN_FORCE).await;
-            assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
-            assert_eq!(sent_to(&world, &entries, 1).await, 0, "{count} entries");
+            assert_in_force(&world, &entries).await;
         });
     }
 }
@@ -148,11 +156,7 @@
             world.cut_store_for(&entries[position], Weather::Silent(Duration::from_secs(30)));
             restore(&world, &copy, AWAY).await;
             sleep(SETTLED).await;
-            world.configure(catalog_with_keys(2, &["k1"]));
-            world.list_server(1, "s", "v1", "draining");
-            sleep(2 * IN_FORCE).await;
-            assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
-            assert_eq!(sent_to(&world, &entries, 1).await, 0);
+            assert_changes_reach(&world, &entries, 2 * IN_FORCE).await;
         });
     }
 }
@@ -169,11 +173,12 @@
             sleep(2 * SETTLED).await;
             world.store.restore(copy);
             sleep(2 * SETTLED).await;
-            world.configure(catalog_with_keys(2, &["k1"]));
-            world.list_server(1, "s", "v1", "draining");
-            sleep(2 * IN_FORCE + 2 * Duration::from_millis(late_ms)).await;
-            assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
-            assert_eq!(sent_to(&world, &entries, 1).await, 0, "{late_ms} ms");
+            assert_changes_reach(
+                &world,
+                &entries,
+                2 * IN_FORCE + 2 * Duration::from_millis(late_ms),
+            )
+            .await;
         });
     }
 }
@@ -193,11 +198,7 @@
         restore(&world, &copy, Duration::ZERO).await;
         entries.extend((12..16).map(|n| net.start_later(&world, n)));
         sleep(SETTLED).await;
-        world.configure(catalog_with_keys(2, &["k1"]));
-        world.list_server(1, "s", "v1", "draining");
-        sleep(IN_FORCE).await;
-        assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
-        assert_eq!(sent_to(&world, &entries, 1).await, 0);
+        assert_changes_reach(&world, &entries, IN_FORCE).await;
     });
 }
 
@@ -231,8 +232,7 @@
             world.configure(catalog_with_keys(version + 1, &["k1"]));
             world.list_server(1, "s", "v1", "draining");
             sleep(SETTLED).await;
-            assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
-            assert_eq!(sent_to(&world, &entries, 1).await, 0, "seed {seed}");
+            assert_in_force(&world, &entries).await;
         });
     }
 }
@@ -407,13 +407,13 @@
     });
 }
 
-/// Plays a roll-out to its end, and restores the store from a copy taken `before_end` or so before.
-fn outcome_after_restoration(second: Act, copy_after: Duration, down_count: u16) -> Option<String> {
-    let found = std::rc::Rc::new(std::cell::RefCell::new(None));
-    let told = std::rc::Rc::clone(&found);
+/// Plays a roll-out to its end, and restores the store from a copy taken `copy_after` its order.
+fn outcome_after_restoration(second: Act, copy_after: Duration, count: u16) -> Option<String> {
+    let found = Rc::new(RefCell::new(None));
+    let told = Rc::clone(&found);
     play(move |world| async move {
         let net = Net::default();
-        let entries = start(&world, &net, down_count).await;
+        let entries = start(&world, &net, count).await;
         for n in 11..=13 {
             world.start_server(n, "s", "v2", second.clone());
         }
@@ -519,7 +519,6 @@
         sleep(Duration::from_millis(1_500)).await;
         world.cut_store_for(&entries[root], Weather::Fair);
         sleep(IN_FORCE).await;
-        assert_eq!(astray(&world, &entries, "k1", "k2").await, Vec::<String>::new());
-        assert_eq!(sent_to(&world, &entries, 1).await, 0);
+        assert_in_force(&world, &entries).await;
     });
 }
