--- a/crates/direct/tests/store_restored.rs
+++ b/crates/direct/tests/store_restored.rs
@@ -522,3 +522,58 @@
         assert_in_force(&world, &entries).await;
     });
 }
+
+/// A bad version is left, and the operator told so, whatever is lost while it is on trial.
+fn bad_version_is_left(count: u16, times: usize) {
+    play(move |world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, count).await;
+        for n in 11..=13 {
+            world.start_server(n, "s", "v2", Act::Answer(500, "bad".into()));
+        }
+        let copy = world.store.copy();
+        world.store.put("order/s", "v2 20");
+        sleep(IN_FORCE).await;
+        for _ in 0..times {
+            restore(&world, &copy, AWAY).await;
+            world.store.put("order/s", "v2 20");
+            sleep(IN_FORCE).await;
+        }
+        for n in 0..400 {
+            let entry = &entries[n % entries.len()];
+            let sent =
+                with(request("/again/", &format!("r{n}")), "pondwalk-session", &n.to_string());
+            world.ask_at(entry, sent).await;
+            sleep(Duration::from_millis(25)).await;
+        }
+        sleep(SETTLED).await;
+        assert_eq!(world.store.value("progress/s").as_deref(), Some("v2 Reverted"));
+        assert_eq!(sent_to(&world, &entries, 11).await, 0);
+    });
+}
+
+#[test]
+fn a_bad_version_on_trial_is_left_though_the_store_is_restored_once_and_twice() {
+    for count in [4, 24] {
+        bad_version_is_left(count, 1);
+        bad_version_is_left(count, 2);
+    }
+}
+
+#[test]
+fn an_evacuation_holds_through_two_restorations() {
+    play(|world| async move {
+        let net = Net::default();
+        let entries = start(&world, &net, 4).await;
+        lose_evacuation(&world, &entries).await;
+        let copy = world.store.copy();
+        world.store.put("evacuate/dc1", "");
+        sleep(IN_FORCE).await;
+        restore(&world, &copy, AWAY).await;
+        world.store.put("evacuate/dc1", "");
+        for _ in 0..20 {
+            sleep(Duration::from_millis(200)).await;
+            assert_eq!(sent_to_evacuated(&world, &entries).await, 0);
+        }
+    });
+}
