--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -94,7 +94,7 @@
     pub window: Duration,
 }
 
-/// `[policy]`: mechanisms of the decision; all are on by default.
+/// `[policy]`: mechanisms of the decision; all are on by default but those that say otherwise.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PolicySettings {
     /// Requests with a common part of their prompt prefer the server that the part hashes to.
@@ -117,6 +117,14 @@
     pub leaves_silent_streams: bool,
     /// Calls with a time limit are still accepted late in a planned stop.
     pub late_calls: bool,
+    /// Entries exchange their work at the backend servers and decide by its sum; off by default.
+    pub shared_load: bool,
+    /// Requests that cannot be served in time are refused at once; off by default.
+    pub admission: bool,
+    /// Workspaces share a service that is overloaded; off by default.
+    pub fair_shares: bool,
+    /// Streams that would miss their deadline are moved to faster servers; off by default.
+    pub slow_streams: bool,
 }
 
 /// `[roll_out]`: limits while a version is on trial.
@@ -250,18 +258,23 @@
 }
 
 fn read_policy(file: &mut RawFile) -> PolicySettings {
-    let mut is_on = |key| file.value_or("policy", key, "true or false", true);
+    let is_on = |file: &mut RawFile, key| file.value_or("policy", key, "true or false", true);
+    let is_enabled = |file: &mut RawFile, key| file.value_or("policy", key, "true or false", false);
     PolicySettings {
-        named_servers: is_on("named_servers"),
-        delays: is_on("delays"),
-        told_loads: is_on("told_loads"),
-        learned_engines: is_on("learned_engines"),
-        learned_lifts: is_on("learned_lifts"),
-        time_price: is_on("time_price"),
-        ranks: is_on("ranks"),
-        tries_elsewhere: is_on("tries_elsewhere"),
-        leaves_silent_streams: is_on("leaves_silent_streams"),
-        late_calls: is_on("late_calls"),
+        named_servers: is_on(file, "named_servers"),
+        delays: is_on(file, "delays"),
+        told_loads: is_on(file, "told_loads"),
+        learned_engines: is_on(file, "learned_engines"),
+        learned_lifts: is_on(file, "learned_lifts"),
+        time_price: is_on(file, "time_price"),
+        ranks: is_on(file, "ranks"),
+        tries_elsewhere: is_on(file, "tries_elsewhere"),
+        leaves_silent_streams: is_on(file, "leaves_silent_streams"),
+        late_calls: is_on(file, "late_calls"),
+        shared_load: is_enabled(file, "shared_load"),
+        admission: is_enabled(file, "admission"),
+        fair_shares: is_enabled(file, "fair_shares"),
+        slow_streams: is_enabled(file, "slow_streams"),
     }
 }
 
--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -44,6 +44,7 @@
 mod fleet;
 mod freshness;
 mod hash;
+mod load_summary;
 mod permits;
 mod quarantine;
 mod queue_rank;
@@ -66,6 +67,10 @@
     UnavailableReason, UnreachableReason, VersionRule, backoff_jitter,
 };
 pub use freshness::Freshness;
+pub use load_summary::{
+    Demand, HALF_WINDOWS, LoadKey, LoadSummary, LoadSummaryError, ServerWork, ServiceWork,
+    name_key, server_key,
+};
 pub use permits::{GranterRole, PermitBuckets};
 pub use quarantine::{
     ContentHash, CorrelatedCrashes, CrashId, ProbeDecision, ProbeRequest, Quarantine,
