--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,6 +17,7 @@
 mod follow;
 mod forecasts;
 mod http;
+pub mod load;
 pub mod membership;
 mod metrics;
 mod permits;
