--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -45,6 +45,7 @@
 mod freshness;
 mod hash;
 mod load_summary;
+mod load_view;
 mod permits;
 mod quarantine;
 mod queue_rank;
@@ -71,6 +72,9 @@
     Demand, HALF_WINDOWS, LoadKey, LoadSummary, LoadSummaryError, ServerWork, ServiceWork,
     name_key, server_key,
 };
+pub use load_view::{
+    EXPIRY_INTERVALS, LoadOrigin, LoadRole, LoadView, MAX_DEMANDS, MAX_SERVERS, MAX_SERVICES,
+};
 pub use permits::{GranterRole, PermitBuckets};
 pub use quarantine::{
     ContentHash, CorrelatedCrashes, CrashId, ProbeDecision, ProbeRequest, Quarantine,
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -16,7 +16,9 @@
     clock::Clock,
     dialect::Dialect,
     event_log::EventLog,
-    membership::{ChangeSource, GossipLog, MIN_GOSSIP_TARGETS, Members, Outbox, root_count},
+    membership::{
+        ChangeSource, GossipLog, LoadExchange, MIN_GOSSIP_TARGETS, Members, Outbox, root_count,
+    },
     metrics::Metrics,
     permits::PermitState,
     quarantine::{ObservedCrashes, PendingClearances, ReleasedProbes},
@@ -84,6 +86,8 @@
     pub released_probes: ReleasedProbes,
     /// Usage counts and reporter, if the deployment reports usage.
     pub usage: Option<Usage>,
+    /// Exchange of work with other entries.
+    pub load_exchange: LoadExchange,
     /// Mutable state.
     pub state: RefCell<State>,
 }
@@ -124,6 +128,7 @@
             permits: PermitState::default(),
             released_probes: ReleasedProbes::default(),
             usage,
+            load_exchange: LoadExchange::default(),
             state: RefCell::new(state),
         }
     }
@@ -223,6 +228,9 @@
         if let Some(age) = self.state_age() {
             gauges.push(("state_age_ms", age.as_millis() as u64));
         }
+        if let Some(age) = self.load_exchange.view_age(self.clock.now()) {
+            gauges.push(("load_view_age_ms", age.as_millis() as u64));
+        }
         for (name, value) in gauges {
             // Writing to a string can't fail.
             let _ = writeln!(text, "pondwalk_{name} {value}");
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use pondwalk_config::DirectSettings;
+use pondwalk_decide::direct::LoadSummary;
 use serde::Serialize;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
@@ -112,6 +113,9 @@
             let coordinator = Rc::clone(&self.coordinator);
             spawn_local(usage::report_usage(Rc::clone(&self.core), self.port.clone(), coordinator));
         }
+        if self.core.settings.policy.shared_load {
+            spawn_local(membership::exchange_load(Rc::clone(&self.core)));
+        }
         spawn_local(watch_draining_servers(Rc::clone(&self.core)));
         spawn_local(follow(Rc::clone(&self.core), self.port.clone(), coordinator));
         let core = Rc::clone(&self.core);
@@ -183,6 +187,16 @@
         self.core.clock.simulate_unix_ms(at_start);
     }
 
+    /// Sum of the work of the other entries, if it is fresh.
+    pub fn peer_load(&self) -> Option<LoadSummary> {
+        self.core.load_exchange.peers(self.core.clock.now())
+    }
+
+    /// Simulates work of this entry in addition to its own; for tests.
+    pub fn simulate_load(&self, load: LoadSummary) {
+        self.core.load_exchange.simulate(load);
+    }
+
     /// Log lines that have not been passed to the writer yet.
     pub fn buffered_log_lines(&self) -> String {
         self.core.event_log.buffered()
--- a/crates/direct/src/membership.rs
+++ b/crates/direct/src/membership.rs
@@ -15,6 +15,7 @@
 mod forward;
 mod gossip;
 mod listing;
+mod load_exchange;
 mod members;
 mod message;
 mod replica;
@@ -26,6 +27,7 @@
 pub use forward::{Outbox, forward_gossip};
 pub use gossip::{Gossip, GossipItem, GossipLog, MAX_SESSIONS_PER_ITEM, WireStage};
 pub use listing::{InvalidListing, Listing};
+pub use load_exchange::{LoadExchange, LoadMessage, exchange_load};
 pub use members::{ChangeSource, Members};
 pub use message::{
     FORMAT, KeyChange, MessageError, StateHead, StateMessage, from_message, to_message,
@@ -47,5 +49,7 @@
 pub const PROBE_PATH: &str = "/probe";
 /// Path of the request for a permit to send to a rate-limited backend server.
 pub const PERMIT_PATH: &str = "/permit";
+/// Path on which an entry accepts summaries of work.
+pub const LOAD_PATH: &str = "/load";
 /// Path on which an entry accepts gossip.
 const NEWS_PATH: &str = "/news";
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -39,10 +39,10 @@
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Base timeout for posting a message to a peer, which normally takes a few milliseconds. A peer
 /// that is busy or paused for longer cannot help in time.
-const POST_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const POST_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time added to [`POST_TIMEOUT`] for each byte of the message. A mostly idle link of 10 Mbit/s
 /// carries five times as much.
-const POST_TIMEOUT_PER_BYTE: Duration = Duration::from_micros(4);
+pub(super) const POST_TIMEOUT_PER_BYTE: Duration = Duration::from_micros(4);
 
 /// Why a request to another entry failed.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -117,7 +117,8 @@
     }
 }
 
-type RequestSender = SendRequest<Full<Bytes>>;
+/// Sends requests on an open connection.
+pub(super) type RequestSender = SendRequest<Full<Bytes>>;
 
 /// Client that keeps one idle connection, to the peer it last used, and the metadata of that peer's
 /// last response.
@@ -245,7 +246,7 @@
             let response = open(connect, address).await?.send_request(request).await;
             let response = response.map_err(failed)?;
             match response.status() {
-                StatusCode::OK => read_body(response.into_body()).await,
+                StatusCode::OK => read_body(response.into_body(), MAX_MESSAGE_BYTES).await,
                 status => Err(PeerError::Failed(status.to_string())),
             }
         };
@@ -306,7 +307,7 @@
         let status = response.status();
         let is_success = usize::from(status == StatusCode::OK);
         self.receiving.set(self.receiving.get() + is_success);
-        let body = read_body(response.into_body()).await;
+        let body = read_body(response.into_body(), MAX_MESSAGE_BYTES).await;
         self.receiving.set(self.receiving.get() - is_success);
         let body = body?;
         *self.idle.borrow_mut() = Some((address, sender));
@@ -332,10 +333,10 @@
     Ok(from_message(&response, store)?)
 }
 
-/// Reads a body for as long as frames arrive. A large state on a narrow link takes longer than any
+/// Reads a body of at most `max_bytes` for as long as frames arrive. A large state on a narrow link takes longer than any
 /// sensible timeout for the start of a response.
-async fn read_body(body: Incoming) -> Result<Bytes, PeerError> {
-    let mut body = pin!(Limited::new(body, MAX_MESSAGE_BYTES));
+pub(super) async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, PeerError> {
+    let mut body = pin!(Limited::new(body, max_bytes));
     let mut read = BytesMut::new();
     loop {
         let frame =
@@ -348,7 +349,11 @@
     }
 }
 
-async fn open(connect: &Connect, address: SocketAddr) -> Result<RequestSender, PeerError> {
+/// Opens a connection to another entry.
+pub(super) async fn open(
+    connect: &Connect,
+    address: SocketAddr,
+) -> Result<RequestSender, PeerError> {
     let connecting = timeout(CONNECT_TIMEOUT, connect(address)).await;
     let stream = connecting.map_err(|_| PeerError::Timeout)?.map_err(failed)?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(failed)?;
@@ -357,6 +362,7 @@
     Ok(sender)
 }
 
-fn failed(error: impl ToString) -> PeerError {
+/// Wraps an error of the connection.
+pub(super) fn failed(error: impl ToString) -> PeerError {
     PeerError::Failed(error.to_string())
 }
--- a/crates/direct/src/membership/members.rs
+++ b/crates/direct/src/membership/members.rs
@@ -204,6 +204,20 @@
         others.map(|(_, member)| member.listing.address).collect()
     }
 
+    /// Names and addresses of the other roots as this entry sees them.
+    pub fn roots(&self, now: Duration) -> Vec<(String, SocketAddr)> {
+        let members = self.members.borrow();
+        let candidates: Vec<_> = members
+            .iter()
+            .filter(|(key, member)| **key == self.own || member.skipped_until <= now)
+            .collect();
+        let is_root =
+            |position| tree::tree_role(position, candidates.len(), self.in_tree) == TreeRole::Root;
+        let roots = candidates.iter().enumerate().filter(|(position, _)| is_root(*position));
+        let others = roots.filter(|(_, (key, _))| **key != self.own);
+        others.map(|(_, (key, member))| (key.2.clone(), member.listing.address)).collect()
+    }
+
     /// The entries in the order in which they may grant permits and probes for `key`, each with its
     /// address; the address of this entry is `None`.
     ///
--- a/crates/direct/src/membership/message.rs
+++ b/crates/direct/src/membership/message.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
+use pondwalk_decide::direct::LoadSummaryError;
 use pondwalk_store::{Position, StoreEntry, StoreEvent};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use thiserror::Error;
@@ -18,7 +19,7 @@
 use super::GossipItem;
 
 /// Version of the message format; messages of other versions are rejected.
-pub const FORMAT: u16 = 7;
+pub const FORMAT: u16 = 8;
 /// Maximum size of a message. The store holds some hundred keys and one large configuration, which
 /// compress to a tenth of this.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
@@ -43,6 +44,9 @@
     /// Inconsistent: for example, the state was confirmed after the message was sent.
     #[error("inconsistent message")]
     Contradictory,
+    /// A load summary with impossible values.
+    #[error(transparent)]
+    Load(#[from] LoadSummaryError),
 }
 
 /// The last change of a key.
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -16,8 +16,8 @@
 };
 
 use super::{
-    FORMAT, GossipItem, MessageError, NEWS_PATH, PERMIT_PATH, PROBE_PATH, STATE_PATH, StateHead,
-    StateMessage, StateRequestKind, message::from_message,
+    FORMAT, GossipItem, LOAD_PATH, MessageError, NEWS_PATH, PERMIT_PATH, PROBE_PATH, STATE_PATH,
+    StateHead, StateMessage, StateRequestKind, message::from_message,
 };
 use crate::{core::Core, event_log::LogPriority, metrics::Counter};
 
@@ -102,6 +102,12 @@
                     answer_query(&core, request, async |core, body| core.handle_probe_query(body))
                         .await
                 }
+                LOAD_PATH if core.settings.policy.shared_load => {
+                    match core.handle_load_message(request).await {
+                        Some(answer) => with_status(StatusCode::OK, answer),
+                        None => with_status(StatusCode::BAD_REQUEST, Bytes::new()),
+                    }
+                }
                 PERMIT_PATH => answer_query(&core, request, Core::handle_permit_query).await,
                 _ => with_status(StatusCode::NOT_FOUND, Bytes::new()),
             };
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -70,6 +70,10 @@
     PeerBytesSent,
     /// Bytes of state received from other entries.
     PeerBytesReceived,
+    /// Summaries of work sent to other entries.
+    LoadMessagesSent,
+    /// Summaries of work rejected as malformed or implausible.
+    LoadMessagesRefused,
 }
 
 impl Counter {
@@ -103,6 +107,8 @@
             Counter::UsageCallsFailed => "usage_calls_failed_total",
             Counter::PeerBytesSent => "peer_bytes_told_total",
             Counter::PeerBytesReceived => "peer_bytes_heard_total",
+            Counter::LoadMessagesSent => "load_messages_sent",
+            Counter::LoadMessagesRefused => "load_messages_refused",
         }
     }
 }
