--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -144,7 +144,17 @@
     /// Source of state changes. Until entries are listed, that is the entry that provided the
     /// initial state, and a seed must expect to be that entry.
     pub fn source(&self) -> ChangeSource {
-        match (self.members.source(self.clock.now()), self.initial_source.get()) {
+        self.with_initial_source(self.members.source(self.clock.now()))
+    }
+
+    /// Like [`Core::source`], for messages that need no state of the store: entries whose state is
+    /// stale keep their places in the tree.
+    pub fn parent_without_store(&self) -> ChangeSource {
+        self.with_initial_source(self.members.parent_without_store(self.clock.now()))
+    }
+
+    fn with_initial_source(&self, source: ChangeSource) -> ChangeSource {
+        match (source, self.initial_source.get()) {
             (ChangeSource::StoreStandalone, Some(address)) => {
                 ChangeSource::Entry { name: address.to_string(), address }
             }
--- a/crates/direct/src/membership/load_exchange.rs
+++ b/crates/direct/src/membership/load_exchange.rs
@@ -34,6 +34,9 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum interval accepted from a peer; the largest message takes a third of it at the byte rate.
 const MAX_INTERVAL: Duration = Duration::from_secs(60);
+/// Time by which an exchange may begin early, so that a timer that fires a moment early or late does
+/// not double the interval.
+const TIMER_TOLERANCE: Duration = Duration::from_millis(10);
 /// Half of the budget for control traffic of an entry.
 const BYTES_PER_S: f64 = 12_000.0;
 /// Maximum size of a message; about twice the size of a summary at its limits.
@@ -133,7 +136,8 @@
     }
 
     /// Sets the interval such that messages of this size, in both directions together, to this
-    /// number of peers keep to the byte rate.
+    /// number of peers keep to the byte rate. The peers are those that this entry posts to; the
+    /// children pace their own posts.
     fn set_interval(&self, bytes: usize, peers: usize) {
         let interval = Duration::from_secs_f64((bytes * peers) as f64 / BYTES_PER_S);
         self.interval.set(interval.clamp(MIN_INTERVAL, MAX_INTERVAL));
@@ -144,7 +148,7 @@
     fn begin(&self, address: SocketAddr, now: Duration) -> Option<Option<RequestSender>> {
         let mut links = self.links.borrow_mut();
         let link = links.entry(address).or_default();
-        if link.is_busy || now < link.next {
+        if link.is_busy || now + TIMER_TOLERANCE < link.next {
             return None;
         }
         link.is_busy = true;
@@ -175,9 +179,11 @@
 impl Core {
     /// Entries to post to, and the role of this entry there.
     fn load_peers(&self) -> (Vec<(String, SocketAddr)>, LoadRole) {
-        match self.source() {
+        match self.parent_without_store() {
             ChangeSource::Entry { name, address } => (vec![(name, address)], LoadRole::Child),
-            ChangeSource::Store => (self.members.roots(self.clock.now()), LoadRole::Root),
+            ChangeSource::Store => {
+                (self.members.roots_without_store(self.clock.now()), LoadRole::Root)
+            }
             ChangeSource::StoreStandalone => (Vec::new(), LoadRole::Root),
         }
     }
--- a/crates/direct/src/membership/members.rs
+++ b/crates/direct/src/membership/members.rs
@@ -58,6 +58,9 @@
     /// Whether the store holds the listing; a store restored from a backup may have lost it.
     is_stored: bool,
     skipped_until: Duration,
+    /// End of the part of that time for which the entry did not respond at all, rather than with a
+    /// stale state.
+    unreachable_until: Duration,
     failures: u32,
 }
 
@@ -105,8 +108,13 @@
         if let Some(listing) = listing {
             let key = order_key(name, &listing);
             keys.insert(name.to_owned(), key.clone());
-            let new_member =
-                Member { listing, is_stored: true, skipped_until: Duration::ZERO, failures: 0 };
+            let new_member = Member {
+                listing,
+                is_stored: true,
+                skipped_until: Duration::ZERO,
+                unreachable_until: Duration::ZERO,
+                failures: 0,
+            };
             members.insert(key, new_member);
         }
         changes
@@ -142,10 +150,21 @@
     ///
     /// An unlisted entry behaves as the last in order, since no other entry polls it.
     pub fn source(&self, now: Duration) -> ChangeSource {
+        self.source_among(|member| member.skipped_until <= now)
+    }
+
+    /// The parent of this entry for messages that need no state of the store, if it is not a root.
+    /// Entries whose state is stale keep their places, so the tree stays as it is while the store
+    /// is unavailable.
+    pub fn parent_without_store(&self, now: Duration) -> ChangeSource {
+        self.source_among(|member| member.unreachable_until <= now)
+    }
+
+    fn source_among(&self, is_candidate: impl Fn(&Member) -> bool) -> ChangeSource {
         let members = self.members.borrow();
         let candidates: Vec<_> = members
             .iter()
-            .filter(|(key, member)| **key == self.own || member.skipped_until <= now)
+            .filter(|(key, member)| **key == self.own || is_candidate(member))
             .collect();
         let position = candidates.iter().position(|(key, _)| **key == self.own);
         let entries = candidates.len() + usize::from(position.is_none());
@@ -204,12 +223,12 @@
         others.map(|(_, member)| member.listing.address).collect()
     }
 
-    /// Names and addresses of the other roots as this entry sees them.
-    pub fn roots(&self, now: Duration) -> Vec<(String, SocketAddr)> {
+    /// Names and addresses of the other roots of the tree of [`Members::parent_without_store`].
+    pub fn roots_without_store(&self, now: Duration) -> Vec<(String, SocketAddr)> {
         let members = self.members.borrow();
         let candidates: Vec<_> = members
             .iter()
-            .filter(|(key, member)| **key == self.own || member.skipped_until <= now)
+            .filter(|(key, member)| **key == self.own || member.unreachable_until <= now)
             .collect();
         let is_root =
             |position| tree::tree_role(position, candidates.len(), self.in_tree) == TreeRole::Root;
@@ -261,6 +280,7 @@
             Some(_) => {
                 let skip_time = INITIAL_SKIP_TIME * 2u32.pow(member.failures.min(6));
                 member.skipped_until = now + skip_time.min(MAX_SKIP_TIME);
+                member.unreachable_until = member.skipped_until;
                 member.failures += 1;
             }
         }
--- a/crates/direct/tests/common/net.rs
+++ b/crates/direct/tests/common/net.rs
@@ -72,6 +72,8 @@
     entries: Rc<RefCell<HashMap<SocketAddr, Entry>>>,
     /// Addresses to which no new connection opens.
     pub cut: Rc<RefCell<Vec<SocketAddr>>>,
+    /// Pairs of addresses, the first of which opens no new connection to the second.
+    pub cut_one_way: Rc<RefCell<Vec<(SocketAddr, SocketAddr)>>>,
     /// Impostors that answer at an address in place of an entry.
     pub impostors: Rc<RefCell<HashMap<SocketAddr, Impostor>>>,
     /// Side of each entry while the network is partitioned.
@@ -160,7 +162,8 @@
     fn is_cut(&self, from: SocketAddr, to: SocketAddr) -> bool {
         let sides = self.sides.borrow();
         let crosses = sides.get(&from) != sides.get(&to) && sides.contains_key(&to);
-        crosses || self.cut.borrow().contains(&to)
+        let is_cut_one_way = self.cut_one_way.borrow().contains(&(from, to));
+        crosses || is_cut_one_way || self.cut.borrow().contains(&to)
     }
 
     /// Starts an entry with a store connection of its own, and waits until it has read everything.
