--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -16,7 +16,9 @@
     clock::Clock,
     dialect::Dialect,
     event_log::EventLog,
-    membership::{ChangeSource, GossipLog, MIN_GOSSIP_TARGETS, Members, Outbox, root_count},
+    membership::{
+        ChangeSource, GossipLog, LoadExchange, MIN_GOSSIP_TARGETS, Members, Outbox, root_count,
+    },
     metrics::Metrics,
     permits::PermitState,
     quarantine::{ObservedCrashes, PendingClearances, ReleasedProbes},
@@ -84,6 +86,8 @@
     pub released_probes: ReleasedProbes,
     /// Usage counts and reporter, if the deployment reports usage.
     pub usage: Option<Usage>,
+    /// Exchange of work with other entries.
+    pub load_exchange: LoadExchange,
     /// Mutable state.
     pub state: RefCell<State>,
 }
@@ -124,6 +128,7 @@
             permits: PermitState::default(),
             released_probes: ReleasedProbes::default(),
             usage,
+            load_exchange: LoadExchange::default(),
             state: RefCell::new(state),
         }
     }
@@ -139,7 +144,17 @@
     /// Source of state changes. Until entries are listed, that is the entry that provided the
     /// initial state, and a seed must expect to be that entry.
     pub fn source(&self) -> ChangeSource {
-        match (self.members.source(self.clock.now()), self.initial_source.get()) {
+        self.with_initial_source(self.members.source(self.clock.now()))
+    }
+
+    /// Like [`Core::source`], for messages that need no state of the store: entries whose state is
+    /// stale keep their places in the tree.
+    pub fn parent_without_store(&self) -> ChangeSource {
+        self.with_initial_source(self.members.parent_without_store(self.clock.now()))
+    }
+
+    fn with_initial_source(&self, source: ChangeSource) -> ChangeSource {
+        match (source, self.initial_source.get()) {
             (ChangeSource::StoreStandalone, Some(address)) => {
                 ChangeSource::Entry { name: address.to_string(), address }
             }
@@ -223,6 +238,9 @@
         if let Some(age) = self.state_age() {
             gauges.push(("state_age_ms", age.as_millis() as u64));
         }
+        if let Some(age) = self.load_exchange.view_age(self.clock.now()) {
+            gauges.push(("load_view_age_ms", age.as_millis() as u64));
+        }
         for (name, value) in gauges {
             // Writing to a string can't fail.
             let _ = writeln!(text, "pondwalk_{name} {value}");
