--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -62,9 +62,9 @@
 pub use evidence_pool::{EvidencePool, Observation, Tally};
 pub use fleet::{
     DataCentreRule, Fleet, Forecast, LoadError, NextAvailability, PermitRequest, Placeability,
-    PlacementRequest, PromptPart, RateLimit, RateLimitError, RateLimitState, ReportedRateLimit,
-    ScoringTerms, ServerIncarnation, ServerIndex, ServerInfo, ServerLoad, Ticket,
-    UnavailableReason, UnreachableReason, VersionRule, backoff_jitter,
+    PlacementRequest, Places, PromptPart, RateLimit, RateLimitError, RateLimitState,
+    ReportedRateLimit, ScoringTerms, ServerIncarnation, ServerIndex, ServerInfo, ServerLoad,
+    Ticket, UnavailableReason, UnreachableReason, VersionRule, backoff_jitter,
 };
 pub use freshness::Freshness;
 pub use load_summary::{
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -2,12 +2,14 @@
 //!
 //! The cost of a server for a request is a time: the prefill queued before it, the prefill of its
 //! own prompt, the distance to another data centre, and a penalty for recent failures. Requests of
-//! other entries are not visible. Rendezvous hashing (Thaler and Ravishankar, 1998) of the prompt's
-//! shared part sends requests that share it to the same servers from every entry.
+//! other entries count as far as the entries exchange them. Rendezvous hashing (Thaler and
+//! Ravishankar, 1998) of the prompt's shared part sends requests that share it to the same servers
+//! from every entry.
 
 mod availability;
 mod load;
 mod notice;
+mod peer_work;
 mod permit_rule;
 mod placement_request;
 mod rate_limit;
@@ -23,6 +25,7 @@
 pub use availability::{NextAvailability, UnavailableReason, UnreachableReason};
 pub use load::{LoadError, ServerLoad};
 pub use notice::{ServerIncarnation, backoff_jitter};
+pub use peer_work::Places;
 pub use permit_rule::{PermitRequest, Placeability};
 pub use placement_request::{
     DataCentreRule, Forecast, PlacementRequest, PromptPart, Ticket, VersionRule,
@@ -32,6 +35,7 @@
 
 use super::{bound_sharing::BoundSharing, hash::mix, warm_up::ColdServerPacing};
 use notice::Notice;
+use peer_work::FleetWork;
 use permit_rule::PermitRule;
 use server::Server;
 
@@ -50,12 +54,14 @@
 const PREFILL_GAIN: f64 = 0.02;
 
 /// A server that could take a request.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 struct Candidate {
     index: ServerIndex,
     cost: f64,
     prefill_ms: f64,
     first_byte_ms: f64,
+    /// Part of that time due to other entries' requests and the server's pace, in milliseconds.
+    peer_ms: f64,
 }
 
 /// Optional terms of a server's cost.
@@ -99,6 +105,8 @@
     /// Mean prefill time of the requests placed here, in milliseconds; the requests of other
     /// entries are assumed to be alike.
     mean_prefill_ms: f64,
+    /// Work of all entries for the service.
+    work: FleetWork,
 }
 
 impl Fleet {
@@ -121,6 +129,7 @@
             may_have_rate_limits: false,
             remembered: HashMap::new(),
             mean_prefill_ms: PREFILL_PRIOR_MS,
+            work: FleetWork::default(),
         }
     }
 
@@ -247,6 +256,7 @@
             self.best_candidate(request, now, PermitRule::Granted, || rng.random_range(0.0..1.0))?;
         let expected_ms = best.prefill_ms + request.base_ms;
         self.mean_prefill_ms += PREFILL_GAIN * (expected_ms - self.mean_prefill_ms);
+        self.work.record_placed(best.prefill_ms, now);
         let is_paced = self.pacing.is_some();
         let server = self.servers[best.index].as_mut()?;
         if is_paced {
@@ -265,6 +275,8 @@
             expected_ms,
             prefill_tokens: best.prefill_ms / request.prefill_ms_per_token.max(f64::MIN_POSITIVE),
             queued_ms,
+            peer_ms: best.peer_ms,
+            model: request.model,
             is_waiting: true,
         })
     }
@@ -276,8 +288,8 @@
         Some(Forecast { first_byte_ms: best.first_byte_ms, prefill_ms: best.prefill_ms })
     }
 
-    /// Returns the server of the lowest cost; `tie_breaker` adds a random amount where equal
-    /// servers would otherwise be taken in a fixed order.
+    /// Returns the server of the lowest cost, or one of those that count as equal to it;
+    /// `tie_breaker` returns a random amount from 0 to 1, and 0 selects the lowest cost.
     fn best_candidate(
         &self,
         request: &PlacementRequest<'_>,
@@ -290,6 +302,8 @@
         let preferred = hashed_part.and_then(|part| self.preferred_server(part.id, request, now));
         let uncached_ms_per_token = PREFERRED_CACHE_PROBABILITY * request.prefill_ms_per_token
             + RECOMPUTE_MS_PER_1000_TOKENS / 1_000.0;
+        let spread_ms = self.work.spread_ms(self.mean_prefill_ms, now);
+        let mut candidates = Vec::new();
         let mut best: Option<Candidate> = None;
         for (index, server) in self.servers.iter().enumerate() {
             let Some(server) = server else { continue };
@@ -311,11 +325,30 @@
                 let tokens = shared.map_or(0, |part| part.tokens);
                 cost += f64::from(tokens) * uncached_ms_per_token;
             }
+            let peer_ms = server.peer_ms(prefill_ms, now);
+            let candidate = Candidate { index, cost, prefill_ms, first_byte_ms, peer_ms };
+            if spread_ms.is_some() {
+                candidates.push(candidate);
+            }
             if best.as_ref().is_none_or(|best| cost < best.cost) {
-                best = Some(Candidate { index, cost, prefill_ms, first_byte_ms });
+                best = Some(candidate);
+            }
+        }
+        match (best, spread_ms) {
+            (Some(best), Some(spread_ms)) if !self.holds_permit(best.index, now) => {
+                candidates.retain(|candidate| {
+                    candidate.index != best.index && candidate.cost <= best.cost + spread_ms
+                });
+                draw_candidate(best, &candidates, tie_breaker())
             }
+            (best, _) => best,
         }
-        best
+    }
+
+    /// Whether a server has a permit available, which would be lost if another server were chosen.
+    fn holds_permit(&self, index: ServerIndex, now: Duration) -> bool {
+        let server = self.servers[index].as_ref();
+        server.is_some_and(|server| server.permits.is_available(now))
     }
 
     /// Records that the answer began `elapsed_ms` milliseconds after the request was sent.
@@ -406,6 +439,13 @@
     }
 }
 
+/// Draws the best candidate or one of the others, each with the same probability.
+fn draw_candidate(best: Candidate, others: &[Candidate], draw: f64) -> Option<Candidate> {
+    let position = (draw * (others.len() + 1) as f64) as usize;
+    let drawn = position.checked_sub(1).and_then(|position| others.get(position));
+    Some(drawn.copied().unwrap_or(best))
+}
+
 /// The last part that several requests share; the part after it belongs to the request alone.
 fn shared_part(parts: &[PromptPart]) -> Option<PromptPart> {
     let count = parts.len();
--- a/crates/decide/src/direct/fleet/placement_request.rs
+++ b/crates/decide/src/direct/fleet/placement_request.rs
@@ -107,6 +107,11 @@
     pub prefill_tokens: f64,
     /// Expected time of this entry's requests queued before it, in milliseconds.
     pub queued_ms: f64,
+    /// Expected further time because of other entries' requests and the server's pace, in
+    /// milliseconds; negative at a fast server.
+    pub(super) peer_ms: f64,
+    /// Index of the model in its service.
+    pub(super) model: ServiceModelIndex,
     /// Whether the answer has not begun yet.
     pub(super) is_waiting: bool,
 }
@@ -115,7 +120,7 @@
     /// Expected time to first byte including the requests queued before it, in milliseconds; at
     /// least 1.
     pub fn expected_with_queue_ms(&self) -> f64 {
-        (self.expected_ms + self.queued_ms).max(1.0)
+        (self.expected_ms + self.queued_ms + self.peer_ms).max(1.0)
     }
 }
 
--- a/crates/decide/src/direct/fleet/server.rs
+++ b/crates/decide/src/direct/fleet/server.rs
@@ -7,10 +7,11 @@
 use super::{
     load::{PeerLoad, ServerLoad},
     notice::{Notice, ServerIncarnation},
+    peer_work::PeerWork,
     placement_request::{PlacementRequest, PromptPart, Ticket},
     server_permits::ServerPermits,
 };
-use crate::direct::{hash::hash_text, warm_up::WarmUpState};
+use crate::direct::{hash::hash_text, load_summary::server_key, warm_up::WarmUpState};
 
 /// Time that one running request adds to the cost of a server, in milliseconds.
 const RUNNING_MS: f64 = 4.0;
@@ -99,6 +100,8 @@
     pub waiting: u32,
     /// Requests of other entries, if the server reports its load.
     peer_load: PeerLoad,
+    /// Requests of other entries as these report them, and the server's pace.
+    pub peer_work: PeerWork,
     failure_share: f64,
     failure_recorded_at: Duration,
     refusals: u32,
@@ -129,6 +132,7 @@
             running: 0,
             waiting: 0,
             peer_load: PeerLoad::default(),
+            peer_work: PeerWork::default(),
             failure_share: 0.0,
             failure_recorded_at: Duration::ZERO,
             refusals: 0,
@@ -164,10 +168,18 @@
         peer_prefill_ms: f64,
         now: Duration,
     ) -> f64 {
-        let queued_ms = self.waiting_ms + self.peer_load.cost_ms(peer_prefill_ms, now);
+        let queued_ms = self.peer_work.queued_ms(self.waiting_ms, now);
+        let queued_ms = queued_ms + self.peer_load.cost_ms(peer_prefill_ms, now);
+        let prefill_ms = prefill_ms * self.peer_work.pace();
         queued_ms + prefill_ms + request.base_ms + self.delay_ms(now)
     }
 
+    /// Part of that time due to other entries' requests and the server's pace, in milliseconds.
+    pub fn peer_ms(&self, prefill_ms: f64, now: Duration) -> f64 {
+        let queued_ms = self.peer_work.queued_ms(self.waiting_ms, now) - self.waiting_ms;
+        queued_ms + prefill_ms * (self.peer_work.pace() - 1.0)
+    }
+
     /// Cost of a request with this expected time to first byte, as a time in milliseconds.
     pub fn cost(
         &self,
@@ -177,6 +189,7 @@
         local_data_centre: &str,
     ) -> f64 {
         let mut cost = first_byte_ms + f64::from(self.running) * RUNNING_MS;
+        cost += self.peer_work.running_ms(now);
         if self.info.data_centre != local_data_centre {
             cost += REMOTE_MS;
         }
@@ -211,6 +224,9 @@
     /// Applies what the store lists, changed or repeated.
     pub fn apply_info(&mut self, info: ServerInfo) {
         self.warm_up.apply_reported(info.cold_until);
+        if server_key(&info) != server_key(&self.info) {
+            self.peer_work = PeerWork::default();
+        }
         self.info = info;
         self.lapses_at = None;
     }
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -8,10 +8,14 @@
 
 impl State {
     /// This entry's own work, without that of other entries.
-    pub fn collect_load(&mut self, _now: Duration) -> LoadSummary {
-        LoadSummary::default()
+    pub fn collect_load(&mut self, now: Duration) -> LoadSummary {
+        let mut summary = LoadSummary::default();
+        self.fleets.values().for_each(|fleet| fleet.collect_load(now, &mut summary));
+        summary
     }
 
     /// Applies the sum of the other entries' work; `None` if none was received recently.
-    pub fn apply_load(&mut self, _peers: Option<&LoadSummary>, _now: Duration) {}
+    pub fn apply_load(&mut self, peers: Option<&LoadSummary>, now: Duration) {
+        self.fleets.values_mut().for_each(|fleet| fleet.apply_peer_load(peers, now));
+    }
 }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -10,7 +10,7 @@
 use pondwalk_decide::direct::{
     BoundSharing, Cascade, ColdServerBound, ColdServerPacing, EngineEstimates, Fleet, Freshness,
     Quarantine, RollOut, ScoringTerms, ServerInfo, Sessions, SuccessfulContents, WindowBudget,
-    WindowLimits,
+    WindowLimits, name_key,
 };
 use pondwalk_types::{DataCentreId, ServerId};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -132,6 +132,7 @@
             let mut fleet = Fleet::with_scoring(local_data_centre, *scoring_terms);
             fleet.set_pacing(pacing);
             fleet.set_bound_sharing(bound_sharing);
+            fleet.set_load_key(name_key(service));
             evacuated.iter().for_each(|data_centre| fleet.evacuate(data_centre));
             fleet
         })
