--- a/crates/direct/src/membership/load_exchange.rs
+++ b/crates/direct/src/membership/load_exchange.rs
@@ -34,6 +34,9 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum interval accepted from a peer; the largest message takes a third of it at the byte rate.
 const MAX_INTERVAL: Duration = Duration::from_secs(60);
+/// Part of the interval after which the sum is applied again. Summing the messages of 17 peers about
+/// 1,600 servers takes milliseconds, and these messages come seconds apart.
+const APPLY_FRACTION: u32 = 10;
 /// Time by which an exchange may begin early, so that a timer that fires a moment early or late does
 /// not double the interval.
 const TIMER_TOLERANCE: Duration = Duration::from_millis(10);
@@ -345,6 +348,7 @@
 
 /// Exchanges summaries of work with the parent or the other roots until the process ends.
 pub async fn exchange_load(core: Rc<Core>) {
+    let mut next_apply = Duration::ZERO;
     loop {
         let (peers, role) = core.load_peers();
         let count = peers.len();
@@ -360,7 +364,12 @@
             }
         }
         // Also without an answer, since the view may have ceased to be fresh.
-        core.apply_peer_load();
+        let now = core.clock.now();
+        if now + TIMER_TOLERANCE >= next_apply {
+            next_apply =
+                now + (core.load_exchange.interval.get() / APPLY_FRACTION).max(MIN_INTERVAL);
+            core.apply_peer_load();
+        }
         sleep(MIN_INTERVAL).await;
     }
 }
--- a/crates/direct/tests/common/net.rs
+++ b/crates/direct/tests/common/net.rs
@@ -80,6 +80,8 @@
     sides: Rc<RefCell<HashMap<SocketAddr, bool>>>,
     /// Incremented when all open connections go silent.
     silence_count: Rc<Cell<u32>>,
+    /// Incremented when all entries end; earlier ones open no more connections.
+    generation: Rc<Cell<u32>>,
 }
 
 /// A connection that transmits nothing once it has been silenced.
@@ -134,10 +136,11 @@
     fn connect(&self, world: &World, from: SocketAddr) -> Connect {
         let net = self.clone();
         let backends = world.backends.clone();
+        let generation = self.generation.get();
         Rc::new(move |address| {
             let (net, backends) = (net.clone(), backends.clone());
             let opening = async move {
-                if net.is_cut(from, address) {
+                if net.is_cut(from, address) || generation != net.generation.get() {
                     std::future::pending::<()>().await;
                 }
                 let impostor = net.impostors.borrow().get(&address).cloned();
@@ -201,6 +204,13 @@
         self.cut.borrow_mut().push(peer_address(n));
     }
 
+    /// Ends all entries started so far: they exchange nothing more.
+    pub fn stop_all(&self) {
+        self.generation.set(self.generation.get() + 1);
+        self.entries.borrow_mut().clear();
+        self.silence_open_connections();
+    }
+
     /// Silences all open connections; new ones work.
     pub fn silence_open_connections(&self) {
         self.silence_count.set(self.silence_count.get() + 1);
--- a/crates/direct/tests/load_exchange.rs
+++ b/crates/direct/tests/load_exchange.rs
@@ -208,16 +208,36 @@
         let net = Net::default();
         let old = start(&world, &net, 4, SWITCH).await;
         check_sums(&old);
-        // The processes that end are heard no more, and their work ends with them.
         old.iter().for_each(|entry| entry.simulate_load(running(1_000)));
-        net.silence_open_connections();
+        sleep(Duration::from_secs(1)).await;
+        net.stop_all();
         let entries = start(&world, &net, 4, SWITCH).await;
-        net.silence_open_connections();
-        sleep(SETTLING_TIME).await;
-        drop(old);
-        for (n, entry) in entries.iter().enumerate() {
-            assert!(seen(entry).is_some(), "entry {n} has a view");
+        check_sums(&entries);
+    });
+}
+
+/// Guards against control traffic that grows with the number of servers (400 here), and against
+/// views that expire between the longer intervals.
+#[test]
+fn large_summaries_are_sent_less_often() {
+    run_test(|world| async move {
+        let entries = start(&world, &Net::default(), 4, SWITCH).await;
+        let mut large = running(8);
+        let work = ServerWork { running: 1, ..ServerWork::default() };
+        large.servers.extend((1_000..1_400).map(|n| (name_key(&n.to_string()), work)));
+        let child = entries.iter().rposition(|entry| !is_root(entry)).expect("a child");
+        entries[child].simulate_load(large);
+        sleep(Duration::from_secs(10)).await;
+        let sent_bytes =
+            || total(std::slice::from_ref(&entries[child]), "pondwalk_peer_bytes_told_total");
+        let before = sent_bytes();
+        for _ in 0..200 {
+            sleep(Duration::from_millis(100)).await;
+            assert!(entries.iter().all(|entry| seen(entry).is_some()));
         }
+        // The answers, which are smaller, use the rest of the 12 KB/s.
+        let bytes_per_s = (sent_bytes() - before) / 20;
+        assert!((6_000..=12_000).contains(&bytes_per_s), "{bytes_per_s} bytes per second");
     });
 }
 
