--- a/crates/direct/src/membership/load_exchange.rs
+++ b/crates/direct/src/membership/load_exchange.rs
@@ -155,7 +155,8 @@
             return None;
         }
         link.is_busy = true;
-        link.next = now + self.interval.get();
+        // An exchange that begins early does not make the next one earlier.
+        link.next = link.next.max(now) + self.interval.get();
         Some(link.idle.take().filter(RequestSender::is_ready))
     }
 
@@ -172,6 +173,14 @@
         link.idle = sender;
     }
 
+    /// Time until the next exchange is due, at most [`MIN_INTERVAL`].
+    fn time_to_next(&self, now: Duration) -> Duration {
+        let links = self.links.borrow();
+        let due = links.values().filter(|link| !link.is_busy).map(|link| link.next);
+        let time = due.min().map_or(MIN_INTERVAL, |next| next.saturating_sub(now));
+        time.clamp(TIMER_TOLERANCE, MIN_INTERVAL)
+    }
+
     /// Closes connections to entries that are no longer peers.
     fn retain_links(&self, peers: &[(String, SocketAddr)]) {
         let is_peer = |address: &SocketAddr| peers.iter().any(|(_, known)| known == address);
@@ -370,6 +379,6 @@
                 now + (core.load_exchange.interval.get() / APPLY_FRACTION).max(MIN_INTERVAL);
             core.apply_peer_load();
         }
-        sleep(MIN_INTERVAL).await;
+        sleep(core.load_exchange.time_to_next(core.clock.now())).await;
     }
 }
