--- a/crates/decide/tests/shared_bounds.rs
+++ b/crates/decide/tests/shared_bounds.rs
@@ -148,10 +148,10 @@
         let (mut requests, mut sends) = (vec![0.0; RUN], vec![0.0; RUN]);
         for slice in 0..RUN {
             let time = |entry: usize| SLICE * (slice + SLICES) as u32 + phases[entry];
-            for entry in 0..all {
+            for (entry, budget) in budgets.iter_mut().enumerate() {
                 let rate = (self.rate)(slice, entry % self.size < half);
                 let count = rate as u32 + u32::from(rng.random_bool(rate.fract()));
-                (0..count).for_each(|_| budgets[entry].record_request(time(entry)));
+                (0..count).for_each(|_| budget.record_request(time(entry)));
                 requests[slice] += f64::from(count);
             }
             for entry in (0..all).filter(|_| slice >= self.sends_from) {
