--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -39,6 +39,7 @@
 mod bound_sharing;
 mod cascade;
 mod clock_estimate;
+mod congestion;
 mod engine;
 mod evidence_pool;
 mod fleet;
@@ -58,6 +59,7 @@
 pub use bound_sharing::BoundSharing;
 pub use cascade::{Cascade, ModelCost, RouteModelIndex};
 pub use clock_estimate::ClockEstimate;
+pub use congestion::Congestion;
 pub use engine::{EngineEstimates, QuantileEstimate, ServiceModelIndex};
 pub use evidence_pool::{EvidencePool, Observation, Tally};
 pub use fleet::{
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// Prefill that all entries place per second, over the open servers; `None` if unknown.
+    pub fn utilization(&self, _now: Duration) -> Option<f64> {
+        None
+    }
+
     /// Whether `info` describes another incarnation of a server than the known one.
     pub fn is_restarted(&self, info: &ServerInfo) -> bool {
         let known_server = self.servers.iter().flatten().find(|server| server.info.id == info.id);
--- a/crates/decide/src/direct/window_budget.rs
+++ b/crates/decide/src/direct/window_budget.rs
@@ -23,8 +23,8 @@
 
 /// Fraction of the allowance that is used. The rest covers sends that arrive in a later slice than
 /// the one they were counted in, and the scatter of the requests: each entry may have taken its
-/// sends when it had the most requests. With 23 requests a window at each of 357 entries, all of
-/// which begin to send at once, 0.85 gives up to 0.97 of the bound, and 0.95 gives 1.1.
+/// sends when it had the most requests. With 23 requests a window at each of 27 entries in two
+/// halves that begin to send at once, 0.95 gave 1.06 of the bound, and 0.85 gives 0.95.
 const USED_SHARE: f64 = 0.85;
 
 /// Ends of the windows that are checked, in half windows from now. Windows that end later lose
--- a/crates/direct/src/http/events.rs
+++ b/crates/direct/src/http/events.rs
@@ -54,8 +54,13 @@
         from_model: u8,
         to_model: u8,
         confidence: Option<u8>,
+        /// Price of the server time of a typical answer of the largest model, as a fraction of its
+        /// value.
+        time_price: f64,
         after_ms: u64,
     },
+    /// A larger model was not asked although its answer would have been worth more.
+    LargerModelWithheld { request: &'a str, confidence: u8, reason: &'static str },
     /// A stream continues on another backend server.
     StreamResumed {
         request: &'a str,
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming, http::response::Parts};
-use pondwalk_decide::direct::RouteModelIndex;
+use pondwalk_decide::direct::{Congestion, RouteModelIndex};
 use tokio::time::timeout_at;
 
 use super::{
@@ -249,9 +249,11 @@
             return false;
         }
         let Some(confidence) = self.reported_confidence(response.headers()) else { return false };
-        let Some(next) = self.next_model(confidence, placement) else { return false };
+        let (next, time_price) = self.next_model(confidence, placement);
+        let Some(next) = next else { return false };
         let Ok(certainty) = self.certainty_of(next) else { return false };
         if !self.try_take_send(RETRY_RESERVE_SHARE) {
+            self.log_larger_model_withheld(confidence);
             return false;
         }
         let discarded = std::mem::replace(&mut self.model, next);
@@ -268,21 +270,35 @@
             from_model: discarded,
             to_model: next,
             confidence: Some(confidence),
+            time_price,
             after_ms: self.after_ms(),
         };
         self.core.event_log.record(LogPriority::Success, &event);
         true
     }
 
+    fn log_larger_model_withheld(&self, confidence: u8) {
+        let has_sends = self.sends < self.job.route.max_attempts;
+        let reason = if has_sends { "budget_empty" } else { "attempts_used" };
+        self.core.metrics.count(Counter::LargerModelsWithheld);
+        let event = RequestEvent::LargerModelWithheld { request: &self.job.id, confidence, reason };
+        self.core.event_log.record(LogPriority::Success, &event);
+    }
+
     /// Updates the cascade with the confidence of a response, and returns the model to try next, if
-    /// any.
-    fn next_model(&self, confidence: u8, placement: &Placement) -> Option<RouteModelIndex> {
+    /// any, with the price of server time.
+    fn next_model(&self, confidence: u8, placement: &Placement) -> (Option<RouteModelIndex>, f64) {
         let job = &self.job;
         let objective_ms = job.route.objective.as_millis().max(1) as f64;
         let elapsed_share = self.after_ms() as f64 / objective_ms;
         let terms = forecasts::model_costs(&self.core, job, &self.avoid, elapsed_share);
         let now = self.core.clock.now();
         let mut state = self.core.state.borrow_mut();
+        let fleet = state.fleets.get(&job.service.name);
+        let utilization = fleet.and_then(|fleet| fleet.utilization(now));
+        // Without the policy, server time has no price.
+        let utilization = utilization.filter(|_| self.core.settings.policy.time_price);
+        let congestion = Congestion::new(utilization).price(job.priority());
         let cascade = state.cascades.entry(job.service.name.clone()).or_default();
         let response = (self.model, confidence);
         let named = |(model, confidence)| (job.service_model(model), confidence);
@@ -294,7 +310,8 @@
             cascade.record_strain(placement.queued_ms() / objective_ms, now);
         }
         let responses: Vec<_> = self.discarded.iter().copied().chain([response]).collect();
-        cascade.next_model(&responses, &terms, 0.0, now)
+        let next = cascade.next_model(&responses, &terms, congestion, now);
+        (next, cascade.server_time_price(now, congestion))
     }
 
     fn start_relay(&self, exchange: Exchange, placement: Placement) -> Response<ResponseBody> {
--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -2,14 +2,19 @@
 
 use std::time::Duration;
 
-use pondwalk_decide::direct::LoadSummary;
+use pondwalk_decide::direct::{LoadSummary, name_key};
 
 use crate::state::State;
 
 impl State {
     /// This entry's own work, without that of other entries.
-    pub fn collect_load(&mut self, _now: Duration) -> LoadSummary {
-        LoadSummary::default()
+    pub fn collect_load(&mut self, now: Duration) -> LoadSummary {
+        let mut summary = LoadSummary::default();
+        for (service, budget) in &mut self.budgets {
+            let work = summary.services.entry(name_key(service)).or_default();
+            work.requests = budget.requests_by_half_window(now);
+        }
+        summary
     }
 
     /// Applies the sum of the other entries' work; `None` if none was received recently.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -56,6 +56,8 @@
     CrashesNotReported,
     /// Answers of smaller models dropped in favour of a larger model's.
     Escalations,
+    /// Larger models that were not asked since the retry budget was empty.
+    LargerModelsWithheld,
     /// Streams resumed at another backend server.
     Resumes,
     /// Failed calls to the store.
@@ -96,6 +98,7 @@
             Counter::Probes => "probes_total",
             Counter::CrashesNotReported => "ends_not_told_total",
             Counter::Escalations => "escalations_total",
+            Counter::LargerModelsWithheld => "larger_models_withheld",
             Counter::Resumes => "resumes_total",
             Counter::StoreFailures => "store_failures_total",
             Counter::QuestionsAnswered => "questions_answered_total",
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -282,6 +282,12 @@
         self.allowed_data_centres.as_deref().map_or(DataCentreRule::Any, DataCentreRule::Only)
     }
 
+    /// Priority, 0 first: that of the workspace if it has one, else that of the route.
+    pub fn priority(&self) -> u8 {
+        let own = self.workspace.as_ref().and_then(|workspace| workspace.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// Content that identifies the request across its caller's retries.
     pub fn content(&self) -> ContentHash {
         *self.content_cell.get_or_init(|| {
