--- a/crates/direct/src/load.rs
+++ b/crates/direct/src/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pondwalk_decide::direct::LoadSummary;
+use pondwalk_decide::direct::{LoadSummary, name_key};
 
 use crate::state::State;
 
@@ -11,6 +11,10 @@
     pub fn collect_load(&mut self, now: Duration) -> LoadSummary {
         let mut summary = LoadSummary::default();
         self.fleets.values().for_each(|fleet| fleet.collect_load(now, &mut summary));
+        for (service, budget) in &mut self.budgets {
+            let work = summary.services.entry(name_key(service)).or_default();
+            work.requests = budget.requests_by_half_window(now);
+        }
         summary
     }
 
