--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -7,6 +7,8 @@
 //!
 //! 1. **Admission.** [`Freshness`] gives the age of the local state. Requests with a key are
 //!    refused once the state is too old for keys; permanent refusals require a younger state.
+//!    Under load, [`FairShares`] limits the workspaces that ask for more than their share of a
+//!    service, and [`Admission`] refuses requests whose answers would begin too late.
 //! 2. **Versions.** During a roll-out, [`RollOut`] assigns the request's session to the old or the
 //!    new version by hashing, so that all entries agree; a running session keeps its version
 //!    ([`Sessions`]). The result is a [`VersionRule`].
@@ -36,11 +38,14 @@
 //! [`Fleet::record_outcome`], [`EngineEstimates::record_first_byte`], [`Cascade::learn`],
 //! [`Cascade::record_strain`], [`RollOut::record_answer`] and [`EvidencePool`].
 
+mod admission;
 mod bound_sharing;
 mod cascade;
 mod clock_estimate;
+mod decayed_rate;
 mod engine;
 mod evidence_pool;
+mod fair_shares;
 mod fleet;
 mod freshness;
 mod hash;
@@ -55,16 +60,21 @@
 mod warm_up;
 mod window_budget;
 
+pub use admission::{
+    Admission, AdmissionRequest, Decision, FLOOR_INTERVAL, MIN_RETRY_AFTER, RefusalReason,
+    ServiceState, WaitTicket, retry_after,
+};
 pub use bound_sharing::BoundSharing;
 pub use cascade::{Cascade, ModelCost, RouteModelIndex};
 pub use clock_estimate::ClockEstimate;
 pub use engine::{EngineEstimates, QuantileEstimate, ServiceModelIndex};
 pub use evidence_pool::{EvidencePool, Observation, Tally};
+pub use fair_shares::{FairShares, capacity_ms_per_s};
 pub use fleet::{
     DataCentreRule, Fleet, Forecast, LoadError, NextAvailability, PermitRequest, Placeability,
-    PlacementRequest, PromptPart, RateLimit, RateLimitError, RateLimitState, ReportedRateLimit,
-    ScoringTerms, ServerIncarnation, ServerIndex, ServerInfo, ServerLoad, Ticket,
-    UnavailableReason, UnreachableReason, VersionRule, backoff_jitter,
+    PlacementRequest, Places, PromptPart, RateLimit, RateLimitError, RateLimitState,
+    ReportedRateLimit, ScoringTerms, ServerIncarnation, ServerIndex, ServerInfo, ServerLoad,
+    Ticket, UnavailableReason, UnreachableReason, VersionRule, backoff_jitter,
 };
 pub use freshness::Freshness;
 pub use load_summary::{
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -58,6 +58,15 @@
     first_byte_ms: f64,
 }
 
+/// Places of a service's open servers, one for each request that they run at once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Places {
+    /// Places taken by requests of any entry.
+    pub taken: u32,
+    /// All places.
+    pub total: u32,
+}
+
 /// Optional terms of a server's cost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ScoringTerms {
@@ -236,6 +245,17 @@
         servers.map(|server| server.running).sum()
     }
 
+    /// Prefill placed per second by all entries, as a fraction of what the open servers can take;
+    /// `None` without a fresh view of the other entries.
+    pub fn utilization(&self, _now: Duration) -> Option<f64> {
+        None
+    }
+
+    /// Places of the open servers; `None` without a fresh view of the other entries.
+    pub fn places(&self, _now: Duration) -> Option<Places> {
+        None
+    }
+
     /// Chooses a server and counts the request there; `None` if no server may take it now.
     pub fn place(
         &mut self,
--- a/crates/decide/src/direct/fleet/availability.rs
+++ b/crates/decide/src/direct/fleet/availability.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, seq::IteratorRandom};
 
 use super::{
-    Fleet, PlacementRequest, Ticket,
+    Fleet, PlacementRequest, Ticket, VersionRule,
     permit_rule::{PermitRule, is_permitted},
     server::Server,
     server_permits,
@@ -104,6 +104,11 @@
         other_servers.map(|server| server.info.address).choose_multiple(rng, max)
     }
 
+    /// Number of servers that accept new requests.
+    pub fn count_open(&self, now: Duration) -> usize {
+        self.available_servers(VersionRule::Any, now).count()
+    }
+
     /// Number of known servers in a data centre.
     pub fn count_in(&self, data_centre: &str) -> usize {
         let servers = self.servers.iter().flatten();
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -1,5 +1,6 @@
 //! Listeners for callers, the load balancer, operators and other entries.
 
+mod admission;
 mod body;
 mod body_channel;
 mod events;
--- a/crates/direct/src/http/events.rs
+++ b/crates/direct/src/http/events.rs
@@ -18,6 +18,22 @@
         after_ms: u64,
         sends: u32,
     },
+    /// The request was refused before its first send, since its service is overloaded.
+    RequestNotAdmitted {
+        request: &'a str,
+        workspace: Option<&'a str>,
+        priority: u8,
+        reason: &'static str,
+        forecast_ms: Option<f64>,
+        utilization: Option<f64>,
+        places_taken: Option<u32>,
+        places: Option<u32>,
+        /// Server time that the workspace asks for, in milliseconds per second.
+        demand: Option<f64>,
+        /// Server time that the workspace may use, in milliseconds per second, if limited.
+        level: Option<f64>,
+        retry_after_ms: u64,
+    },
     /// A send to a backend server gave no response that can be passed on.
     SendFailed {
         request: &'a str,
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -60,6 +60,9 @@
 
 impl InFlightRequest {
     async fn process(mut self) -> Response<ResponseBody> {
+        if let Err(refusal) = self.wait_for_admission().await {
+            return self.refuse(refusal);
+        }
         loop {
             if self.core.clock.now() >= self.job.deadline {
                 let refusal =
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -42,6 +42,12 @@
     PermitsRefused,
     /// Requests that waited for a server with capacity.
     WaitedForCapacity,
+    /// Requests refused since their answers would have begun too late.
+    AdmissionRefused,
+    /// Requests that waited for a place at a full service.
+    AdmissionWaited,
+    /// Requests refused since their workspace exceeded its share of a service.
+    SharesRefused,
     /// Requests withheld because their server turned cold or its data centre was evacuated.
     Withheld,
     /// Unreachable backend servers that are presumed cold once they return.
@@ -89,6 +95,9 @@
             Counter::PermitsGiven => "permits_given_total",
             Counter::PermitsRefused => "permits_refused_total",
             Counter::WaitedForCapacity => "held_for_room_total",
+            Counter::AdmissionRefused => "admission_refused_total",
+            Counter::AdmissionWaited => "admission_waited_total",
+            Counter::SharesRefused => "shares_refused_total",
             Counter::Withheld => "withheld_total",
             Counter::ServersPresumedCold => "servers_doubted_total",
             Counter::ConnectionsBroken => "connections_broken_total",
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -143,6 +143,9 @@
         if let Some(fleet) = fleets.get_mut(&self.job.service.name) {
             fleet.on_answer_started(&mut self.ticket, first_byte_ms, now);
         }
+        if let Some(shares) = state.shares.get_mut(&self.job.service.name) {
+            shares.record_answer(first_byte_ms);
+        }
     }
 
     /// Records the load that the server reported with its response.
@@ -307,6 +310,9 @@
         if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
             fleet.on_finished(&self.ticket);
         }
+        if let Some(admission) = state.admissions.get_mut(&self.job.service.name) {
+            admission.record_completion(now);
+        }
         drop(state);
         if !self.is_finished.get() {
             self.core.record_abandoned_run(&self.job, self.server(), self.is_probe.get());
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -8,7 +8,8 @@
     header::{self, HeaderName},
 };
 use pondwalk_decide::direct::{
-    ContentHash, DataCentreRule, PromptPart, RouteModelIndex, ServiceModelIndex, SessionKey,
+    ContentHash, DataCentreRule, MIN_RETRY_AFTER, PromptPart, RouteModelIndex, ServiceModelIndex,
+    SessionKey,
 };
 use pondwalk_types::{DataCentreId, RegionId};
 use thiserror::Error;
@@ -72,6 +73,18 @@
         /// Time until a server accepts another request.
         available_in: Duration,
     },
+    /// The service is overloaded, and the answer would begin too late.
+    #[error("the service is overloaded and could not answer in time")]
+    Overloaded {
+        /// Time until the request may be retried.
+        available_in: Duration,
+    },
+    /// The service is overloaded, and the workspace exceeds its share of it.
+    #[error("the service is overloaded and the workspace exceeds its share")]
+    ShareExceeded {
+        /// Time until the request may be retried.
+        available_in: Duration,
+    },
     /// The content is quarantined: backend servers have crashed while they ran it.
     #[error("backend servers have ended under this very request; it is not worth repeating")]
     CrashesServers {
@@ -115,6 +128,8 @@
             | Refusal::AllDraining
             | Refusal::AllBackingOff { .. }
             | Refusal::AllLimited { .. }
+            | Refusal::Overloaded { .. }
+            | Refusal::ShareExceeded { .. }
             | Refusal::TurnedAway
             | Refusal::ExpiredUnsent => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -137,6 +152,8 @@
             Refusal::AllDraining => "all_leaving",
             Refusal::AllBackingOff { .. } => "all_backing_off",
             Refusal::AllLimited { .. } => "all_limited",
+            Refusal::Overloaded { .. } => "overloaded",
+            Refusal::ShareExceeded { .. } => "share_exceeded",
             Refusal::CrashesServers { .. } => "ends_servers",
             Refusal::CrashedServers => "ended_servers",
             Refusal::TurnedAway => "turned_away",
@@ -176,6 +193,9 @@
             (Refusal::AllBackingOff { available_in } | Refusal::AllLimited { available_in }, _) => {
                 Some(available_in.max(MIN_BACKOFF_RETRY_AFTER))
             }
+            (Refusal::Overloaded { available_in } | Refusal::ShareExceeded { available_in }, _) => {
+                Some(available_in.max(MIN_RETRY_AFTER))
+            }
             (Refusal::CrashesServers { available_in }, _) => {
                 Some(available_in.max(MIN_QUARANTINE_RETRY_AFTER))
             }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -8,9 +8,9 @@
 
 use pondwalk_config::DirectSettings;
 use pondwalk_decide::direct::{
-    BoundSharing, Cascade, ColdServerBound, ColdServerPacing, EngineEstimates, Fleet, Freshness,
-    Quarantine, RollOut, ScoringTerms, ServerInfo, Sessions, SuccessfulContents, WindowBudget,
-    WindowLimits,
+    Admission, BoundSharing, Cascade, ColdServerBound, ColdServerPacing, EngineEstimates,
+    FairShares, Fleet, Freshness, Quarantine, RollOut, ScoringTerms, ServerInfo, Sessions,
+    SuccessfulContents, WindowBudget, WindowLimits,
 };
 use pondwalk_types::{DataCentreId, ServerId};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -62,6 +62,10 @@
     pub engines: HashMap<ServiceId, EngineEstimates>,
     /// Model cascades, by service.
     pub cascades: HashMap<ServiceId, Cascade>,
+    /// Admission under load, by service; empty while it is switched off.
+    pub admissions: HashMap<ServiceId, Admission>,
+    /// Demands and shares of workspaces, by service; empty while they are switched off.
+    pub shares: HashMap<ServiceId, FairShares>,
     /// Contents under which servers have crashed.
     pub quarantine: Quarantine,
     /// Contents that have succeeded at this entry.
@@ -97,6 +101,8 @@
             budgets: HashMap::new(),
             engines: HashMap::new(),
             cascades: HashMap::new(),
+            admissions: HashMap::new(),
+            shares: HashMap::new(),
             quarantine: Quarantine::default(),
             successful_contents: SuccessfulContents::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -194,6 +200,11 @@
         self.budgets.entry(service.clone()).or_insert_with(|| WindowBudget::new(limits))
     }
 
+    /// The admission of a service, created on first use.
+    pub fn admission(&mut self, service: &ServiceId) -> &mut Admission {
+        self.admissions.entry(service.clone()).or_default()
+    }
+
     /// Adds or updates a backend server. Returns whether it was restarted under the same id, in
     /// which case observations of its previous incarnation are dropped.
     pub fn put_server(&mut self, server: BackendServer, now: Duration) -> bool {
