--- a/crates/direct/src/http/admission.rs
+++ b/crates/direct/src/http/admission.rs
@@ -169,23 +169,23 @@
     async fn wait_for_place(&self, until: Duration) {
         let Some(place) = self.join_queue() else { return };
         self.core.metrics.count(Counter::AdmissionWaited);
-        loop {
-            let now = self.core.clock.now();
-            let mut state = self.core.state.borrow_mut();
-            let is_full = state.fleets.get(&self.job.service.name).is_some_and(|fleet| {
-                fleet.places(now).is_some_and(|places| places.taken >= places.total)
-            });
-            let admission = state.admission(&self.job.service.name);
-            let is_over = now >= until || !admission.is_waiting(place.ticket);
-            if is_over || (admission.is_next(place.ticket) && !is_full) {
-                return;
-            }
-            drop(state);
-            let at = (now + WAIT_POLL_INTERVAL).min(until);
+        while !self.is_wait_over(place.ticket, until) {
+            let at = (self.core.clock.now() + WAIT_POLL_INTERVAL).min(until);
             sleep_until(self.core.clock.instant(at)).await;
         }
     }
 
+    /// Whether a waiting request has a place now, was displaced or has waited long enough.
+    fn is_wait_over(&self, ticket: WaitTicket, until: Duration) -> bool {
+        let now = self.core.clock.now();
+        let mut state = self.core.state.borrow_mut();
+        let service = &self.job.service.name;
+        let places = state.fleets.get(service).and_then(|fleet| fleet.places(now));
+        let is_full = places.is_some_and(|places| places.taken >= places.total);
+        let admission = state.admission(service);
+        now >= until || !admission.is_waiting(ticket) || (admission.is_next(ticket) && !is_full)
+    }
+
     fn join_queue(&self) -> Option<QueuePlace> {
         let now = self.core.clock.now();
         let mut state = self.core.state.borrow_mut();
--- a/crates/direct/tests/admission.rs
+++ b/crates/direct/tests/admission.rs
@@ -15,9 +15,9 @@
     time::sleep,
 };
 
-const ALL_ON: &str = "[policy]\nshared_load=on\nadmission=on\nfair_shares=on\n";
-const WITHOUT_EXCHANGE: &str = "[policy]\nadmission=on\nfair_shares=on\n";
-const ADMISSION_ONLY: &str = "[policy]\nshared_load=on\nadmission=on\n";
+const ALL_ON: &str = "[policy]\nshared_load=true\nadmission=true\nfair_shares=true\n";
+const WITHOUT_EXCHANGE: &str = "[policy]\nadmission=true\nfair_shares=true\n";
+const ADMISSION_ONLY: &str = "[policy]\nshared_load=true\nadmission=true\n";
 /// Requests that occupy the only server, of 8 slots, without an answer.
 const OCCUPYING: usize = 40;
 /// Requests whose answers would begin too late, and of which one in ten is admitted.
@@ -127,7 +127,7 @@
 /// sent.
 #[test]
 fn nothing_is_refused_with_the_switches_off() {
-    for further in ["", "[policy]\nshared_load=on\n", WITHOUT_EXCHANGE] {
+    for further in ["", "[policy]\nshared_load=true\n", WITHOUT_EXCHANGE] {
         run_test(|world| async move {
             let net = Net::default();
             let (world, entries) = start(world, &net, further).await;
