--- a/crates/decide/tests/fair_shares.rs
+++ b/crates/decide/tests/fair_shares.rs
@@ -18,8 +18,8 @@
 const STEP: Duration = Duration::from_millis(10);
 /// Steps between two exchanges.
 const EXCHANGE_STEPS: u32 = 10;
-/// Usual requests per second of each workspace; together half of the service.
-const USUAL_PER_S: f64 = 225.0;
+/// Usual requests per second of each workspace; together .7 of the service's server time.
+const USUAL_PER_S: f64 = 350.0;
 /// Time after a change within which the level follows: three time constants.
 const SETTLING: Duration = Duration::from_secs(3);
 
@@ -194,7 +194,7 @@
     load.play(SETTLING, |_| 5.0 * USUAL_PER_S, anywhere);
     let time = Duration::from_secs(4);
     let counts = load.play(time, |_| 5.0 * USUAL_PER_S, anywhere);
-    let expected = 0.9 * 100.0 / (5.0 * 45.0);
+    let expected = 0.9 * 100.0 / (5.0 * 70.0);
     for one in 0..WORKSPACES {
         let fraction = sum(&counts, |_, workspace| workspace == one).fraction();
         assert!((fraction - expected).abs() < 0.15 * expected, "{fraction} of {expected}");
@@ -207,14 +207,14 @@
 #[test]
 fn lost_servers_lower_the_level_until_they_return() {
     let mut load = Load::new(5);
-    load.play(SETTLING, |_| 1.5 * USUAL_PER_S, anywhere);
+    load.play(SETTLING, |_| 1.2 * USUAL_PER_S, anywhere);
     load.servers = 50;
     let time = Duration::from_secs(5);
-    let counts = load.play(time, |_| 1.5 * USUAL_PER_S, anywhere);
+    let counts = load.play(time, |_| 1.2 * USUAL_PER_S, anywhere);
     let used = used(&counts, time) / capacity_ms_per_s(50);
     assert!((0.93..=1.07).contains(&used), "{used} of the capacity");
     load.servers = 100;
-    let counts = load.play(time, |_| 1.5 * USUAL_PER_S, anywhere);
+    let counts = load.play(time, |_| 1.2 * USUAL_PER_S, anywhere);
     assert!(counts.values().all(|count| count.admitted == count.offered));
 }
 
