--- a/crates/decide/src/direct/admission.rs
+++ b/crates/decide/src/direct/admission.rs
@@ -28,6 +28,9 @@
 pub const FLOOR_INTERVAL: u32 = 10;
 /// Part of a request's objective for which it waits for a place at most, as for cold servers.
 const MAX_WAIT_SHARE: f64 = 0.25;
+/// Part of the time left for which it waits at most. A request that waited until its deadline could
+/// neither be answered nor refused in time.
+const MAX_WAIT_LEFT_SHARE: f64 = 0.5;
 /// Minimum time after which a refused caller is to return.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Maximum of that time without its random part. Bursts last 5 to 7 s, and a forecast may be wrong.
@@ -223,7 +226,8 @@
 
 /// Longest wait of a request for a place.
 fn max_wait(request: AdmissionRequest) -> Duration {
-    request.objective.mul_f64(MAX_WAIT_SHARE).min(request.time_left)
+    let by_deadline = request.time_left.mul_f64(MAX_WAIT_LEFT_SHARE);
+    request.objective.mul_f64(MAX_WAIT_SHARE).min(by_deadline)
 }
 
 /// Number of places that become free within a time.
--- a/crates/direct/tests/admission.rs
+++ b/crates/direct/tests/admission.rs
@@ -10,6 +10,7 @@
 use common::{TestResponse, World, address, catalog, net::Net, request, run_test, with};
 use pondwalk_direct::Entry;
 use pondwalk_standin::backends::Behaviour;
+use serde_json::Value;
 use tokio::{
     task::{JoinHandle, spawn_local},
     time::sleep,
@@ -76,6 +77,8 @@
         let (world, entries) = start(world, &net, ADMISSION_ONLY).await;
         let pending = occupy(&world, &entries[0]).await;
         let responses = call_late(&world, &entries[0]).await;
+        let metrics = entries[0].metrics_text();
+        assert!(metrics.contains("pondwalk_admission_refused_total 18"), "{metrics}");
         let refused: Vec<_> = responses.iter().filter(|one| code(one) == "overloaded").collect();
         assert_eq!(refused.len(), LATE - LATE / 10, "all but the floor");
         for response in &refused {
@@ -90,6 +93,70 @@
     });
 }
 
+/// The log must show what a refusal was decided by. Needs the places and the fresh view of the load
+/// exchange.
+#[test]
+fn refusals_are_logged_with_their_reasons() {
+    run_test(|world| async move {
+        let net = Net::default();
+        let (world, entries) = start(world, &net, ADMISSION_ONLY).await;
+        let pending = occupy(&world, &entries[0]).await;
+        let mut events: Vec<Value> = Vec::new();
+        for number in 0..LATE {
+            let late = request("/once/x", &format!("late-{number}"));
+            let late = with(late, "pondwalk-deadline-ms", "200");
+            let response = world.call_at(&entries[0], late).await;
+            if code(&response) == "overloaded" {
+                // The lines are read before the next batch is written.
+                let text = entries[0].buffered_log_lines();
+                let lines = text.lines().map(|line| serde_json::from_str(line).expect("JSON"));
+                let of_request = format!("late-{number}");
+                events.extend(lines.filter(|line: &Value| {
+                    line["event"] == "request_not_admitted" && line["request"] == of_request
+                }));
+            }
+        }
+        assert_eq!(events.len(), LATE - LATE / 10);
+        for event in &events {
+            assert_eq!((&event["workspace"], &event["priority"]), (&"w1".into(), &0.into()));
+            assert_eq!((&event["reason"], &event["places"]), (&"no_place".into(), &8.into()));
+            assert!(event["forecast_ms"].as_f64() > Some(400.0), "{event}");
+            assert!(event["retry_after_ms"].as_u64() >= Some(200), "{event}");
+        }
+        drop(pending);
+    });
+}
+
+/// A request waits for a place that becomes free soon, before it is refused. Needs the places and
+/// the fresh view of the load exchange.
+#[test]
+fn request_waits_for_a_place_that_becomes_free() {
+    run_test(|world| async move {
+        let net = Net::default();
+        let (world, entries) = start(world, &net, ADMISSION_ONLY).await;
+        let pending = occupy(&world, &entries[0]).await;
+        // All places become free at 8 s; those of eight other requests some time before.
+        let brief = |number| {
+            let (world, entry) = (Rc::clone(&world), entries[0].clone());
+            spawn_local(async move {
+                let brief = request("/once/x", &format!("brief-{number}"));
+                world.call_at(&entry, with(brief, "pondwalk-deadline-ms", "7400")).await
+            })
+        };
+        let brief: Vec<_> = (0..8).map(brief).collect();
+        for response in brief {
+            assert_eq!(code(&response.await.expect("a response")), "timed_out");
+        }
+        let late = with(request("/once/x", "late"), "pondwalk-deadline-ms", "400");
+        let response = world.call_at(&entries[0], late).await;
+        let metrics = entries[0].metrics_text();
+        assert!(metrics.contains("pondwalk_admission_waited_total 1"), "{metrics}");
+        // It was sent, to a server that answers nothing.
+        assert_eq!((code(&response), received(&world, "late")), ("timed_out", 1));
+        drop(pending);
+    });
+}
+
 /// Needs the places and the fresh view of the load exchange.
 #[test]
 fn excess_of_a_workspace_is_refused_truthfully() {
@@ -105,9 +172,10 @@
             })
         };
         let excess: Vec<_> = (0..1_000).map(send).collect();
-        let mut refused = 0;
+        let (mut refused, mut timed_out) = (0, 0);
         for response in excess {
             let response = response.await.expect("a response");
+            timed_out += usize::from(code(&response) == "timed_out");
             if code(&response) == "share_exceeded" {
                 refused += 1;
                 assert_eq!(response.status.as_u16(), 503);
@@ -118,7 +186,10 @@
             }
         }
         assert!(refused > 0);
-        assert!(received(&world, "excess-") <= 1_000 - refused, "none was sent");
+        assert_eq!(refused + timed_out, 1_000);
+        assert_eq!(received(&world, "excess-"), timed_out, "no refused one was sent");
+        let count = format!("pondwalk_shares_refused_total {refused}");
+        assert!(entries[0].metrics_text().contains(&count));
         drop(pending);
     });
 }
