--- a/crates/decide/src/direct/admission.rs
+++ b/crates/decide/src/direct/admission.rs
@@ -238,17 +238,18 @@
 
 /// Time by which the forecast exceeds the time left, if half of it does.
 ///
-/// The request's own share of the forecast does not count where it is too long by itself, since
-/// size alone is no reason for a refusal.
+/// NB: the request's own share of the forecast does not count. Under lasting overload the queue
+/// stays just below the point of refusal for small requests, and with their own share counted,
+/// large ones would get nothing but the floor.
 fn excess(request: AdmissionRequest, service: ServiceState) -> Option<Duration> {
     let is_valid = |ms: &f64| ms.is_finite() && *ms >= 0.0;
     let forecast_ms = service.first_byte_ms.filter(is_valid)?;
+    let own_ms = Some(request.own_ms).filter(is_valid).unwrap_or(0.0);
+    let delay_ms = (forecast_ms - own_ms).max(0.0);
     let left_ms = request.time_left.as_secs_f64() * 1_000.0;
-    let is_too_late = |ms: f64| ms * FORECAST_SHARE > left_ms;
-    let own_ms = Some(request.own_ms).filter(is_valid).unwrap_or(0.0).min(forecast_ms);
-    let delay_ms = if is_too_late(own_ms) { forecast_ms - own_ms } else { forecast_ms };
     let excess_ms = (delay_ms - left_ms).min(MAX_RETRY_AFTER.as_secs_f64() * 1_000.0);
-    is_too_late(delay_ms).then(|| Duration::from_secs_f64(excess_ms / 1_000.0))
+    let is_too_late = delay_ms * FORECAST_SHARE > left_ms;
+    is_too_late.then(|| Duration::from_secs_f64(excess_ms / 1_000.0))
 }
 
 /// Time after which a refused caller is to return: that in which the excess is worked off, plus a
