--- a/crates/decide/src/direct/fleet/peer_work.rs
+++ b/crates/decide/src/direct/fleet/peer_work.rs
@@ -37,7 +37,7 @@
 const MIN_RATE_MS_PER_S: f64 = 0.01;
 
 /// Requests that are placed and places for them, over all entries.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Places {
     /// Requests that wait or run at open servers.
     pub taken: u32,
