--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -101,4 +101,4 @@
 pub use sessions::{SessionKey, Sessions, session_key};
 pub use usage::{UsageMeter, UsagePublisher, UsageTotals};
 pub use warm_up::{ColdReason, ColdServerBound, ColdServerPacing, WarmUp, max_cold_wait};
-pub use window_budget::{WindowBudget, WindowLimits};
+pub use window_budget::{PeerCounts, WindowBudget, WindowLimits};
--- a/crates/decide/src/direct/load_summary.rs
+++ b/crates/decide/src/direct/load_summary.rs
@@ -44,6 +44,8 @@
 pub struct ServiceWork {
     /// Requests received in the latest half window of the retry budget, and in those before it.
     pub requests: [u32; HALF_WINDOWS],
+    /// Further sends in the same half windows.
+    pub further_sends: [u32; HALF_WINDOWS],
     /// Prefill placed per second, in milliseconds; decays with a time constant of one second.
     pub prefill_ms_per_s: f32,
 }
@@ -69,6 +71,8 @@
 /// Work of one or more entries.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadSummary {
+    /// Number of entries whose work is contained.
+    pub entries: u32,
     /// Work by server incarnation.
     pub servers: BTreeMap<LoadKey, ServerWork>,
     /// Work by service.
@@ -80,6 +84,7 @@
 impl LoadSummary {
     /// Adds another summary to this one.
     pub fn add(&mut self, other: &LoadSummary) {
+        self.entries = self.entries.saturating_add(other.entries);
         for (key, work) in &other.servers {
             self.servers.entry(*key).or_default().add(work);
         }
@@ -101,8 +106,8 @@
             [work.queued_ms, work.pace_samples, work.waiting as f32, work.running as f32]
         });
         let services = self.services.values().flat_map(|work| {
-            let requests = work.requests.map(|count| count as f32);
-            requests.into_iter().chain([work.prefill_ms_per_s])
+            let counts = work.requests.into_iter().chain(work.further_sends);
+            counts.map(|count| count as f32).chain([work.prefill_ms_per_s])
         });
         let demands = self.demands.values().map(|demand| demand.offered_ms_per_s);
         let mut values = servers.chain(services).chain(demands);
@@ -130,8 +135,9 @@
 impl ServiceWork {
     /// Adds the work of other entries for the same service.
     pub fn add(&mut self, other: &ServiceWork) {
-        for (count, further) in self.requests.iter_mut().zip(other.requests) {
-            *count = count.saturating_add(further);
+        let counts = self.requests.iter_mut().chain(&mut self.further_sends);
+        for (count, more) in counts.zip(other.requests.into_iter().chain(other.further_sends)) {
+            *count = count.saturating_add(more);
         }
         self.prefill_ms_per_s += other.prefill_ms_per_s;
     }
