--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -51,6 +51,7 @@
 mod reporter;
 mod roll_out;
 mod sessions;
+mod stream_pace;
 mod usage;
 mod warm_up;
 mod window_budget;
@@ -61,8 +62,8 @@
 pub use engine::{EngineEstimates, QuantileEstimate, ServiceModelIndex};
 pub use evidence_pool::{EvidencePool, Observation, Tally};
 pub use fleet::{
-    DataCentreRule, Fleet, Forecast, LoadError, NextAvailability, PermitRequest, Placeability,
-    PlacementRequest, Places, PromptPart, RateLimit, RateLimitError, RateLimitState,
+    DataCentreRule, ExpectedWait, Fleet, Forecast, LoadError, NextAvailability, PermitRequest,
+    Placeability, PlacementRequest, Places, PromptPart, RateLimit, RateLimitError, RateLimitState,
     ReportedRateLimit, ScoringTerms, ServerIncarnation, ServerIndex, ServerInfo, ServerLoad,
     Ticket, UnavailableReason, UnreachableReason, VersionRule, backoff_jitter,
 };
@@ -83,6 +84,10 @@
 };
 pub use roll_out::{Evidence, RollOut, RollOutStep, Stage};
 pub use sessions::{SessionKey, Sessions, session_key};
+pub use stream_pace::{
+    SAMPLE_INTERVAL, StreamDecision, StreamForecast, StreamPace, StreamRest,
+    decide as decide_stream,
+};
 pub use usage::{UsageMeter, UsagePublisher, UsageTotals};
 pub use warm_up::{ColdReason, ColdServerBound, ColdServerPacing, WarmUp, max_cold_wait};
 pub use window_budget::{WindowBudget, WindowLimits};
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -25,7 +25,7 @@
 pub use availability::{NextAvailability, UnavailableReason, UnreachableReason};
 pub use load::{LoadError, ServerLoad};
 pub use notice::{ServerIncarnation, backoff_jitter};
-pub use peer_work::Places;
+pub use peer_work::{ExpectedWait, Places};
 pub use permit_rule::{PermitRequest, Placeability};
 pub use placement_request::{
     DataCentreRule, Forecast, PlacementRequest, PromptPart, Ticket, VersionRule,
--- a/crates/decide/src/direct/fleet/peer_work.rs
+++ b/crates/decide/src/direct/fleet/peer_work.rs
@@ -5,10 +5,13 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::{Fleet, Ticket, VersionRule, server::Server};
+use super::{
+    Fleet, PlacementRequest, Ticket, VersionRule, permit_rule::PermitRule, server::Server,
+};
 use crate::direct::{
     engine::{QuantileEstimate, ServiceModelIndex},
     load_summary::{LoadKey, LoadSummary, ServerWork, server_key},
+    stream_pace::StreamForecast,
 };
 
 /// Time that one running request of another entry adds to the cost of a server, in milliseconds.
@@ -33,6 +36,10 @@
 const TOKEN_PRIOR_MS: f64 = 12.0;
 /// Age of a view at which other entries may have placed one typical prefill at the cheapest server.
 const SPREAD_AGE_MS: f64 = 200.0;
+/// Age of a view when it is received, in milliseconds: one interval of the exchange. Without it,
+/// all entries chose the same servers right after an exchange, and in `tests/peer_work.rs` the
+/// answers began later than without a view.
+const RECEIVED_AGE_MS: f64 = 100.0;
 /// Rate below which a service counts as idle, in milliseconds per second.
 const MIN_RATE_MS_PER_S: f64 = 0.01;
 
@@ -45,6 +52,16 @@
     pub total: u32,
 }
 
+/// Expected wait of a placed request for the start of its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ExpectedWait {
+    /// From the placement; the larger of that expected then and the time in which the server would
+    /// work off what waits there now.
+    pub total: Duration,
+    /// From now on, if everything that waits there is served first.
+    pub remaining: Duration,
+}
+
 /// Sum and number of pace samples, which decay.
 #[derive(Debug, Clone, Copy, Default)]
 struct PaceSamples {
@@ -170,7 +187,8 @@
     /// NB: all entries read the same view. If each took the cheapest server, that server would get
     /// the requests of all of them.
     pub fn spread_ms(&self, prefill_ms: f64, now: Duration) -> Option<f64> {
-        let age_ms = now.saturating_sub(self.received_at?).as_secs_f64() * 1_000.0;
+        let elapsed = now.saturating_sub(self.received_at?);
+        let age_ms = RECEIVED_AGE_MS + elapsed.as_secs_f64() * 1_000.0;
         Some(prefill_ms * (age_ms / SPREAD_AGE_MS).min(1.0))
     }
 }
@@ -260,6 +278,38 @@
         }
     }
 
+    /// Predicts how a stream would continue at the best server for `request`; `None` if there is
+    /// none or the other entries' work is not known.
+    pub fn stream_forecast(
+        &self,
+        request: &PlacementRequest<'_>,
+        now: Duration,
+    ) -> Option<StreamForecast> {
+        self.work.received_at?;
+        let best = self.best_candidate(request, now, PermitRule::Requestable, || 0.0)?;
+        let usual = self.work.token_ms.get(&request.model);
+        let usual_ms = usual.map_or(TOKEN_PRIOR_MS, QuantileEstimate::value);
+        let pace = self.servers[best.index].as_ref()?.peer_work.pace;
+        Some(StreamForecast { first_byte_ms: best.first_byte_ms, token_ms: usual_ms * pace })
+    }
+
+    /// Expected wait of a placed request; `None` if the other entries' work is not known or the
+    /// server is gone.
+    pub fn expected_wait(&self, ticket: &Ticket, now: Duration) -> Option<ExpectedWait> {
+        self.work.received_at?;
+        let server = self.servers.get(ticket.index)?.as_ref()?;
+        if server.incarnation_number != ticket.incarnation_number {
+            return None;
+        }
+        let queued_ms = server.peer_work.queued_ms(server.waiting_ms, now);
+        let total_ms = ticket.expected_with_queue_ms().max(queued_ms);
+        let remaining_ms = queued_ms + server.delay_ms(now);
+        Some(ExpectedWait {
+            total: Duration::from_secs_f64(total_ms / 1_000.0),
+            remaining: Duration::from_secs_f64(remaining_ms / 1_000.0),
+        })
+    }
+
     /// Prefill placed by all entries as a share of what the open servers can process; `None` if the
     /// other entries' work is not known or no server is open.
     pub fn utilization(&self, now: Duration) -> Option<f64> {
