--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use pondwalk_config::DirectSettings;
+use pondwalk_decide::direct::LoadSummary;
 use serde::Serialize;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
@@ -178,6 +179,12 @@
         self.core.clock.simulate_suspension(time);
     }
 
+    /// Simulates that the load exchange has received this sum of the other entries' work; for tests.
+    pub fn simulate_peer_load(&self, peers: &LoadSummary) {
+        let now = self.core.clock.now();
+        self.core.state.borrow_mut().apply_load(Some(peers), now);
+    }
+
     /// Simulates a wall-clock time at the start, in milliseconds since the Unix epoch; for tests.
     pub fn simulate_unix_ms(&self, at_start: u64) {
         self.core.clock.simulate_unix_ms(at_start);
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -3,6 +3,7 @@
 mod body;
 mod body_channel;
 mod events;
+mod head_wait;
 mod in_flight;
 mod listen;
 mod placement_wait;
@@ -12,6 +13,7 @@
 mod request_reader;
 mod serve;
 mod side_listeners;
+mod stream_progress;
 
 pub use listen::{Gate, accept, serve_connection};
 pub use side_listeners::{serve_metrics, serve_peers, serve_readiness};
--- a/crates/direct/src/http/events.rs
+++ b/crates/direct/src/http/events.rs
@@ -63,6 +63,18 @@
         last_event_id: Option<&'a str>,
         after_ms: u64,
     },
+    /// A stream that would have missed its deadline continues on another backend server.
+    StreamMoved {
+        request: &'a str,
+        server: &'a str,
+        to: &'a str,
+        token_ms: f64,
+        /// Expected time to the end at the old server.
+        expected_ms: u64,
+        after_ms: u64,
+    },
+    /// A stream is expected to miss its deadline and cannot be moved.
+    StreamSlow { request: &'a str, server: &'a str, token_ms: f64, expected_ms: u64, after_ms: u64 },
     /// A stream was truncated in a way that the caller can detect.
     StreamCut { request: &'a str, server: &'a str, reason: &'static str, after_ms: u64 },
     /// The response to this request tripped a version.
@@ -82,6 +94,10 @@
         sends: u32,
         head_ms: u64,
         expected_ms: u64,
+        /// Longest pause between two events of a stream.
+        max_gap_ms: Option<u64>,
+        /// Mean time per token of a stream.
+        token_ms: Option<f64>,
         after_ms: u64,
     },
 }
--- a/crates/direct/src/http/in_flight.rs
+++ b/crates/direct/src/http/in_flight.rs
@@ -177,11 +177,13 @@
             || self.core.quarantine_status(&self.job) == QuarantineStatus::Unrestricted
     }
 
-    /// Sends the request to its placement and waits for the response head.
+    /// Sends the request to its placement and waits for the response head until `until`. `extend`
+    /// is called then, and may return a later time.
     pub async fn send(
         &mut self,
         placement: &Placement,
         until: Duration,
+        mut extend: impl FnMut() -> Option<Duration>,
         last_event_id: Option<&str>,
     ) -> Result<Exchange, SendError> {
         if self.probe.is_some() {
@@ -190,9 +192,9 @@
         let request = self.build_request(placement, last_event_id);
         let until = self.core.clock.instant(until);
         let connect = &self.core.connect;
-        let sent = upstream::send(connect, placement.address, request, until, || {
-            self.is_key_valid() && self.is_sendable() && placement.may_dispatch()
-        });
+        let may_send = || self.is_key_valid() && self.is_sendable() && placement.may_dispatch();
+        let extend = || Some(self.core.clock.instant(extend()?));
+        let sent = upstream::send(connect, placement.address, request, until, may_send, extend);
         let sent = sent.await;
         if matches!(sent, Err(SendError::Withheld)) {
             self.core.metrics.count(Counter::Withheld);
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -10,6 +10,7 @@
     body_channel::{ChunkReceiver, ChunkSender, chunk_channel},
     events::RequestEvent,
     in_flight::InFlightRequest,
+    stream_progress::{StreamMove, StreamProgress, log_slow},
 };
 use crate::{
     event_log::LogPriority,
@@ -67,6 +68,8 @@
     Broken(&'static str),
     /// Silent, and another server may be tried.
     Silent,
+    /// Too slow, and to be moved to another server.
+    Slow(StreamMove),
     /// The request's deadline has passed.
     TimedOut,
 }
@@ -81,7 +84,8 @@
     let (sender, receiver) = chunk_channel();
     let last_id = relayed.in_flight.job.last_event_id.clone();
     let is_resumed = last_id.is_some();
-    let relay = Relay { relayed, sender, last_id };
+    let progress = StreamProgress::new(&relayed.in_flight);
+    let relay = Relay { relayed, sender, last_id, progress };
     let source = StreamSource::new(body, connection, placement, is_resumed);
     spawn_local(relay.run(source));
     receiver
@@ -91,6 +95,7 @@
     relayed: RelayedRequest,
     sender: ChunkSender,
     last_id: Option<String>,
+    progress: StreamProgress,
 }
 
 impl Relay {
@@ -99,7 +104,14 @@
             match self.relay_events(&mut source).await {
                 StreamEnd::Whole => {
                     let RelayedRequest { in_flight, confidence, head_ms, status } = &self.relayed;
-                    in_flight.record_answered(&source.placement, *confidence, *head_ms, *status);
+                    let timing = self.progress.timing();
+                    in_flight.record_answered(
+                        &source.placement,
+                        *confidence,
+                        *head_ms,
+                        *status,
+                        timing,
+                    );
                     if !source.is_resumed {
                         source.placement.on_completed();
                     }
@@ -118,11 +130,26 @@
                     in_flight.log_failed_send(&source.placement, "stream_silent", String::new());
                     // The silent stream is kept until another server has responded, since it may
                     // still continue.
-                    match self.resume(&source).await {
+                    let deadline = in_flight.job.deadline;
+                    match self.resume(&source, deadline, u32::MAX).await {
                         Some(next) => source = next,
                         None => source.may_switch = false,
                     }
                 }
+                StreamEnd::Slow(decided) => {
+                    // Like a silent stream, the old one is kept until another server has responded.
+                    match self.resume(&source, decided.until, 1).await {
+                        Some(next) => {
+                            self.record_move(&source, &next, decided);
+                            source = next;
+                        }
+                        None => {
+                            let in_flight = &self.relayed.in_flight;
+                            let StreamMove { token_ms, expected_ms, .. } = decided;
+                            log_slow(in_flight, &source.placement, token_ms, expected_ms);
+                        }
+                    }
+                }
                 StreamEnd::Broken(reason) => {
                     source.placement.on_connection_broken();
                     let in_flight = &mut self.relayed.in_flight;
@@ -132,7 +159,8 @@
                         reason.to_owned(),
                     );
                     in_flight.record_broken_connection(&source.placement);
-                    match self.resume(&source).await {
+                    let deadline = in_flight.job.deadline;
+                    match self.resume(&source, deadline, u32::MAX).await {
                         Some(next) => source = next,
                         None => {
                             self.cut(&source, reason);
@@ -180,36 +208,58 @@
                     let Ok(data) = frame.into_data() else { continue };
                     last_received = clock.now();
                     source.splitter.push(&data);
-                    if !self.deliver(&mut source.splitter).await {
+                    let Some(has_sample) = self.deliver(source).await else {
                         return StreamEnd::CallerLeft;
+                    };
+                    let in_flight = &self.relayed.in_flight;
+                    if has_sample
+                        && let Some(decided) = self.progress.take_move(in_flight, &source.placement)
+                    {
+                        return StreamEnd::Slow(decided);
                     }
                 }
             }
         }
     }
 
-    async fn deliver(&mut self, splitter: &mut EventSplitter) -> bool {
-        let Some(whole) = splitter.pop_complete() else { return true };
+    /// Passes complete events on. Returns whether a sample of the stream's pace is complete, or
+    /// `None` if the caller has disconnected.
+    async fn deliver(&mut self, source: &mut StreamSource) -> Option<bool> {
+        let Some(whole) = source.splitter.pop_complete() else { return Some(false) };
+        let in_flight = &self.relayed.in_flight;
+        let has_sample = self.progress.record(&whole, in_flight, &source.placement);
         if whole.last_id.is_some() {
             self.last_id = whole.last_id;
         }
-        self.sender.send(whole.bytes).await.is_ok()
+        let clock = &in_flight.core.clock;
+        let sent_at = clock.now();
+        self.sender.send(whole.bytes).await.ok()?;
+        let now = clock.now();
+        self.progress.record_caller_pause(now.saturating_sub(sent_at), now);
+        Some(has_sample)
     }
 
-    /// Resumes after the last delivered event on another backend server.
-    async fn resume(&mut self, broken: &StreamSource) -> Option<StreamSource> {
+    /// Resumes after the last delivered event on another backend server, which must respond before
+    /// `until`; tries at most `attempts` servers.
+    async fn resume(
+        &mut self,
+        broken: &StreamSource,
+        until: Duration,
+        attempts: u32,
+    ) -> Option<StreamSource> {
+        self.progress.on_server_changed();
         let in_flight = &mut self.relayed.in_flight;
         in_flight.avoid.push(broken.placement.server().clone());
-        while in_flight.job.route.kind.may_repeat()
-            && in_flight.core.clock.now() < in_flight.job.deadline
-        {
+        for _ in 0..attempts {
+            if !in_flight.job.route.kind.may_repeat() || in_flight.core.clock.now() >= until {
+                return None;
+            }
             in_flight.check_quarantine().await.ok()?;
             if !in_flight.try_take_send(0.0) {
                 return None;
             }
             let placement = in_flight.wait_for_placement().await.ok()?;
-            let until = in_flight.job.deadline;
-            match in_flight.send(&placement, until, self.last_id.as_deref()).await {
+            match in_flight.send(&placement, until, || None, self.last_id.as_deref()).await {
                 Ok(exchange) if is_resumable(in_flight, &exchange) => {
                     in_flight.core.metrics.count(Counter::Resumes);
                     let event = RequestEvent::StreamResumed {
@@ -244,6 +294,20 @@
         None
     }
 
+    fn record_move(&self, from: &StreamSource, to: &StreamSource, decided: StreamMove) {
+        let in_flight = &self.relayed.in_flight;
+        in_flight.core.metrics.count(Counter::StreamsMoved);
+        let event = RequestEvent::StreamMoved {
+            request: &in_flight.job.id,
+            server: from.placement.server(),
+            to: to.placement.server(),
+            token_ms: decided.token_ms,
+            expected_ms: decided.expected_ms,
+            after_ms: in_flight.after_ms(),
+        };
+        in_flight.core.event_log.record(LogPriority::Failure, &event);
+    }
+
     fn cut(&self, source: &StreamSource, reason: &'static str) {
         let in_flight = &self.relayed.in_flight;
         in_flight.core.metrics.count(Counter::Failed);
--- a/crates/direct/src/http/reporting.rs
+++ b/crates/direct/src/http/reporting.rs
@@ -6,7 +6,7 @@
 use hyper::{Response, StatusCode, body::Incoming};
 use pondwalk_decide::direct::ReportedRateLimit;
 
-use super::{events::RequestEvent, in_flight::InFlightRequest};
+use super::{events::RequestEvent, in_flight::InFlightRequest, stream_progress::StreamTiming};
 use crate::{
     content::content_text,
     event_log::LogPriority,
@@ -124,6 +124,7 @@
         confidence: Option<u8>,
         head_ms: u64,
         status: StatusCode,
+        timing: StreamTiming,
     ) {
         let after_ms = self.after_ms();
         placement.mark_finished();
@@ -142,6 +143,8 @@
             sends: self.sends,
             head_ms,
             expected_ms: placement.expected_ms() as u64,
+            max_gap_ms: timing.max_gap_ms,
+            token_ms: timing.token_ms,
             after_ms,
         };
         self.core.event_log.record(LogPriority::Success, &event);
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -10,9 +10,11 @@
 use super::{
     body::ResponseBody,
     events::RequestEvent,
+    head_wait::HeadWait,
     in_flight::{InFlightGuard, InFlightRequest},
     refusals::{RefusedRequest, refuse},
     relay, request_reader,
+    stream_progress::StreamTiming,
 };
 use crate::{
     core::Core,
@@ -24,13 +26,6 @@
     upstream::{Exchange, SendError},
 };
 
-/// Part of the objective after which a repeatable request without a response head is tried
-/// elsewhere.
-const HEAD_TIMEOUT_SHARE: f64 = 0.55;
-/// Minimum of that time for streams, whose prompts must be processed first.
-const MIN_STREAM_HEAD_TIMEOUT: Duration = Duration::from_millis(1_100);
-/// Minimum of that time as a multiple of the expected time.
-const EXPECTED_TIME_FACTOR: f64 = 4.0;
 /// Share of the retry budget that escalations leave for retries.
 const RETRY_RESERVE_SHARE: f64 = 0.15;
 
@@ -82,9 +77,12 @@
     }
 
     async fn attempt(&mut self, placement: Placement) -> AttemptResult {
-        let until = self.head_deadline(&placement);
+        let wait = HeadWait::new(self, &placement);
         let job = Rc::clone(&self.job);
-        match self.send(&placement, until, job.last_event_id.as_deref()).await {
+        let last_event_id = job.last_event_id.as_deref();
+        let sent = self.send(&placement, wait.until(), || wait.extend(), last_event_id).await;
+        let until = wait.until();
+        match sent {
             Ok(exchange) => self.handle_response(exchange, placement).await,
             Err(SendError::NotSent { why, detail }) => {
                 placement.on_unreachable(why);
@@ -120,23 +118,6 @@
         }
     }
 
-    /// Deadline of the response head.
-    fn head_deadline(&self, placement: &Placement) -> Duration {
-        let job = &self.job;
-        let may_retry = job.route.kind.may_repeat() && self.sends + 1 < job.route.max_attempts;
-        let has_alternative =
-            self.core.settings.policy.tries_elsewhere && placement.has_alternative;
-        if !may_retry || !has_alternative {
-            return job.deadline;
-        }
-        let min_timeout =
-            if job.route.kind.is_stream() { MIN_STREAM_HEAD_TIMEOUT } else { Duration::ZERO };
-        let expected = Duration::from_secs_f64(placement.expected_ms() / 1_000.0);
-        let timeout = job.route.objective.mul_f64(HEAD_TIMEOUT_SHARE);
-        let timeout = timeout.max(expected.mul_f64(EXPECTED_TIME_FACTOR)).max(min_timeout);
-        (self.core.clock.now() + timeout).min(job.deadline)
-    }
-
     /// Handles a request that may have run, but has no response that can be passed on.
     fn handle_loss(
         &mut self,
@@ -340,7 +321,8 @@
         drop(exchange.connection);
         self.core.metrics.time(Timer::FirstByte, Duration::from_millis(head_ms));
         let confidence = self.reported_confidence(&parts.headers);
-        self.record_answered(&placement, confidence, head_ms, parts.status);
+        let timing = StreamTiming::default();
+        self.record_answered(&placement, confidence, head_ms, parts.status, timing);
         AttemptResult::Respond(self.build_response(parts, ResponseBody::whole(body)))
     }
 
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -58,6 +58,8 @@
     Escalations,
     /// Streams resumed at another backend server.
     Resumes,
+    /// Slow streams moved to another backend server.
+    StreamsMoved,
     /// Failed calls to the store.
     StoreFailures,
     /// Requests of other entries answered with a state.
@@ -97,6 +99,7 @@
             Counter::CrashesNotReported => "ends_not_told_total",
             Counter::Escalations => "escalations_total",
             Counter::Resumes => "resumes_total",
+            Counter::StreamsMoved => "streams_moved_total",
             Counter::StoreFailures => "store_failures_total",
             Counter::QuestionsAnswered => "questions_answered_total",
             Counter::UsageReports => "usage_reports_total",
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -8,7 +8,8 @@
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use pondwalk_decide::direct::{
-    Evidence, ReportedRateLimit, ServerLoad, ServiceModelIndex, Ticket, UnreachableReason,
+    Evidence, ExpectedWait, ReportedRateLimit, ServerLoad, ServiceModelIndex, Ticket,
+    UnreachableReason,
 };
 use pondwalk_types::{ModelId, ServerId, VersionId};
 use rand::Rng;
@@ -117,6 +118,14 @@
         self.ticket.expected_ms
     }
 
+    /// Expected wait for the start of the response, with the other entries' requests; `None` if
+    /// their work is not known.
+    pub fn expected_wait(&self) -> Option<ExpectedWait> {
+        let now = self.core.clock.now();
+        let state = self.core.state.borrow();
+        state.fleets.get(&self.job.service.name)?.expected_wait(&self.ticket, now)
+    }
+
     /// Time since the request was placed.
     pub fn elapsed(&self) -> Duration {
         self.core.clock.now().saturating_sub(self.sent)
@@ -154,6 +163,15 @@
         }
     }
 
+    /// Records the time per token of the stream, measured over a short time, in milliseconds.
+    pub fn record_pace(&self, token_ms: f64) {
+        let now = self.core.clock.now();
+        let mut state = self.core.state.borrow_mut();
+        if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
+            fleet.record_pace(&self.ticket, token_ms, now);
+        }
+    }
+
     /// Records that the whole answer was relayed; its token rate updates the engine estimate.
     pub fn on_completed(&self) {
         let tokens_out = self.job.prompt.tokens_out;
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -4,7 +4,14 @@
 //! idle connection silently; a new connection avoids both and costs a round trip and a small
 //! overhead (docs/decisions/0012-connections.md).
 
-use std::{future::Future, io, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    pin::{Pin, pin},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -100,13 +107,15 @@
 
 /// Sends a request and waits for the response head until `until`.
 ///
-/// `may_send` is called once the connection is open, right before the first byte is sent.
+/// `may_send` is called once the connection is open, right before the first byte is sent. `extend`
+/// is called when the time is over, and may return a later time until which to wait.
 pub async fn send(
     connect: &Connect,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     until: Instant,
     may_send: impl FnOnce() -> bool,
+    mut extend: impl FnMut() -> Option<Instant>,
 ) -> Result<Exchange, SendError> {
     let limit = until.min(Instant::now() + CONNECT_TIMEOUT);
     let stream =
@@ -121,10 +130,14 @@
     // A failure of the connection reaches the pending exchange.
     let task = spawn_local(async move { connection.await.unwrap_or_default() });
     let connection = Connection { task: task.abort_handle() };
-    match timeout_at(until, sender.send_request(request)).await {
-        Ok(Ok(response)) => Ok(Exchange { response, connection }),
-        Ok(Err(error)) => Err(SendError::Broken(error.to_string())),
-        Err(_) => Err(SendError::NoResponse),
+    let mut response = pin!(sender.send_request(request));
+    let mut until = until;
+    loop {
+        match timeout_at(until, &mut response).await {
+            Ok(Ok(response)) => return Ok(Exchange { response, connection }),
+            Ok(Err(error)) => return Err(SendError::Broken(error.to_string())),
+            Err(_) => until = extend().ok_or(SendError::NoResponse)?,
+        }
     }
 }
 
