--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -4,6 +4,7 @@
 mod body;
 mod body_channel;
 mod events;
+mod head_wait;
 mod in_flight;
 mod listen;
 mod placement_wait;
@@ -13,6 +14,7 @@
 mod request_reader;
 mod serve;
 mod side_listeners;
+mod stream_progress;
 
 pub use listen::{Gate, accept, serve_connection};
 pub use side_listeners::{serve_metrics, serve_peers, serve_readiness};
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -66,6 +66,8 @@
     LargerModelsWithheld,
     /// Streams resumed at another backend server.
     Resumes,
+    /// Slow streams moved to another backend server.
+    StreamsMoved,
     /// Failed calls to the store.
     StoreFailures,
     /// Requests of other entries answered with a state.
@@ -113,6 +115,7 @@
             Counter::Escalations => "escalations_total",
             Counter::LargerModelsWithheld => "larger_models_withheld",
             Counter::Resumes => "resumes_total",
+            Counter::StreamsMoved => "streams_moved_total",
             Counter::StoreFailures => "store_failures_total",
             Counter::QuestionsAnswered => "questions_answered_total",
             Counter::UsageReports => "usage_reports_total",
