--- a/crates/decide/src/direct/admission.rs
+++ b/crates/decide/src/direct/admission.rs
@@ -13,10 +13,7 @@
 //! One in [`FLOOR_INTERVAL`] requests of each priority that would be refused is admitted, so that
 //! none starves and a wrong forecast is corrected by new answers.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use super::{decayed_rate::DecayedRate, fleet::Places, hash::mix};
 
@@ -115,7 +112,8 @@
 pub struct Admission {
     /// Requests that would have been refused, by priority.
     refusable: BTreeMap<u8, u32>,
-    waiting: BTreeSet<WaitTicket>,
+    /// Waiting requests, each with the number of places that become free within its wait.
+    waiting: BTreeMap<WaitTicket, usize>,
     /// Number of requests that have joined the queue so far.
     joined: u64,
     completions: DecayedRate,
@@ -179,8 +177,8 @@
         let limit = places_within(max_wait(request), service);
         self.joined += 1;
         let ticket = WaitTicket { priority: request.priority, number: self.joined };
-        self.waiting.insert(ticket);
-        while self.waiting.len() > limit {
+        self.waiting.insert(ticket, limit);
+        while self.waiting.last_key_value().is_some_and(|(_, limit)| self.waiting.len() > *limit) {
             self.waiting.pop_last();
         }
         Some(ticket)
@@ -188,12 +186,12 @@
 
     /// Whether a request still waits; a more urgent one may have displaced it.
     pub fn is_waiting(&self, ticket: WaitTicket) -> bool {
-        self.waiting.contains(&ticket)
+        self.waiting.contains_key(&ticket)
     }
 
     /// Whether a waiting request gets the next place.
     pub fn is_next(&self, ticket: WaitTicket) -> bool {
-        self.waiting.first() == Some(&ticket)
+        self.waiting.keys().next() == Some(&ticket)
     }
 
     /// Removes a request from the waiting ones.
@@ -219,7 +217,7 @@
     /// Whether a place becomes free in time for a request, after those of the requests that go
     /// first.
     fn has_place_for(&self, request: AdmissionRequest, service: ServiceState) -> bool {
-        let first = self.waiting.iter().filter(|ticket| ticket.priority <= request.priority);
+        let first = self.waiting.keys().filter(|ticket| ticket.priority <= request.priority);
         first.count() < places_within(max_wait(request), service)
     }
 }
--- a/crates/decide/src/direct/fleet/choice.rs
+++ b/crates/decide/src/direct/fleet/choice.rs
@@ -10,6 +10,10 @@
 const PREFERRED_CACHE_PROBABILITY: f64 = 0.7;
 /// Price of computing a cached part again elsewhere, in milliseconds for a thousand tokens.
 const RECOMPUTE_MS_PER_1000_TOKENS: f64 = 50.0;
+/// The same price where the other entries' work is known. Queues that are visible pull requests away
+/// from the servers that have their shared parts cached: at the price above, twice as many tokens
+/// of shared parts were computed again.
+const RECOMPUTE_WITH_VIEW_MS_PER_1000_TOKENS: f64 = 150.0;
 
 /// A server that could take a request.
 #[derive(Debug, Clone, Copy)]
@@ -35,9 +39,13 @@
         let shared = shared_part(request.parts);
         let hashed_part = shared.filter(|_| self.scoring.named_servers);
         let preferred = hashed_part.and_then(|part| self.preferred_server(part.id, request, now));
-        let uncached_ms_per_token = PREFERRED_CACHE_PROBABILITY * request.prefill_ms_per_token
-            + RECOMPUTE_MS_PER_1000_TOKENS / 1_000.0;
         let spread_ms = self.work.spread_ms(self.mean_prefill_ms, now);
+        let recompute_ms = match spread_ms {
+            Some(_) => RECOMPUTE_WITH_VIEW_MS_PER_1000_TOKENS,
+            None => RECOMPUTE_MS_PER_1000_TOKENS,
+        };
+        let uncached_ms_per_token =
+            PREFERRED_CACHE_PROBABILITY * request.prefill_ms_per_token + recompute_ms / 1_000.0;
         let mut candidates = Vec::new();
         let mut best: Option<Candidate> = None;
         for (index, server) in self.servers.iter().enumerate() {
@@ -74,7 +82,11 @@
                 candidates.retain(|candidate| {
                     candidate.index != best.index && candidate.cost <= best.cost + spread_ms
                 });
-                draw_candidate(best, &candidates, tie_breaker())
+                let held = candidates.iter().find(|one| self.holds_permit(one.index, now));
+                match held {
+                    Some(held) => Some(*held),
+                    None => draw_candidate(best, &candidates, tie_breaker()),
+                }
             }
             (best, _) => best,
         }
--- a/crates/decide/src/direct/window_budget.rs
+++ b/crates/decide/src/direct/window_budget.rs
@@ -7,7 +7,7 @@
 //! [`BoundSharing::fraction`](super::BoundSharing::fraction).
 //!
 //! An entry that receives the counts of all other entries ([`PeerCounts`]) checks its sends against
-//! the whole bound instead, with the fullest of the three windows. Its sends of the last second must
+//! the whole bound instead, with the fullest of the three windows. Its latest sends must
 //! be within its part of what the bound leaves, in proportion to its requests, so that entries
 //! whose counts are some hundred milliseconds old do not all take the same sends.
 //!
@@ -32,11 +32,15 @@
 /// halves that begin to send at once, 0.95 gave 1.06 of the bound, and 0.85 gives 0.95.
 const USED_SHARE: f64 = 0.85;
 
-/// Fraction of the allowance that is used with the counts of all entries. The rest covers what they
-/// have sent since: their part of the bound in the age of the counts.
-const POOLED_USED_SHARE: f64 = 0.93;
-/// Age from which the counts of other entries are not used.
-const MAX_PEER_COUNT_AGE: Duration = Duration::from_secs(1);
+/// Fraction of the allowance that is used with the counts of all entries. The rest covers sends that
+/// arrive in a later slice than the one they were counted in, and the half windows by which the counts
+/// are known: with 0.93, entries that began to send in a burst used up to 1.02 of the bound.
+const POOLED_USED_SHARE: f64 = 0.9;
+/// Time since the counts of other entries were received from which they are not used.
+const MAX_PEER_COUNT_AGE: Duration = Duration::from_millis(500);
+/// Time in which other entries may have sent what this entry does not know yet: that age, and up to
+/// a second on the way through the tree.
+const UNKNOWN_SENDS_TIME: Duration = Duration::from_millis(1_500);
 
 /// Ends of the windows that are checked, in half windows from now. Windows that end later lose
 /// requests while they keep the sends, so the last window alone is not enough.
@@ -148,8 +152,7 @@
 
     /// Whether one further send is within the bound over all entries.
     ///
-    /// What the others have sent in the last second may not be known yet. So the sends of that
-    /// second are limited to this entry's part of what the bound leaves without them.
+    /// What the others have sent lately may not be known yet. So the sends of that time are limited to this entry's part of what the bound leaves without them.
     fn has_pooled_room(&self, own: &[f64; HALF_WINDOWS], peers: &PeerCounts, spare: f64) -> bool {
         let all: [f64; HALF_WINDOWS] =
             std::array::from_fn(|half| own[half] + f64::from(peers.requests[half]));
@@ -169,7 +172,7 @@
     /// Slices in which other entries may have sent what this one does not know yet.
     fn recent_slices(&self) -> u64 {
         let slice_length = self.limits.window.as_secs_f64() / WINDOW_SLICES as f64;
-        let slices = MAX_PEER_COUNT_AGE.as_secs_f64() / slice_length.max(f64::MIN_POSITIVE);
+        let slices = UNKNOWN_SENDS_TIME.as_secs_f64() / slice_length.max(f64::MIN_POSITIVE);
         (slices as u64).min(WINDOW_SLICES)
     }
 
--- a/crates/direct/src/http/admission.rs
+++ b/crates/direct/src/http/admission.rs
@@ -122,7 +122,7 @@
             return Ok(ShareResult::WithinShare);
         }
         let admission = admissions.entry(service.clone()).or_default();
-        if admission.takes_floor(self.priority()) {
+        if admission.takes_floor(self.job.priority()) {
             return Ok(ShareResult::AdmittedByFloor);
         }
         let excess = shares.excess_time(workspace, now);
@@ -148,7 +148,7 @@
     ) -> (AdmissionRequest, ServiceState) {
         let outlook = outlook(state, &self.job, now);
         let request = AdmissionRequest {
-            priority: self.priority(),
+            priority: self.job.priority(),
             time_left: self.job.deadline.saturating_sub(now),
             objective: self.job.route.objective,
             own_ms: outlook.own_ms,
@@ -208,7 +208,7 @@
         let event = RequestEvent::RequestNotAdmitted {
             request: &self.job.id,
             workspace: self.job.workspace.as_ref().map(|workspace| workspace.name.as_str()),
-            priority: self.priority(),
+            priority: self.job.priority(),
             reason: not_admitted.reason,
             forecast_ms: outlook.first_byte_ms,
             utilization: outlook.utilization,
@@ -222,12 +222,6 @@
         not_admitted.refusal
     }
 
-    /// Priority of the request; the workspace's replaces that of the route.
-    fn priority(&self) -> u8 {
-        let of_workspace = self.job.workspace.as_ref().and_then(|workspace| workspace.priority);
-        of_workspace.unwrap_or(self.job.route.priority)
-    }
-
     fn is_resumed(&self) -> bool {
         self.job.last_event_id.is_some()
     }
@@ -258,7 +252,7 @@
 
     /// Whether the service has so little left that workspaces are held to their shares.
     fn is_contended(&self, job: &Job) -> bool {
-        let is_half_taken = self.places.is_some_and(|places| 2 * places.taken > places.total);
+        let is_half_taken = self.places.is_some_and(|places| places.taken > places.total / 2);
         let is_utilized = self.utilization.is_some_and(|one| one > CONTENDED_UTILIZATION);
         is_half_taken || (job.service.engine.is_some() && is_utilized)
     }
--- a/crates/direct/src/http/stream_progress.rs
+++ b/crates/direct/src/http/stream_progress.rs
@@ -83,7 +83,7 @@
             (Some(last), Some(number)) if number > last => number - last,
             _ => count_events(&events.bytes),
         };
-        self.last_number = number;
+        self.last_number = number.filter(|_| events.ends_with_id);
         self.received += count;
         let tokens = count as f64 * self.event_tokens;
         let sample = self.pace.record(tokens, in_flight.core.clock.now());
--- a/crates/direct/src/sse.rs
+++ b/crates/direct/src/sse.rs
@@ -13,6 +13,8 @@
     pub bytes: Bytes,
     /// Id of the last event that has one.
     pub last_id: Option<String>,
+    /// Whether the last event has an id, so that a resume after that id continues exactly.
+    pub ends_with_id: bool,
 }
 
 /// Buffers bytes until events are complete.
@@ -38,7 +40,8 @@
         self.searched = 0;
         let bytes = self.buffer.split_to(end).freeze();
         let last_id = last_id(&bytes);
-        Some(CompleteEvents { bytes, last_id })
+        let ends_with_id = last_event(&bytes).split(|byte| *byte == b'\n').any(is_id_line);
+        Some(CompleteEvents { bytes, last_id, ends_with_id })
     }
 
     /// Whether bytes of an incomplete event are left.
@@ -56,6 +59,17 @@
     (from + 1..=bytes.len()).rev().find(is_end)
 }
 
+/// The last of some complete events.
+fn last_event(events: &[u8]) -> &[u8] {
+    let events = events.trim_ascii_end();
+    let start = end_of_last_event(events, 0).unwrap_or(0);
+    &events[start..]
+}
+
+fn is_id_line(line: &[u8]) -> bool {
+    line.starts_with(b"id:")
+}
+
 fn last_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|byte| *byte == b'\n');
     let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
