--- a/crates/decide/src/direct/admission.rs
+++ b/crates/decide/src/direct/admission.rs
@@ -1,14 +1,14 @@
 //! Refuses requests that cannot be served in time, before they are sent.
 //!
-//! The load in play: in bursts of 3.5 to 5 times the usual traffic for 5 to 7 s, 75 to 347 requests
-//! a day ended at the caller's deadline without an answer. Each of them occupied a place, and the
-//! caller learned nothing until its time was over.
+//! Load: bursts of 3.5 to 5 times the usual traffic for 5 to 7 s, in which 75 to 347 requests a day
+//! ended at the caller's deadline without an answer. Each of them occupied a place, and its caller
+//! could not try again in time.
 //!
 //! Every error of the inputs must lead to admission, since a request refused by mistake is lost
 //! for certain. So half of the forecast is compared with the time left ([`FORECAST_SHARE`]): a
-//! forecast that is twice too long refuses nothing that could be served. A service of which less than half of the
-//! places are taken ([`MIN_TAKEN_SHARE`]) has no queue that could justify a refusal. A missing or
-//! invalid input admits.
+//! forecast that is twice too long refuses nothing that could be served. A service of which less
+//! than half of the places are taken ([`MIN_TAKEN_SHARE`]) has no queue that could justify a
+//! refusal. A missing or invalid input admits.
 //!
 //! One in [`FLOOR_INTERVAL`] requests of each priority that would be refused is admitted, so that
 //! none starves and a wrong forecast is corrected by new answers.
@@ -164,8 +164,8 @@
     }
 
     /// Adds a request to the waiting ones; `None` if as many requests wait that go first as places
-    /// become free in time. If all these places are spoken for, the last request in the queue gives
-    /// way to one that goes before it.
+    /// become free in time. If the queue is full, the last request is removed for one of higher
+    /// priority.
     pub fn join_queue(
         &mut self,
         request: AdmissionRequest,
--- a/crates/decide/src/direct/fair_shares.rs
+++ b/crates/decide/src/direct/fair_shares.rs
@@ -1,6 +1,6 @@
 //! Shares of workspaces in a service that is overloaded.
 //!
-//! The load in play: one workspace at 12 and 25 times its usual traffic for some seconds, at 27
+//! Load: one workspace at 12 and 25 times its usual traffic for some seconds, at 27
 //! entries. Without shares the workspace that sends most gets most, and all others are late with
 //! it.
 //!
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -302,7 +302,8 @@
         }
     }
 
-    /// Records an answer of the server; `failed` says whether it was a failure of the server itself.
+    /// Records an answer of the server; `failed` says whether it was a failure of the server
+    /// itself.
     pub fn record_outcome(&mut self, ticket: &Ticket, failed: bool, now: Duration) {
         if let Some(server) = self.server_of(ticket) {
             server.record_outcome(failed, now);
--- a/crates/decide/src/direct/fleet/choice.rs
+++ b/crates/decide/src/direct/fleet/choice.rs
@@ -10,9 +10,9 @@
 const PREFERRED_CACHE_PROBABILITY: f64 = 0.7;
 /// Price of computing a cached part again elsewhere, in milliseconds for a thousand tokens.
 const RECOMPUTE_MS_PER_1000_TOKENS: f64 = 50.0;
-/// The same price where the other entries' work is known. Queues that are visible pull requests away
-/// from the servers that have their shared parts cached: at the price above, twice as many tokens
-/// of shared parts were computed again.
+/// The same price where the other entries' work is known. Queues that are visible pull requests
+/// away from the servers that have their shared parts cached: at the price above, twice as many
+/// tokens of shared parts were computed again.
 const RECOMPUTE_WITH_VIEW_MS_PER_1000_TOKENS: f64 = 150.0;
 
 /// A server that could take a request.
--- a/crates/decide/src/direct/fleet/peer_work.rs
+++ b/crates/decide/src/direct/fleet/peer_work.rs
@@ -28,7 +28,8 @@
 const PACE_PRIOR_SAMPLES: f64 = 4.0;
 /// Range of the pace factor.
 const PACE_RANGE: (f64, f64) = (0.4, 4.0);
-/// Largest logarithm taken from one pace sample; a stream that pauses says little about the pace.
+/// Largest logarithm taken from one pace sample; a pause of one stream is not a measure of
+/// the server's pace.
 const MAX_PACE_LOG: f64 = 3.0;
 /// Weight below which pace samples are dropped.
 const MIN_PACE_SAMPLES: f64 = 0.05;
--- a/crates/decide/src/direct/load_summary.rs
+++ b/crates/decide/src/direct/load_summary.rs
@@ -46,8 +46,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct ServiceWork {
     /// Requests received in the latest half window of the retry budget, and in those before it. The
-    /// budget does not use them: with counts that are some hundred milliseconds old, every rule tried
-    /// so far exceeded the bound over all entries in some load.
+    /// budget does not use them: with counts that are some hundred milliseconds old, every rule
+    /// tried so far exceeded the bound over all entries in some load.
     pub requests: [u32; HALF_WINDOWS],
     /// Prefill placed per second, in milliseconds; decays with a time constant of one second.
     pub prefill_ms_per_s: f32,
--- a/crates/decide/tests/admission_under_load.rs
+++ b/crates/decide/tests/admission_under_load.rs
@@ -214,8 +214,8 @@
 }
 
 /// With half of the servers lost the demand is 1.6 times the capacity. The forecast stays below
-/// twice the deadline then, since requests leave the queue at their deadlines, so nothing is refused.
-/// With a quarter left it is 3.2 times.
+/// twice the deadline then, since requests leave the queue at their deadlines, so nothing is
+/// refused. With a quarter left it is 3.2 times.
 #[test]
 fn lost_servers_keep_busy_and_cause_refusals_until_they_return() {
     for (servers, is_refusing) in [(25, false), (12, true)] {
--- a/crates/decide/tests/fair_shares.rs
+++ b/crates/decide/tests/fair_shares.rs
@@ -244,7 +244,8 @@
     assert!(sum(&counts, |_, workspace| workspace == HOT).fraction() >= 0.09, "floor");
 }
 
-/// One in ten requests of each workspace gets through however small the level is.
+/// Guards against workspaces that get nothing: the minimum of one in ten requests of each priority
+/// must reach all of them.
 #[test]
 fn no_workspace_is_starved() {
     let mut load = Load::new(8);
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -182,7 +182,8 @@
         self.core.clock.simulate_suspension(time);
     }
 
-    /// Simulates that the load exchange has received this sum of the other entries' work; for tests.
+    /// Simulates that the load exchange has received this sum of the other entries' work; for
+    /// tests.
     pub fn simulate_peer_load(&self, peers: &LoadSummary) {
         let now = self.core.clock.now();
         self.core.state.borrow_mut().apply_load(Some(peers), now);
--- a/crates/direct/src/http/admission.rs
+++ b/crates/direct/src/http/admission.rs
@@ -254,7 +254,7 @@
     fn is_contended(&self, job: &Job) -> bool {
         let is_half_taken = self.places.is_some_and(|places| places.taken > places.total / 2);
         let is_utilized = self.utilization.is_some_and(|one| one > CONTENDED_UTILIZATION);
-        is_half_taken || (job.service.engine.is_some() && is_utilized)
+        is_half_taken && (job.service.engine.is_none() || is_utilized)
     }
 }
 
--- a/crates/direct/src/http/stream_progress.rs
+++ b/crates/direct/src/http/stream_progress.rs
@@ -15,7 +15,8 @@
     state::State,
 };
 
-/// Time for which the caller may not read before the stream's pace says nothing about the server.
+/// Time for which the caller may not read before the stream's pace is no
+/// measure of the server's.
 const MAX_CALLER_PAUSE: Duration = Duration::from_millis(50);
 /// Time for which a stream to be moved waits for the other server, as a multiple of the forecast.
 const MOVE_TIME_FACTOR: f64 = 4.0;
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -333,8 +333,8 @@
     Ok(from_message(&response, store)?)
 }
 
-/// Reads a body of at most `max_bytes` for as long as frames arrive. A large state on a narrow link takes longer than any
-/// sensible timeout for the start of a response.
+/// Reads a body of at most `max_bytes` for as long as frames arrive. A large state on a narrow link
+/// takes longer than any sensible timeout for the start of a response.
 pub(super) async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, PeerError> {
     let mut body = pin!(Limited::new(body, max_bytes));
     let mut read = BytesMut::new();
--- a/crates/direct/src/membership/load_exchange.rs
+++ b/crates/direct/src/membership/load_exchange.rs
@@ -34,11 +34,11 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum interval accepted from a peer; the largest message takes a third of it at the byte rate.
 const MAX_INTERVAL: Duration = Duration::from_secs(60);
-/// Part of the interval after which the sum is applied again. Summing the messages of 17 peers about
-/// 1,600 servers takes milliseconds, and these messages come seconds apart.
+/// Part of the interval after which the sum is applied again. Summing the messages of 17 peers
+/// about 1,600 servers takes milliseconds, and these messages come seconds apart.
 const APPLY_FRACTION: u32 = 10;
-/// Time by which an exchange may begin early, so that a timer that fires a moment early or late does
-/// not double the interval.
+/// Time by which an exchange may begin early, so that a timer that fires a moment early or late
+/// does not double the interval.
 const TIMER_TOLERANCE: Duration = Duration::from_millis(10);
 /// Half of the budget for control traffic of an entry.
 const BYTES_PER_S: f64 = 12_000.0;
--- a/crates/direct/tests/admission.rs
+++ b/crates/direct/tests/admission.rs
@@ -69,7 +69,8 @@
     ids.filter(|id| id.starts_with(prefix)).count()
 }
 
-/// Needs the places and the fresh view of the load exchange.
+/// Guards against a refusal that says "not run" for a request that was sent, and against one
+/// without a time to return.
 #[test]
 fn refusal_of_an_overloaded_service_is_truthful() {
     run_test(|world| async move {
@@ -93,8 +94,7 @@
     });
 }
 
-/// The log must show what a refusal was decided by. Needs the places and the fresh view of the load
-/// exchange.
+/// The log must show what a refusal was decided by.
 #[test]
 fn refusals_are_logged_with_their_reasons() {
     run_test(|world| async move {
@@ -127,8 +127,7 @@
     });
 }
 
-/// A request waits for a place that becomes free soon, before it is refused. Needs the places and
-/// the fresh view of the load exchange.
+/// A request waits for a place that becomes free soon, before it is refused.
 #[test]
 fn request_waits_for_a_place_that_becomes_free() {
     run_test(|world| async move {
@@ -157,7 +156,7 @@
     });
 }
 
-/// Needs the places and the fresh view of the load exchange.
+/// Guards against one workspace that takes all places, and against its refusals being untrue.
 #[test]
 fn excess_of_a_workspace_is_refused_truthfully() {
     run_test(|world| async move {
--- a/crates/direct/tests/head_wait.rs
+++ b/crates/direct/tests/head_wait.rs
@@ -42,8 +42,9 @@
     sleep(Duration::from_millis(20)).await;
 }
 
-/// Guards against requests that leave a busy server for one that is as busy, which costs their place
-/// in the queue and a further send. The load is that of a burst: 5 s of prefill at each server.
+/// Guards against requests that leave a busy server for one that is as busy, which costs their
+/// place in the queue and a further send. The load is that of a burst: 5 s of prefill at each
+/// server.
 #[test]
 fn request_waits_on_if_all_servers_are_as_busy() {
     run_test_with(SWITCHES, |world| async move {
--- a/crates/direct/tests/slow_streams.rs
+++ b/crates/direct/tests/slow_streams.rs
@@ -1,5 +1,5 @@
-//! Streams that would miss their deadline at a slow server: moved exactly, at most once, and kept if
-//! no other server takes them.
+//! Streams that would miss their deadline at a slow server: moved exactly, at most once, and kept
+//! if no other server takes them.
 
 mod common;
 
@@ -15,7 +15,7 @@
 
 const SWITCHES: &str = "[policy]\nshared_load=true\nslow_streams=true\n";
 /// Time between events at which a hundred events take 20 s, longer than the 8 s of the request.
-const CRAWL: Duration = Duration::from_millis(200);
+const SLOW_GAP: Duration = Duration::from_millis(200);
 
 fn stream(last: u32, gap: Duration) -> Behaviour {
     Behaviour::Stream { last, gap, confidence: None, cut_in: None }
@@ -49,10 +49,10 @@
 /// Guards against events that are lost or repeated when a stream is moved, and against slow streams
 /// that end at their deadline while another server is quick.
 #[test]
-fn crawling_stream_is_moved_exactly() {
+fn slow_stream_is_moved_exactly() {
     run_test_with(SWITCHES, |world| async move {
         let quick = Duration::from_millis(20);
-        start(&world, [stream(100, CRAWL), stream(100, quick)]).await;
+        start(&world, [stream(100, SLOW_GAP), stream(100, quick)]).await;
         for number in 0..6 {
             let response = world.call(hundred_tokens(&format!("r{number}"))).await;
             assert_eq!((response.body, response.is_complete), (events(1..=100), true));
@@ -65,7 +65,7 @@
 #[test]
 fn stream_is_moved_once() {
     run_test_with(SWITCHES, |world| async move {
-        start(&world, [stream(100, CRAWL), stream(100, CRAWL)]).await;
+        start(&world, [stream(100, SLOW_GAP), stream(100, SLOW_GAP)]).await;
         let response = world.call(hundred_tokens("r1")).await;
         assert!(!response.is_complete);
         assert!(events(1..=100).starts_with(&response.body), "{}", response.body);
@@ -74,11 +74,11 @@
     });
 }
 
-/// Guards against streams that are given up when the move fails.
+/// Guards against streams that are cut when the move fails.
 #[test]
 fn stream_is_kept_if_no_other_server_takes_it() {
     run_test_with(SWITCHES, |world| async move {
-        start(&world, [stream(30, CRAWL), Behaviour::NotRun(503)]).await;
+        start(&world, [stream(30, SLOW_GAP), Behaviour::NotRun(503)]).await;
         for number in 0..4 {
             let response = world.call(hundred_tokens(&format!("r{number}"))).await;
             assert_eq!((response.body, response.is_complete), (events(1..=30), true));
@@ -102,8 +102,8 @@
     {
         run_test_with(switches, |world| async move {
             world.configure(catalog(1));
-            world.start_server(1, "s", "v1", stream(30, CRAWL));
-            world.start_server(2, "s", "v1", stream(30, CRAWL));
+            world.start_server(1, "s", "v1", stream(30, SLOW_GAP));
+            world.start_server(2, "s", "v1", stream(30, SLOW_GAP));
             world.start().await;
             let response = world.call(hundred_tokens("r1")).await;
             assert_eq!((response.body, response.is_complete), (events(1..=30), true));
