--- a/crates/decide/src/direct/congestion.rs
+++ b/crates/decide/src/direct/congestion.rs
@@ -1,9 +1,10 @@
 //! Price of server time from the prefill that all entries place.
 
 /// Utilization up to which server time is free, and from which it has its highest price. The
-/// expected prefill is an upper estimate, since another entry may have had a part cached; so
-/// servers still decode at a utilization of 1.
-const UTILIZATION_BOUNDS: (f64, f64) = (0.7, 1.1);
+/// expected prefill is an upper estimate: another entry may have had a part cached, and an entry
+/// that has just started expects slow engines. With 0.7 and 1.1, a deployment with fast engines lost
+/// larger models on a day on which its servers had room.
+const UTILIZATION_BOUNDS: (f64, f64) = (0.9, 1.3);
 /// Factors of the price by priority, 0 being the most urgent; the last applies to all others.
 const PRIORITY_FACTORS: [f64; 3] = [1.0, 1.25, 1.5];
 
