--- a/crates/decide/src/direct/fleet/choice.rs
+++ b/crates/decide/src/direct/fleet/choice.rs
@@ -20,6 +20,8 @@
 pub(super) struct Candidate {
     pub(super) index: ServerIndex,
     cost: f64,
+    /// Whether the server is in another data centre; it never counts as equal to a local one.
+    is_remote: bool,
     pub(super) prefill_ms: f64,
     pub(super) first_byte_ms: f64,
     /// Part of that time due to other entries' requests and the server's pace, in milliseconds.
@@ -69,7 +71,9 @@
                 cost += f64::from(tokens) * uncached_ms_per_token;
             }
             let peer_ms = server.peer_ms(prefill_ms, now);
-            let candidate = Candidate { index, cost, prefill_ms, first_byte_ms, peer_ms };
+            let is_remote = server.info.data_centre != self.local_data_centre;
+            let candidate =
+                Candidate { index, cost, is_remote, prefill_ms, first_byte_ms, peer_ms };
             if spread_ms.is_some() {
                 candidates.push(candidate);
             }
@@ -80,7 +84,9 @@
         match (best, spread_ms) {
             (Some(best), Some(spread_ms)) if !self.holds_permit(best.index, now) => {
                 candidates.retain(|candidate| {
-                    candidate.index != best.index && candidate.cost <= best.cost + spread_ms
+                    candidate.index != best.index
+                        && candidate.is_remote == best.is_remote
+                        && candidate.cost <= best.cost + spread_ms
                 });
                 let held = candidates.iter().find(|one| self.holds_permit(one.index, now));
                 match held {
--- a/crates/decide/src/direct/fleet/peer_work.rs
+++ b/crates/decide/src/direct/fleet/peer_work.rs
@@ -41,9 +41,6 @@
 /// all entries chose the same servers right after an exchange, and in `tests/peer_work.rs` the
 /// answers began later than without a view.
 const RECEIVED_AGE_MS: f64 = 100.0;
-/// Largest difference in cost within which servers count as equal, in milliseconds: half of the cost
-/// of a server in another data centre, which must not count as equal to a local one.
-const MAX_SPREAD_MS: f64 = 75.0;
 /// Rate below which a service counts as idle, in milliseconds per second.
 const MIN_RATE_MS_PER_S: f64 = 0.01;
 
@@ -193,7 +190,7 @@
     pub fn spread_ms(&self, prefill_ms: f64, now: Duration) -> Option<f64> {
         let elapsed = now.saturating_sub(self.received_at?);
         let age_ms = RECEIVED_AGE_MS + elapsed.as_secs_f64() * 1_000.0;
-        Some((prefill_ms * (age_ms / SPREAD_AGE_MS).min(1.0)).min(MAX_SPREAD_MS))
+        Some(prefill_ms * (age_ms / SPREAD_AGE_MS).min(1.0))
     }
 }
 
