--- a/crates/direct/src/membership/load_exchange.rs
+++ b/crates/direct/src/membership/load_exchange.rs
@@ -34,6 +34,9 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum interval accepted from a peer; the largest message takes a third of it at the byte rate.
 const MAX_INTERVAL: Duration = Duration::from_secs(60);
+/// Longest interval at which the sum is used. A view that is a second old places worse than none
+/// (`decide/tests/peer_work.rs`), and a sum is some intervals old after its way through the tree.
+const MAX_USED_INTERVAL: Duration = Duration::from_millis(600);
 /// Part of the interval after which the sum is applied again. Summing the messages of 17 peers
 /// about 1,600 servers takes milliseconds, and these messages come seconds apart.
 const APPLY_FRACTION: u32 = 10;
@@ -287,7 +290,8 @@
     /// Passes the sum over the other entries on to the decisions.
     fn apply_peer_load(&self) {
         let now = self.clock.now();
-        let peers = self.load_exchange.peers(now);
+        let is_current = self.load_exchange.interval.get() <= MAX_USED_INTERVAL;
+        let peers = self.load_exchange.peers(now).filter(|_| is_current);
         self.state.borrow_mut().apply_load(peers.as_ref(), now);
     }
 
