Retry budget: a window has the share of the extra that was in force when it began

Cause: the extra was split by the list of entries as it is now. Entries that are listed one after the other within a window take half, a quarter, a sixth ... of it, and one that starts again takes its share anew.

Why the fix works: at any moment the shares in force add up to the bound, and each entry's sends of a window are limited by its share at the window's begin, so their sum is too. An entry that has just been listed uses the ratio alone for its first window.

--- a/crates/decide/src/direct/window_budget.rs
+++ b/crates/decide/src/direct/window_budget.rs
@@ -4,12 +4,12 @@
 //! plus a fixed extra. The requests are those of the window, of the window before it or of the
 //! window half a window before it, whichever has the most.
 //!
-//! No entry knows what the others have sent, so each keeps a bound of its own that adds up. For
-//! every window that begins within the last window's length, its further sends are at most
+//! No entry knows what the others have sent, so each keeps a bound of its own that adds up. In
+//! every window, its further sends are at most
 //!
 //! ```text
 //! ratio * (CURRENT_SHARE * requests in the window so far + SAVED_SHARE * requests in the window
-//! before it) + its share of the extra
+//! before it) + its share of the extra when the window began
 //! ```
 //!
 //! The weights are the same at all entries, so the sum over any entries is a weighted mean of the
@@ -23,21 +23,21 @@
 use super::load_summary::HALF_WINDOWS;
 
 /// Slices of a window; the resolution at which requests and sends are counted.
-const WINDOW_SLICES: u64 = 400;
+const WINDOW_SLICES: usize = 400;
 /// Slices of half a window.
-const HALF_WINDOW_SLICES: usize = WINDOW_SLICES as usize / 2;
+const HALF_WINDOW_SLICES: usize = WINDOW_SLICES / 2;
 /// Slices by which the sends of a window may be counted too early: one since a window may begin
 /// within a slice, the others since a send reaches its server some time after it is counted.
-const MARGIN_SLICES: u64 = 4;
+const MARGIN_SLICES: usize = 4;
 /// Slices with which the checked windows begin.
-const CHECKED_SLICES: usize = (WINDOW_SLICES + MARGIN_SLICES) as usize;
+const CHECKED_SLICES: usize = WINDOW_SLICES + MARGIN_SLICES;
 /// Slices kept: those of the longest checked window and of the window before it.
-const KEPT_SLICES: usize = CHECKED_SLICES + WINDOW_SLICES as usize;
+const KEPT_SLICES: usize = CHECKED_SLICES + WINDOW_SLICES;
 
 /// Share of the ratio that a request allows at once.
 const CURRENT_SHARE: f64 = 0.85;
-/// Share of the ratio that a request allows in a window that begins after it. Together the shares
-/// leave what arrives with even traffic in [`MARGIN_SLICES`].
+/// Share of the ratio that a request allows in a window that begins after it. With even traffic,
+/// both shares of [`MARGIN_SLICES`] more than a window still fit the ratio.
 const SAVED_SHARE: f64 = 1.0 - CURRENT_SHARE - MARGIN_SLICES as f64 / WINDOW_SLICES as f64;
 
 /// Allowance of a window.
@@ -55,10 +55,20 @@
     pub rounding: f64,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 struct Slice {
     requests: u32,
     further_sends: u32,
+    /// [`WindowLimits::extra`] and [`WindowLimits::rounding`] when the slice began.
+    extra: f64,
+    rounding: f64,
+}
+
+impl Slice {
+    fn empty(limits: &WindowLimits) -> Self {
+        let WindowLimits { extra, rounding, .. } = *limits;
+        Slice { requests: 0, further_sends: 0, extra, rounding }
+    }
 }
 
 /// Requests and further sends of one service over a sliding window.
@@ -72,12 +82,15 @@
 impl WindowBudget {
     /// Creates an empty window.
     pub fn new(limits: WindowLimits) -> Self {
-        WindowBudget { limits, slices: vec![Slice::default(); KEPT_SLICES], newest: 0 }
+        WindowBudget { limits, slices: vec![Slice::empty(&limits); KEPT_SLICES], newest: 0 }
     }
 
-    /// Replaces the limits after the entries that share them have changed.
-    pub fn set_limits(&mut self, limits: WindowLimits) {
-        self.limits = limits;
+    /// Replaces the share of the extra after the entries that share it have changed. Windows that
+    /// have begun keep the share before: by then the other entries may have used theirs, or an
+    /// earlier process of this entry.
+    pub fn set_share(&mut self, extra: f64, rounding: f64, now: Duration) {
+        self.current(now);
+        self.limits = WindowLimits { extra, rounding, ..self.limits };
     }
 
     /// Counts a request.
@@ -108,21 +121,20 @@
     /// Whether one further send could be taken.
     pub fn has_room(&mut self, now: Duration, spare: f64) -> bool {
         self.current(now);
-        let WindowLimits { ratio, extra, rounding, .. } = self.limits;
-        let window = WINDOW_SLICES as usize;
+        let ratio = self.limits.ratio;
         // Requests and further sends since a slice began, and the requests of a window before it.
         let (mut requests, mut further_sends) = (0, 0);
-        let last_window = self.latest_first().take(window).map(|slice| slice.requests);
-        let mut earlier_requests: u32 = last_window.sum();
-        let pairs = self.latest_first().zip(self.latest_first().skip(window));
+        let last_window = self.latest_first().take(WINDOW_SLICES);
+        let mut earlier_requests: u32 = last_window.map(|slice| slice.requests).sum();
+        let pairs = self.latest_first().zip(self.latest_first().skip(WINDOW_SLICES));
         pairs.take(CHECKED_SLICES).all(|(slice, window_earlier)| {
             requests += slice.requests;
             further_sends += slice.further_sends;
             earlier_requests = earlier_requests + window_earlier.requests - slice.requests;
             let basis =
                 CURRENT_SHARE * f64::from(requests) + SAVED_SHARE * f64::from(earlier_requests);
-            let allowed = ratio * basis + extra;
-            f64::from(further_sends) + 1.0 <= allowed * (1.0 - spare) + rounding
+            let allowed = ratio * basis + slice.extra;
+            f64::from(further_sends) + 1.0 <= allowed * (1.0 - spare) + slice.rounding
         })
     }
 
@@ -137,7 +149,8 @@
         let slice_number = (now.as_nanos() / slice_length.as_nanos().max(1)) as u64;
         let elapsed_slices = slice_number.saturating_sub(self.newest).min(KEPT_SLICES as u64);
         for step in 0..elapsed_slices {
-            self.slices[(slice_number - step) as usize % KEPT_SLICES] = Slice::default();
+            let index = (slice_number - step) as usize % KEPT_SLICES;
+            self.slices[index] = Slice::empty(&self.limits);
         }
         self.newest = slice_number.max(self.newest);
         &mut self.slices[self.newest as usize % KEPT_SLICES]
--- a/crates/decide/tests/shared_bounds_moving_callers.rs
+++ b/crates/decide/tests/shared_bounds_moving_callers.rs
@@ -145,3 +145,57 @@
 fn further_sends_of_hundreds_of_entries_stay_within_the_bound_while_callers_move_among_groups() {
     check(&[(105, 3, 300.0), (357, 2, 900.0), (1_000, 3, 3_000.0)], 1);
 }
+
+/// Further sends of all entries in a window in which they are listed one after the other and
+/// everything fails. `lives` is how often each entry starts; a new process remembers nothing.
+fn sends_while_listed(entries: usize, listed_over: Duration, lives: usize) -> f64 {
+    let names: Vec<String> = (0..entries).map(|entry| format!("entry-{entry}")).collect();
+    let unlisted = WindowLimits { ratio: RATIO, extra: 0.0, window: WINDOW, rounding: 0.0 };
+    let mut further_sends = 0.0;
+    for life in 0..lives {
+        let start = WINDOW * 3 + listed_over * life as u32;
+        let mut budgets = vec![WindowBudget::new(unlisted); entries];
+        for listed in 1..=entries {
+            let now = start + listed_over * listed as u32 / entries as u32;
+            for (budget, own) in budgets.iter_mut().zip(&names) {
+                let mut sharing = BoundSharing::new(own);
+                let known = if life == 0 { listed } else { entries };
+                sharing.set_entries(names[..known].iter().map(String::as_str));
+                budget.set_share(EXTRA * sharing.fraction(), sharing.rounding(), now);
+                while budget.try_take(now, 0.0) {
+                    further_sends += 1.0;
+                }
+            }
+        }
+    }
+    further_sends
+}
+
+/// Guards against shares by the list before and by the list after in one window.
+#[test]
+fn shares_of_a_list_that_grows_within_a_window_stay_within_the_bound() {
+    for entries in [4, 27, 357] {
+        let further_sends = sends_while_listed(entries, WINDOW * 9 / 10, 1);
+        assert!(further_sends <= EXTRA, "{entries} entries: {further_sends} of {EXTRA}");
+    }
+}
+
+/// Guards against entries that use their share again after a restart.
+#[test]
+fn restarts_within_a_window_stay_within_the_bound() {
+    for entries in [1, 4, 27] {
+        let further_sends = sends_while_listed(entries, WINDOW / 4, 4);
+        assert!(further_sends <= EXTRA, "{entries} entries: {further_sends} of {EXTRA}");
+    }
+}
+
+#[test]
+fn the_whole_share_is_usable_a_window_after_an_entry_was_listed() {
+    let mut budget = budgets(4).swap_remove(0);
+    let extra = EXTRA / 8.0;
+    budget.set_share(0.0, 0.0, WINDOW);
+    budget.set_share(extra, 0.0, WINDOW * 3);
+    let mut taken = |now| (0..50).filter(|_| budget.try_take(now, 0.0)).count();
+    assert_eq!(taken(WINDOW * 7 / 2), 0);
+    assert_eq!(taken(WINDOW * 9 / 2), extra as usize);
+}
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -207,7 +207,8 @@
     /// Shares the global bounds among the entries listed now.
     pub fn update_bound_shares(&self) {
         let names = self.members.names();
-        self.state.borrow_mut().set_bound_sharing(names.iter().map(String::as_str));
+        let now = self.clock.now();
+        self.state.borrow_mut().set_bound_sharing(names.iter().map(String::as_str), now);
     }
 
     /// Counters, histograms and gauges in text form, one per line.
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -72,8 +72,10 @@
     pub successful_contents: SuccessfulContents,
     /// Random number generator.
     pub rng: SmallRng,
-    /// Limits of the retry budgets; `extra` is shared by all entries.
-    limits: WindowLimits,
+    /// Sends beyond the ratio of the retry budgets, over all entries.
+    retry_extra: f64,
+    /// A retry budget as of now without requests and sends.
+    unused_budget: WindowBudget,
     local_data_centre: String,
     scoring_terms: ScoringTerms,
     cold_bound: Option<ColdServerBound>,
@@ -85,6 +87,10 @@
     pub fn new(settings: &DirectSettings, seed: u64) -> Self {
         let retries = settings.retries;
         let memory_s = settings.session_ttl.as_secs_f64() + MAX_REQUEST_S;
+        let bound_sharing = match settings.peers {
+            Some(_) => BoundSharing::new(&settings.name),
+            None => BoundSharing::sole(&settings.name),
+        };
         State {
             catalog: None,
             freshness: Freshness::new(settings.state_bound, settings.key_bound),
@@ -106,12 +112,13 @@
             quarantine: Quarantine::default(),
             successful_contents: SuccessfulContents::default(),
             rng: SmallRng::seed_from_u64(seed),
-            limits: WindowLimits {
+            retry_extra: retries.extra,
+            unused_budget: WindowBudget::new(WindowLimits {
                 ratio: retries.ratio,
-                extra: retries.extra,
+                extra: retries.extra * bound_sharing.fraction(),
                 window: retries.window,
-                rounding: 0.0,
-            },
+                rounding: bound_sharing.rounding(),
+            }),
             local_data_centre: settings.data_centre.clone(),
             scoring_terms: ScoringTerms {
                 named_servers: settings.policy.named_servers,
@@ -123,10 +130,7 @@
                 tolerance: warm_up.tolerance,
                 report_delay: warm_up.heartbeat * HEARTBEATS_TO_REPORT,
             }),
-            bound_sharing: match settings.peers {
-                Some(_) => BoundSharing::new(&settings.name),
-                None => BoundSharing::sole(&settings.name),
-            },
+            bound_sharing,
         }
     }
 
@@ -161,10 +165,13 @@
     }
 
     /// Sets the names of the entries that share the global bounds.
-    pub fn set_bound_sharing<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
+    pub fn set_bound_sharing<'a>(&mut self, names: impl Iterator<Item = &'a str>, now: Duration) {
         self.bound_sharing.set_entries(names);
-        let limits = self.own_limits();
-        self.budgets.values_mut().for_each(|budget| budget.set_limits(limits));
+        let extra = self.retry_extra * self.bound_sharing.fraction();
+        let rounding = self.bound_sharing.rounding();
+        for budget in self.budgets.values_mut().chain([&mut self.unused_budget]) {
+            budget.set_share(extra, rounding, now);
+        }
         for fleet in self.fleets.values_mut() {
             fleet.set_bound_sharing(&self.bound_sharing);
         }
@@ -186,19 +193,10 @@
         was_evacuated
     }
 
-    /// This entry's share of the retry limits.
-    fn own_limits(&self) -> WindowLimits {
-        WindowLimits {
-            extra: self.limits.extra * self.bound_sharing.fraction(),
-            rounding: self.bound_sharing.rounding(),
-            ..self.limits
-        }
-    }
-
     /// The retry budget of a service, created on first use.
     pub fn budget(&mut self, service: &ServiceId) -> &mut WindowBudget {
-        let limits = self.own_limits();
-        self.budgets.entry(service.clone()).or_insert_with(|| WindowBudget::new(limits))
+        let State { budgets, unused_budget, .. } = self;
+        budgets.entry(service.clone()).or_insert_with(|| unused_budget.clone())
     }
 
     /// The admission of a service, created on first use.
