Retry budget: an eighth of the extra is usable at once after an entry was listed

Cause: windows that began before an entry was listed had none of its share.

Why the fix works: half of the extra is kept for a second list of entries. An eighth of each share in windows that began before fits in it with the list growing from one to 1,000 entries in a window (.43 of that half for 1,000), and with four restarts.

--- a/crates/decide/src/direct/window_budget.rs
+++ b/crates/decide/src/direct/window_budget.rs
@@ -12,6 +12,8 @@
 //! before it) + its share of the extra when the window began
 //! ```
 //!
+//! An entry that was not listed yet when the window began may use [`FIRST_SHARE`] of its share.
+//!
 //! The weights are the same at all entries, so the sum over any entries is a weighted mean of the
 //! requests of two windows, which is at most the larger of the two, wherever callers move.
 //!
@@ -40,6 +42,11 @@
 /// both shares of [`MARGIN_SLICES`] more than a window still fit the ratio.
 const SAVED_SHARE: f64 = 1.0 - CURRENT_SHARE - MARGIN_SLICES as f64 / WINDOW_SLICES as f64;
 
+/// Share of the extra that an entry may use in windows which began before it was listed. Others may
+/// have used the rest, or an earlier process of this entry. The list may grow from one entry to
+/// 1,000 within a window, or each entry restart four times.
+const FIRST_SHARE: f64 = 0.125;
+
 /// Allowance of a window.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WindowLimits {
@@ -59,15 +66,13 @@
 struct Slice {
     requests: u32,
     further_sends: u32,
-    /// [`WindowLimits::extra`] and [`WindowLimits::rounding`] when the slice began.
+    /// [`WindowLimits::extra`] when the slice began.
     extra: f64,
-    rounding: f64,
 }
 
 impl Slice {
     fn empty(limits: &WindowLimits) -> Self {
-        let WindowLimits { extra, rounding, .. } = *limits;
-        Slice { requests: 0, further_sends: 0, extra, rounding }
+        Slice { requests: 0, further_sends: 0, extra: limits.extra }
     }
 }
 
@@ -86,8 +91,7 @@
     }
 
     /// Replaces the share of the extra after the entries that share it have changed. Windows that
-    /// have begun keep the share before: by then the other entries may have used theirs, or an
-    /// earlier process of this entry.
+    /// have begun keep the share before, since the other entries may have used theirs.
     pub fn set_share(&mut self, extra: f64, rounding: f64, now: Duration) {
         self.current(now);
         self.limits = WindowLimits { extra, rounding, ..self.limits };
@@ -121,7 +125,7 @@
     /// Whether one further send could be taken.
     pub fn has_room(&mut self, now: Duration, spare: f64) -> bool {
         self.current(now);
-        let ratio = self.limits.ratio;
+        let WindowLimits { ratio, extra, rounding, .. } = self.limits;
         // Requests and further sends since a slice began, and the requests of a window before it.
         let (mut requests, mut further_sends) = (0, 0);
         let last_window = self.latest_first().take(WINDOW_SLICES);
@@ -133,8 +137,8 @@
             earlier_requests = earlier_requests + window_earlier.requests - slice.requests;
             let basis =
                 CURRENT_SHARE * f64::from(requests) + SAVED_SHARE * f64::from(earlier_requests);
-            let allowed = ratio * basis + slice.extra;
-            f64::from(further_sends) + 1.0 <= allowed * (1.0 - spare) + slice.rounding
+            let allowed = ratio * basis + slice.extra.max(FIRST_SHARE * extra);
+            f64::from(further_sends) + 1.0 <= allowed * (1.0 - spare) + rounding
         })
     }
 
