Retry budget: sends that are not made are put back, late ones are taken again

What callers saw: by reading and tests. Where requests meet servers that reject them and no other is left, the budget was empty although nothing was retried: afterwards broken streams were cut and larger models not asked for up to ten seconds.

Cause: a retry, a resume or a larger model took its send before it was known whether a server would take it, and kept it. A resume took one for each server that it could not reach. A send that waited for a server counted in the window of its taking, and reached the server in a later one.

Counter further_sends_put_back_total.

--- a/crates/decide/src/direct/window_budget.rs
+++ b/crates/decide/src/direct/window_budget.rs
@@ -31,6 +31,9 @@
 /// Slices by which the sends of a window may be counted too early: one since a window may begin
 /// within a slice, the others since a send reaches its server some time after it is counted.
 const MARGIN_SLICES: usize = 4;
+/// Slices between the taking of a send and the send; the rest of the margin is for its way to the
+/// server.
+const MAX_DELAY_SLICES: u64 = MARGIN_SLICES as u64 / 2;
 /// Slices with which the checked windows begin.
 const CHECKED_SLICES: usize = WINDOW_SLICES + MARGIN_SLICES;
 /// Slices kept: those of the longest checked window and of the window before it.
@@ -122,6 +125,21 @@
         has_room
     }
 
+    /// Puts a send back that was taken at `taken_at` and will not be made.
+    pub fn put_back(&mut self, taken_at: Duration) {
+        let number = self.slice_number(taken_at);
+        if number + KEPT_SLICES as u64 > self.newest {
+            let slice = &mut self.slices[number as usize % KEPT_SLICES];
+            slice.further_sends = slice.further_sends.saturating_sub(1);
+        }
+    }
+
+    /// Whether a send that was taken at `taken_at` still counts for the windows that it reaches its
+    /// server in, if it is made now. Otherwise it has to be taken again.
+    pub fn covers(&self, taken_at: Duration, now: Duration) -> bool {
+        self.slice_number(now) <= self.slice_number(taken_at) + MAX_DELAY_SLICES
+    }
+
     /// Whether one further send could be taken.
     pub fn has_room(&mut self, now: Duration, spare: f64) -> bool {
         self.current(now);
@@ -148,9 +166,13 @@
         wrapped.iter().rev().chain(oldest.iter().rev())
     }
 
-    fn current(&mut self, now: Duration) -> &mut Slice {
+    fn slice_number(&self, at: Duration) -> u64 {
         let slice_length = self.limits.window / WINDOW_SLICES as u32;
-        let slice_number = (now.as_nanos() / slice_length.as_nanos().max(1)) as u64;
+        (at.as_nanos() / slice_length.as_nanos().max(1)) as u64
+    }
+
+    fn current(&mut self, now: Duration) -> &mut Slice {
+        let slice_number = self.slice_number(now);
         let elapsed_slices = slice_number.saturating_sub(self.newest).min(KEPT_SLICES as u64);
         for step in 0..elapsed_slices {
             let index = (slice_number - step) as usize % KEPT_SLICES;
--- a/crates/decide/tests/shared_bounds_moving_callers.rs
+++ b/crates/decide/tests/shared_bounds_moving_callers.rs
@@ -22,6 +22,15 @@
     /// Groups of entries; all callers are at one of them at a time.
     groups: usize,
     requests_per_s: f64,
+    /// Time between the taking of a send and the send, in every second group.
+    delay: Duration,
+}
+
+/// A send that has been taken from the budget of an entry.
+struct TakenSend {
+    entry: usize,
+    taken_at: Duration,
+    made_in_step: usize,
 }
 
 /// When the entries of a group take all the sends that they may.
@@ -78,6 +87,8 @@
             *ways.choose(&mut rng).expect("not empty")
         })
         .collect();
+    let delay_steps = (layout.delay.as_millis() / STEP.as_millis()) as usize;
+    let mut waiting: Vec<TakenSend> = Vec::new();
     let (mut requests, mut sends) = (vec![0.0; RUN_STEPS], vec![0.0; RUN_STEPS]);
     for step in 0..RUN_STEPS {
         let here = callers[step];
@@ -98,9 +109,18 @@
                 Sending::From(from) => step >= from,
             };
             while sends_now && budget.try_take(time(entry), 0.0) {
-                sends[step] += 1.0;
+                let made_in_step = step + if group.is_multiple_of(2) { delay_steps } else { 0 };
+                waiting.push(TakenSend { entry, taken_at: time(entry), made_in_step });
             }
         }
+        for send in waiting.extract_if(.., |send| send.made_in_step == step) {
+            let (budget, now) = (&mut budgets[send.entry], time(send.entry));
+            let is_made = budget.covers(send.taken_at, now) || {
+                budget.put_back(send.taken_at);
+                budget.try_take(now, 0.0)
+            };
+            sends[step] += f64::from(u8::from(is_made));
+        }
     }
     let peak = (2 * WINDOW_STEPS..RUN_STEPS - WINDOW_STEPS).map(|begin| {
         let earlier = |steps: usize| sum(&requests, begin - steps, WINDOW_STEPS);
@@ -111,11 +131,11 @@
 }
 
 /// Checks every window of runs with these layouts and seeds.
-fn check(layouts: &[(usize, usize, f64)], seeds: u64) {
+fn check(layouts: &[(usize, usize, f64)], delay: Duration, seeds: u64) {
     let mut broken = Vec::new();
     let mut worst: f64 = 0.0;
     for (entries, groups, requests_per_s) in layouts.iter().copied() {
-        let layout = Layout { entries, groups, requests_per_s };
+        let layout = Layout { entries, groups, requests_per_s, delay };
         for seed in 0..seeds {
             let peak = peak_use(layout, seed);
             worst = worst.max(peak);
@@ -133,17 +153,23 @@
 
 #[test]
 fn further_sends_of_few_entries_stay_within_the_bound_while_callers_move_among_groups() {
-    check(&[(2, 2, 25.0), (4, 2, 60.0), (4, 4, 300.0)], 12);
+    check(&[(2, 2, 25.0), (4, 2, 60.0), (4, 4, 300.0)], Duration::ZERO, 12);
 }
 
 #[test]
 fn further_sends_of_27_entries_stay_within_the_bound_while_callers_move_among_groups() {
-    check(&[(27, 2, 60.0), (27, 3, 300.0), (27, 9, 200.0)], 4);
+    check(&[(27, 2, 60.0), (27, 3, 300.0), (27, 9, 200.0)], Duration::ZERO, 4);
 }
 
 #[test]
 fn further_sends_of_hundreds_of_entries_stay_within_the_bound_while_callers_move_among_groups() {
-    check(&[(105, 3, 300.0), (357, 2, 900.0), (1_000, 3, 3_000.0)], 1);
+    check(&[(105, 3, 300.0), (357, 2, 900.0), (1_000, 3, 3_000.0)], Duration::ZERO, 1);
+}
+
+/// Guards against sends that wait for a server until windows in which they were not counted.
+#[test]
+fn sends_made_long_after_they_were_taken_stay_within_the_bound() {
+    check(&[(4, 2, 60.0), (4, 4, 300.0), (27, 3, 200.0)], Duration::from_secs(2), 6);
 }
 
 /// Further sends of all entries in a window in which they are listed one after the other and
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -4,6 +4,7 @@
 mod body;
 mod body_channel;
 mod events;
+mod further_send;
 mod head_wait;
 mod in_flight;
 mod listen;
--- a/crates/direct/src/http/in_flight.rs
+++ b/crates/direct/src/http/in_flight.rs
@@ -1,6 +1,6 @@
 //! State of a request in flight, and its sends to backend servers.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use http_body_util::Full;
 use hyper::{
@@ -15,6 +15,7 @@
 use pondwalk_types::{ServerId, VersionId};
 use tokio::time::sleep;
 
+use super::further_send::FurtherSend;
 use crate::{
     core::Core,
     metrics::Counter,
@@ -73,6 +74,8 @@
     pub is_counted: bool,
     /// Placement of the next send, if reserved in advance.
     pub(super) reserved: Option<Placement>,
+    /// The next send, if it is not the first. Each send but the first needs one.
+    pub(super) further_send: Option<FurtherSend>,
     /// Lease for running as a probe, as long as no server has crashed during it.
     pub probe: Option<Rc<ProbeLease>>,
     _guard: InFlightGuard,
@@ -94,6 +97,7 @@
             may_have_run: false,
             is_counted: false,
             reserved: None,
+            further_send: None,
             probe: None,
             _guard: guard,
         }
@@ -112,6 +116,7 @@
             may_have_run: true,
             is_counted: self.is_counted,
             reserved: None,
+            further_send: None,
             probe: self.probe.clone(),
             _guard: InFlightGuard::enter(&self.core),
         }
@@ -192,10 +197,18 @@
         let request = self.build_request(placement, last_event_id);
         let until = self.core.clock.instant(until);
         let connect = &self.core.connect;
-        let may_send = || self.is_key_valid() && self.is_sendable() && placement.may_dispatch();
+        let further_send = Cell::new(self.further_send.take());
+        let may_send = || {
+            self.is_key_valid()
+                && self.is_sendable()
+                && self.may_make(&further_send)
+                && placement.may_dispatch()
+                && mark_made(&further_send)
+        };
         let extend = || Some(self.core.clock.instant(extend()?));
         let sent = upstream::send(connect, placement.address, request, until, may_send, extend);
         let sent = sent.await;
+        self.further_send = further_send.into_inner();
         if matches!(sent, Err(SendError::Withheld)) {
             self.core.metrics.count(Counter::Withheld);
         }
@@ -232,12 +245,29 @@
         is_known && state.freshness.accepts_keys(self.core.clock.now())
     }
 
-    /// Takes one send from the request's own limit and from the shared budget.
-    pub fn try_take_send(&self, spare: f64) -> bool {
-        let now = self.core.clock.now();
-        let service = &self.job.service.name;
-        self.sends < self.job.route.max_attempts
-            && self.core.state.borrow_mut().budget(service).try_take(now, spare)
+    /// Takes one send from the request's own limit and from the shared budget, unless one that was
+    /// taken before is still to be made.
+    pub fn try_take_send(&mut self, spare: f64) -> bool {
+        if self.further_send.is_none() && self.sends < self.job.route.max_attempts {
+            self.further_send = FurtherSend::take(&self.core, &self.job.service.name, spare);
+        }
+        self.further_send.is_some()
+    }
+
+    /// Whether the budget does not cover a send that the request waits for any more.
+    pub fn has_lost_send(&self) -> bool {
+        self.sends > 0 && self.further_send.is_none()
+    }
+
+    /// Whether the budget allows the next send now.
+    fn may_make(&self, further_send: &Cell<Option<FurtherSend>>) -> bool {
+        if self.sends == 0 {
+            return true;
+        }
+        let renewed = further_send.take().and_then(FurtherSend::renew);
+        let may_make = renewed.is_some();
+        further_send.set(renewed);
+        may_make
     }
 
     /// Whether one more send is available.
@@ -331,6 +361,12 @@
     }
 }
 
+/// Records that the request's first byte is sent next.
+fn mark_made(further_send: &Cell<Option<FurtherSend>>) -> bool {
+    further_send.take().into_iter().for_each(FurtherSend::mark_made);
+    true
+}
+
 /// Sets a header. Values that are not valid in a header were rejected where they came from.
 fn set_header(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -96,10 +96,12 @@
             Err(SendError::Withheld) => {
                 placement.mark_finished();
                 self.log_failed_send(&placement, "withheld", String::new());
-                if self.is_key_valid() {
-                    AttemptResult::Retry
-                } else {
+                if !self.is_key_valid() {
                     AttemptResult::Refuse(Refusal::Stale)
+                } else if self.has_lost_send() {
+                    AttemptResult::Refuse(self.rejection_refusal())
+                } else {
+                    AttemptResult::Retry
                 }
             }
             Err(SendError::Broken(detail)) => {
@@ -190,6 +192,7 @@
         if self.reserve(certainty).await {
             return true;
         }
+        self.further_send = None;
         self.avoid.pop();
         self.failed_version = failed;
         false
@@ -242,6 +245,7 @@
         }
         let discarded = std::mem::replace(&mut self.model, next);
         if !self.reserve(certainty).await {
+            self.further_send = None;
             self.model = discarded;
             return false;
         }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -28,6 +28,8 @@
     Sends,
     /// Requests sent beyond the first attempt.
     FurtherSends,
+    /// Sends taken from the retry budget that were not made, or too late.
+    FurtherSendsPutBack,
     /// Requests that a backend server rejected without running them.
     NotRun,
     /// Backend servers that reported in a response that they are draining.
@@ -96,6 +98,7 @@
             Counter::Abandoned => "abandoned_total",
             Counter::Sends => "sends_total",
             Counter::FurtherSends => "further_sends_total",
+            Counter::FurtherSendsPutBack => "further_sends_put_back_total",
             Counter::NotRun => "not_run_total",
             Counter::ServersDraining => "told_leaving_total",
             Counter::BackoffsRequested => "asked_backoff_total",
