Callers that pause with a closed receive window are no longer cut

What callers saw: a reset in the middle of an answer when they read nothing for some three seconds and their receive buffer was full.

Cause: TCP_USER_TIMEOUT (2.5 s) counts window probes that are acknowledged with a closed window as well as data that is not acknowledged, and callers had the limit that is meant for dead servers.

Why the fix works: 30 s is longer than any request's deadline, so the deadline ends a request first.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
+    net::TcpListener,
     task::spawn_local,
     time::{sleep, sleep_until},
 };
@@ -136,6 +137,11 @@
         });
     }
 
+    /// Accepts callers' connections until the process ends.
+    pub async fn accept(self, listener: TcpListener) {
+        http::accept(self, listener).await;
+    }
+
     /// Serves the requests on a caller's connection.
     pub async fn serve<I>(&self, io: I)
     where
--- a/crates/direct/src/http/listen.rs
+++ b/crates/direct/src/http/listen.rs
@@ -27,6 +27,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Size of a connection's read buffer beyond the maximum head, for the start of a body.
 const BODY_BUFFER_BYTES: usize = 8 * 1024;
+/// `TCP_USER_TIMEOUT` of a caller's connection. It also ends connections whose receive window stays
+/// closed, so it is longer than any request's deadline: a caller that reads slowly is not cut.
+const CALLER_TCP_USER_TIMEOUT: Duration = Duration::from_secs(30);
 /// How many idle timeouts a connection may stay idle, so that a caller that reuses a connection
 /// just before its own idle timeout does not find it closing.
 const IDLE_TIMEOUT_FACTOR: u32 = 2;
@@ -66,7 +69,7 @@
     accept_loop(&core, listener, |stream| {
         // Setting an option fails only on a closed socket, which serving it reports.
         let _ = stream.set_nodelay(true);
-        let _ = set_tcp_timeouts(&stream);
+        let _ = set_tcp_timeouts(&stream, CALLER_TCP_USER_TIMEOUT);
         let entry = entry.clone();
         spawn_local(async move { entry.serve(stream).await });
     })
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -105,7 +105,7 @@
     if let Some(listener) = peers {
         spawn_local(http::serve_peers(entry.clone(), listener));
     }
-    spawn_local(http::accept(entry.clone(), callers));
+    spawn_local(entry.clone().accept(callers));
     wait_for_stop(&entry).await?;
     entry.drain().await;
     Ok(())
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -30,8 +30,8 @@
 /// Connect timeout. A connection opens in a few milliseconds; a SYN dropped at a full queue is
 /// retransmitted only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// `TCP_USER_TIMEOUT`: time after which unacknowledged data closes a connection.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// `TCP_USER_TIMEOUT` of a connection to a server.
+const SERVER_TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before TCP keepalive probes, and interval between them.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -56,7 +56,7 @@
         Box::pin(async move {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
-            set_tcp_timeouts(&stream)?;
+            set_tcp_timeouts(&stream, SERVER_TCP_USER_TIMEOUT)?;
             Ok(Box::new(stream) as BoxedDuplex)
         })
     })
@@ -141,13 +141,14 @@
     }
 }
 
-/// Makes connections to unresponsive peers fail within seconds.
-pub fn set_tcp_timeouts(stream: &TcpStream) -> io::Result<()> {
+/// Makes connections to unresponsive peers fail after `user_timeout`: with keepalive probes or data
+/// that the peer does not acknowledge, or with a receive window that it keeps closed.
+pub fn set_tcp_timeouts(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     let socket = SockRef::from(stream);
     let probes =
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
 
 fn connect_error(error: io::Error) -> SendError {
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -114,6 +114,13 @@
     run_test_with("", test);
 }
 
+/// Runs a test on real time and real sockets.
+pub fn run_test_on_sockets<F: Future<Output = ()>>(test: impl FnOnce(World) -> F) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async { test(World::new(settings("e1", None))).await });
+}
+
 /// Like [`run_test`], with further lines in the entry's settings.
 pub fn run_test_with<F: Future<Output = ()>>(further: &str, test: impl FnOnce(World) -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
