A restored store beside agents loses no accepted configuration

After the store came back from a copy, a withdrawal that had been in force was gone from it, and the next change was accepted under a number that entries had already: all ignored it.

Cause: a watch of a store that has not reached the last revision again is quiet, and quiet counted as a confirmation; generations were ordered by number alone.

Evidence: configurations_survive_a_restored_store (demo/tests/faults.rs) failed before in three of its cases: the withdrawal is not written back, one of two accepted changes is lost, one under a used number is ignored.

Why the fix works: each record names the changes that it follows, and the head is read after each wait. A head that the newest known record follows is a copy, and the record is written again; any other that does not follow it was accepted after the restoration, and is applied to it under a generation above both. Conditional writes keep that single where entries recover at once.

--- a/crates/config/src/record.rs
+++ b/crates/config/src/record.rs
@@ -13,6 +13,9 @@
     pub generation: Generation,
     /// Random id of the change, by which its author recognises the change if the response was lost.
     pub change_id: u64,
+    /// Ids of the changes before this one, the latest last.
+    #[serde(default)]
+    pub ancestors: Vec<u64>,
     /// The configuration.
     pub policy: Policy,
 }
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -10,8 +10,8 @@
 use pondwalk_entry::RunningEntry;
 use pondwalk_generations::{ChangeError, OnConflict, commit_edit, replace_policy};
 use pondwalk_standin::{
-    ANY_PORT, Engine, InstanceList, KvFaults, KvStore, ListedInstance, PlainService, RatingService,
-    VersionProfile, kv::KvServer,
+    ANY_PORT, Engine, InstanceList, KvCopy, KvFaults, KvStore, ListedInstance, PlainService,
+    RatingService, VersionProfile, kv::KvServer,
 };
 use pondwalk_store::{Store, http_transport};
 use pondwalk_threads::StartError;
@@ -181,6 +181,16 @@
         Ok(commit_edit(&self.store(), rand::random(), OnConflict::Abort, edit).await?)
     }
 
+    /// Copies the state of the platform's store.
+    pub fn copy_store(&self) -> KvCopy {
+        self.kv.store.copy()
+    }
+
+    /// Restores the platform's store from a copy.
+    pub fn restore_store(&self, copy: &KvCopy) {
+        self.kv.store.restore(copy);
+    }
+
     /// Returns a client of the platform's store.
     pub fn store(&self) -> Store {
         Store::new(self.kv.store.transport(), STORE_TIMEOUT)
--- a/crates/demo/src/faults.rs
+++ b/crates/demo/src/faults.rs
@@ -66,6 +66,8 @@
     EverythingReplaced,
     /// An entry without the store receives configurations from agents.
     CutFromStore,
+    /// The store is restored from a copy that lacks the latest configurations.
+    RestoredStore,
     /// An agent and an entry are drained under streaming load.
     PlannedStops,
     /// Answers are cut before and after the first tokens were delivered.
@@ -82,7 +84,7 @@
 
 impl Fault {
     /// All faults in the order of the demo.
-    pub const ALL: [Fault; 13] = [
+    pub const ALL: [Fault; 14] = [
         Fault::RepeatedKeys,
         Fault::AgentKilled,
         Fault::StoreDown,
@@ -90,6 +92,7 @@
         Fault::ForgedPins,
         Fault::EverythingReplaced,
         Fault::CutFromStore,
+        Fault::RestoredStore,
         Fault::PlannedStops,
         Fault::CutAnswers,
         Fault::StaleOrders,
@@ -112,6 +115,7 @@
             Fault::ForgedPins => sessions::forged_pins(&deployment).await,
             Fault::EverythingReplaced => sessions::everything_replaced(&mut deployment).await,
             Fault::CutFromStore => configuration::cut_from_store(&mut deployment).await,
+            Fault::RestoredStore => configuration::restored_store(&deployment).await,
             Fault::PlannedStops => draining::planned_stops(&mut deployment).await,
             Fault::CutAnswers => streams::cut_answers(&deployment).await,
             Fault::StaleOrders => orders::stale_orders(&deployment).await,
--- a/crates/demo/tests/faults.rs
+++ b/crates/demo/tests/faults.rs
@@ -27,6 +27,7 @@
     forged_pin_is_refused => ForgedPins,
     sessions_survive_replacement_of_all_processes => EverythingReplaced,
     configurations_reach_entry_without_store => CutFromStore,
+    configurations_survive_a_restored_store => RestoredStore,
     planned_stops_cut_no_request => PlannedStops,
     cut_answer_is_repeated_or_reported => CutAnswers,
     stale_orders_are_refused => StaleOrders,
--- a/crates/entry/src/configuration_watcher.rs
+++ b/crates/entry/src/configuration_watcher.rs
@@ -8,7 +8,7 @@
 use std::{sync::Arc, time::Duration};
 
 use pondwalk_config::{HEAD_KEY, PolicyRecord};
-use pondwalk_generations::{ChangeError, read_head};
+use pondwalk_generations::{ChangeError, read_head_since};
 use pondwalk_store::{StoreError, WatchOutcome};
 use pondwalk_wire::Configuration;
 use rand::Rng;
@@ -24,6 +24,9 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(5);
 /// Mean time between two attempts to get a lease, over all entries of a data centre.
 const LEASE_ATTEMPT_INTERVAL: Duration = Duration::from_secs(5);
+/// Longest wait of a watch. A store that was restored from a copy reuses revisions, so a watch says
+/// nothing about changes in it, and the head record is read after each.
+const MAX_WATCH_WAIT: Duration = Duration::from_secs(5);
 /// Delay after a failure of the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -73,18 +76,19 @@
     };
     loop {
         // NB: one watch call may span several renewals.
-        let wait = core.settings.store.watch_wait;
+        let wait = core.settings.store.watch_wait.min(MAX_WATCH_WAIT);
         let watched = core.store.watch(HEAD_KEY, revision, wait);
         let watched = tokio::select! {
             watched = watched => watched,
             () = renew_until_lost(&mut lease) => return,
         };
         match watched {
-            Ok(WatchOutcome::Unchanged) => core.confirm(),
-            Ok(WatchOutcome::Changed(_)) => match apply_head(core).await {
-                Ok(applied) => revision = applied,
-                Err(_) => return,
-            },
+            Ok(WatchOutcome::Unchanged | WatchOutcome::Changed(_)) => {
+                match apply_head(core).await {
+                    Ok(applied) => revision = applied,
+                    Err(_) => return,
+                }
+            }
             Err(_) => {
                 core.count("store.failed");
                 return sleep(STORE_RETRY_DELAY).await;
@@ -105,9 +109,16 @@
 
 /// Reads the head record and installs it if it is newer; returns its revision.
 async fn apply_head(core: &Arc<Core>) -> Result<u64, ChangeError> {
-    let head = read_head(&core.store).await?;
-    core.confirm();
+    let known = core.newest_record();
+    let head = read_head_since(&core.store, known.as_ref()).await?;
+    core.record_head(&head.record);
     let PolicyRecord { generation, policy, .. } = head.record;
+    if generation < core.generation() {
+        // Only an entry that has read the lost record itself can write it again.
+        core.count("store.behind");
+    } else {
+        core.confirm();
+    }
     if core.install(Configuration { generation, policy }) {
         push_configuration(core);
     }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -122,6 +122,7 @@
                 Ok(record) => {
                     let cause = format!("{cause:?}");
                     spdlog::warn!("version stopped", kv: { version = version.as_str(), cause = cause.as_str() });
+                    core.record_head(&record);
                     let PolicyRecord { generation, policy, .. } = record;
                     core.install(Configuration { generation, policy });
                     push_configuration(core);
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -10,7 +10,7 @@
 };
 
 use cadence::{CountedExt, StatsdClient};
-use pondwalk_config::EntrySettings;
+use pondwalk_config::{EntrySettings, PolicyRecord};
 use pondwalk_decide::Router;
 use pondwalk_ledger::Claims;
 use pondwalk_store::Store;
@@ -68,6 +68,8 @@
     /// The runtime that serves requests.
     pub traffic: Handle,
     installed: Mutex<Option<Arc<InstalledConfiguration>>>,
+    /// The newest record that this entry has read from the store or written to it.
+    newest_record: Mutex<Option<PolicyRecord>>,
     /// Workspaces with a spend cap, which need allocated slices.
     capped_workspaces: Mutex<HashSet<WorkspaceId>>,
     confirmed_at: Mutex<Instant>,
@@ -98,6 +100,7 @@
             metrics,
             traffic,
             installed: Mutex::default(),
+            newest_record: Mutex::default(),
             capped_workspaces: Mutex::default(),
             confirmed_at: Mutex::new(Instant::now()),
             draining: AtomicBool::new(false),
@@ -164,6 +167,19 @@
         });
     }
 
+    /// The newest record that this entry has read from the store or written to it.
+    pub fn newest_record(&self) -> Option<PolicyRecord> {
+        lock(&self.newest_record).clone()
+    }
+
+    /// Records a head record read from the store or written to it.
+    pub fn record_head(&self, record: &PolicyRecord) {
+        let mut newest = lock(&self.newest_record);
+        if newest.as_ref().is_none_or(|newest| newest.generation < record.generation) {
+            *newest = Some(record.clone());
+        }
+    }
+
     /// Records that the installed configuration was confirmed as the newest.
     pub fn confirm(&self) {
         *lock(&self.confirmed_at) = Instant::now();
--- a/crates/generations/src/lib.rs
+++ b/crates/generations/src/lib.rs
@@ -4,6 +4,7 @@
 //! consecutive and unique. A write whose response was lost is recognised by its change id.
 
 mod edits;
+mod restoration;
 
 use pondwalk_config::{HEAD_KEY, PolicyRecord};
 use pondwalk_store::{Change, Expect, Store, StoreError};
@@ -11,6 +12,7 @@
 use thiserror::Error;
 
 pub use edits::{EditError, add_roll_out, replace_policy, withdraw};
+pub use restoration::read_head_since;
 
 /// What to do if another operator's change is accepted first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +43,9 @@
     Edit(#[from] EditError),
 }
 
+/// Attempts to write a record while others write it too.
+const MAX_ATTEMPTS: u32 = 8;
+
 /// The head record and its revision in the store.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Head {
@@ -77,7 +82,6 @@
     on_conflict: OnConflict,
     edit: impl Fn(&Policy) -> Result<Policy, EditError>,
 ) -> Result<PolicyRecord, ChangeError> {
-    const MAX_ATTEMPTS: u32 = 8;
     let mut last = ChangeError::Store(StoreError::ResponseLost);
     let mut previous: Option<Generation> = None;
     for _ in 0..MAX_ATTEMPTS {
@@ -92,7 +96,8 @@
         }
         previous = Some(generation);
         let policy = edit(&head.record.policy)?;
-        let next = PolicyRecord { generation: generation + 1, change_id, policy };
+        let ancestors = restoration::lineage(&head.record);
+        let next = PolicyRecord { generation: generation + 1, change_id, ancestors, policy };
         match write(store, &head, &next).await {
             Ok(()) => return Ok(next),
             Err(error) => last = error.into(),
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -55,6 +55,12 @@
     changed: Notify,
 }
 
+/// A copy of the service's state, from which it can be restored.
+#[derive(Debug)]
+pub struct KvCopy {
+    state: KvState,
+}
+
 /// Handle on the service; clones share its state.
 #[derive(Debug, Clone, Default)]
 pub struct KvStore {
@@ -97,6 +103,16 @@
         })
     }
 
+    /// Copies the state.
+    pub fn copy(&self) -> KvCopy {
+        KvCopy { state: lock(&self.shared.state).clone() }
+    }
+
+    /// Restores the state of a copy: later changes are lost, and their revisions are used again.
+    pub fn restore(&self, copy: &KvCopy) {
+        *lock(&self.shared.state) = copy.state.clone();
+    }
+
     /// Sets the faults of later calls.
     pub fn set_faults(&self, faults: KvFaults) {
         *lock(&self.shared.faults) = faults;
--- a/crates/standin/src/kv/state.rs
+++ b/crates/standin/src/kv/state.rs
@@ -30,7 +30,7 @@
 }
 
 /// All keys and leases of the service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct KvState {
     revision: u64,
     keys: BTreeMap<Vec<u8>, Stored>,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use engine::{Engine, EngineFaults, VersionProfile};
 pub use instances::{InstanceList, ListedInstance};
-pub use kv::{KvFaults, KvStore};
+pub use kv::{KvCopy, KvFaults, KvStore};
 pub use listen::ANY_PORT;
 pub use rating::RatingService;
 pub use service::PlainService;
