Soak: the retry budget is checked over all entries

The soak looked at no bound on further sends, though real entries share one. Each window of ten seconds is now checked for each service, by what servers received: at most .9 of the requests of the window, of the one before or of the one half a window before, whichever has the most, and 54 more. A caller's own repeats are requests.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -12,6 +12,7 @@
     deployment::data_centre_of,
     records::{Exchange, Outcome, Records, Route, RunRecord, Span, TimeUs},
     repeater::repeater_number,
+    retry_budget::check_retry_budget,
 };
 
 /// Time within which a change must be in force.
@@ -79,7 +80,7 @@
 pub type Check = fn(&Records) -> Finding;
 
 /// All checks.
-pub const CHECKS: [Check; 17] = [
+pub const CHECKS: [Check; 18] = [
     check_at_most_once,
     check_refusals,
     check_answers,
@@ -96,6 +97,7 @@
     check_warm_up,
     check_restarted_servers,
     check_crash_quarantine,
+    check_retry_budget,
     check_recovery,
 ];
 
--- a/crates/soak/src/deployment/entries.rs
+++ b/crates/soak/src/deployment/entries.rs
@@ -24,6 +24,7 @@
     child::Child,
     options::Plan,
     records::{Span, TimeUs, now_us},
+    retry_budget::{EXTRA, RATIO, WINDOW},
 };
 
 /// Time for a process to exit after SIGTERM; then it is killed.
@@ -135,11 +136,12 @@
              readiness = {readiness_address}\npeers = {peers}\nkey_bound_ms = 5000\ngrace_s = 6\n\
              session_ttl_s = 5\n[membership]\nseeds = {}\npropagation_ms = 2000\n\
              evacuation_ms = 2000\n[warm_up]\novershoot = {COLD_OVERSHOOT}\n\
-             tolerance = {COLD_TOLERANCE}\nheartbeat_ms = 1200\n[retries]\nratio = 0.9\nextra = 54\nwindow_s = 10\n\
+             tolerance = {COLD_TOLERANCE}\nheartbeat_ms = 1200\n[retries]\nratio = {RATIO}\nextra = {EXTRA}\nwindow_s = {}\n\
              [roll_out]\nexposure = 0.08\n\
              [store]\naddress = {store}\ntimeout_ms = 1500\nwatch_wait_ms = 1500\n",
             data_centre_of(entry),
             seeds.join(","),
+            WINDOW.as_secs(),
         );
         fs::write(&settings, text)?;
         let (child, is_ready) = (RefCell::default(), Cell::new(false));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod proxy;
 pub mod records;
 pub mod repeater;
+pub mod retry_budget;
 pub mod roles;
 pub mod schedule;
 pub mod soak;
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -5,6 +5,7 @@
 use pondwalk_soak::{
     checks::{self, CHECKS, Check},
     records::{Exchange, Outcome, Records, Route, RunRecord, Span, TimeUs},
+    retry_budget::check_retry_budget,
 };
 
 /// Time base of the tests, later than all time bounds.
@@ -341,3 +342,24 @@
     records.replaced.insert("s2".to_owned());
     assert_eq!(broken(checks::check_restarted_servers, &records), 0);
 }
+
+#[test]
+fn retries_over_the_budget_are_found() {
+    // Each of eight requests within a second is sent nine times; 0.9 * 8 and 54 more are allowed.
+    let add = |records: &mut Records, sends: u32| {
+        for number in 0..8 {
+            let (id, time) = (format!("again{number}"), 40.0 + f64::from(number) / 10.0);
+            let again = Exchange { route: Route::Again, ..exchange(&id, time, answered(200)) };
+            records.exchanges.push(again);
+            let runs = (0..sends).map(|send| run(&id, time + 0.01 * f64::from(send)));
+            records.runs.extend(runs);
+        }
+    };
+    assert_detects(check_retry_budget, |records| add(records, 9));
+    let mut within = passing_records();
+    add(&mut within, 8);
+    assert_eq!(broken(check_retry_budget, &within), 0);
+    // Repeats by the caller are requests of their own.
+    add(&mut within, 2);
+    assert_eq!(broken(check_retry_budget, &within), 0);
+}
