--- a/crates/decide/src/direct/window_budget.rs
+++ b/crates/decide/src/direct/window_budget.rs
@@ -85,12 +85,15 @@
     limits: WindowLimits,
     slices: Vec<Slice>,
     newest: u64,
+    /// Requests in the last window.
+    last_requests: u32,
 }
 
 impl WindowBudget {
     /// Creates an empty window.
     pub fn new(limits: WindowLimits) -> Self {
-        WindowBudget { limits, slices: vec![Slice::empty(&limits); KEPT_SLICES], newest: 0 }
+        let slices = vec![Slice::empty(&limits); KEPT_SLICES];
+        WindowBudget { limits, slices, newest: 0, last_requests: 0 }
     }
 
     /// Replaces the share of the extra after the entries that share it have changed. Windows that
@@ -103,6 +106,7 @@
     /// Counts a request.
     pub fn record_request(&mut self, now: Duration) {
         self.current(now).requests += 1;
+        self.last_requests += 1;
     }
 
     /// This entry's requests in the last half window and in those before it.
@@ -146,13 +150,17 @@
         let WindowLimits { ratio, extra, rounding, .. } = self.limits;
         // Requests and further sends since a slice began, and the requests of a window before it.
         let (mut requests, mut further_sends) = (0, 0);
-        let last_window = self.latest_first().take(WINDOW_SLICES);
-        let mut earlier_requests: u32 = last_window.map(|slice| slice.requests).sum();
-        let pairs = self.latest_first().zip(self.latest_first().skip(WINDOW_SLICES));
-        pairs.take(CHECKED_SLICES).all(|(slice, window_earlier)| {
+        let mut earlier_requests = self.last_requests;
+        let mut index = self.newest as usize % KEPT_SLICES;
+        let mut earlier_index = (index + KEPT_SLICES - WINDOW_SLICES) % KEPT_SLICES;
+        (0..CHECKED_SLICES).all(|_| {
+            let slice = self.slices[index];
             requests += slice.requests;
             further_sends += slice.further_sends;
-            earlier_requests = earlier_requests + window_earlier.requests - slice.requests;
+            earlier_requests += self.slices[earlier_index].requests;
+            earlier_requests -= slice.requests;
+            index = preceding(index);
+            earlier_index = preceding(earlier_index);
             let basis =
                 CURRENT_SHARE * f64::from(requests) + SAVED_SHARE * f64::from(earlier_requests);
             let allowed = ratio * basis + slice.extra.max(FIRST_SHARE * extra);
@@ -173,12 +181,23 @@
 
     fn current(&mut self, now: Duration) -> &mut Slice {
         let slice_number = self.slice_number(now);
-        let elapsed_slices = slice_number.saturating_sub(self.newest).min(KEPT_SLICES as u64);
-        for step in 0..elapsed_slices {
-            let index = (slice_number - step) as usize % KEPT_SLICES;
-            self.slices[index] = Slice::empty(&self.limits);
+        if slice_number >= self.newest + KEPT_SLICES as u64 {
+            self.slices.fill(Slice::empty(&self.limits));
+            self.last_requests = 0;
+        } else {
+            for number in self.newest + 1..=slice_number {
+                let index = number as usize % KEPT_SLICES;
+                let leaving = (index + KEPT_SLICES - WINDOW_SLICES) % KEPT_SLICES;
+                self.last_requests -= self.slices[leaving].requests;
+                self.slices[index] = Slice::empty(&self.limits);
+            }
         }
         self.newest = slice_number.max(self.newest);
         &mut self.slices[self.newest as usize % KEPT_SLICES]
     }
 }
+
+/// Index of the slice before the one at this index.
+fn preceding(index: usize) -> usize {
+    if index == 0 { KEPT_SLICES - 1 } else { index - 1 }
+}
