--- a/crates/direct/src/http/events.rs
+++ b/crates/direct/src/http/events.rs
@@ -62,7 +62,14 @@
     /// A backend server no longer reports a rate limit.
     ServerLiftedLimit { request: &'a str, server: &'a str, status: u16, after_ms: u64 },
     /// The connection broke while the request was at a backend server, which may have crashed.
-    ServerBroke { request: &'a str, server: &'a str, content: &'a str, after_ms: u64 },
+    ServerBroke {
+        request: &'a str,
+        server: &'a str,
+        content: &'a str,
+        /// Prompt parts that other requests may share, as comma-separated ids.
+        prompt_parts: &'a str,
+        after_ms: u64,
+    },
     /// A smaller model's response was discarded in favour of a stronger model.
     Escalated {
         request: &'a str,
--- a/crates/direct/src/http/reporting.rs
+++ b/crates/direct/src/http/reporting.rs
@@ -99,6 +99,7 @@
             request: &self.job.id,
             server: placement.server(),
             content: &content_text(self.job.content()),
+            prompt_parts: &self.job.prompt.shared_parts_text(),
             after_ms: self.after_ms(),
         };
         self.core.event_log.record(LogPriority::Failure, &event);
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -225,6 +225,9 @@
 /// Minimum `Retry-After` while all servers are backing off or at their rate limit.
 const MIN_BACKOFF_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Maximum number of prompt parts in a log line; callers may name thousands.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// Minimum `Retry-After` of a quarantined request, of which a probe may be running.
 const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -359,6 +362,19 @@
         let tokens = |text: &str| text.trim().parse().unwrap_or(0);
         Prompt { parts, tokens_in: tokens(tokens_in), tokens_out: tokens(tokens_out) }
     }
+
+    /// The parts that other requests may share: all but the last, which belongs to the request or
+    /// its session.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Ids of the first shared parts for logs, separated by commas.
+    pub fn shared_parts_text(&self) -> String {
+        let ids = self.shared_parts().iter().take(MAX_LOGGED_PARTS);
+        let ids: Vec<String> = ids.map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
 }
 
 fn parse_part(text: &str) -> Option<PromptPart> {
