--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod crashing;
 pub mod limits;
 pub mod net;
+pub mod prompt_parts;
 
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -26,7 +27,7 @@
     upstream::{BoxedDuplex, Connect},
 };
 use pondwalk_standin::{
-    backends::{Backends, Behaviour, CrashRule, HeaderNames},
+    backends::{Backends, Behaviour, CrashRule, HeaderNames, ReceivedRequest, has_prompt_part},
     memory_store::{FaultMode, MemoryStore},
     usage_sink::{ReportResponse, UsageCall, UsageSink},
 };
@@ -478,6 +479,38 @@
     /// Makes servers of a service crash `after` they have begun to run a request with this body.
     /// Each server restarts some time later under a new identity, and is listed in the store.
     pub fn make_crashing(&self, service: &'static str, body: &str, after: Duration) {
+        let body = body.as_bytes().to_vec();
+        self.add_crash_rule(service, after, move |request| request.body.starts_with(&body));
+    }
+
+    /// Like [`World::make_crashing`], for requests with this part in their prompts.
+    pub fn make_part_crashing(&self, service: &'static str, part: u64, after: Duration) {
+        self.add_crash_rule(service, after, move |request| {
+            let parts = request.headers.get("pondwalk-prompt-parts");
+            parts.is_some_and(|parts| has_prompt_part(parts, part))
+        });
+    }
+
+    /// Crashes a server, and restarts it some time later under a new identity.
+    pub fn crash_and_restart(&self, n: u16, round: u32) {
+        let Some((id, behaviour)) = self.backends.running(address(n)) else { return };
+        self.backends.crash(address(n));
+        let (store, backends) = (self.store.clone(), self.backends.clone());
+        spawn_local(async move {
+            sleep(DOWN_TIME).await;
+            let next = format!("s{n}-{}", 100_000 + round);
+            store.remove(&format!("server/{id}"));
+            backends.start(address(n), &next, behaviour);
+            store.put(&format!("server/{next}"), &format!("s {} dc1 v1 ready", address(n)));
+        });
+    }
+
+    fn add_crash_rule(
+        &self,
+        service: &'static str,
+        after: Duration,
+        applies: impl Fn(&ReceivedRequest) -> bool + 'static,
+    ) {
         let store = self.store.clone();
         let on_restart = move |address: SocketAddr, id: &str| {
             let (stem, incarnation) = id.split_once('-').unwrap_or((id, "0"));
@@ -488,7 +521,7 @@
             next
         };
         self.backends.add_crash_rule(CrashRule {
-            body: body.as_bytes().to_vec(),
+            applies: Rc::new(applies),
             after,
             restart_delay: DOWN_TIME,
             on_restart: Rc::new(on_restart),
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -59,6 +59,17 @@
         /// Number of the event in whose middle the connection is closed, if any.
         cut_in: Option<u32>,
     },
+    /// Responds with this body, with neither a length nor chunks, and closes the connection.
+    UnframedAnswer(String),
+    /// Streams like [`Behaviour::Stream`], without chunks, and closes the connection.
+    UnframedStream {
+        /// Number of the last event.
+        last: u32,
+        /// Time between events.
+        gap: Duration,
+        /// Number of the event in whose middle the connection is closed, if any.
+        cut_in: Option<u32>,
+    },
     /// Rejects the request with this status, without running it.
     NotRun(u16),
     /// Runs the request and closes the connection without a response.
@@ -125,11 +136,11 @@
 /// Called with address and id of a server that restarts after a crash; returns its new id.
 pub type OnRestart = Rc<dyn Fn(SocketAddr, &str) -> String>;
 
-/// Crashes every server that runs a request with a given body.
+/// Crashes every server that runs a request of some kind.
 #[derive(Clone)]
 pub struct CrashRule {
-    /// Prefix of the body of the requests that crash servers.
-    pub body: Vec<u8>,
+    /// Whether a request crashes servers.
+    pub applies: Rc<dyn Fn(&ReceivedRequest) -> bool>,
     /// Time from the start of a run until the server crashes.
     pub after: Duration,
     /// Time from the crash until the server restarts.
@@ -138,6 +149,12 @@
     pub on_restart: OnRestart,
 }
 
+/// Whether a part is in a header's list of prompt parts, `ID:TOKENS` separated by commas.
+pub fn has_prompt_part(parts: &str, id: u64) -> bool {
+    let ids = parts.split(',').filter_map(|part| part.trim().split_once(':'));
+    ids.map(|(id, _)| u64::from_str_radix(id, 16)).any(|named| named == Ok(id))
+}
+
 /// A run of a request that crashes servers.
 #[derive(Debug, Clone, Copy)]
 pub struct CrashingRun {
@@ -195,6 +212,13 @@
         }
     }
 
+    /// Returns id and default behaviour of the server at an address.
+    pub fn running(&self, address: SocketAddr) -> Option<(String, Behaviour)> {
+        let server = self.servers.borrow().get(&address).cloned()?;
+        let default_behaviour = server.default_behaviour.borrow().clone();
+        Some((server.id.clone(), default_behaviour))
+    }
+
     /// Adds a rule on requests that crash the server that runs them.
     pub fn add_crash_rule(&self, rule: CrashRule) {
         self.crash_rules.borrow_mut().push(rule);
@@ -218,12 +242,7 @@
         server: &Rc<Server>,
         request: &ReceivedRequest,
     ) -> bool {
-        let rule = self
-            .crash_rules
-            .borrow()
-            .iter()
-            .find(|rule| request.body.starts_with(&rule.body))
-            .cloned();
+        let rule = self.crash_rules.borrow().iter().find(|rule| (rule.applies)(request)).cloned();
         let Some(rule) = rule else { return false };
         let index = self.crashing_runs.borrow().len();
         self.crashing_runs.borrow_mut().push(CrashingRun { at: Instant::now(), crashed_at: None });
@@ -346,7 +365,9 @@
         at: Some(Instant::now()),
         ..request.clone()
     });
-    if ran && crashes_server(&request) && !matches!(behaviour, Behaviour::Stream { .. }) {
+    let is_stream =
+        matches!(behaviour, Behaviour::Stream { .. } | Behaviour::UnframedStream { .. });
+    if ran && crashes_server(&request) && !is_stream {
         behaviour = Behaviour::Silent;
     }
     let behaviour = if is_misdirected { Behaviour::NotRun(421) } else { behaviour };
@@ -414,20 +435,51 @@
             );
             io.write_all(head.as_bytes()).await
         }
+        Behaviour::UnframedAnswer(body) => {
+            let head = format!(
+                "HTTP/1.1 200 X\r\n{}: {}\r\n{}: proof\r\n{extra_headers}\r\n{body}",
+                header_names.request_id,
+                request_id(header_names, request),
+                header_names.signature,
+            );
+            io.write_all(head.as_bytes()).await
+        }
         Behaviour::Stream { last, gap, confidence, cut_in } => {
-            write_stream(reply, (*last, *gap, *confidence, *cut_in), io).await
+            let events = Events { last: *last, gap: *gap, cut_in: *cut_in, is_chunked: true };
+            write_stream(reply, events, *confidence, io).await
+        }
+        Behaviour::UnframedStream { last, gap, cut_in } => {
+            let events = Events { last: *last, gap: *gap, cut_in: *cut_in, is_chunked: false };
+            write_stream(reply, events, None, io).await
         }
     }
 }
 
+/// Events of a stream, as in [`Behaviour::Stream`].
+struct Events {
+    last: u32,
+    gap: Duration,
+    cut_in: Option<u32>,
+    is_chunked: bool,
+}
+
+impl Events {
+    /// Formats text of the body, as a chunk if the body has chunks.
+    fn framed(&self, text: &str) -> String {
+        if self.is_chunked { format!("{:x}\r\n{text}\r\n", text.len()) } else { text.to_owned() }
+    }
+}
+
 async fn write_stream(
     reply: &Reply<'_>,
-    (last, gap, confidence, cut_in): (u32, Duration, Option<u8>, Option<u32>),
+    events: Events,
+    confidence: Option<u8>,
     io: &mut DuplexStream,
 ) -> io::Result<()> {
     let Reply { header_names, request, extra_headers, streamed_bytes } = reply;
+    let framing = if events.is_chunked { "transfer-encoding: chunked\r\n" } else { "" };
     let mut head = format!(
-        "HTTP/1.1 200 X\r\n{}: {}\r\n{}: proof\r\n{extra_headers}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n",
+        "HTTP/1.1 200 X\r\n{}: {}\r\n{}: proof\r\n{extra_headers}content-type: text/event-stream\r\n{framing}",
         header_names.request_id,
         request_id(header_names, request),
         header_names.signature,
@@ -442,18 +494,18 @@
         .get(&header_names.last_event_id)
         .and_then(|id| id.parse().ok())
         .unwrap_or(0);
-    for number in from + 1..=last {
-        sleep(gap).await;
+    for number in from + 1..=events.last {
+        sleep(events.gap).await;
         let event = format!("id: {number}\ndata: piece {number}\n\n");
-        if cut_in == Some(number) {
+        if events.cut_in == Some(number) {
             let half = &event[..event.len() / 2];
-            io.write_all(format!("{:x}\r\n{half}\r\n", half.len()).as_bytes()).await?;
-            return Ok(());
+            return io.write_all(events.framed(half).as_bytes()).await;
         }
-        io.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+        io.write_all(events.framed(&event).as_bytes()).await?;
         streamed_bytes.set(streamed_bytes.get() + event.len());
     }
-    io.write_all(b"0\r\n\r\n").await
+    // An empty chunk ends a body with chunks.
+    if events.is_chunked { io.write_all(b"0\r\n\r\n").await } else { Ok(()) }
 }
 
 /// Waits until the peer closes the connection, which cancels the request.
--- a/crates/standin/src/platform_server.rs
+++ b/crates/standin/src/platform_server.rs
@@ -20,13 +20,19 @@
     time::sleep,
 };
 
-use crate::backends::{Backends, Behaviour, CrashRule, HeaderNames, ReceivedRequest};
+use crate::backends::{
+    Backends, Behaviour, CrashRule, HeaderNames, ReceivedRequest, has_prompt_part,
+};
 
 /// Interval at which received requests are printed; a request is printed at most this much late.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Prefix of the body of a request that crashes every server that runs it.
 pub const CRASHING_BODY: &str = "ends whoever runs it";
+/// Id of a part of a prompt that crashes every server that runs a request with it.
+pub const CRASHING_PART: u64 = 0xbad;
+/// Header with the parts of a prompt.
+pub const PROMPT_PARTS_HEADER: &str = "x-pondwalk-prefix-hash";
 /// Time from the start of such a request until the server crashes.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 /// Restart delay that is never reached, because the process exits after the crash.
@@ -129,7 +135,7 @@
     spawn_local(reject_requests(backends.clone(), address, default_behaviour, reject));
     spawn_local(announce_rate_limit(backends.clone(), address, limit));
     backends.add_crash_rule(CrashRule {
-        body: CRASHING_BODY.as_bytes().to_vec(),
+        applies: Rc::new(crashes_server),
         after: CRASH_DELAY,
         restart_delay: NO_RESTART,
         on_restart: Rc::new(|_, id| id.to_owned()),
@@ -146,6 +152,12 @@
     }
 }
 
+/// Whether a request crashes every server that runs it.
+fn crashes_server(request: &ReceivedRequest) -> bool {
+    let parts = request.headers.get(PROMPT_PARTS_HEADER).map_or("", String::as_str);
+    request.body.starts_with(CRASHING_BODY.as_bytes()) || has_prompt_part(parts, CRASHING_PART)
+}
+
 /// Reports in all responses that the server is draining, from the first signal on.
 async fn announce_draining(backends: Backends, address: SocketAddr, mut signal: Signal) {
     while signal.recv().await.is_some() {
