--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -1,58 +1,70 @@
 //! Quarantine of requests under which backend servers crashed.
 //!
 //! A request may crash every server that runs it, and its caller retries it under another id at any
-//! entry. Crashes are therefore counted by the content of the request and published to all entries.
-//! After a few crashes such a request runs again only as a rare probe, and one copy at a time.
+//! entry. Or what crashes servers is a part of its prompt, which other requests share. Crashes are
+//! therefore counted by *feature*, which is either the whole content of a request or one of these
+//! parts, and published to all entries. After a few crashes requests with the feature run only as
+//! rare probes, one at a time.
 //!
-//! If servers crash for another reason, every request in flight there looks like the cause. Four
-//! rules keep such a request from being refused for long. A successful run clears its content at
-//! once, at all entries. Content that succeeded before is exempt for some crashes
-//! ([`SuccessfulContents`]). Crashes of several servers at the same moment, most of which did not
-//! run the request, count against it only in part ([`CorrelatedCrashes`]). And a quarantined
-//! request can prove harmless: the first probe is allowed a second after the latest crash.
+//! A server that crashes under a request names all of the request's features, of which one may be
+//! the cause. These rules find it:
 //!
-//! The entries agree on one of them that grants the probes of a content (rendezvous hashing, Thaler
+//! - A feature that succeeded is exempt for some crashes ([`SuccessfulFeatures`]), since one that
+//!   crashes every server never succeeds. A success clears it at all entries.
+//! - A crash that a quarantined feature explains counts against no other, and one that a part
+//!   without any success explains against no part that succeeded.
+//! - A probe tests one feature: a request with several quarantined ones runs only if no other
+//!   request has come that would tell them apart, and its crash delays no probe of one alone.
+//! - Crashes of several servers at the same moment, most of which did not run the feature, count
+//!   against it only in part ([`CorrelatedCrashes`]).
+//! - A quarantined feature can prove harmless: the first probe is allowed a second after the latest
+//!   crash.
+//!
+//! The entries agree on one of them that grants the probes of a feature (rendezvous hashing, Thaler
 //! and Ravishankar, 1998). Two partitions of a deployment grant at most one further probe between
 //! them.
 
 mod correlated_crashes;
+mod features;
 mod record;
-mod successful_contents;
+mod settling_runs;
+mod successful_features;
 
 use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 pub use correlated_crashes::CorrelatedCrashes;
-pub use successful_contents::SuccessfulContents;
+pub use features::{FeatureHash, is_part, is_part_of, part_feature, part_id};
+pub use successful_features::SuccessfulFeatures;
 
 use super::hash::{hash_text, mix};
 use record::{Crash, MIN_CRASHES, PROBE_DELAYS, Record};
+use settling_runs::SettlingRuns;
 
-/// Hash of what a request carries, the same at all entries.
-pub type ContentHash = u128;
 /// Identifies one observed crash.
 pub type CrashId = u64;
 
 /// Maximum number of records, some 200 bytes each. A data centre of the planned size has ten
 /// thousand requests in flight. Cleared records are evicted first, then those with few crashes, the
 /// oldest first.
-const MAX_CONTENTS: usize = 8_192;
+const MAX_FEATURES: usize = 8_192;
 /// Fraction of the records that is evicted at once, so that sorting them stays rare.
 const EVICTION_DIVISOR: usize = 8;
 
-/// One crash of a server under a request.
+/// One crash of a server under a feature of a request. The features of one request have crashes of
+/// the same id.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerCrash {
-    /// Content of the request.
-    pub content: ContentHash,
+    /// Feature of the request.
+    pub feature: FeatureHash,
     /// Distinguishes this crash from all others.
     pub id: CrashId,
     /// Hash of the server's identity.
     pub server: u64,
-    /// Whether servers that did not run the request crashed at the same moment.
+    /// Whether servers that did not run the feature crashed at the same moment.
     pub in_common_loss: bool,
-    /// Whether the request ran as a probe.
+    /// Whether the request ran as a probe of the feature.
     pub on_probe: bool,
 }
 
@@ -72,12 +84,35 @@
     ProbeInProgress,
 }
 
+/// Whether a request may run, with the quarantined features that restrict it, the most suspicious
+/// first.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuarantineCheck {
+    /// Whether the request may run.
+    pub status: QuarantineStatus,
+    /// The quarantined features.
+    pub suspects: Vec<FeatureHash>,
+}
+
+/// A request that was running at a server which crashed.
+#[derive(Debug, Clone, Copy)]
+pub struct CrashedRequest<'a> {
+    /// Features of the request.
+    pub features: &'a [FeatureHash],
+    /// Those that it ran as a probe of.
+    pub probed: &'a [FeatureHash],
+    /// Identifies the crash.
+    pub id: CrashId,
+    /// Hash of the server's identity.
+    pub server: u64,
+}
+
 /// Answer to a probe request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbeDecision {
     /// The request may run once.
     Granted,
-    /// Another request of this content runs as a probe now.
+    /// Another request with this feature runs as a probe now.
     InProgress,
     /// The request must not run before this time.
     Refused {
@@ -89,41 +124,57 @@
 /// Asks for permission to run a quarantined request once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProbeRequest {
-    /// Content of the request.
-    pub content: ContentHash,
+    /// The feature to probe.
+    pub feature: FeatureHash,
     /// Longest time that the run may take.
     pub lease: Duration,
+    /// Whether other features of the request are quarantined too.
+    pub is_joint: bool,
     /// Whether this entry is first in the order of granters.
     pub is_primary: bool,
 }
 
-/// Records of the contents under which servers have crashed.
+/// Records of the features under which servers have crashed, and those that succeeded.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    records: HashMap<ContentHash, Record>,
+    records: HashMap<FeatureHash, Record>,
+    /// Contents and parts apart, so that new contents don't displace parts.
+    successful_contents: SuccessfulFeatures,
+    successful_parts: SuccessfulFeatures,
+    settling_runs: SettlingRuns,
     evicted: u64,
 }
 
 impl Quarantine {
-    /// Whether a content with so many crashes is quarantined.
+    /// Whether a feature with so many crashes is quarantined.
     pub fn quarantines_after(crashes: usize) -> bool {
         crashes >= MIN_CRASHES
     }
 
-    /// Whether there are no records, so that no content needs to be hashed.
+    /// Whether there are no records, so that no request needs to be checked.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
 
-    /// Number of recorded contents.
+    /// Number of recorded features.
     pub fn len(&self) -> usize {
         self.records.len()
     }
 
-    /// Number of contents that are quarantined or need a probe.
-    pub fn count_quarantined(&self, now: Duration) -> usize {
-        let records = self.records.values();
-        records.filter(|record| record.status(now) != QuarantineStatus::Unrestricted).count()
+    /// Number of prompt parts known to succeed.
+    pub fn successful_part_count(&self) -> usize {
+        self.successful_parts.len()
+    }
+
+    /// Number of contents and of prompt parts that are quarantined or need a probe.
+    pub fn count_quarantined(&self) -> (usize, usize) {
+        let quarantined = self
+            .records
+            .iter()
+            .filter(|(feature, record)| record.is_quarantined() && !self.is_exempt(**feature));
+        let (parts, contents): (Vec<_>, Vec<_>) =
+            quarantined.partition(|(feature, _)| is_part(**feature));
+        (contents.len(), parts.len())
     }
 
     /// Number of records evicted for lack of room.
@@ -131,17 +182,128 @@
         self.evicted
     }
 
-    /// Number of crashes that count against a content.
-    pub fn crash_count(&self, content: ContentHash) -> usize {
-        self.records.get(&content).map_or(0, Record::crash_count)
+    /// Number of crashes that count against a feature.
+    pub fn crash_count(&self, feature: FeatureHash) -> usize {
+        self.records.get(&feature).map_or(0, Record::crash_count)
+    }
+
+    /// Highest number of crashes that count against one of these features and are not forgiven.
+    pub fn max_crash_count(&self, features: &[FeatureHash]) -> usize {
+        let suspected = features.iter().filter(|feature| !self.is_exempt(**feature));
+        suspected.map(|feature| self.crash_count(*feature)).max().unwrap_or(0)
+    }
+
+    /// Whether a feature succeeded recently and is exempt from quarantine.
+    pub fn is_exempt(&self, feature: FeatureHash) -> bool {
+        self.successes(feature).is_exempt(feature)
+    }
+
+    /// Whether a feature succeeded after all its recorded crashes.
+    pub fn is_cleared(&self, feature: FeatureHash) -> bool {
+        let record = self.records.get(&feature);
+        record.is_some_and(|record| record.crashes.is_empty() && record.cleared_at.is_some())
+    }
+
+    /// Whether others quarantine a feature that succeeded at this entry.
+    pub fn can_clear(&self, feature: FeatureHash) -> bool {
+        let record = self.records.get(&feature);
+        record.is_some_and(Record::is_quarantined) && self.successes(feature).is_proven(feature)
+    }
+
+    /// Whether no other success of these features would change anything.
+    pub fn knows_success_of(&self, features: &[FeatureHash]) -> bool {
+        features.iter().all(|feature| {
+            self.successes(*feature).is_fresh(*feature) && self.crash_count(*feature) == 0
+        })
+    }
+
+    fn successes(&self, feature: FeatureHash) -> &SuccessfulFeatures {
+        if is_part(feature) { &self.successful_parts } else { &self.successful_contents }
+    }
+
+    fn successes_mut(&mut self, feature: FeatureHash) -> &mut SuccessfulFeatures {
+        if is_part(feature) { &mut self.successful_parts } else { &mut self.successful_contents }
+    }
+
+    /// Records that a server crashed under a request of this entry. Returns the crashes to report
+    /// to others: those of the features that may be the cause.
+    pub fn observe_crash(
+        &mut self,
+        request: CrashedRequest<'_>,
+        now: Duration,
+    ) -> Vec<ServerCrash> {
+        let CrashedRequest { features, probed, id, server } = request;
+        let is_joint = probed.len() > 1;
+        self.settling_runs.discard(server);
+        let causes = self.likely_causes(features);
+        let mut crashes = Vec::with_capacity(causes.len());
+        for feature in causes {
+            let on_probe = probed.contains(&feature);
+            let crash = ServerCrash { feature, id, server, in_common_loss: false, on_probe };
+            if self.record(crash, is_joint, now, now) {
+                self.successes_mut(feature).record_crash(feature);
+            }
+            crashes.push(crash);
+        }
+        crashes
+    }
+
+    /// Records that a server crashed at `at` under a request of another entry, which reported
+    /// these features. Returns those against which the crash counts anew.
+    pub fn record_reported_crash(
+        &mut self,
+        crashes: &[ServerCrash],
+        at: Duration,
+        now: Duration,
+    ) -> Vec<FeatureHash> {
+        let features: Vec<FeatureHash> = crashes.iter().map(|crash| crash.feature).collect();
+        let causes = self.likely_causes(&features);
+        let is_joint = crashes.iter().filter(|crash| crash.on_probe).count() > 1;
+        let mut counted = Vec::new();
+        for crash in crashes {
+            self.settling_runs.discard(crash.server);
+            // What succeeded here is recorded all the same: its reporter does not know of it.
+            let is_likely = causes.contains(&crash.feature);
+            if !is_likely && !self.is_exempt(crash.feature) && !crash.on_probe {
+                continue;
+            }
+            if self.record(*crash, is_joint, at, now) {
+                counted.push(crash.feature);
+                if is_likely {
+                    self.successes_mut(crash.feature).record_crash(crash.feature);
+                }
+            }
+        }
+        counted
+    }
+
+    /// The features of one request that a crash may be due to.
+    fn likely_causes(&self, features: &[FeatureHash]) -> Vec<FeatureHash> {
+        let suspected: Vec<FeatureHash> =
+            features.iter().copied().filter(|feature| !self.is_exempt(*feature)).collect();
+        let is_quarantined =
+            |feature: &FeatureHash| self.records.get(feature).is_some_and(Record::is_quarantined);
+        let quarantined: Vec<FeatureHash> =
+            suspected.iter().copied().filter(is_quarantined).collect();
+        if !quarantined.is_empty() {
+            quarantined
+        } else if suspected.iter().any(|feature| is_part(*feature)) {
+            suspected
+        } else {
+            features.to_vec()
+        }
     }
 
     /// Records that a server crashed at `at`. Returns whether this crash is new.
     pub fn record_crash(&mut self, crash: ServerCrash, at: Duration, now: Duration) -> bool {
-        if !self.records.contains_key(&crash.content) {
+        self.record(crash, false, at, now)
+    }
+
+    fn record(&mut self, crash: ServerCrash, is_joint: bool, at: Duration, now: Duration) -> bool {
+        if !self.records.contains_key(&crash.feature) {
             self.evict(now);
         }
-        let record = self.records.entry(crash.content).or_default();
+        let record = self.records.entry(crash.feature).or_default();
         if record.cleared_at.is_some_and(|cleared| at <= cleared) {
             return false;
         }
@@ -158,6 +320,7 @@
             at,
             in_common_loss: crash.in_common_loss,
             on_probe: crash.on_probe,
+            is_joint: is_joint && crash.on_probe,
         });
         if crash.on_probe {
             record.resolve_probe();
@@ -165,10 +328,53 @@
         true
     }
 
-    /// Records a successful run of the content. Returns the number of crashes that counted against
-    /// it.
-    pub fn record_success(&mut self, content: ContentHash, at: Duration) -> usize {
-        let Some(record) = self.records.get_mut(&content) else { return 0 };
+    /// Records a successful run at this entry. Returns the number of crashes that counted against
+    /// the feature.
+    pub fn record_success(&mut self, feature: FeatureHash, now: Duration) -> usize {
+        self.successes_mut(feature).record_success(feature, now);
+        self.clear(feature, now)
+    }
+
+    /// Records a successful run at another entry. Returns the number of crashes that counted
+    /// against the feature.
+    pub fn record_reported_success(
+        &mut self,
+        feature: FeatureHash,
+        at: Duration,
+        now: Duration,
+    ) -> usize {
+        self.successes_mut(feature).record_reported_success(feature, now);
+        self.clear(feature, at)
+    }
+
+    /// Records a successful run of prompt parts, which counts once its server has kept running for
+    /// a while ([`Quarantine::pop_settled`]).
+    pub fn record_settling_run(&mut self, parts: &[FeatureHash], server: u64, now: Duration) {
+        if !self.knows_success_of(parts) {
+            self.settling_runs.push(parts.to_vec(), server, now);
+        }
+    }
+
+    /// Records that an answer to a request with these parts has been in progress for a while. That
+    /// exempts them for a limited number of crashes, unless they are quarantined.
+    pub fn record_survival(&mut self, parts: &[FeatureHash], now: Duration) {
+        for part in parts {
+            let crashes = self.crash_count(*part);
+            if !Quarantine::quarantines_after(crashes) {
+                self.successful_parts.record_survival(*part, crashes, now);
+            }
+        }
+    }
+
+    /// Removes and returns the parts of the next run that counts as successful now.
+    pub fn pop_settled(&mut self, now: Duration) -> Option<Vec<FeatureHash>> {
+        self.settling_runs.pop_settled(now)
+    }
+
+    /// Removes the crashes of a feature that succeeded at `at`. Returns the number of those that
+    /// counted against it.
+    pub fn clear(&mut self, feature: FeatureHash, at: Duration) -> usize {
+        let Some(record) = self.records.get_mut(&feature) else { return 0 };
         let before = record.crash_count();
         record.crashes.retain(|crash| crash.at > at);
         record.cleared_at = record.cleared_at.max(Some(at));
@@ -178,25 +384,55 @@
         before
     }
 
-    /// Whether a request of this content may run.
-    pub fn status(&self, content: ContentHash, now: Duration) -> QuarantineStatus {
+    /// Whether a request of which this feature is the only quarantined one may run.
+    pub fn status(&self, feature: FeatureHash, now: Duration) -> QuarantineStatus {
         self.records
-            .get(&content)
+            .get(&feature)
             .map_or(QuarantineStatus::Unrestricted, |record| record.status(now))
     }
 
+    /// Whether a request with these features may run.
+    pub fn check(&self, features: &[FeatureHash], now: Duration) -> QuarantineCheck {
+        let suspected = features.iter().filter(|feature| !self.is_exempt(**feature));
+        let records = suspected.filter_map(|feature| Some((*feature, self.records.get(feature)?)));
+        let mut quarantined: Vec<(FeatureHash, &Record)> =
+            records.filter(|(_, record)| record.is_quarantined()).collect();
+        quarantined.sort_unstable_by_key(|(feature, record)| {
+            std::cmp::Reverse((record.probe_count(), record.crash_count(), *feature))
+        });
+        let suspects = quarantined.iter().map(|(feature, _)| *feature).collect();
+        let status = match &quarantined[..] {
+            [] => QuarantineStatus::Unrestricted,
+            [(_, record)] => record.status(now),
+            several => {
+                let probes = several.iter().map(|(_, record)| record.next_joint_probe_at());
+                let until = probes.max().unwrap_or_default();
+                match now < until {
+                    true => QuarantineStatus::Quarantined { until },
+                    false => QuarantineStatus::ProbeAllowed,
+                }
+            }
+        };
+        QuarantineCheck { status, suspects }
+    }
+
     /// Grants a probe, or returns when to ask again.
     ///
-    /// NB: an entry that is not the primary grants only a content's first probe, since the primary
+    /// NB: an entry that is not the primary grants only a feature's first probe, since the primary
     /// may have granted others unseen.
     pub fn request_probe(&mut self, probe: ProbeRequest, now: Duration) -> ProbeDecision {
-        let Some(record) = self.records.get_mut(&probe.content) else {
+        let Some(record) = self.records.get_mut(&probe.feature) else {
             return ProbeDecision::Granted;
         };
         match record.status(now) {
             QuarantineStatus::Unrestricted => ProbeDecision::Granted,
             QuarantineStatus::ProbeInProgress => ProbeDecision::InProgress,
             QuarantineStatus::Quarantined { until } => ProbeDecision::Refused { until },
+            QuarantineStatus::ProbeAllowed
+                if probe.is_joint && now < record.next_joint_probe_at() =>
+            {
+                ProbeDecision::Refused { until: record.next_joint_probe_at() }
+            }
             QuarantineStatus::ProbeAllowed if probe.is_primary || record.probe_count() == 0 => {
                 record.probed_until = Some(now + probe.lease);
                 record.unresolved_probes += 1;
@@ -210,53 +446,63 @@
     }
 
     /// Releases a granted probe that reached no server; another may be granted.
-    pub fn release_probe(&mut self, content: ContentHash) {
-        if let Some(record) = self.records.get_mut(&content) {
+    pub fn release_probe(&mut self, feature: FeatureHash) {
+        if let Some(record) = self.records.get_mut(&feature) {
             record.resolve_probe();
         }
     }
 
-    /// The crashes of a content, with the age of each.
-    pub fn crashes_of(&self, content: ContentHash, now: Duration) -> Vec<(ServerCrash, Duration)> {
-        let record = self.records.get(&content);
-        record.map(|record| crashes_with_age(content, record, now)).unwrap_or_default()
+    /// The crashes of a feature, with the age of each.
+    pub fn crashes_of(&self, feature: FeatureHash, now: Duration) -> Vec<(ServerCrash, Duration)> {
+        let record = self.records.get(&feature);
+        record.map(|record| crashes_with_age(feature, record, now)).unwrap_or_default()
     }
 
-    /// The crashes of all contents that are quarantined or need a probe, with the age of each.
+    /// The crashes of all features that are quarantined or need a probe, with the age of each; the
+    /// most relevant features first.
     pub fn quarantined_crashes(&self, now: Duration) -> Vec<(ServerCrash, Duration)> {
-        let records = self.records.iter();
-        let quarantined =
-            records.filter(|(_, record)| record.status(now) != QuarantineStatus::Unrestricted);
-        quarantined.flat_map(|(content, record)| crashes_with_age(*content, record, now)).collect()
+        self.crashes_by_relevance(Record::is_quarantined, now).collect()
     }
 
-    /// The crashes of the most relevant contents, with the age of each: at most `max`.
+    /// The crashes of the most relevant features, with the age of each: at most `max`.
     pub fn most_relevant_crashes(&self, max: usize, now: Duration) -> Vec<(ServerCrash, Duration)> {
-        let mut records: Vec<_> =
-            self.records.iter().filter(|(_, record)| !record.crashes.is_empty()).collect();
-        records.sort_unstable_by_key(|(_, record)| std::cmp::Reverse(record.retention_rank()));
-        let crashes = records
+        let has_crashes = |record: &Record| !record.crashes.is_empty();
+        self.crashes_by_relevance(has_crashes, now).take(max).collect()
+    }
+
+    fn crashes_by_relevance(
+        &self,
+        is_reported: impl Fn(&Record) -> bool,
+        now: Duration,
+    ) -> impl Iterator<Item = (ServerCrash, Duration)> {
+        let reported = |(feature, record): &(&FeatureHash, &Record)| {
+            is_reported(record) && !self.is_exempt(**feature)
+        };
+        let mut records: Vec<_> = self.records.iter().filter(reported).collect();
+        records.sort_unstable_by_key(|(feature, record)| {
+            std::cmp::Reverse((record.retention_rank(), **feature))
+        });
+        records
             .into_iter()
-            .flat_map(|(content, record)| crashes_with_age(*content, record, now));
-        crashes.take(max).collect()
+            .flat_map(move |(feature, record)| crashes_with_age(*feature, record, now))
     }
 
     fn evict(&mut self, now: Duration) {
-        if self.records.len() < MAX_CONTENTS {
+        if self.records.len() < MAX_FEATURES {
             return;
         }
         self.records.retain(|_, record| !record.is_expired(now));
-        if self.records.len() < MAX_CONTENTS {
+        if self.records.len() < MAX_FEATURES {
             return;
         }
         let mut by_rank: Vec<_> = self
             .records
             .iter()
-            .map(|(content, record)| (record.retention_rank(), *content))
+            .map(|(feature, record)| (record.retention_rank(), *feature))
             .collect();
         by_rank.sort_unstable();
-        for (_, content) in by_rank.iter().take(MAX_CONTENTS / EVICTION_DIVISOR) {
-            self.records.remove(content);
+        for (_, feature) in by_rank.iter().take(MAX_FEATURES / EVICTION_DIVISOR) {
+            self.records.remove(feature);
             self.evicted += 1;
         }
     }
@@ -268,13 +514,13 @@
 }
 
 fn crashes_with_age(
-    content: ContentHash,
+    feature: FeatureHash,
     record: &Record,
     now: Duration,
 ) -> Vec<(ServerCrash, Duration)> {
     let crash = |crash: &Crash| {
-        let Crash { id, server, at, in_common_loss, on_probe } = *crash;
-        let server_crash = ServerCrash { content, id, server, in_common_loss, on_probe };
+        let Crash { id, server, at, in_common_loss, on_probe, .. } = *crash;
+        let server_crash = ServerCrash { feature, id, server, in_common_loss, on_probe };
         (server_crash, now.saturating_sub(at))
     };
     record.crashes.iter().map(crash).collect()
@@ -293,7 +539,7 @@
 }
 
 /// Sorts the names of entries into the order in which they may grant what a key identifies: the
-/// probes of a content, or the permits of a server by the hash of its identity.
+/// probes of a feature, or the permits of a server by the hash of its identity.
 pub fn granter_order(key: u128, names: &mut [String]) {
     let low = key as u64;
     names.sort_by_cached_key(|name| {
--- a/crates/decide/src/direct/quarantine/record.rs
+++ b/crates/decide/src/direct/quarantine/record.rs
@@ -1,4 +1,4 @@
-//! The record of one content, and the resulting quarantine status.
+//! The record of one feature, and the resulting quarantine status.
 
 use std::time::Duration;
 
@@ -46,6 +46,8 @@
     pub in_common_loss: bool,
     /// Whether the request ran as a probe.
     pub on_probe: bool,
+    /// Whether it ran as a probe of several features.
+    pub is_joint: bool,
 }
 
 impl Crash {
@@ -57,7 +59,7 @@
     }
 }
 
-/// Record of one content.
+/// Record of one feature.
 #[derive(Debug, Default)]
 pub struct Record {
     /// Crashes since the record was last cleared.
@@ -109,17 +111,20 @@
         self.crashes.iter().map(|crash| crash.at).max()
     }
 
-    /// Whether a request of the content may run.
+    /// Whether requests with the feature may only run as probes.
+    pub fn is_quarantined(&self) -> bool {
+        self.crash_count() >= MIN_CRASHES
+    }
+
+    /// Whether a request of which this feature is the only quarantined one may run.
     pub fn status(&self, now: Duration) -> QuarantineStatus {
-        let count = self.crash_count();
-        let Some(last) = self.last_crash_at().filter(|_| count >= MIN_CRASHES) else {
+        if !self.is_quarantined() {
             return QuarantineStatus::Unrestricted;
-        };
+        }
         if self.probed_until.is_some_and(|until| now < until) {
             return QuarantineStatus::ProbeInProgress;
         }
-        let last = self.last_unresolved_at.map_or(last, |at| at.max(last));
-        let until = last + PROBE_DELAYS[self.probe_count().min(PROBE_DELAYS.len() - 1)];
+        let until = self.next_probe_at();
         if now < until {
             QuarantineStatus::Quarantined { until }
         } else {
@@ -127,6 +132,25 @@
         }
     }
 
+    /// When a request of which this feature is the only quarantined one may run as a probe.
+    ///
+    /// NB: the crash of a joint probe does not delay it, since another feature may be the cause.
+    fn next_probe_at(&self) -> Duration {
+        let sole = self.crashes.iter().filter(|crash| !crash.is_joint);
+        let last = sole.map(|crash| crash.at).max().or(self.last_crash_at());
+        self.delayed(last, self.probe_count())
+    }
+
+    /// When a request with several quarantined features, this being one, may run as a probe.
+    pub fn next_joint_probe_at(&self) -> Duration {
+        self.delayed(self.last_crash_at(), self.probe_count() + 1)
+    }
+
+    fn delayed(&self, last: Option<Duration>, step: usize) -> Duration {
+        let last = last.max(self.last_unresolved_at).unwrap_or_default();
+        last + PROBE_DELAYS[step.min(PROBE_DELAYS.len() - 1)]
+    }
+
     /// Number of probes under which a server crashed or may have crashed, without the excused ones.
     ///
     /// NB: not all crashes beyond the first few. A request that arrives on many connections at once
--- /dev/null
+++ b/crates/decide/src/direct/quarantine/successful_features.rs
@@ -0,0 +1,109 @@
+//! Remembers features of requests that succeeded.
+
+use std::{collections::HashMap, time::Duration};
+
+use super::FeatureHash;
+
+/// Time after which a success is forgotten, at the latest after twice as long; the effect of a
+/// request may change with the server's software.
+const SUCCESS_RETENTION: Duration = Duration::from_secs(300);
+/// Number of features remembered, at most twice as many; some 30 bytes each.
+const MAX_SUCCESSFUL_FEATURES: usize = 8_192;
+/// Crashes after the latest success for which a feature stays exempt: as many as two requests that
+/// crash servers cause before they are quarantined.
+const MAX_FORGIVEN_CRASHES: usize = 8;
+
+/// Successful runs of one feature.
+#[derive(Debug, Clone, Copy)]
+struct Success {
+    /// Crashes since the latest success.
+    crashes: usize,
+    /// Whether this entry has observed it, rather than heard of it.
+    is_own: bool,
+}
+
+impl Success {
+    fn is_exempt(&self) -> bool {
+        self.crashes <= MAX_FORGIVEN_CRASHES
+    }
+}
+
+/// Features that succeeded recently. A request that crashes every server never succeeds, so these
+/// are not quarantined when servers crash while running them, by chance or because of another
+/// request. Requests of many callers that share a feature are in flight wherever a server crashes.
+#[derive(Debug, Default)]
+pub struct SuccessfulFeatures {
+    newer: HashMap<FeatureHash, Success>,
+    older: HashMap<FeatureHash, Success>,
+    /// When the older generation was replaced.
+    rotated_at: Duration,
+}
+
+impl SuccessfulFeatures {
+    /// Records a successful run at this entry.
+    pub fn record_success(&mut self, feature: FeatureHash, now: Duration) {
+        self.insert(feature, Success { crashes: 0, is_own: true }, now);
+    }
+
+    /// Records a successful run that another entry reported.
+    pub fn record_reported_success(&mut self, feature: FeatureHash, now: Duration) {
+        // An own success keeps its count of crashes: two entries that clear a feature for one
+        // another must not exempt it for ever.
+        if !self.is_proven(feature) {
+            self.insert(feature, Success { crashes: 0, is_own: false }, now);
+        }
+    }
+
+    /// Records an answer in progress at this entry, which does not end the count of crashes.
+    pub fn record_survival(&mut self, feature: FeatureHash, crashes: usize, now: Duration) {
+        if self.get(feature).is_none() {
+            self.insert(feature, Success { crashes, is_own: true }, now);
+        }
+    }
+
+    fn insert(&mut self, feature: FeatureHash, success: Success, now: Duration) {
+        if self.newer.len() >= MAX_SUCCESSFUL_FEATURES || now >= self.rotated_at + SUCCESS_RETENTION
+        {
+            self.older = std::mem::take(&mut self.newer);
+            self.rotated_at = now;
+        }
+        self.newer.insert(feature, success);
+    }
+
+    /// Records that a server crashed under a feature, here or at another entry.
+    pub fn record_crash(&mut self, feature: FeatureHash) {
+        let (newer, older) = (self.newer.get_mut(&feature), self.older.get_mut(&feature));
+        if let Some(success) = newer.or(older) {
+            success.crashes += 1;
+        }
+    }
+
+    /// Whether the feature succeeded recently and is exempt from quarantine.
+    pub fn is_exempt(&self, feature: FeatureHash) -> bool {
+        self.get(feature).is_some_and(Success::is_exempt)
+    }
+
+    /// Whether the feature is exempt by a success that this entry observed.
+    pub fn is_proven(&self, feature: FeatureHash) -> bool {
+        self.get(feature).is_some_and(|success| success.is_own && success.is_exempt())
+    }
+
+    /// Whether recording another success would change nothing.
+    pub fn is_fresh(&self, feature: FeatureHash) -> bool {
+        self.newer.get(&feature).is_some_and(|success| success.is_own && success.crashes == 0)
+    }
+
+    /// Number of features remembered.
+    pub fn len(&self) -> usize {
+        self.newer.len() + self.older.len()
+    }
+
+    /// Whether no feature is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.newer.is_empty() && self.older.is_empty()
+    }
+
+    fn get(&self, feature: FeatureHash) -> Option<&Success> {
+        self.newer.get(&feature).or(self.older.get(&feature))
+    }
+}
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use pondwalk_decide::direct::{
-    ContentHash, CorrelatedCrashes, ProbeDecision, ProbeRequest, Quarantine, QuarantineStatus,
-    ServerCrash, SuccessfulContents, crash_id, granter_order,
+    CorrelatedCrashes, FeatureHash, ProbeDecision, ProbeRequest, Quarantine, QuarantineStatus,
+    ServerCrash, SuccessfulFeatures, crash_id, granter_order,
 };
 use quickcheck::{Gen, QuickCheck, TestResult};
 
@@ -12,15 +12,15 @@
 /// the second order.
 type Property = fn(Vec<(u8, u8, bool)>, usize) -> TestResult;
 
-const CONTENT: ContentHash = 7;
+const CONTENT: FeatureHash = 7;
 const SECOND: Duration = Duration::from_secs(1);
 
 fn s(seconds: f64) -> Duration {
     Duration::from_secs_f64(1_000.0 + seconds)
 }
 
-fn crash(content: ContentHash, id: u64) -> ServerCrash {
-    ServerCrash { content, id, server: id, in_common_loss: false, on_probe: false }
+fn crash(content: FeatureHash, id: u64) -> ServerCrash {
+    ServerCrash { feature: content, id, server: id, in_common_loss: false, on_probe: false }
 }
 
 /// A quarantine with so many crashes of a content, all at the start.
@@ -33,7 +33,7 @@
 }
 
 fn probe(is_primary: bool) -> ProbeRequest {
-    ProbeRequest { content: CONTENT, lease: 8 * SECOND, is_primary }
+    ProbeRequest { feature: CONTENT, lease: 8 * SECOND, is_joint: false, is_primary }
 }
 
 #[test]
@@ -69,7 +69,7 @@
 
 #[test]
 fn a_successful_content_is_exempt_for_a_few_crashes() {
-    let mut successes = SuccessfulContents::default();
+    let mut successes = SuccessfulFeatures::default();
     successes.record_crash(CONTENT);
     assert!(!successes.is_exempt(CONTENT));
     successes.record_success(CONTENT, s(0.0));
@@ -201,7 +201,7 @@
     let reported = quarantine.most_relevant_crashes(10, s(6.0));
     assert_eq!(reported.len(), 10);
     assert!(
-        reported[..3].iter().all(|(crash, age)| crash.content == CONTENT && *age == 6 * SECOND)
+        reported[..3].iter().all(|(crash, age)| crash.feature == CONTENT && *age == 6 * SECOND)
     );
     let mut other = Quarantine::default();
     for (crash, age) in reported {
@@ -217,7 +217,7 @@
             return TestResult::discard();
         }
         let crash = |(content, id, in_common_loss): &(u8, u8, bool)| ServerCrash {
-            content: u128::from(*content % 4),
+            feature: u128::from(*content % 4),
             id: u64::from(*id % 8),
             server: u64::from(*id % 8),
             in_common_loss: *in_common_loss,
--- a/crates/direct/src/content.rs
+++ b/crates/direct/src/content.rs
@@ -11,7 +11,7 @@
 //! body and is done only if any content is under suspicion.
 
 use hmac::{Hmac, Mac};
-use pondwalk_decide::direct::ContentHash;
+use pondwalk_decide::direct::FeatureHash;
 use sha2::Sha256;
 
 /// Length of the truncated hash in bytes.
@@ -31,7 +31,7 @@
 }
 
 /// Computes the content of a request.
-pub fn content_of(parts: Parts<'_>) -> ContentHash {
+pub fn content_of(parts: Parts<'_>) -> FeatureHash {
     let (path, query) = parts.target.split_once('?').unwrap_or((parts.target, ""));
     let mut hash = Hmac::<Sha256>::new_from_slice(parts.caller.as_bytes())
         .unwrap_or_else(|_| unreachable!("HMAC accepts keys of any length"));
@@ -44,7 +44,7 @@
     let digest = hash.finalize().into_bytes();
     let mut truncated = [0; CONTENT_BYTES];
     truncated.copy_from_slice(&digest[..CONTENT_BYTES]);
-    ContentHash::from_be_bytes(truncated)
+    FeatureHash::from_be_bytes(truncated)
 }
 
 /// Adds a part prefixed with its length, so that different parts can't produce the same input.
@@ -54,6 +54,6 @@
 }
 
 /// Formats a content for logs.
-pub fn content_text(content: ContentHash) -> String {
+pub fn content_text(content: FeatureHash) -> String {
     format!("{content:032x}")
 }
--- a/crates/direct/src/coordinator/quarantine.rs
+++ b/crates/direct/src/coordinator/quarantine.rs
@@ -1,4 +1,4 @@
-//! Stores the quarantined contents, for entries that start when no running entry remembers them.
+//! Stores the quarantined features, for entries that start when no running entry remembers them.
 
 use std::{
     cell::{Cell, RefCell},
@@ -13,7 +13,7 @@
     quarantine::{MAX_STORED_CRASHES, QUARANTINE_KEY, QuarantineEvent, StoredQuarantine},
 };
 
-/// Minimum time between two writes; contents quarantined at about the same time share a write.
+/// Minimum time between two writes; features quarantined at about the same time share a write.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The stored quarantine record, and when this entry may write it.
@@ -79,19 +79,24 @@
         }
     }
 
-    /// The record to write, if crashes are missing from the store and there is room for them.
+    /// The record to write, if crashes are missing from the store and there is room for them, or if
+    /// it has crashes of features that have been cleared.
     fn pending_record(&self) -> Option<StoredQuarantine> {
         let quarantined = self.core.quarantined_crashes();
-        if quarantined.is_empty() {
+        let stored = self.quarantine_writer.stored.borrow();
+        if quarantined.is_empty() && stored.ends.is_empty() {
             return None;
         }
-        let stored = self.quarantine_writer.stored.borrow();
         let (mut ends, missing): (Vec<_>, Vec<_>) =
             quarantined.into_iter().partition(|(crash, _)| stored.contains(crash));
         let room = MAX_STORED_CRASHES.saturating_sub(ends.len());
         ends.extend(missing.iter().take(room));
         let has_more = room > 0 && !missing.is_empty();
-        has_more.then(|| StoredQuarantine { written_ms: self.core.clock.unix_ms(), ends })
+        let state = self.core.state.borrow();
+        let has_cleared =
+            stored.ends.iter().any(|(crash, _)| state.quarantine.is_cleared(crash.feature));
+        (has_more || has_cleared)
+            .then(|| StoredQuarantine { written_ms: self.core.clock.unix_ms(), ends })
     }
 
     fn log_quarantine_error(&self, error: String) {
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -221,6 +221,7 @@
         let limited = state.fleets.values().map(Fleet::count_rate_limited);
         let (draining, backing_off) =
             notices.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        let (contents_held, parts_held) = state.quarantine.count_quarantined();
         let mut gauges = vec![
             ("servers_told_leaving", draining as u64),
             ("servers_backing_off", backing_off as u64),
@@ -228,7 +229,9 @@
             ("servers_cold", cold.sum::<usize>() as u64),
             ("data_centres_evacuated", state.evacuated.len() as u64),
             ("contents_remembered", state.quarantine.len() as u64),
-            ("contents_held", state.quarantine.count_quarantined(self.clock.now()) as u64),
+            ("contents_held", contents_held as u64),
+            ("prompt_parts_held", parts_held as u64),
+            ("prompt_parts_known_good", state.quarantine.successful_part_count() as u64),
             ("contents_given_way", state.quarantine.evicted()),
             ("entries_listed", self.members.count() as u64),
             ("asks_store", u64::from(queries_store)),
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -125,6 +125,7 @@
             loop {
                 sleep(FLUSH_INTERVAL).await;
                 log_suspension(&core, &mut suspended);
+                core.apply_settled_runs();
                 core.event_log.flush();
             }
         });
--- a/crates/direct/src/http/in_flight.rs
+++ b/crates/direct/src/http/in_flight.rs
@@ -9,8 +9,8 @@
     header::{ACCEPT_ENCODING, CONTENT_ENCODING, HOST, HeaderName, HeaderValue},
 };
 use pondwalk_decide::direct::{
-    ProbeDecision, QuarantineStatus, RESUMED_RANK, RouteModelIndex, ServerLoad, max_cold_wait,
-    queue_rank,
+    ProbeDecision, QuarantineCheck, QuarantineStatus, RESUMED_RANK, RouteModelIndex, ServerLoad,
+    max_cold_wait, queue_rank,
 };
 use pondwalk_types::{ServerId, VersionId};
 use tokio::time::sleep;
@@ -29,7 +29,7 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(8);
 /// Interval at which the result of a probe is polled.
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Retry delay for callers while a request of the same content runs as a probe. Most runs finish
+/// Retry delay for callers while a request with the same feature runs as a probe. Most runs finish
 /// within it.
 const PROBE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -133,8 +133,8 @@
         }
     }
 
-    /// Checks that the request's content may be sent now, and requests a probe if one is needed;
-    /// otherwise returns the time until which the content is quarantined.
+    /// Checks that the request may be sent now, and requests a probe if one is needed; otherwise
+    /// returns the time until which it is quarantined.
     ///
     /// This applies to every send, not only to each attempt of the caller: a resumed stream, a
     /// larger model and a retry each reach one more server.
@@ -142,17 +142,20 @@
         if self.probe.is_some() {
             return Ok(());
         }
-        let decision = match self.core.quarantine_status(&self.job) {
+        let QuarantineCheck { status, suspects } = self.core.check_quarantine(&self.job);
+        let decision = match status {
             QuarantineStatus::Unrestricted => return Ok(()),
             QuarantineStatus::Quarantined { until } => return Err(until),
             QuarantineStatus::ProbeInProgress => ProbeDecision::InProgress,
-            QuarantineStatus::ProbeAllowed => match self.core.request_probe(&self.job).await {
-                Ok(lease) => {
-                    self.probe = Some(Rc::new(lease));
-                    return Ok(());
+            QuarantineStatus::ProbeAllowed => {
+                match self.core.request_probe(&self.job, suspects).await {
+                    Ok(lease) => {
+                        self.probe = Some(Rc::new(lease));
+                        return Ok(());
+                    }
+                    Err(decision) => decision,
                 }
-                Err(decision) => decision,
-            },
+            }
         };
         match decision {
             ProbeDecision::Refused { until } => Err(until),
@@ -161,7 +164,7 @@
     }
 
     /// Waits for the result of a probe that runs elsewhere, for part of the objective. If the probe
-    /// succeeds, requests of the same content continue.
+    /// succeeds, requests with the same feature continue.
     async fn wait_for_probe(&self) -> Result<(), Duration> {
         let started_at = self.core.clock.now();
         let until = (started_at + max_cold_wait(self.job.route.objective)).min(self.job.deadline);
@@ -191,8 +194,8 @@
         mut extend: impl FnMut() -> Option<Duration>,
         last_event_id: Option<&str>,
     ) -> Result<Exchange, SendError> {
-        if self.probe.is_some() {
-            placement.mark_probe();
+        if let Some(probe) = &self.probe {
+            placement.mark_probe(probe.probed());
         }
         let request = self.build_request(placement, last_event_id);
         let until = self.core.clock.instant(until);
--- a/crates/direct/src/http/refusals.rs
+++ b/crates/direct/src/http/refusals.rs
@@ -84,7 +84,7 @@
 }
 
 impl InFlightRequest {
-    /// Refusal of a request whose content is quarantined until `until`.
+    /// Refusal of a request that is quarantined until `until`.
     pub(super) fn quarantine_refusal(&self, until: Duration) -> Refusal {
         match self.may_have_run {
             true => Refusal::CrashedServers,
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -16,6 +16,7 @@
     event_log::LogPriority,
     metrics::Counter,
     placement::Placement,
+    quarantine::AnswerEnd,
     sse::EventSplitter,
     upstream::{Connection, Exchange, SendError},
 };
@@ -23,6 +24,9 @@
 /// Silence after which a stream is resumed elsewhere, as a multiple of the route's event pause.
 /// Most streams that pause that long continue by themselves, so a shorter time gains nothing.
 const SILENCE_FACTOR: f64 = 1.3;
+/// Time after its first event from which a stream counts as one that did not crash its server at
+/// once.
+const SURVIVAL_TIME: Duration = Duration::from_millis(500);
 /// Event pause of a route that sets none.
 const DEFAULT_EVENT_PAUSE: Duration = Duration::from_secs(2);
 
@@ -46,15 +50,34 @@
     is_resumed: bool,
     /// Whether silence may move the request to another server.
     may_switch: bool,
+    /// How the answer ends if it is complete.
+    end: AnswerEnd,
+    /// When the first event was received.
+    first_event_at: Option<Duration>,
+    /// Whether the run counts as one that did not crash its server at once.
+    has_survived: bool,
     _connection: Connection,
     placement: Placement,
 }
 
 impl StreamSource {
-    fn new(body: Incoming, connection: Connection, placement: Placement, is_resumed: bool) -> Self {
-        let splitter = EventSplitter::default();
-        let _connection = connection;
-        StreamSource { body, splitter, is_resumed, may_switch: true, _connection, placement }
+    fn new(body: Incoming, connection: Connection, placement: Placement, end: AnswerEnd) -> Self {
+        StreamSource {
+            body,
+            splitter: EventSplitter::default(),
+            is_resumed: false,
+            may_switch: true,
+            end,
+            first_event_at: None,
+            has_survived: false,
+            _connection: connection,
+            placement,
+        }
+    }
+
+    /// How the answer ended, which is complete.
+    fn answer_end(&self) -> AnswerEnd {
+        if self.first_event_at.is_some() { self.end } else { AnswerEnd::WithoutEvents }
     }
 }
 
@@ -80,13 +103,14 @@
     body: Incoming,
     connection: Connection,
     placement: Placement,
+    end: AnswerEnd,
 ) -> ChunkReceiver {
     let (sender, receiver) = chunk_channel();
     let last_id = relayed.in_flight.job.last_event_id.clone();
     let is_resumed = last_id.is_some();
     let progress = StreamProgress::new(&relayed.in_flight);
     let relay = Relay { relayed, sender, last_id, progress };
-    let source = StreamSource::new(body, connection, placement, is_resumed);
+    let source = StreamSource { is_resumed, ..StreamSource::new(body, connection, placement, end) };
     spawn_local(relay.run(source));
     receiver
 }
@@ -111,6 +135,7 @@
                         *head_ms,
                         *status,
                         timing,
+                        source.answer_end(),
                     );
                     if !source.is_resumed {
                         source.placement.on_completed();
@@ -228,6 +253,12 @@
         let Some(whole) = source.splitter.pop_complete() else { return Some(false) };
         let in_flight = &self.relayed.in_flight;
         let has_sample = self.progress.record(&whole, in_flight, &source.placement);
+        let received_at = in_flight.core.clock.now();
+        let first_event_at = *source.first_event_at.get_or_insert(received_at);
+        if !source.has_survived && received_at >= first_event_at + SURVIVAL_TIME {
+            source.has_survived = true;
+            in_flight.record_survival();
+        }
         if whole.last_id.is_some() {
             self.last_id = whole.last_id;
         }
@@ -352,5 +383,7 @@
 
 fn resumed_source(exchange: Exchange, mut placement: Placement) -> StreamSource {
     placement.on_response_started();
-    StreamSource::new(exchange.response.into_body(), exchange.connection, placement, true)
+    let end = AnswerEnd::of(&exchange.response);
+    let (body, connection) = (exchange.response.into_body(), exchange.connection);
+    StreamSource { is_resumed: true, ..StreamSource::new(body, connection, placement, end) }
 }
--- a/crates/direct/src/http/reporting.rs
+++ b/crates/direct/src/http/reporting.rs
@@ -12,6 +12,7 @@
     event_log::LogPriority,
     metrics::{Counter, Timer},
     placement::Placement,
+    quarantine::AnswerEnd,
     server_signals::ServerSignals,
 };
 
@@ -104,8 +105,18 @@
         };
         self.core.event_log.record(LogPriority::Failure, &event);
         placement.mark_finished();
-        let on_probe = self.probe.take().is_some();
-        self.core.record_server_crash(&self.job, placement, on_probe);
+        let probe = self.probe.take();
+        let probed = probe.as_ref().map_or(&[][..], |probe| probe.probed());
+        self.core.record_server_crash(&self.job, placement, probed);
+    }
+
+    /// Records that the answer has been in progress for a while. A probe counts only as a whole.
+    pub fn record_survival(&self) {
+        if self.probe.is_none() {
+            let now = self.core.clock.now();
+            let mut state = self.core.state.borrow_mut();
+            state.quarantine.record_survival(self.job.part_features(), now);
+        }
     }
 
     /// Logs that the response to this request tripped a version.
@@ -126,10 +137,14 @@
         head_ms: u64,
         status: StatusCode,
         timing: StreamTiming,
+        end: AnswerEnd,
     ) {
         let after_ms = self.after_ms();
         placement.mark_finished();
-        self.core.record_success(&self.job);
+        // A server's failure may come before it begins to work on the prompt.
+        if !status.is_server_error() {
+            self.core.record_success(&self.job, placement, end);
+        }
         self.core.metrics.count(Counter::Answered);
         self.core.metrics.time(Timer::WholeAnswer, Duration::from_millis(after_ms));
         let event = RequestEvent::RequestAnswered {
--- a/crates/direct/src/http/request_reader.rs
+++ b/crates/direct/src/http/request_reader.rs
@@ -186,7 +186,7 @@
         allowed_data_centres,
         last_event_id,
         catalog_version: checked.catalog.version,
-        content_cell: OnceCell::new(),
+        features_cell: OnceCell::new(),
     }
 }
 
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming, http::response::Parts};
-use pondwalk_decide::direct::{Congestion, RouteModelIndex};
+use pondwalk_decide::direct::{Congestion, QuarantineStatus, RouteModelIndex};
 use tokio::time::timeout_at;
 
 use super::{
@@ -22,6 +22,7 @@
     forecasts,
     metrics::{Counter, Timer},
     placement::Placement,
+    quarantine::AnswerEnd,
     request::{Refusal, strip_hop_by_hop_headers},
     upstream::{Exchange, SendError},
 };
@@ -55,6 +56,10 @@
 
 impl InFlightRequest {
     async fn process(mut self) -> Response<ResponseBody> {
+        // A request that may not run anyway takes no place in the queue.
+        if let QuarantineStatus::Quarantined { until } = self.core.quarantine_status(&self.job) {
+            return self.refuse(self.quarantine_refusal(until));
+        }
         if let Err(refusal) = self.wait_for_admission().await {
             return self.refuse(refusal);
         }
@@ -303,12 +308,13 @@
     }
 
     fn start_relay(&self, exchange: Exchange, placement: Placement) -> Response<ResponseBody> {
+        let end = AnswerEnd::of(&exchange.response);
         let (parts, body) = exchange.response.into_parts();
         let head_ms = self.after_ms();
         self.core.metrics.time(Timer::FirstByte, Duration::from_millis(head_ms));
         let confidence = self.reported_confidence(&parts.headers);
         let relayed = self.relayed(confidence, head_ms, parts.status);
-        let chunks = relay::start(relayed, body, exchange.connection, placement);
+        let chunks = relay::start(relayed, body, exchange.connection, placement, end);
         self.build_response(parts, ResponseBody::Chunks(chunks))
     }
 
@@ -329,6 +335,7 @@
         exchange: Exchange,
         placement: Placement,
     ) -> AttemptResult {
+        let end = AnswerEnd::of(&exchange.response);
         let (parts, body) = exchange.response.into_parts();
         let head_ms = self.after_ms();
         let until = self.core.clock.instant(self.job.deadline);
@@ -347,7 +354,7 @@
         self.core.metrics.time(Timer::FirstByte, Duration::from_millis(head_ms));
         let confidence = self.reported_confidence(&parts.headers);
         let timing = StreamTiming::default();
-        self.record_answered(&placement, confidence, head_ms, parts.status, timing);
+        self.record_answered(&placement, confidence, head_ms, parts.status, timing, end);
         AttemptResult::Respond(self.build_response(parts, ResponseBody::whole(body)))
     }
 
--- a/crates/direct/src/membership/forward.rs
+++ b/crates/direct/src/membership/forward.rs
@@ -134,8 +134,8 @@
             }
             Gossip::Limited { .. } => return self.receive_limit(item),
             Gossip::Ended { ends } => return self.receive_crashes(ends, item.age),
-            Gossip::Cleared { content } => {
-                return self.receive_clearance(*content, &item.origin, item.age);
+            Gossip::Cleared { feature } => {
+                return self.receive_clearance(*feature, &item.origin, item.age);
             }
             _ => {}
         }
--- a/crates/direct/src/membership/gossip.rs
+++ b/crates/direct/src/membership/gossip.rs
@@ -10,7 +10,7 @@
 };
 
 use pondwalk_decide::direct::{
-    ContentHash, Observation, RateLimit, ServerCrash, ServerIncarnation, SessionKey, Stage,
+    FeatureHash, Observation, RateLimit, ServerCrash, ServerIncarnation, SessionKey, Stage,
     UsageCounts, WindowId,
 };
 use pondwalk_types::ServerId;
@@ -85,16 +85,16 @@
         /// The limit; `None` if it was lifted.
         limit: Option<RateLimit>,
     },
-    /// Servers crashed while running requests of these contents. Each crash carries its age at the
-    /// time of publication.
+    /// Servers crashed while running requests with these features. Each crash carries its age at
+    /// the time of publication.
     Ended {
         /// The crashes with their ages.
         ends: Vec<(ServerCrash, Duration)>,
     },
-    /// A request of this content succeeded.
+    /// A request with this feature succeeded.
     Cleared {
-        /// The content.
-        content: ContentHash,
+        /// The feature.
+        feature: FeatureHash,
     },
     /// Total number of requests that this entry has seen begin to run in a window. Goes only to the
     /// roots.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -58,7 +58,9 @@
     ConnectionsBroken,
     /// Contents quarantined because servers crashed under them.
     ContentsQuarantined,
-    /// Runs of quarantined contents as granted probes.
+    /// Prompt parts quarantined because servers crashed under them.
+    PartsQuarantined,
+    /// Runs of quarantined requests as granted probes.
     Probes,
     /// Crashes observed by this entry but not published, since there were too many at once.
     CrashesNotReported,
@@ -113,6 +115,7 @@
             Counter::ServersPresumedCold => "servers_doubted_total",
             Counter::ConnectionsBroken => "connections_broken_total",
             Counter::ContentsQuarantined => "contents_held_total",
+            Counter::PartsQuarantined => "prompt_parts_held_total",
             Counter::Probes => "probes_total",
             Counter::CrashesNotReported => "ends_not_told_total",
             Counter::Escalations => "escalations_total",
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -5,10 +5,15 @@
 
 mod choice;
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use pondwalk_decide::direct::{
-    Evidence, ExpectedWait, ReportedRateLimit, ServerLoad, ServiceModelIndex, Ticket,
+    Evidence, ExpectedWait, FeatureHash, ReportedRateLimit, ServerLoad, ServiceModelIndex, Ticket,
     UnreachableReason,
 };
 use pondwalk_types::{ModelId, ServerId, VersionId};
@@ -47,8 +52,8 @@
     pub model: Option<ModelId>,
     /// Whether the run is known to have finished, or never to have started.
     is_finished: Cell<bool>,
-    /// Whether the request runs as a probe.
-    is_probe: Cell<bool>,
+    /// Features that the request runs as a probe of.
+    probed: RefCell<Vec<FeatureHash>>,
 }
 
 impl Placement {
@@ -89,13 +94,13 @@
             version,
             model,
             is_finished: Cell::new(false),
-            is_probe: Cell::new(false),
+            probed: RefCell::default(),
         })
     }
 
-    /// Marks the request as a probe.
-    pub fn mark_probe(&self) {
-        self.is_probe.set(true);
+    /// Marks the request as a probe of these features.
+    pub fn mark_probe(&self, probed: &[FeatureHash]) {
+        self.probed.replace(probed.to_vec());
     }
 
     /// Marks the run as finished, or as never started.
@@ -333,7 +338,8 @@
         }
         drop(state);
         if !self.is_finished.get() {
-            self.core.record_abandoned_run(&self.job, self.server(), self.is_probe.get());
+            let probed = self.probed.take();
+            self.core.record_abandoned_run(&self.job, self.server(), probed);
         }
     }
 }
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -11,13 +11,14 @@
 mod probe_lease;
 mod stored;
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use pondwalk_decide::direct::{
-    ContentHash, ProbeDecision, ProbeRequest, Quarantine, QuarantineStatus, ServerCrash,
+    CrashId, FeatureHash, ProbeDecision, ProbeRequest, Quarantine, QuarantineCheck,
+    QuarantineStatus, ServerCrash, is_part, is_part_of, part_id,
 };
 
-pub use clearance::{PendingClearances, publish_clearances};
+pub use clearance::{AnswerEnd, PendingClearances, is_reachable, publish_clearances};
 pub use crashes::ObservedCrashes;
 pub use events::QuarantineEvent;
 pub use probe_lease::{ProbeLease, ReleasedProbes, release_probes};
@@ -37,6 +38,8 @@
 /// Time after the start during which no probe is granted if others could have granted one: by then
 /// the probes granted before the restart have finished, or are known to have crashed a server.
 const STARTUP_GRACE: Duration = Duration::from_secs(5);
+/// Connect timeout of a check whether a server is running; a connection opens in a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time by which a probe may outlast its deadline.
 const LEASE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -46,42 +49,56 @@
 impl Core {
     /// Whether a request may run.
     pub fn quarantine_status(&self, job: &Job) -> QuarantineStatus {
+        self.check_quarantine(job).status
+    }
+
+    /// Whether a request may run, and which of its features are quarantined.
+    pub fn check_quarantine(&self, job: &Job) -> QuarantineCheck {
         let state = self.state.borrow();
-        if state.quarantine.is_empty() || state.successful_contents.is_exempt(job.content()) {
-            return QuarantineStatus::Unrestricted;
+        if state.quarantine.is_empty() {
+            let status = QuarantineStatus::Unrestricted;
+            return QuarantineCheck { status, suspects: Vec::new() };
         }
-        state.quarantine.status(job.content(), self.clock.now())
+        state.quarantine.check(job.features(), self.clock.now())
     }
 
-    /// Number of server crashes that count against a request.
+    /// Highest number of server crashes that count against a feature of a request.
     pub fn crash_count(&self, job: &Job) -> usize {
         let state = self.state.borrow();
-        if state.quarantine.is_empty() { 0 } else { state.quarantine.crash_count(job.content()) }
+        if state.quarantine.is_empty() {
+            0
+        } else {
+            state.quarantine.max_crash_count(job.features())
+        }
     }
 
     /// Applies crashes observed by another entry.
     pub fn receive_crashes(&self, crashes: &[AgedCrash], age: Duration) {
         let now = self.clock.now();
+        let mut by_request: BTreeMap<CrashId, (Duration, Vec<ServerCrash>)> = BTreeMap::new();
         for (crash, extra_age) in crashes {
-            let at = now.saturating_sub(age + *extra_age);
-            let mut state = self.state.borrow_mut();
-            let is_new = state.quarantine.record_crash(*crash, at, now);
-            if is_new {
-                state.successful_contents.record_crash(crash.content);
-            }
-            drop(state);
-            if is_new {
-                self.log_if_quarantined(crash.content);
-                self.queue_clearance(crash.content);
+            let (_, features) = by_request.entry(crash.id).or_insert((*extra_age, Vec::new()));
+            features.push(*crash);
+        }
+        for (extra_age, features) in by_request.into_values() {
+            let at = now.saturating_sub(age + extra_age);
+            let counted =
+                self.state.borrow_mut().quarantine.record_reported_crash(&features, at, now);
+            for feature in counted {
+                self.log_if_quarantined(feature);
+                self.queue_clearance(feature);
             }
         }
     }
 
     /// Applies a successful run at another entry.
-    pub fn receive_clearance(&self, content: ContentHash, from: &str, age: Duration) {
-        let at = self.clock.now().saturating_sub(age);
-        let crashes = self.state.borrow_mut().quarantine.record_success(content, at);
-        self.log_cleared(content, crashes, from);
+    pub fn receive_clearance(&self, feature: FeatureHash, from: &str, age: Duration) {
+        let now = self.clock.now();
+        let at = now.saturating_sub(age);
+        let mut state = self.state.borrow_mut();
+        let crashes = state.quarantine.record_reported_success(feature, at, now);
+        drop(state);
+        self.log_cleared(feature, crashes, from);
     }
 
     /// The crashes sent to an entry that has received none from this one.
@@ -94,7 +111,7 @@
         (!ends.is_empty()).then_some(Gossip::Ended { ends })
     }
 
-    /// The crashes of quarantined contents, with the time since each.
+    /// The crashes of quarantined features, with the time since each.
     pub fn quarantined_crashes(&self) -> Vec<AgedCrash> {
         let state = self.state.borrow();
         if state.quarantine.is_empty() {
@@ -104,54 +121,81 @@
         }
     }
 
-    /// Decides on a probe requested by this entry or another one.
-    pub fn grant_probe(&self, content: ContentHash, lease: Duration) -> ProbeDecision {
+    /// Decides on a probe requested by this entry or another one; `is_joint` if other features of
+    /// the request are quarantined too.
+    pub fn grant_probe(
+        &self,
+        feature: FeatureHash,
+        is_joint: bool,
+        lease: Duration,
+    ) -> ProbeDecision {
         let now = self.clock.now();
-        let order = self.members.granting_order(content);
+        let order = self.members.granting_order(feature);
         let place = order.iter().position(|(name, _)| *name == self.settings.name);
         let grace_left = STARTUP_GRACE.saturating_sub(self.clock.uptime());
         if order.len() > 1 && !grace_left.is_zero() {
             return ProbeDecision::Refused { until: now + grace_left };
         }
-        let probe =
-            ProbeRequest { content, lease: lease + LEASE_MARGIN, is_primary: place == Some(0) };
+        let (lease, is_primary) = (lease + LEASE_MARGIN, place == Some(0));
+        let probe = ProbeRequest { feature, lease, is_joint, is_primary };
         self.state.borrow_mut().quarantine.request_probe(probe, now)
     }
 
-    /// Forgets contents without recent crashes or runs.
+    /// Forgets features without recent crashes or runs.
     pub fn forget_old_crashes(&self) {
         let now = self.clock.now();
         self.state.borrow_mut().quarantine.remove_expired(now);
     }
 
-    /// Logs that a content has been quarantined.
-    fn log_if_quarantined(&self, content: ContentHash) {
+    /// Logs that a feature has been quarantined.
+    fn log_if_quarantined(&self, feature: FeatureHash) {
         let now = self.clock.now();
         let state = self.state.borrow();
-        if state.successful_contents.is_exempt(content) {
+        if state.quarantine.is_exempt(feature) {
             return;
         }
-        let QuarantineStatus::Quarantined { until } = state.quarantine.status(content, now) else {
+        let QuarantineStatus::Quarantined { until } = state.quarantine.status(feature, now) else {
             return;
         };
-        let crashes = state.quarantine.crash_count(content);
+        let servers_ended = state.quarantine.crash_count(feature);
         drop(state);
-        self.metrics.count(Counter::ContentsQuarantined);
-        let event = QuarantineEvent::ContentHeld {
-            content: &content_text(content),
-            servers_ended: crashes,
-            for_ms: until.saturating_sub(now).as_millis() as u64,
-        };
-        self.event_log.record(LogPriority::Failure, &event);
+        let for_ms = until.saturating_sub(now).as_millis() as u64;
+        if is_part(feature) {
+            self.metrics.count(Counter::PartsQuarantined);
+            let (service, part) = self.part_names(feature);
+            let (service, part) = (service.as_str(), part.as_str());
+            let event = QuarantineEvent::PartHeld { service, part, servers_ended, for_ms };
+            self.event_log.record(LogPriority::Failure, &event);
+        } else {
+            self.metrics.count(Counter::ContentsQuarantined);
+            let content = &content_text(feature);
+            let event = QuarantineEvent::ContentHeld { content, servers_ended, for_ms };
+            self.event_log.record(LogPriority::Failure, &event);
+        }
     }
 
-    /// Logs that a content is cleared, if `crashes` had quarantined it.
-    fn log_cleared(&self, content: ContentHash, crashes: usize, from: &str) {
+    /// Logs that a feature is cleared, if `crashes` had quarantined it.
+    fn log_cleared(&self, feature: FeatureHash, crashes: usize, from: &str) {
         if !Quarantine::quarantines_after(crashes) {
             return;
         }
-        let event = QuarantineEvent::ContentCleared { content: &content_text(content), from };
-        self.event_log.record(LogPriority::Failure, &event);
+        if is_part(feature) {
+            let (service, part) = self.part_names(feature);
+            let event = QuarantineEvent::PartCleared { service: &service, part: &part, from };
+            self.event_log.record(LogPriority::Failure, &event);
+        } else {
+            let event = QuarantineEvent::ContentCleared { content: &content_text(feature), from };
+            self.event_log.record(LogPriority::Failure, &event);
+        }
+    }
+
+    /// Service of a prompt part, empty if it has no servers here, and the part's id as callers send
+    /// it.
+    fn part_names(&self, feature: FeatureHash) -> (String, String) {
+        let state = self.state.borrow();
+        let service = state.fleets.keys().find(|service| is_part_of(feature, service));
+        let service = service.map(|service| service.to_string());
+        (service.unwrap_or_default(), format!("{:x}", part_id(feature)))
     }
 
     /// The refusal of a request that may not run before `until`.
--- a/crates/direct/src/quarantine/crashes.rs
+++ b/crates/direct/src/quarantine/crashes.rs
@@ -9,15 +9,12 @@
 };
 
 use pondwalk_decide::direct::{
-    ContentHash, CorrelatedCrashes, CrashId, Evidence, ServerCrash, crash_id, server_hash,
+    CorrelatedCrashes, CrashedRequest, Evidence, FeatureHash, ServerCrash, crash_id, server_hash,
 };
 use pondwalk_types::{RequestId, ServerId, VersionId};
-use tokio::{
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::{task::spawn_local, time::sleep};
 
-use super::{AgedCrash, QuarantineEvent};
+use super::{AgedCrash, QuarantineEvent, is_reachable};
 use crate::{
     catalog::ServiceId, core::Core, event_log::LogPriority, membership::Gossip, metrics::Counter,
     placement::Placement, request::Job, state::State,
@@ -34,23 +31,21 @@
 /// Other servers probed after a crash under a probe. While only a few requests crash servers, it is
 /// unlikely that all of the sampled ones are down by chance.
 const REACHABILITY_SAMPLE: usize = 4;
-/// Connect timeout of such a probe; a connection opens in a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which an abandoned run is no longer related to a crash of its server: a cancelled run
 /// stops within milliseconds, or finishes soon.
 const ABANDONED_RUN_TTL: Duration = Duration::from_secs(1);
 /// Maximum number of abandoned runs remembered.
 const MAX_ABANDONED_RUNS: usize = 128;
-/// Crashes under one content that count as evidence about the servers' versions. A content that
+/// Crashes under one feature that count as evidence about the servers' versions. A feature that
 /// crashes every server yields no further evidence, and a version whose servers crash under any
-/// content is detected by contents that succeed elsewhere.
+/// request is detected by features that succeed elsewhere.
 const MAX_CRASHES_AS_EVIDENCE: usize = 2;
 
 /// A crash with the data needed to evaluate it.
 #[derive(Debug)]
 struct ObservedCrash {
-    content: ContentHash,
-    id: CrashId,
+    /// The crash under each feature that may be the cause.
+    crashes: Vec<ServerCrash>,
     at: Duration,
     service: ServiceId,
     server: ServerId,
@@ -59,21 +54,30 @@
     kind: String,
     /// Id of the request.
     request: RequestId,
-    on_probe: bool,
-    /// Crashes that counted against the content before.
-    prior_crashes: usize,
-    /// Whether the content has succeeded before.
-    has_succeeded: bool,
+    /// Whether a feature that has crashed other servers explains it.
+    is_explained: bool,
+}
+
+impl ObservedCrash {
+    fn on_probe(&self) -> bool {
+        self.crashes.iter().any(|crash| crash.on_probe)
+    }
+
+    /// Whether most of the simultaneous crashes have another cause.
+    fn is_exonerated(&self, loss: &CorrelatedCrashes, servers: usize) -> bool {
+        self.crashes.iter().any(|crash| loss.exonerates(crash.feature, servers))
+    }
 }
 
 /// A run that was abandoned before its outcome was known.
 #[derive(Debug)]
 struct AbandonedRun {
-    content: ContentHash,
+    features: Vec<FeatureHash>,
     server: ServerId,
     request: RequestId,
     at: Duration,
-    on_probe: bool,
+    /// Features that it was a probe of.
+    probed: Vec<FeatureHash>,
 }
 
 /// Crashes observed within [`CORRELATION_WINDOW`] and not published yet.
@@ -100,66 +104,61 @@
     /// Records a run that was abandoned at a server, by its caller or in favour of another server.
     ///
     /// Otherwise a caller that always disconnects early would never be related to a crash.
-    pub fn record_abandoned_run(&self, job: &Job, server: &ServerId, on_probe: bool) {
+    pub fn record_abandoned_run(&self, job: &Job, server: &ServerId, probed: Vec<FeatureHash>) {
         let at = self.clock.now();
         let mut abandoned = self.observed_crashes.abandoned.borrow_mut();
         if abandoned.len() == MAX_ABANDONED_RUNS {
             abandoned.pop_front();
         }
-        let (content, server, request) = (job.content(), server.clone(), job.id.clone());
-        abandoned.push_back(AbandonedRun { content, server, request, at, on_probe });
+        let (features, server, request) = (job.features().to_vec(), server.clone(), job.id.clone());
+        abandoned.push_back(AbandonedRun { features, server, request, at, probed });
     }
 
     /// Records that a server dropped the connection, possibly by crashing, while it ran the
     /// request.
-    pub fn record_server_crash(self: &Rc<Self>, job: &Job, placement: &Placement, on_probe: bool) {
+    pub fn record_server_crash(
+        self: &Rc<Self>,
+        job: &Job,
+        placement: &Placement,
+        probed: &[FeatureHash],
+    ) {
         let now = self.clock.now();
-        self.record_crash(job.content(), &job.id, placement, on_probe);
+        self.record_crash(job.features(), &job.id, placement, probed);
         for run in self.observed_crashes.drain_abandoned(placement.server(), now) {
-            self.record_crash(run.content, &run.request, placement, run.on_probe);
+            self.record_crash(&run.features, &run.request, placement, &run.probed);
         }
     }
 
     fn record_crash(
         self: &Rc<Self>,
-        content: ContentHash,
+        features: &[FeatureHash],
         request: &RequestId,
         placement: &Placement,
-        on_probe: bool,
+        probed: &[FeatureHash],
     ) {
         let now = self.clock.now();
         let server = placement.server();
         let numbers = [self.incarnation, now.as_nanos() as u64];
         let id = crash_id(&[&self.settings.name, server, request], &numbers);
-        let crash = ServerCrash {
-            content,
-            id,
-            server: server_hash(server),
-            in_common_loss: false,
-            on_probe,
-        };
+        let crashed = CrashedRequest { features, probed, id, server: server_hash(server) };
         let mut state = self.state.borrow_mut();
-        let prior_crashes = state.quarantine.crash_count(content);
-        if state.quarantine.record_crash(crash, now, now) {
-            state.successful_contents.record_crash(content);
-        }
-        let has_succeeded = state.successful_contents.is_exempt(content);
+        let is_explained = state.quarantine.max_crash_count(features) >= MAX_CRASHES_AS_EVIDENCE;
+        let causes = state.quarantine.observe_crash(crashed, now);
         drop(state);
-        self.log_if_quarantined(content);
-        self.queue_clearance(content);
-        self.observed_crashes.loss.borrow_mut().record(content, server);
+        for crash in &causes {
+            self.log_if_quarantined(crash.feature);
+            self.queue_clearance(crash.feature);
+            self.observed_crashes.loss.borrow_mut().record(crash.feature, server);
+        }
         let observed = ObservedCrash {
-            content,
-            id,
+            crashes: causes,
             at: now,
             service: placement.service().clone(),
             server: server.clone(),
             version: placement.version.clone(),
             kind: placement.kind(),
             request: request.clone(),
-            on_probe,
-            prior_crashes,
-            has_succeeded,
+            is_explained,
         };
         let mut crashes = self.observed_crashes.crashes.borrow_mut();
         crashes.push(observed);
@@ -176,26 +175,57 @@
     async fn publish_crashes(&self) {
         let observed = self.observed_crashes.crashes.take();
         let loss = self.observed_crashes.loss.take();
-        let mut published: Vec<AgedCrash> =
-            Vec::with_capacity(observed.len().min(MAX_PUBLISHED_CRASHES));
+        let mut published: Vec<Vec<AgedCrash>> = Vec::with_capacity(observed.len());
         self.record_version_evidence(&observed, &loss);
-        for crash in observed {
-            let in_common_loss = self.is_common_loss(&loss, &crash).await;
-            let now = self.clock.now();
-            let ObservedCrash { content, id, at, on_probe, ref server, .. } = crash;
-            let server = server_hash(server);
-            let crash = ServerCrash { content, id, server, in_common_loss, on_probe };
-            if in_common_loss {
-                self.state.borrow_mut().quarantine.record_crash(crash, at, now);
+        for observed in observed {
+            let reported = self.evaluate_crash(&loss, &observed).await;
+            let age = self.clock.now().saturating_sub(observed.at);
+            published.push(reported.into_iter().map(|crash| (crash, age)).collect());
+        }
+        // The crashes of one request stay together, so that receivers can compare its features.
+        let mut batch: Vec<AgedCrash> = Vec::new();
+        let mut sent = 0;
+        for crashes in published {
+            if sent + crashes.len() > MAX_PUBLISHED_CRASHES {
+                self.metrics.count_many(Counter::CrashesNotReported, crashes.len());
+                continue;
             }
-            published.push((crash, now.saturating_sub(at)));
+            if batch.len() + crashes.len() > MAX_CRASHES_PER_MESSAGE {
+                self.publish_gossip(Gossip::Ended { ends: std::mem::take(&mut batch) });
+            }
+            sent += crashes.len();
+            batch.extend(crashes);
+        }
+        if !batch.is_empty() {
+            self.publish_gossip(Gossip::Ended { ends: batch });
         }
-        let omitted = published.len().saturating_sub(MAX_PUBLISHED_CRASHES);
-        self.metrics.count_many(Counter::CrashesNotReported, omitted);
-        published.truncate(MAX_PUBLISHED_CRASHES);
-        for batch in published.chunks(MAX_CRASHES_PER_MESSAGE) {
-            self.publish_gossip(Gossip::Ended { ends: batch.to_vec() });
+    }
+
+    /// Marks the crashes of one request that are part of a common loss.
+    async fn evaluate_crash(
+        &self,
+        loss: &CorrelatedCrashes,
+        observed: &ObservedCrash,
+    ) -> Vec<ServerCrash> {
+        let servers = self.server_count(&observed.service);
+        // A probe runs alone, so this entry may have had no requests at the other servers.
+        let are_others_lost = !observed.is_exonerated(loss, servers)
+            && observed.on_probe()
+            && self.are_others_unreachable(observed).await;
+        let mut crashes = observed.crashes.clone();
+        let now = self.clock.now();
+        for crash in &mut crashes {
+            crash.in_common_loss =
+                are_others_lost && crash.on_probe || loss.exonerates(crash.feature, servers);
+            if crash.in_common_loss {
+                self.state.borrow_mut().quarantine.record_crash(*crash, observed.at, now);
+            }
         }
+        crashes
+    }
+
+    fn server_count(&self, service: &ServiceId) -> usize {
+        self.state.borrow().fleets.get(service).map_or(0, |fleet| fleet.count())
     }
 
     /// Records the crashes as evidence about the servers' versions, one per server.
@@ -210,8 +240,7 @@
         let mut servers: HashMap<&ServerId, Option<&ObservedCrash>> = HashMap::new();
         for crash in observed {
             let known = fleets.get(&crash.service).map_or(0, |fleet| fleet.count());
-            let has_cause = !crash.has_succeeded && crash.prior_crashes >= MAX_CRASHES_AS_EVIDENCE
-                || loss.exonerates(crash.content, known);
+            let has_cause = crash.is_explained || crash.is_exonerated(loss, known);
             let evidence = servers.entry(&crash.server).or_insert(Some(crash));
             if has_cause {
                 *evidence = None;
@@ -233,18 +262,6 @@
         }
     }
 
-    /// Whether other servers were lost at the same moment, so that the request need not be the
-    /// cause.
-    async fn is_common_loss(&self, loss: &CorrelatedCrashes, crash: &ObservedCrash) -> bool {
-        let servers =
-            self.state.borrow().fleets.get(&crash.service).map_or(0, |fleet| fleet.count());
-        if loss.exonerates(crash.content, servers) {
-            return true;
-        }
-        // A probe runs alone, so this entry may have had no requests at the other servers.
-        crash.on_probe && self.are_others_unreachable(crash).await
-    }
-
     /// Whether none of a sample of other servers can be reached.
     async fn are_others_unreachable(&self, crash: &ObservedCrash) -> bool {
         let others = {
@@ -256,10 +273,7 @@
             })
         };
         for address in &others {
-            if timeout(CONNECT_TIMEOUT, (self.connect)(*address))
-                .await
-                .is_ok_and(|open| open.is_ok())
-            {
+            if is_reachable(&self.connect, *address).await {
                 return false;
             }
         }
--- a/crates/direct/src/quarantine/events.rs
+++ b/crates/direct/src/quarantine/events.rs
@@ -1,8 +1,8 @@
-//! Log events of contents under which servers crash.
+//! Log events of features under which servers crash.
 
 use serde::Serialize;
 
-/// A change of a content's quarantine.
+/// A change of a feature's quarantine.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum QuarantineEvent<'a> {
@@ -10,14 +10,31 @@
     ContentHeld { content: &'a str, servers_ended: usize, for_ms: u64 },
     /// A run of the content succeeded, at entry `from`.
     ContentCleared { content: &'a str, from: &'a str },
+    /// The prompt part is quarantined after this many crashes.
+    PartHeld { service: &'a str, part: &'a str, servers_ended: usize, for_ms: u64 },
+    /// A run with the prompt part succeeded, at entry `from`.
+    PartCleared { service: &'a str, part: &'a str, from: &'a str },
     /// A version was tripped by the crash of one of its servers under this request.
     VersionTripped { request: &'a str, service: &'a str, version: &'a str },
-    /// A request with the content runs as a probe, granted by entry `by`.
-    ProbeGranted { request: &'a str, content: &'a str, servers_ended: usize, by: &'a str },
+    /// A request runs as a probe of a content, or of prompt parts, granted by entry `by`.
+    ProbeGranted {
+        request: &'a str,
+        content: &'a str,
+        /// Quarantined prompt parts of the request, as comma-separated ids.
+        prompt_parts: &'a str,
+        servers_ended: usize,
+        by: &'a str,
+    },
     /// An unused probe could not be released to its granter.
     ProbeNotGivenBack { error: String },
     /// No entry replied to the probe query.
-    ProbeUnanswered { request: &'a str, content: &'a str, error: String },
+    ProbeUnanswered {
+        request: &'a str,
+        content: &'a str,
+        /// Quarantined prompt parts of the request, as comma-separated ids.
+        prompt_parts: &'a str,
+        error: String,
+    },
     /// The stored quarantine can't be parsed, or could not be written.
     QuarantineNotStored { error: String },
     /// The quarantine was stored, for entries that start without any state.
--- a/crates/direct/src/quarantine/probe.rs
+++ b/crates/direct/src/quarantine/probe.rs
@@ -1,9 +1,9 @@
-//! Requests probes from the entry that grants them for a content, and handles such queries.
+//! Requests probes from the entry that grants them for a feature, and handles such queries.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use pondwalk_decide::direct::{ContentHash, ProbeDecision};
+use pondwalk_decide::direct::{FeatureHash, ProbeDecision, is_part, part_id};
 use serde::{Deserialize, Serialize};
 
 use super::{AgedCrash, ProbeLease, QuarantineEvent};
@@ -25,17 +25,26 @@
 /// Query to an entry that grants probes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ProbeQuery {
-    /// Requests permission to run a content once.
+    /// Requests permission to run a request with a feature once.
     Ask {
-        /// The content.
-        content: ContentHash,
+        /// The feature.
+        feature: FeatureHash,
         /// Maximum duration of the run.
         lease: Duration,
         /// Crashes known to the querying entry, which the granter may not have received yet.
         ends: Vec<AgedCrash>,
     },
     /// Releases a probe that was not used.
-    GiveBack(ContentHash),
+    GiveBack(FeatureHash),
+    /// Like `Ask`, for a request with further quarantined features.
+    AskJoint {
+        /// The feature.
+        feature: FeatureHash,
+        /// Maximum duration of the run.
+        lease: Duration,
+        /// Crashes known to the querying entry, which the granter may not have received yet.
+        ends: Vec<AgedCrash>,
+    },
 }
 
 /// Reply to a probe query.
@@ -43,34 +52,48 @@
 pub enum ProbeReply {
     /// The probe was released.
     TakenBack,
-    /// The content may run once.
+    /// A request with the feature may run once.
     Given,
-    /// Another request with this content is running as a probe.
+    /// Another request with this feature is running as a probe.
     Probed,
-    /// The content may not run for now.
+    /// No request with the feature may run for now.
     Refused {
         /// Time until a probe may be requested again.
         opens_in: Duration,
     },
 }
 
+/// Ids of the prompt parts among some features for logs, separated by commas.
+fn parts_text(features: &[FeatureHash]) -> String {
+    let parts = features.iter().filter(|feature| is_part(**feature));
+    let ids: Vec<String> = parts.map(|part| format!("{:x}", part_id(*part))).collect();
+    ids.join(",")
+}
+
 impl Core {
-    /// Requests permission to run a request once; the granter blocks all others meanwhile. A
-    /// granted probe is returned as a lease.
-    pub async fn request_probe(self: &Rc<Self>, job: &Job) -> Result<ProbeLease, ProbeDecision> {
+    /// Requests permission to run a request once, although the features `suspects` of it are
+    /// quarantined. The entry that grants probes of the first one decides, and blocks all other
+    /// requests with it meanwhile. A granted probe is returned as a lease.
+    pub async fn request_probe(
+        self: &Rc<Self>,
+        job: &Job,
+        suspects: Vec<FeatureHash>,
+    ) -> Result<ProbeLease, ProbeDecision> {
         let lease = job.deadline.saturating_sub(self.clock.now());
-        let content = job.content();
+        let feature = suspects.first().copied().unwrap_or_else(|| job.content());
+        let is_joint = suspects.len() > 1;
         let mut error = None;
         for (name, address) in
-            self.members.granting_order(content).into_iter().take(MAX_GRANTERS_TRIED)
+            self.members.granting_order(feature).into_iter().take(MAX_GRANTERS_TRIED)
         {
             let Some(address) = address else {
-                let grant = self.grant_probe(content, lease);
-                return self.accept_grant(job, grant, None, &name);
+                let grant = self.grant_probe(feature, is_joint, lease);
+                return self.accept_grant(job, suspects, grant, None, &name);
             };
-            match self.request_probe_at(address, content, lease).await {
+            match self.request_probe_at(address, feature, is_joint, lease).await {
                 Ok(ProbeReply::Given) => {
-                    return self.accept_grant(job, ProbeDecision::Granted, Some(address), &name);
+                    let granted = ProbeDecision::Granted;
+                    return self.accept_grant(job, suspects, granted, Some(address), &name);
                 }
                 Ok(ProbeReply::Probed) => return Err(ProbeDecision::InProgress),
                 Ok(ProbeReply::Refused { opens_in }) => {
@@ -83,7 +106,8 @@
         let error = error.map_or_else(|| "no entry is known".to_owned(), |one| one.to_string());
         let event = QuarantineEvent::ProbeUnanswered {
             request: &job.id,
-            content: &content_text(content),
+            content: &content_text(job.content()),
+            prompt_parts: &parts_text(&suspects),
             error,
         };
         self.event_log.record(LogPriority::Failure, &event);
@@ -93,11 +117,16 @@
     async fn request_probe_at(
         &self,
         address: SocketAddr,
-        content: ContentHash,
+        feature: FeatureHash,
+        is_joint: bool,
         lease: Duration,
     ) -> Result<ProbeReply, PeerError> {
-        let ends = self.state.borrow().quarantine.crashes_of(content, self.clock.now());
-        self.exchange(address, &ProbeQuery::Ask { content, lease, ends }).await
+        let ends = self.state.borrow().quarantine.crashes_of(feature, self.clock.now());
+        let query = match is_joint {
+            true => ProbeQuery::AskJoint { feature, lease, ends },
+            false => ProbeQuery::Ask { feature, lease, ends },
+        };
+        self.exchange(address, &query).await
     }
 
     /// Reports an unused probe to the entry that granted it.
@@ -119,17 +148,16 @@
     /// Handles another entry's probe query.
     pub fn handle_probe_query(&self, query: &[u8]) -> Result<Bytes, MessageError> {
         let store = self.settings.store.address;
-        let (content, lease) = match from_message(query, store)? {
-            ProbeQuery::Ask { content, lease, ends } => {
-                self.receive_crashes(&ends, Duration::ZERO);
-                (content, lease)
-            }
-            ProbeQuery::GiveBack(content) => {
-                self.state.borrow_mut().quarantine.release_probe(content);
+        let (feature, lease, ends, is_joint) = match from_message(query, store)? {
+            ProbeQuery::Ask { feature, lease, ends } => (feature, lease, ends, false),
+            ProbeQuery::AskJoint { feature, lease, ends } => (feature, lease, ends, true),
+            ProbeQuery::GiveBack(feature) => {
+                self.state.borrow_mut().quarantine.release_probe(feature);
                 return to_message(store, &ProbeReply::TakenBack);
             }
         };
-        let reply = match self.grant_probe(content, lease) {
+        self.receive_crashes(&ends, Duration::ZERO);
+        let reply = match self.grant_probe(feature, is_joint, lease) {
             ProbeDecision::Granted => ProbeReply::Given,
             ProbeDecision::InProgress => ProbeReply::Probed,
             ProbeDecision::Refused { until } => {
@@ -142,6 +170,7 @@
     fn accept_grant(
         self: &Rc<Self>,
         job: &Job,
+        suspects: Vec<FeatureHash>,
         grant: ProbeDecision,
         granted_by: Option<SocketAddr>,
         by: &str,
@@ -153,10 +182,11 @@
         let event = QuarantineEvent::ProbeGranted {
             request: &job.id,
             content: &content_text(job.content()),
+            prompt_parts: &parts_text(&suspects),
             servers_ended: self.crash_count(job),
             by,
         };
         self.event_log.record(LogPriority::Failure, &event);
-        Ok(ProbeLease::new(self, job.content(), granted_by))
+        Ok(ProbeLease::new(self, suspects, granted_by))
     }
 }
--- a/crates/direct/src/quarantine/probe_lease.rs
+++ b/crates/direct/src/quarantine/probe_lease.rs
@@ -6,7 +6,7 @@
     rc::Rc,
 };
 
-use pondwalk_decide::direct::ContentHash;
+use pondwalk_decide::direct::FeatureHash;
 use tokio::sync::Notify;
 
 use super::probe::ProbeQuery;
@@ -15,17 +15,18 @@
 /// Probes that are to be released to their granters.
 #[derive(Debug, Default)]
 pub struct ReleasedProbes {
-    probes: RefCell<Vec<(ContentHash, Option<SocketAddr>)>>,
+    probes: RefCell<Vec<(FeatureHash, Option<SocketAddr>)>>,
     changed: Notify,
 }
 
-/// Permission to run a content once, released on drop unless a server was reached.
+/// Permission to run a request once, released on drop unless a server was reached.
 ///
 /// Otherwise a harmless request that is retried while no server can be reached would use up all its
 /// probes.
 pub struct ProbeLease {
     core: Rc<Core>,
-    content: ContentHash,
+    /// Quarantined features of the request. The first one's granter gave the permission.
+    probed: Vec<FeatureHash>,
     /// Entry that granted the probe; `None` if this one did.
     granted_by: Option<SocketAddr>,
     has_reached: Cell<bool>,
@@ -33,8 +34,13 @@
 
 impl ProbeLease {
     /// A lease granted by the entry at `granted_by`, or by this entry.
-    pub fn new(core: &Rc<Core>, content: ContentHash, granted_by: Option<SocketAddr>) -> Self {
-        ProbeLease { core: Rc::clone(core), content, granted_by, has_reached: Cell::new(false) }
+    pub fn new(core: &Rc<Core>, probed: Vec<FeatureHash>, granted_by: Option<SocketAddr>) -> Self {
+        ProbeLease { core: Rc::clone(core), probed, granted_by, has_reached: Cell::new(false) }
+    }
+
+    /// The features that the request runs as a probe of.
+    pub fn probed(&self) -> &[FeatureHash] {
+        &self.probed
     }
 
     /// Sets whether the request was sent to a server that has not reported it as not run.
@@ -45,9 +51,9 @@
 
 impl Drop for ProbeLease {
     fn drop(&mut self) {
-        if !self.has_reached.get() {
+        if let Some(feature) = self.probed.first().filter(|_| !self.has_reached.get()) {
             let released_probes = &self.core.released_probes;
-            released_probes.probes.borrow_mut().push((self.content, self.granted_by));
+            released_probes.probes.borrow_mut().push((*feature, self.granted_by));
             released_probes.changed.notify_one();
         }
     }
@@ -57,12 +63,12 @@
 pub async fn release_probes(core: Rc<Core>) {
     loop {
         core.released_probes.changed.notified().await;
-        for (content, granted_by) in core.released_probes.probes.take() {
+        for (feature, granted_by) in core.released_probes.probes.take() {
             match granted_by {
-                None => core.state.borrow_mut().quarantine.release_probe(content),
+                None => core.state.borrow_mut().quarantine.release_probe(feature),
                 // A granter that can't be reached counts the probe as used.
                 Some(address) => {
-                    core.send_probe_release(address, ProbeQuery::GiveBack(content)).await
+                    core.send_probe_release(address, ProbeQuery::GiveBack(feature)).await
                 }
             }
         }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -8,8 +8,8 @@
     header::{self, HeaderName},
 };
 use pondwalk_decide::direct::{
-    ContentHash, DataCentreRule, MIN_RETRY_AFTER, PromptPart, RouteModelIndex, ServiceModelIndex,
-    SessionKey,
+    DataCentreRule, FeatureHash, MIN_RETRY_AFTER, PromptPart, RouteModelIndex, ServiceModelIndex,
+    SessionKey, part_feature,
 };
 use pondwalk_types::{DataCentreId, RegionId};
 use thiserror::Error;
@@ -85,8 +85,11 @@
         /// Time until the request may be retried.
         available_in: Duration,
     },
-    /// The content is quarantined: backend servers have crashed while they ran it.
-    #[error("backend servers have ended under this very request; it is not worth repeating")]
+    /// The content or a prompt part is quarantined: backend servers have crashed while they ran it.
+    #[error(
+        "backend servers have ended under this request or one that shares a part of its prompt; \
+         it is not worth repeating"
+    )]
     CrashesServers {
         /// Time until the request may be retried.
         available_in: Duration,
@@ -225,8 +228,9 @@
 /// Minimum `Retry-After` while all servers are backing off or at their rate limit.
 const MIN_BACKOFF_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Maximum number of prompt parts in a log line; callers may name thousands.
-const MAX_LOGGED_PARTS: usize = 16;
+/// Maximum number of prompt parts that are logged or related to crashes; callers may name
+/// thousands.
+const MAX_SHARED_PARTS: usize = 16;
 
 /// Minimum `Retry-After` of a quarantined request, of which a probe may be running.
 const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -295,8 +299,8 @@
     pub last_event_id: Option<String>,
     /// Version of the configuration the request was validated against.
     pub catalog_version: u64,
-    /// Content of the request, computed on first use.
-    pub content_cell: OnceCell<ContentHash>,
+    /// Features of the request, computed on first use.
+    pub features_cell: OnceCell<Vec<FeatureHash>>,
 }
 
 impl Job {
@@ -311,15 +315,34 @@
         own.unwrap_or(self.route.priority)
     }
 
-    /// Content that identifies the request across its caller's retries.
-    pub fn content(&self) -> ContentHash {
-        *self.content_cell.get_or_init(|| {
+    /// Features that may be the cause if servers crash under the request: its content, which
+    /// identifies it across its caller's retries, and the shared parts of its prompt.
+    pub fn features(&self) -> &[FeatureHash] {
+        self.features_cell.get_or_init(|| {
             let caller = self.workspace.as_ref().map_or("", |workspace| &workspace.name);
             let (host, target) = (self.route.host.as_str(), self.target.as_str());
-            content_of(Parts { caller, host, target, body: &self.body })
+            let content = content_of(Parts { caller, host, target, body: &self.body });
+            let mut features = vec![content];
+            for part in self.prompt.shared_parts() {
+                let feature = part_feature(&self.service.name, part.id);
+                if !features.contains(&feature) {
+                    features.push(feature);
+                }
+            }
+            features
         })
     }
 
+    /// The whole content of the request.
+    pub fn content(&self) -> FeatureHash {
+        self.features()[0]
+    }
+
+    /// The shared parts of the prompt, as features.
+    pub fn part_features(&self) -> &[FeatureHash] {
+        &self.features()[1..]
+    }
+
     /// Index in the service's models of the model at a position of the route's list.
     ///
     /// Routes may list different models of one service, but estimates and reservations belong to
@@ -363,16 +386,17 @@
         Prompt { parts, tokens_in: tokens(tokens_in), tokens_out: tokens(tokens_out) }
     }
 
-    /// The parts that other requests may share: all but the last, which belongs to the request or
-    /// its session.
+    /// The first parts that other requests may share; the last part belongs to the request or its
+    /// session.
     pub fn shared_parts(&self) -> &[PromptPart] {
-        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        &shared[..shared.len().min(MAX_SHARED_PARTS)]
     }
 
-    /// Ids of the first shared parts for logs, separated by commas.
+    /// Ids of the shared parts for logs, separated by commas.
     pub fn shared_parts_text(&self) -> String {
-        let ids = self.shared_parts().iter().take(MAX_LOGGED_PARTS);
-        let ids: Vec<String> = ids.map(|part| format!("{:x}", part.id)).collect();
+        let ids: Vec<String> =
+            self.shared_parts().iter().map(|part| format!("{:x}", part.id)).collect();
         ids.join(",")
     }
 }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -10,7 +10,7 @@
 use pondwalk_decide::direct::{
     Admission, BoundSharing, Cascade, ColdServerBound, ColdServerPacing, EngineEstimates,
     FairShares, Fleet, Freshness, Quarantine, RollOut, ScoringTerms, ServerInfo, Sessions,
-    SuccessfulContents, WindowBudget, WindowLimits, name_key,
+    WindowBudget, WindowLimits, name_key,
 };
 use pondwalk_types::{DataCentreId, ServerId};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -66,10 +66,8 @@
     pub admissions: HashMap<ServiceId, Admission>,
     /// Demands and shares of workspaces, by service; empty while they are switched off.
     pub shares: HashMap<ServiceId, FairShares>,
-    /// Contents under which servers have crashed.
+    /// Features of requests under which servers have crashed.
     pub quarantine: Quarantine,
-    /// Contents that have succeeded at this entry.
-    pub successful_contents: SuccessfulContents,
     /// Random number generator.
     pub rng: SmallRng,
     /// Sends beyond the ratio of the retry budgets, over all entries.
@@ -110,7 +108,6 @@
             admissions: HashMap::new(),
             shares: HashMap::new(),
             quarantine: Quarantine::default(),
-            successful_contents: SuccessfulContents::default(),
             rng: SmallRng::seed_from_u64(seed),
             retry_extra: retries.extra,
             unused_budget: WindowBudget::new(WindowLimits {
--- a/crates/direct/tests/common/prompt_parts.rs
+++ b/crates/direct/tests/common/prompt_parts.rs
@@ -179,6 +179,7 @@
 
     /// Checks that the part was quarantined and that sound requests were served.
     pub fn check(&self, case: &str) {
+        println!("{case}: {self:?}");
         assert!(self.crashes > 0 && self.sound > 0, "{case}: {self:?}");
         assert!(self.further_runs <= MAX_FURTHER_RUNS, "{case}: {self:?}");
         let share = self.served as f64 / self.sound as f64;
