Entries lend one another requests at cold servers

The bound on cold servers is split in advance among a few owners of each server, and the entry with the callers owns few.

An entry that no server can take a request of otherwise borrows from an owner: a request of the owner's share, which counts there as sent, and as late as the borrower may use it, so the bound holds as before. Owners that refuse are not asked again before their share opens. An answer at hand is not dropped for a server that needs a loan.

--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -75,10 +75,10 @@
 pub use evidence_pool::{EvidencePool, Observation, Tally};
 pub use fair_shares::{FairShares, capacity_ms_per_s};
 pub use fleet::{
-    DataCentreRule, ExpectedWait, Fleet, Forecast, LoadError, NextAvailability, PermitRequest,
-    Placeability, PlacementRequest, Places, PromptPart, RateLimit, RateLimitError, RateLimitState,
-    ReportedRateLimit, ScoringTerms, ServerIncarnation, ServerIndex, ServerInfo, ServerLoad,
-    Ticket, UnavailableReason, UnreachableReason, VersionRule, backoff_jitter,
+    DataCentreRule, ExpectedWait, Fleet, Forecast, LoadError, LoanRequest, NextAvailability,
+    PermitRequest, Placeability, PlacementRequest, Places, PromptPart, RateLimit, RateLimitError,
+    RateLimitState, ReportedRateLimit, ScoringTerms, ServerIncarnation, ServerIndex, ServerInfo,
+    ServerLoad, Ticket, UnavailableReason, UnreachableReason, VersionRule, backoff_jitter,
 };
 pub use freshness::Freshness;
 pub use load_summary::{
--- a/crates/decide/src/direct/bound_sharing.rs
+++ b/crates/decide/src/direct/bound_sharing.rs
@@ -70,12 +70,17 @@
         preceding as f64 / self.listed.len() as f64
     }
 
+    /// Number of entries that have a share of a server.
+    pub fn server_owner_count(&self, max: u32) -> u32 {
+        (max / MAX_VIEWS).min(self.listed.len() as u32)
+    }
+
     /// Requests a second that this entry may send to a server, where all entries together may send
     /// `max`. Such a bound is small and cannot be divided among all entries, so rendezvous hashing
     /// (Thaler and Ravishankar, 1998) selects a few owners for each server.
     pub fn server_share(&self, server: u64, max: u32) -> u32 {
         let usable = max / MAX_VIEWS;
-        let owners = usable.min(self.listed.len() as u32);
+        let owners = self.server_owner_count(max);
         if owners == 0 || !self.listed.contains(&self.own) {
             return 0;
         }
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -27,7 +27,7 @@
 pub use load::{LoadError, ServerLoad};
 pub use notice::{ServerIncarnation, backoff_jitter};
 pub use peer_work::{ExpectedWait, Places};
-pub use permit_rule::{PermitRequest, Placeability};
+pub use permit_rule::{LoanRequest, PermitRequest, Placeability};
 pub use placement_request::{
     DataCentreRule, Forecast, PlacementRequest, PromptPart, Ticket, VersionRule,
 };
@@ -243,11 +243,18 @@
         self.mean_prefill_ms += PREFILL_GAIN * (expected_ms - self.mean_prefill_ms);
         self.work.record_placed(best.prefill_ms, now);
         let is_paced = self.pacing.is_some();
+        let needs_loan = self.servers[best.index].as_ref().is_some_and(|server| {
+            self.is_cold(server, now)
+                && self.next_cold_send_at(server, now) > now
+                && self.has_loan(server, now)
+        });
         let server = self.servers[best.index].as_mut()?;
-        if is_paced {
+        // A loan counts at the entry that granted it.
+        if is_paced && !needs_loan {
             server.warm_up.record_sent(now);
         }
-        let permit_granted_at = server.notice.rate_limit().and_then(|_| server.permits.take(now));
+        let needs_permit = needs_loan || server.notice.rate_limit().is_some();
+        let permit_granted_at = needs_permit.then(|| server.permits.take(now)).flatten();
         let queued_ms = server.waiting_ms;
         server.admit(request, expected_ms, now);
         Some(Ticket {
--- a/crates/decide/src/direct/fleet/availability.rs
+++ b/crates/decide/src/direct/fleet/availability.rs
@@ -38,6 +38,8 @@
 pub enum UnavailableReason {
     /// The server is cold and has received this entry's share of requests.
     Cold,
+    /// The same, and another entry may lend a part of its share.
+    ColdBorrowable,
     /// The server asked for a backoff, or takes few requests at once right after one.
     Backoff,
     /// The server reports a rate limit, and no permit is available.
@@ -175,6 +177,11 @@
         }
         // NB: the request itself is counted already, unless it was placed so long ago that others
         // may have been sent since, as after a suspension of the process.
+        let has_loan = !is_limited
+            && ticket.permit_granted_at.is_some_and(|at| server_permits::is_valid(at, now));
+        if has_loan {
+            return true;
+        }
         if self.is_cold(server, now) && !self.is_within_share(server, ticket, now) {
             return false;
         }
@@ -271,14 +278,30 @@
         let backs_off = notice.backoff_until(now).is_some() || !notice.has_room(server.waiting);
         !backs_off
             && is_permitted(server, permit_rule, now)
-            && (!self.is_cold(server, now) || self.next_cold_send_at(server, now) <= now)
+            && (!self.is_cold(server, now)
+                || self.next_cold_send_at(server, now) <= now
+                || self.has_loan(server, now)
+                || permit_rule == PermitRule::Borrowable && self.may_borrow(server, now))
+    }
+
+    /// Whether another entry has lent a request at a cold server.
+    ///
+    /// NB: a server that reports a rate limit has permits of that limit, and no loans.
+    pub(super) fn has_loan(&self, server: &Server, now: Duration) -> bool {
+        server.notice.rate_limit().is_none() && server.permits.is_available(now)
+    }
+
+    fn may_borrow(&self, server: &Server, now: Duration) -> bool {
+        self.bound_sharing.entry_count() > 1
+            && server.notice.rate_limit().is_none()
+            && server.permits.may_be_requested(now)
     }
 
     /// When a server may take one more request of this entry; `None` if it may now.
     fn server_availability(&self, server: &Server, now: Duration) -> Option<NextAvailability> {
         let unavailable_until = |at, reason| (at > now).then_some(NextAvailability { at, reason });
-        let cold = self.is_cold(server, now).then(|| self.next_cold_send_at(server, now));
-        let cold = cold.and_then(|at| unavailable_until(at, UnavailableReason::Cold));
+        let cold = self.is_cold(server, now).then(|| self.cold_availability(server, now));
+        let cold = cold.and_then(|next| unavailable_until(next.at, next.reason));
         let notice = &server.notice;
         let backoff = match notice.backoff_until(now) {
             None if !notice.has_room(server.waiting) => Some(now + WAITING_POLL_INTERVAL),
@@ -291,8 +314,29 @@
         cold.into_iter().chain(backoff).chain(permit).max_by_key(|availability| availability.at)
     }
 
+    /// When a cold server may take one more request, by this entry's share or by a loan.
+    fn cold_availability(&self, server: &Server, now: Duration) -> NextAvailability {
+        let at = self.next_cold_send_at(server, now);
+        let own = NextAvailability { at, reason: UnavailableReason::Cold };
+        if self.bound_sharing.entry_count() < 2 || server.notice.rate_limit().is_some() {
+            return own;
+        }
+        let loan_at = server.permits.next_available_at(now);
+        if loan_at < at {
+            NextAvailability { at: loan_at, reason: UnavailableReason::ColdBorrowable }
+        } else {
+            own
+        }
+    }
+
+    /// Number of entries that have a share of each cold server.
+    pub(super) fn cold_owner_count(&self) -> usize {
+        let max = self.pacing.map_or(0, |pacing| pacing.max_requests_per_second);
+        self.bound_sharing.server_owner_count(max) as usize
+    }
+
     /// When a cold server may take one more request of this entry.
-    fn next_cold_send_at(&self, server: &Server, now: Duration) -> Duration {
+    pub(super) fn next_cold_send_at(&self, server: &Server, now: Duration) -> Duration {
         let Some(pacing) = self.pacing.filter(|_| self.is_cold(server, now)) else { return now };
         let warm_at = server.warm_up.cold_until();
         match server.warm_up.next_send_at(self.cold_share(server)) {
@@ -301,7 +345,7 @@
         }
     }
 
-    fn cold_share(&self, server: &Server) -> u32 {
+    pub(super) fn cold_share(&self, server: &Server) -> u32 {
         let max = self.pacing.map_or(0, |pacing| pacing.max_requests_per_second);
         server.warm_up.share(server.hash, max, &self.bound_sharing)
     }
--- a/crates/decide/src/direct/fleet/server_permits.rs
+++ b/crates/decide/src/direct/fleet/server_permits.rs
@@ -4,7 +4,7 @@
 
 /// Time for which a permit may be used. A connection opens within it; older permits would allow
 /// requests to bunch.
-const PERMIT_VALIDITY: Duration = Duration::from_millis(250);
+pub const PERMIT_VALIDITY: Duration = Duration::from_millis(250);
 /// Time after which an unanswered permit request counts as lost.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which a pending permit request is checked.
--- a/crates/decide/src/direct/warm_up.rs
+++ b/crates/decide/src/direct/warm_up.rs
@@ -114,7 +114,9 @@
         if self.sent.len() == MAX_SENDS {
             self.sent.pop_front();
         }
-        self.sent.push_back(now);
+        // Requests lent to other entries are dated ahead.
+        let index = self.sent.partition_point(|at| *at <= now);
+        self.sent.insert(index, now);
     }
 
     /// Records that a request planned for `planned_at` is sent only now.
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -16,6 +16,7 @@
     clock::Clock,
     dialect::Dialect,
     event_log::EventLog,
+    loans::Lenders,
     membership::{
         ChangeSource, GossipLog, LoadExchange, MIN_GOSSIP_TARGETS, Members, Outbox, root_count,
     },
@@ -80,6 +81,8 @@
     pub observed_crashes: ObservedCrashes,
     /// Contents to clear at other entries.
     pub pending_clearances: PendingClearances,
+    /// Entries that lend requests at cold servers.
+    pub lenders: Lenders,
     /// Permits granted for servers with a rate limit.
     pub permits: PermitState,
     /// Unused probes to release.
@@ -125,6 +128,7 @@
             in_flight: Cell::new(0),
             observed_crashes: ObservedCrashes::default(),
             pending_clearances: PendingClearances::default(),
+            lenders: Lenders::default(),
             permits: PermitState::default(),
             released_probes: ReleasedProbes::default(),
             usage,
--- a/crates/direct/src/http/placement_wait.rs
+++ b/crates/direct/src/http/placement_wait.rs
@@ -1,8 +1,11 @@
 //! Places the next send of a request, and waits for a placement if necessary.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{Placeability, RouteModelIndex, UnavailableReason, max_cold_wait};
+use pondwalk_decide::direct::{
+    LoanRequest, Placeability, RouteModelIndex, UnavailableReason, max_cold_wait, server_hash,
+};
+use rand::Rng;
 use tokio::{
     task::spawn_local,
     time::{sleep_until, timeout},
@@ -10,6 +13,10 @@
 
 use super::in_flight::InFlightRequest;
 use crate::{
+    catalog::ServiceId,
+    core::Core,
+    loans::LoanQuery,
+    membership::{LOAN_PATH, query_peer},
     metrics::Counter,
     permits::PermitWaiter,
     placement::{NextSend, Placement, PlacementError},
@@ -48,7 +55,7 @@
         let next = NextSend { model: self.model, avoid: &avoid, failed };
         match Placement::placeability(&self.core, &self.job, next) {
             Err(PlacementError::Unavailable(availability))
-                if availability.reason != UnavailableReason::Limited
+                if !depends_on_others(availability.reason)
                     && availability.at < self.wait_deadline() =>
             {
                 Ok(Placeability::Now)
@@ -85,6 +92,18 @@
         }
     }
 
+    /// Requests a loan for the cold server that the request would go to.
+    ///
+    /// Like a permit, one that arrives too late serves the next request.
+    async fn request_loan(&self) {
+        let wanted = Placement::wanted_loan(&self.core, &self.job, self.next_send());
+        let Some(wanted) = wanted else { return };
+        let (core, service) = (Rc::clone(&self.core), self.job.service.name.clone());
+        let request = spawn_local(async move { borrow(&core, &service, wanted).await });
+        // The fleet records the result.
+        let _ = timeout(PERMIT_TIMEOUT, request).await;
+    }
+
     /// Joins the queue for permits, unless more requests wait already than permits are due before
     /// `until`.
     fn join_permit_queue(&self, until: Duration) -> Option<PermitWaiter> {
@@ -112,7 +131,12 @@
         let mut permits = INITIAL_PERMIT_REQUESTS;
         loop {
             self.request_permits(std::mem::replace(&mut permits, FURTHER_PERMIT_REQUESTS)).await;
-            let availability = match Placement::find(&self.core, &self.job, self.next_send()) {
+            let mut found = Placement::find(&self.core, &self.job, self.next_send());
+            if is_borrowable(&found) {
+                self.request_loan().await;
+                found = Placement::find(&self.core, &self.job, self.next_send());
+            }
+            let availability = match found {
                 Err(PlacementError::Unavailable(availability)) if availability.at < until => {
                     availability
                 }
@@ -128,13 +152,41 @@
                 self.core.metrics.count(Counter::WaitedForCapacity);
             }
             // Other requests may have taken the capacity by then, so the pause has a minimum.
-            let pause = if availability.reason == UnavailableReason::Limited {
-                MIN_PERMIT_PAUSE
-            } else {
-                MIN_PAUSE
+            let pause = match availability.reason {
+                UnavailableReason::Limited | UnavailableReason::ColdBorrowable => MIN_PERMIT_PAUSE,
+                UnavailableReason::Cold | UnavailableReason::Backoff => MIN_PAUSE,
             };
             let at = availability.at.max(self.core.clock.now() + pause);
             sleep_until(self.core.clock.instant(at)).await;
         }
     }
 }
+
+/// Whether other entries decide when a server may take the request.
+fn depends_on_others(reason: UnavailableReason) -> bool {
+    matches!(reason, UnavailableReason::Limited | UnavailableReason::ColdBorrowable)
+}
+
+fn is_borrowable(found: &Result<Placement, PlacementError>) -> bool {
+    let Err(PlacementError::Unavailable(availability)) = found else { return false };
+    availability.reason == UnavailableReason::ColdBorrowable
+}
+
+/// Requests a loan and records the result in the fleet.
+async fn borrow(core: &Core, service: &ServiceId, wanted: LoanRequest) {
+    let requested_at = core.clock.now();
+    let LoanRequest { server, incarnation, owner_count } = wanted;
+    let order = core.members.granting_order(u128::from(server_hash(&server)));
+    let owners = order.into_iter().take(owner_count);
+    let owners: Vec<SocketAddr> = owners.filter_map(|(_, address)| address).collect();
+    let first = core.state.borrow_mut().rng.random_range(0..owners.len().max(1));
+    let query = LoanQuery { service: service.to_string(), server: server.clone(), incarnation };
+    let ask = async |owner| query_peer(core, owner, LOAN_PATH, &query).await;
+    let loan = core.lenders.borrow(&server, &owners, first, || core.clock.now(), ask).await;
+    let counter = if loan.is_ok() { Counter::LoansGiven } else { Counter::LoansRefused };
+    core.metrics.count(counter);
+    let mut state = core.state.borrow_mut();
+    if let Some(fleet) = state.fleets.get_mut(service) {
+        fleet.apply_loan(&server, loan, requested_at);
+    }
+}
--- a/crates/direct/src/http/refusals.rs
+++ b/crates/direct/src/http/refusals.rs
@@ -121,7 +121,9 @@
     fn unavailable_refusal(&self, NextAvailability { at, reason }: NextAvailability) -> Refusal {
         let available_in = at.saturating_sub(self.core.clock.now());
         match reason {
-            UnavailableReason::Cold => Refusal::AllCold { available_in },
+            UnavailableReason::Cold | UnavailableReason::ColdBorrowable => {
+                Refusal::AllCold { available_in }
+            }
             UnavailableReason::Backoff => {
                 Refusal::AllBackingOff { available_in: self.stagger(available_in) }
             }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,6 +18,7 @@
 mod forecasts;
 mod http;
 pub mod load;
+mod loans;
 pub mod membership;
 mod metrics;
 mod permits;
--- a/crates/direct/src/membership.rs
+++ b/crates/direct/src/membership.rs
@@ -49,6 +49,8 @@
 pub const PROBE_PATH: &str = "/probe";
 /// Path of the request for a permit to send to a rate-limited backend server.
 pub const PERMIT_PATH: &str = "/permit";
+/// Path of the request for a part of an entry's share of a cold backend server.
+pub const LOAN_PATH: &str = "/loan";
 /// Path on which an entry accepts summaries of work.
 pub const LOAD_PATH: &str = "/load";
 /// Path on which an entry accepts gossip.
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -16,10 +16,11 @@
 };
 
 use super::{
-    FORMAT, GossipItem, LOAD_PATH, MessageError, NEWS_PATH, PERMIT_PATH, PROBE_PATH, STATE_PATH,
-    StateHead, StateMessage, StateRequestKind, message::from_message,
+    FORMAT, GossipItem, LOAD_PATH, LOAN_PATH, MessageError, NEWS_PATH, PERMIT_PATH, PROBE_PATH,
+    STATE_PATH, StateHead, StateMessage, StateRequestKind,
+    message::{from_message, to_message},
 };
-use crate::{core::Core, event_log::LogPriority, metrics::Counter};
+use crate::{core::Core, event_log::LogPriority, loans::answer_loan_query, metrics::Counter};
 
 /// Maximum size of a posted message: three times the sessions that stay on the old version at a
 /// hundred entries.
@@ -109,6 +110,9 @@
                     }
                 }
                 PERMIT_PATH => answer_query(&core, request, Core::handle_permit_query).await,
+                LOAN_PATH => {
+                    answer_query(&core, request, async |core, body| lend(core, body)).await
+                }
                 _ => with_status(StatusCode::NOT_FOUND, Bytes::new()),
             };
             Ok::<_, Infallible>(response)
@@ -139,6 +143,15 @@
 }
 
 /// Answers a posted query with the result of `answer`.
+/// Handles another entry's query for a loan.
+fn lend(core: &Core, query: &[u8]) -> Result<Bytes, MessageError> {
+    let store = core.settings.store.address;
+    let query = from_message(query, store)?;
+    let now = core.clock.now();
+    let reply = answer_loan_query(&mut core.state.borrow_mut().fleets, &query, now);
+    to_message(store, &reply)
+}
+
 async fn answer_query(
     core: &Core,
     request: Request<Incoming>,
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -58,6 +58,10 @@
     ConnectionsBroken,
     /// Contents quarantined because servers crashed under them.
     ContentsQuarantined,
+    /// Requests at cold servers lent by other entries.
+    LoansGiven,
+    /// Loans that no other entry granted.
+    LoansRefused,
     /// Prompt parts quarantined because servers crashed under them.
     PartsQuarantined,
     /// Runs of quarantined requests as granted probes.
@@ -115,6 +119,8 @@
             Counter::ServersPresumedCold => "servers_doubted_total",
             Counter::ConnectionsBroken => "connections_broken_total",
             Counter::ContentsQuarantined => "contents_held_total",
+            Counter::LoansGiven => "loans_given_total",
+            Counter::LoansRefused => "loans_refused_total",
             Counter::PartsQuarantined => "prompt_parts_held_total",
             Counter::Probes => "probes_total",
             Counter::CrashesNotReported => "ends_not_told_total",
--- a/crates/direct/src/placement/choice.rs
+++ b/crates/direct/src/placement/choice.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use pondwalk_decide::direct::{
-    Fleet, NextAvailability, PermitRequest, Placeability, PlacementRequest, RouteModelIndex,
-    SessionKey, VersionRule,
+    Fleet, LoanRequest, NextAvailability, PermitRequest, Placeability, PlacementRequest,
+    RouteModelIndex, SessionKey, VersionRule,
 };
 use pondwalk_types::ServerId;
 use rand::{Rng, rngs::SmallRng};
@@ -71,6 +71,17 @@
         find_with_rule(&mut state, job, next, Some(session), now, wanted).ok()
     }
 
+    /// The cold server at which the request could be sent with a loan of another entry.
+    pub fn wanted_loan(core: &Core, job: &Job, next: NextSend<'_>) -> Option<LoanRequest> {
+        let now = core.clock.now();
+        let mut state = core.state.borrow_mut();
+        let session = job.session.unwrap_or_else(|| state.rng.random());
+        let wanted = |fleet: &mut Fleet, request: &PlacementRequest<'_>, rng: &mut SmallRng| {
+            fleet.request_loan(request, now, rng)
+        };
+        find_with_rule(&mut state, job, next, Some(session), now, wanted).ok()
+    }
+
     /// Maximum number of permits that may arrive before `until` for a request that no server takes
     /// without one.
     pub fn permits_before(core: &Core, job: &Job, next: NextSend<'_>, until: Duration) -> usize {
