Answers that end with their connection are whole only if their server still runs

Such an answer is now followed by a look whether its server accepts connections. If it refuses them and was not about to leave, the answer broke off: it is resumed, or cut. Answers with a length or chunks cost nothing.

--- a/crates/decide/src/direct/fleet/availability.rs
+++ b/crates/decide/src/direct/fleet/availability.rs
@@ -263,6 +263,14 @@
         })
     }
 
+    /// Whether a request's server is draining or no longer known.
+    pub fn may_be_leaving(&self, ticket: &Ticket, now: Duration) -> bool {
+        let server = self.servers.get(ticket.index).and_then(Option::as_ref);
+        server.is_none_or(|server| {
+            server.incarnation_number != ticket.incarnation_number || server.is_draining(now)
+        })
+    }
+
     /// Number of servers that count as cold.
     pub fn count_cold(&self, now: Duration) -> usize {
         self.servers.iter().flatten().filter(|server| self.is_cold(server, now)).count()
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use http_body_util::BodyExt;
-use hyper::{StatusCode, body::Incoming};
+use hyper::StatusCode;
 use tokio::{select, task::spawn_local, time::timeout_at};
 
 use super::{
@@ -16,9 +16,8 @@
     event_log::LogPriority,
     metrics::Counter,
     placement::Placement,
-    quarantine::AnswerEnd,
     sse::EventSplitter,
-    upstream::{Connection, Exchange, SendError},
+    upstream::{Exchange, SendError, StreamBody},
 };
 
 /// Silence after which a stream is resumed elsewhere, as a multiple of the route's event pause.
@@ -44,41 +43,31 @@
 
 /// A stream from a backend server.
 struct StreamSource {
-    body: Incoming,
+    body: StreamBody,
     splitter: EventSplitter,
     /// Whether it continues a stream that broke elsewhere.
     is_resumed: bool,
     /// Whether silence may move the request to another server.
     may_switch: bool,
-    /// How the answer ends if it is complete.
-    end: AnswerEnd,
     /// When the first event was received.
     first_event_at: Option<Duration>,
     /// Whether the run counts as one that did not crash its server at once.
     has_survived: bool,
-    _connection: Connection,
     placement: Placement,
 }
 
 impl StreamSource {
-    fn new(body: Incoming, connection: Connection, placement: Placement, end: AnswerEnd) -> Self {
+    fn new(body: StreamBody, placement: Placement, is_resumed: bool) -> Self {
         StreamSource {
             body,
             splitter: EventSplitter::default(),
-            is_resumed: false,
+            is_resumed,
             may_switch: true,
-            end,
             first_event_at: None,
             has_survived: false,
-            _connection: connection,
             placement,
         }
     }
-
-    /// How the answer ended, which is complete.
-    fn answer_end(&self) -> AnswerEnd {
-        if self.first_event_at.is_some() { self.end } else { AnswerEnd::WithoutEvents }
-    }
 }
 
 /// How a stream ended.
@@ -98,19 +87,13 @@
 }
 
 /// Starts to relay a stream.
-pub fn start(
-    relayed: RelayedRequest,
-    body: Incoming,
-    connection: Connection,
-    placement: Placement,
-    end: AnswerEnd,
-) -> ChunkReceiver {
+pub fn start(relayed: RelayedRequest, body: StreamBody, placement: Placement) -> ChunkReceiver {
     let (sender, receiver) = chunk_channel();
     let last_id = relayed.in_flight.job.last_event_id.clone();
     let is_resumed = last_id.is_some();
     let progress = StreamProgress::new(&relayed.in_flight);
     let relay = Relay { relayed, sender, last_id, progress };
-    let source = StreamSource { is_resumed, ..StreamSource::new(body, connection, placement, end) };
+    let source = StreamSource::new(body, placement, is_resumed);
     spawn_local(relay.run(source));
     receiver
 }
@@ -135,7 +118,7 @@
                         *head_ms,
                         *status,
                         timing,
-                        source.answer_end(),
+                        source.first_event_at.is_some(),
                     );
                     if !source.is_resumed {
                         source.placement.on_completed();
@@ -218,7 +201,7 @@
             let frame = select! {
                 biased;
                 () = self.sender.closed() => return StreamEnd::CallerLeft,
-                frame = timeout_at(clock.instant(until), source.body.frame()) => frame,
+                frame = timeout_at(clock.instant(until), source.body.frames.frame()) => frame,
             };
             match frame {
                 Err(_) if clock.now() >= job.deadline => return StreamEnd::TimedOut,
@@ -227,6 +210,13 @@
                 Ok(None) if source.splitter.has_partial_event() => {
                     return StreamEnd::Broken("ended_within_an_event");
                 }
+                Ok(None) if source.body.ends_with_connection => {
+                    let in_flight = &self.relayed.in_flight;
+                    return match in_flight.has_server_ended(&source.placement).await {
+                        true => StreamEnd::Broken("ended_with_its_server"),
+                        false => StreamEnd::Whole,
+                    };
+                }
                 Ok(None) => return StreamEnd::Whole,
                 Ok(Some(Err(_))) => return StreamEnd::Broken("connection_broken"),
                 Ok(Some(Ok(frame))) => {
@@ -383,7 +373,6 @@
 
 fn resumed_source(exchange: Exchange, mut placement: Placement) -> StreamSource {
     placement.on_response_started();
-    let end = AnswerEnd::of(&exchange.response);
-    let (body, connection) = (exchange.response.into_body(), exchange.connection);
-    StreamSource { is_resumed: true, ..StreamSource::new(body, connection, placement, end) }
+    let (_, body) = StreamBody::split(exchange);
+    StreamSource::new(body, placement, true)
 }
--- a/crates/direct/src/http/reporting.rs
+++ b/crates/direct/src/http/reporting.rs
@@ -12,8 +12,8 @@
     event_log::LogPriority,
     metrics::{Counter, Timer},
     placement::Placement,
-    quarantine::AnswerEnd,
     server_signals::ServerSignals,
+    upstream::{ListenerState, check_listener},
 };
 
 impl InFlightRequest {
@@ -129,7 +129,15 @@
         self.core.event_log.record(LogPriority::State, &event);
     }
 
-    /// Counts and logs a response that was passed on.
+    /// Whether a server has ended in the middle of an answer whose end only its connection shows. A
+    /// server that is leaving may end right after its last answer.
+    pub async fn has_server_ended(&self, placement: &Placement) -> bool {
+        !placement.may_be_leaving()
+            && check_listener(&self.core.connect, placement.address).await == ListenerState::Refuses
+    }
+
+    /// Counts and logs a response that was passed on; `has_output` if it has any part of the
+    /// answer's body.
     pub fn record_answered(
         &self,
         placement: &Placement,
@@ -137,13 +145,13 @@
         head_ms: u64,
         status: StatusCode,
         timing: StreamTiming,
-        end: AnswerEnd,
+        has_output: bool,
     ) {
         let after_ms = self.after_ms();
         placement.mark_finished();
         // A server's failure may come before it begins to work on the prompt.
         if !status.is_server_error() {
-            self.core.record_success(&self.job, placement, end);
+            self.core.record_success(&self.job, placement.server(), has_output);
         }
         self.core.metrics.count(Counter::Answered);
         self.core.metrics.time(Timer::WholeAnswer, Duration::from_millis(after_ms));
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -22,9 +22,8 @@
     forecasts,
     metrics::{Counter, Timer},
     placement::Placement,
-    quarantine::AnswerEnd,
     request::{Refusal, strip_hop_by_hop_headers},
-    upstream::{Exchange, SendError},
+    upstream::{Exchange, SendError, StreamBody, ends_with_connection},
 };
 
 /// Share of the retry budget that escalations leave for retries.
@@ -308,13 +307,12 @@
     }
 
     fn start_relay(&self, exchange: Exchange, placement: Placement) -> Response<ResponseBody> {
-        let end = AnswerEnd::of(&exchange.response);
-        let (parts, body) = exchange.response.into_parts();
+        let (parts, body) = StreamBody::split(exchange);
         let head_ms = self.after_ms();
         self.core.metrics.time(Timer::FirstByte, Duration::from_millis(head_ms));
         let confidence = self.reported_confidence(&parts.headers);
         let relayed = self.relayed(confidence, head_ms, parts.status);
-        let chunks = relay::start(relayed, body, exchange.connection, placement, end);
+        let chunks = relay::start(relayed, body, placement);
         self.build_response(parts, ResponseBody::Chunks(chunks))
     }
 
@@ -335,7 +333,7 @@
         exchange: Exchange,
         placement: Placement,
     ) -> AttemptResult {
-        let end = AnswerEnd::of(&exchange.response);
+        let ends_with_connection = ends_with_connection(&exchange.response);
         let (parts, body) = exchange.response.into_parts();
         let head_ms = self.after_ms();
         let until = self.core.clock.instant(self.job.deadline);
@@ -351,10 +349,14 @@
             }
         };
         drop(exchange.connection);
+        if ends_with_connection && self.has_server_ended(&placement).await {
+            self.record_broken_connection(&placement);
+            return self.handle_loss(&placement, "ended_with_its_server", String::new());
+        }
         self.core.metrics.time(Timer::FirstByte, Duration::from_millis(head_ms));
         let confidence = self.reported_confidence(&parts.headers);
         let timing = StreamTiming::default();
-        self.record_answered(&placement, confidence, head_ms, parts.status, timing, end);
+        self.record_answered(&placement, confidence, head_ms, parts.status, timing, true);
         AttemptResult::Respond(self.build_response(parts, ResponseBody::whole(body)))
     }
 
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -278,6 +278,14 @@
         }
     }
 
+    /// Whether the server is draining or no longer known, so that it may end as planned.
+    pub fn may_be_leaving(&self) -> bool {
+        let now = self.core.clock.now();
+        let state = self.core.state.borrow();
+        let fleet = state.fleets.get(&self.job.service.name);
+        fleet.is_none_or(|fleet| fleet.may_be_leaving(&self.ticket, now))
+    }
+
     /// Records that the server is draining; returns whether this is new.
     pub fn on_draining(&self) -> bool {
         let now = self.core.clock.now();
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -18,7 +18,7 @@
     QuarantineStatus, ServerCrash, is_part, is_part_of, part_id,
 };
 
-pub use clearance::{AnswerEnd, PendingClearances, is_reachable, publish_clearances};
+pub use clearance::{PendingClearances, publish_clearances};
 pub use crashes::ObservedCrashes;
 pub use events::QuarantineEvent;
 pub use probe_lease::{ProbeLease, ReleasedProbes, release_probes};
@@ -38,8 +38,6 @@
 /// Time after the start during which no probe is granted if others could have granted one: by then
 /// the probes granted before the restart have finished, or are known to have crashed a server.
 const STARTUP_GRACE: Duration = Duration::from_secs(5);
-/// Connect timeout of a check whether a server is running; a connection opens in a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time by which a probe may outlast its deadline.
 const LEASE_MARGIN: Duration = Duration::from_secs(1);
 
--- a/crates/direct/src/quarantine/crashes.rs
+++ b/crates/direct/src/quarantine/crashes.rs
@@ -14,10 +14,17 @@
 use pondwalk_types::{RequestId, ServerId, VersionId};
 use tokio::{task::spawn_local, time::sleep};
 
-use super::{AgedCrash, QuarantineEvent, is_reachable};
+use super::{AgedCrash, QuarantineEvent};
 use crate::{
-    catalog::ServiceId, core::Core, event_log::LogPriority, membership::Gossip, metrics::Counter,
-    placement::Placement, request::Job, state::State,
+    catalog::ServiceId,
+    core::Core,
+    event_log::LogPriority,
+    membership::Gossip,
+    metrics::Counter,
+    placement::Placement,
+    request::Job,
+    state::State,
+    upstream::{ListenerState, check_listener},
 };
 
 /// Window in which crashes count as simultaneous. An entry notices a broken connection within
@@ -273,7 +280,7 @@
             })
         };
         for address in &others {
-            if is_reachable(&self.connect, *address).await {
+            if check_listener(&self.connect, *address).await == ListenerState::Accepts {
                 return false;
             }
         }
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -15,7 +15,13 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    client::conn::http1,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response::Parts,
+};
 use hyper_util::rt::TokioIo;
 use pondwalk_decide::direct::UnreachableReason;
 use socket2::{SockRef, TcpKeepalive};
@@ -24,12 +30,14 @@
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
     task::{AbortHandle, spawn_local},
-    time::{Instant, timeout_at},
+    time::{Instant, timeout, timeout_at},
 };
 
 /// Connect timeout. A connection opens in a few milliseconds; a SYN dropped at a full queue is
 /// retransmitted only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of a check whether a server accepts connections.
+const LISTENER_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// `TCP_USER_TIMEOUT` of a connection to a server.
 const SERVER_TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before TCP keepalive probes, and interval between them.
@@ -105,6 +113,25 @@
     pub connection: Connection,
 }
 
+/// The body of a stream.
+#[derive(Debug)]
+pub struct StreamBody {
+    /// The body's frames.
+    pub frames: Incoming,
+    /// Whether only the end of the connection ends the body.
+    pub ends_with_connection: bool,
+    _connection: Connection,
+}
+
+impl StreamBody {
+    /// Splits an exchange into the response's head and body.
+    pub fn split(exchange: Exchange) -> (Parts, Self) {
+        let ends_with_connection = ends_with_connection(&exchange.response);
+        let (parts, frames) = exchange.response.into_parts();
+        (parts, StreamBody { frames, ends_with_connection, _connection: exchange.connection })
+    }
+}
+
 /// Sends a request and waits for the response head until `until`.
 ///
 /// `may_send` is called once the connection is open, right before the first byte is sent. `extend`
@@ -141,6 +168,37 @@
     }
 }
 
+/// Whether a server accepts connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListenerState {
+    /// A connection opened.
+    Accepts,
+    /// Nothing listens at the address.
+    Refuses,
+    /// A connection neither opened nor was refused in time.
+    Unknown,
+}
+
+/// Checks whether a server accepts connections.
+pub async fn check_listener(connect: &Connect, address: SocketAddr) -> ListenerState {
+    match timeout(LISTENER_CHECK_TIMEOUT, connect(address)).await {
+        Ok(Ok(_)) => ListenerState::Accepts,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            ListenerState::Refuses
+        }
+        _ => ListenerState::Unknown,
+    }
+}
+
+/// Whether a response has neither a length nor chunks, so that only its connection ends it.
+pub fn ends_with_connection<B>(response: &Response<B>) -> bool {
+    let (status, headers) = (response.status(), response.headers());
+    let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    !has_no_body
+        && !headers.contains_key(CONTENT_LENGTH)
+        && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Makes connections to unresponsive peers fail after `user_timeout`: with keepalive probes or data
 /// that the peer does not acknowledge, or with a receive window that it keeps closed.
 pub fn set_tcp_timeouts(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
