Soak: a prompt part that crashes servers, and concentrated connections

Callers of streams share prompt parts; a series sends different requests with a part under which servers crash, and another gives one entry 85 in 100 of the new connections while callers reconnect for each request. Checked: five crashes under a part, then three further runs at most, and sound requests are not refused for it.

--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -27,7 +27,7 @@
     upstream::{BoxedDuplex, Connect},
 };
 use pondwalk_standin::{
-    backends::{Backends, Behaviour, CrashRule, HeaderNames, ReceivedRequest, has_prompt_part},
+    backends::{Backends, Behaviour, CrashRule, HeaderNames, ReceivedRequest, prompt_parts},
     memory_store::{FaultMode, MemoryStore},
     usage_sink::{ReportResponse, UsageCall, UsageSink},
 };
@@ -487,7 +487,7 @@
     pub fn make_part_crashing(&self, service: &'static str, part: u64, after: Duration) {
         self.add_crash_rule(service, after, move |request| {
             let parts = request.headers.get("pondwalk-prompt-parts");
-            parts.is_some_and(|parts| has_prompt_part(parts, part))
+            parts.is_some_and(|parts| prompt_parts(parts).any(|named| named == part))
         });
     }
 
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -34,6 +34,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum pause between two requests, in milliseconds.
 const MAX_PAUSE_MS: u64 = 200;
+/// Share of the new connections that go to the entry on which they are concentrated.
+const CONCENTRATION: f64 = 0.85;
+/// Prompt part that all streams share.
+pub const SHARED_PART: u64 = 0xf1;
+/// Number of parts that streams of sound callers have beside it.
+const SOUND_PARTS: u64 = 4;
 /// Pause before the next connection attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -56,7 +62,7 @@
         let dialect = pondwalk_platform::dialect();
         let sent = Cell::new(0);
         while Instant::now() < self.until {
-            let Some((entry, address)) = self.ready_entry(&deployment) else {
+            let Some((entry, address)) = self.ready_entry(&deployment, &mut rng) else {
                 sleep(RETRY_PAUSE).await;
                 continue;
             };
@@ -74,10 +80,18 @@
         }
     }
 
-    /// Returns the preferred entry, or the next one that is ready, with its address.
-    fn ready_entry(&self, deployment: &Deployment) -> Option<(usize, SocketAddr)> {
+    /// Returns the preferred entry, or the next one that is ready, with its address. While
+    /// connections are concentrated on one entry, that one is mostly preferred.
+    fn ready_entry(
+        &self,
+        deployment: &Deployment,
+        rng: &mut Pcg64Mcg,
+    ) -> Option<(usize, SocketAddr)> {
         let count = deployment.entries();
-        let entries = (0..count).map(|step| (self.preferred_entry + step) % count);
+        let concentrated = deployment.concentrated_on.get();
+        let concentrated = concentrated.filter(|_| rng.random_bool(CONCENTRATION));
+        let first = concentrated.unwrap_or(self.preferred_entry);
+        let entries = (0..count).map(|step| (first + step) % count);
         let mut ready = entries.filter_map(|entry| Some((entry, deployment.ready_address(entry)?)));
         ready.next()
     }
@@ -113,14 +127,16 @@
             let route = *Route::ALL.choose(rng).unwrap_or(&Route::Again);
             let key = draw_key(self.deployment.config_version(), rng);
             let sent_us = now_us();
-            let built = request(self.dialect, &id, route, key, "asked".to_owned());
+            let parts = [SHARED_PART, SHARED_PART + 1 + number % SOUND_PARTS, number << 16];
+            let built = request(self.dialect, &id, route, key, "asked".to_owned(), &parts);
             let Ok(request) = built else { return };
             let limit = DEADLINE + ANSWER_GRACE;
             let ended = timeout(limit, exchange(sender, request, &id, route, self.dialect)).await;
             let (outcome, is_reusable) = ended.unwrap_or((Outcome::NoAnswer, false));
             let exchange = Exchange { id, entry, route, key, sent_us, ended_us: now_us(), outcome };
             self.deployment.records.borrow_mut().exchanges.push(exchange);
-            if !is_reusable {
+            // Callers reconnect more often while their connections are concentrated.
+            if !is_reusable || self.deployment.concentrated_on.get().is_some() {
                 return;
             }
             sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS))).await;
@@ -128,15 +144,22 @@
     }
 }
 
-/// Builds a request for a route with the key of a configuration.
+/// Builds a request for a route with the key of a configuration; streams have a prompt of these
+/// parts.
 pub fn request(
     dialect: &Dialect,
     id: &str,
     route: Route,
     key: ConfigVersion,
     body: String,
+    parts: &[u64],
 ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
-    Request::post(route.path())
+    let mut request = Request::post(route.path());
+    if route == Route::Stream {
+        let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}:100")).collect();
+        request = request.header(&dialect.prompt_parts, parts.join(","));
+    }
+    request
         .header(HOST, HOST_NAME)
         .header(&dialect.request_id, id)
         .header(&dialect.deadline_ms, DEADLINE.as_millis().to_string())
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -3,13 +3,14 @@
 //! Each check counts its cases, so that a check without any case is visible in the report.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
 use crate::{
     callers::DEADLINE,
     deployment::data_centre_of,
+    part_caller::part_caller_number,
     records::{Exchange, Outcome, Records, Route, RunRecord, Span, TimeUs},
     repeater::repeater_number,
     retry_budget::check_retry_budget,
@@ -65,6 +66,17 @@
 /// Time within which the quarantine must reach all entries.
 const QUARANTINE_BOUND: Duration = Duration::from_secs(3);
 
+/// Servers that a prompt part may crash before it is quarantined.
+const CRASHES_BEFORE_PART_QUARANTINE: usize = 5;
+/// Time after its start within which a run with a crashing part crashes its server, and the exit of
+/// the server is detected.
+const CRASH_DETECTION_TIME: Duration = Duration::from_millis(500);
+/// Time after these crashes from which sound requests are served, and the share that must not be
+/// refused, of this many at least.
+const SOUND_RECOVERY: Duration = Duration::from_secs(6);
+const MIN_SOUND_SHARE: f64 = 0.5;
+const MIN_SOUND_REQUESTS: usize = 20;
+
 /// Result of one check.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finding {
@@ -80,7 +92,7 @@
 pub type Check = fn(&Records) -> Finding;
 
 /// All checks.
-pub const CHECKS: [Check; 18] = [
+pub const CHECKS: [Check; 20] = [
     check_at_most_once,
     check_refusals,
     check_answers,
@@ -97,6 +109,8 @@
     check_warm_up,
     check_restarted_servers,
     check_crash_quarantine,
+    check_part_quarantine,
+    check_sound_requests,
     check_retry_budget,
     check_recovery,
 ];
@@ -469,6 +483,84 @@
     })
 }
 
+/// Runs of requests with each crashing part, by the number of their caller.
+fn runs_by_part(records: &Records) -> BTreeMap<&str, Vec<&RunRecord>> {
+    let mut runs_of: BTreeMap<&str, Vec<&RunRecord>> = BTreeMap::new();
+    for run in records.runs.iter().filter(|run| run.ran) {
+        if let Some(number) = part_caller_number(&run.request) {
+            runs_of.entry(number).or_default().push(run);
+        }
+    }
+    runs_of
+}
+
+/// Times of the crashes under these runs, in order.
+fn crash_times(records: &Records, runs: &[&RunRecord]) -> Vec<TimeUs> {
+    let crash_of = |run: &&RunRecord| {
+        let killed = records.killed_us.get(&run.server)?;
+        let within = run.at_us..run.at_us + us(CRASH_DETECTION_TIME);
+        killed.iter().copied().find(|at_us| within.contains(at_us))
+    };
+    let crashes: BTreeSet<TimeUs> = runs.iter().filter_map(crash_of).collect();
+    crashes.into_iter().collect()
+}
+
+/// A prompt part that has crashed five servers runs at most three more times after the bound,
+/// counting only undisturbed entries.
+pub fn check_part_quarantine(records: &Records) -> Finding {
+    let by_id = records.by_id();
+    let runs_of = runs_by_part(records);
+    finding("prompt parts that crash servers are left", &runs_of, |(number, runs)| {
+        let crashes = crash_times(records, runs);
+        let fifth_us = *crashes.get(CRASHES_BEFORE_PART_QUARANTINE - 1)?;
+        let quarantined_us = fifth_us + us(QUARANTINE_BOUND + TOLERANCE);
+        let is_further = |run: &&&RunRecord| {
+            let Some(exchange) = by_id.get(run.request.as_str()) else { return false };
+            let settled_us = exchange.sent_us.saturating_sub(us(SETTLING_TIME));
+            run.at_us > quarantined_us
+                && records.was_undisturbed(exchange.entry, settled_us, run.at_us)
+        };
+        let further = runs.iter().filter(is_further).count();
+        (further > MAX_FURTHER_RUNS)
+            .then(|| format!("part of caller {number}: {further} further runs"))
+    })
+}
+
+/// While a prompt part crashes servers, requests that share only its other parts are not refused for
+/// it, counting only undisturbed entries.
+pub fn check_sound_requests(records: &Records) -> Finding {
+    let runs_of = runs_by_part(records);
+    finding("sound requests are served beside them", &runs_of, |(number, runs)| {
+        let crashes = crash_times(records, runs);
+        let last = crashes.get(CRASHES_BEFORE_PART_QUARANTINE - 1).or(crashes.last())?;
+        let from_us = last + us(SOUND_RECOVERY + TOLERANCE);
+        let asked = records.exchanges.iter();
+        let until_us = asked
+            .filter(|exchange| part_caller_number(&exchange.id) == Some(**number))
+            .map(|exchange| exchange.sent_us)
+            .max()?;
+        let sound: Vec<&Exchange> = records
+            .exchanges
+            .iter()
+            .filter(|exchange| {
+                let settled_us = exchange.sent_us.saturating_sub(us(SETTLING_TIME));
+                exchange.route == Route::Stream
+                    && (from_us..until_us).contains(&exchange.sent_us)
+                    && part_caller_number(&exchange.id).is_none()
+                    && repeater_number(&exchange.id).is_none()
+                    && records.was_undisturbed(exchange.entry, settled_us, exchange.ended_us)
+            })
+            .collect();
+        let is_quarantined = |exchange: &&&Exchange| {
+            matches!(exchange.outcome, Outcome::Answered { status: 429, .. })
+        };
+        let refused = sound.iter().filter(is_quarantined).count();
+        let max_refused = (1.0 - MIN_SOUND_SHARE) * sound.len() as f64;
+        (sound.len() >= MIN_SOUND_REQUESTS && refused as f64 > max_refused)
+            .then(|| format!("beside caller {number}: {refused} of {} are refused", sound.len()))
+    })
+}
+
 /// Callers are served again in the fault-free time at the end.
 pub fn check_recovery(records: &Records) -> Finding {
     let from_us = records.fault_free_from_us + us(RECOVERY_BOUND);
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -63,6 +63,8 @@
     /// Data centres that are being evacuated.
     evacuated: RefCell<HashSet<usize>>,
     config_version: Cell<ConfigVersion>,
+    /// Entry to which most new connections of callers go, if any.
+    pub concentrated_on: Cell<Option<usize>>,
     /// Records of the run.
     pub records: Rc<RefCell<Records>>,
 }
@@ -93,6 +95,7 @@
             repeaters: Cell::new(0),
             evacuated: RefCell::default(),
             config_version: Cell::new(0),
+            concentrated_on: Cell::new(None),
             records: Rc::default(),
         });
         deployment.wait_for_store().await?;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod child;
 pub mod deployment;
 pub mod options;
+mod part_caller;
 pub mod proxy;
 pub mod records;
 pub mod repeater;
--- a/crates/soak/src/repeater.rs
+++ b/crates/soak/src/repeater.rs
@@ -60,7 +60,7 @@
             (format!("{ID_PREFIX}{number:04x}{attempts:07x}"), deployment.config_version());
         let dialect = pondwalk_platform::dialect();
         let body = format!("{CRASHING_BODY}, {number}");
-        let Ok(request) = request(&dialect, &id, route, key, body) else { return };
+        let Ok(request) = request(&dialect, &id, route, key, body, &[]) else { return };
         let sent_us = now_us();
         let exchanged = exchange(&mut sender, request, &id, route, &dialect);
         let ended = timeout(DEADLINE + CONNECT_TIMEOUT, exchanged).await;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -70,6 +70,10 @@
     Litter,
     /// Repeats, for this time, a request that crashes every server that runs it.
     EndServers(Route, Duration),
+    /// Sends, for this time, different requests that share a prompt part which crashes servers.
+    CrashByPart(Duration),
+    /// Concentrates the new connections of callers on one entry for this time.
+    Concentrate(usize, Duration),
 }
 
 /// An action and its time.
@@ -108,7 +112,10 @@
         Action::Pause(_, time) | Action::Weather(_, time) | Action::Evacuate(_, time) => time,
         Action::Restore(outage, _) => outage,
         // The server that crashes last must restart and warm up.
-        Action::EndServers(_, time) => time + SERVER_RESTART + WARM_UP_TIME,
+        Action::EndServers(_, time) | Action::CrashByPart(time) => {
+            time + SERVER_RESTART + WARM_UP_TIME
+        }
+        Action::Concentrate(_, time) => time,
         Action::KillServer(_, time) => time + WARM_UP_TIME,
         Action::Cool(_) => WARM_UP_TIME,
         Action::Stop(_) | Action::Replace(_) | Action::Leave(_) => MAX_DRAIN_TIME,
@@ -121,7 +128,7 @@
 }
 
 fn push_series(rng: &mut Pcg64Mcg, from: Duration, size: Size, steps: &mut Vec<Step>) {
-    let kinds: [fn(&mut Pcg64Mcg, Size) -> Action; 19] = [
+    let kinds: [fn(&mut Pcg64Mcg, Size) -> Action; 21] = [
         |rng, size| Action::Stop(rng.random_range(0..size.entries)),
         |rng, size| Action::Kill(rng.random_range(0..size.entries)),
         |rng, size| {
@@ -153,6 +160,11 @@
             let time = Duration::from_millis(rng.random_range(3_000..12_000));
             Action::EndServers(*Route::ALL.choose(rng).unwrap_or(&Route::Again), time)
         },
+        |rng, _| Action::CrashByPart(Duration::from_millis(rng.random_range(6_000..15_000))),
+        |rng, size| {
+            let time = Duration::from_millis(rng.random_range(2_000..8_000));
+            Action::Concentrate(rng.random_range(0..size.entries), time)
+        },
     ];
     let Some(kind) = kinds.choose(rng) else { return };
     let mut at = from;
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -13,6 +13,7 @@
     checks::{CHECKS, Finding},
     deployment::Deployment,
     options::Plan,
+    part_caller::PartCaller,
     records::now_us,
     repeater::Repeater,
     schedule::{Action, FAULT_FREE_END, Step, generate},
@@ -98,6 +99,17 @@
             repeater.run(deployment, seed).await;
             Ok(())
         }
+        Action::CrashByPart(time) => {
+            let caller = PartCaller::new(&deployment, Instant::now() + time);
+            caller.run(deployment, seed).await;
+            Ok(())
+        }
+        Action::Concentrate(entry, time) => {
+            deployment.concentrated_on.set(Some(entry));
+            sleep(time).await;
+            deployment.concentrated_on.set(None);
+            Ok(())
+        }
     }
 }
 
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -363,3 +363,49 @@
     add(&mut within, 2);
     assert_eq!(broken(check_retry_budget, &within), 0);
 }
+
+/// Adds runs of a crashing part from second 20 on, each of which crashes a server of its own; further
+/// ones follow at these times.
+fn add_part_runs(records: &mut Records, further_s: &[f64]) {
+    let crashing = (0..5).map(|n| 20.0 + f64::from(n) * 0.1);
+    for (n, at_s) in crashing.chain(further_s.iter().copied()).enumerate() {
+        let (id, server) = (format!("p0001{n:07x}"), format!("crashed{n}"));
+        let sent = Exchange { route: Route::Stream, key: 0, ..exchange(&id, at_s, answered(502)) };
+        records.exchanges.push(sent);
+        records.runs.push(RunRecord { server: server.clone(), ..run(&id, at_s + 0.01) });
+        records.killed_us.insert(server, vec![at(at_s + 0.08)]);
+    }
+}
+
+#[test]
+fn detects_runs_of_a_part_that_has_crashed_servers() {
+    assert_detects(checks::check_part_quarantine, |records| {
+        add_part_runs(records, &[24.5, 25.0, 26.0, 27.0]);
+    });
+    let mut records = passing_records();
+    add_part_runs(&mut records, &[21.0, 22.0, 23.0, 24.5, 25.0, 26.0]);
+    assert_eq!(broken(checks::check_part_quarantine, &records), 0, "three may run later");
+}
+
+#[test]
+fn detects_sound_requests_refused_beside_a_crashing_part() {
+    let add_sound = |records: &mut Records, refused: usize| {
+        add_part_runs(records, &[]);
+        let late = Exchange {
+            route: Route::Stream,
+            key: 0,
+            ..exchange("p00010000fff", 60.0, answered(429))
+        };
+        records.exchanges.push(late);
+        for n in 0..30 {
+            let status = if n < refused { 429 } else { 200 };
+            let id = format!("sound{n}");
+            let sent = exchange(&id, 30.0 + n as f64, answered(status));
+            records.exchanges.push(Exchange { route: Route::Stream, key: 0, ..sent });
+        }
+    };
+    assert_detects(checks::check_sound_requests, |records| add_sound(records, 16));
+    let mut records = passing_records();
+    add_sound(&mut records, 15);
+    assert_eq!(broken(checks::check_sound_requests, &records), 0, "half may be refused");
+}
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -149,10 +149,10 @@
     pub on_restart: OnRestart,
 }
 
-/// Whether a part is in a header's list of prompt parts, `ID:TOKENS` separated by commas.
-pub fn has_prompt_part(parts: &str, id: u64) -> bool {
+/// Ids in a header's list of prompt parts, `ID:TOKENS` separated by commas.
+pub fn prompt_parts(parts: &str) -> impl Iterator<Item = u64> {
     let ids = parts.split(',').filter_map(|part| part.trim().split_once(':'));
-    ids.map(|(id, _)| u64::from_str_radix(id, 16)).any(|named| named == Ok(id))
+    ids.filter_map(|(id, _)| u64::from_str_radix(id, 16).ok())
 }
 
 /// A run of a request that crashes servers.
--- a/crates/standin/src/platform_server.rs
+++ b/crates/standin/src/platform_server.rs
@@ -20,17 +20,18 @@
     time::sleep,
 };
 
-use crate::backends::{
-    Backends, Behaviour, CrashRule, HeaderNames, ReceivedRequest, has_prompt_part,
-};
+use crate::backends::{Backends, Behaviour, CrashRule, HeaderNames, ReceivedRequest, prompt_parts};
 
 /// Interval at which received requests are printed; a request is printed at most this much late.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Prefix of the body of a request that crashes every server that runs it.
 pub const CRASHING_BODY: &str = "ends whoever runs it";
-/// Id of a part of a prompt that crashes every server that runs a request with it.
-pub const CRASHING_PART: u64 = 0xbad;
+/// Bits above [`CRASHING_PART_BITS`] in the ids of prompt parts that crash every server that runs a
+/// request with one of them.
+const CRASHING_PARTS: u64 = 0xbad;
+/// Number of bits in which such parts differ.
+const CRASHING_PART_BITS: u32 = 16;
 /// Header with the parts of a prompt.
 pub const PROMPT_PARTS_HEADER: &str = "x-pondwalk-prefix-hash";
 /// Time from the start of such a request until the server crashes.
@@ -152,10 +153,17 @@
     }
 }
 
+/// Id of the n-th prompt part that crashes every server that runs a request with it.
+pub fn crashing_part(number: u16) -> u64 {
+    CRASHING_PARTS << CRASHING_PART_BITS | u64::from(number)
+}
+
 /// Whether a request crashes every server that runs it.
 fn crashes_server(request: &ReceivedRequest) -> bool {
     let parts = request.headers.get(PROMPT_PARTS_HEADER).map_or("", String::as_str);
-    request.body.starts_with(CRASHING_BODY.as_bytes()) || has_prompt_part(parts, CRASHING_PART)
+    let mut parts = prompt_parts(parts);
+    request.body.starts_with(CRASHING_BODY.as_bytes())
+        || parts.any(|part| part >> CRASHING_PART_BITS == CRASHING_PARTS)
 }
 
 /// Reports in all responses that the server is draining, from the first signal on.
