A part that crashes servers late in the answer is quarantined too

The second server of a resumed stream makes only the rest, ends before it crashes and so cleared the part. Only a server that makes the whole answer clears the parts of its prompt now. And an answer in progress, which exempts a part that nobody has seen succeed, does so for four crashes in all and is not told to others: the exemption is there for servers lost by chance right after a start.

--- a/crates/decide/src/direct/quarantine/successful_features.rs
+++ b/crates/decide/src/direct/quarantine/successful_features.rs
@@ -13,6 +13,9 @@
 /// crash servers cause before they are quarantined.
 const MAX_FORGIVEN_CRASHES: usize = 8;
 
+/// Crashes, in all, for which a feature is exempt that has only been in an answer in progress.
+const MAX_CRASHES_OF_SURVIVORS: usize = 4;
+
 /// Successful runs of one feature.
 #[derive(Debug, Clone, Copy)]
 struct Success {
@@ -54,10 +57,13 @@
         }
     }
 
-    /// Records an answer in progress at this entry, which does not end the count of crashes.
+    /// Records an answer in progress at this entry, after so many crashes. It exempts the feature
+    /// for fewer crashes than a success, and doesn't end the count of them: a feature may crash its
+    /// server later in the answer.
     pub fn record_survival(&mut self, feature: FeatureHash, crashes: usize, now: Duration) {
         if self.get(feature).is_none() {
-            self.insert(feature, Success { crashes, is_own: true }, now);
+            let crashes = crashes + MAX_FORGIVEN_CRASHES - MAX_CRASHES_OF_SURVIVORS;
+            self.insert(feature, Success { crashes, is_own: false }, now);
         }
     }
 
--- a/crates/decide/tests/quarantine_features.rs
+++ b/crates/decide/tests/quarantine_features.rs
@@ -197,12 +197,13 @@
     let mut quarantine = Quarantine::default();
     crash(&mut quarantine, 0, &[first()], 0.0);
     quarantine.record_survival(&[first()], s(0.1));
-    for n in 1..8 {
+    for n in 1..4 {
         crash(&mut quarantine, n, &[first()], 0.1);
         quarantine.record_survival(&[first()], s(0.1));
         assert_eq!(status(&quarantine, &[first()], 0.2), QuarantineStatus::Unrestricted);
     }
-    crash(&mut quarantine, 8, &[first()], 0.1);
+    assert!(!quarantine.can_clear(first()), "others may know better");
+    crash(&mut quarantine, 4, &[first()], 0.1);
     quarantine.record_survival(&[first()], s(0.1));
     assert_ne!(status(&quarantine, &[first()], 0.2), QuarantineStatus::Unrestricted);
 }
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -70,6 +70,14 @@
     }
 }
 
+impl StreamSource {
+    /// Whether its server has made the whole answer, which is complete. A server that makes only
+    /// the rest of one may be done before it crashes.
+    fn has_made_whole_answer(&self) -> bool {
+        !self.is_resumed && self.first_event_at.is_some()
+    }
+}
+
 /// How a stream ended.
 enum StreamEnd {
     /// Complete.
@@ -118,7 +126,7 @@
                         *head_ms,
                         *status,
                         timing,
-                        source.first_event_at.is_some(),
+                        source.has_made_whole_answer(),
                     );
                     if !source.is_resumed {
                         source.placement.on_completed();
--- a/crates/direct/src/http/reporting.rs
+++ b/crates/direct/src/http/reporting.rs
@@ -136,8 +136,8 @@
             && check_listener(&self.core.connect, placement.address).await == ListenerState::Refuses
     }
 
-    /// Counts and logs a response that was passed on; `has_output` if it has any part of the
-    /// answer's body.
+    /// Counts and logs a response that was passed on; `is_whole_run` if the server has made all of
+    /// it.
     pub fn record_answered(
         &self,
         placement: &Placement,
@@ -145,13 +145,13 @@
         head_ms: u64,
         status: StatusCode,
         timing: StreamTiming,
-        has_output: bool,
+        is_whole_run: bool,
     ) {
         let after_ms = self.after_ms();
         placement.mark_finished();
         // A server's failure may come before it begins to work on the prompt.
         if !status.is_server_error() {
-            self.core.record_success(&self.job, placement.server(), has_output);
+            self.core.record_success(&self.job, placement.server(), is_whole_run);
         }
         self.core.metrics.count(Counter::Answered);
         self.core.metrics.time(Timer::WholeAnswer, Duration::from_millis(after_ms));
--- a/crates/direct/src/quarantine/clearance.rs
+++ b/crates/direct/src/quarantine/clearance.rs
@@ -43,11 +43,11 @@
 }
 
 impl Core {
-    /// Records a successful run, which clears the features of its request. A run without output
-    /// shows nothing about the prompt.
-    pub fn record_success(&self, job: &Job, server: &str, has_output: bool) {
+    /// Records a successful run, which clears the content of its request, and the parts of its
+    /// prompt if the server has made the whole answer.
+    pub fn record_success(&self, job: &Job, server: &str, is_whole_run: bool) {
         let now = self.clock.now();
-        if has_output {
+        if is_whole_run {
             let mut state = self.state.borrow_mut();
             state.quarantine.record_settling_run(job.part_features(), server_hash(server), now);
         }
--- a/crates/direct/tests/common/prompt_parts.rs
+++ b/crates/direct/tests/common/prompt_parts.rs
@@ -24,6 +24,9 @@
 pub const CRASHING_PART: u64 = 0xbad;
 /// A second such part.
 pub const OTHER_CRASHING_PART: u64 = 0xbad2;
+/// A part that crashes servers late in the answer.
+pub const LATE_CRASHING_PART: u64 = 0xbad3;
+const LATE_CRASH_AFTER: Duration = Duration::from_millis(800);
 /// First part of the prompts of all requests.
 pub const FIRST_PART: u64 = 0xf1;
 /// Crashes after which the part must be quarantined.
@@ -81,7 +84,7 @@
 }
 
 /// Starts `entries` connected entries and servers that crash when they run a request with
-/// [`CRASHING_PART`] or [`OTHER_CRASHING_PART`].
+/// [`CRASHING_PART`], [`OTHER_CRASHING_PART`] or [`LATE_CRASHING_PART`].
 pub async fn start(world: &World, net: &Net, kind: &Kind, entries: u16) -> Vec<Entry> {
     world.configure(catalog(1));
     for n in 1..=SERVERS {
@@ -90,6 +93,7 @@
     for part in [CRASHING_PART, OTHER_CRASHING_PART] {
         world.make_part_crashing(kind.service, part, CRASH_AFTER);
     }
+    world.make_part_crashing(kind.service, LATE_CRASHING_PART, LATE_CRASH_AFTER);
     let entries = net.start_many(world, entries, "");
     sleep(Duration::from_secs(5)).await;
     entries
--- a/crates/direct/tests/crashing_prompt_parts.rs
+++ b/crates/direct/tests/crashing_prompt_parts.rs
@@ -10,8 +10,8 @@
     crashing::{Kind, repeatable},
     net::Net,
     prompt_parts::{
-        CRASHING_PART, Callers, FIRST_PART, OTHER_CRASHING_PART, Outcome, PartsOf, SharedEntries,
-        send_requests, start,
+        CRASHING_PART, Callers, FIRST_PART, LATE_CRASHING_PART, OTHER_CRASHING_PART, Outcome,
+        PartsOf, SharedEntries, send_requests, start,
     },
     run_test, stream,
 };
@@ -148,6 +148,12 @@
     Case { bad, ..Case::new("two crashing parts in each prompt") }.check();
 }
 
+#[test]
+fn part_that_crashes_servers_late_in_the_answer_is_quarantined() {
+    let bad = callers(8.0, |_| vec![FIRST_PART, LATE_CRASHING_PART]);
+    Case { bad, ..Case::new("late crashes") }.check();
+}
+
 #[test]
 fn part_first_seen_beside_a_crashing_one_is_served() {
     let bad = callers(8.0, |_| vec![RARE_PARTS, CRASHING_PART]);
