Runs that end just before their server crashes count as aboard

Runs that ended within half a second before a crash of their server are suspects now unless the crash is explained, and a part that has crashed servers is cleared only if the server of its whole answer still accepts connections.

--- a/crates/decide/benches/quarantine.rs
+++ b/crates/decide/benches/quarantine.rs
@@ -7,7 +7,7 @@
 use std::{hint::black_box, time::Duration};
 
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
-use pondwalk_decide::direct::{FeatureHash, Quarantine, ServerCrash, part_feature};
+use pondwalk_decide::direct::{FeatureHash, Quarantine, ServerCrash, SettlingRun, part_feature};
 
 /// Recorded crashes, of as many requests.
 const CRASHES: u64 = 1_000;
@@ -77,7 +77,11 @@
                 for request in REQUESTS..REQUESTS + 100 {
                     let features = black_box(features(request));
                     quarantine.record_success(features[0], NOW);
-                    quarantine.record_settling_run(&features[1..], 1, NOW);
+                    if !quarantine.knows_success_of(&features[1..]) {
+                        let (parts, address) = (features[1..].to_vec(), ([127, 0, 0, 1], 1).into());
+                        let run = SettlingRun { parts, server: 1, address };
+                        quarantine.record_settling_run(run, NOW);
+                    }
                 }
             },
             BatchSize::LargeInput,
--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -36,6 +36,7 @@
 
 pub use correlated_crashes::CorrelatedCrashes;
 pub use features::{FeatureHash, is_part, is_part_of, part_feature, part_id};
+pub use settling_runs::SettlingRun;
 pub use successful_features::SuccessfulFeatures;
 
 use super::hash::{hash_text, mix};
@@ -206,8 +207,7 @@
 
     /// Whether others quarantine a feature that succeeded at this entry.
     pub fn can_clear(&self, feature: FeatureHash) -> bool {
-        let record = self.records.get(&feature);
-        record.is_some_and(Record::is_quarantined) && self.successes(feature).is_proven(feature)
+        self.is_quarantined(feature) && self.successes(feature).is_proven(feature)
     }
 
     /// Whether no other success of these features would change anything.
@@ -234,8 +234,9 @@
     ) -> Vec<ServerCrash> {
         let CrashedRequest { features, probed, id, server } = request;
         let is_joint = probed.len() > 1;
-        self.settling_runs.discard(server);
-        let causes = self.likely_causes(features);
+        let mut causes = self.likely_causes(features);
+        let ended = self.drain_settling_parts(server, &causes);
+        causes.extend(ended);
         let mut crashes = Vec::with_capacity(causes.len());
         for feature in causes {
             let on_probe = probed.contains(&feature);
@@ -260,8 +261,14 @@
         let causes = self.likely_causes(&features);
         let is_joint = crashes.iter().filter(|crash| crash.on_probe).count() > 1;
         let mut counted = Vec::new();
+        let Some(first) = crashes.first() else { return counted };
+        for feature in self.drain_settling_parts(first.server, &causes) {
+            let crash = ServerCrash { feature, on_probe: false, ..*first };
+            if self.record(crash, false, at, now) {
+                counted.push(feature);
+            }
+        }
         for crash in crashes {
-            self.settling_runs.discard(crash.server);
             // What succeeded here is recorded all the same: its reporter does not know of it.
             let is_likely = causes.contains(&crash.feature);
             if !is_likely && !self.is_exempt(crash.feature) && !crash.on_probe {
@@ -277,14 +284,29 @@
         counted
     }
 
+    /// Parts of the runs that ended well shortly before their server crashed, as far as they may be
+    /// the cause beside these.
+    fn drain_settling_parts(&mut self, server: u64, causes: &[FeatureHash]) -> Vec<FeatureHash> {
+        let mut parts = self.settling_runs.drain(server);
+        if causes.iter().any(|cause| self.is_quarantined(*cause)) {
+            return Vec::new();
+        }
+        parts.retain(|part| !self.is_exempt(*part) && !causes.contains(part));
+        parts.sort_unstable();
+        parts.dedup();
+        parts
+    }
+
+    fn is_quarantined(&self, feature: FeatureHash) -> bool {
+        self.records.get(&feature).is_some_and(Record::is_quarantined)
+    }
+
     /// The features of one request that a crash may be due to.
     fn likely_causes(&self, features: &[FeatureHash]) -> Vec<FeatureHash> {
         let suspected: Vec<FeatureHash> =
             features.iter().copied().filter(|feature| !self.is_exempt(*feature)).collect();
-        let is_quarantined =
-            |feature: &FeatureHash| self.records.get(feature).is_some_and(Record::is_quarantined);
         let quarantined: Vec<FeatureHash> =
-            suspected.iter().copied().filter(is_quarantined).collect();
+            suspected.iter().copied().filter(|feature| self.is_quarantined(*feature)).collect();
         if !quarantined.is_empty() {
             quarantined
         } else if suspected.iter().any(|feature| is_part(*feature)) {
@@ -349,10 +371,8 @@
 
     /// Records a successful run of prompt parts, which counts once its server has kept running for
     /// a while ([`Quarantine::pop_settled`]).
-    pub fn record_settling_run(&mut self, parts: &[FeatureHash], server: u64, now: Duration) {
-        if !self.knows_success_of(parts) {
-            self.settling_runs.push(parts.to_vec(), server, now);
-        }
+    pub fn record_settling_run(&mut self, run: SettlingRun, now: Duration) {
+        self.settling_runs.push(run, now);
     }
 
     /// Records that an answer to a request with these parts has been in progress for a while. That
@@ -366,8 +386,8 @@
         }
     }
 
-    /// Removes and returns the parts of the next run that counts as successful now.
-    pub fn pop_settled(&mut self, now: Duration) -> Option<Vec<FeatureHash>> {
+    /// Removes and returns the next run that counts as successful now.
+    pub fn pop_settled(&mut self, now: Duration) -> Option<SettlingRun> {
         self.settling_runs.pop_settled(now)
     }
 
--- a/crates/decide/src/direct/quarantine/settling_runs.rs
+++ b/crates/decide/src/direct/quarantine/settling_runs.rs
@@ -1,6 +1,6 @@
 //! Successful runs whose servers may still crash.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
 use super::FeatureHash;
 
@@ -8,33 +8,43 @@
 const SETTLING_TIME: Duration = Duration::from_millis(500);
 
 /// A run that ended well.
-#[derive(Debug)]
-struct SettlingRun {
-    features: Vec<FeatureHash>,
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettlingRun {
+    /// Prompt parts of its request.
+    pub parts: Vec<FeatureHash>,
     /// Hash of the server's identity.
-    server: u64,
-    ended_at: Duration,
+    pub server: u64,
+    /// Address of the server.
+    pub address: SocketAddr,
 }
 
-/// Runs that ended well within [`SETTLING_TIME`], the oldest first.
+/// Runs that ended well within [`SETTLING_TIME`], the oldest first, with when they ended.
 #[derive(Debug, Default)]
 pub struct SettlingRuns {
-    runs: VecDeque<SettlingRun>,
+    runs: VecDeque<(Duration, SettlingRun)>,
 }
 
 impl SettlingRuns {
-    /// Adds a run.
-    pub fn push(&mut self, features: Vec<FeatureHash>, server: u64, now: Duration) {
-        self.runs.push_back(SettlingRun { features, server, ended_at: now });
+    /// Adds a run that ended now.
+    pub fn push(&mut self, run: SettlingRun, now: Duration) {
+        self.runs.push_back((now, run));
     }
 
-    /// Removes the runs at a server that crashed.
-    pub fn discard(&mut self, server: u64) {
-        self.runs.retain(|run| run.server != server);
+    /// Removes the runs at a server that crashed, and returns their parts.
+    pub fn drain(&mut self, server: u64) -> Vec<FeatureHash> {
+        let mut parts = Vec::new();
+        self.runs.retain_mut(|(_, run)| {
+            let is_elsewhere = run.server != server;
+            if !is_elsewhere {
+                parts.append(&mut run.parts);
+            }
+            is_elsewhere
+        });
+        parts
     }
 
-    /// Removes and returns the features of the next run that has settled.
-    pub fn pop_settled(&mut self, now: Duration) -> Option<Vec<FeatureHash>> {
-        self.runs.pop_front_if(|run| now >= run.ended_at + SETTLING_TIME).map(|run| run.features)
+    /// Removes and returns the next run that has settled.
+    pub fn pop_settled(&mut self, now: Duration) -> Option<SettlingRun> {
+        self.runs.pop_front_if(|(ended_at, _)| now >= *ended_at + SETTLING_TIME).map(|(_, run)| run)
     }
 }
--- a/crates/decide/tests/quarantine_features.rs
+++ b/crates/decide/tests/quarantine_features.rs
@@ -4,7 +4,7 @@
 
 use pondwalk_decide::direct::{
     CrashedRequest, FeatureHash, ProbeDecision, ProbeRequest, Quarantine, QuarantineStatus,
-    ServerCrash, is_part, is_part_of, part_feature, part_id,
+    ServerCrash, SettlingRun, is_part, is_part_of, part_feature, part_id,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -167,12 +167,32 @@
 #[test]
 fn run_counts_only_if_its_server_keeps_running() {
     let mut quarantine = Quarantine::default();
-    quarantine.record_settling_run(&[bad()], 7, s(0.0));
-    quarantine.record_settling_run(&[first()], 8, s(0.0));
+    quarantine.record_settling_run(ended_run(bad(), 7), s(0.0));
+    quarantine.record_settling_run(ended_run(first(), 8), s(0.0));
     crash(&mut quarantine, 7, &[], 0.1);
     assert_eq!(quarantine.pop_settled(s(0.4)), None);
-    assert_eq!(quarantine.pop_settled(s(0.5)), Some(vec![first()]));
+    assert_eq!(quarantine.pop_settled(s(0.5)), Some(ended_run(first(), 8)));
     assert_eq!(quarantine.pop_settled(s(9.0)), None, "the other one ended with its server");
+    assert_eq!(quarantine.crash_count(bad()), 1, "and may be why");
+}
+
+#[test]
+fn part_whose_answers_end_before_their_servers_crash_is_quarantined() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(first(), s(-1.0));
+    for n in 0..3 {
+        for part in [first(), bad()] {
+            quarantine.record_settling_run(ended_run(part, n), s(0.0));
+        }
+        let reported = crash(&mut quarantine, n, &[first()], 0.1);
+        assert!(features(&reported).contains(&bad()), "others learn of it");
+    }
+    assert_ne!(status(&quarantine, &[bad()], 0.2), QuarantineStatus::Unrestricted);
+    assert_eq!(status(&quarantine, &[first()], 0.2), QuarantineStatus::Unrestricted);
+}
+
+fn ended_run(part: FeatureHash, server: u64) -> SettlingRun {
+    SettlingRun { parts: vec![part], server, address: ([127, 0, 0, 1], 1).into() }
 }
 
 #[test]
--- a/crates/direct/src/http/reporting.rs
+++ b/crates/direct/src/http/reporting.rs
@@ -151,7 +151,7 @@
         placement.mark_finished();
         // A server's failure may come before it begins to work on the prompt.
         if !status.is_server_error() {
-            self.core.record_success(&self.job, placement.server(), is_whole_run);
+            self.core.record_success(&self.job, placement, is_whole_run);
         }
         self.core.metrics.count(Counter::Answered);
         self.core.metrics.time(Timer::WholeAnswer, Duration::from_millis(after_ms));
--- a/crates/direct/src/quarantine/clearance.rs
+++ b/crates/direct/src/quarantine/clearance.rs
@@ -3,10 +3,16 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{FeatureHash, server_hash};
-use tokio::{sync::Notify, time::sleep};
+use pondwalk_decide::direct::{FeatureHash, SettlingRun, server_hash};
+use tokio::{sync::Notify, task::spawn_local, time::sleep};
 
-use crate::{core::Core, membership::Gossip, request::Job};
+use crate::{
+    core::Core,
+    membership::Gossip,
+    placement::Placement,
+    request::Job,
+    upstream::{ListenerState, check_listener},
+};
 
 /// Number of crashes from which a clearance is published. A single crash quarantines nothing, and
 /// where many servers crash it would double the messages, about two hundred on a day with many
@@ -45,26 +51,48 @@
 impl Core {
     /// Records a successful run, which clears the content of its request, and the parts of its
     /// prompt if the server has made the whole answer.
-    pub fn record_success(&self, job: &Job, server: &str, is_whole_run: bool) {
-        let now = self.clock.now();
-        if is_whole_run {
-            let mut state = self.state.borrow_mut();
-            state.quarantine.record_settling_run(job.part_features(), server_hash(server), now);
+    pub fn record_success(self: &Rc<Self>, job: &Job, placement: &Placement, is_whole_run: bool) {
+        let parts = job.part_features();
+        let mut state = self.state.borrow_mut();
+        if is_whole_run && !state.quarantine.knows_success_of(parts) {
+            let (parts, server) = (parts.to_vec(), server_hash(placement.server()));
+            let run = SettlingRun { parts, server, address: placement.address };
+            state.quarantine.record_settling_run(run, self.clock.now());
         }
+        drop(state);
         self.clear(job.content());
         self.apply_settled_runs();
     }
 
     /// Records the successful runs whose servers have kept running.
-    pub fn apply_settled_runs(&self) {
+    pub fn apply_settled_runs(self: &Rc<Self>) {
         let now = self.clock.now();
         loop {
-            let settled = self.state.borrow_mut().quarantine.pop_settled(now);
-            let Some(parts) = settled else { return };
-            parts.into_iter().for_each(|part| self.clear(part));
+            let mut state = self.state.borrow_mut();
+            let Some(run) = state.quarantine.pop_settled(now) else { return };
+            let is_suspected = state.quarantine.max_crash_count(&run.parts) > 0;
+            drop(state);
+            if is_suspected {
+                let core = Rc::clone(self);
+                spawn_local(async move { core.verify_run(run).await });
+            } else {
+                self.clear_parts(&run);
+            }
         }
     }
 
+    /// Records a successful run with parts under which servers have crashed, provided that its own
+    /// server is still running. Its crash may have gone unnoticed if nothing else ran there.
+    async fn verify_run(&self, run: SettlingRun) {
+        if check_listener(&self.connect, run.address).await == ListenerState::Accepts {
+            self.clear_parts(&run);
+        }
+    }
+
+    fn clear_parts(&self, run: &SettlingRun) {
+        run.parts.iter().for_each(|part| self.clear(*part));
+    }
+
     /// Queues the clearance of a feature that others quarantine although it succeeded here.
     pub(super) fn queue_clearance(&self, feature: FeatureHash) {
         if self.can_clear(feature) {
--- a/crates/direct/tests/crashing_prompt_parts.rs
+++ b/crates/direct/tests/crashing_prompt_parts.rs
@@ -154,6 +154,13 @@
     Case { bad, ..Case::new("late crashes") }.check();
 }
 
+#[test]
+fn part_whose_answers_end_before_their_servers_crash_is_quarantined() {
+    let bad = callers(8.0, |_| vec![FIRST_PART, LATE_CRASHING_PART]);
+    let kind = Kind { behaviour: stream(70, None), ..streams() };
+    Case { bad, kind, ..Case::new("crashes after the answers") }.check();
+}
+
 #[test]
 fn part_first_seen_beside_a_crashing_one_is_served() {
     let bad = callers(8.0, |_| vec![RARE_PARTS, CRASHING_PART]);
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -457,6 +457,21 @@
     })
 }
 
+/// Number of runs after `from_us` of requests at entries that were undisturbed.
+fn count_further_runs(
+    records: &Records,
+    by_id: &HashMap<&str, &Exchange>,
+    runs: &[&RunRecord],
+    from_us: TimeUs,
+) -> usize {
+    let is_further = |run: &&&RunRecord| {
+        let Some(exchange) = by_id.get(run.request.as_str()) else { return false };
+        let settled_us = exchange.sent_us.saturating_sub(us(SETTLING_TIME));
+        run.at_us > from_us && records.was_undisturbed(exchange.entry, settled_us, run.at_us)
+    };
+    runs.iter().filter(is_further).count()
+}
+
 /// A request that has crashed three servers runs at most three more times after the bound, counting
 /// only undisturbed entries.
 pub fn check_crash_quarantine(records: &Records) -> Finding {
@@ -471,13 +486,7 @@
     finding("requests that end servers are left", known, |(number, runs)| {
         let quarantined_us =
             runs[CRASHES_BEFORE_QUARANTINE - 1].at_us + us(QUARANTINE_BOUND + TOLERANCE);
-        let is_further = |run: &&&RunRecord| {
-            let Some(exchange) = by_id.get(run.request.as_str()) else { return false };
-            let settled_us = exchange.sent_us.saturating_sub(us(SETTLING_TIME));
-            run.at_us > quarantined_us
-                && records.was_undisturbed(exchange.entry, settled_us, run.at_us)
-        };
-        let further = runs.iter().filter(is_further).count();
+        let further = count_further_runs(records, &by_id, runs, quarantined_us);
         (further > MAX_FURTHER_RUNS)
             .then(|| format!("request of caller {number}: {further} further runs"))
     })
@@ -514,13 +523,7 @@
         let crashes = crash_times(records, runs);
         let fifth_us = *crashes.get(CRASHES_BEFORE_PART_QUARANTINE - 1)?;
         let quarantined_us = fifth_us + us(QUARANTINE_BOUND + TOLERANCE);
-        let is_further = |run: &&&RunRecord| {
-            let Some(exchange) = by_id.get(run.request.as_str()) else { return false };
-            let settled_us = exchange.sent_us.saturating_sub(us(SETTLING_TIME));
-            run.at_us > quarantined_us
-                && records.was_undisturbed(exchange.entry, settled_us, run.at_us)
-        };
-        let further = runs.iter().filter(is_further).count();
+        let further = count_further_runs(records, &by_id, runs, quarantined_us);
         (further > MAX_FURTHER_RUNS)
             .then(|| format!("part of caller {number}: {further} further runs"))
     })
