--- a/crates/direct/tests/crashing_prompt_parts_faults.rs
+++ b/crates/direct/tests/crashing_prompt_parts_faults.rs
@@ -15,8 +15,10 @@
     },
     run_test, stream, total,
 };
+use pondwalk_decide::direct::{ServerCrash, part_feature};
 use pondwalk_direct::Entry;
 use pondwalk_standin::memory_store::FaultMode;
+use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
 const SOUND_PART: u64 = 0x50;
@@ -181,3 +183,25 @@
         assert!(named, "the log names the part and its service: {log}");
     });
 }
+
+/// A crash as the release before this one encodes it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct ContentCrash {
+    content: u128,
+    id: u64,
+    server: u64,
+    in_common_loss: bool,
+    on_probe: bool,
+}
+
+#[test]
+fn entries_of_the_release_before_decode_crashes_under_parts() {
+    let feature = part_feature("s", CRASHING_PART);
+    let crash = ServerCrash { feature, id: 1, server: 2, in_common_loss: false, on_probe: true };
+    let encoded = postcard::to_stdvec(&vec![(crash, Duration::from_millis(20))]).expect("encoded");
+    let decoded: Vec<(ContentCrash, Duration)> = postcard::from_bytes(&encoded).expect("decoded");
+    assert_eq!(decoded[0].0.content, feature);
+    let encoded = postcard::to_stdvec(&decoded).expect("encoded");
+    let crashes: Vec<(ServerCrash, Duration)> = postcard::from_bytes(&encoded).expect("decoded");
+    assert_eq!(crashes, [(crash, Duration::from_millis(20))]);
+}
