Crashing prompt parts: the bound of three in two halves, a hundred entries

The test of two halves allowed one run more than the rule does, by the reasoning of decision 0020 and not by any figure.

--- a/crates/direct/tests/crashing_prompt_parts.rs
+++ b/crates/direct/tests/crashing_prompt_parts.rs
@@ -100,6 +100,11 @@
     Case { entries: 40, ..Case::new("forty entries") }.check();
 }
 
+#[test]
+fn crashing_part_is_quarantined_at_a_hundred_entries() {
+    Case { entries: 103, ..Case::new("a hundred entries") }.check();
+}
+
 #[test]
 fn crashing_part_of_a_plain_service_is_quarantined() {
     Case { kind: repeatable(), ..Case::new("plain service") }.check();
--- a/crates/direct/tests/crashing_prompt_parts_faults.rs
+++ b/crates/direct/tests/crashing_prompt_parts_faults.rs
@@ -74,8 +74,8 @@
         let entries = start(&world, &net, &streams(), 8).await;
         let split = async { net.split(4) };
         let outcome = run_callers(&world, &entries, &streams(), split).await;
-        // Neither partition hears of the crashes in the other one before the store has them.
-        assert!(outcome.further_runs <= MAX_FURTHER_RUNS + 1, "{outcome:?}");
+        println!("partitions: {outcome:?}");
+        assert!(outcome.further_runs <= MAX_FURTHER_RUNS, "{outcome:?}");
         assert!(outcome.served as f64 >= 0.9 * outcome.sound as f64, "{outcome:?}");
     });
 }
