Loans are requested beside permits

The wait for a placement no longer imports the core for them. Same code; the tests of concentrated callers, cold servers and rate limits pass.

--- a/crates/direct/src/http/placement_wait.rs
+++ b/crates/direct/src/http/placement_wait.rs
@@ -1,11 +1,8 @@
 //! Places the next send of a request, and waits for a placement if necessary.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{
-    LoanRequest, Placeability, RouteModelIndex, UnavailableReason, max_cold_wait, server_hash,
-};
-use rand::Rng;
+use pondwalk_decide::direct::{Placeability, RouteModelIndex, UnavailableReason, max_cold_wait};
 use tokio::{
     task::spawn_local,
     time::{sleep_until, timeout},
@@ -13,10 +10,6 @@
 
 use super::in_flight::InFlightRequest;
 use crate::{
-    catalog::ServiceId,
-    core::Core,
-    loans::LoanQuery,
-    membership::{LOAN_PATH, query_peer},
     metrics::Counter,
     permits::PermitWaiter,
     placement::{NextSend, Placement, PlacementError},
@@ -98,8 +91,8 @@
     async fn request_loan(&self) {
         let wanted = Placement::wanted_loan(&self.core, &self.job, self.next_send());
         let Some(wanted) = wanted else { return };
-        let (core, service) = (Rc::clone(&self.core), self.job.service.name.clone());
-        let request = spawn_local(async move { borrow(&core, &service, wanted).await });
+        let core = Rc::clone(&self.core);
+        let request = spawn_local(core.request_loan(self.job.service.name.clone(), wanted));
         // The fleet records the result.
         let _ = timeout(PERMIT_TIMEOUT, request).await;
     }
@@ -171,22 +164,3 @@
     let Err(PlacementError::Unavailable(availability)) = found else { return false };
     availability.reason == UnavailableReason::ColdBorrowable
 }
-
-/// Requests a loan and records the result in the fleet.
-async fn borrow(core: &Core, service: &ServiceId, wanted: LoanRequest) {
-    let requested_at = core.clock.now();
-    let LoanRequest { server, incarnation, owner_count } = wanted;
-    let order = core.members.granting_order(u128::from(server_hash(&server)));
-    let owners = order.into_iter().take(owner_count);
-    let owners: Vec<SocketAddr> = owners.filter_map(|(_, address)| address).collect();
-    let first = core.state.borrow_mut().rng.random_range(0..owners.len().max(1));
-    let query = LoanQuery { service: service.to_string(), server: server.clone(), incarnation };
-    let ask = async |owner| query_peer(core, owner, LOAN_PATH, &query).await;
-    let loan = core.lenders.borrow(&server, &owners, first, || core.clock.now(), ask).await;
-    let counter = if loan.is_ok() { Counter::LoansGiven } else { Counter::LoansRefused };
-    core.metrics.count(counter);
-    let mut state = core.state.borrow_mut();
-    if let Some(fleet) = state.fleets.get_mut(service) {
-        fleet.apply_loan(&server, loan, requested_at);
-    }
-}
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -9,9 +9,11 @@
 
 use bytes::Bytes;
 use pondwalk_decide::direct::{
-    GranterRole, PermitBuckets, PermitRequest, RateLimit, ServerIncarnation, server_hash,
+    GranterRole, LoanRequest, PermitBuckets, PermitRequest, RateLimit, ServerIncarnation,
+    server_hash,
 };
 use pondwalk_types::ServerId;
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -19,9 +21,10 @@
     catalog::ServiceId,
     core::Core,
     event_log::LogPriority,
+    loans::LoanQuery,
     membership::{
-        Gossip, GossipItem, MessageError, PERMIT_PATH, PeerError, from_message, query_peer,
-        to_message,
+        Gossip, GossipItem, LOAN_PATH, MessageError, PERMIT_PATH, PeerError, from_message,
+        query_peer, to_message,
     },
     metrics::Counter,
 };
@@ -171,6 +174,25 @@
         self.apply_permit_reply(&service, &query, reply);
     }
 
+    /// Requests a loan at a cold server and records the result in the fleet.
+    pub async fn request_loan(self: Rc<Self>, service: ServiceId, wanted: LoanRequest) {
+        let requested_at = self.clock.now();
+        let LoanRequest { server, incarnation, owner_count } = wanted;
+        let order = self.members.granting_order(u128::from(server_hash(&server)));
+        let owners = order.into_iter().take(owner_count);
+        let owners: Vec<SocketAddr> = owners.filter_map(|(_, address)| address).collect();
+        let first = self.state.borrow_mut().rng.random_range(0..owners.len().max(1));
+        let query = LoanQuery { service: service.to_string(), server: server.clone(), incarnation };
+        let ask = async |owner| query_peer(&self, owner, LOAN_PATH, &query).await;
+        let loan = self.lenders.borrow(&server, &owners, first, || self.clock.now(), ask).await;
+        let counter = if loan.is_ok() { Counter::LoansGiven } else { Counter::LoansRefused };
+        self.metrics.count(counter);
+        let mut state = self.state.borrow_mut();
+        if let Some(fleet) = state.fleets.get_mut(&service) {
+            fleet.apply_loan(&server, loan, requested_at);
+        }
+    }
+
     fn apply_permit_reply(&self, service: &ServiceId, query: &PermitQuery, reply: PermitReply) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
