--- a/review/standins/src/case_one.rs
+++ b/review/standins/src/case_one.rs
@@ -57,6 +57,7 @@
     reports: Mutex<Vec<Report>>,
     /// Number of usual reports after which all entries are killed at once; 0 for never.
     kill_after: usize,
+    has_kill: bool,
     /// Process ids of the entries.
     processes: Mutex<Vec<u32>>,
     has_killed: AtomicBool,
@@ -70,13 +71,14 @@
 const SIGKILL: i32 = 9;
 
 impl Metering {
-    fn start(record: &Record, kill_after: usize) -> (Arc<Metering>, SocketAddr) {
+    fn start(record: &Record, kill_after: usize, has_kill: bool) -> (Arc<Metering>, SocketAddr) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("bound");
         let metering = Arc::new(Metering {
             record: record.clone(),
             reports: Mutex::default(),
             kill_after,
+            has_kill,
             processes: Mutex::default(),
             has_killed: AtomicBool::new(false),
             ran: AtomicU64::new(0),
@@ -139,10 +141,12 @@
                 && after_ms < USUAL_REPORT_MS
                 && reports.iter().filter(is_usual).count() >= self.kill_after;
             if is_due && !self.has_killed.swap(true, Ordering::SeqCst) {
-                for process in self.processes.lock().expect("not poisoned").iter() {
-                    unsafe { kill(*process as i32, SIGKILL) };
+                if self.has_kill {
+                    for process in self.processes.lock().expect("not poisoned").iter() {
+                        unsafe { kill(*process as i32, SIGKILL) };
+                    }
+                    self.record.add("platform", "SIGKILL to all entries");
                 }
-                self.record.add("platform", "SIGKILL to all entries");
             }
         }
         status
@@ -158,8 +162,11 @@
     let record = Record::new();
     let scratch = Scratch::new();
     let (store, store_address) = Store::start();
+    // One of the two disruptions alone, for comparison.
+    let only = std::env::var("ONLY").unwrap_or_default();
+    let (has_kill, has_drill) = (only != "drill", only != "kill");
     let kill_after = if has_trouble { REPORTS_BEFORE + 1 } else { 0 };
-    let (metering, metering_address) = Metering::start(&record, kill_after);
+    let (metering, metering_address) = Metering::start(&record, kill_after, has_kill);
     let route = "{\"name\":\"r-order\",\"hostname\":\"app.example\",\"path_prefix\":\"/order/\",\
          \"type\":\"idempotent\",\"timeout_ms\":1500,\"target_latency_ms\":150,\"priority\":0,\
          \"backend\":\"app\",\"max_attempts\":2,\"anonymous\":false}"
@@ -199,14 +206,18 @@
         while !metering.has_killed.load(Ordering::SeqCst) && Instant::now() < limit {
             thread::sleep(Duration::from_millis(1));
         }
-        store.go_away();
-        record.add("store", "away");
+        if has_drill {
+            store.go_away();
+            record.add("store", "away");
+        }
         thread::sleep(AWAY);
-        let era = store.come_back(COPY_AGE);
-        record.add("store", format!("back from a copy {COPY_AGE:?} old; Store-Era: {era}"));
+        if has_drill {
+            let era = store.come_back(COPY_AGE);
+            record.add("store", format!("back from a copy {COPY_AGE:?} old; Store-Era: {era}"));
+        }
         thread::sleep(RESTART_AFTER - AWAY);
-        for index in 0..entries.children.len() {
-            entries.start_again(index);
+        if has_kill {
+            (0..entries.children.len()).for_each(|index| entries.start_again(index));
         }
     } else {
         while metering.reports.lock().expect("not poisoned").len() <= REPORTS_BEFORE
