--- a/review/standins/src/case_one.rs
+++ b/review/standins/src/case_one.rs
@@ -7,7 +7,7 @@
     path::Path,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -61,7 +61,8 @@
     /// Process ids of the entries.
     processes: Mutex<Vec<u32>>,
     has_killed: AtomicBool,
-    ran: AtomicU64,
+    /// Requests that the servers began to run, by window.
+    ran: Mutex<BTreeMap<u64, u64>>,
 }
 
 unsafe extern "C" {
@@ -81,7 +82,7 @@
             has_kill,
             processes: Mutex::default(),
             has_killed: AtomicBool::new(false),
-            ran: AtomicU64::new(0),
+            ran: Mutex::default(),
         });
         let served = Arc::clone(&metering);
         thread::spawn(move || {
@@ -175,7 +176,8 @@
     store.put("op/config", &configuration(1, &[route], &["app"], &tenants));
     let counted = Arc::clone(&metering);
     let handler = Arc::new(move |_: &Worker, request: &Message, mut stream: TcpStream| {
-        counted.ran.fetch_add(1, Ordering::SeqCst);
+        let window = unix_ms() / (REPORT_INTERVAL_S * 1_000);
+        *counted.ran.lock().expect("not poisoned").entry(window).or_default() += 1;
         let answer = answer_head(request, 200, "Content-Length: 2\r\n") + "ok";
         let _ = stream.write_all(answer.as_bytes());
     });
@@ -258,33 +260,42 @@
         true => "two reports of one window with other counts",
         false => "no window was reported with other counts",
     };
+    let ran = metering.ran.lock().expect("not poisoned").clone();
+    for (window, count) in &ran {
+        record.add("servers", format!("began to run {count} requests in window {window}"));
+    }
     record.add("check", summary);
-    println!(
-        "{summary}; {} reports, {} requests ran",
-        reports.len(),
-        metering.ran.load(Ordering::SeqCst)
-    );
+    println!("{summary}; {} reports, {} requests ran", reports.len(), ran.values().sum::<u64>());
     record.write(folder);
     Entries::keep_logs(&scratch, folder);
     Outcome { is_broken }
 }
 
-/// Sends requests at a steady rate, each on a new channel.
+/// Sends requests at a steady rate, each on a new channel, and records each second what was answered.
 fn send_requests(record: &Record, entry: SocketAddr, is_over: &AtomicBool) {
     let mut answered: BTreeMap<String, u32> = BTreeMap::new();
     let headers = format!("X-Pondwalk-Deadline-Ms: 1500\r\nAuthorization: Token {KEY}\r\n");
+    let mut recorded_at = Instant::now();
     for number in 0u64.. {
-        if is_over.load(Ordering::SeqCst) {
-            break;
+        let is_last = is_over.load(Ordering::SeqCst);
+        if is_last || recorded_at.elapsed() >= Duration::from_secs(1) {
+            recorded_at = Instant::now();
+            let sent: u32 = answered.values().sum();
+            let answers = std::mem::take(&mut answered);
+            record.add("clients", format!("at {entry}: {sent} sent, answers {answers:?}"));
+        }
+        if is_last {
+            return;
         }
         let id = format!("{:04x}{number:08x}", entry.port());
         let answer = connect_client(entry, 64 * 1024)
             .and_then(|stream| send(&stream, "GET", "/order/1", &id, &headers, b""))
             .and_then(|mut reader| read_answer(&mut reader));
-        let what =
-            answer.map_or_else(|error| error.kind().to_string(), |(status, _)| status.to_string());
+        let what = match answer {
+            Ok((status, _)) => status.to_string(),
+            Err(error) => error.kind().to_string(),
+        };
         *answered.entry(what).or_default() += 1;
         thread::sleep(REQUEST_GAP);
     }
-    record.add("clients", format!("answers at {entry}: {answered:?}"));
 }
