Review: stricter drivers, and the sites' own bounds

A run whose disruption did not happen, or whose requests did not run before it, counts as one that could not run (2). Case 2 counts only answers that the server had sent whole, within the rule's time, and goes by a site on whose pages slow readers stand.

--- a/review/standins/src/case_drain.rs
+++ b/review/standins/src/case_drain.rs
@@ -1,9 +1,10 @@
 //! LOST: a planned stop while clients read their answers slowly.
 
 use std::{
+    collections::BTreeSet,
     io::{Read, Write},
     path::Path,
-    sync::Arc,
+    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
@@ -39,6 +40,8 @@
     ended_ms: u64,
     sent_ms: u64,
     is_whole: bool,
+    /// Whether the channel ended in the middle of the answer.
+    is_cut: bool,
 }
 
 pub fn run(folder: &Path, has_trouble: bool) -> Outcome {
@@ -51,14 +54,19 @@
          \"priority\":0,\"backend\":\"app\",\"max_attempts\":2,\"anonymous\":false}}"
     );
     store.put("op/config", &configuration(1, &[route], &["app"], ""));
+    let whole: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    let sent_whole = Arc::clone(&whole);
     let handler =
-        |worker: &Worker, request: &crate::http::Message, mut stream: std::net::TcpStream| {
+        move |worker: &Worker, request: &crate::http::Message, mut stream: std::net::TcpStream| {
             let id = request.header("x-pondwalk-attempt-id").unwrap_or_default().to_owned();
             worker.record.add(&worker.id, format!("{id} begins to run"));
             let head = answer_head(request, 200, &format!("Content-Length: {ANSWER_BYTES}\r\n"));
             let mut bytes = head.into_bytes();
             bytes.extend(body());
             let sent = stream.write_all(&bytes);
+            if sent.is_ok() {
+                sent_whole.lock().expect("not poisoned").insert(id.clone());
+            }
             worker.record.add(
                 &worker.id,
                 match sent {
@@ -67,10 +75,15 @@
                 },
             );
         };
-    let workers: Vec<_> = ["i-a", "i-b"]
-        .map(|id| Worker::start(id, "app", &store, &record, Arc::new(handler)))
-        .into();
-    let mut entries = Entries::start(2, store_address, &scratch, &record);
+    let handler = Arc::new(handler);
+    let workers =
+        ["i-a", "i-b"].map(|id| Worker::start(id, "app", &store, &record, handler.clone()));
+    let site = [
+        ("guarantees.propagation_ms", "3000".to_owned()),
+        ("guarantees.retry_min_extra", "94".to_owned()),
+        ("guarantees.session_ttl_s", "8.5".to_owned()),
+    ];
+    let mut entries = Entries::start_with(2, store_address, &site, &scratch, &record);
     let entry = entries.addresses[0].callers;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
@@ -79,7 +92,7 @@
         })
         .collect();
     thread::sleep(STOP_AFTER);
-    let stopped = Instant::now();
+    let (stopped, stopped_ms) = (Instant::now(), record.now_ms());
     let mut ended_after = None;
     if has_trouble {
         record.add("platform", format!("SIGTERM to {}", entries.addresses[0].name));
@@ -106,10 +119,28 @@
     let received: Vec<Received> =
         clients.into_iter().filter_map(|client| client.join().ok()).collect();
     drop(workers);
+    let whole = whole.lock().expect("not poisoned").clone();
+    // Every request must have been run whole, and its answer begun, before the stop could matter.
+    if received.len() < CLIENTS || received.iter().any(|one| one.status != 200) {
+        drop(entries);
+        record.write(folder);
+        crate::lab::cannot_run("an answer did not begin");
+    }
+    let counted_until_ms = stopped_ms + GRACE.as_millis() as u64 + 1_000;
     let cut: Vec<&Received> = received
         .iter()
-        .filter(|one| !one.is_whole && one.ended_ms < one.sent_ms + TIME_LIMIT_MS)
+        .filter(|one| {
+            one.is_cut
+                && whole.contains(&one.id)
+                && one.ended_ms < one.sent_ms + TIME_LIMIT_MS
+                && (!has_trouble || one.ended_ms <= counted_until_ms)
+        })
         .collect();
+    if !has_trouble && received.iter().any(|one| !one.is_whole) {
+        drop(entries);
+        record.write(folder);
+        crate::lab::cannot_run("an answer was not whole without the stop");
+    }
     for one in &cut {
         record.add(
             "check",
@@ -141,8 +172,15 @@
 fn read_slowly(record: &Record, entry: std::net::SocketAddr, number: usize) -> Received {
     let id = format!("c{number:02}f00d");
     let who = format!("client-{number}");
-    let mut received =
-        Received { id: id.clone(), status: 0, bytes: 0, ended_ms: 0, sent_ms: 0, is_whole: false };
+    let mut received = Received {
+        id: id.clone(),
+        status: 0,
+        bytes: 0,
+        ended_ms: 0,
+        sent_ms: 0,
+        is_whole: false,
+        is_cut: false,
+    };
     let result = (|| -> std::io::Result<()> {
         let stream = connect_client(entry, RECEIVE_BUFFER)?;
         let headers = format!("X-Pondwalk-Deadline-Ms: {TIME_LIMIT_MS}\r\n");
@@ -161,8 +199,9 @@
                 thread::sleep(Duration::from_millis(5));
                 continue;
             }
-            let read = reader.read(&mut buffer)?;
+            let read = reader.read(&mut buffer).inspect_err(|_| received.is_cut = true)?;
             if read == 0 {
+                received.is_cut = true;
                 return Err(std::io::ErrorKind::UnexpectedEof.into());
             }
             let expected = |offset: usize| ((received.bytes + offset) % 251) as u8;
--- a/review/standins/src/case_key.rs
+++ b/review/standins/src/case_key.rs
@@ -88,6 +88,10 @@
     drop(entries);
     drop(workers);
     let run_requests = run_requests.lock().expect("not poisoned");
+    if run_requests.len() < REQUESTS {
+        record.write(folder);
+        crate::lab::cannot_run("requests did not run before the change");
+    }
     let leaked: Vec<&Message> = run_requests
         .iter()
         .filter(|request| request.headers.iter().any(|(_, value)| value.contains(KEY)))
--- a/review/standins/src/case_one.rs
+++ b/review/standins/src/case_one.rs
@@ -189,6 +189,8 @@
         ("guarantees.lease_timeout_ms", "3000".to_owned()),
         ("guarantees.report_interval_s", REPORT_INTERVAL_S.to_string()),
         ("guarantees.usage_delay_s", USAGE_DELAY_S.to_string()),
+        ("guarantees.propagation_ms", "3000".to_owned()),
+        ("guarantees.retry_min_extra", "88".to_owned()),
     ];
     let mut entries = Entries::start_with(2, store_address, &extra, &scratch, &record);
     let ids = entries.children.iter().map(std::process::Child::id).collect();
@@ -208,6 +210,10 @@
         while !metering.has_killed.load(Ordering::SeqCst) && Instant::now() < limit {
             thread::sleep(Duration::from_millis(1));
         }
+        if !metering.has_killed.load(Ordering::SeqCst) {
+            drop(entries);
+            crate::lab::cannot_run("no usual report came");
+        }
         if has_drill {
             store.go_away();
             record.add("store", "away");
@@ -236,7 +242,7 @@
     drop(entries);
     drop(workers);
     let reports = metering.reports.lock().expect("not poisoned").clone();
-    if reports.is_empty() {
+    if reports.iter().all(|report| report.counts.is_empty()) {
         record.write(folder);
         crate::lab::cannot_run("no usage was reported");
     }
--- a/review/standins/src/lab.rs
+++ b/review/standins/src/lab.rs
@@ -52,6 +52,8 @@
 /// The case can't run.
 pub fn cannot_run(why: impl std::fmt::Display) -> ! {
     eprintln!("cannot run: {why}");
+    let _ = fs::remove_dir_all(scratch_path());
+    // The entries end with this process.
     std::process::exit(2)
 }
 
@@ -85,6 +87,10 @@
     }
 }
 
+fn scratch_path() -> PathBuf {
+    std::env::temp_dir().join(format!("review-{}", std::process::id()))
+}
+
 /// A folder for settings and logs, removed at the end.
 pub struct Scratch {
     pub path: PathBuf,
@@ -92,7 +98,7 @@
 
 impl Scratch {
     pub fn new() -> Self {
-        let path = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        let path = scratch_path();
         fs::create_dir_all(&path).unwrap_or_else(|error| cannot_run(error));
         Scratch { path }
     }
@@ -166,7 +172,7 @@
             ("platform.address", store.to_string()),
         ];
         let mut text = template;
-        for (name, value) in values.iter().chain(extra) {
+        for (name, value) in extra.iter().chain(&values) {
             text = text.replace(&format!("{{{{{name}}}}}"), value);
         }
         // A field that the deployment does not have yields nothing.
@@ -199,12 +205,12 @@
 }
 
 impl Entries {
-    /// Starts entries and waits until all are ready and in touch for `connected_ms` (3 s).
+    /// Starts entries and waits until all are ready and in touch for `connected_ms` (4 s at most).
     pub fn start(count: u8, store: SocketAddr, scratch: &Scratch, record: &Record) -> Entries {
         Self::start_with(count, store, &[], scratch, record)
     }
 
-    /// The same, with further fields of the platform's settings.
+    /// The same, with fields of the platform's settings that replace the usual ones or are added.
     pub fn start_with(
         count: u8,
         store: SocketAddr,
@@ -232,7 +238,7 @@
             thread::sleep(Duration::from_millis(100));
         }
         entries.record.add("platform", "all entries are ready");
-        thread::sleep(Duration::from_millis(3_500));
+        thread::sleep(Duration::from_millis(4_500));
         entries
     }
 
