--- a/crates/decide/benches/quarantine.rs
+++ b/crates/decide/benches/quarantine.rs
@@ -79,7 +79,13 @@
                     quarantine.record_success(features[0], NOW);
                     if !quarantine.knows_success_of(&features[1..]) {
                         let (parts, address) = (features[1..].to_vec(), ([127, 0, 0, 1], 1).into());
-                        let run = SettlingRun { parts, server: 1, address };
+                        let run = SettlingRun {
+                            request: request.to_string(),
+                            parts,
+                            server: 1,
+                            server_id: "s1".into(),
+                            address,
+                        };
                         quarantine.record_settling_run(run, NOW);
                     }
                 }
--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -188,6 +188,11 @@
         self.records.get(&feature).map_or(0, Record::crash_count)
     }
 
+    /// Number of crashes that are excused since servers crashed that did not run the feature.
+    pub fn excused_crash_count(&self, feature: FeatureHash) -> usize {
+        self.records.get(&feature).map_or(0, |record| record.crashes.len() - record.crash_count())
+    }
+
     /// Highest number of crashes that count against one of these features and are not forgiven.
     pub fn max_crash_count(&self, features: &[FeatureHash]) -> usize {
         let suspected = features.iter().filter(|feature| !self.is_exempt(**feature));
--- a/crates/decide/src/direct/quarantine/settling_runs.rs
+++ b/crates/decide/src/direct/quarantine/settling_runs.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
+use pondwalk_types::{RequestId, ServerId};
+
 use super::FeatureHash;
 
 /// Time after the end of a run within which a crash of its server may be due to it.
@@ -10,10 +12,14 @@
 /// A run that ended well.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SettlingRun {
+    /// Id of the request.
+    pub request: RequestId,
     /// Prompt parts of its request.
     pub parts: Vec<FeatureHash>,
     /// Hash of the server's identity.
     pub server: u64,
+    /// Id of the server.
+    pub server_id: ServerId,
     /// Address of the server.
     pub address: SocketAddr,
 }
--- a/crates/decide/tests/quarantine_features.rs
+++ b/crates/decide/tests/quarantine_features.rs
@@ -192,7 +192,13 @@
 }
 
 fn ended_run(part: FeatureHash, server: u64) -> SettlingRun {
-    SettlingRun { parts: vec![part], server, address: ([127, 0, 0, 1], 1).into() }
+    SettlingRun {
+        request: "r".into(),
+        parts: vec![part],
+        server,
+        server_id: format!("s{server}"),
+        address: ([127, 0, 0, 1], 1).into(),
+    }
 }
 
 #[test]
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -20,6 +20,7 @@
 
 pub use clearance::{PendingClearances, publish_clearances};
 pub use crashes::ObservedCrashes;
+use events::ClearanceReason;
 pub use events::QuarantineEvent;
 pub use probe_lease::{ProbeLease, ReleasedProbes, release_probes};
 pub use stored::{MAX_STORED_CRASHES, QUARANTINE_KEY, StoredQuarantine};
@@ -96,7 +97,7 @@
         let mut state = self.state.borrow_mut();
         let crashes = state.quarantine.record_reported_success(feature, at, now);
         drop(state);
-        self.log_cleared(feature, crashes, from);
+        self.log_cleared(feature, crashes, from, ClearanceReason::Report);
     }
 
     /// The crashes sent to an entry that has received none from this one.
@@ -156,33 +157,42 @@
             return;
         };
         let servers_ended = state.quarantine.crash_count(feature);
+        let excused = state.quarantine.excused_crash_count(feature);
         drop(state);
         let for_ms = until.saturating_sub(now).as_millis() as u64;
         if is_part(feature) {
             self.metrics.count(Counter::PartsQuarantined);
             let (service, part) = self.part_names(feature);
             let (service, part) = (service.as_str(), part.as_str());
-            let event = QuarantineEvent::PartHeld { service, part, servers_ended, for_ms };
+            let event = QuarantineEvent::PartHeld { service, part, servers_ended, excused, for_ms };
             self.event_log.record(LogPriority::Failure, &event);
         } else {
             self.metrics.count(Counter::ContentsQuarantined);
             let content = &content_text(feature);
-            let event = QuarantineEvent::ContentHeld { content, servers_ended, for_ms };
+            let event = QuarantineEvent::ContentHeld { content, servers_ended, excused, for_ms };
             self.event_log.record(LogPriority::Failure, &event);
         }
     }
 
     /// Logs that a feature is cleared, if `crashes` had quarantined it.
-    fn log_cleared(&self, feature: FeatureHash, crashes: usize, from: &str) {
+    fn log_cleared(
+        &self,
+        feature: FeatureHash,
+        crashes: usize,
+        from: &str,
+        reason: ClearanceReason<'_>,
+    ) {
         if !Quarantine::quarantines_after(crashes) {
             return;
         }
         if is_part(feature) {
             let (service, part) = self.part_names(feature);
-            let event = QuarantineEvent::PartCleared { service: &service, part: &part, from };
+            let (service, part) = (service.as_str(), part.as_str());
+            let event = QuarantineEvent::PartCleared { service, part, from, reason };
             self.event_log.record(LogPriority::Failure, &event);
         } else {
-            let event = QuarantineEvent::ContentCleared { content: &content_text(feature), from };
+            let content = &content_text(feature);
+            let event = QuarantineEvent::ContentCleared { content, from, reason };
             self.event_log.record(LogPriority::Failure, &event);
         }
     }
--- a/crates/direct/src/quarantine/clearance.rs
+++ b/crates/direct/src/quarantine/clearance.rs
@@ -6,6 +6,7 @@
 use pondwalk_decide::direct::{FeatureHash, SettlingRun, server_hash};
 use tokio::{sync::Notify, task::spawn_local, time::sleep};
 
+use super::events::ClearanceReason;
 use crate::{
     core::Core,
     membership::Gossip,
@@ -42,7 +43,7 @@
             if core.can_clear(feature) {
                 let now = core.clock.now();
                 let crashes = core.state.borrow_mut().quarantine.clear(feature, now);
-                core.publish_clearance(feature, crashes);
+                core.publish_clearance(feature, crashes, ClearanceReason::EarlierSuccess);
             }
         }
     }
@@ -56,11 +57,22 @@
         let mut state = self.state.borrow_mut();
         if is_whole_run && !state.quarantine.knows_success_of(parts) {
             let (parts, server) = (parts.to_vec(), server_hash(placement.server()));
-            let run = SettlingRun { parts, server, address: placement.address };
+            let run = SettlingRun {
+                request: job.id.clone(),
+                parts,
+                server,
+                server_id: placement.server().clone(),
+                address: placement.address,
+            };
             state.quarantine.record_settling_run(run, self.clock.now());
         }
         drop(state);
-        self.clear(job.content());
+        let (request, server) = (job.id.as_str(), placement.server().as_str());
+        let reason = match is_whole_run {
+            true => ClearanceReason::WholeRun { request, server },
+            false => ClearanceReason::ResumedRun { request, server },
+        };
+        self.clear(job.content(), reason);
         self.apply_settled_runs();
     }
 
@@ -90,7 +102,8 @@
     }
 
     fn clear_parts(&self, run: &SettlingRun) {
-        run.parts.iter().for_each(|part| self.clear(*part));
+        let reason = ClearanceReason::WholeRun { request: &run.request, server: &run.server_id };
+        run.parts.iter().for_each(|part| self.clear(*part, reason));
     }
 
     /// Queues the clearance of a feature that others quarantine although it succeeded here.
@@ -105,15 +118,15 @@
         self.state.borrow().quarantine.can_clear(feature)
     }
 
-    fn clear(&self, feature: FeatureHash) {
+    fn clear(&self, feature: FeatureHash, reason: ClearanceReason<'_>) {
         let now = self.clock.now();
         let crashes = self.state.borrow_mut().quarantine.record_success(feature, now);
-        self.publish_clearance(feature, crashes);
+        self.publish_clearance(feature, crashes, reason);
     }
 
-    fn publish_clearance(&self, feature: FeatureHash, crashes: usize) {
+    fn publish_clearance(&self, feature: FeatureHash, crashes: usize, reason: ClearanceReason<'_>) {
         if crashes >= MIN_CRASHES_TO_PUBLISH {
-            self.log_cleared(feature, crashes, &self.settings.name);
+            self.log_cleared(feature, crashes, &self.settings.name, reason);
             self.publish_gossip(Gossip::Cleared { feature });
         }
     }
--- a/crates/direct/src/quarantine/events.rs
+++ b/crates/direct/src/quarantine/events.rs
@@ -2,18 +2,43 @@
 
 use serde::Serialize;
 
+/// Why a feature was cleared.
+#[derive(Debug, Clone, Copy, Serialize)]
+#[serde(tag = "cleared_by", rename_all = "snake_case")]
+pub enum ClearanceReason<'a> {
+    /// A server made the whole answer.
+    WholeRun { request: &'a str, server: &'a str },
+    /// A server made the rest of an answer that another one had begun.
+    ResumedRun { request: &'a str, server: &'a str },
+    /// Another entry had reported crashes of a feature that succeeded here before.
+    EarlierSuccess,
+    /// Another entry reported it.
+    Report,
+}
+
 /// A change of a feature's quarantine.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum QuarantineEvent<'a> {
-    /// The content is quarantined after this many crashes.
-    ContentHeld { content: &'a str, servers_ended: usize, for_ms: u64 },
+    /// The content is quarantined after this many crashes, without the excused ones.
+    ContentHeld { content: &'a str, servers_ended: usize, excused: usize, for_ms: u64 },
     /// A run of the content succeeded, at entry `from`.
-    ContentCleared { content: &'a str, from: &'a str },
-    /// The prompt part is quarantined after this many crashes.
-    PartHeld { service: &'a str, part: &'a str, servers_ended: usize, for_ms: u64 },
+    ContentCleared {
+        content: &'a str,
+        from: &'a str,
+        #[serde(flatten)]
+        reason: ClearanceReason<'a>,
+    },
+    /// The prompt part is quarantined after this many crashes, without the excused ones.
+    PartHeld { service: &'a str, part: &'a str, servers_ended: usize, excused: usize, for_ms: u64 },
     /// A run with the prompt part succeeded, at entry `from`.
-    PartCleared { service: &'a str, part: &'a str, from: &'a str },
+    PartCleared {
+        service: &'a str,
+        part: &'a str,
+        from: &'a str,
+        #[serde(flatten)]
+        reason: ClearanceReason<'a>,
+    },
     /// A version was tripped by the crash of one of its servers under this request.
     VersionTripped { request: &'a str, service: &'a str, version: &'a str },
     /// A request runs as a probe of a content, or of prompt parts, granted by entry `by`.
