--- a/crates/direct/tests/common/crashing.rs
+++ b/crates/direct/tests/common/crashing.rs
@@ -59,11 +59,29 @@
 
 /// Starts `entries` connected entries, and servers that crash when they run [`CRASHING_BODY`].
 pub async fn start(world: &World, net: &Net, kind: &Kind, entries: u16) -> Vec<Entry> {
+    start_sized(world, net, kind, Size { servers: SERVERS, entries }, CRASH_AFTER).await
+}
+
+/// Numbers of servers and entries.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    pub servers: u16,
+    pub entries: u16,
+}
+
+/// Like [`start`], with so many servers, which crash `crash_after` the beginning of a run.
+pub async fn start_sized(
+    world: &World,
+    net: &Net,
+    kind: &Kind,
+    Size { servers, entries }: Size,
+    crash_after: Duration,
+) -> Vec<Entry> {
     world.configure(catalog(1));
-    for n in 1..=SERVERS {
+    for n in 1..=servers {
         world.start_server(n, kind.service, "v1", kind.behaviour.clone());
     }
-    world.make_crashing(kind.service, CRASHING_BODY, CRASH_AFTER);
+    world.make_crashing(kind.service, CRASHING_BODY, crash_after);
     let entries = net.start_many(world, entries, "");
     sleep(Duration::from_secs(5)).await;
     entries
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -156,8 +156,10 @@
 }
 
 /// A run of a request that crashes servers.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct CrashingRun {
+    /// Body of the request.
+    pub body: Vec<u8>,
     /// Time at which the request reached the server.
     pub at: Instant,
     /// Time at which the request crashed the server, if it has.
@@ -245,7 +247,11 @@
         let rule = self.crash_rules.borrow().iter().find(|rule| (rule.applies)(request)).cloned();
         let Some(rule) = rule else { return false };
         let index = self.crashing_runs.borrow().len();
-        self.crashing_runs.borrow_mut().push(CrashingRun { at: Instant::now(), crashed_at: None });
+        self.crashing_runs.borrow_mut().push(CrashingRun {
+            body: request.body.clone(),
+            at: Instant::now(),
+            crashed_at: None,
+        });
         let (backends, server) = (self.clone(), Rc::clone(server));
         spawn_local(async move {
             sleep(rule.after).await;
