--- a/crates/decide/benches/quarantine.rs
+++ b/crates/decide/benches/quarantine.rs
@@ -4,10 +4,12 @@
 // NB: the macros below generate functions without documentation.
 #![allow(missing_docs)]
 
-use std::{hint::black_box, time::Duration};
+use std::{hint::black_box, rc::Rc, time::Duration};
 
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
-use pondwalk_decide::direct::{FeatureHash, Quarantine, ServerCrash, SettlingRun, part_feature};
+use pondwalk_decide::direct::{
+    EndedRun, FeatureHash, Quarantine, RunExtent, ServerCrash, part_feature,
+};
 
 /// Recorded crashes, of as many requests.
 const CRASHES: u64 = 1_000;
@@ -15,6 +17,9 @@
 const REQUESTS: u64 = 10_000;
 /// Prompt parts that requests share.
 const SHARED_PARTS: u64 = 600;
+thread_local! {
+    static SERVICE: Rc<str> = Rc::from("language");
+}
 const NOW: Duration = Duration::from_secs(1_000);
 
 /// Features of a request: its content, and two parts.
@@ -55,44 +60,44 @@
     group.finish();
 }
 
+/// Records an ended run of a request, and settles the runs that are due.
+fn record_success(quarantine: &mut Quarantine, features: &[FeatureHash], request: u64) {
+    let now = NOW + Duration::from_millis(10 * (request - REQUESTS));
+    if !quarantine.knows_success_of(features) {
+        let run = EndedRun {
+            request: request.to_string(),
+            features: features.to_vec(),
+            probed: Vec::new(),
+            extent: RunExtent::Whole,
+            took: Duration::from_secs(1),
+            service: SERVICE.with(Rc::clone),
+            server: "s1".into(),
+            server_hash: 1,
+            address: ([127, 0, 0, 1], 1).into(),
+        };
+        quarantine.record_ended_run(run, now);
+    }
+    for run in quarantine.take_due_runs(now) {
+        quarantine.settle_run(&run, now);
+    }
+}
+
 fn successes(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("quarantine");
-    group.bench_function("success/content", |bencher| {
-        let contents = || quarantine(|request| features(request)[..1].to_vec());
-        bencher.iter_batched_ref(
-            contents,
-            |quarantine| {
-                for request in REQUESTS..REQUESTS + 100 {
-                    quarantine.record_success(black_box(features(request)[0]), NOW);
-                }
-            },
-            BatchSize::LargeInput,
-        );
-    });
-    group.bench_function("success/content_and_parts", |bencher| {
-        let parts = || quarantine(|request| features(request).to_vec());
-        bencher.iter_batched_ref(
-            parts,
-            |quarantine| {
-                for request in REQUESTS..REQUESTS + 100 {
-                    let features = black_box(features(request));
-                    quarantine.record_success(features[0], NOW);
-                    if !quarantine.knows_success_of(&features[1..]) {
-                        let (parts, address) = (features[1..].to_vec(), ([127, 0, 0, 1], 1).into());
-                        let run = SettlingRun {
-                            request: request.to_string(),
-                            parts,
-                            server: 1,
-                            server_id: "s1".into(),
-                            address,
-                        };
-                        quarantine.record_settling_run(run, NOW);
+    for (name, count) in [("success/content", 1), ("success/content_and_parts", 3)] {
+        group.bench_function(name, |bencher| {
+            bencher.iter_batched_ref(
+                || quarantine(|request| features(request)[..count].to_vec()),
+                |quarantine| {
+                    for request in REQUESTS..REQUESTS + 100 {
+                        let features = black_box(features(request));
+                        record_success(quarantine, &features[..count], request);
                     }
-                }
-            },
-            BatchSize::LargeInput,
-        );
-    });
+                },
+                BatchSize::LargeInput,
+            );
+        });
+    }
     group.finish();
 }
 
--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -90,9 +90,10 @@
 };
 pub use permits::{GranterRole, PermitBuckets};
 pub use quarantine::{
-    CorrelatedCrashes, CrashId, CrashedRequest, FeatureHash, ProbeDecision, ProbeRequest,
-    Quarantine, QuarantineCheck, QuarantineStatus, ServerCrash, SettlingRun, SuccessfulFeatures,
-    crash_id, granter_order, is_part, is_part_of, part_feature, part_id, server_hash,
+    CorrelatedCrashes, CrashAfterRun, CrashId, CrashedRequest, EndedRun, FeatureHash, InFlight,
+    ProbeDecision, ProbeRequest, Quarantine, QuarantineCheck, QuarantineStatus, RunExtent,
+    ServerCrash, SuccessfulFeatures, crash_id, granter_order, is_after_run, is_part, is_part_of,
+    part_feature, part_id, server_hash,
 };
 pub use queue_rank::{QueueRank, RESUMED_RANK, queue_rank};
 pub use reporter::{
--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -10,7 +10,8 @@
 //! the cause. These rules find it:
 //!
 //! - A feature that succeeded is exempt for some crashes ([`SuccessfulFeatures`]), since one that
-//!   crashes every server never succeeds. A success clears it at all entries.
+//!   crashes every server never succeeds. A success clears it at all entries. Only runs of a whole
+//!   answer whose servers kept running are successes ([`EndedRun`]).
 //! - A crash that a quarantined feature explains counts against no other, and one that a part
 //!   without any success explains against no part that succeeded.
 //! - A probe tests one feature: a request with several quarantined ones runs only if no other
@@ -25,23 +26,23 @@
 //! them.
 
 mod correlated_crashes;
+mod ended_runs;
 mod features;
 mod record;
-mod settling_runs;
 mod successful_features;
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 pub use correlated_crashes::CorrelatedCrashes;
+pub use ended_runs::{EndedRun, RunExtent};
 pub use features::{FeatureHash, is_part, is_part_of, part_feature, part_id};
-pub use settling_runs::SettlingRun;
 pub use successful_features::SuccessfulFeatures;
 
 use super::hash::{hash_text, mix};
+use ended_runs::EndedRuns;
 use record::{Crash, MIN_CRASHES, PROBE_DELAYS, Record};
-use settling_runs::SettlingRuns;
 
 /// Identifies one observed crash.
 pub type CrashId = u64;
@@ -95,6 +96,10 @@
     pub suspects: Vec<FeatureHash>,
 }
 
+/// Bits that mark the id of a crash after the end of a run; other ids have them by chance once in
+/// four billion.
+const AFTER_RUN_MARK: CrashId = 0xffff_ffff << 32;
+
 /// A request that was running at a server which crashed.
 #[derive(Debug, Clone, Copy)]
 pub struct CrashedRequest<'a> {
@@ -102,12 +107,45 @@
     pub features: &'a [FeatureHash],
     /// Those that it ran as a probe of.
     pub probed: &'a [FeatureHash],
+    /// Time since it was sent to the server.
+    pub elapsed: Duration,
     /// Identifies the crash.
     pub id: CrashId,
     /// Hash of the server's identity.
     pub server: u64,
 }
 
+/// What was in flight at a server when it crashed.
+#[derive(Debug, Clone, Copy)]
+pub struct InFlight<'a> {
+    /// Features of the request, as far as they are known.
+    pub features: &'a [FeatureHash],
+    /// Time since it was sent to the server; `None` if another entry sent it.
+    pub elapsed: Option<Duration>,
+}
+
+impl InFlight<'_> {
+    /// Nothing that this entry knows of.
+    pub const NOTHING: InFlight<'static> = InFlight { features: &[], elapsed: None };
+
+    /// Whether it shows that the server did not crash because of this ended run.
+    fn contests(&self, run: &EndedRun) -> bool {
+        let is_same_content = run.features.first().is_some_and(|content| {
+            run.extent == RunExtent::Whole && !is_part(*content) && self.features.contains(content)
+        });
+        is_same_content && self.elapsed.is_none_or(|elapsed| elapsed > run.took)
+    }
+}
+
+/// A crash of a server shortly after the end of a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashAfterRun {
+    /// The run.
+    pub run: Rc<EndedRun>,
+    /// The crash under each feature that may be the cause, to be reported to others.
+    pub crashes: Vec<ServerCrash>,
+}
+
 /// Answer to a probe request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbeDecision {
@@ -142,7 +180,7 @@
     /// Contents and parts apart, so that new contents don't displace parts.
     successful_contents: SuccessfulFeatures,
     successful_parts: SuccessfulFeatures,
-    settling_runs: SettlingRuns,
+    ended_runs: EndedRuns,
     evicted: u64,
 }
 
@@ -237,21 +275,63 @@
         request: CrashedRequest<'_>,
         now: Duration,
     ) -> Vec<ServerCrash> {
-        let CrashedRequest { features, probed, id, server } = request;
-        let is_joint = probed.len() > 1;
-        let mut causes = self.likely_causes(features);
-        let ended = self.drain_settling_parts(server, &causes);
-        causes.extend(ended);
-        let mut crashes = Vec::with_capacity(causes.len());
-        for feature in causes {
-            let on_probe = probed.contains(&feature);
-            let crash = ServerCrash { feature, id, server, in_common_loss: false, on_probe };
-            if self.record(crash, is_joint, now, now) {
-                self.successes_mut(feature).record_crash(feature);
+        let CrashedRequest { features, probed, elapsed, id, server } = request;
+        let causes = self.likely_causes(features);
+        let in_flight = InFlight { features, elapsed: Some(elapsed) };
+        let after_runs = self.observe_crash_after_runs(server, in_flight, id, now, now);
+        let mut crashes = self.record_causes(&causes, probed, (id, server), now, now);
+        crashes.extend(after_runs.into_iter().flat_map(|after_run| after_run.crashes));
+        crashes
+    }
+
+    /// Records that a server crashed at `at`, shortly after runs of this entry had ended there.
+    pub fn observe_crash_after_runs(
+        &mut self,
+        server: u64,
+        in_flight: InFlight<'_>,
+        id: CrashId,
+        at: Duration,
+        now: Duration,
+    ) -> Vec<CrashAfterRun> {
+        let is_explained =
+            self.likely_causes(in_flight.features).iter().any(|cause| self.is_quarantined(*cause));
+        let ended = self.ended_runs.drain(server, |run| in_flight.contests(run));
+        let mut after_runs = Vec::new();
+        for (number, run) in (1..).zip(ended) {
+            if is_explained {
+                self.forget_unsettled(&run);
+                continue;
             }
-            crashes.push(crash);
+            for feature in run.whole_features() {
+                self.successes_mut(*feature).revoke_unsettled(*feature);
+            }
+            let causes = self.likely_causes(&run.features);
+            let id = mix(id ^ number) | AFTER_RUN_MARK;
+            let crashes = self.record_causes(&causes, &run.probed, (id, server), at, now);
+            after_runs.push(CrashAfterRun { run, crashes });
         }
-        crashes
+        after_runs
+    }
+
+    fn record_causes(
+        &mut self,
+        causes: &[FeatureHash],
+        probed: &[FeatureHash],
+        (id, server): (CrashId, u64),
+        at: Duration,
+        now: Duration,
+    ) -> Vec<ServerCrash> {
+        let is_joint = probed.len() > 1;
+        let crash = |feature: &FeatureHash| {
+            let on_probe = probed.contains(feature);
+            let crash =
+                ServerCrash { feature: *feature, id, server, in_common_loss: false, on_probe };
+            if self.record(crash, is_joint, at, now) {
+                self.successes_mut(*feature).record_crash(*feature);
+            }
+            crash
+        };
+        causes.iter().map(crash).collect()
     }
 
     /// Records that a server crashed at `at` under a request of another entry, which reported
@@ -266,14 +346,10 @@
         let causes = self.likely_causes(&features);
         let is_joint = crashes.iter().filter(|crash| crash.on_probe).count() > 1;
         let mut counted = Vec::new();
-        let Some(first) = crashes.first() else { return counted };
-        for feature in self.drain_settling_parts(first.server, &causes) {
-            let crash = ServerCrash { feature, on_probe: false, ..*first };
-            if self.record(crash, false, at, now) {
-                counted.push(feature);
-            }
-        }
         for crash in crashes {
+            if is_after_run(crash.id) {
+                self.successes_mut(crash.feature).revoke_unsettled(crash.feature);
+            }
             // What succeeded here is recorded all the same: its reporter does not know of it.
             let is_likely = causes.contains(&crash.feature);
             if !is_likely && !self.is_exempt(crash.feature) && !crash.on_probe {
@@ -289,19 +365,6 @@
         counted
     }
 
-    /// Parts of the runs that ended well shortly before their server crashed, as far as they may be
-    /// the cause beside these.
-    fn drain_settling_parts(&mut self, server: u64, causes: &[FeatureHash]) -> Vec<FeatureHash> {
-        let mut parts = self.settling_runs.drain(server);
-        if causes.iter().any(|cause| self.is_quarantined(*cause)) {
-            return Vec::new();
-        }
-        parts.retain(|part| !self.is_exempt(*part) && !causes.contains(part));
-        parts.sort_unstable();
-        parts.dedup();
-        parts
-    }
-
     fn is_quarantined(&self, feature: FeatureHash) -> bool {
         self.records.get(&feature).is_some_and(Record::is_quarantined)
     }
@@ -374,10 +437,63 @@
         self.clear(feature, at)
     }
 
-    /// Records a successful run of prompt parts, which counts once its server has kept running for
-    /// a while ([`Quarantine::pop_settled`]).
-    pub fn record_settling_run(&mut self, run: SettlingRun, now: Duration) {
-        self.settling_runs.push(run, now);
+    /// Records a run that has ended without a crash of its server so far. A whole one exempts its
+    /// features until it is known whether its server keeps running, unless they are quarantined.
+    pub fn record_ended_run(&mut self, run: EndedRun, now: Duration) {
+        for feature in run.whole_features() {
+            if !self.is_quarantined(*feature) {
+                self.successes_mut(*feature).record_unsettled(*feature, now);
+            }
+        }
+        if let Some(displaced) = self.ended_runs.push(run, now) {
+            self.forget_unsettled(&displaced);
+        }
+    }
+
+    /// The runs whose servers have had the time to crash; each is returned once, and then
+    /// [settled](Quarantine::settle_run) or [forgotten](Quarantine::forget_run).
+    pub fn take_due_runs(&mut self, now: Duration) -> Vec<Rc<EndedRun>> {
+        self.ended_runs.take_due(now)
+    }
+
+    /// Records that the server of a run has kept running. A whole run is a success, unless a crash
+    /// of its server was observed before. Returns its features with the number of crashes that
+    /// counted against each.
+    pub fn settle_run(&mut self, run: &Rc<EndedRun>, now: Duration) -> Vec<(FeatureHash, usize)> {
+        let features = run.whole_features();
+        if features.is_empty() || !self.ended_runs.remove(run) {
+            return Vec::new();
+        }
+        features.iter().map(|feature| (*feature, self.record_success(*feature, now))).collect()
+    }
+
+    /// Records the contested runs that count now, as successes of their contents. Returns them with
+    /// the number of crashes that counted against each content.
+    pub fn settle_contested_runs(&mut self, now: Duration) -> Vec<(Rc<EndedRun>, usize)> {
+        let mut settled = Vec::new();
+        for run in self.ended_runs.take_contested(now) {
+            let content = run.features[0];
+            let is_valid = self.successes(content).is_exempt(content);
+            self.forget_unsettled(&run);
+            if is_valid {
+                let crashes = self.record_success(content, now);
+                settled.push((run, crashes));
+            }
+        }
+        settled
+    }
+
+    /// Records that it is not known whether the server of a run has kept running.
+    pub fn forget_run(&mut self, run: &Rc<EndedRun>) {
+        if self.ended_runs.remove(run) {
+            self.forget_unsettled(run);
+        }
+    }
+
+    fn forget_unsettled(&mut self, run: &EndedRun) {
+        for feature in run.whole_features() {
+            self.successes_mut(*feature).forget_unsettled(*feature);
+        }
     }
 
     /// Records that an answer to a request with these parts has been in progress for a while. That
@@ -391,11 +507,6 @@
         }
     }
 
-    /// Removes and returns the next run that counts as successful now.
-    pub fn pop_settled(&mut self, now: Duration) -> Option<SettlingRun> {
-        self.settling_runs.pop_settled(now)
-    }
-
     /// Removes the crashes of a feature that succeeded at `at`. Returns the number of those that
     /// counted against it.
     pub fn clear(&mut self, feature: FeatureHash, at: Duration) -> usize {
@@ -556,6 +667,11 @@
     hash_text(server)
 }
 
+/// Whether a crash came after the end of a run, which was not aboard any more.
+pub fn is_after_run(id: CrashId) -> bool {
+    id & AFTER_RUN_MARK == AFTER_RUN_MARK
+}
+
 /// Identifies a crash by the observing entry, the server, the attempt and the time.
 pub fn crash_id(texts: &[&str], numbers: &[u64]) -> CrashId {
     let texts = texts.iter().map(|text| hash_text(text));
--- a/crates/decide/src/direct/quarantine/successful_features.rs
+++ b/crates/decide/src/direct/quarantine/successful_features.rs
@@ -16,18 +16,32 @@
 /// Crashes, in all, for which a feature is exempt that has only been in an answer in progress.
 const MAX_CRASHES_OF_SURVIVORS: usize = 4;
 
+/// What is known of the latest success of a feature.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Evidence {
+    /// This entry observed it.
+    Observed,
+    /// Another entry reported it.
+    Reported,
+    /// An answer is in progress.
+    InProgress,
+    /// An answer has ended, but its server may still crash.
+    Unsettled,
+    /// The server of such an answer crashed.
+    Revoked,
+}
+
 /// Successful runs of one feature.
 #[derive(Debug, Clone, Copy)]
 struct Success {
     /// Crashes since the latest success.
     crashes: usize,
-    /// Whether this entry has observed it, rather than heard of it.
-    is_own: bool,
+    evidence: Evidence,
 }
 
 impl Success {
     fn is_exempt(&self) -> bool {
-        self.crashes <= MAX_FORGIVEN_CRASHES
+        self.crashes <= MAX_FORGIVEN_CRASHES && self.evidence != Evidence::Revoked
     }
 }
 
@@ -45,7 +59,7 @@
 impl SuccessfulFeatures {
     /// Records a successful run at this entry.
     pub fn record_success(&mut self, feature: FeatureHash, now: Duration) {
-        self.insert(feature, Success { crashes: 0, is_own: true }, now);
+        self.insert(feature, Success { crashes: 0, evidence: Evidence::Observed }, now);
     }
 
     /// Records a successful run that another entry reported.
@@ -53,7 +67,7 @@
         // An own success keeps its count of crashes: two entries that clear a feature for one
         // another must not exempt it for ever.
         if !self.is_proven(feature) {
-            self.insert(feature, Success { crashes: 0, is_own: false }, now);
+            self.insert(feature, Success { crashes: 0, evidence: Evidence::Reported }, now);
         }
     }
 
@@ -63,7 +77,37 @@
     pub fn record_survival(&mut self, feature: FeatureHash, crashes: usize, now: Duration) {
         if self.get(feature).is_none() {
             let crashes = crashes + MAX_FORGIVEN_CRASHES - MAX_CRASHES_OF_SURVIVORS;
-            self.insert(feature, Success { crashes, is_own: false }, now);
+            self.insert(feature, Success { crashes, evidence: Evidence::InProgress }, now);
+        }
+    }
+
+    /// Records a whole answer whose server may still crash. It exempts the feature like a success,
+    /// until it [counts as one](SuccessfulFeatures::record_success), is
+    /// [forgotten](SuccessfulFeatures::forget_unsettled) or
+    /// [revoked](SuccessfulFeatures::revoke_unsettled).
+    pub fn record_unsettled(&mut self, feature: FeatureHash, now: Duration) {
+        let evidence = self.get(feature).map(|success| success.evidence);
+        if evidence.is_none_or(|evidence| evidence == Evidence::InProgress) {
+            self.insert(feature, Success { crashes: 0, evidence: Evidence::Unsettled }, now);
+        }
+    }
+
+    /// Forgets a whole answer of whose server nothing more is known.
+    pub fn forget_unsettled(&mut self, feature: FeatureHash) {
+        for successes in [&mut self.newer, &mut self.older] {
+            if successes.get(&feature).is_some_and(|one| one.evidence == Evidence::Unsettled) {
+                successes.remove(&feature);
+            }
+        }
+    }
+
+    /// Records that the server crashed after a whole answer. Further answers exempt the feature
+    /// only once their servers have kept running.
+    pub fn revoke_unsettled(&mut self, feature: FeatureHash) {
+        if let Some(success) = self.get_mut(feature)
+            && matches!(success.evidence, Evidence::Unsettled | Evidence::InProgress)
+        {
+            success.evidence = Evidence::Revoked;
         }
     }
 
@@ -78,8 +122,7 @@
 
     /// Records that a server crashed under a feature, here or at another entry.
     pub fn record_crash(&mut self, feature: FeatureHash) {
-        let (newer, older) = (self.newer.get_mut(&feature), self.older.get_mut(&feature));
-        if let Some(success) = newer.or(older) {
+        if let Some(success) = self.get_mut(feature) {
             success.crashes += 1;
         }
     }
@@ -91,12 +134,15 @@
 
     /// Whether the feature is exempt by a success that this entry observed.
     pub fn is_proven(&self, feature: FeatureHash) -> bool {
-        self.get(feature).is_some_and(|success| success.is_own && success.is_exempt())
+        self.get(feature)
+            .is_some_and(|success| success.evidence == Evidence::Observed && success.is_exempt())
     }
 
     /// Whether recording another success would change nothing.
     pub fn is_fresh(&self, feature: FeatureHash) -> bool {
-        self.newer.get(&feature).is_some_and(|success| success.is_own && success.crashes == 0)
+        self.newer
+            .get(&feature)
+            .is_some_and(|success| success.evidence == Evidence::Observed && success.crashes == 0)
     }
 
     /// Number of features remembered.
@@ -109,6 +155,11 @@
         self.newer.is_empty() && self.older.is_empty()
     }
 
+    fn get_mut(&mut self, feature: FeatureHash) -> Option<&mut Success> {
+        let (newer, older) = (self.newer.get_mut(&feature), self.older.get_mut(&feature));
+        newer.or(older)
+    }
+
     fn get(&self, feature: FeatureHash) -> Option<&Success> {
         self.newer.get(&feature).or(self.older.get(&feature))
     }
--- a/crates/decide/tests/quarantine_features.rs
+++ b/crates/decide/tests/quarantine_features.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use pondwalk_decide::direct::{
-    CrashedRequest, FeatureHash, ProbeDecision, ProbeRequest, Quarantine, QuarantineStatus,
-    ServerCrash, SettlingRun, is_part, is_part_of, part_feature, part_id,
+    CrashedRequest, EndedRun, FeatureHash, ProbeDecision, ProbeRequest, Quarantine,
+    QuarantineStatus, RunExtent, ServerCrash, is_part, is_part_of, part_feature, part_id,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -38,7 +38,7 @@
     at: f64,
 ) -> Vec<ServerCrash> {
     let features = [&[CONTENT + u128::from(n)], parts].concat();
-    let request = CrashedRequest { features: &features, probed, id: n, server: n };
+    let request = CrashedRequest { features: &features, probed, elapsed: SECOND, id: n, server: n };
     quarantine.observe_crash(request, s(at))
 }
 
@@ -167,12 +167,14 @@
 #[test]
 fn run_counts_only_if_its_server_keeps_running() {
     let mut quarantine = Quarantine::default();
-    quarantine.record_settling_run(ended_run(bad(), 7), s(0.0));
-    quarantine.record_settling_run(ended_run(first(), 8), s(0.0));
+    quarantine.record_ended_run(ended_run(bad(), 7), s(0.0));
+    quarantine.record_ended_run(ended_run(first(), 8), s(0.0));
     crash(&mut quarantine, 7, &[], 0.1);
-    assert_eq!(quarantine.pop_settled(s(0.4)), None);
-    assert_eq!(quarantine.pop_settled(s(0.5)), Some(ended_run(first(), 8)));
-    assert_eq!(quarantine.pop_settled(s(9.0)), None, "the other one ended with its server");
+    assert!(quarantine.take_due_runs(s(0.4)).is_empty());
+    let due = quarantine.take_due_runs(s(0.5));
+    assert_eq!(due.iter().map(|run| &**run).collect::<Vec<_>>(), [&ended_run(first(), 8)]);
+    assert_eq!(quarantine.settle_run(&due[0], s(0.5)), [(first(), 0)]);
+    assert!(quarantine.take_due_runs(s(9.0)).is_empty(), "the other one ended with its server");
     assert_eq!(quarantine.crash_count(bad()), 1, "and may be why");
 }
 
@@ -182,7 +184,7 @@
     quarantine.record_success(first(), s(-1.0));
     for n in 0..3 {
         for part in [first(), bad()] {
-            quarantine.record_settling_run(ended_run(part, n), s(0.0));
+            quarantine.record_ended_run(ended_run(part, n), s(0.0));
         }
         let reported = crash(&mut quarantine, n, &[first()], 0.1);
         assert!(features(&reported).contains(&bad()), "others learn of it");
@@ -191,12 +193,16 @@
     assert_eq!(status(&quarantine, &[first()], 0.2), QuarantineStatus::Unrestricted);
 }
 
-fn ended_run(part: FeatureHash, server: u64) -> SettlingRun {
-    SettlingRun {
+fn ended_run(part: FeatureHash, server: u64) -> EndedRun {
+    EndedRun {
         request: "r".into(),
-        parts: vec![part],
-        server,
-        server_id: format!("s{server}"),
+        features: vec![part],
+        probed: Vec::new(),
+        extent: RunExtent::Whole,
+        took: SECOND,
+        service: "s".into(),
+        server: format!("s{server}"),
+        server_hash: server,
         address: ([127, 0, 0, 1], 1).into(),
     }
 }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -109,6 +109,8 @@
         spawn_local(membership::forward_gossip(Rc::clone(&self.core)));
         spawn_local(quarantine::publish_clearances(Rc::clone(&self.core)));
         spawn_local(quarantine::release_probes(Rc::clone(&self.core)));
+        spawn_local(quarantine::publish_crashes(Rc::clone(&self.core)));
+        spawn_local(quarantine::examine_ended_runs(Rc::clone(&self.core)));
         if self.core.usage.is_some() {
             spawn_local(usage::publish_usage(Rc::clone(&self.core)));
             let coordinator = Rc::clone(&self.coordinator);
@@ -125,7 +127,6 @@
             loop {
                 sleep(FLUSH_INTERVAL).await;
                 log_suspension(&core, &mut suspended);
-                core.apply_settled_runs();
                 core.event_log.flush();
             }
         });
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -4,6 +4,7 @@
 
 use http_body_util::BodyExt;
 use hyper::StatusCode;
+use pondwalk_decide::direct::RunExtent;
 use tokio::{select, task::spawn_local, time::timeout_at};
 
 use super::{
@@ -71,10 +72,12 @@
 }
 
 impl StreamSource {
-    /// Whether its server has made the whole answer, which is complete. A server that makes only
-    /// the rest of one may be done before it crashes.
-    fn has_made_whole_answer(&self) -> bool {
-        !self.is_resumed && self.first_event_at.is_some()
+    /// How much of the complete answer its server has made.
+    fn extent(&self) -> RunExtent {
+        match !self.is_resumed && self.first_event_at.is_some() {
+            true => RunExtent::Whole,
+            false => RunExtent::Partial,
+        }
     }
 }
 
@@ -126,7 +129,7 @@
                         *head_ms,
                         *status,
                         timing,
-                        source.has_made_whole_answer(),
+                        source.extent(),
                     );
                     if !source.is_resumed {
                         source.placement.on_completed();
--- a/crates/direct/src/http/reporting.rs
+++ b/crates/direct/src/http/reporting.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyper::{Response, StatusCode, body::Incoming};
-use pondwalk_decide::direct::ReportedRateLimit;
+use pondwalk_decide::direct::{ReportedRateLimit, RunExtent};
 
 use super::{events::RequestEvent, in_flight::InFlightRequest, stream_progress::StreamTiming};
 use crate::{
@@ -136,8 +136,7 @@
             && check_listener(&self.core.connect, placement.address).await == ListenerState::Refuses
     }
 
-    /// Counts and logs a response that was passed on; `is_whole_run` if the server has made all of
-    /// it.
+    /// Counts and logs a response that was passed on, of which the server has made `extent`.
     pub fn record_answered(
         &self,
         placement: &Placement,
@@ -145,14 +144,13 @@
         head_ms: u64,
         status: StatusCode,
         timing: StreamTiming,
-        is_whole_run: bool,
+        extent: RunExtent,
     ) {
         let after_ms = self.after_ms();
         placement.mark_finished();
         // A server's failure may come before it begins to work on the prompt.
-        if !status.is_server_error() {
-            self.core.record_success(&self.job, placement, is_whole_run);
-        }
+        let extent = if status.is_server_error() { RunExtent::Partial } else { extent };
+        self.core.record_ended_run(&self.job, placement, placement.take_probed(), extent);
         self.core.metrics.count(Counter::Answered);
         self.core.metrics.time(Timer::WholeAnswer, Duration::from_millis(after_ms));
         let event = RequestEvent::RequestAnswered {
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming, http::response::Parts};
-use pondwalk_decide::direct::{Congestion, QuarantineStatus, RouteModelIndex};
+use pondwalk_decide::direct::{Congestion, QuarantineStatus, RouteModelIndex, RunExtent};
 use tokio::time::timeout_at;
 
 use super::{
@@ -356,7 +356,14 @@
         self.core.metrics.time(Timer::FirstByte, Duration::from_millis(head_ms));
         let confidence = self.reported_confidence(&parts.headers);
         let timing = StreamTiming::default();
-        self.record_answered(&placement, confidence, head_ms, parts.status, timing, true);
+        self.record_answered(
+            &placement,
+            confidence,
+            head_ms,
+            parts.status,
+            timing,
+            RunExtent::Whole,
+        );
         AttemptResult::Respond(self.build_response(parts, ResponseBody::whole(body)))
     }
 
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -13,8 +13,8 @@
 };
 
 use pondwalk_decide::direct::{
-    Evidence, ExpectedWait, FeatureHash, ReportedRateLimit, ServerLoad, ServiceModelIndex, Ticket,
-    UnreachableReason,
+    Evidence, ExpectedWait, FeatureHash, ReportedRateLimit, RunExtent, ServerLoad,
+    ServiceModelIndex, Ticket, UnreachableReason,
 };
 use pondwalk_types::{ModelId, ServerId, VersionId};
 use rand::Rng;
@@ -103,6 +103,11 @@
         self.probed.replace(probed.to_vec());
     }
 
+    /// Takes the features that the request runs as a probe of.
+    pub fn take_probed(&self) -> Vec<FeatureHash> {
+        self.probed.take()
+    }
+
     /// Marks the run as finished, or as never started.
     pub fn mark_finished(&self) {
         self.is_finished.set(true);
@@ -346,8 +351,8 @@
         }
         drop(state);
         if !self.is_finished.get() {
-            let probed = self.probed.take();
-            self.core.record_abandoned_run(&self.job, self.server(), probed);
+            let probed = self.take_probed();
+            self.core.record_ended_run(&self.job, self, probed, RunExtent::Partial);
         }
     }
 }
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -6,6 +6,7 @@
 
 mod clearance;
 mod crashes;
+mod ended_runs;
 mod events;
 mod probe;
 mod probe_lease;
@@ -14,12 +15,13 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use pondwalk_decide::direct::{
-    CrashId, FeatureHash, ProbeDecision, ProbeRequest, Quarantine, QuarantineCheck,
-    QuarantineStatus, ServerCrash, is_part, is_part_of, part_id,
+    CrashId, FeatureHash, InFlight, ProbeDecision, ProbeRequest, Quarantine, QuarantineCheck,
+    QuarantineStatus, ServerCrash, is_after_run, is_part, is_part_of, part_id,
 };
 
 pub use clearance::{PendingClearances, publish_clearances};
-pub use crashes::ObservedCrashes;
+pub use crashes::{ObservedCrashes, publish_crashes};
+pub use ended_runs::examine_ended_runs;
 use events::ClearanceReason;
 pub use events::QuarantineEvent;
 pub use probe_lease::{ProbeLease, ReleasedProbes, release_probes};
@@ -83,6 +85,14 @@
             let at = now.saturating_sub(age + extra_age);
             let counted =
                 self.state.borrow_mut().quarantine.record_reported_crash(&features, at, now);
+            if let Some(crash) = features.first() {
+                let named: Vec<FeatureHash> = features.iter().map(|crash| crash.feature).collect();
+                let in_flight = match is_after_run(crash.id) {
+                    true => InFlight::NOTHING,
+                    false => InFlight { features: &named, elapsed: None },
+                };
+                self.record_crash_after_runs(crash.server, in_flight, at);
+            }
             for feature in counted {
                 self.log_if_quarantined(feature);
                 self.queue_clearance(feature);
--- a/crates/direct/src/quarantine/clearance.rs
+++ b/crates/direct/src/quarantine/clearance.rs
@@ -1,19 +1,12 @@
-//! Successful runs, and clearances of features that others quarantine although they succeeded at
-//! this entry.
+//! Clearances of features that others quarantine although they succeeded at this entry.
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use pondwalk_decide::direct::{FeatureHash, SettlingRun, server_hash};
-use tokio::{sync::Notify, task::spawn_local, time::sleep};
+use pondwalk_decide::direct::FeatureHash;
+use tokio::{sync::Notify, time::sleep};
 
 use super::events::ClearanceReason;
-use crate::{
-    core::Core,
-    membership::Gossip,
-    placement::Placement,
-    request::Job,
-    upstream::{ListenerState, check_listener},
-};
+use crate::{core::Core, membership::Gossip};
 
 /// Number of crashes from which a clearance is published. A single crash quarantines nothing, and
 /// where many servers crash it would double the messages, about two hundred on a day with many
@@ -50,62 +43,6 @@
 }
 
 impl Core {
-    /// Records a successful run, which clears the content of its request, and the parts of its
-    /// prompt if the server has made the whole answer.
-    pub fn record_success(self: &Rc<Self>, job: &Job, placement: &Placement, is_whole_run: bool) {
-        let parts = job.part_features();
-        let mut state = self.state.borrow_mut();
-        if is_whole_run && !state.quarantine.knows_success_of(parts) {
-            let (parts, server) = (parts.to_vec(), server_hash(placement.server()));
-            let run = SettlingRun {
-                request: job.id.clone(),
-                parts,
-                server,
-                server_id: placement.server().clone(),
-                address: placement.address,
-            };
-            state.quarantine.record_settling_run(run, self.clock.now());
-        }
-        drop(state);
-        let (request, server) = (job.id.as_str(), placement.server().as_str());
-        let reason = match is_whole_run {
-            true => ClearanceReason::WholeRun { request, server },
-            false => ClearanceReason::ResumedRun { request, server },
-        };
-        self.clear(job.content(), reason);
-        self.apply_settled_runs();
-    }
-
-    /// Records the successful runs whose servers have kept running.
-    pub fn apply_settled_runs(self: &Rc<Self>) {
-        let now = self.clock.now();
-        loop {
-            let mut state = self.state.borrow_mut();
-            let Some(run) = state.quarantine.pop_settled(now) else { return };
-            let is_suspected = state.quarantine.max_crash_count(&run.parts) > 0;
-            drop(state);
-            if is_suspected {
-                let core = Rc::clone(self);
-                spawn_local(async move { core.verify_run(run).await });
-            } else {
-                self.clear_parts(&run);
-            }
-        }
-    }
-
-    /// Records a successful run with parts under which servers have crashed, provided that its own
-    /// server is still running. Its crash may have gone unnoticed if nothing else ran there.
-    async fn verify_run(&self, run: SettlingRun) {
-        if check_listener(&self.connect, run.address).await == ListenerState::Accepts {
-            self.clear_parts(&run);
-        }
-    }
-
-    fn clear_parts(&self, run: &SettlingRun) {
-        let reason = ClearanceReason::WholeRun { request: &run.request, server: &run.server_id };
-        run.parts.iter().for_each(|part| self.clear(*part, reason));
-    }
-
     /// Queues the clearance of a feature that others quarantine although it succeeded here.
     pub(super) fn queue_clearance(&self, feature: FeatureHash) {
         if self.can_clear(feature) {
@@ -118,13 +55,13 @@
         self.state.borrow().quarantine.can_clear(feature)
     }
 
-    fn clear(&self, feature: FeatureHash, reason: ClearanceReason<'_>) {
-        let now = self.clock.now();
-        let crashes = self.state.borrow_mut().quarantine.record_success(feature, now);
-        self.publish_clearance(feature, crashes, reason);
-    }
-
-    fn publish_clearance(&self, feature: FeatureHash, crashes: usize, reason: ClearanceReason<'_>) {
+    /// Logs and publishes that a feature was cleared of so many crashes.
+    pub(super) fn publish_clearance(
+        &self,
+        feature: FeatureHash,
+        crashes: usize,
+        reason: ClearanceReason<'_>,
+    ) {
         if crashes >= MIN_CRASHES_TO_PUBLISH {
             self.log_cleared(feature, crashes, &self.settings.name, reason);
             self.publish_gossip(Gossip::Cleared { feature });
--- a/crates/direct/src/quarantine/crashes.rs
+++ b/crates/direct/src/quarantine/crashes.rs
@@ -1,18 +1,14 @@
 //! Server crashes observed by this entry: those of one moment are evaluated together, then
 //! published.
 
-use std::{
-    cell::RefCell,
-    collections::{HashMap, VecDeque},
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use pondwalk_decide::direct::{
-    CorrelatedCrashes, CrashedRequest, Evidence, FeatureHash, ServerCrash, crash_id, server_hash,
+    CorrelatedCrashes, CrashAfterRun, CrashId, CrashedRequest, Evidence, FeatureHash, InFlight,
+    ServerCrash, crash_id, server_hash,
 };
 use pondwalk_types::{RequestId, ServerId, VersionId};
-use tokio::{task::spawn_local, time::sleep};
+use tokio::{sync::Notify, task::spawn_local, time::sleep};
 
 use super::{AgedCrash, QuarantineEvent};
 use crate::{
@@ -38,11 +34,6 @@
 /// Other servers probed after a crash under a probe. While only a few requests crash servers, it is
 /// unlikely that all of the sampled ones are down by chance.
 const REACHABILITY_SAMPLE: usize = 4;
-/// Time after which an abandoned run is no longer related to a crash of its server: a cancelled run
-/// stops within milliseconds, or finishes soon.
-const ABANDONED_RUN_TTL: Duration = Duration::from_secs(1);
-/// Maximum number of abandoned runs remembered.
-const MAX_ABANDONED_RUNS: usize = 128;
 /// Crashes under one feature that count as evidence about the servers' versions. A feature that
 /// crashes every server yields no further evidence, and a version whose servers crash under any
 /// request is detected by features that succeed elsewhere.
@@ -56,15 +47,22 @@
     at: Duration,
     service: ServiceId,
     server: ServerId,
-    version: VersionId,
-    /// Kind of the request in version evidence.
-    kind: String,
     /// Id of the request.
     request: RequestId,
+    /// What it says about the server's version; `None` if nothing.
+    evidence: Option<VersionEvidence>,
     /// Whether a feature that has crashed other servers explains it.
     is_explained: bool,
 }
 
+/// Evidence of a crash about a version.
+#[derive(Debug)]
+struct VersionEvidence {
+    version: VersionId,
+    /// Kind of the request.
+    kind: String,
+}
+
 impl ObservedCrash {
     fn on_probe(&self) -> bool {
         self.crashes.iter().any(|crash| crash.on_probe)
@@ -76,112 +74,103 @@
     }
 }
 
-/// A run that was abandoned before its outcome was known.
-#[derive(Debug)]
-struct AbandonedRun {
-    features: Vec<FeatureHash>,
-    server: ServerId,
-    request: RequestId,
-    at: Duration,
-    /// Features that it was a probe of.
-    probed: Vec<FeatureHash>,
-}
-
 /// Crashes observed within [`CORRELATION_WINDOW`] and not published yet.
 #[derive(Debug, Default)]
 pub struct ObservedCrashes {
     crashes: RefCell<Vec<ObservedCrash>>,
     loss: RefCell<CorrelatedCrashes>,
-    abandoned: RefCell<VecDeque<AbandonedRun>>,
+    changed: Notify,
 }
 
-impl ObservedCrashes {
-    /// Removes and returns the runs abandoned at a server shortly before it crashed.
-    fn drain_abandoned(&self, server: &str, now: Duration) -> VecDeque<AbandonedRun> {
-        let mut abandoned = self.abandoned.borrow_mut();
-        abandoned.retain(|run| now < run.at + ABANDONED_RUN_TTL);
-        let (here, elsewhere) =
-            abandoned.drain(..).partition::<VecDeque<AbandonedRun>, _>(|run| run.server == server);
-        *abandoned = elsewhere;
-        here
+/// Publishes observed crashes for as long as the process runs.
+pub async fn publish_crashes(core: Rc<Core>) {
+    loop {
+        core.observed_crashes.changed.notified().await;
+        if core.observed_crashes.crashes.borrow().is_empty() {
+            continue;
+        }
+        sleep(CORRELATION_WINDOW).await;
+        let observed = core.observed_crashes.crashes.take();
+        let loss = core.observed_crashes.loss.take();
+        let core = Rc::clone(&core);
+        spawn_local(async move { core.publish_crashes_of(observed, loss).await });
     }
 }
 
 impl Core {
-    /// Records a run that was abandoned at a server, by its caller or in favour of another server.
-    ///
-    /// Otherwise a caller that always disconnects early would never be related to a crash.
-    pub fn record_abandoned_run(&self, job: &Job, server: &ServerId, probed: Vec<FeatureHash>) {
-        let at = self.clock.now();
-        let mut abandoned = self.observed_crashes.abandoned.borrow_mut();
-        if abandoned.len() == MAX_ABANDONED_RUNS {
-            abandoned.pop_front();
-        }
-        let (features, server, request) = (job.features().to_vec(), server.clone(), job.id.clone());
-        abandoned.push_back(AbandonedRun { features, server, request, at, probed });
-    }
-
     /// Records that a server dropped the connection, possibly by crashing, while it ran the
     /// request.
-    pub fn record_server_crash(
-        self: &Rc<Self>,
-        job: &Job,
-        placement: &Placement,
-        probed: &[FeatureHash],
-    ) {
-        let now = self.clock.now();
-        self.record_crash(job.features(), &job.id, placement, probed);
-        for run in self.observed_crashes.drain_abandoned(placement.server(), now) {
-            self.record_crash(&run.features, &run.request, placement, &run.probed);
-        }
-    }
-
-    fn record_crash(
-        self: &Rc<Self>,
-        features: &[FeatureHash],
-        request: &RequestId,
-        placement: &Placement,
-        probed: &[FeatureHash],
-    ) {
+    pub fn record_server_crash(&self, job: &Job, placement: &Placement, probed: &[FeatureHash]) {
         let now = self.clock.now();
         let server = placement.server();
-        let numbers = [self.incarnation, now.as_nanos() as u64];
-        let id = crash_id(&[&self.settings.name, server, request], &numbers);
-        let crashed = CrashedRequest { features, probed, id, server: server_hash(server) };
+        let id = self.crash_id(server, &job.id);
+        let (features, server_hash) = (job.features(), server_hash(server));
+        let elapsed = placement.elapsed();
+        let crashed = CrashedRequest { features, probed, elapsed, id, server: server_hash };
         let mut state = self.state.borrow_mut();
         let is_explained = state.quarantine.max_crash_count(features) >= MAX_CRASHES_AS_EVIDENCE;
-        let causes = state.quarantine.observe_crash(crashed, now);
+        let crashes = state.quarantine.observe_crash(crashed, now);
+        let named: Vec<FeatureHash> = crashes.iter().map(|crash| crash.feature).collect();
+        let is_explained =
+            is_explained || state.quarantine.max_crash_count(&named) > MAX_CRASHES_AS_EVIDENCE;
         drop(state);
-        for crash in &causes {
-            self.log_if_quarantined(crash.feature);
-            self.queue_clearance(crash.feature);
-            self.observed_crashes.loss.borrow_mut().record(crash.feature, server);
-        }
-        let observed = ObservedCrash {
-            crashes: causes,
+        let evidence =
+            VersionEvidence { version: placement.version.clone(), kind: placement.kind() };
+        self.collect_crash(ObservedCrash {
+            crashes,
             at: now,
             service: placement.service().clone(),
             server: server.clone(),
-            version: placement.version.clone(),
-            kind: placement.kind(),
-            request: request.clone(),
+            request: job.id.clone(),
+            evidence: Some(evidence),
             is_explained,
-        };
-        let mut crashes = self.observed_crashes.crashes.borrow_mut();
-        crashes.push(observed);
-        if crashes.len() == 1 {
-            let core = Rc::clone(self);
-            spawn_local(async move {
-                sleep(CORRELATION_WINDOW).await;
-                core.publish_crashes().await;
+        });
+    }
+
+    /// Records that a server crashed at `at`, shortly after runs of this entry had ended there.
+    pub(super) fn record_crash_after_runs(
+        &self,
+        server_hash: u64,
+        in_flight: InFlight<'_>,
+        at: Duration,
+    ) {
+        let now = self.clock.now();
+        let id = self.crash_id("", "");
+        let mut state = self.state.borrow_mut();
+        let after_runs =
+            state.quarantine.observe_crash_after_runs(server_hash, in_flight, id, at, now);
+        drop(state);
+        for CrashAfterRun { run, crashes } in after_runs {
+            self.collect_crash(ObservedCrash {
+                crashes,
+                at,
+                service: Rc::clone(&run.service),
+                server: run.server.clone(),
+                request: run.request.clone(),
+                evidence: None,
+                is_explained: false,
             });
         }
     }
 
+    fn crash_id(&self, server: &str, request: &str) -> CrashId {
+        let numbers = [self.incarnation, self.clock.now().as_nanos() as u64];
+        crash_id(&[&self.settings.name, server, request], &numbers)
+    }
+
+    /// Adds a crash to those of the current window.
+    fn collect_crash(&self, observed: ObservedCrash) {
+        for crash in &observed.crashes {
+            self.log_if_quarantined(crash.feature);
+            self.queue_clearance(crash.feature);
+            self.observed_crashes.loss.borrow_mut().record(crash.feature, &observed.server);
+        }
+        self.observed_crashes.crashes.borrow_mut().push(observed);
+        self.observed_crashes.changed.notify_one();
+    }
+
     /// Evaluates the crashes of one window together and publishes them.
-    async fn publish_crashes(&self) {
-        let observed = self.observed_crashes.crashes.take();
-        let loss = self.observed_crashes.loss.take();
+    async fn publish_crashes_of(&self, observed: Vec<ObservedCrash>, loss: CorrelatedCrashes) {
         let mut published: Vec<Vec<AgedCrash>> = Vec::with_capacity(observed.len());
         self.record_version_evidence(&observed, &loss);
         for observed in observed {
@@ -255,15 +244,15 @@
         }
         let mut tripped = Vec::new();
         for crash in servers.into_values().flatten() {
+            let Some(VersionEvidence { version, kind }) = &crash.evidence else { continue };
             let Some(roll_out) = roll_outs.get_mut(&crash.service) else { continue };
-            let (kind, server) = (crash.kind.as_str(), crash.server.as_str());
-            let evidence = Evidence { kind, server, failed: true, slowness: 0.0 };
-            if roll_out.record_answer(&crash.version, &evidence, now) {
-                tripped.push(crash);
+            let evidence = Evidence { kind, server: &crash.server, failed: true, slowness: 0.0 };
+            if roll_out.record_answer(version, &evidence, now) {
+                tripped.push((crash, version));
             }
         }
         drop(state);
-        for ObservedCrash { request, service, version, .. } in tripped {
+        for (ObservedCrash { request, service, .. }, version) in tripped {
             let event = QuarantineEvent::VersionTripped { request, service, version };
             self.event_log.record(LogPriority::State, &event);
         }
--- a/crates/direct/src/quarantine/events.rs
+++ b/crates/direct/src/quarantine/events.rs
@@ -6,10 +6,10 @@
 #[derive(Debug, Clone, Copy, Serialize)]
 #[serde(tag = "cleared_by", rename_all = "snake_case")]
 pub enum ClearanceReason<'a> {
-    /// A server made the whole answer.
+    /// A server made the whole answer, and kept running.
     WholeRun { request: &'a str, server: &'a str },
-    /// A server made the rest of an answer that another one had begun.
-    ResumedRun { request: &'a str, server: &'a str },
+    /// A server made the whole answer, and crashed under the same content soon after.
+    ContestedRun { request: &'a str, server: &'a str },
     /// Another entry had reported crashes of a feature that succeeded here before.
     EarlierSuccess,
     /// Another entry reported it.
