--- a/crates/decide/benches/quarantine.rs
+++ b/crates/decide/benches/quarantine.rs
@@ -74,6 +74,7 @@
             server: "s1".into(),
             server_hash: 1,
             address: ([127, 0, 0, 1], 1).into(),
+            may_be_leaving: false,
         };
         quarantine.record_ended_run(run, now);
     }
--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -230,6 +230,12 @@
         servers.map(|server| server.running).sum()
     }
 
+    /// Hashes of the servers that are answering a request of this entry.
+    pub fn answering_servers(&self) -> impl Iterator<Item = u64> {
+        let servers = self.servers.iter().flatten();
+        servers.filter(|server| server.running > server.waiting).map(|server| server.hash)
+    }
+
     /// Chooses a server and counts the request there; `None` if no server may take it now.
     pub fn place(
         &mut self,
--- a/crates/decide/src/direct/quarantine/ended_runs.rs
+++ b/crates/decide/src/direct/quarantine/ended_runs.rs
@@ -58,6 +58,8 @@
     pub server_hash: u64,
     /// Address of the server.
     pub address: SocketAddr,
+    /// Whether the server may have ended since as planned.
+    pub may_be_leaving: bool,
 }
 
 impl EndedRun {
--- a/crates/decide/tests/ended_runs.rs
+++ b/crates/decide/tests/ended_runs.rs
@@ -26,6 +26,7 @@
         server: "s7".into(),
         server_hash: SERVER,
         address: ([127, 0, 0, 1], 1).into(),
+        may_be_leaving: false,
     }
 }
 
--- a/crates/decide/tests/quarantine_features.rs
+++ b/crates/decide/tests/quarantine_features.rs
@@ -204,6 +204,7 @@
         server: format!("s{server}"),
         server_hash: server,
         address: ([127, 0, 0, 1], 1).into(),
+        may_be_leaving: false,
     }
 }
 
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -56,6 +56,8 @@
     ServersPresumedCold,
     /// Connections broken while a backend server had the request.
     ConnectionsBroken,
+    /// Servers found to have crashed after the end of a run, while nothing was in flight.
+    CrashesAfterRuns,
     /// Contents quarantined because servers crashed under them.
     ContentsQuarantined,
     /// Requests at cold servers lent by other entries.
@@ -118,6 +120,7 @@
             Counter::Withheld => "withheld_total",
             Counter::ServersPresumedCold => "servers_doubted_total",
             Counter::ConnectionsBroken => "connections_broken_total",
+            Counter::CrashesAfterRuns => "crashes_after_runs_total",
             Counter::ContentsQuarantined => "contents_held_total",
             Counter::LoansGiven => "loans_given_total",
             Counter::LoansRefused => "loans_refused_total",
--- a/crates/direct/src/quarantine/ended_runs.rs
+++ b/crates/direct/src/quarantine/ended_runs.rs
@@ -1,13 +1,23 @@
 //! Ended runs: what they prove is decided once it is known whether their servers have kept running.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
 
-use pondwalk_decide::direct::{EndedRun, FeatureHash, RunExtent, server_hash};
+use pondwalk_decide::direct::{EndedRun, FeatureHash, InFlight, RunExtent, server_hash};
 use tokio::{task::spawn_local, time::sleep};
 
-use super::events::ClearanceReason;
+use super::{
+    QuarantineEvent,
+    events::{ClearanceReason, parts_text},
+};
 use crate::{
+    content::content_text,
     core::Core,
+    event_log::LogPriority,
+    metrics::Counter,
     placement::Placement,
     request::Job,
     upstream::{ListenerState, check_listener},
@@ -34,8 +44,8 @@
         probed: Vec<FeatureHash>,
         extent: RunExtent,
     ) {
-        let mut state = self.state.borrow_mut();
-        if extent == RunExtent::Whole && state.quarantine.knows_success_of(job.features()) {
+        let is_known = self.state.borrow().quarantine.knows_success_of(job.features());
+        if extent == RunExtent::Whole && is_known {
             return;
         }
         let run = EndedRun {
@@ -48,8 +58,9 @@
             server: placement.server().clone(),
             server_hash: server_hash(placement.server()),
             address: placement.address,
+            may_be_leaving: placement.may_be_leaving(),
         };
-        state.quarantine.record_ended_run(run, self.clock.now());
+        self.state.borrow_mut().quarantine.record_ended_run(run, self.clock.now());
     }
 
     fn examine_due_runs(self: &Rc<Self>) {
@@ -63,9 +74,17 @@
                 ClearanceReason::ContestedRun { request: &run.request, server: &run.server };
             self.publish_clearance(run.features[0], crashes, reason);
         }
+        if due.is_empty() {
+            return;
+        }
+        let answering = self.answering_servers();
         let mut by_server: HashMap<u64, Vec<Rc<EndedRun>>> = HashMap::new();
         for run in due {
-            by_server.entry(run.server_hash).or_default().push(run);
+            if answering.contains(&run.server_hash) {
+                self.settle_run(&run);
+            } else {
+                by_server.entry(run.server_hash).or_default().push(run);
+            }
         }
         for runs in by_server.into_values() {
             let core = Rc::clone(self);
@@ -73,25 +92,38 @@
         }
     }
 
-    /// Decides what runs at one server prove.
+    /// The servers whose crash this entry would notice, since they are answering its requests.
+    fn answering_servers(&self) -> HashSet<u64> {
+        self.state.borrow().fleets.values().flat_map(|fleet| fleet.answering_servers()).collect()
+    }
+
+    /// Decides what runs at one server prove, which may have crashed unnoticed since.
     async fn examine_runs(&self, runs: &[Rc<EndedRun>]) {
-        let Some(first) = runs.first() else { return };
-        let is_suspected = {
-            let state = self.state.borrow();
-            runs.iter().any(|run| state.quarantine.max_crash_count(&run.features) > 0)
-        };
-        // The server's crash may have gone unnoticed if nothing else ran there.
-        let is_alive = !is_suspected
-            || check_listener(&self.connect, first.address).await == ListenerState::Accepts;
-        for run in runs {
-            if is_alive {
-                self.settle_run(run);
-            } else {
-                self.state.borrow_mut().quarantine.forget_run(run);
+        let is_known =
+            |run: &Rc<EndedRun>| self.state.borrow().quarantine.knows_success_of(&run.features);
+        let Some(first) = runs.first().filter(|_| !runs.iter().all(is_known)) else { return };
+        match check_listener(&self.connect, first.address).await {
+            ListenerState::Accepts => runs.iter().for_each(|run| self.settle_run(run)),
+            ListenerState::Refuses if !first.may_be_leaving => self.record_unnoticed_crash(first),
+            ListenerState::Refuses | ListenerState::Unknown => {
+                let mut state = self.state.borrow_mut();
+                runs.iter().for_each(|run| state.quarantine.forget_run(run));
             }
         }
     }
 
+    fn record_unnoticed_crash(&self, run: &EndedRun) {
+        self.metrics.count(Counter::CrashesAfterRuns);
+        let event = QuarantineEvent::ServerCrashedAfterRun {
+            request: &run.request,
+            server: &run.server,
+            content: &content_text(run.features[0]),
+            prompt_parts: &parts_text(&run.features),
+        };
+        self.event_log.record(LogPriority::Failure, &event);
+        self.record_crash_after_runs(run.server_hash, InFlight::NOTHING, self.clock.now());
+    }
+
     fn settle_run(&self, run: &Rc<EndedRun>) {
         let now = self.clock.now();
         let cleared = self.state.borrow_mut().quarantine.settle_run(run, now);
--- a/crates/direct/src/quarantine/events.rs
+++ b/crates/direct/src/quarantine/events.rs
@@ -1,7 +1,15 @@
 //! Log events of features under which servers crash.
 
+use pondwalk_decide::direct::{FeatureHash, is_part, part_id};
 use serde::Serialize;
 
+/// Ids of the prompt parts among some features for logs, separated by commas.
+pub(super) fn parts_text(features: &[FeatureHash]) -> String {
+    let parts = features.iter().filter(|feature| is_part(**feature));
+    let ids: Vec<String> = parts.map(|part| format!("{:x}", part_id(*part))).collect();
+    ids.join(",")
+}
+
 /// Why a feature was cleared.
 #[derive(Debug, Clone, Copy, Serialize)]
 #[serde(tag = "cleared_by", rename_all = "snake_case")]
@@ -39,6 +47,15 @@
         #[serde(flatten)]
         reason: ClearanceReason<'a>,
     },
+    /// A server refuses connections shortly after a run of this content had ended there, and
+    /// nothing of this entry was in flight.
+    ServerCrashedAfterRun {
+        request: &'a str,
+        server: &'a str,
+        content: &'a str,
+        /// Prompt parts of the request, as comma-separated ids.
+        prompt_parts: &'a str,
+    },
     /// A version was tripped by the crash of one of its servers under this request.
     VersionTripped { request: &'a str, service: &'a str, version: &'a str },
     /// A request runs as a probe of a content, or of prompt parts, granted by entry `by`.
--- a/crates/direct/src/quarantine/probe.rs
+++ b/crates/direct/src/quarantine/probe.rs
@@ -3,10 +3,10 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use pondwalk_decide::direct::{FeatureHash, ProbeDecision, is_part, part_id};
+use pondwalk_decide::direct::{FeatureHash, ProbeDecision};
 use serde::{Deserialize, Serialize};
 
-use super::{AgedCrash, ProbeLease, QuarantineEvent};
+use super::{AgedCrash, ProbeLease, QuarantineEvent, events::parts_text};
 use crate::{
     content::content_text,
     core::Core,
@@ -63,13 +63,6 @@
     },
 }
 
-/// Ids of the prompt parts among some features for logs, separated by commas.
-fn parts_text(features: &[FeatureHash]) -> String {
-    let parts = features.iter().filter(|feature| is_part(**feature));
-    let ids: Vec<String> = parts.map(|part| format!("{:x}", part_id(*part))).collect();
-    ids.join(",")
-}
-
 impl Core {
     /// Requests permission to run a request once, although the features `suspects` of it are
     /// quarantined. The entry that grants probes of the first one decides, and blocks all other
