--- a/crates/direct/src/quarantine/ended_runs.rs
+++ b/crates/direct/src/quarantine/ended_runs.rs
@@ -1,7 +1,7 @@
 //! Ended runs: what they prove is decided once it is known whether their servers have kept running.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashSet},
     rc::Rc,
     time::Duration,
 };
@@ -78,7 +78,7 @@
             return;
         }
         let answering = self.answering_servers();
-        let mut by_server: HashMap<u64, Vec<Rc<EndedRun>>> = HashMap::new();
+        let mut by_server: BTreeMap<u64, Vec<Rc<EndedRun>>> = BTreeMap::new();
         for run in due {
             if answering.contains(&run.server_hash) {
                 self.settle_run(&run);
