--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -400,8 +400,12 @@
         if let Some(existing) =
             record.crashes.iter_mut().find(|existing| existing.is_same_crash(&crash, at))
         {
+            let is_known_probe = existing.on_probe || !crash.on_probe;
             existing.in_common_loss |= crash.in_common_loss;
             existing.on_probe |= crash.on_probe;
+            if !is_known_probe {
+                record.resolve_probe();
+            }
             return false;
         }
         record.push_crash(Crash {
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -119,6 +119,17 @@
     assert_eq!(quarantine.request_probe(probe(true), s(9.0)), ProbeDecision::Granted);
 }
 
+#[test]
+fn a_probe_ends_with_a_crash_that_was_reported_under_another_request_before() {
+    let mut quarantine = quarantine_after(3);
+    assert_eq!(quarantine.request_probe(probe(true), s(1.0)), ProbeDecision::Granted);
+    assert!(quarantine.record_crash(crash(CONTENT, 50), s(1.1), s(1.1)));
+    let of_probe = ServerCrash { id: 51, on_probe: true, ..crash(CONTENT, 50) };
+    assert!(!quarantine.record_crash(of_probe, s(1.1), s(1.2)), "the same crash");
+    let until = s(6.1);
+    assert_eq!(quarantine.status(CONTENT, s(1.2)), QuarantineStatus::Quarantined { until });
+}
+
 #[test]
 fn a_backup_grants_only_the_first_probe() {
     let mut quarantine = quarantine_after(3);
