--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -12,8 +12,8 @@
 //! - A feature that succeeded is exempt for some crashes ([`SuccessfulFeatures`]), since one that
 //!   crashes every server never succeeds. A success clears it at all entries. Only runs of a whole
 //!   answer whose servers kept running are successes ([`EndedRun`]).
-//! - A crash that a quarantined feature explains counts against no other, and one that a part
-//!   without any success explains against no part that succeeded.
+//! - A crash that a quarantined feature explains counts against no other part, and one that a part
+//!   without any success, or a content with earlier crashes, explains against no part that succeeded.
 //! - A probe tests one feature: a request with several quarantined ones runs only if no other
 //!   request has come that would tell them apart, and its crash delays no probe of one alone.
 //! - Crashes of several servers at the same moment, most of which did not run the feature, count
@@ -370,20 +370,27 @@
     }
 
     /// The features of one request that a crash may be due to.
+    ///
+    /// NB: a content counts beside a quarantined part, which may have been quarantined because of
+    /// it. Otherwise it would have its first crashes anew whenever the part is cleared.
     fn likely_causes(&self, features: &[FeatureHash]) -> Vec<FeatureHash> {
         let suspected: Vec<FeatureHash> =
             features.iter().copied().filter(|feature| !self.is_exempt(*feature)).collect();
-        let quarantined: Vec<FeatureHash> =
-            suspected.iter().copied().filter(|feature| self.is_quarantined(*feature)).collect();
-        if !quarantined.is_empty() {
-            quarantined
-        } else if suspected.iter().any(|feature| is_part(*feature)) {
+        if suspected.iter().any(|feature| self.is_quarantined(*feature)) {
+            let is_cause =
+                |feature: &FeatureHash| !is_part(*feature) || self.is_quarantined(*feature);
+            suspected.into_iter().filter(is_cause).collect()
+        } else if suspected.iter().any(|feature| is_part(*feature) || self.has_crashed(*feature)) {
             suspected
         } else {
             features.to_vec()
         }
     }
 
+    fn has_crashed(&self, feature: FeatureHash) -> bool {
+        self.records.get(&feature).is_some_and(|record| !record.crashes.is_empty())
+    }
+
     /// Records that a server crashed at `at`. Returns whether this crash is new.
     pub fn record_crash(&mut self, crash: ServerCrash, at: Duration, now: Duration) -> bool {
         self.record(crash, false, at, now)
