--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -14,8 +14,9 @@
 //!   answer whose servers kept running are successes ([`EndedRun`]).
 //! - A crash that a quarantined feature explains counts against no other part, and one that a part
 //!   without any success, or a content with earlier crashes, explains against no part that succeeded.
-//! - A probe tests one feature: a request with several quarantined ones runs only if no other
-//!   request has come that would tell them apart, and its crash delays no probe of one alone.
+//! - A probe tests one feature: a request with several quarantined ones, or with a quarantined part
+//!   and a content with earlier crashes, runs only if no other request has come that would tell them
+//!   apart, and its crash delays no probe of one alone.
 //! - Crashes of several servers at the same moment, most of which did not run the feature, count
 //!   against it only in part ([`CorrelatedCrashes`]).
 //! - A quarantined feature can prove harmless: the first probe is allowed a second after the latest
@@ -542,13 +543,16 @@
     pub fn check(&self, features: &[FeatureHash], now: Duration) -> QuarantineCheck {
         let suspected = features.iter().filter(|feature| !self.is_exempt(**feature));
         let records = suspected.filter_map(|feature| Some((*feature, self.records.get(feature)?)));
-        let mut quarantined: Vec<(FeatureHash, &Record)> =
-            records.filter(|(_, record)| record.is_quarantined()).collect();
-        quarantined.sort_unstable_by_key(|(feature, record)| {
+        let mut suspects: Vec<(FeatureHash, &Record)> = records
+            .filter(|suspect| suspect.1.is_quarantined() || is_crashed_content(suspect))
+            .collect();
+        if !suspects.iter().any(|(_, record)| record.is_quarantined()) {
+            suspects.clear();
+        }
+        suspects.sort_unstable_by_key(|(feature, record)| {
             std::cmp::Reverse((record.probe_count(), record.crash_count(), *feature))
         });
-        let suspects = quarantined.iter().map(|(feature, _)| *feature).collect();
-        let status = match &quarantined[..] {
+        let status = match &suspects[..] {
             [] => QuarantineStatus::Unrestricted,
             [(_, record)] => record.status(now),
             several => {
@@ -560,7 +564,7 @@
                 }
             }
         };
-        QuarantineCheck { status, suspects }
+        QuarantineCheck { status, suspects: suspects.iter().map(|(feature, _)| *feature).collect() }
     }
 
     /// Grants a probe, or returns when to ask again.
@@ -660,6 +664,12 @@
     }
 }
 
+/// Whether this is a content under which a server has crashed. A request with it does not test one
+/// of its parts, since it may crash servers by itself.
+fn is_crashed_content((feature, record): &(FeatureHash, &Record)) -> bool {
+    !is_part(*feature) && !record.crashes.is_empty()
+}
+
 fn crashes_with_age(
     feature: FeatureHash,
     record: &Record,
--- a/crates/decide/tests/quarantine_features.rs
+++ b/crates/decide/tests/quarantine_features.rs
@@ -139,6 +139,15 @@
     assert!(quarantine.is_exempt(first()));
 }
 
+#[test]
+fn request_whose_content_has_crashed_a_server_is_no_early_probe_of_a_part() {
+    let mut quarantine = Quarantine::default();
+    quarantine_parts(&mut quarantine, &[first()]);
+    let crashed = quarantine.check(&[CONTENT, first()], s(1.0));
+    assert_eq!(crashed.status, QuarantineStatus::Quarantined { until: s(5.0) });
+    assert_eq!(status(&quarantine, &[first()], 1.0), QuarantineStatus::ProbeAllowed);
+}
+
 /// Crashes one server under a request with these features.
 fn observe(quarantine: &mut Quarantine, n: u64, features: &[FeatureHash], at: f64) {
     let request = CrashedRequest { features, probed: &[], elapsed: SECOND, id: n, server: n };
