--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -17,8 +17,9 @@
 //! - A probe tests one feature: a request with several quarantined ones, or with a quarantined part
 //!   and a content with earlier crashes, runs only if no other request has come that would tell them
 //!   apart, and its crash delays no probe of one alone.
-//! - Crashes of several servers at the same moment, most of which did not run the feature, count
-//!   against it only in part ([`CorrelatedCrashes`]).
+//! - Crashes of several servers at the same moment, most of which did not run the feature, are
+//!   excused in part ([`CorrelatedCrashes`]). Those of a content restrict it to probes all the same,
+//!   the first of which needs not wait.
 //! - A quarantined feature can prove harmless: the first probe is allowed a second after the latest
 //!   crash.
 //!
@@ -39,6 +40,7 @@
 pub use correlated_crashes::CorrelatedCrashes;
 pub use ended_runs::{EndedRun, RunExtent};
 pub use features::{FeatureHash, is_part, is_part_of, part_feature, part_id};
+use features::{FeatureKind, kind_of};
 pub use successful_features::SuccessfulFeatures;
 
 use super::hash::{hash_text, mix};
@@ -211,7 +213,7 @@
         let quarantined = self
             .records
             .iter()
-            .filter(|(feature, record)| record.is_quarantined() && !self.is_exempt(**feature));
+            .filter(|(feature, _)| self.is_restricted(**feature) && !self.is_exempt(**feature));
         let (parts, contents): (Vec<_>, Vec<_>) =
             quarantined.partition(|(feature, _)| is_part(**feature));
         (contents.len(), parts.len())
@@ -251,7 +253,7 @@
 
     /// Whether others quarantine a feature that succeeded at this entry.
     pub fn can_clear(&self, feature: FeatureHash) -> bool {
-        self.is_quarantined(feature) && self.successes(feature).is_proven(feature)
+        self.is_restricted(feature) && self.successes(feature).is_proven(feature)
     }
 
     /// Whether no other success of these features would change anything.
@@ -294,8 +296,10 @@
         at: Duration,
         now: Duration,
     ) -> Vec<CrashAfterRun> {
-        let is_explained =
-            self.likely_causes(in_flight.features).iter().any(|cause| self.is_quarantined(*cause));
+        let is_explained = in_flight
+            .features
+            .iter()
+            .any(|feature| !self.is_exempt(*feature) && self.is_quarantined(*feature));
         let ended = self.ended_runs.drain(server, |run| in_flight.contests(run));
         let mut after_runs = Vec::new();
         for (number, run) in (1..).zip(ended) {
@@ -370,6 +374,11 @@
         self.records.get(&feature).is_some_and(Record::is_quarantined)
     }
 
+    fn is_restricted(&self, feature: FeatureHash) -> bool {
+        let record = self.records.get(&feature);
+        record.is_some_and(|record| record.is_restricted(kind_of(feature)))
+    }
+
     /// The features of one request that a crash may be due to.
     ///
     /// NB: a content counts beside a quarantined part, which may have been quarantined because of
@@ -453,7 +462,7 @@
     /// features until it is known whether its server keeps running, unless they are quarantined.
     pub fn record_ended_run(&mut self, run: EndedRun, now: Duration) {
         for feature in run.whole_features() {
-            if !self.is_quarantined(*feature) {
+            if !self.is_restricted(*feature) {
                 self.successes_mut(*feature).record_unsettled(*feature, now);
             }
         }
@@ -532,31 +541,36 @@
         before
     }
 
-    /// Whether a request of which this feature is the only quarantined one may run.
+    /// Whether a request of which this feature is the only restricted one may run.
     pub fn status(&self, feature: FeatureHash, now: Duration) -> QuarantineStatus {
         self.records
             .get(&feature)
-            .map_or(QuarantineStatus::Unrestricted, |record| record.status(now))
+            .map_or(QuarantineStatus::Unrestricted, |record| record.status(kind_of(feature), now))
     }
 
     /// Whether a request with these features may run.
     pub fn check(&self, features: &[FeatureHash], now: Duration) -> QuarantineCheck {
+        let is_restricted =
+            |(feature, record): &(FeatureHash, &Record)| record.is_restricted(kind_of(*feature));
         let suspected = features.iter().filter(|feature| !self.is_exempt(**feature));
         let records = suspected.filter_map(|feature| Some((*feature, self.records.get(feature)?)));
         let mut suspects: Vec<(FeatureHash, &Record)> = records
-            .filter(|suspect| suspect.1.is_quarantined() || is_crashed_content(suspect))
+            .filter(|suspect| is_restricted(suspect) || is_crashed_content(suspect))
             .collect();
-        if !suspects.iter().any(|(_, record)| record.is_quarantined()) {
+        if !suspects.iter().any(is_restricted) {
             suspects.clear();
         }
         suspects.sort_unstable_by_key(|(feature, record)| {
-            std::cmp::Reverse((record.probe_count(), record.crash_count(), *feature))
+            let probes = record.probe_count(kind_of(*feature));
+            std::cmp::Reverse((probes, record.crash_count(), *feature))
         });
         let status = match &suspects[..] {
             [] => QuarantineStatus::Unrestricted,
-            [(_, record)] => record.status(now),
+            [(feature, record)] => record.status(kind_of(*feature), now),
             several => {
-                let probes = several.iter().map(|(_, record)| record.next_joint_probe_at());
+                let probes = several
+                    .iter()
+                    .map(|(feature, record)| record.next_joint_probe_at(kind_of(*feature)));
                 let until = probes.max().unwrap_or_default();
                 match now < until {
                     true => QuarantineStatus::Quarantined { until },
@@ -575,16 +589,17 @@
         let Some(record) = self.records.get_mut(&probe.feature) else {
             return ProbeDecision::Granted;
         };
-        match record.status(now) {
+        let kind = kind_of(probe.feature);
+        match record.status(kind, now) {
             QuarantineStatus::Unrestricted => ProbeDecision::Granted,
             QuarantineStatus::ProbeInProgress => ProbeDecision::InProgress,
             QuarantineStatus::Quarantined { until } => ProbeDecision::Refused { until },
             QuarantineStatus::ProbeAllowed
-                if probe.is_joint && now < record.next_joint_probe_at() =>
+                if probe.is_joint && now < record.next_joint_probe_at(kind) =>
             {
-                ProbeDecision::Refused { until: record.next_joint_probe_at() }
+                ProbeDecision::Refused { until: record.next_joint_probe_at(kind) }
             }
-            QuarantineStatus::ProbeAllowed if probe.is_primary || record.probe_count() == 0 => {
+            QuarantineStatus::ProbeAllowed if probe.is_primary || record.probe_count(kind) == 0 => {
                 record.probed_until = Some(now + probe.lease);
                 record.unresolved_probes += 1;
                 record.last_unresolved_at = Some(now);
@@ -612,22 +627,24 @@
     /// The crashes of all features that are quarantined or need a probe, with the age of each; the
     /// most relevant features first.
     pub fn quarantined_crashes(&self, now: Duration) -> Vec<(ServerCrash, Duration)> {
-        self.crashes_by_relevance(Record::is_quarantined, now).collect()
+        let is_restricted =
+            |feature: FeatureHash, record: &Record| record.is_restricted(kind_of(feature));
+        self.crashes_by_relevance(is_restricted, now).collect()
     }
 
     /// The crashes of the most relevant features, with the age of each: at most `max`.
     pub fn most_relevant_crashes(&self, max: usize, now: Duration) -> Vec<(ServerCrash, Duration)> {
-        let has_crashes = |record: &Record| !record.crashes.is_empty();
+        let has_crashes = |_, record: &Record| !record.crashes.is_empty();
         self.crashes_by_relevance(has_crashes, now).take(max).collect()
     }
 
     fn crashes_by_relevance(
         &self,
-        is_reported: impl Fn(&Record) -> bool,
+        is_reported: impl Fn(FeatureHash, &Record) -> bool,
         now: Duration,
     ) -> impl Iterator<Item = (ServerCrash, Duration)> {
         let reported = |(feature, record): &(&FeatureHash, &Record)| {
-            is_reported(record) && !self.is_exempt(**feature)
+            is_reported(**feature, record) && !self.is_exempt(**feature)
         };
         let mut records: Vec<_> = self.records.iter().filter(reported).collect();
         records.sort_unstable_by_key(|(feature, record)| {
--- a/crates/decide/src/direct/quarantine/record.rs
+++ b/crates/decide/src/direct/quarantine/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{CrashId, QuarantineStatus, ServerCrash};
+use super::{CrashId, FeatureKind, QuarantineStatus, ServerCrash};
 
 /// Number of crashes from which a request counts as their cause. A request whose server crashes by
 /// chance is retried elsewhere, and rarely meets three crashes.
@@ -21,10 +21,12 @@
 /// Entries date what others report to some tenths of a second, and a server takes seconds to
 /// restart.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(1);
-/// Maximum number of a content's crashes that are excused as correlated. More than that of one
-/// content in an hour is not chance, and requests that crash servers at the same moment must not
-/// excuse one another.
+/// Maximum number of a feature's crashes that are excused as correlated. More than that in an hour
+/// is not chance.
 const MAX_EXCUSED_CRASHES: usize = 3;
+/// Maximum number of a content's probes that are excused, so that one whose probes all met common
+/// losses runs soon after the third, and no more than four times.
+const MAX_EXCUSED_PROBES_OF_CONTENTS: usize = 1;
 /// Maximum number of crashes kept for one content; more would change nothing.
 const MAX_CRASHES: usize = 8;
 /// Time after the latest crash for which a record is kept. A caller may keep a request for long
@@ -108,23 +110,32 @@
 
     /// When the latest crash was observed.
     pub fn last_crash_at(&self) -> Option<Duration> {
-        self.crashes.iter().map(|crash| crash.at).max()
+        self.latest_crash().map(|crash| crash.at)
     }
 
-    /// Whether requests with the feature may only run as probes.
+    /// Whether the feature counts as the cause of its crashes.
     pub fn is_quarantined(&self) -> bool {
         self.crash_count() >= MIN_CRASHES
     }
 
-    /// Whether a request of which this feature is the only quarantined one may run.
-    pub fn status(&self, now: Duration) -> QuarantineStatus {
-        if !self.is_quarantined() {
+    /// Whether requests with the feature may only run as probes.
+    ///
+    /// NB: excused crashes of a content count here, since contents that crash servers at the same
+    /// moment excuse one another. A part is not restricted by them: all requests with it would have
+    /// to wait for one another.
+    pub fn is_restricted(&self, kind: FeatureKind) -> bool {
+        self.is_quarantined() || kind == FeatureKind::Content && self.crashes.len() >= MIN_CRASHES
+    }
+
+    /// Whether a request of which this feature is the only restricted one may run.
+    pub fn status(&self, kind: FeatureKind, now: Duration) -> QuarantineStatus {
+        if !self.is_restricted(kind) {
             return QuarantineStatus::Unrestricted;
         }
         if self.probed_until.is_some_and(|until| now < until) {
             return QuarantineStatus::ProbeInProgress;
         }
-        let until = self.next_probe_at();
+        let until = self.next_probe_at(kind);
         if now < until {
             QuarantineStatus::Quarantined { until }
         } else {
@@ -132,34 +143,55 @@
         }
     }
 
-    /// When a request of which this feature is the only quarantined one may run as a probe.
+    /// When a request of which this feature is the only restricted one may run as a probe.
     ///
     /// NB: the crash of a joint probe does not delay it, since another feature may be the cause.
-    fn next_probe_at(&self) -> Duration {
-        let sole = self.crashes.iter().filter(|crash| !crash.is_joint);
-        let last = sole.map(|crash| crash.at).max().or(self.last_crash_at());
-        self.delayed(last, self.probe_count())
+    fn next_probe_at(&self, kind: FeatureKind) -> Duration {
+        let latest_sole = self.crashes.iter().filter(|crash| !crash.is_joint);
+        let latest = latest_sole.max_by_key(|crash| crash.at).or(self.latest_crash());
+        self.delayed(latest, self.probe_count(kind), kind)
+    }
+
+    /// When a request with several restricted features, this being one, may run as a probe.
+    pub fn next_joint_probe_at(&self, kind: FeatureKind) -> Duration {
+        self.delayed(self.latest_crash(), self.probe_count(kind) + 1, kind)
     }
 
-    /// When a request with several quarantined features, this being one, may run as a probe.
-    pub fn next_joint_probe_at(&self) -> Duration {
-        self.delayed(self.last_crash_at(), self.probe_count() + 1)
+    fn delayed(&self, latest: Option<&Crash>, step: usize, kind: FeatureKind) -> Duration {
+        let last_step = PROBE_DELAYS.len() - 1;
+        let is_excused = latest.is_some_and(|crash| crash.in_common_loss);
+        let delay = match (kind, step) {
+            (FeatureKind::Content, 0) if !self.is_quarantined() => Duration::ZERO,
+            (FeatureKind::Content, step) if is_excused && (1..last_step).contains(&step) => {
+                PROBE_DELAYS[step - 1]
+            }
+            (_, step) => PROBE_DELAYS[step.min(last_step)],
+        };
+        let at = latest.map(|crash| crash.at);
+        at.max(self.last_unresolved_at).unwrap_or_default() + delay
     }
 
-    fn delayed(&self, last: Option<Duration>, step: usize) -> Duration {
-        let last = last.max(self.last_unresolved_at).unwrap_or_default();
-        last + PROBE_DELAYS[step.min(PROBE_DELAYS.len() - 1)]
+    fn latest_crash(&self) -> Option<&Crash> {
+        self.crashes.iter().max_by_key(|crash| crash.at)
     }
 
     /// Number of probes under which a server crashed or may have crashed, without the excused ones.
+    /// Those of a content are excused only if all are, since contents that crash servers at the
+    /// same moment excuse one another.
     ///
     /// NB: not all crashes beyond the first few. A request that arrives on many connections at once
     /// may crash as many servers before any entry receives a report.
-    pub fn probe_count(&self) -> usize {
-        let excused = |crash: &&Crash| crash.on_probe && crash.in_common_loss;
-        let excused = self.crashes.iter().filter(excused).count().min(MAX_EXCUSED_CRASHES);
-        self.crashes.iter().filter(|crash| crash.on_probe).count() - excused
-            + self.unresolved_probes
+    pub fn probe_count(&self, kind: FeatureKind) -> usize {
+        let probes = self.crashes.iter().filter(|crash| crash.on_probe);
+        let (count, excused) = probes.fold((0, 0), |(count, excused), crash| {
+            (count + 1, excused + usize::from(crash.in_common_loss))
+        });
+        let excused = match kind {
+            FeatureKind::Content if excused < count => 0,
+            FeatureKind::Content => excused.min(MAX_EXCUSED_PROBES_OF_CONTENTS),
+            FeatureKind::Part => excused.min(MAX_EXCUSED_CRASHES),
+        };
+        count - excused + self.unresolved_probes
     }
 
     /// Whether the record no longer has any effect.
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -153,19 +153,61 @@
     assert_eq!(quarantine.record_success(8, s(2.0)), 0, "another content has no record");
 }
 
+/// Records crashes that are part of a common loss, one a second.
+fn lose_in_common(quarantine: &mut Quarantine, ids: std::ops::Range<u64>) {
+    for id in ids {
+        let lost = ServerCrash { in_common_loss: true, ..crash(CONTENT, id) };
+        quarantine.record_crash(lost, s(id as f64), s(id as f64));
+    }
+}
+
 #[test]
 fn correlated_crashes_are_excused_three_times() {
     let mut quarantine = Quarantine::default();
     for id in 0..6 {
-        let correlated = ServerCrash { in_common_loss: true, ..crash(CONTENT, id) };
-        assert_eq!(
-            quarantine.status(CONTENT, s(9.0)),
-            QuarantineStatus::Unrestricted,
-            "after {id}"
-        );
-        quarantine.record_crash(correlated, s(id as f64), s(id as f64));
+        let status = quarantine.status(CONTENT, s(id as f64));
+        let expected = match id {
+            0..3 => QuarantineStatus::Unrestricted,
+            _ => QuarantineStatus::ProbeAllowed,
+        };
+        assert_eq!(status, expected, "after {id}: it need not wait");
+        assert!(quarantine.crash_count(CONTENT) < 3, "after {id}: it explains no other crash");
+        lose_in_common(&mut quarantine, id..id + 1);
+    }
+    let until = s(6.0);
+    assert_eq!(quarantine.status(CONTENT, s(5.5)), QuarantineStatus::Quarantined { until });
+}
+
+/// Pauses in seconds after probes of a content that was lost in common before, each of which is
+/// excused or not.
+fn pauses_after_probes(excused: &[bool]) -> Vec<u64> {
+    let mut quarantine = Quarantine::default();
+    lose_in_common(&mut quarantine, 0..3);
+    let mut now = s(2.0);
+    let mut pauses = Vec::new();
+    for (id, in_common_loss) in (100..).zip(excused) {
+        assert_eq!(quarantine.request_probe(probe(true), now), ProbeDecision::Granted);
+        let lost =
+            ServerCrash { in_common_loss: *in_common_loss, on_probe: true, ..crash(CONTENT, id) };
+        assert!(quarantine.record_crash(lost, now, now));
+        let until = match quarantine.status(CONTENT, now) {
+            QuarantineStatus::Quarantined { until } => until,
+            status => {
+                assert_eq!(status, QuarantineStatus::ProbeAllowed);
+                now
+            }
+        };
+        pauses.push((until - now).as_secs());
+        now = until;
     }
-    assert_ne!(quarantine.status(CONTENT, s(5.5)), QuarantineStatus::Unrestricted);
+    pauses
+}
+
+#[test]
+fn probes_of_a_content_are_excused_only_if_all_are() {
+    assert_eq!(pauses_after_probes(&[true, true, true, true]), [0, 1, 5, 600]);
+    assert_eq!(pauses_after_probes(&[true, false, true]), [0, 30, 600]);
+    assert_eq!(pauses_after_probes(&[false, false, false]), [5, 30, 600]);
 }
 
 #[test]
