--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -523,6 +523,7 @@
         self.backends.add_crash_rule(CrashRule {
             applies: Rc::new(applies),
             after,
+            is_answered: false,
             restart_delay: DOWN_TIME,
             on_restart: Rc::new(on_restart),
         });
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -48,6 +48,8 @@
     Cut,
     /// No response came within a grace time after the deadline.
     NoAnswer,
+    /// The caller left before the response.
+    Left,
 }
 
 /// A request as its caller saw it.
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -15,7 +15,7 @@
     options::Plan,
     part_caller::PartCaller,
     records::now_us,
-    repeater::Repeater,
+    repeater::run_repeaters,
     schedule::{Action, FAULT_FREE_END, Step, generate},
 };
 
@@ -95,8 +95,7 @@
         Action::Evacuate(data_centre, time) => deployment.evacuate(data_centre, time).await,
         Action::Litter => deployment.write_unreadable_records().await,
         Action::EndServers(route, time) => {
-            let repeater = Repeater::new(&deployment, route, Instant::now() + time);
-            repeater.run(deployment, seed).await;
+            run_repeaters(deployment, route, Instant::now() + time, seed).await;
             Ok(())
         }
         Action::CrashByPart(time) => {
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -143,6 +143,8 @@
     pub applies: Rc<dyn Fn(&ReceivedRequest) -> bool>,
     /// Time from the start of a run until the server crashes.
     pub after: Duration,
+    /// Whether requests other than streams are answered before the crash too.
+    pub is_answered: bool,
     /// Time from the crash until the server restarts.
     pub restart_delay: Duration,
     /// Called at each restart.
@@ -237,15 +239,16 @@
     }
 
     /// Records a request that matches a crash rule, and crashes and restarts its server after the
-    /// rule's delays. Returns whether a rule matched.
+    /// rule's delays. Returns the rule.
     fn apply_crash_rule(
         &self,
         address: SocketAddr,
         server: &Rc<Server>,
         request: &ReceivedRequest,
-    ) -> bool {
-        let rule = self.crash_rules.borrow().iter().find(|rule| (rule.applies)(request)).cloned();
-        let Some(rule) = rule else { return false };
+    ) -> Option<CrashRule> {
+        let rule =
+            self.crash_rules.borrow().iter().find(|rule| (rule.applies)(request)).cloned()?;
+        let applied = rule.clone();
         let index = self.crashing_runs.borrow().len();
         self.crashing_runs.borrow_mut().push(CrashingRun {
             body: request.body.clone(),
@@ -265,7 +268,7 @@
             let default_behaviour = server.default_behaviour.borrow().clone();
             backends.start(address, &id, default_behaviour);
         });
-        true
+        Some(applied)
     }
 
     /// Appends the behaviours for a server's next requests to its script.
@@ -355,7 +358,7 @@
     server: &Server,
     header_names: &HeaderNames,
     mut io: DuplexStream,
-    crashes_server: impl FnOnce(&ReceivedRequest) -> bool,
+    apply_crash_rule: impl FnOnce(&ReceivedRequest) -> Option<CrashRule>,
 ) {
     let Some(request) = read_request(&mut io).await else { return };
     let scripted = server.script.borrow_mut().pop_front();
@@ -373,7 +376,8 @@
     });
     let is_stream =
         matches!(behaviour, Behaviour::Stream { .. } | Behaviour::UnframedStream { .. });
-    if ran && crashes_server(&request) && !is_stream {
+    let crash_rule = if ran { apply_crash_rule(&request) } else { None };
+    if crash_rule.is_some_and(|rule| !rule.is_answered) && !is_stream {
         behaviour = Behaviour::Silent;
     }
     let behaviour = if is_misdirected { Behaviour::NotRun(421) } else { behaviour };
--- a/crates/standin/src/platform_server.rs
+++ b/crates/standin/src/platform_server.rs
@@ -27,6 +27,8 @@
 
 /// Prefix of the body of a request that crashes every server that runs it.
 pub const CRASHING_BODY: &str = "ends whoever runs it";
+/// The same for a request that is answered before, or streamed in part.
+pub const LATE_CRASHING_BODY: &str = "ends whoever has run it";
 /// Bits above [`CRASHING_PART_BITS`] in the ids of prompt parts that crash every server that runs a
 /// request with one of them.
 const CRASHING_PARTS: u64 = 0xbad;
@@ -36,6 +38,8 @@
 pub const PROMPT_PARTS_HEADER: &str = "x-pondwalk-prefix-hash";
 /// Time from the start of such a request until the server crashes.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
+/// The same for a request that is answered before.
+const LATE_CRASH_DELAY: Duration = Duration::from_millis(250);
 /// Restart delay that is never reached, because the process exits after the crash.
 const NO_RESTART: Duration = Duration::from_secs(3_600);
 /// Exit status of the process after a crash.
@@ -135,12 +139,20 @@
     spawn_local(announce_draining(backends.clone(), address, drain));
     spawn_local(reject_requests(backends.clone(), address, default_behaviour, reject));
     spawn_local(announce_rate_limit(backends.clone(), address, limit));
-    backends.add_crash_rule(CrashRule {
+    let rule = CrashRule {
         applies: Rc::new(crashes_server),
         after: CRASH_DELAY,
+        is_answered: false,
         restart_delay: NO_RESTART,
         on_restart: Rc::new(|_, id| id.to_owned()),
+    };
+    backends.add_crash_rule(CrashRule {
+        applies: Rc::new(|request| request.body.starts_with(LATE_CRASHING_BODY.as_bytes())),
+        after: LATE_CRASH_DELAY,
+        is_answered: true,
+        ..rule.clone()
     });
+    backends.add_crash_rule(rule);
     spawn_local(print_runs(backends.clone(), address, id));
     loop {
         let (mut stream, _) = listener.accept().await?;
