--- a/crates/decide/benches/quarantine.rs
+++ b/crates/decide/benches/quarantine.rs
@@ -73,6 +73,8 @@
             service: SERVICE.with(Rc::clone),
             server: "s1".into(),
             server_hash: 1,
+            version: "v1".into(),
+            kind: "k".into(),
             address: ([127, 0, 0, 1], 1).into(),
             may_be_leaving: false,
         };
--- a/crates/decide/src/direct/quarantine/ended_runs.rs
+++ b/crates/decide/src/direct/quarantine/ended_runs.rs
@@ -13,7 +13,7 @@
 
 use std::{collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
 
-use pondwalk_types::{RequestId, ServerId};
+use pondwalk_types::{RequestId, ServerId, VersionId};
 
 use super::FeatureHash;
 
@@ -56,6 +56,10 @@
     pub server: ServerId,
     /// Hash of the server's identity.
     pub server_hash: u64,
+    /// Version of the server's software.
+    pub version: VersionId,
+    /// Kind of the request in version evidence.
+    pub kind: String,
     /// Address of the server.
     pub address: SocketAddr,
     /// Whether the server may have ended since as planned.
--- a/crates/decide/tests/ended_runs.rs
+++ b/crates/decide/tests/ended_runs.rs
@@ -25,6 +25,8 @@
         service: "s".into(),
         server: "s7".into(),
         server_hash: SERVER,
+        version: "v1".into(),
+        kind: "k".into(),
         address: ([127, 0, 0, 1], 1).into(),
         may_be_leaving: false,
     }
--- a/crates/decide/tests/quarantine_features.rs
+++ b/crates/decide/tests/quarantine_features.rs
@@ -243,6 +243,8 @@
         service: "s".into(),
         server: format!("s{server}"),
         server_hash: server,
+        version: "v1".into(),
+        kind: "k".into(),
         address: ([127, 0, 0, 1], 1).into(),
         may_be_leaving: false,
     }
--- a/crates/direct/src/quarantine/crashes.rs
+++ b/crates/direct/src/quarantine/crashes.rs
@@ -127,32 +127,58 @@
         });
     }
 
-    /// Records that a server crashed at `at`, shortly after runs of this entry had ended there.
+    /// Records that a server was found to have crashed after runs of this entry had ended there.
+    pub(super) fn record_unnoticed_crash(&self, server_hash: u64) {
+        let now = self.clock.now();
+        for after_run in self.observe_crash_after_runs(server_hash, InFlight::NOTHING, now) {
+            let CrashAfterRun { run, .. } = &after_run;
+            let evidence = VersionEvidence { version: run.version.clone(), kind: run.kind.clone() };
+            self.collect_crash_after_run(after_run, now, Some(evidence));
+        }
+    }
+
+    /// Records that a server crashed at `at`, as another entry reports, shortly after runs of this
+    /// entry had ended there. The other entry records the evidence about the version.
     pub(super) fn record_crash_after_runs(
         &self,
         server_hash: u64,
         in_flight: InFlight<'_>,
         at: Duration,
     ) {
-        let now = self.clock.now();
-        let id = self.crash_id("", "");
-        let mut state = self.state.borrow_mut();
-        let after_runs =
-            state.quarantine.observe_crash_after_runs(server_hash, in_flight, id, at, now);
-        drop(state);
-        for CrashAfterRun { run, crashes } in after_runs {
-            self.collect_crash(ObservedCrash {
-                crashes,
-                at,
-                service: Rc::clone(&run.service),
-                server: run.server.clone(),
-                request: run.request.clone(),
-                evidence: None,
-                is_explained: false,
-            });
+        for after_run in self.observe_crash_after_runs(server_hash, in_flight, at) {
+            self.collect_crash_after_run(after_run, at, None);
         }
     }
 
+    fn observe_crash_after_runs(
+        &self,
+        server_hash: u64,
+        in_flight: InFlight<'_>,
+        at: Duration,
+    ) -> Vec<CrashAfterRun> {
+        let (id, now) = (self.crash_id("", ""), self.clock.now());
+        let mut state = self.state.borrow_mut();
+        state.quarantine.observe_crash_after_runs(server_hash, in_flight, id, at, now)
+    }
+
+    fn collect_crash_after_run(
+        &self,
+        CrashAfterRun { run, crashes }: CrashAfterRun,
+        at: Duration,
+        evidence: Option<VersionEvidence>,
+    ) {
+        let crash_count = self.state.borrow().quarantine.max_crash_count(&run.features);
+        self.collect_crash(ObservedCrash {
+            crashes,
+            at,
+            service: Rc::clone(&run.service),
+            server: run.server.clone(),
+            request: run.request.clone(),
+            evidence,
+            is_explained: crash_count > MAX_CRASHES_AS_EVIDENCE,
+        });
+    }
+
     fn crash_id(&self, server: &str, request: &str) -> CrashId {
         let numbers = [self.incarnation, self.clock.now().as_nanos() as u64];
         crash_id(&[&self.settings.name, server, request], &numbers)
@@ -234,7 +260,7 @@
         let mut state = self.state.borrow_mut();
         let State { roll_outs, fleets, .. } = &mut *state;
         let mut servers: HashMap<&ServerId, Option<&ObservedCrash>> = HashMap::new();
-        for crash in observed {
+        for crash in observed.iter().filter(|crash| crash.evidence.is_some()) {
             let known = fleets.get(&crash.service).map_or(0, |fleet| fleet.count());
             let has_cause = crash.is_explained || crash.is_exonerated(loss, known);
             let evidence = servers.entry(&crash.server).or_insert(Some(crash));
--- a/crates/direct/src/quarantine/ended_runs.rs
+++ b/crates/direct/src/quarantine/ended_runs.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use pondwalk_decide::direct::{EndedRun, FeatureHash, InFlight, RunExtent, server_hash};
+use pondwalk_decide::direct::{EndedRun, FeatureHash, RunExtent, server_hash};
 use tokio::{task::spawn_local, time::sleep};
 
 use super::{
@@ -57,6 +57,8 @@
             service: placement.service().clone(),
             server: placement.server().clone(),
             server_hash: server_hash(placement.server()),
+            version: placement.version.clone(),
+            kind: placement.kind(),
             address: placement.address,
             may_be_leaving: placement.may_be_leaving(),
         };
@@ -104,7 +106,7 @@
         let Some(first) = runs.first().filter(|_| !runs.iter().all(is_known)) else { return };
         match check_listener(&self.connect, first.address).await {
             ListenerState::Accepts => runs.iter().for_each(|run| self.settle_run(run)),
-            ListenerState::Refuses if !first.may_be_leaving => self.record_unnoticed_crash(first),
+            ListenerState::Refuses if !first.may_be_leaving => self.report_unnoticed_crash(first),
             ListenerState::Refuses | ListenerState::Unknown => {
                 let mut state = self.state.borrow_mut();
                 runs.iter().for_each(|run| state.quarantine.forget_run(run));
@@ -112,7 +114,7 @@
         }
     }
 
-    fn record_unnoticed_crash(&self, run: &EndedRun) {
+    fn report_unnoticed_crash(&self, run: &EndedRun) {
         self.metrics.count(Counter::CrashesAfterRuns);
         let event = QuarantineEvent::ServerCrashedAfterRun {
             request: &run.request,
@@ -121,7 +123,7 @@
             prompt_parts: &parts_text(&run.features),
         };
         self.event_log.record(LogPriority::Failure, &event);
-        self.record_crash_after_runs(run.server_hash, InFlight::NOTHING, self.clock.now());
+        self.record_unnoticed_crash(run.server_hash);
     }
 
     fn settle_run(&self, run: &Rc<EndedRun>) {
--- a/crates/direct/tests/crashing_requests_short_answers.rs
+++ b/crates/direct/tests/crashing_requests_short_answers.rs
@@ -6,7 +6,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use common::{
-    World,
+    DOWN_TIME, World, catalog,
     crashing::{
         Kind, MAX_FURTHER_RUNS, QUICK_RETRY, Size, crashing, crashing_body, further_runs,
         ok_response, repeat_request, repeatable, start_sized,
@@ -19,7 +19,7 @@
     request, run_test, stream, with, with_body,
 };
 use pondwalk_direct::Entry;
-use pondwalk_standin::backends::Behaviour;
+use pondwalk_standin::backends::{Behaviour, CrashRule};
 use tokio::{
     task::spawn_local,
     time::{Instant, sleep, timeout},
@@ -287,3 +287,51 @@
     check_contents(5, SMALL, TIME);
     check_contents(10, LARGE, TIME);
 }
+
+/// Crashes the servers of version `v2` shortly after each of their answers; their ids begin with
+/// `s3`.
+fn crash_after_answers(world: &World) {
+    let store = world.store.clone();
+    world.backends.add_crash_rule(CrashRule {
+        applies: Rc::new(|request| {
+            let server = request.headers.get("pondwalk-expected-server");
+            server.is_some_and(|server| server.starts_with("s3") && !server.starts_with("s3-"))
+        }),
+        after: Duration::from_millis(30),
+        is_answered: true,
+        restart_delay: DOWN_TIME,
+        on_restart: Rc::new(move |address, id| {
+            let next = format!("{id}+");
+            store.remove(&format!("server/{id}"));
+            store.put(&format!("server/{next}"), &format!("s {address} dc1 v2 ready"));
+            next
+        }),
+    });
+}
+
+#[test]
+fn version_whose_servers_crash_after_their_answers_is_reverted() {
+    run_test(|world| async move {
+        let net = Net::default();
+        world.configure(catalog(1));
+        for n in 1..=12 {
+            world.start_server(n, "s", "v1", ok_response());
+        }
+        let entries = net.start_many(&world, 4, "");
+        sleep(Duration::from_secs(5)).await;
+        for n in 31..=36 {
+            world.start_server(n, "s", "v2", ok_response());
+        }
+        crash_after_answers(&world);
+        sleep(Duration::from_secs(1)).await;
+        world.store.put("order/s", "v2 20");
+        for n in 0..300 {
+            let sent = with_body(request("/again/x", &format!("c{n}")), &format!("asked {n}"));
+            let sent = with(sent, "pondwalk-session", &format!("s{n}"));
+            world.call_at(&entries[n % 4], sent).await;
+            sleep(Duration::from_millis(50)).await;
+        }
+        sleep(Duration::from_secs(20)).await;
+        assert_eq!(world.store.value("progress/s").as_deref(), Some("v2 Reverted"));
+    });
+}
