--- a/crates/direct/src/quarantine/crashes.rs
+++ b/crates/direct/src/quarantine/crashes.rs
@@ -4,8 +4,8 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use pondwalk_decide::direct::{
-    CorrelatedCrashes, CrashAfterRun, CrashId, CrashedRequest, Evidence, FeatureHash, InFlight,
-    ServerCrash, crash_id, server_hash,
+    CorrelatedCrashes, CrashAfterRun, CrashedRequest, Evidence, FeatureHash, InFlight, ServerCrash,
+    crash_id, server_hash,
 };
 use pondwalk_types::{RequestId, ServerId, VersionId};
 use tokio::{sync::Notify, task::spawn_local, time::sleep};
@@ -103,7 +103,8 @@
     pub fn record_server_crash(&self, job: &Job, placement: &Placement, probed: &[FeatureHash]) {
         let now = self.clock.now();
         let server = placement.server();
-        let id = self.crash_id(server, &job.id);
+        let numbers = [self.incarnation, now.as_nanos() as u64];
+        let id = crash_id(&[&self.settings.name, server, &job.id], &numbers);
         let (features, server_hash) = (job.features(), server_hash(server));
         let elapsed = placement.elapsed();
         let crashed = CrashedRequest { features, probed, elapsed, id, server: server_hash };
@@ -156,7 +157,9 @@
         in_flight: InFlight<'_>,
         at: Duration,
     ) -> Vec<CrashAfterRun> {
-        let (id, now) = (self.crash_id("", ""), self.clock.now());
+        let now = self.clock.now();
+        let numbers = [self.incarnation, now.as_nanos() as u64, server_hash];
+        let id = crash_id(&[&self.settings.name], &numbers);
         let mut state = self.state.borrow_mut();
         state.quarantine.observe_crash_after_runs(server_hash, in_flight, id, at, now)
     }
@@ -179,11 +182,6 @@
         });
     }
 
-    fn crash_id(&self, server: &str, request: &str) -> CrashId {
-        let numbers = [self.incarnation, self.clock.now().as_nanos() as u64];
-        crash_id(&[&self.settings.name, server, request], &numbers)
-    }
-
     /// Adds a crash to those of the current window.
     fn collect_crash(&self, observed: ObservedCrash) {
         for crash in &observed.crashes {
--- a/crates/direct/tests/crashing_requests_short_answers.rs
+++ b/crates/direct/tests/crashing_requests_short_answers.rs
@@ -9,7 +9,7 @@
     DOWN_TIME, World, catalog,
     crashing::{
         Kind, MAX_FURTHER_RUNS, QUICK_RETRY, Size, crashing, crashing_body, further_runs,
-        ok_response, repeat_request, repeatable, start_sized,
+        ok_response, repeat_request, repeatable, send_all_at_once, start_sized,
     },
     net::Net,
     prompt_parts::{
@@ -163,6 +163,25 @@
     check(&cases, &[SMALL, LARGE]);
 }
 
+#[test]
+fn simultaneous_copies_whose_answers_end_before_the_crash_are_quarantined() {
+    for entries in [1, 4] {
+        run_test(|world| async move {
+            let world = Rc::new(world);
+            let net = Net::default();
+            let kind = streams(events(3, 10));
+            let size = Size { servers: 12, entries };
+            let entries = start_sized(&world, &net, &kind, size, ms(60)).await;
+            for round in 0..6 {
+                send_all_at_once(&world, &entries, &kind, 20, round).await;
+                sleep(Duration::from_secs(30)).await;
+            }
+            let further = further_runs(&world);
+            assert!(further <= MAX_FURTHER_RUNS, "{further} at {size:?}");
+        });
+    }
+}
+
 #[test]
 fn resuming_caller_does_not_clear_a_crashing_content() {
     for size in [SMALL, LARGE] {
