--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -308,7 +308,7 @@
                 continue;
             }
             for feature in run.whole_features() {
-                self.successes_mut(*feature).revoke_unsettled(*feature);
+                self.successes_mut(*feature).record_crash_after_run(*feature);
             }
             let causes = self.likely_causes(&run.features);
             let id = mix(id ^ number) | AFTER_RUN_MARK;
@@ -353,7 +353,7 @@
         let mut counted = Vec::new();
         for crash in crashes {
             if is_after_run(crash.id) {
-                self.successes_mut(crash.feature).revoke_unsettled(crash.feature);
+                self.successes_mut(crash.feature).record_crash_after_run(crash.feature);
             }
             // What succeeded here is recorded all the same: its reporter does not know of it.
             let is_likely = causes.contains(&crash.feature);
@@ -458,17 +458,25 @@
         self.clear(feature, at)
     }
 
-    /// Records a run that has ended without a crash of its server so far. A whole one exempts its
-    /// features until it is known whether its server keeps running, unless they are quarantined.
-    pub fn record_ended_run(&mut self, run: EndedRun, now: Duration) {
+    /// Records a run that has ended without a crash of its server so far. A whole one is a success
+    /// of the features under which another one has settled before; returns these with the number of
+    /// crashes that counted against each. It exempts the others until it is known whether its server
+    /// keeps running, unless they are quarantined.
+    pub fn record_ended_run(&mut self, run: EndedRun, now: Duration) -> Vec<(FeatureHash, usize)> {
+        let mut cleared = Vec::new();
         for feature in run.whole_features() {
-            if !self.is_restricted(*feature) {
-                self.successes_mut(*feature).record_unsettled(*feature, now);
+            let is_settled = self.successes(*feature).is_settled(*feature);
+            if !is_settled && self.is_restricted(*feature) {
+                continue;
+            }
+            if self.successes_mut(*feature).record_whole_run(*feature, now) {
+                cleared.push((*feature, self.clear(*feature, now)));
             }
         }
         if let Some(displaced) = self.ended_runs.push(run, now) {
             self.forget_unsettled(&displaced);
         }
+        cleared
     }
 
     /// The runs whose servers have had the time to crash; each is returned once, and then
--- a/crates/decide/src/direct/quarantine/successful_features.rs
+++ b/crates/decide/src/direct/quarantine/successful_features.rs
@@ -27,7 +27,7 @@
     InProgress,
     /// An answer has ended, but its server may still crash.
     Unsettled,
-    /// The server of such an answer crashed.
+    /// The servers of such answers crashed.
     Revoked,
 }
 
@@ -36,10 +36,21 @@
 struct Success {
     /// Crashes since the latest success.
     crashes: usize,
+    /// Crashes of servers after whole answers since the latest one whose server kept running.
+    crashes_after_runs: usize,
     evidence: Evidence,
 }
 
 impl Success {
+    fn new(crashes: usize, evidence: Evidence) -> Self {
+        Success { crashes, crashes_after_runs: 0, evidence }
+    }
+
+    /// Whether the server of a whole answer has kept running, here or at another entry.
+    fn is_settled(&self) -> bool {
+        matches!(self.evidence, Evidence::Observed | Evidence::Reported)
+    }
+
     fn is_exempt(&self) -> bool {
         self.crashes <= MAX_FORGIVEN_CRASHES && self.evidence != Evidence::Revoked
     }
@@ -59,7 +70,7 @@
 impl SuccessfulFeatures {
     /// Records a successful run at this entry.
     pub fn record_success(&mut self, feature: FeatureHash, now: Duration) {
-        self.insert(feature, Success { crashes: 0, evidence: Evidence::Observed }, now);
+        self.insert(feature, Success::new(0, Evidence::Observed), now);
     }
 
     /// Records a successful run that another entry reported.
@@ -67,7 +78,7 @@
         // An own success keeps its count of crashes: two entries that clear a feature for one
         // another must not exempt it for ever.
         if !self.is_proven(feature) {
-            self.insert(feature, Success { crashes: 0, evidence: Evidence::Reported }, now);
+            self.insert(feature, Success::new(0, Evidence::Reported), now);
         }
     }
 
@@ -77,18 +88,27 @@
     pub fn record_survival(&mut self, feature: FeatureHash, crashes: usize, now: Duration) {
         if self.get(feature).is_none() {
             let crashes = crashes + MAX_FORGIVEN_CRASHES - MAX_CRASHES_OF_SURVIVORS;
-            self.insert(feature, Success { crashes, evidence: Evidence::InProgress }, now);
+            self.insert(feature, Success::new(crashes, Evidence::InProgress), now);
         }
     }
 
-    /// Records a whole answer whose server may still crash. It exempts the feature like a success,
+    /// Records a whole answer whose server may still crash. If another one settled before, it is a
+    /// success at once; returns whether it is. Otherwise it exempts the feature like a success,
     /// until it [counts as one](SuccessfulFeatures::record_success), is
     /// [forgotten](SuccessfulFeatures::forget_unsettled) or
-    /// [revoked](SuccessfulFeatures::revoke_unsettled).
-    pub fn record_unsettled(&mut self, feature: FeatureHash, now: Duration) {
-        let evidence = self.get(feature).map(|success| success.evidence);
-        if evidence.is_none_or(|evidence| evidence == Evidence::InProgress) {
-            self.insert(feature, Success { crashes: 0, evidence: Evidence::Unsettled }, now);
+    /// [revoked](SuccessfulFeatures::record_crash_after_run).
+    pub fn record_whole_run(&mut self, feature: FeatureHash, now: Duration) -> bool {
+        match self.get(feature).copied() {
+            Some(success) if success.is_settled() => {
+                let evidence = Evidence::Observed;
+                self.insert(feature, Success { crashes: 0, evidence, ..success }, now);
+                true
+            }
+            Some(success) if success.evidence != Evidence::InProgress => false,
+            _ => {
+                self.insert(feature, Success::new(0, Evidence::Unsettled), now);
+                false
+            }
         }
     }
 
@@ -101,12 +121,12 @@
         }
     }
 
-    /// Records that the server crashed after a whole answer. Further answers exempt the feature
-    /// only once their servers have kept running.
-    pub fn revoke_unsettled(&mut self, feature: FeatureHash) {
-        if let Some(success) = self.get_mut(feature)
-            && matches!(success.evidence, Evidence::Unsettled | Evidence::InProgress)
-        {
+    /// Records that the server crashed after a whole answer. Further answers count only once their
+    /// servers have kept running, if none had settled before or this has happened too often since.
+    pub fn record_crash_after_run(&mut self, feature: FeatureHash) {
+        let Some(success) = self.get_mut(feature) else { return };
+        success.crashes_after_runs += 1;
+        if !success.is_settled() || success.crashes_after_runs > MAX_FORGIVEN_CRASHES {
             success.evidence = Evidence::Revoked;
         }
     }
@@ -127,6 +147,11 @@
         }
     }
 
+    /// Whether the server of a whole answer has kept running, here or at another entry.
+    pub fn is_settled(&self, feature: FeatureHash) -> bool {
+        self.get(feature).is_some_and(Success::is_settled)
+    }
+
     /// Whether the feature succeeded recently and is exempt from quarantine.
     pub fn is_exempt(&self, feature: FeatureHash) -> bool {
         self.get(feature).is_some_and(Success::is_exempt)
--- a/crates/decide/tests/ended_runs.rs
+++ b/crates/decide/tests/ended_runs.rs
@@ -68,6 +68,30 @@
     assert!(quarantine.knows_success_of(&run(RunExtent::Whole).features));
 }
 
+#[test]
+fn later_whole_runs_are_successes_at_once() {
+    let mut quarantine = after_run(RunExtent::Whole);
+    settle(&mut quarantine, 500);
+    for round in 1..=9 {
+        let at = 1_000 * round;
+        crash(&mut quarantine, 20 + round, 60, at);
+        crash(&mut quarantine, 40 + round, 60, at);
+        let cleared = quarantine.record_ended_run(run(RunExtent::Whole), ms(at + 10));
+        assert_eq!(cleared[0].0, CONTENT);
+        assert_eq!(quarantine.crash_count(CONTENT), 0);
+        let after_runs = quarantine.observe_crash_after_runs(
+            SERVER,
+            InFlight::NOTHING,
+            at,
+            ms(at + 20),
+            ms(at + 20),
+        );
+        assert_eq!(after_runs.len(), 1);
+    }
+    let cleared = quarantine.record_ended_run(run(RunExtent::Whole), ms(20_000));
+    assert!(cleared.is_empty(), "too many servers have crashed after such runs");
+}
+
 #[test]
 fn partial_run_proves_nothing() {
     let mut quarantine = after_run(RunExtent::Partial);
--- a/crates/direct/src/quarantine/ended_runs.rs
+++ b/crates/direct/src/quarantine/ended_runs.rs
@@ -62,7 +62,11 @@
             address: placement.address,
             may_be_leaving: placement.may_be_leaving(),
         };
-        self.state.borrow_mut().quarantine.record_ended_run(run, self.clock.now());
+        let (request, server) = (run.request.clone(), run.server.clone());
+        let mut state = self.state.borrow_mut();
+        let cleared = state.quarantine.record_ended_run(run, self.clock.now());
+        drop(state);
+        self.publish_clearances(cleared, &request, &server);
     }
 
     fn examine_due_runs(self: &Rc<Self>) {
@@ -129,8 +133,12 @@
     fn settle_run(&self, run: &Rc<EndedRun>) {
         let now = self.clock.now();
         let cleared = self.state.borrow_mut().quarantine.settle_run(run, now);
-        let reason = ClearanceReason::WholeRun { request: &run.request, server: &run.server };
+        self.publish_clearances(cleared, &run.request, &run.server);
+    }
+
+    fn publish_clearances(&self, cleared: Vec<(FeatureHash, usize)>, request: &str, server: &str) {
         for (feature, crashes) in cleared {
+            let reason = ClearanceReason::WholeRun { request, server };
             self.publish_clearance(feature, crashes, reason);
         }
     }
