--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -33,19 +33,22 @@
 mod record;
 mod successful_features;
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
 pub use correlated_crashes::CorrelatedCrashes;
 pub use ended_runs::{EndedRun, RunExtent};
 pub use features::{FeatureHash, is_part, is_part_of, part_feature, part_id};
-use features::{FeatureKind, kind_of};
 pub use successful_features::SuccessfulFeatures;
 
 use super::hash::{hash_text, mix};
 use ended_runs::EndedRuns;
-use record::{Crash, MIN_CRASHES, PROBE_DELAYS, Record};
+use record::{Crash, Excuses, MIN_CRASHES, PROBE_DELAYS, Record};
 
 /// Identifies one observed crash.
 pub type CrashId = u64;
@@ -300,17 +303,36 @@
             .features
             .iter()
             .any(|feature| !self.is_exempt(*feature) && self.is_quarantined(*feature));
+        let has_culprit = in_flight.features.iter().any(|feature| {
+            !self.is_exempt(*feature)
+                && (self.is_quarantined(*feature)
+                    || !is_part(*feature) && self.has_crashed(*feature))
+        });
         let ended = self.ended_runs.drain(server, |run| in_flight.contests(run));
         let mut after_runs = Vec::new();
+        let mut crashed_after_runs = HashSet::new();
         for (number, run) in (1..).zip(ended) {
             if is_explained {
                 self.forget_unsettled(&run);
                 continue;
             }
-            for feature in run.whole_features() {
-                self.successes_mut(*feature).record_crash_after_run(*feature);
+            // What succeeded before is blamed only after too many crashes.
+            let is_settled = |feature: &FeatureHash| {
+                run.extent == RunExtent::Whole && self.successes(*feature).is_settled(*feature)
+            };
+            let (settled, suspected): (Vec<_>, Vec<_>) =
+                run.features.iter().copied().partition(is_settled);
+            let counted = if has_culprit { &[][..] } else { &settled[..] };
+            let unsettled = suspected.iter().filter(|_| run.extent == RunExtent::Whole);
+            for feature in counted.iter().chain(unsettled) {
+                if crashed_after_runs.insert(*feature) {
+                    self.successes_mut(*feature).record_crash_after_run(*feature);
+                }
+            }
+            if suspected.is_empty() {
+                continue;
             }
-            let causes = self.likely_causes(&run.features);
+            let causes = self.likely_causes(&suspected);
             let id = mix(id ^ number) | AFTER_RUN_MARK;
             let crashes = self.record_causes(&causes, &run.probed, (id, server), at, now);
             after_runs.push(CrashAfterRun { run, crashes });
@@ -374,9 +396,16 @@
         self.records.get(&feature).is_some_and(Record::is_quarantined)
     }
 
+    fn excuses_of(&self, feature: FeatureHash) -> Excuses {
+        match is_part(feature) || self.successes(feature).is_settled(feature) {
+            true => Excuses::Full,
+            false => Excuses::Limited,
+        }
+    }
+
     fn is_restricted(&self, feature: FeatureHash) -> bool {
         let record = self.records.get(&feature);
-        record.is_some_and(|record| record.is_restricted(kind_of(feature)))
+        record.is_some_and(|record| record.is_restricted(self.excuses_of(feature)))
     }
 
     /// The features of one request that a crash may be due to.
@@ -551,15 +580,16 @@
 
     /// Whether a request of which this feature is the only restricted one may run.
     pub fn status(&self, feature: FeatureHash, now: Duration) -> QuarantineStatus {
-        self.records
-            .get(&feature)
-            .map_or(QuarantineStatus::Unrestricted, |record| record.status(kind_of(feature), now))
+        self.records.get(&feature).map_or(QuarantineStatus::Unrestricted, |record| {
+            record.status(self.excuses_of(feature), now)
+        })
     }
 
     /// Whether a request with these features may run.
     pub fn check(&self, features: &[FeatureHash], now: Duration) -> QuarantineCheck {
-        let is_restricted =
-            |(feature, record): &(FeatureHash, &Record)| record.is_restricted(kind_of(*feature));
+        let is_restricted = |(feature, record): &(FeatureHash, &Record)| {
+            record.is_restricted(self.excuses_of(*feature))
+        };
         let suspected = features.iter().filter(|feature| !self.is_exempt(**feature));
         let records = suspected.filter_map(|feature| Some((*feature, self.records.get(feature)?)));
         let mut suspects: Vec<(FeatureHash, &Record)> = records
@@ -569,16 +599,16 @@
             suspects.clear();
         }
         suspects.sort_unstable_by_key(|(feature, record)| {
-            let probes = record.probe_count(kind_of(*feature));
+            let probes = record.probe_count(self.excuses_of(*feature));
             std::cmp::Reverse((probes, record.crash_count(), *feature))
         });
         let status = match &suspects[..] {
             [] => QuarantineStatus::Unrestricted,
-            [(feature, record)] => record.status(kind_of(*feature), now),
+            [(feature, record)] => record.status(self.excuses_of(*feature), now),
             several => {
                 let probes = several
                     .iter()
-                    .map(|(feature, record)| record.next_joint_probe_at(kind_of(*feature)));
+                    .map(|(feature, record)| record.next_joint_probe_at(self.excuses_of(*feature)));
                 let until = probes.max().unwrap_or_default();
                 match now < until {
                     true => QuarantineStatus::Quarantined { until },
@@ -594,20 +624,22 @@
     /// NB: an entry that is not the primary grants only a feature's first probe, since the primary
     /// may have granted others unseen.
     pub fn request_probe(&mut self, probe: ProbeRequest, now: Duration) -> ProbeDecision {
+        let excuses = self.excuses_of(probe.feature);
         let Some(record) = self.records.get_mut(&probe.feature) else {
             return ProbeDecision::Granted;
         };
-        let kind = kind_of(probe.feature);
-        match record.status(kind, now) {
+        match record.status(excuses, now) {
             QuarantineStatus::Unrestricted => ProbeDecision::Granted,
             QuarantineStatus::ProbeInProgress => ProbeDecision::InProgress,
             QuarantineStatus::Quarantined { until } => ProbeDecision::Refused { until },
             QuarantineStatus::ProbeAllowed
-                if probe.is_joint && now < record.next_joint_probe_at(kind) =>
+                if probe.is_joint && now < record.next_joint_probe_at(excuses) =>
             {
-                ProbeDecision::Refused { until: record.next_joint_probe_at(kind) }
+                ProbeDecision::Refused { until: record.next_joint_probe_at(excuses) }
             }
-            QuarantineStatus::ProbeAllowed if probe.is_primary || record.probe_count(kind) == 0 => {
+            QuarantineStatus::ProbeAllowed
+                if probe.is_primary || record.probe_count(excuses) == 0 =>
+            {
                 record.probed_until = Some(now + probe.lease);
                 record.unresolved_probes += 1;
                 record.last_unresolved_at = Some(now);
@@ -636,7 +668,7 @@
     /// most relevant features first.
     pub fn quarantined_crashes(&self, now: Duration) -> Vec<(ServerCrash, Duration)> {
         let is_restricted =
-            |feature: FeatureHash, record: &Record| record.is_restricted(kind_of(feature));
+            |feature: FeatureHash, record: &Record| record.is_restricted(self.excuses_of(feature));
         self.crashes_by_relevance(is_restricted, now).collect()
     }
 
--- a/crates/decide/src/direct/quarantine/features.rs
+++ b/crates/decide/src/direct/quarantine/features.rs
@@ -17,20 +17,6 @@
     PART_MARK | u128::from(hash_text(service) as u32) << SERVICE_SHIFT | u128::from(part)
 }
 
-/// Kind of a feature.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FeatureKind {
-    /// The whole content of a request.
-    Content,
-    /// A part of prompts.
-    Part,
-}
-
-/// The kind of a feature.
-pub fn kind_of(feature: FeatureHash) -> FeatureKind {
-    if is_part(feature) { FeatureKind::Part } else { FeatureKind::Content }
-}
-
 /// Whether a feature is a prompt part.
 pub fn is_part(feature: FeatureHash) -> bool {
     feature & PART_MARK == PART_MARK
--- a/crates/decide/src/direct/quarantine/record.rs
+++ b/crates/decide/src/direct/quarantine/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{CrashId, FeatureKind, QuarantineStatus, ServerCrash};
+use super::{CrashId, QuarantineStatus, ServerCrash};
 
 /// Number of crashes from which a request counts as their cause. A request whose server crashes by
 /// chance is retried elsewhere, and rarely meets three crashes.
@@ -24,9 +24,9 @@
 /// Maximum number of a feature's crashes that are excused as correlated. More than that in an hour
 /// is not chance.
 const MAX_EXCUSED_CRASHES: usize = 3;
-/// Maximum number of a content's probes that are excused, so that one whose probes all met common
-/// losses runs soon after the third, and no more than four times.
-const MAX_EXCUSED_PROBES_OF_CONTENTS: usize = 1;
+/// Maximum number of probes that are excused in a limited way, so that a content whose probes all met
+/// common losses runs soon after the third, and no more than four times.
+const MAX_LIMITED_EXCUSES: usize = 1;
 /// Maximum number of crashes kept for one content; more would change nothing.
 const MAX_CRASHES: usize = 8;
 /// Time after the latest crash for which a record is kept. A caller may keep a request for long
@@ -35,6 +35,17 @@
 /// Time for which a cleared record is kept, so that late reports of its crashes are ignored.
 const CLEARED_RETENTION: Duration = Duration::from_secs(60);
 
+/// What the excuse of a correlated crash is worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Excuses {
+    /// The crash does not count: of a part, since all requests with it would wait for one another,
+    /// or of a content that succeeded before.
+    Full,
+    /// The crash delays probes less: of a content without any success, since contents that crash
+    /// servers at the same moment excuse one another.
+    Limited,
+}
+
 /// A recorded crash.
 #[derive(Debug, Clone, Copy)]
 pub struct Crash {
@@ -119,23 +130,19 @@
     }
 
     /// Whether requests with the feature may only run as probes.
-    ///
-    /// NB: excused crashes of a content count here, since contents that crash servers at the same
-    /// moment excuse one another. A part is not restricted by them: all requests with it would have
-    /// to wait for one another.
-    pub fn is_restricted(&self, kind: FeatureKind) -> bool {
-        self.is_quarantined() || kind == FeatureKind::Content && self.crashes.len() >= MIN_CRASHES
+    pub fn is_restricted(&self, excuses: Excuses) -> bool {
+        self.is_quarantined() || excuses == Excuses::Limited && self.crashes.len() >= MIN_CRASHES
     }
 
     /// Whether a request of which this feature is the only restricted one may run.
-    pub fn status(&self, kind: FeatureKind, now: Duration) -> QuarantineStatus {
-        if !self.is_restricted(kind) {
+    pub fn status(&self, excuses: Excuses, now: Duration) -> QuarantineStatus {
+        if !self.is_restricted(excuses) {
             return QuarantineStatus::Unrestricted;
         }
         if self.probed_until.is_some_and(|until| now < until) {
             return QuarantineStatus::ProbeInProgress;
         }
-        let until = self.next_probe_at(kind);
+        let until = self.next_probe_at(excuses);
         if now < until {
             QuarantineStatus::Quarantined { until }
         } else {
@@ -146,23 +153,23 @@
     /// When a request of which this feature is the only restricted one may run as a probe.
     ///
     /// NB: the crash of a joint probe does not delay it, since another feature may be the cause.
-    fn next_probe_at(&self, kind: FeatureKind) -> Duration {
+    fn next_probe_at(&self, excuses: Excuses) -> Duration {
         let latest_sole = self.crashes.iter().filter(|crash| !crash.is_joint);
         let latest = latest_sole.max_by_key(|crash| crash.at).or(self.latest_crash());
-        self.delayed(latest, self.probe_count(kind), kind)
+        self.delayed(latest, self.probe_count(excuses), excuses)
     }
 
     /// When a request with several restricted features, this being one, may run as a probe.
-    pub fn next_joint_probe_at(&self, kind: FeatureKind) -> Duration {
-        self.delayed(self.latest_crash(), self.probe_count(kind) + 1, kind)
+    pub fn next_joint_probe_at(&self, excuses: Excuses) -> Duration {
+        self.delayed(self.latest_crash(), self.probe_count(excuses) + 1, excuses)
     }
 
-    fn delayed(&self, latest: Option<&Crash>, step: usize, kind: FeatureKind) -> Duration {
+    fn delayed(&self, latest: Option<&Crash>, step: usize, excuses: Excuses) -> Duration {
         let last_step = PROBE_DELAYS.len() - 1;
         let is_excused = latest.is_some_and(|crash| crash.in_common_loss);
-        let delay = match (kind, step) {
-            (FeatureKind::Content, 0) if !self.is_quarantined() => Duration::ZERO,
-            (FeatureKind::Content, step) if is_excused && (1..last_step).contains(&step) => {
+        let delay = match (excuses, step) {
+            (Excuses::Limited, 0) if !self.is_quarantined() => Duration::ZERO,
+            (Excuses::Limited, step) if is_excused && (1..last_step).contains(&step) => {
                 PROBE_DELAYS[step - 1]
             }
             (_, step) => PROBE_DELAYS[step.min(last_step)],
@@ -176,20 +183,19 @@
     }
 
     /// Number of probes under which a server crashed or may have crashed, without the excused ones.
-    /// Those of a content are excused only if all are, since contents that crash servers at the
-    /// same moment excuse one another.
+    /// With limited excuses, they are excused only if all are.
     ///
     /// NB: not all crashes beyond the first few. A request that arrives on many connections at once
     /// may crash as many servers before any entry receives a report.
-    pub fn probe_count(&self, kind: FeatureKind) -> usize {
+    pub fn probe_count(&self, excuses: Excuses) -> usize {
         let probes = self.crashes.iter().filter(|crash| crash.on_probe);
         let (count, excused) = probes.fold((0, 0), |(count, excused), crash| {
             (count + 1, excused + usize::from(crash.in_common_loss))
         });
-        let excused = match kind {
-            FeatureKind::Content if excused < count => 0,
-            FeatureKind::Content => excused.min(MAX_EXCUSED_PROBES_OF_CONTENTS),
-            FeatureKind::Part => excused.min(MAX_EXCUSED_CRASHES),
+        let excused = match excuses {
+            Excuses::Limited if excused < count => 0,
+            Excuses::Limited => excused.min(MAX_LIMITED_EXCUSES),
+            Excuses::Full => excused.min(MAX_EXCUSED_CRASHES),
         };
         count - excused + self.unresolved_probes
     }
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -178,6 +178,18 @@
     assert_eq!(quarantine.status(CONTENT, s(5.5)), QuarantineStatus::Quarantined { until });
 }
 
+#[test]
+fn correlated_crashes_of_a_content_that_succeeded_before_do_not_restrict_it() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(CONTENT, s(-9.0));
+    lose_in_common(&mut quarantine, 0..5);
+    for _ in 0..9 {
+        let lost = ServerCrash { in_common_loss: true, ..crash(CONTENT, 1) };
+        quarantine.record_reported_crash(&[lost], s(0.0), s(0.0));
+    }
+    assert_eq!(quarantine.status(CONTENT, s(5.0)), QuarantineStatus::Unrestricted);
+}
+
 /// Pauses in seconds after probes of a content that was lost in common before, each of which is
 /// excused or not.
 fn pauses_after_probes(excused: &[bool]) -> Vec<u64> {
