--- a/crates/decide/benches/quarantine.rs
+++ b/crates/decide/benches/quarantine.rs
@@ -60,7 +60,7 @@
     group.finish();
 }
 
-/// Records an ended run of a request, and settles the runs that are due.
+/// Records an ended run of a request, and settles the runs that are due each tenth of a second.
 fn record_success(quarantine: &mut Quarantine, features: &[FeatureHash], request: u64) {
     let now = NOW + Duration::from_millis(10 * (request - REQUESTS));
     if !quarantine.knows_success_of(features) {
@@ -80,8 +80,10 @@
         };
         quarantine.record_ended_run(run, now);
     }
-    for run in quarantine.take_due_runs(now) {
-        quarantine.settle_run(&run, now);
+    if request.is_multiple_of(10) {
+        for run in quarantine.take_due_runs(now) {
+            quarantine.settle_run(&run, now);
+        }
     }
 }
 
--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -143,6 +143,15 @@
     }
 }
 
+/// What explains a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Culprit {
+    /// A quarantined feature.
+    Quarantined,
+    /// A content with an earlier crash and no success.
+    RepeatedContent,
+}
+
 /// A crash of a server shortly after the end of a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashAfterRun {
@@ -299,33 +308,23 @@
         at: Duration,
         now: Duration,
     ) -> Vec<CrashAfterRun> {
-        let is_explained = in_flight
-            .features
-            .iter()
-            .any(|feature| !self.is_exempt(*feature) && self.is_quarantined(*feature));
-        let has_culprit = in_flight.features.iter().any(|feature| {
-            !self.is_exempt(*feature)
-                && (self.is_quarantined(*feature)
-                    || !is_part(*feature) && self.has_crashed(*feature))
-        });
+        let culprit = self.find_culprit(in_flight.features);
         let ended = self.ended_runs.drain(server, |run| in_flight.contests(run));
         let mut after_runs = Vec::new();
         let mut crashed_after_runs = HashSet::new();
         for (number, run) in (1..).zip(ended) {
-            if is_explained {
+            if culprit == Some(Culprit::Quarantined) {
                 self.forget_unsettled(&run);
                 continue;
             }
             // What succeeded before is blamed only after too many crashes.
-            let is_settled = |feature: &FeatureHash| {
-                run.extent == RunExtent::Whole && self.successes(*feature).is_settled(*feature)
-            };
             let (settled, suspected): (Vec<_>, Vec<_>) =
-                run.features.iter().copied().partition(is_settled);
-            let counted = if has_culprit { &[][..] } else { &settled[..] };
-            let unsettled = suspected.iter().filter(|_| run.extent == RunExtent::Whole);
-            for feature in counted.iter().chain(unsettled) {
-                if crashed_after_runs.insert(*feature) {
+                run.features.iter().copied().partition(|feature| {
+                    run.extent == RunExtent::Whole && self.successes(*feature).is_settled(*feature)
+                });
+            for feature in run.whole_features() {
+                let is_excused = culprit.is_some() && settled.contains(feature);
+                if !is_excused && crashed_after_runs.insert(*feature) {
                     self.successes_mut(*feature).record_crash_after_run(*feature);
                 }
             }
@@ -340,6 +339,17 @@
         after_runs
     }
 
+    /// What explains a crash among the features of a request that was in flight.
+    fn find_culprit(&self, features: &[FeatureHash]) -> Option<Culprit> {
+        let suspected: Vec<FeatureHash> =
+            features.iter().copied().filter(|feature| !self.is_exempt(*feature)).collect();
+        if suspected.iter().any(|feature| self.is_quarantined(*feature)) {
+            return Some(Culprit::Quarantined);
+        }
+        let is_repeated = |feature: &FeatureHash| !is_part(*feature) && self.has_crashed(*feature);
+        suspected.iter().any(is_repeated).then_some(Culprit::RepeatedContent)
+    }
+
     fn record_causes(
         &mut self,
         causes: &[FeatureHash],
@@ -530,7 +540,7 @@
     pub fn settle_contested_runs(&mut self, now: Duration) -> Vec<(Rc<EndedRun>, usize)> {
         let mut settled = Vec::new();
         for run in self.ended_runs.take_contested(now) {
-            let content = run.features[0];
+            let content = run.content();
             let is_valid = self.successes(content).is_exempt(content);
             self.forget_unsettled(&run);
             if is_valid {
@@ -541,9 +551,9 @@
         settled
     }
 
-    /// Records that it is not known whether the server of a run has kept running.
+    /// Records that it is not known, or doesn't matter, whether the server of a run has kept running.
     pub fn forget_run(&mut self, run: &Rc<EndedRun>) {
-        if self.ended_runs.remove(run) {
+        if run.extent == RunExtent::Whole && self.ended_runs.remove(run) {
             self.forget_unsettled(run);
         }
     }
--- a/crates/decide/src/direct/quarantine/ended_runs.rs
+++ b/crates/decide/src/direct/quarantine/ended_runs.rs
@@ -67,6 +67,11 @@
 }
 
 impl EndedRun {
+    /// The content of the request, which is the first of its features.
+    pub fn content(&self) -> FeatureHash {
+        self.features.first().copied().unwrap_or_default()
+    }
+
     /// The features that the run proves harmless if its server keeps running.
     pub fn whole_features(&self) -> &[FeatureHash] {
         match self.extent {
--- a/crates/decide/tests/ended_runs.rs
+++ b/crates/decide/tests/ended_runs.rs
@@ -125,6 +125,19 @@
     assert!(!quarantine.is_exempt(CONTENT));
 }
 
+#[test]
+fn runs_are_not_kept_for_longer_than_they_matter() {
+    let mut quarantine = after_run(RunExtent::Partial);
+    quarantine.record_ended_run(run(RunExtent::Whole), ms(0));
+    for run in quarantine.take_due_runs(ms(500)) {
+        quarantine.forget_run(&run);
+    }
+    assert!(quarantine.take_due_runs(ms(1_000)).is_empty());
+    let after_runs =
+        quarantine.observe_crash_after_runs(SERVER, InFlight::NOTHING, 1, ms(1_000), ms(1_000));
+    assert!(after_runs.is_empty());
+}
+
 #[test]
 fn run_of_unknown_outcome_proves_nothing() {
     let mut quarantine = after_run(RunExtent::Whole);
--- a/crates/direct/src/quarantine/crashes.rs
+++ b/crates/direct/src/quarantine/crashes.rs
@@ -129,13 +129,17 @@
     }
 
     /// Records that a server was found to have crashed after runs of this entry had ended there.
-    pub(super) fn record_unnoticed_crash(&self, server_hash: u64) {
+    /// Returns whether any of these may be the cause.
+    pub(super) fn record_unnoticed_crash(&self, server_hash: u64) -> bool {
         let now = self.clock.now();
-        for after_run in self.observe_crash_after_runs(server_hash, InFlight::NOTHING, now) {
+        let after_runs = self.observe_crash_after_runs(server_hash, InFlight::NOTHING, now);
+        let is_new = !after_runs.is_empty();
+        for after_run in after_runs {
             let CrashAfterRun { run, .. } = &after_run;
             let evidence = VersionEvidence { version: run.version.clone(), kind: run.kind.clone() };
             self.collect_crash_after_run(after_run, now, Some(evidence));
         }
+        is_new
     }
 
     /// Records that a server crashed at `at`, as another entry reports, shortly after runs of this
--- a/crates/direct/src/quarantine/ended_runs.rs
+++ b/crates/direct/src/quarantine/ended_runs.rs
@@ -78,7 +78,7 @@
         for (run, crashes) in contested {
             let reason =
                 ClearanceReason::ContestedRun { request: &run.request, server: &run.server };
-            self.publish_clearance(run.features[0], crashes, reason);
+            self.publish_clearance(run.content(), crashes, reason);
         }
         if due.is_empty() {
             return;
@@ -107,27 +107,35 @@
     async fn examine_runs(&self, runs: &[Rc<EndedRun>]) {
         let is_known =
             |run: &Rc<EndedRun>| self.state.borrow().quarantine.knows_success_of(&run.features);
-        let Some(first) = runs.first().filter(|_| !runs.iter().all(is_known)) else { return };
+        let Some(first) = runs.first() else { return };
+        if runs.iter().all(is_known) {
+            return self.forget_runs(runs);
+        }
         match check_listener(&self.connect, first.address).await {
             ListenerState::Accepts => runs.iter().for_each(|run| self.settle_run(run)),
-            ListenerState::Refuses if !first.may_be_leaving => self.report_unnoticed_crash(first),
-            ListenerState::Refuses | ListenerState::Unknown => {
-                let mut state = self.state.borrow_mut();
-                runs.iter().for_each(|run| state.quarantine.forget_run(run));
+            ListenerState::Refuses if !runs.iter().any(|run| run.may_be_leaving) => {
+                if self.record_unnoticed_crash(first.server_hash) {
+                    self.log_unnoticed_crash(first);
+                }
             }
+            ListenerState::Refuses | ListenerState::Unknown => self.forget_runs(runs),
         }
     }
 
-    fn report_unnoticed_crash(&self, run: &EndedRun) {
+    fn forget_runs(&self, runs: &[Rc<EndedRun>]) {
+        let mut state = self.state.borrow_mut();
+        runs.iter().for_each(|run| state.quarantine.forget_run(run));
+    }
+
+    fn log_unnoticed_crash(&self, run: &EndedRun) {
         self.metrics.count(Counter::CrashesAfterRuns);
         let event = QuarantineEvent::ServerCrashedAfterRun {
             request: &run.request,
             server: &run.server,
-            content: &content_text(run.features[0]),
+            content: &content_text(run.content()),
             prompt_parts: &parts_text(&run.features),
         };
         self.event_log.record(LogPriority::Failure, &event);
-        self.record_unnoticed_crash(run.server_hash);
     }
 
     fn settle_run(&self, run: &Rc<EndedRun>) {
