--- a/crates/decide/src/direct/quarantine.rs
+++ b/crates/decide/src/direct/quarantine.rs
@@ -385,7 +385,7 @@
         let mut counted = Vec::new();
         for crash in crashes {
             if is_after_run(crash.id) {
-                self.successes_mut(crash.feature).record_crash_after_run(crash.feature);
+                self.successes_mut(crash.feature).revoke_unsettled(crash.feature);
             }
             // What succeeded here is recorded all the same: its reporter does not know of it.
             let is_likely = causes.contains(&crash.feature);
--- a/crates/decide/src/direct/quarantine/successful_features.rs
+++ b/crates/decide/src/direct/quarantine/successful_features.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// Records that another entry reports such a crash. What has settled is left to the crashes
+    /// that this entry observes, since one crash is reported for each run.
+    pub fn revoke_unsettled(&mut self, feature: FeatureHash) {
+        if let Some(success) = self.get_mut(feature).filter(|success| !success.is_settled()) {
+            success.evidence = Evidence::Revoked;
+        }
+    }
+
     fn insert(&mut self, feature: FeatureHash, success: Success, now: Duration) {
         if self.newer.len() >= MAX_SUCCESSFUL_FEATURES || now >= self.rotated_at + SUCCESS_RETENTION
         {
--- a/crates/decide/tests/ended_runs.rs
+++ b/crates/decide/tests/ended_runs.rs
@@ -201,3 +201,18 @@
     assert!(quarantine.settle_contested_runs(ms(750)).is_empty());
     assert!(!quarantine.is_exempt(CONTENT));
 }
+
+#[test]
+fn reported_crashes_after_runs_do_not_revoke_what_has_settled() {
+    let mut quarantine = after_run(RunExtent::Whole);
+    settle(&mut quarantine, 500);
+    let mut other = Quarantine::default();
+    for _ in 0..12 {
+        other.record_ended_run(run(RunExtent::Whole), ms(0));
+    }
+    for after_run in other.observe_crash_after_runs(SERVER, InFlight::NOTHING, 1, ms(9), ms(9)) {
+        quarantine.record_reported_crash(&after_run.crashes, ms(600), ms(600));
+    }
+    let cleared = quarantine.record_ended_run(run(RunExtent::Whole), ms(700));
+    assert_eq!(cleared.len(), 2, "a success at once");
+}
