--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -23,6 +23,7 @@
     metrics::Metrics,
     permits::PermitState,
     quarantine::{ObservedCrashes, PendingClearances, ReleasedProbes},
+    resident::resident_bytes,
     state::State,
     upstream::Connect,
     usage::Usage,
@@ -243,6 +244,9 @@
             ("news_remembered", self.gossip.borrow().all(self.clock.now()).count() as u64),
         ];
         drop(state);
+        if let Some(bytes) = resident_bytes() {
+            gauges.push(("resident_bytes", bytes));
+        }
         if let Some(age) = self.state_age() {
             gauges.push(("state_age_ms", age.as_millis() as u64));
         }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -22,6 +22,8 @@
     follow::follow,
     http::{self, Gate},
     membership,
+    metrics::Counter,
+    panics::{self, PanicRecord},
     port::Port,
     quarantine,
     upstream::Connect,
@@ -67,6 +69,24 @@
     core.event_log.record(LogPriority::State, &event);
 }
 
+/// A task ended by a panic.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum PanicEvent<'a> {
+    Panicked { place: &'a str, message: &'a str },
+}
+
+/// Counts and logs the panics since the last call.
+fn log_panics(core: &Core) {
+    let recorded = panics::take_recorded();
+    if recorded.count > 0 {
+        core.metrics.count_many(Counter::Panics, recorded.count);
+    }
+    for PanicRecord { place, message } in &recorded.panics {
+        core.event_log.record(LogPriority::State, &PanicEvent::Panicked { place, message });
+    }
+}
+
 /// Phase of a graceful shutdown, as logged.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -95,6 +115,7 @@
         event_log: EventLog,
         seed: u64,
     ) -> Self {
+        panics::install_hook();
         let clock = Clock::start();
         let core = Rc::new(Core::new(settings, dialect, clock, connect, event_log, seed));
         let coordinator = Rc::new(Coordinator::new(Rc::clone(&core), port.clone()));
@@ -127,6 +148,7 @@
             loop {
                 sleep(FLUSH_INTERVAL).await;
                 log_suspension(&core, &mut suspended);
+                log_panics(&core);
                 core.event_log.flush();
             }
         });
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -78,6 +78,8 @@
     Resumes,
     /// Slow streams moved to another backend server.
     StreamsMoved,
+    /// Panics, each of which ended a task.
+    Panics,
     /// Failed calls to the store.
     StoreFailures,
     /// Requests of other entries answered with a state.
@@ -131,6 +133,7 @@
             Counter::LargerModelsWithheld => "larger_models_withheld",
             Counter::Resumes => "resumes_total",
             Counter::StreamsMoved => "streams_moved_total",
+            Counter::Panics => "panics_total",
             Counter::StoreFailures => "store_failures_total",
             Counter::QuestionsAnswered => "questions_answered_total",
             Counter::UsageReports => "usage_reports_total",
