--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -13,6 +13,7 @@
     time::Duration,
 };
 
+use crate::floods::Flood;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex},
     select,
@@ -70,6 +71,8 @@
         /// Number of the event in whose middle the connection is closed, if any.
         cut_in: Option<u32>,
     },
+    /// Responds without an end, and offers this many bytes of it.
+    Flood(Flood, usize),
     /// Rejects the request with this status, without running it.
     NotRun(u16),
     /// Runs the request and closes the connection without a response.
@@ -454,6 +457,15 @@
             );
             io.write_all(head.as_bytes()).await
         }
+        Behaviour::Flood(flood, offered_bytes) => {
+            let id = request_id(header_names, request);
+            let lines = format!(
+                "{}: {id}\r\n{}: proof\r\n{extra_headers}",
+                header_names.request_id, header_names.signature,
+            );
+            flood.write(&lines, *offered_bytes, reply.streamed_bytes, io).await?;
+            wait_for_close(io).await
+        }
         Behaviour::Stream { last, gap, confidence, cut_in } => {
             let events = Events { last: *last, gap: *gap, cut_in: *cut_in, is_chunked: true };
             write_stream(reply, events, *confidence, io).await
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backends;
 pub mod engine;
+pub mod floods;
 pub mod instances;
 pub mod kv;
 mod listen;
