--- a/crates/config/src/direct.rs
+++ b/crates/config/src/direct.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     error::{ConfigError, Problem},
+    inbound::InboundSettings,
     membership::MembershipSettings,
     raw::RawFile,
     shared::{ADDRESS, StoreSettings},
@@ -76,6 +77,8 @@
     pub grace: Duration,
     /// Time for which a session lasts after its last request.
     pub session_ttl: Duration,
+    /// Bounds on what is read from outside.
+    pub inbound: InboundSettings,
     /// Limit on log lines per second.
     pub log_lines_per_s: u32,
 }
@@ -203,6 +206,7 @@
     let membership = MembershipSettings::read(file, state_bound);
     check_evacuation(file, &membership);
     let store = StoreSettings::read(file);
+    let inbound = InboundSettings::read(file);
     Some(DirectSettings {
         name: name?,
         data_centre: data_centre?,
@@ -223,6 +227,7 @@
         usage,
         grace,
         session_ttl,
+        inbound,
         log_lines_per_s,
     })
 }
