--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -4,11 +4,14 @@
     cell::{Cell, RefCell},
     fmt::Write,
     net::SocketAddr,
+    rc::Rc,
     time::Duration,
 };
 
+use hyper::http::response::Parts;
 use pondwalk_config::DirectSettings;
 use pondwalk_decide::direct::Fleet;
+use pondwalk_inbound::{BufferPool, MessageLimits, Pacer};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::sync::Notify;
 
@@ -25,10 +28,14 @@
     quarantine::{ObservedCrashes, PendingClearances, ReleasedProbes},
     resident::resident_bytes,
     state::State,
-    upstream::Connect,
+    upstream::{self, Connect, Exchange, StreamBody},
     usage::Usage,
 };
 
+/// Rate at which long messages are read, all together: half of what a link of
+/// 1 Gbit/s carries.
+const LONG_MESSAGES_BYTES_PER_S: u32 = 64 * 1024 * 1024;
+
 /// Phase of a graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ShutdownPhase {
@@ -53,6 +60,14 @@
     pub clock: Clock,
     /// Opens connections to backend servers.
     pub connect: Connect,
+    /// Memory for requests and answers.
+    pub traffic_buffers: BufferPool,
+    /// Memory for messages of the store and of other entries.
+    pub control_buffers: BufferPool,
+    /// Limits of backend servers' responses.
+    pub response_limits: MessageLimits,
+    /// Limits the rate at which long messages are read, all together.
+    pub pacer: Rc<Pacer>,
     /// Event log.
     pub event_log: EventLog,
     /// Counters and histograms.
@@ -103,18 +118,27 @@
         dialect: Dialect,
         clock: Clock,
         connect: Connect,
+        control_buffers: BufferPool,
         event_log: EventLog,
         seed: u64,
     ) -> Self {
         let state = State::new(&settings, seed);
         let members = Members::new(&settings);
         let incarnation = SmallRng::seed_from_u64(seed).random();
+        let inbound = settings.inbound;
+        let pacer = Rc::new(Pacer::new(LONG_MESSAGES_BYTES_PER_S));
+        let response_limits =
+            upstream::response_limits(inbound.max_answer_bytes, inbound.kept_answer_bytes, &pacer);
         let usage = settings.usage.map(|usage| Usage::new(&settings.name, incarnation, usage));
         Core {
             settings,
             dialect,
             clock,
             connect,
+            traffic_buffers: BufferPool::new(inbound.traffic_bytes),
+            control_buffers,
+            response_limits,
+            pacer,
             event_log,
             metrics: Metrics::default(),
             shutdown: Cell::new(ShutdownPhase::Running),
@@ -227,6 +251,7 @@
         let (draining, backing_off) =
             notices.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let (contents_held, parts_held) = state.quarantine.count_quarantined();
+        let buffered_bytes = self.traffic_buffers.used_bytes() + self.control_buffers.used_bytes();
         let mut gauges = vec![
             ("servers_told_leaving", draining as u64),
             ("servers_backing_off", backing_off as u64),
@@ -241,6 +266,7 @@
             ("entries_listed", self.members.count() as u64),
             ("asks_store", u64::from(queries_store)),
             ("store_era", state.replica.position().era),
+            ("buffered_bytes", buffered_bytes as u64),
             ("news_remembered", self.gossip.borrow().all(self.clock.now()).count() as u64),
         ];
         drop(state);
@@ -260,6 +286,18 @@
         text
     }
 
+    /// Limits of the messages on callers' connections. Heads and bodies have limits in the
+    /// configuration; what is neither counts here.
+    pub fn request_limits(&self) -> MessageLimits {
+        MessageLimits { head_bytes: u64::MAX, message_bytes: u64::MAX, pace: None }
+    }
+
+    /// Splits the exchange into the response's head and body, whose long part is read at a limited
+    /// rate.
+    pub fn split_response(&self, exchange: Exchange) -> (Parts, StreamBody) {
+        StreamBody::split(exchange, self.settings.inbound.kept_answer_bytes, &self.pacer)
+    }
+
     /// Whether the entry accepts callers.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -117,7 +117,15 @@
     ) -> Self {
         panics::install_hook();
         let clock = Clock::start();
-        let core = Rc::new(Core::new(settings, dialect, clock, connect, event_log, seed));
+        let core = Rc::new(Core::new(
+            settings,
+            dialect,
+            clock,
+            connect,
+            port.buffers.clone(),
+            event_log,
+            seed,
+        ));
         let coordinator = Rc::new(Coordinator::new(Rc::clone(&core), port.clone()));
         Entry { core, coordinator, gate: Rc::default(), port }
     }
--- a/crates/direct/src/follow/calls.rs
+++ b/crates/direct/src/follow/calls.rs
@@ -20,6 +20,17 @@
 /// its first byte, since the next page takes as long. TCP retransmits a lost packet after about 0.2
 /// s, then 0.4 s.
 const RECEIVING_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time since the first byte for which a reply counts as being received, in addition to several
+/// times the time to its first byte. A reply that never ends must not keep other calls away; the
+/// largest replies take half of this on the narrowest links.
+const MAX_RECEIVING_TIME: Duration = Duration::from_secs(4);
+/// Number of pages, each of which may take as long as the first byte.
+const MAX_LATE_PAGES: u32 = 16;
+/// Rate below which a reply counts as stalled once it has taken longer than a silent one may, in
+/// bytes per second.
+const MIN_BYTES_PER_S: f64 = 1_024.0;
+/// Maximum number of calls in flight; the oldest is dropped for another one.
+const MAX_CALLS: usize = 32;
 
 /// Parameters of a call.
 #[derive(Debug, Clone, Copy)]
@@ -69,6 +80,10 @@
 impl<T: 'static> PendingCalls<T> {
     /// Starts another call.
     pub fn start(&mut self, params: CallParams, call: PortCall<T>) {
+        if self.calls.len() >= MAX_CALLS {
+            let oldest = self.calls.remove(0);
+            oldest.task.abort();
+        }
         let progress = call.progress();
         let progressed = Rc::clone(&self.progressed);
         let task = self.tasks.spawn_local(async move {
@@ -152,11 +167,21 @@
         else {
             return false;
         };
-        let limit = RECEIVING_TIMEOUT + (first - self.started);
-        self.progress.bytes() > 0 && !self.task.is_finished() && last.elapsed() < limit
+        let first_byte_time = first - self.started;
+        self.progress.bytes() > 0
+            && !self.task.is_finished()
+            && last.elapsed() < RECEIVING_TIMEOUT + first_byte_time
+            && first.elapsed() < MAX_RECEIVING_TIME + first_byte_time * MAX_LATE_PAGES
     }
 }
 
+/// Whether a reply has taken longer than `limit` since its first byte, at a low rate.
+fn is_too_slow(progress: &ReadProgress, limit: Duration) -> bool {
+    let Some(first_byte_at) = progress.first_byte_at() else { return false };
+    let elapsed = first_byte_at.elapsed();
+    elapsed > limit && (progress.bytes() as f64) < elapsed.as_secs_f64() * MIN_BYTES_PER_S
+}
+
 /// Waits for a reply as long as it makes progress, with no gap longer than `limit`.
 async fn await_with_progress<T>(
     call: PortCall<T>,
@@ -171,6 +196,9 @@
             biased;
             reply = &mut call => return reply,
             () = progress.changed() => {
+                if is_too_slow(&progress, limit) {
+                    return Err(StoreError::ResponseStalled(progress.bytes()));
+                }
                 end = Instant::now() + limit;
                 progressed.notify_one();
             }
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -8,6 +8,7 @@
 mod head_wait;
 mod in_flight;
 mod listen;
+mod long_answer;
 mod placement_wait;
 mod refusals;
 mod relay;
--- a/crates/direct/src/http/body_channel.rs
+++ b/crates/direct/src/http/body_channel.rs
@@ -1,12 +1,13 @@
-//! Channel for a response stream whose caller reads more slowly than its server sends.
+//! Channel for a response whose caller reads more slowly than its server sends.
 //!
 //! The buffered bytes are bounded per caller. Within the bound the server can send all that it has
 //! produced and need not cut an unread response; beyond it the server is blocked, so that many slow
 //! callers do not exhaust this process's memory.
 
-use std::sync::Arc;
+use std::{cell::Cell, sync::Arc};
 
 use bytes::Bytes;
+use pondwalk_inbound::{BufferPool, Reservation};
 use tokio::sync::{
     OwnedSemaphorePermit, Semaphore,
     mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
@@ -22,14 +23,16 @@
 pub struct BufferedChunk {
     chunk: Result<Bytes, Truncated>,
     /// Released when the chunk is received.
-    _capacity: Option<OwnedSemaphorePermit>,
+    _capacity: Option<(OwnedSemaphorePermit, Reservation)>,
 }
 
-/// Sends chunks to a caller.
+/// Sends chunks to a caller. A response that was not finished when this is dropped is truncated.
 #[derive(Debug)]
 pub struct ChunkSender {
     sender: UnboundedSender<BufferedChunk>,
     capacity: Arc<Semaphore>,
+    pool: BufferPool,
+    is_finished: Cell<bool>,
 }
 
 /// Receives chunks as the caller reads.
@@ -38,11 +41,12 @@
     receiver: UnboundedReceiver<BufferedChunk>,
 }
 
-/// Creates a channel for one caller.
-pub fn chunk_channel() -> (ChunkSender, ChunkReceiver) {
+/// Creates a channel for one caller, which buffers within `pool`.
+pub fn chunk_channel(pool: &BufferPool) -> (ChunkSender, ChunkReceiver) {
     let (sender, receiver) = unbounded_channel();
     let capacity = Arc::new(Semaphore::new(MAX_BUFFERED_BYTES));
-    (ChunkSender { sender, capacity }, ChunkReceiver { receiver })
+    let (pool, is_finished) = (pool.clone(), Cell::new(false));
+    (ChunkSender { sender, capacity, pool, is_finished }, ChunkReceiver { receiver })
 }
 
 /// The caller disconnected.
@@ -52,22 +56,28 @@
 impl ChunkSender {
     /// Sends a chunk, waiting for capacity.
     pub async fn send(&self, chunk: Bytes) -> Result<(), CallerDisconnected> {
-        // A chunk larger than the whole capacity waits until the buffer is empty.
-        let bytes = u32::try_from(chunk.len().min(MAX_BUFFERED_BYTES)).unwrap_or(u32::MAX);
+        let mut reservation = self.pool.reservation();
+        // A chunk larger than the whole capacity, or without memory left in the pool, waits until
+        // the buffer is empty.
+        let bytes = match reservation.try_resize(chunk.len()) {
+            true => chunk.len().min(MAX_BUFFERED_BYTES),
+            false => MAX_BUFFERED_BYTES,
+        };
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
         let capacity = tokio::select! {
             biased;
             () = self.sender.closed() => return Err(CallerDisconnected),
             capacity = Arc::clone(&self.capacity).acquire_many_owned(bytes) => capacity.ok(),
         };
+        let capacity = capacity.map(|capacity| (capacity, reservation));
         self.sender
             .send(BufferedChunk { chunk: Ok(chunk), _capacity: capacity })
             .map_err(|_| CallerDisconnected)
     }
 
-    /// Ends the response so that it does not look complete.
-    pub fn cut(&self) {
-        // A caller that has disconnected needs no signal.
-        let _ = self.sender.send(BufferedChunk { chunk: Err(Truncated), _capacity: None });
+    /// Ends the response, which is complete.
+    pub fn finish(&self) {
+        self.is_finished.set(true);
     }
 
     /// Waits until the caller disconnects.
@@ -76,6 +86,15 @@
     }
 }
 
+impl Drop for ChunkSender {
+    fn drop(&mut self) {
+        if !self.is_finished.get() {
+            // A caller that has disconnected needs no signal.
+            let _ = self.sender.send(BufferedChunk { chunk: Err(Truncated), _capacity: None });
+        }
+    }
+}
+
 impl ChunkReceiver {
     /// Polls for the next chunk; `None` at the end.
     pub fn poll_next(
--- a/crates/direct/src/http/events.rs
+++ b/crates/direct/src/http/events.rs
@@ -45,6 +45,17 @@
         detail: String,
         after_ms: u64,
     },
+    /// A backend server's response was longer than allowed, and was not read to its end.
+    AnswerTooLong {
+        request: &'a str,
+        server: &'a str,
+        version: &'a str,
+        /// Part of the response that has no end: `head` or `body`.
+        part: &'static str,
+        /// Bytes received, with heads and framing.
+        bytes: u64,
+        after_ms: u64,
+    },
     /// A backend server reported in a response that it is draining.
     ServerToldLeaving { request: &'a str, server: &'a str, status: u16, after_ms: u64 },
     /// A backend server requested a backoff in a response.
@@ -105,6 +116,15 @@
     StreamSlow { request: &'a str, server: &'a str, token_ms: f64, expected_ms: u64, after_ms: u64 },
     /// A stream was truncated in a way that the caller can detect.
     StreamCut { request: &'a str, server: &'a str, reason: &'static str, after_ms: u64 },
+    /// An answer that was passed on as it arrived was truncated in a way that the caller can detect.
+    AnswerCut {
+        request: &'a str,
+        server: &'a str,
+        reason: &'static str,
+        /// Bytes received, with the head and framing.
+        bytes: u64,
+        after_ms: u64,
+    },
     /// The response to this request tripped a version.
     VersionTripped { request: &'a str, service: &'a str, version: &'a str },
     /// The caller disconnected before its response was complete.
--- a/crates/direct/src/http/in_flight.rs
+++ b/crates/direct/src/http/in_flight.rs
@@ -209,7 +209,9 @@
                 && mark_made(&further_send)
         };
         let extend = || Some(self.core.clock.instant(extend()?));
-        let sent = upstream::send(connect, placement.address, request, until, may_send, extend);
+        let limits = self.core.response_limits.clone();
+        let sent =
+            upstream::send(connect, placement.address, request, limits, until, may_send, extend);
         let sent = sent.await;
         self.further_send = further_send.into_inner();
         if matches!(sent, Err(SendError::Withheld)) {
--- a/crates/direct/src/http/listen.rs
+++ b/crates/direct/src/http/listen.rs
@@ -4,6 +4,7 @@
 
 use hyper::{Request, body::Incoming, header, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use pondwalk_inbound::{Meter, MeteredStream};
 use serde::Serialize;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
@@ -97,12 +98,13 @@
 {
     let limits = core.state.borrow().catalog.as_ref().map(|catalog| catalog.limits);
     let limits = limits.unwrap_or_default();
-    let service = service_fn(|request| respond(Rc::clone(&core), request));
+    let meter = Meter::new(core.request_limits());
+    let service = service_fn(|request| respond(Rc::clone(&core), meter.clone(), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout * IDLE_TIMEOUT_FACTOR)
         .max_buf_size(limits.max_header_bytes + BODY_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(io), service);
+        .serve_connection(TokioIo::new(MeteredStream::new(io, &meter)), service);
     pin!(connection);
     if gate.is_closed.get() {
         // A late caller is served once, which closes the connection too. A graceful shutdown here
@@ -120,10 +122,14 @@
 
 async fn respond(
     core: Rc<Core>,
+    meter: Meter,
     request: Request<Incoming>,
 ) -> Result<hyper::Response<super::body::ResponseBody>, Infallible> {
     core.metrics.count(Counter::Requests);
-    let mut response = serve::serve(&core, request).await;
+    meter.begin_message();
+    meter.on_head();
+    let mut response = serve::serve(&core, request, &meter).await;
+    meter.begin_message();
     if core.shutdown.get() != ShutdownPhase::Running {
         response
             .headers_mut()
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use pondwalk_decide::direct::RunExtent;
@@ -14,10 +15,11 @@
     stream_progress::{StreamMove, StreamProgress, log_slow},
 };
 use crate::{
+    core::Core,
     event_log::LogPriority,
     metrics::Counter,
     placement::Placement,
-    sse::EventSplitter,
+    sse::{CompleteEvents, EventSplitter, RelayableBytes},
     upstream::{Exchange, SendError, StreamBody},
 };
 
@@ -27,6 +29,8 @@
 /// Time after its first event from which a stream counts as one that did not crash its server at
 /// once.
 const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+/// Time after the deadline in which the end of a stream that its server sends at once still counts.
+const DEADLINE_TOLERANCE: Duration = Duration::from_millis(100);
 /// Event pause of a route that sets none.
 const DEFAULT_EVENT_PAUSE: Duration = Duration::from_secs(2);
 
@@ -59,9 +63,10 @@
 
 impl StreamSource {
     fn new(body: StreamBody, placement: Placement, is_resumed: bool) -> Self {
+        let splitter = EventSplitter::new(placement.buffers());
         StreamSource {
             body,
-            splitter: EventSplitter::default(),
+            splitter,
             is_resumed,
             may_switch: true,
             first_event_at: None,
@@ -99,11 +104,18 @@
 
 /// Starts to relay a stream.
 pub fn start(relayed: RelayedRequest, body: StreamBody, placement: Placement) -> ChunkReceiver {
-    let (sender, receiver) = chunk_channel();
+    let (sender, receiver) = chunk_channel(&relayed.in_flight.core.traffic_buffers);
     let last_id = relayed.in_flight.job.last_event_id.clone();
     let is_resumed = last_id.is_some();
     let progress = StreamProgress::new(&relayed.in_flight);
-    let relay = Relay { relayed, sender, last_id, progress };
+    let relay = Relay {
+        relayed,
+        sender,
+        last_id,
+        can_resume: true,
+        caller_paused: Duration::ZERO,
+        progress,
+    };
     let source = StreamSource::new(body, placement, is_resumed);
     spawn_local(relay.run(source));
     receiver
@@ -113,6 +125,10 @@
     relayed: RelayedRequest,
     sender: ChunkSender,
     last_id: Option<String>,
+    /// Whether the stream would continue exactly after `last_id`.
+    can_resume: bool,
+    /// Time for which the caller did not take what was received.
+    caller_paused: Duration,
     progress: StreamProgress,
 }
 
@@ -134,6 +150,7 @@
                     if !source.is_resumed {
                         source.placement.on_completed();
                     }
+                    self.sender.finish();
                     return;
                 }
                 StreamEnd::CallerLeft => {
@@ -170,14 +187,18 @@
                     }
                 }
                 StreamEnd::Broken(reason) => {
-                    source.placement.on_connection_broken();
                     let in_flight = &mut self.relayed.in_flight;
                     in_flight.log_failed_send(
                         &source.placement,
                         "stream_broken",
                         reason.to_owned(),
                     );
-                    in_flight.record_broken_connection(&source.placement);
+                    source.placement.on_connection_broken();
+                    if source.body.meter.exceeded_in().is_some() {
+                        in_flight.record_endless_answer(&source.placement, &source.body.meter);
+                    } else {
+                        in_flight.record_broken_connection(&source.placement);
+                    }
                     let deadline = in_flight.job.deadline;
                     match self.resume(&source, deadline, u32::MAX).await {
                         Some(next) => source = next,
@@ -199,8 +220,14 @@
             job.route.max_event_gap.unwrap_or(DEFAULT_EVENT_PAUSE).mul_f64(SILENCE_FACTOR);
         let mut last_received = clock.now();
         loop {
+            // The time for which the caller does not read is not the server's.
+            let deadline = job.deadline + self.caller_paused;
+            if clock.now() >= deadline + DEADLINE_TOLERANCE {
+                return StreamEnd::TimedOut;
+            }
             // Without an alternative, silence does not end the stream.
-            let can_switch = self.relayed.in_flight.core.settings.policy.leaves_silent_streams
+            let can_switch = self.can_resume
+                && self.relayed.in_flight.core.settings.policy.leaves_silent_streams
                 && source.may_switch
                 && source.placement.has_alternative
                 // A request that has crashed a server must not run on two servers at once.
@@ -208,14 +235,14 @@
                 && self.relayed.in_flight.can_send_again();
             let until =
                 if can_switch { last_received + max_silence } else { clock.now() + max_silence };
-            let until = until.min(job.deadline);
+            let until = until.min(deadline);
             let frame = select! {
                 biased;
                 () = self.sender.closed() => return StreamEnd::CallerLeft,
                 frame = timeout_at(clock.instant(until), source.body.frames.frame()) => frame,
             };
             match frame {
-                Err(_) if clock.now() >= job.deadline => return StreamEnd::TimedOut,
+                Err(_) if clock.now() >= deadline => return StreamEnd::TimedOut,
                 Err(_) if can_switch => return StreamEnd::Silent,
                 Err(_) => {}
                 Ok(None) if source.splitter.has_partial_event() => {
@@ -248,10 +275,30 @@
         }
     }
 
-    /// Passes complete events on. Returns whether a sample of the stream's pace is complete, or
+    /// Passes on what can be relayed. Returns whether a sample of the stream's pace is complete, or
     /// `None` if the caller has disconnected.
     async fn deliver(&mut self, source: &mut StreamSource) -> Option<bool> {
-        let Some(whole) = source.splitter.pop_complete() else { return Some(false) };
+        let mut has_sample = false;
+        while let Some(relayable) = source.splitter.pop() {
+            match relayable {
+                RelayableBytes::Events(whole) => {
+                    has_sample |= self.deliver_events(source, whole).await?;
+                }
+                RelayableBytes::Piece(piece) => {
+                    self.can_resume = false;
+                    self.send(piece).await?;
+                }
+            }
+        }
+        Some(has_sample)
+    }
+
+    /// Passes complete events on, as [`Relay::deliver`].
+    async fn deliver_events(
+        &mut self,
+        source: &mut StreamSource,
+        whole: CompleteEvents,
+    ) -> Option<bool> {
         let in_flight = &self.relayed.in_flight;
         let has_sample = self.progress.record(&whole, in_flight, &source.placement);
         let received_at = in_flight.core.clock.now();
@@ -262,15 +309,24 @@
         }
         if whole.last_id.is_some() {
             self.last_id = whole.last_id;
+            self.can_resume |= whole.ends_with_id;
         }
-        let clock = &in_flight.core.clock;
-        let sent_at = clock.now();
-        self.sender.send(whole.bytes).await.ok()?;
-        let now = clock.now();
-        self.progress.record_caller_pause(now.saturating_sub(sent_at), now);
+        self.send(whole.bytes).await?;
         Some(has_sample)
     }
 
+    /// Passes bytes on; `None` if the caller has disconnected.
+    async fn send(&mut self, bytes: Bytes) -> Option<()> {
+        let core = Rc::clone(&self.relayed.in_flight.core);
+        let sent_at = core.clock.now();
+        self.sender.send(bytes).await.ok()?;
+        let now = core.clock.now();
+        let paused = now.saturating_sub(sent_at);
+        self.caller_paused += paused;
+        self.progress.record_caller_pause(paused, now);
+        Some(())
+    }
+
     /// Resumes after the last delivered event on another backend server, which must respond before
     /// `until`; tries at most `attempts` servers.
     async fn resume(
@@ -279,6 +335,9 @@
         until: Duration,
         attempts: u32,
     ) -> Option<StreamSource> {
+        if !self.can_resume {
+            return None;
+        }
         self.progress.on_server_changed();
         let in_flight = &mut self.relayed.in_flight;
         in_flight.avoid.push(broken.placement.server().clone());
@@ -301,7 +360,7 @@
                         after_ms: in_flight.after_ms(),
                     };
                     in_flight.core.event_log.record(LogPriority::Failure, &event);
-                    return Some(resumed_source(exchange, placement));
+                    return Some(resumed_source(&in_flight.core, exchange, placement));
                 }
                 Ok(exchange) => {
                     let status = exchange.response.status().to_string();
@@ -315,8 +374,12 @@
                 }
                 Err(error) => {
                     in_flight.log_failed_send(&placement, "not_resumed", error.to_string());
-                    if matches!(error, SendError::Broken(_)) {
-                        in_flight.record_broken_connection(&placement);
+                    match error {
+                        SendError::Broken(_) => in_flight.record_broken_connection(&placement),
+                        SendError::HeadTooLong { bytes } => {
+                            in_flight.record_endless_head(&placement, bytes);
+                        }
+                        _ => {}
                     }
                     record_unsent(&placement, &error);
                 }
@@ -350,7 +413,6 @@
             after_ms: in_flight.after_ms(),
         };
         in_flight.core.event_log.record(LogPriority::Failure, &event);
-        self.sender.cut();
     }
 
     fn record_disconnect(&self, source: &StreamSource) {
@@ -382,8 +444,8 @@
         && in_flight.is_authentic(response)
 }
 
-fn resumed_source(exchange: Exchange, mut placement: Placement) -> StreamSource {
+fn resumed_source(core: &Core, exchange: Exchange, mut placement: Placement) -> StreamSource {
     placement.on_response_started();
-    let (_, body) = StreamBody::split(exchange);
+    let (_, body) = core.split_response(exchange);
     StreamSource::new(body, placement, true)
 }
--- a/crates/direct/src/http/reporting.rs
+++ b/crates/direct/src/http/reporting.rs
@@ -5,6 +5,7 @@
 
 use hyper::{Response, StatusCode, body::Incoming};
 use pondwalk_decide::direct::{ReportedRateLimit, RunExtent};
+use pondwalk_inbound::{MessagePart, Meter};
 
 use super::{events::RequestEvent, in_flight::InFlightRequest, stream_progress::StreamTiming};
 use crate::{
@@ -110,6 +111,34 @@
         self.core.record_server_crash(&self.job, placement, probed);
     }
 
+    /// Records a response that was longer than allowed, a failure of its server's version.
+    pub fn record_endless_answer(&self, placement: &Placement, meter: &Meter) {
+        let part = meter.exceeded_in().unwrap_or(MessagePart::Body);
+        self.record_too_long(placement, part, meter.bytes());
+    }
+
+    /// Records a response whose head was longer than allowed, as
+    /// [`InFlightRequest::record_endless_answer`].
+    pub fn record_endless_head(&self, placement: &Placement, bytes: u64) {
+        self.record_too_long(placement, MessagePart::Head, bytes);
+    }
+
+    fn record_too_long(&self, placement: &Placement, part: MessagePart, bytes: u64) {
+        self.core.metrics.count(Counter::AnswersTooLong);
+        let event = RequestEvent::AnswerTooLong {
+            request: &self.job.id,
+            server: placement.server(),
+            version: &placement.version,
+            part: part.name(),
+            bytes,
+            after_ms: self.after_ms(),
+        };
+        self.core.event_log.record(LogPriority::Failure, &event);
+        if placement.on_answer_too_long() {
+            self.log_tripped(placement);
+        }
+    }
+
     /// Records that the answer has been in progress for a while. A probe counts only as a whole.
     pub fn record_survival(&self) {
         if self.probe.is_none() {
--- a/crates/direct/src/http/request_reader.rs
+++ b/crates/direct/src/http/request_reader.rs
@@ -2,15 +2,15 @@
 
 use std::{cell::OnceCell, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use bytes::Bytes;
 use hyper::{
     HeaderMap, Request, Uri,
-    body::{Body, Incoming},
+    body::Incoming,
     header::{self, HeaderName},
     http::request::Parts,
 };
 use pondwalk_decide::direct::SessionKey;
+use pondwalk_inbound::{Meter, PacedBody, ReadError, read_whole};
 use rand::Rng;
 use tokio::time::{timeout, timeout_at};
 
@@ -28,16 +28,20 @@
 /// Timeout for reading a whole body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Part of a body that is read at any rate.
+const FREE_BODY_BYTES: usize = 1024 * 1024;
+
 /// Reads and checks a request that arrived at `arrived`.
 pub async fn read_request(
     core: &Core,
     request: Request<Incoming>,
+    meter: &Meter,
     arrived: Duration,
 ) -> Result<Job, Refusal> {
     let (parts, body) = request.into_parts();
     wait_for_initial_state(core).await;
     let checked = check(core, &parts, arrived)?;
-    let body = read_body(body, checked.catalog.limits.max_body_bytes).await?;
+    let body = read_body(core, body, meter, checked.catalog.limits.max_body_bytes).await?;
     let job = build_job(core, parts, body, checked, arrived);
     let late_calls = core.settings.policy.late_calls;
     match core.shutdown.get() {
@@ -113,25 +117,20 @@
     catalog.service(&share.service).cloned()
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(Refusal::BodyTooLarge);
-    }
-    let collecting = timeout(BODY_TIMEOUT, collect_body(body, limit));
-    collecting.await.map_err(|_| Refusal::BodyUnreadable)?
-}
-
-async fn collect_body(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Refusal::BodyUnreadable)?;
-        let Ok(data) = frame.into_data() else { continue };
-        if bytes.len() + data.len() > limit {
-            return Err(Refusal::BodyTooLarge);
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(bytes.freeze())
+async fn read_body(
+    core: &Core,
+    body: Incoming,
+    meter: &Meter,
+    max_bytes: usize,
+) -> Result<Bytes, Refusal> {
+    let body = PacedBody::new(body, FREE_BODY_BYTES, &core.pacer, meter);
+    let reading = read_whole(body, max_bytes, &core.traffic_buffers, |_| {});
+    let read = timeout(BODY_TIMEOUT, reading).await.map_err(|_| Refusal::BodyUnreadable)?;
+    read.map_err(|error| match error {
+        ReadError::TooLong { .. } => Refusal::BodyTooLarge,
+        ReadError::PoolExhausted { .. } => Refusal::BuffersFull,
+        ReadError::Broken(_) => Refusal::BodyUnreadable,
+    })
 }
 
 fn build_job(
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -2,9 +2,13 @@
 
 use std::{rc::Rc, time::Duration};
 
-use http_body_util::BodyExt;
-use hyper::{Request, Response, StatusCode, body::Incoming, http::response::Parts};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Body, Incoming},
+    http::response::Parts,
+};
 use pondwalk_decide::direct::{Congestion, QuarantineStatus, RouteModelIndex, RunExtent};
+use pondwalk_inbound::{BodyStart, Meter, read_start};
 use tokio::time::timeout_at;
 
 use super::{
@@ -12,6 +16,7 @@
     events::RequestEvent,
     head_wait::HeadWait,
     in_flight::{InFlightGuard, InFlightRequest},
+    long_answer::{self, LongAnswer},
     refusals::{RefusedRequest, refuse},
     relay, request_reader,
     stream_progress::StreamTiming,
@@ -23,18 +28,22 @@
     metrics::{Counter, Timer},
     placement::Placement,
     request::{Refusal, strip_hop_by_hop_headers},
-    upstream::{Exchange, SendError, StreamBody, ends_with_connection},
+    upstream::{Exchange, SendError},
 };
 
 /// Share of the retry budget that escalations leave for retries.
 const RETRY_RESERVE_SHARE: f64 = 0.05;
 
-/// Serves one request.
-pub async fn serve(core: &Rc<Core>, request: Request<Incoming>) -> Response<ResponseBody> {
+/// Serves one request from a connection that `meter` counts.
+pub async fn serve(
+    core: &Rc<Core>,
+    request: Request<Incoming>,
+    meter: &Meter,
+) -> Response<ResponseBody> {
     let arrived = core.clock.now();
     let guard = InFlightGuard::enter(core);
     let id = request.headers().get(&core.dialect.request_id).cloned();
-    match request_reader::read_request(core, request, arrived).await {
+    match request_reader::read_request(core, request, meter, arrived).await {
         Ok(job) => InFlightRequest::new(core, job, guard).process().await,
         Err(refusal) => {
             let request = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
@@ -112,6 +121,10 @@
                 self.record_broken_connection(&placement);
                 self.handle_loss(&placement, "broken", detail)
             }
+            Err(SendError::HeadTooLong { bytes }) => {
+                self.record_endless_head(&placement, bytes);
+                self.handle_loss(&placement, "too_long", String::new())
+            }
             Err(SendError::NoResponse) if until >= self.job.deadline => {
                 placement.on_connection_broken();
                 self.may_have_run = true;
@@ -158,6 +171,12 @@
         if !self.is_authentic(&exchange.response) {
             return self.handle_loss(&placement, "not_its_answer", status.to_string());
         }
+        let max_bytes = self.core.settings.inbound.max_answer_bytes as u64;
+        let declared_bytes = exchange.response.body().size_hint().lower();
+        if declared_bytes > max_bytes {
+            self.record_endless_answer(&placement, &exchange.meter);
+            return self.handle_loss(&placement, "too_long", format!("{declared_bytes} declared"));
+        }
         placement.on_response_started();
         self.record_begun();
         if let Some(load) = self.reported_load(exchange.response.headers()) {
@@ -307,7 +326,7 @@
     }
 
     fn start_relay(&self, exchange: Exchange, placement: Placement) -> Response<ResponseBody> {
-        let (parts, body) = StreamBody::split(exchange);
+        let (parts, body) = self.core.split_response(exchange);
         let head_ms = self.after_ms();
         self.core.metrics.time(Timer::FirstByte, Duration::from_millis(head_ms));
         let confidence = self.reported_confidence(&parts.headers);
@@ -327,18 +346,32 @@
         relay::RelayedRequest { in_flight, confidence, head_ms, status }
     }
 
-    /// Reads the complete body of a response and passes it to the caller.
+    /// Reads the body of a response and passes it to the caller: once it is complete, or as it arrives
+    /// if it is too long to be buffered.
     async fn respond_with_body(
         &mut self,
         exchange: Exchange,
         placement: Placement,
     ) -> AttemptResult {
-        let ends_with_connection = ends_with_connection(&exchange.response);
-        let (parts, body) = exchange.response.into_parts();
+        let (parts, mut body) = self.core.split_response(exchange);
         let head_ms = self.after_ms();
         let until = self.core.clock.instant(self.job.deadline);
-        let body = match timeout_at(until, body.collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
+        let max_bytes = self.core.settings.inbound.kept_answer_bytes;
+        let start = read_start(&mut body.frames, max_bytes, &self.core.traffic_buffers);
+        let whole = match timeout_at(until, start).await {
+            Ok(Ok(BodyStart::Whole(whole))) => whole,
+            Ok(Ok(BodyStart::Partial(start))) => {
+                let confidence = self.reported_confidence(&parts.headers);
+                let relayed = self.relayed(confidence, head_ms, parts.status);
+                let chunks = long_answer::start(LongAnswer { relayed, start, body, placement });
+                return AttemptResult::Respond(
+                    self.build_response(parts, ResponseBody::Chunks(chunks)),
+                );
+            }
+            Ok(Err(_)) if body.meter.exceeded_in().is_some() => {
+                self.record_endless_answer(&placement, &body.meter);
+                return self.handle_loss(&placement, "too_long", String::new());
+            }
             Ok(Err(error)) => {
                 self.record_broken_connection(&placement);
                 return self.handle_loss(&placement, "cut", error.to_string());
@@ -348,7 +381,8 @@
                 return AttemptResult::Refuse(Refusal::TimedOut);
             }
         };
-        drop(exchange.connection);
+        let ends_with_connection = body.ends_with_connection;
+        drop(body);
         if ends_with_connection && self.has_server_ended(&placement).await {
             self.record_broken_connection(&placement);
             return self.handle_loss(&placement, "ended_with_its_server", String::new());
@@ -364,7 +398,7 @@
             timing,
             RunExtent::Whole,
         );
-        AttemptResult::Respond(self.build_response(parts, ResponseBody::whole(body)))
+        AttemptResult::Respond(self.build_response(parts, ResponseBody::whole(whole)))
     }
 
     fn build_response(&self, parts: Parts, body: ResponseBody) -> Response<ResponseBody> {
--- a/crates/direct/src/http/stream_progress.rs
+++ b/crates/direct/src/http/stream_progress.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use memchr::memmem;
 use pondwalk_decide::direct::{
     StreamDecision, StreamForecast, StreamPace, StreamRest, VersionRule, decide_stream,
 };
@@ -194,8 +195,6 @@
 
 /// Number of complete events.
 fn count_events(bytes: &[u8]) -> u64 {
-    let mut lines = bytes.split(|byte| *byte == b'\n').collect::<Vec<_>>();
-    // The last line ends with a line feed, after which an empty piece is left.
-    lines.pop();
-    lines.iter().filter(|line| line.is_empty() || **line == b"\r").count() as u64
+    let count = |pattern: &[u8]| memmem::find_iter(bytes, pattern).count() as u64;
+    count(b"\n\n") + count(b"\n\r\n")
 }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -78,6 +78,8 @@
     Resumes,
     /// Slow streams moved to another backend server.
     StreamsMoved,
+    /// Responses of backend servers that were longer than allowed.
+    AnswersTooLong,
     /// Panics, each of which ended a task.
     Panics,
     /// Failed calls to the store.
@@ -133,6 +135,7 @@
             Counter::LargerModelsWithheld => "larger_models_withheld",
             Counter::Resumes => "resumes_total",
             Counter::StreamsMoved => "streams_moved_total",
+            Counter::AnswersTooLong => "answers_too_long_total",
             Counter::Panics => "panics_total",
             Counter::StoreFailures => "store_failures_total",
             Counter::QuestionsAnswered => "questions_answered_total",
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -16,6 +16,7 @@
     Evidence, ExpectedWait, FeatureHash, ReportedRateLimit, RunExtent, ServerLoad,
     ServiceModelIndex, Ticket, UnreachableReason,
 };
+use pondwalk_inbound::BufferPool;
 use pondwalk_types::{ModelId, ServerId, VersionId};
 use rand::Rng;
 
@@ -216,6 +217,17 @@
         self.record_evidence(true)
     }
 
+    /// Records that the answer was longer than allowed, a failure of the server's version; returns
+    /// whether it trips a roll-out.
+    pub fn on_answer_too_long(&self) -> bool {
+        self.record_evidence(true)
+    }
+
+    /// Memory for requests and answers.
+    pub fn buffers(&self) -> &BufferPool {
+        &self.core.traffic_buffers
+    }
+
     /// Service of the server.
     pub fn service(&self) -> &ServiceId {
         &self.job.service.name
--- a/crates/direct/src/port.rs
+++ b/crates/direct/src/port.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, pin::Pin, rc::Rc, time::Duration};
 
 use pondwalk_decide::direct::{FencingToken, UsageCounts, WindowId};
+use pondwalk_inbound::BufferPool;
 use pondwalk_store::{StoreEntry, StorePort};
 use pondwalk_types::{DataCentreId, ServerId, VersionId};
 use serde::{Deserialize, Serialize};
@@ -130,6 +131,8 @@
     pub decode: DecodeRecord,
     /// Encodes roll-out progress.
     pub encode_progress: EncodeProgress,
+    /// Memory for messages of the store, shared with those of other entries.
+    pub buffers: BufferPool,
     /// Reports usage, if the deployment requires it.
     pub report_usage: Option<ReportUsage>,
 }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -40,6 +40,9 @@
     /// The body exceeds the size limit.
     #[error("the body is larger than allowed")]
     BodyTooLarge,
+    /// The requests and answers in progress take up all memory for them.
+    #[error("the buffers for requests are full")]
+    BuffersFull,
     /// No route matches the host and path.
     #[error("no route covers the host and path")]
     NoRoute,
@@ -125,6 +128,7 @@
             Refusal::NotConfigured
             | Refusal::Stale
             | Refusal::Closing
+            | Refusal::BuffersFull
             | Refusal::NoServer
             | Refusal::NoServerInAllowedRegions
             | Refusal::AllCold { .. }
@@ -147,6 +151,7 @@
             Refusal::Malformed => "malformed",
             Refusal::BodyUnreadable => "body_unreadable",
             Refusal::BodyTooLarge => "body_too_large",
+            Refusal::BuffersFull => "buffers_full",
             Refusal::NoRoute => "no_route",
             Refusal::UnknownKey => "unknown_key",
             Refusal::NoServer => "no_server",
@@ -205,6 +210,7 @@
             (Refusal::NoServer | Refusal::NoServerInAllowedRegions | Refusal::TurnedAway, _) => {
                 Some(Duration::from_millis(200))
             }
+            (Refusal::BuffersFull, _) => Some(BUFFERS_RETRY_AFTER),
             _ => None,
         }
     }
@@ -222,6 +228,8 @@
 /// times a second, and stays cold for some seconds.
 const COLD_RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
 
+/// `Retry-After` while the buffers are full. Most requests end within a second.
+const BUFFERS_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` while all servers are draining: servers send a heartbeat about once a second,
 /// which takes about as long to propagate.
 const DRAINING_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -24,6 +24,7 @@
 };
 use hyper_util::rt::TokioIo;
 use pondwalk_decide::direct::UnreachableReason;
+use pondwalk_inbound::{MessageLimits, MessagePart, Meter, MeteredStream, PacedBody, Pacer};
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::{
@@ -45,6 +46,9 @@
 
 /// Read buffer size; when a caller reads slowly, the rest of the answer stays at the server.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum number of bytes up to the end of the final head. Informational responses before it count,
+/// and so do the first bytes of the body, which arrive together with it.
+const MAX_HEAD_BYTES: u64 = 2 * READ_BUFFER_BYTES as u64;
 
 /// A bidirectional byte stream.
 pub trait Duplex: AsyncRead + AsyncWrite + Unpin {}
@@ -87,6 +91,13 @@
     /// The request was sent; whether it ran is unknown.
     #[error("the connection broke: {0}")]
     Broken(String),
+    /// The response became longer than allowed before its head was complete; whether the request ran
+    /// is unknown.
+    #[error("no response head within {bytes} bytes")]
+    HeadTooLong {
+        /// Bytes received.
+        bytes: u64,
+    },
     /// No response head arrived in time; whether the request ran is unknown.
     #[error("no response started in time")]
     NoResponse,
@@ -111,28 +122,37 @@
     pub response: Response<Incoming>,
     /// Connection that the body arrives on.
     pub connection: Connection,
+    /// Counts the bytes of the response.
+    pub meter: Meter,
 }
 
 /// The body of a stream.
 #[derive(Debug)]
 pub struct StreamBody {
     /// The body's frames.
-    pub frames: Incoming,
+    pub frames: PacedBody<Incoming>,
     /// Whether only the end of the connection ends the body.
     pub ends_with_connection: bool,
+    /// Counts the bytes of the response.
+    pub meter: Meter,
     _connection: Connection,
 }
 
 impl StreamBody {
     /// Splits an exchange into the response's head and body.
-    pub fn split(exchange: Exchange) -> (Parts, Self) {
+    ///
+    /// What exceeds `free_bytes` is read at the rate of the pacer.
+    pub fn split(exchange: Exchange, free_bytes: usize, pacer: &Rc<Pacer>) -> (Parts, Self) {
         let ends_with_connection = ends_with_connection(&exchange.response);
-        let (parts, frames) = exchange.response.into_parts();
-        (parts, StreamBody { frames, ends_with_connection, _connection: exchange.connection })
+        let Exchange { response, connection, meter } = exchange;
+        let (parts, frames) = response.into_parts();
+        let frames = PacedBody::new(frames, free_bytes, pacer, &meter);
+        (parts, StreamBody { frames, ends_with_connection, meter, _connection: connection })
     }
 }
 
-/// Sends a request and waits for the response head until `until`.
+/// Sends a request and waits for the response head until `until`. The response is read within
+/// `limits`.
 ///
 /// `may_send` is called once the connection is open, right before the first byte is sent. `extend`
 /// is called when the time is over, and may return a later time until which to wait.
@@ -140,6 +160,7 @@
     connect: &Connect,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
+    limits: MessageLimits,
     until: Instant,
     may_send: impl FnOnce() -> bool,
     mut extend: impl FnMut() -> Option<Instant>,
@@ -147,8 +168,9 @@
     let limit = until.min(Instant::now() + CONNECT_TIMEOUT);
     let stream =
         timeout_at(limit, connect(address)).await.map_err(not_reached)?.map_err(connect_error)?;
-    let handshake =
-        http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(TokioIo::new(stream));
+    let meter = Meter::new(limits);
+    let stream = TokioIo::new(MeteredStream::new(stream, &meter));
+    let handshake = http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(stream);
     let handshake = handshake.await;
     let (mut sender, connection) = handshake.map_err(not_reached)?;
     if !may_send() {
@@ -161,13 +183,37 @@
     let mut until = until;
     loop {
         match timeout_at(until, &mut response).await {
-            Ok(Ok(response)) => return Ok(Exchange { response, connection }),
-            Ok(Err(error)) => return Err(SendError::Broken(error.to_string())),
+            Ok(Ok(response)) => {
+                meter.on_head();
+                return Ok(Exchange { response, connection, meter });
+            }
+            Ok(Err(error)) => return Err(head_error(&error, &meter)),
             Err(_) => until = extend().ok_or(SendError::NoResponse)?,
         }
     }
 }
 
+fn head_error(error: &hyper::Error, meter: &Meter) -> SendError {
+    if error.is_parse_too_large() || meter.exceeded_in() == Some(MessagePart::Head) {
+        return SendError::HeadTooLong { bytes: meter.bytes() };
+    }
+    SendError::Broken(error.to_string())
+}
+
+/// Limits of responses with bodies of at most `max_body_bytes`, of which `unpaced_bytes` are read at
+/// any rate.
+pub fn response_limits(
+    max_body_bytes: usize,
+    unpaced_bytes: usize,
+    pacer: &Rc<Pacer>,
+) -> MessageLimits {
+    MessageLimits {
+        head_bytes: MAX_HEAD_BYTES,
+        message_bytes: MAX_HEAD_BYTES + max_body_bytes as u64,
+        pace: Some((MAX_HEAD_BYTES + unpaced_bytes as u64, Rc::clone(pacer))),
+    }
+}
+
 /// Whether a server accepts connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListenerState {
--- a/crates/direct/src/usage.rs
+++ b/crates/direct/src/usage.rs
@@ -356,9 +356,12 @@
         // Nothing reads the record of a previous era.
         Ok(position) if position.era != era => WriteOutcome::Unknown,
         Ok(position) => WriteOutcome::Written(position.revision),
-        Err(StoreError::ResponseLost | StoreError::ResponseStalled(_) | StoreError::Malformed) => {
-            WriteOutcome::Unknown
-        }
+        Err(
+            StoreError::ResponseLost
+            | StoreError::ResponseStalled(_)
+            | StoreError::ResponseTooLong(_)
+            | StoreError::Malformed,
+        ) => WriteOutcome::Unknown,
         Err(StoreError::Conflict | StoreError::Unreachable | StoreError::LeaseExpired) => {
             WriteOutcome::NotWritten
         }
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -26,6 +26,7 @@
     port::{Evacuation, Outcome, Progress, ReportFuture, RollOutOrder, UnreadableRecord},
     upstream::{BoxedDuplex, Connect},
 };
+use pondwalk_inbound::BufferPool;
 use pondwalk_standin::{
     backends::{Backends, Behaviour, CrashRule, HeaderNames, ReceivedRequest, prompt_parts},
     memory_store::{FaultMode, MemoryStore},
@@ -37,6 +38,8 @@
     time::sleep,
 };
 
+/// Memory for messages of the store and of other entries.
+const CONTROL_BYTES: usize = 20 * 1024 * 1024;
 // The entry's own section comes last, so that further lines extend it.
 const SETTINGS: &str = "[retries]\nratio=0.9\nextra=40\nwindow_s=10\n\
     [roll_out]\nexposure=0.1\n\
@@ -84,6 +87,7 @@
         store: store.port(),
         decode: Rc::new(move |key, value| read(&catalogs_by_version.borrow(), key, value)),
         encode_progress: Rc::new(write_progress),
+        buffers: BufferPool::new(CONTROL_BYTES),
         report_usage: Some(Rc::new(move |report, limit| {
             let platform = platform.clone();
             Box::pin(async move { report_to(&platform, report, limit).await }) as ReportFuture
--- a/crates/pondwalk/src/commands/direct.rs
+++ b/crates/pondwalk/src/commands/direct.rs
@@ -4,6 +4,8 @@
 
 use pondwalk_config::{DirectSettings, RawFile};
 
+use pondwalk_inbound::BufferPool;
+
 use crate::exit::Exit;
 
 /// Runs the entry until it receives a stop signal.
@@ -13,6 +15,7 @@
         settings.store.address,
         settings.store.timeout,
         settings.usage.map(|usage| usage.address),
+        BufferPool::new(settings.inbound.control_bytes),
     );
     pondwalk_direct::run(settings, pondwalk_platform::dialect(), port)?;
     Ok(Exit::Success)
--- a/crates/soak/src/roles.rs
+++ b/crates/soak/src/roles.rs
@@ -5,6 +5,7 @@
 use anyhow::Context;
 use nix::unistd::getppid;
 use pondwalk_config::{DirectSettings, RawFile};
+use pondwalk_inbound::BufferPool;
 use pondwalk_standin::{
     backends::Behaviour, memory_store::MemoryStore, platform_server, platform_store,
 };
@@ -37,6 +38,7 @@
         settings.store.address,
         settings.store.timeout,
         settings.usage.map(|usage| usage.address),
+        BufferPool::new(settings.inbound.control_bytes),
     );
     pondwalk_direct::run(settings, pondwalk_platform::dialect(), port)?;
     Ok(())
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -27,6 +27,9 @@
     /// The response stalled after this many bytes.
     #[error("the store's response stalled after {0} bytes")]
     ResponseStalled(usize),
+    /// The response is too long to be buffered, or has no end; this many bytes were received.
+    #[error("the store's response is too long: {0} bytes received")]
+    ResponseTooLong(u64),
     /// The response, or a value in it, cannot be decoded.
     #[error("the store's response cannot be decoded")]
     Malformed,
