--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -30,6 +30,7 @@
 mod resident;
 mod run;
 mod server_signals;
+pub mod signals;
 pub mod sse;
 mod state;
 pub mod upstream;
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -7,8 +7,6 @@
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
-    select,
-    signal::unix::{SignalKind, signal},
     task::{LocalSet, spawn_local},
 };
 
@@ -18,6 +16,7 @@
     event_log::{EventLog, LogError, LogPriority},
     http,
     port::Port,
+    signals::{SignalHandlers, SignalRequest},
     upstream,
 };
 
@@ -73,6 +72,7 @@
 }
 
 async fn run_local(settings: DirectSettings, dialect: Dialect, port: Port) -> Result<(), RunError> {
+    let mut signals = SignalHandlers::install().map_err(RunError::Signals)?;
     let event_log = EventLog::to_stdout(&settings.name, settings.log_lines_per_s)?;
     let callers = listen(settings.callers).await?;
     let readiness = listen(settings.readiness).await?;
@@ -106,7 +106,7 @@
         spawn_local(http::serve_peers(entry.clone(), listener));
     }
     spawn_local(entry.clone().accept(callers));
-    wait_for_stop(&entry).await?;
+    wait_for_stop(&mut signals, &entry).await;
     entry.drain().await;
     Ok(())
 }
@@ -116,19 +116,9 @@
 }
 
 /// Waits for a stop signal; a reload signal is only logged.
-async fn wait_for_stop(entry: &Entry) -> Result<(), RunError> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
-    let mut hang_up = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
-    loop {
-        select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            // Settings take effect at the next start; everything dynamic is in the store.
-            _ = hang_up.recv() => entry
-                .core()
-                .event_log
-                .record(LogPriority::State, &LifecycleEvent::ReloadAsked),
-        }
+async fn wait_for_stop(signals: &mut SignalHandlers, entry: &Entry) {
+    // Settings take effect at the next start; everything dynamic is in the store.
+    while signals.next().await == SignalRequest::Reload {
+        entry.core().event_log.record(LogPriority::State, &LifecycleEvent::ReloadAsked);
     }
 }
--- a/crates/pondwalk/src/main.rs
+++ b/crates/pondwalk/src/main.rs
@@ -9,6 +9,8 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
+    #[cfg(feature = "platform")]
+    pondwalk_direct::signals::hold();
     match commands::run(options::parse()) {
         Ok(exit) => exit.into(),
         Err(error) => exit::report(&error),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -2,13 +2,19 @@
 
 use std::process::ExitCode;
 
+use pondwalk_direct::signals;
 use pondwalk_soak::{
     options::{Command, command, parse},
     roles, soak,
 };
 
 fn main() -> ExitCode {
-    let done = match parse(&command().get_matches()) {
+    signals::hold();
+    let command = parse(&command().get_matches());
+    if !matches!(command, Command::Entry { .. }) {
+        signals::release();
+    }
+    let done = match command {
         Command::Entry { settings } => roles::entry(&settings).map(|()| true),
         Command::Store { address } => roles::store(address).map(|()| true),
         Command::Server { id, address, streams } => {
