--- a/crates/direct/src/follow/initial_state.rs
+++ b/crates/direct/src/follow/initial_state.rs
@@ -100,7 +100,7 @@
             kind,
             deadline: end.min(Instant::now() + REPLY_TIMEOUT),
         };
-        match client.request_state(&core.connect, &core.clock, seed, query).await {
+        match client.request_state(core, seed, query).await {
             Ok(reply) => return Some(InitialState { from: seed, reply, client }),
             Err(error) => last = Some(error),
         }
--- a/crates/direct/src/follow/peers.rs
+++ b/crates/direct/src/follow/peers.rs
@@ -56,12 +56,7 @@
             let (name, address) = &others[self.peer_cursor];
             let until = Instant::now() + self.core.settings.membership.times.exchange;
             let state_request = self.state_request(position, StateRequestKind::ChangesNow, until);
-            let query = self.client.request_state(
-                &self.core.connect,
-                &self.core.clock,
-                *address,
-                state_request,
-            );
+            let query = self.client.request_state(&self.core, *address, state_request);
             match query.await {
                 Ok(reply) => {
                     let next = reply.position.max(position);
@@ -89,8 +84,7 @@
     ) -> Option<Position> {
         let state_request =
             self.state_request(position, StateRequestKind::Changes, self.reply_deadline());
-        let query =
-            self.client.request_state(&self.core.connect, &self.core.clock, address, state_request);
+        let query = self.client.request_state(&self.core, address, state_request);
         let reply = tokio::select! {
             biased;
             outcome = self.watch_calls.next() => return self.handle_watch_reply(outcome, position),
--- a/crates/direct/src/http/side_listeners.rs
+++ b/crates/direct/src/http/side_listeners.rs
@@ -1,11 +1,11 @@
 //! Listeners for readiness checks of the load balancer, metrics for operators, and other entries.
 
-use std::{convert::Infallible, rc::Rc};
+use std::{convert::Infallible, rc::Rc, time::Duration};
 
 use hyper::{
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -16,6 +16,10 @@
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
+/// Time for the head of a request, and between two requests on a connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Read buffer size of a connection, which is also the maximum size of a request's head.
+const READ_BUFFER_BYTES: usize = 16 * 1024;
 
 /// Handler of one of these listeners.
 type Handler = fn(&Core, &Request<Incoming>) -> Response<ResponseBody>;
@@ -53,7 +57,12 @@
         async move { Ok::<_, Infallible>(response) }
     });
     // The client reopens a connection that breaks.
-    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(READ_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
 }
 
 fn readiness(core: &Core, request: &Request<Incoming>) -> Response<ResponseBody> {
--- a/crates/direct/src/membership.rs
+++ b/crates/direct/src/membership.rs
@@ -30,7 +30,8 @@
 pub use load_exchange::{LoadExchange, LoadMessage, exchange_load};
 pub use members::{ChangeSource, Members};
 pub use message::{
-    FORMAT, KeyChange, MessageError, StateHead, StateMessage, from_message, to_message,
+    FORMAT, KeyChange, MessageError, StateHead, StateMessage, from_message, take_gossip_item,
+    to_message,
 };
 pub use replica::Replica;
 pub use server::serve;
--- a/crates/direct/src/membership/client.rs
+++ b/crates/direct/src/membership/client.rs
@@ -3,33 +3,34 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
-    pin::pin,
     rc::Rc,
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
-    client::conn::http1::{SendRequest, handshake},
+    client::conn::http1::{Builder, SendRequest},
     header::HOST,
 };
 use hyper_util::rt::TokioIo;
+use pondwalk_inbound::{MessageLimits, Meter, MeteredStream, PacedBody, read_whole};
 use pondwalk_store::{Position, StoreEvent};
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 use tokio::{
+    sync::Notify,
     task::spawn_local,
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, sleep_until, timeout, timeout_at},
 };
 
 use super::{
     ClockOffset, GossipItem, KeyChange, MessageError, NEWS_PATH, STATE_PATH, StateMessage,
     message::{MAX_MESSAGE_BYTES, from_message, to_message},
 };
-use crate::{clock::Clock, core::Core, metrics::Counter, upstream::Connect};
+use crate::{core::Core, metrics::Counter};
 
 /// Timeout for opening a connection, which normally takes a millisecond. A machine without power
 /// sends no reply, and a peer that is just starting is retried a second later.
@@ -37,6 +38,18 @@
 /// Maximum pause between two frames of a response body. A lost packet is retransmitted after some
 /// 0.2 s.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a response body must have arrived at a rate of [`MIN_BYTES_PER_S`].
+const SLOW_BODY_TIMEOUT: Duration = Duration::from_secs(4);
+/// Minimum mean rate of a response body that takes longer.
+const MIN_BYTES_PER_S: f64 = 16.0 * 1024.0;
+/// Read buffer size of a connection, which is also the maximum size of a response's head.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Limits of a response as it arrives, with heads and framing.
+const RESPONSE_LIMITS: MessageLimits = MessageLimits {
+    head_bytes: 2 * READ_BUFFER_BYTES as u64,
+    message_bytes: 2 * MAX_MESSAGE_BYTES as u64,
+    pace: None,
+};
 /// Base timeout for posting a message to a peer, which normally takes a few milliseconds. A peer
 /// that is busy or paused for longer cannot help in time.
 pub(super) const POST_TIMEOUT: Duration = Duration::from_millis(250);
@@ -117,14 +130,106 @@
     }
 }
 
-/// Sends requests on an open connection.
-pub(super) type RequestSender = SendRequest<Full<Bytes>>;
+/// An open connection to another entry.
+#[derive(Debug)]
+pub(super) struct PeerConnection {
+    sender: SendRequest<Full<Bytes>>,
+    meter: Meter,
+}
+
+impl PeerConnection {
+    /// Opens a connection.
+    pub async fn open(core: &Core, address: SocketAddr) -> Result<Self, PeerError> {
+        let connecting = timeout(CONNECT_TIMEOUT, (core.connect)(address)).await;
+        let stream = connecting.map_err(|_| PeerError::Timeout)?.map_err(failed)?;
+        let meter = Meter::new(RESPONSE_LIMITS);
+        let stream = TokioIo::new(MeteredStream::new(stream, &meter));
+        let opened = Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(stream).await;
+        let (sender, connection) = opened.map_err(failed)?;
+        // A failure of the connection also fails the request that is pending on it.
+        spawn_local(async move { connection.await.unwrap_or_default() });
+        Ok(PeerConnection { sender, meter })
+    }
+
+    /// Whether another request can be sent.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of its response.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, PeerError> {
+        self.meter.begin_message();
+        let response = self.sender.send_request(request).await.map_err(failed)?;
+        self.meter.on_head();
+        Ok(response)
+    }
+
+    /// Reads the body of a response, of at most `max_bytes`, for as long as frames arrive at some
+    /// rate. A large state on a narrow link takes longer than any sensible timeout for the start of
+    /// a response.
+    pub async fn read_body(
+        &self,
+        core: &Core,
+        body: Incoming,
+        max_bytes: usize,
+    ) -> Result<Bytes, PeerError> {
+        let progress = BodyProgress::start();
+        let body = PacedBody::new(body, max_bytes, &core.pacer, &self.meter);
+        let on_bytes = |bytes| progress.record(bytes);
+        tokio::select! {
+            biased;
+            read = read_whole(body, max_bytes, &core.control_buffers, on_bytes) => {
+                read.map_err(|_| MessageError::Unreadable.into())
+            }
+            () = progress.stalled() => Err(PeerError::Timeout),
+        }
+    }
+}
+
+/// Progress of a response body.
+struct BodyProgress {
+    started_at: Instant,
+    last_at: Cell<Instant>,
+    bytes: Cell<usize>,
+    changed: Notify,
+}
+
+impl BodyProgress {
+    fn start() -> Self {
+        let now = Instant::now();
+        let (last_at, bytes) = (Cell::new(now), Cell::new(0));
+        BodyProgress { started_at: now, last_at, bytes, changed: Notify::new() }
+    }
+
+    fn record(&self, bytes: usize) {
+        self.last_at.set(Instant::now());
+        self.bytes.set(self.bytes.get() + bytes);
+        self.changed.notify_one();
+    }
+
+    /// Waits until the body makes no more progress, or too little.
+    async fn stalled(&self) {
+        loop {
+            let allowed = Duration::from_secs_f64(self.bytes.get() as f64 / MIN_BYTES_PER_S);
+            let end = (self.last_at.get() + BODY_IDLE_TIMEOUT)
+                .min(self.started_at + SLOW_BODY_TIMEOUT.max(allowed));
+            tokio::select! {
+                biased;
+                () = self.changed.notified() => {}
+                () = sleep_until(end) => return,
+            }
+        }
+    }
+}
 
 /// Client that keeps one idle connection, to the peer it last used, and the metadata of that peer's
 /// last response.
 #[derive(Debug, Default)]
 pub struct PeerClient {
-    idle: RefCell<Option<(SocketAddr, RequestSender)>>,
+    idle: RefCell<Option<(SocketAddr, PeerConnection)>>,
     last: RefCell<ResponseMark>,
     /// Number of responses being read by all clients that share this counter.
     receiving: Rc<Cell<usize>>,
@@ -153,31 +258,29 @@
     /// connection is followed by one retry on a new one.
     pub async fn request_state(
         &self,
-        connect: &Connect,
-        clock: &Clock,
+        core: &Core,
         address: SocketAddr,
         query: StateRequest,
     ) -> Result<StateUpdate, PeerError> {
         let reused = self.take_idle(address).map(|sender| (address, sender));
         let is_reused = reused.is_some();
         *self.idle.borrow_mut() = reused;
-        let update = self.request_once(connect, clock, address, query).await;
+        let update = self.request_once(core, address, query).await;
         if !is_reused || !matches!(update, Err(PeerError::Timeout | PeerError::Failed(_))) {
             return update;
         }
         let deadline = query.deadline.max(Instant::now() + POST_TIMEOUT);
-        self.request_once(connect, clock, address, StateRequest { deadline, ..query }).await
+        self.request_once(core, address, StateRequest { deadline, ..query }).await
     }
 
     async fn request_once(
         &self,
-        connect: &Connect,
-        clock: &Clock,
+        core: &Core,
         address: SocketAddr,
         query: StateRequest,
     ) -> Result<StateUpdate, PeerError> {
-        let sent_at = clock.now();
-        let bytes = self.fetch_state(connect, address, query).await?;
+        let sent_at = core.clock.now();
+        let bytes = self.fetch_state(core, address, query).await?;
         let state = StateMessage::from_bytes(&bytes, query.store)?;
         // A difference from an earlier revision is harmless, but a full state would replace a newer
         // one.
@@ -223,17 +326,17 @@
 
     /// Sends an encoded gossip message to the entry at `address`.
     pub async fn send_gossip(
-        connect: &Connect,
+        core: &Core,
         address: SocketAddr,
         body: Bytes,
     ) -> Result<(), PeerError> {
-        Self::post(connect, address, NEWS_PATH, body).await.map(|_| ())
+        Self::post(core, address, NEWS_PATH, body).await.map(|_| ())
     }
 
     /// Posts a message to the entry at `address` on a new connection, and returns the response
     /// body.
     pub async fn post(
-        connect: &Connect,
+        core: &Core,
         address: SocketAddr,
         path: &str,
         body: Bytes,
@@ -243,10 +346,12 @@
         let request = Request::post(path).header(HOST, address.to_string());
         let request = request.body(Full::from(body)).map_err(failed)?;
         let sending = async {
-            let response = open(connect, address).await?.send_request(request).await;
-            let response = response.map_err(failed)?;
+            let mut connection = PeerConnection::open(core, address).await?;
+            let response = connection.send(request).await?;
             match response.status() {
-                StatusCode::OK => read_body(response.into_body(), MAX_MESSAGE_BYTES).await,
+                StatusCode::OK => {
+                    connection.read_body(core, response.into_body(), MAX_MESSAGE_BYTES).await
+                }
                 status => Err(PeerError::Failed(status.to_string())),
             }
         };
@@ -255,10 +360,10 @@
     }
 
     /// Takes the idle connection if it leads to `address` and is still open.
-    fn take_idle(&self, address: SocketAddr) -> Option<RequestSender> {
+    fn take_idle(&self, address: SocketAddr) -> Option<PeerConnection> {
         let idle = self.idle.borrow_mut().take();
-        let idle = idle.filter(|(to, sender)| *to == address && sender.is_ready());
-        idle.map(|(_, sender)| sender)
+        let idle = idle.filter(|(to, connection)| *to == address && connection.is_ready());
+        idle.map(|(_, connection)| connection)
     }
 
     fn path(&self, address: SocketAddr, query: StateRequest) -> String {
@@ -281,36 +386,36 @@
 
     async fn send_state_request(
         &self,
-        connect: &Connect,
+        core: &Core,
         address: SocketAddr,
         query: StateRequest,
-    ) -> Result<(RequestSender, Response<Incoming>), PeerError> {
-        let mut sender = match self.take_idle(address) {
-            Some(sender) => sender,
-            None => open(connect, address).await?,
+    ) -> Result<(PeerConnection, Response<Incoming>), PeerError> {
+        let mut connection = match self.take_idle(address) {
+            Some(connection) => connection,
+            None => PeerConnection::open(core, address).await?,
         };
         let request = Request::get(self.path(address, query)).header(HOST, address.to_string());
         let request = request.body(Full::default()).map_err(failed)?;
-        let response = sender.send_request(request).await.map_err(failed)?;
-        Ok((sender, response))
+        let response = connection.send(request).await?;
+        Ok((connection, response))
     }
 
     async fn fetch_state(
         &self,
-        connect: &Connect,
+        core: &Core,
         address: SocketAddr,
         query: StateRequest,
     ) -> Result<Bytes, PeerError> {
-        let pending = self.send_state_request(connect, address, query);
+        let pending = self.send_state_request(core, address, query);
         let response = timeout_at(query.deadline, pending).await;
-        let (sender, response) = response.map_err(|_| PeerError::Timeout)??;
+        let (connection, response) = response.map_err(|_| PeerError::Timeout)??;
         let status = response.status();
         let is_success = usize::from(status == StatusCode::OK);
         self.receiving.set(self.receiving.get() + is_success);
-        let body = read_body(response.into_body(), MAX_MESSAGE_BYTES).await;
+        let body = connection.read_body(core, response.into_body(), MAX_MESSAGE_BYTES).await;
         self.receiving.set(self.receiving.get() - is_success);
         let body = body?;
-        *self.idle.borrow_mut() = Some((address, sender));
+        *self.idle.borrow_mut() = Some((address, connection));
         match status {
             StatusCode::OK => Ok(body),
             StatusCode::SERVICE_UNAVAILABLE => Err(PeerError::Stale),
@@ -329,39 +434,10 @@
     let store = core.settings.store.address;
     let query = to_message(store, query)?;
     core.metrics.count_many(Counter::PeerBytesSent, query.len());
-    let response = PeerClient::post(&core.connect, address, path, query).await?;
+    let response = PeerClient::post(core, address, path, query).await?;
     Ok(from_message(&response, store)?)
 }
 
-/// Reads a body of at most `max_bytes` for as long as frames arrive. A large state on a narrow link
-/// takes longer than any sensible timeout for the start of a response.
-pub(super) async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, PeerError> {
-    let mut body = pin!(Limited::new(body, max_bytes));
-    let mut read = BytesMut::new();
-    loop {
-        let frame =
-            timeout(BODY_IDLE_TIMEOUT, body.frame()).await.map_err(|_| PeerError::Timeout)?;
-        let Some(frame) = frame else { return Ok(read.freeze()) };
-        let frame = frame.map_err(|_| MessageError::Unreadable)?;
-        if let Ok(data) = frame.into_data() {
-            read.extend_from_slice(&data);
-        }
-    }
-}
-
-/// Opens a connection to another entry.
-pub(super) async fn open(
-    connect: &Connect,
-    address: SocketAddr,
-) -> Result<RequestSender, PeerError> {
-    let connecting = timeout(CONNECT_TIMEOUT, connect(address)).await;
-    let stream = connecting.map_err(|_| PeerError::Timeout)?.map_err(failed)?;
-    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(failed)?;
-    // A failure of the connection also fails the request that is pending on it.
-    spawn_local(async move { connection.await.unwrap_or_default() });
-    Ok(sender)
-}
-
 /// Wraps an error of the connection.
 pub(super) fn failed(error: impl ToString) -> PeerError {
     PeerError::Failed(error.to_string())
--- a/crates/direct/src/membership/forward.rs
+++ b/crates/direct/src/membership/forward.rs
@@ -1,6 +1,12 @@
 //! Forwards gossip: towards the roots at once, and among the roots.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    panic::{AssertUnwindSafe, catch_unwind},
+    rc::Rc,
+    time::Duration,
+};
 
 use serde::Serialize;
 use tokio::{sync::Notify, task::spawn_local, time::sleep};
@@ -90,7 +96,8 @@
         let new: Vec<GossipItem> = items.into_iter().filter(is_new).collect();
         for item in &new {
             self.log_received(item);
-            self.apply(item);
+            // A panic concerns this item alone; the panic hook reports it.
+            let _ = catch_unwind(AssertUnwindSafe(|| self.apply(item)));
         }
         if new.iter().any(|item| !item.is_for_roots_only()) {
             self.state_changed.notify_waiters();
@@ -258,6 +265,6 @@
     let store = core.settings.store.address;
     let bytes = message::to_message(store, &items).map_err(|error| error.to_string())?;
     core.metrics.count_many(Counter::PeerBytesSent, bytes.len());
-    let sent = PeerClient::send_gossip(&core.connect, address, bytes).await;
+    let sent = PeerClient::send_gossip(core, address, bytes).await;
     sent.map_err(|error| error.to_string())
 }
--- a/crates/direct/src/membership/gossip.rs
+++ b/crates/direct/src/membership/gossip.rs
@@ -26,6 +26,9 @@
 const RETENTION: Duration = Duration::from_secs(60);
 /// Maximum number of retained items. Each entry publishes a few during a roll-out.
 const MAX_ITEMS: usize = 4_096;
+/// Maximum size of all retained items, encoded; several times that of a roll-out at the largest
+/// deployment planned.
+const MAX_RETAINED_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum number of sessions in one item; an entry with more sessions publishes several items.
 pub const MAX_SESSIONS_PER_ITEM: usize = 1_024;
 
@@ -173,6 +176,13 @@
         matches!(self.news, Gossip::Seen { .. } | Gossip::Used { .. })
     }
 
+    /// Size of the item when it is encoded.
+    fn encoded_bytes(&self) -> usize {
+        // An item that can't be encoded can't be sent.
+        postcard::serialize_with_flavor(self, postcard::ser_flavors::Size::default())
+            .unwrap_or(MAX_RETAINED_BYTES)
+    }
+
     fn id(&self) -> ItemId {
         (self.origin.clone(), self.incarnation, self.number)
     }
@@ -186,6 +196,8 @@
     start: u64,
     /// Items with their time of publication by the local clock.
     items: VecDeque<(Duration, GossipItem)>,
+    /// Size of all items.
+    retained_bytes: usize,
     known_ids: HashSet<ItemId>,
 }
 
@@ -201,7 +213,13 @@
     }
 
     fn with_retention(retention: Duration) -> Self {
-        GossipLog { retention, start: 0, items: VecDeque::new(), known_ids: HashSet::new() }
+        GossipLog {
+            retention,
+            start: 0,
+            items: VecDeque::new(),
+            retained_bytes: 0,
+            known_ids: HashSet::new(),
+        }
     }
 
     /// Adds an item; `false` if it is known already or too old.
@@ -210,6 +228,7 @@
         if item.age >= self.retention || !self.known_ids.insert(item.id()) {
             return false;
         }
+        self.retained_bytes += item.encoded_bytes();
         self.items.push_back((now.saturating_sub(item.age), item));
         true
     }
@@ -239,11 +258,14 @@
         // Items that arrived late lie behind younger ones, and are dropped together with those.
         while let Some((published_at, _)) = self.items.front() {
             let is_expired = now.saturating_sub(*published_at) >= self.retention;
-            if !is_expired && self.items.len() < MAX_ITEMS {
+            let is_full =
+                self.items.len() >= MAX_ITEMS || self.retained_bytes >= MAX_RETAINED_BYTES;
+            if !is_expired && !is_full {
                 return;
             }
             if let Some((_, item)) = self.items.pop_front() {
                 self.known_ids.remove(&item.id());
+                self.retained_bytes = self.retained_bytes.saturating_sub(item.encoded_bytes());
                 self.start += 1;
             }
         }
--- a/crates/direct/src/membership/load_exchange.rs
+++ b/crates/direct/src/membership/load_exchange.rs
@@ -10,13 +10,14 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, StatusCode,
     body::Incoming,
     header::{HOST, HeaderValue},
 };
 use pondwalk_decide::direct::{LoadKey, LoadOrigin, LoadRole, LoadSummary, LoadView, name_key};
+use pondwalk_inbound::Meter;
 use serde::{Deserialize, Serialize};
 use tokio::{
     task::spawn_local,
@@ -25,8 +26,9 @@
 
 use super::{
     ChangeSource, LOAD_PATH, MessageError, PeerError,
-    client::{POST_TIMEOUT, POST_TIMEOUT_PER_BYTE, RequestSender, failed, open, read_body},
+    client::{POST_TIMEOUT, POST_TIMEOUT_PER_BYTE, PeerConnection, failed},
     message::{from_message, to_message},
+    server::read_post,
 };
 use crate::{core::Core, event_log::LogPriority, metrics::Counter};
 
@@ -88,7 +90,7 @@
 #[derive(Debug, Default)]
 struct PeerLink {
     /// The open connection, if no exchange is in progress.
-    idle: Option<RequestSender>,
+    idle: Option<PeerConnection>,
     is_busy: bool,
     /// Consecutive failures.
     failures: u32,
@@ -151,7 +153,7 @@
 
     /// Takes the link to a peer for an exchange if one is due: `None` if not, otherwise the idle
     /// connection, if it is still open.
-    fn begin(&self, address: SocketAddr, now: Duration) -> Option<Option<RequestSender>> {
+    fn begin(&self, address: SocketAddr, now: Duration) -> Option<Option<PeerConnection>> {
         let mut links = self.links.borrow_mut();
         let link = links.entry(address).or_default();
         if link.is_busy || now + TIMER_TOLERANCE < link.next {
@@ -160,11 +162,11 @@
         link.is_busy = true;
         // An exchange that begins early does not make the next one earlier.
         link.next = link.next.max(now) + self.interval.get();
-        Some(link.idle.take().filter(RequestSender::is_ready))
+        Some(link.idle.take().filter(PeerConnection::is_ready))
     }
 
     /// Ends an exchange; `sender` is the connection if it succeeded.
-    fn end(&self, address: SocketAddr, sender: Option<RequestSender>, now: Duration) {
+    fn end(&self, address: SocketAddr, sender: Option<PeerConnection>, now: Duration) {
         let mut links = self.links.borrow_mut();
         let Some(link) = links.get_mut(&address) else { return };
         link.is_busy = false;
@@ -268,13 +270,14 @@
 
     /// Handles a message of a child or another root, and returns the answer; `None` if the message
     /// is refused.
-    pub async fn handle_load_message(&self, request: Request<Incoming>) -> Option<Bytes> {
+    pub async fn handle_load_message(
+        &self,
+        request: Request<Incoming>,
+        meter: &Meter,
+    ) -> Option<Bytes> {
         let sender = request.headers().get(SENDER_HEADER).cloned();
-        let body = Limited::new(request.into_body(), MAX_LOAD_BYTES).collect().await;
-        let answer = match body {
-            Ok(body) => self.answer_load(&body.to_bytes()),
-            Err(_) => Err(MessageError::Unreadable),
-        };
+        let body = read_post(self, request, meter, MAX_LOAD_BYTES).await;
+        let answer = body.and_then(|body| self.answer_load(&body));
         let sender = sender.as_ref().and_then(|name| name.to_str().ok());
         let refuse = |error: &_| self.refuse_load(sender.unwrap_or(UNKNOWN_SENDER), error);
         answer.inspect_err(refuse).ok()
@@ -299,9 +302,9 @@
     async fn post_load(
         &self,
         address: SocketAddr,
-        idle: Option<RequestSender>,
+        idle: Option<PeerConnection>,
         body: Bytes,
-    ) -> Result<(RequestSender, Bytes), PeerError> {
+    ) -> Result<(PeerConnection, Bytes), PeerError> {
         let size = u32::try_from(body.len()).unwrap_or(u32::MAX);
         let deadline = Instant::now() + POST_TIMEOUT + POST_TIMEOUT_PER_BYTE * size;
         let mut request = Request::post(LOAD_PATH).header(HOST, address.to_string());
@@ -310,15 +313,16 @@
         }
         let request = request.body(Full::from(body)).map_err(failed)?;
         let exchange = async {
-            let mut sender = match idle {
-                Some(sender) => sender,
-                None => open(&self.connect, address).await?,
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => PeerConnection::open(self, address).await?,
             };
-            let response = sender.send_request(request).await.map_err(failed)?;
+            let response = connection.send(request).await?;
             match response.status() {
                 StatusCode::OK => {
-                    let answer = read_body(response.into_body(), MAX_LOAD_BYTES).await?;
-                    Ok((sender, answer))
+                    let body = response.into_body();
+                    let answer = connection.read_body(self, body, MAX_LOAD_BYTES).await?;
+                    Ok((connection, answer))
                 }
                 status => Err(PeerError::Failed(status.to_string())),
             }
@@ -332,7 +336,7 @@
         (name, address): (String, SocketAddr),
         role: LoadRole,
         peers: usize,
-        idle: Option<RequestSender>,
+        idle: Option<PeerConnection>,
     ) {
         let exchange = &self.load_exchange;
         let Ok(body) = self.load_message(name_key(&name), role) else {
--- a/crates/direct/src/membership/message.rs
+++ b/crates/direct/src/membership/message.rs
@@ -25,6 +25,12 @@
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum size of a decompressed body.
 const MAX_UNPACKED_BYTES: u64 = 16 * 1024 * 1024;
+/// Maximum number of changes in a message. A change takes many times the memory of its few bytes.
+const MAX_CHANGES: u64 = 131_072;
+/// Maximum number of gossip items in a message, twice what an entry retains.
+const MAX_GOSSIP_ITEMS: u64 = 8_192;
+/// Longest time in a message. Sums of times up to this do not overflow.
+const MAX_TIME: Duration = Duration::from_secs(100 * 365 * 24 * 3_600);
 
 /// Why a message was rejected.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -139,13 +145,16 @@
         if head.store != store {
             return Err(MessageError::OtherStore(head.store));
         }
-        if head.confirmed > head.now {
+        let returned = head.store_returned.unwrap_or_default();
+        if head.confirmed > head.now
+            || [head.now, returned, head.store_takes].iter().any(|time| *time > MAX_TIME)
+        {
             return Err(MessageError::Contradictory);
         }
         let after_head = bytes.slice(2 + length..);
         let body_bytes = head.body_bytes as usize;
         let gossip = after_head.get(body_bytes..).ok_or(MessageError::Unreadable)?;
-        let gossip = read_all(gossip)?;
+        let gossip = read_list(gossip, MAX_GOSSIP_ITEMS)?;
         Ok(StateMessage { head, body: after_head.slice(..body_bytes), gossip })
     }
 
@@ -172,7 +181,7 @@
     let mut plain = Vec::new();
     let mut decoder = ZlibDecoder::new(packed).take(MAX_UNPACKED_BYTES);
     decoder.read_to_end(&mut plain).map_err(|_| MessageError::Unreadable)?;
-    read_all(&plain)
+    read_list(&plain, MAX_CHANGES)
 }
 
 /// Envelope of all other messages: the format and the store, then the content.
@@ -203,6 +212,38 @@
     Ok(message.about)
 }
 
+/// Decodes a message with gossip, as [`from_message`].
+pub fn from_gossip_message(
+    bytes: &[u8],
+    store: SocketAddr,
+) -> Result<Vec<GossipItem>, MessageError> {
+    check_format(bytes)?;
+    // The list follows the envelope's other fields.
+    let (_, list): ((u16, SocketAddr), _) =
+        postcard::take_from_bytes(bytes).map_err(|_| MessageError::Unreadable)?;
+    check_length(list, MAX_GOSSIP_ITEMS)?;
+    from_message(bytes, store)
+}
+
+/// Decodes an item from the beginning of `bytes`, and returns the rest.
+pub fn take_gossip_item(bytes: &[u8]) -> Result<(GossipItem, &[u8]), MessageError> {
+    postcard::take_from_bytes(bytes).map_err(|_| MessageError::Unreadable)
+}
+
+/// Decodes a list that takes up all of `bytes` and has at most `max_length` items.
+fn read_list<T: DeserializeOwned>(bytes: &[u8], max_length: u64) -> Result<Vec<T>, MessageError> {
+    check_length(bytes, max_length)?;
+    read_all(bytes)
+}
+
+/// Checks the length of a list, which is encoded before its items.
+fn check_length(list: &[u8], max_length: u64) -> Result<(), MessageError> {
+    match postcard::take_from_bytes::<u64>(list) {
+        Ok((length, _)) if length <= max_length => Ok(()),
+        _ => Err(MessageError::Unreadable),
+    }
+}
+
 /// Checks the format, which is the first field; the rest of a message of another format may have
 /// another layout.
 fn check_format(bytes: &[u8]) -> Result<(), MessageError> {
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -3,28 +3,36 @@
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use pondwalk_inbound::{Meter, MeteredStream, PacedBody, read_whole};
 use pondwalk_store::Position;
 use serde::Serialize;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    time::timeout_at,
+    time::{timeout, timeout_at},
 };
 
 use super::{
-    FORMAT, GossipItem, LOAD_PATH, LOAN_PATH, MessageError, NEWS_PATH, PERMIT_PATH, PROBE_PATH,
-    STATE_PATH, StateHead, StateMessage, StateRequestKind,
-    message::{from_message, to_message},
+    FORMAT, LOAD_PATH, LOAN_PATH, MessageError, NEWS_PATH, PERMIT_PATH, PROBE_PATH, STATE_PATH,
+    StateHead, StateMessage, StateRequestKind,
+    message::{from_gossip_message, from_message, to_message},
 };
 use crate::{core::Core, event_log::LogPriority, loans::answer_loan_query, metrics::Counter};
 
 /// Maximum size of a posted message: three times the sessions that stay on the old version at a
 /// hundred entries.
 const MAX_POST_BYTES: usize = 1024 * 1024;
+/// Time within which a posted message must arrive, several times what its sender allows it.
+const POST_READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for the head of a request, and between two requests on a connection. Peers reopen
+/// connections that were closed.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Read buffer size of a connection, which is also the maximum size of a request's head.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Log event of a rejected message.
 #[derive(Debug, Serialize)]
@@ -93,43 +101,56 @@
 where
     I: AsyncRead + AsyncWrite + Unpin + 'static,
 {
+    let meter = Meter::new(core.request_limits());
     let service = service_fn(|request: Request<Incoming>| {
-        let core = Rc::clone(&core);
+        let (core, meter) = (Rc::clone(&core), meter.clone());
         async move {
+            meter.begin_message();
+            meter.on_head();
             let response = match request.uri().path() {
                 STATE_PATH => send_state(&core, &request).await,
-                NEWS_PATH => receive_gossip(&core, request).await,
+                NEWS_PATH => receive_gossip(&core, request, &meter).await,
                 PROBE_PATH => {
-                    answer_query(&core, request, async |core, body| core.handle_probe_query(body))
-                        .await
+                    answer_query(&core, request, &meter, async |core, body| {
+                        core.handle_probe_query(body)
+                    })
+                    .await
                 }
                 LOAD_PATH if core.settings.policy.shared_load => {
-                    match core.handle_load_message(request).await {
+                    match core.handle_load_message(request, &meter).await {
                         Some(answer) => with_status(StatusCode::OK, answer),
                         None => with_status(StatusCode::BAD_REQUEST, Bytes::new()),
                     }
                 }
-                PERMIT_PATH => answer_query(&core, request, Core::handle_permit_query).await,
+                PERMIT_PATH => {
+                    answer_query(&core, request, &meter, Core::handle_permit_query).await
+                }
                 LOAN_PATH => {
-                    answer_query(&core, request, async |core, body| lend(core, body)).await
+                    answer_query(&core, request, &meter, async |core, body| lend(core, body)).await
                 }
                 _ => with_status(StatusCode::NOT_FOUND, Bytes::new()),
             };
+            meter.begin_message();
             Ok::<_, Infallible>(response)
         }
     });
     // The peer reopens a connection that breaks.
-    let _ = http1::Builder::new().serve_connection(TokioIo::new(io), service).await;
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(READ_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(MeteredStream::new(io, &meter)), service)
+        .await;
 }
 
 /// Receives gossip from a child, or from another root.
-async fn receive_gossip(core: &Core, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let body = Limited::new(request.into_body(), MAX_POST_BYTES).collect().await;
-    let items = match body {
-        Ok(body) => from_message::<Vec<GossipItem>>(&body.to_bytes(), core.settings.store.address),
-        Err(_) => Err(MessageError::Unreadable),
-    };
-    match items {
+async fn receive_gossip(
+    core: &Core,
+    request: Request<Incoming>,
+    meter: &Meter,
+) -> Response<Full<Bytes>> {
+    let body = read_post(core, request, meter, MAX_POST_BYTES).await;
+    match body.and_then(|body| from_gossip_message(&body, core.settings.store.address)) {
         Ok(items) => {
             core.receive_from_child(items);
             with_status(StatusCode::OK, Bytes::new())
@@ -142,7 +163,19 @@
     }
 }
 
-/// Answers a posted query with the result of `answer`.
+/// Reads a posted message of at most `max_bytes`.
+pub(super) async fn read_post(
+    core: &Core,
+    request: Request<Incoming>,
+    meter: &Meter,
+    max_bytes: usize,
+) -> Result<Bytes, MessageError> {
+    let body = PacedBody::new(request.into_body(), MAX_POST_BYTES, &core.pacer, meter);
+    let reading = read_whole(body, max_bytes, &core.control_buffers, |_| {});
+    let read = timeout(POST_READ_TIMEOUT, reading).await;
+    read.map_err(|_| MessageError::Unreadable)?.map_err(|_| MessageError::Unreadable)
+}
+
 /// Handles another entry's query for a loan.
 fn lend(core: &Core, query: &[u8]) -> Result<Bytes, MessageError> {
     let store = core.settings.store.address;
@@ -152,15 +185,16 @@
     to_message(store, &reply)
 }
 
+/// Answers a posted query with the result of `answer`.
 async fn answer_query(
     core: &Core,
     request: Request<Incoming>,
+    meter: &Meter,
     answer: impl AsyncFnOnce(&Core, &[u8]) -> Result<Bytes, MessageError>,
 ) -> Response<Full<Bytes>> {
-    let body = Limited::new(request.into_body(), MAX_POST_BYTES).collect().await;
-    let answer = match body {
-        Ok(body) => answer(core, &body.to_bytes()).await,
-        Err(_) => Err(MessageError::Unreadable),
+    let answer = match read_post(core, request, meter, MAX_POST_BYTES).await {
+        Ok(body) => answer(core, &body).await,
+        Err(error) => Err(error),
     };
     match answer {
         Ok(bytes) => with_status(StatusCode::OK, bytes),
