--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -1,6 +1,6 @@
 //! An entry with all its tasks, except for sockets and signals.
 
-use std::{rc::Rc, time::Duration};
+use std::{future::Future, rc::Rc, time::Duration};
 
 use pondwalk_config::DirectSettings;
 use pondwalk_decide::direct::LoadSummary;
@@ -8,7 +8,6 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::TcpListener,
-    task::spawn_local,
     time::{sleep, sleep_until},
 };
 
@@ -25,7 +24,7 @@
     metrics::Counter,
     panics::{self, PanicRecord},
     port::Port,
-    quarantine,
+    quarantine, tasks,
     upstream::Connect,
     usage,
 };
@@ -87,6 +86,25 @@
     }
 }
 
+/// Passes log lines on in batches, for as long as the process runs.
+async fn write_log(core: Rc<Core>) {
+    let mut suspended = Duration::ZERO;
+    loop {
+        sleep(FLUSH_INTERVAL).await;
+        log_suspension(&core, &mut suspended);
+        log_panics(&core);
+        core.event_log.flush();
+    }
+}
+
+/// Removes expired quarantine data, for as long as the process runs.
+async fn forget_old_crashes(core: Rc<Core>) {
+    loop {
+        sleep(EXPIRY_INTERVAL).await;
+        core.forget_old_crashes();
+    }
+}
+
 /// Phase of a graceful shutdown, as logged.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -132,40 +150,47 @@
 
     /// Starts the background tasks as local tasks of the current thread.
     pub fn start(&self) {
-        let coordinator = Rc::clone(&self.coordinator);
-        spawn_local(async move { coordinator.run().await });
-        let coordinator = Rc::clone(&self.coordinator);
-        spawn_local(membership::forward_gossip(Rc::clone(&self.core)));
-        spawn_local(quarantine::publish_clearances(Rc::clone(&self.core)));
-        spawn_local(quarantine::release_probes(Rc::clone(&self.core)));
-        spawn_local(quarantine::publish_crashes(Rc::clone(&self.core)));
-        spawn_local(quarantine::examine_ended_runs(Rc::clone(&self.core)));
-        if self.core.usage.is_some() {
-            spawn_local(usage::publish_usage(Rc::clone(&self.core)));
-            let coordinator = Rc::clone(&self.coordinator);
-            spawn_local(usage::report_usage(Rc::clone(&self.core), self.port.clone(), coordinator));
-        }
+        self.start_task("forward_gossip", membership::forward_gossip);
+        self.start_task("publish_clearances", quarantine::publish_clearances);
+        self.start_task("release_probes", quarantine::release_probes);
+        self.start_task("publish_crashes", quarantine::publish_crashes);
+        self.start_task("examine_ended_runs", quarantine::examine_ended_runs);
+        self.start_task("watch_draining_servers", watch_draining_servers);
+        self.start_task("write_log", write_log);
+        self.start_task("forget_old_crashes", forget_old_crashes);
         if self.core.settings.policy.shared_load {
-            spawn_local(membership::exchange_load(Rc::clone(&self.core)));
+            self.start_task("exchange_load", membership::exchange_load);
         }
-        spawn_local(watch_draining_servers(Rc::clone(&self.core)));
-        spawn_local(follow(Rc::clone(&self.core), self.port.clone(), coordinator));
-        let core = Rc::clone(&self.core);
-        spawn_local(async move {
-            let mut suspended = Duration::ZERO;
-            loop {
-                sleep(FLUSH_INTERVAL).await;
-                log_suspension(&core, &mut suspended);
-                log_panics(&core);
-                core.event_log.flush();
-            }
+        let coordinator = Rc::clone(&self.coordinator);
+        tasks::spawn_restarting(&self.core, "coordinate", move || {
+            let coordinator = Rc::clone(&coordinator);
+            async move { coordinator.run().await }
         });
+        if self.core.usage.is_some() {
+            self.start_task("publish_usage", usage::publish_usage);
+            self.start_port_task("report_usage", usage::report_usage);
+        }
+        self.start_port_task("follow", follow);
+    }
+
+    fn start_task<F: Future<Output = ()> + 'static>(
+        &self,
+        name: &'static str,
+        run: fn(Rc<Core>) -> F,
+    ) {
         let core = Rc::clone(&self.core);
-        spawn_local(async move {
-            loop {
-                sleep(EXPIRY_INTERVAL).await;
-                core.forget_old_crashes();
-            }
+        tasks::spawn_restarting(&self.core, name, move || run(Rc::clone(&core)));
+    }
+
+    fn start_port_task<F: Future<Output = ()> + 'static>(
+        &self,
+        name: &'static str,
+        run: fn(Rc<Core>, Port, Rc<Coordinator>) -> F,
+    ) {
+        let (core, port) = (Rc::clone(&self.core), self.port.clone());
+        let coordinator = Rc::clone(&self.coordinator);
+        tasks::spawn_restarting(&self.core, name, move || {
+            run(Rc::clone(&core), port.clone(), Rc::clone(&coordinator))
         });
     }
 
--- a/crates/direct/src/follow/apply.rs
+++ b/crates/direct/src/follow/apply.rs
@@ -1,6 +1,10 @@
 //! Applies store records: configurations, backend servers, entry listings, roll-outs.
 
-use std::{collections::HashSet, time::Duration};
+use std::{
+    collections::HashSet,
+    panic::{AssertUnwindSafe, catch_unwind},
+    time::Duration,
+};
 
 use pondwalk_store::{StoreEntry, StoreEvent};
 use pondwalk_types::DataCentreId;
@@ -27,7 +31,17 @@
         }
     }
 
+    /// Applies a record; a panic concerns this record alone.
     pub(super) fn apply_written(&self, entry: &StoreEntry) {
+        let applied = catch_unwind(AssertUnwindSafe(|| self.apply_entry(entry)));
+        if applied.is_err() {
+            let reason = "applying it failed";
+            let event = FollowEvent::EntryUnreadable { key: &entry.key, reason };
+            self.core.event_log.record(LogPriority::State, &event);
+        }
+    }
+
+    fn apply_entry(&self, entry: &StoreEntry) {
         self.coordinator.apply_revision(&entry.key, Some(entry));
         self.apply_entry_listing(&entry.key, Some(&entry.value));
         match self.port.decode_entry(entry) {
@@ -212,7 +226,10 @@
         let mut listed = HashSet::new();
         let mut evacuated = HashSet::new();
         for entry in entries {
-            match self.port.decode_entry(entry) {
+            // A record that can't be decoded without a panic is logged when it is applied.
+            let decoded = catch_unwind(AssertUnwindSafe(|| self.port.decode_entry(entry)));
+            let Ok(decoded) = decoded else { continue };
+            match decoded {
                 Ok(StoreRecord::Server(id, _)) => {
                     listed.insert(id);
                 }
--- a/crates/direct/src/http/admission.rs
+++ b/crates/direct/src/http/admission.rs
@@ -57,7 +57,7 @@
 
 impl Drop for QueuePlace {
     fn drop(&mut self) {
-        let mut state = self.core.state.borrow_mut();
+        let Ok(mut state) = self.core.state.try_borrow_mut() else { return };
         state.admission(&self.service).leave_queue(self.ticket);
     }
 }
--- a/crates/direct/src/http/further_send.rs
+++ b/crates/direct/src/http/further_send.rs
@@ -42,7 +42,8 @@
 impl Drop for FurtherSend {
     fn drop(&mut self) {
         if let Some(taken_at) = self.taken_at {
-            self.core.state.borrow_mut().budget(&self.service).put_back(taken_at);
+            let Ok(mut state) = self.core.state.try_borrow_mut() else { return };
+            state.budget(&self.service).put_back(taken_at);
             self.core.metrics.count(Counter::FurtherSendsPutBack);
         }
     }
--- a/crates/direct/src/http/listen.rs
+++ b/crates/direct/src/http/listen.rs
@@ -1,7 +1,8 @@
 //! Accepts callers' connections and serves the requests on them.
 
-use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, panic::AssertUnwindSafe, rc::Rc, time::Duration};
 
+use futures::FutureExt;
 use hyper::{Request, body::Incoming, header, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use pondwalk_inbound::{Meter, MeteredStream};
@@ -128,7 +129,12 @@
     core.metrics.count(Counter::Requests);
     meter.begin_message();
     meter.on_head();
-    let mut response = serve::serve(&core, request, &meter).await;
+    let arrived = core.clock.now();
+    let serving = AssertUnwindSafe(serve::serve(&core, request, &meter));
+    let mut response = match serving.catch_unwind().await {
+        Ok(response) => response,
+        Err(_) => serve::refuse_after_panic(&core, arrived),
+    };
     meter.begin_message();
     if core.shutdown.get() != ShutdownPhase::Running {
         response
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -52,6 +52,12 @@
     }
 }
 
+/// Refuses a request whose handling panicked; it may have run.
+pub fn refuse_after_panic(core: &Core, arrived: Duration) -> Response<ResponseBody> {
+    let refused = RefusedRequest { request: "", route: None, arrived, sends: 0 };
+    refuse(core, &refused, Refusal::OutcomeUnknown)
+}
+
 /// Result of an attempt.
 enum AttemptResult {
     /// The response for the caller.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod signals;
 pub mod sse;
 mod state;
+mod tasks;
 pub mod upstream;
 mod usage;
 
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -82,6 +82,8 @@
     AnswersTooLong,
     /// Panics, each of which ended a task.
     Panics,
+    /// Background tasks restarted after a panic.
+    TasksRestarted,
     /// Failed calls to the store.
     StoreFailures,
     /// Requests of other entries answered with a state.
@@ -137,6 +139,7 @@
             Counter::StreamsMoved => "streams_moved_total",
             Counter::AnswersTooLong => "answers_too_long_total",
             Counter::Panics => "panics_total",
+            Counter::TasksRestarted => "tasks_restarted_total",
             Counter::StoreFailures => "store_failures_total",
             Counter::QuestionsAnswered => "questions_answered_total",
             Counter::UsageReports => "usage_reports_total",
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -98,7 +98,7 @@
 
 impl Drop for PermitWaiter {
     fn drop(&mut self) {
-        let mut waiting = self.core.permits.waiting.borrow_mut();
+        let Ok(mut waiting) = self.core.permits.waiting.try_borrow_mut() else { return };
         if let Some(count) = waiting.get_mut(&self.service) {
             *count -= 1;
         }
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -351,7 +351,8 @@
 impl Drop for Placement {
     fn drop(&mut self) {
         let now = self.core.clock.now();
-        let mut state = self.core.state.borrow_mut();
+        // The state is borrowed only while a panic unwinds; another panic would end the process.
+        let Ok(mut state) = self.core.state.try_borrow_mut() else { return };
         if let Some(session) = self.job.session {
             state.sessions.record(session, &self.version, now);
         }
--- a/crates/direct/src/quarantine/probe_lease.rs
+++ b/crates/direct/src/quarantine/probe_lease.rs
@@ -53,7 +53,8 @@
     fn drop(&mut self) {
         if let Some(feature) = self.probed.first().filter(|_| !self.has_reached.get()) {
             let released_probes = &self.core.released_probes;
-            released_probes.probes.borrow_mut().push((*feature, self.granted_by));
+            let Ok(mut probes) = released_probes.probes.try_borrow_mut() else { return };
+            probes.push((*feature, self.granted_by));
             released_probes.changed.notify_one();
         }
     }
--- a/crates/direct/src/run.rs
+++ b/crates/direct/src/run.rs
@@ -7,7 +7,8 @@
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
-    task::{LocalSet, spawn_local},
+    select,
+    task::{JoinSet, LocalSet},
 };
 
 use crate::{
@@ -37,6 +38,9 @@
     /// Signal handlers can't be installed.
     #[error("cannot install signal handlers: {0}")]
     Signals(#[source] io::Error),
+    /// A listener ended by a panic, which standard error tells.
+    #[error("a listener ended unexpectedly")]
+    ListenerFailed,
     /// Logs can't be written.
     #[error("cannot write logs: {0}")]
     Log(#[from] LogError),
@@ -98,15 +102,20 @@
     };
     core.event_log.record(LogPriority::State, &event);
     entry.start();
-    spawn_local(http::serve_readiness(Rc::clone(core), readiness));
+    let mut listeners = JoinSet::new();
+    listeners.spawn_local(http::serve_readiness(Rc::clone(core), readiness));
     if let Some(listener) = metrics {
-        spawn_local(http::serve_metrics(Rc::clone(core), listener));
+        listeners.spawn_local(http::serve_metrics(Rc::clone(core), listener));
     }
     if let Some(listener) = peers {
-        spawn_local(http::serve_peers(entry.clone(), listener));
+        listeners.spawn_local(http::serve_peers(entry.clone(), listener));
+    }
+    listeners.spawn_local(entry.clone().accept(callers));
+    select! {
+        () = wait_for_stop(&mut signals, &entry) => {}
+        // An entry that accepts no connections is of no use; the platform starts another.
+        _ = listeners.join_next() => return Err(RunError::ListenerFailed),
     }
-    spawn_local(entry.clone().accept(callers));
-    wait_for_stop(&mut signals, &entry).await;
     entry.drain().await;
     Ok(())
 }
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -180,6 +180,11 @@
         entry
     }
 
+    /// Platform of this environment.
+    pub fn port(&self) -> Port {
+        port_of(&self.store.new_connection(), &self.usage_sink, &self.catalogs)
+    }
+
     /// Timing of the exchange between entries in these settings.
     pub fn entry_times(&self) -> MembershipTimes {
         settings("any", None).membership.times
@@ -406,6 +411,8 @@
         let catalog = catalogs.get(&version).ok_or(bad("unknown catalog"))?;
         return Ok(StoreRecord::Catalog(Box::new(catalog.clone())));
     }
+    // A fault of the decoder.
+    assert_ne!(value.as_deref(), Some("panic"));
     if let Some(id) = key.strip_prefix("server/") {
         let server = value.map(|text| server(id, &text).ok_or(bad("invalid server"))).transpose();
         return Ok(match server {
--- a/crates/direct/tests/endless_answers.rs
+++ b/crates/direct/tests/endless_answers.rs
@@ -90,3 +90,104 @@
         assert!(requests.iter().all(|request| request.cancelled), "{flood:?} {path}");
     });
 }
+
+/// Bytes of a sound answer that is too long to be buffered.
+const LONG_BYTES: usize = 100_000_000;
+
+fn long_answers(bytes: usize) -> [Behaviour; 3] {
+    let body = "0123456789abcdef".repeat(bytes / 16);
+    [
+        Behaviour::Answer(200, body.clone()),
+        Behaviour::ChunkedAnswer { body: body.clone(), is_whole: true },
+        Behaviour::UnframedAnswer(body),
+    ]
+}
+
+/// Reads a response, with a pause after each frame; returns its length and whether it is complete.
+async fn read(response: hyper::Response<hyper::body::Incoming>, pause: Duration) -> (usize, bool) {
+    let mut body = response.into_body();
+    let mut bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return (bytes, false) };
+        bytes += frame.data_ref().map_or(0, |data| data.len());
+        sleep(pause).await;
+    }
+    (bytes, true)
+}
+
+#[test]
+fn long_answers_are_passed_on_whole_at_any_speed_of_the_caller() {
+    for (bytes, pause_ms) in [(4_000_000, 0), (4_000_000, 200), (LONG_BYTES, 0)] {
+        for behaviour in long_answers(bytes) {
+            run_test(|world| async move {
+                world.configure(catalog(1));
+                world.start_server(1, "s", "v1", behaviour);
+                world.start().await;
+                let response = world.send(request("/once/x", "r1")).await;
+                assert_eq!(response.status().as_u16(), 200);
+                let read = read(response, Duration::from_millis(pause_ms)).await;
+                assert_eq!(read, (bytes, true));
+                let answered = total(&[world.entry.clone()], "pondwalk_answered_total");
+                assert_eq!(answered, 1);
+            });
+        }
+    }
+}
+
+#[test]
+fn long_answer_that_breaks_off_does_not_look_complete() {
+    let body = "0123456789abcdef".repeat(250_000);
+    for path in ["/once/x", "/again/x"] {
+        let behaviour = Behaviour::ChunkedAnswer { body: body.clone(), is_whole: false };
+        run_test(|world| async move {
+            world.configure(catalog(1));
+            world.start_server(1, "s", "v1", behaviour);
+            world.start().await;
+            let response = world.send(request(path, "r1")).await;
+            assert_eq!(response.status().as_u16(), 200);
+            let (_, is_complete) = read(response, Duration::ZERO).await;
+            assert!(!is_complete, "{path}");
+            assert!(world.entry.buffered_log_lines().contains("\"answer_cut\""));
+        });
+    }
+}
+
+#[test]
+fn endless_answers_are_logged_and_counted_with_their_server_and_size() {
+    run_test(|world| async move {
+        start(&world, Flood::DeclaredBody).await;
+        let response = world.call(request("/once/x", "r1")).await;
+        assert_eq!(response.status.as_u16(), 502);
+        assert!(response.body.contains("\"ran\":\"unknown\""), "{}", response.body);
+        let log = world.entry.buffered_log_lines();
+        let line = log.lines().find(|line| line.contains("\"answer_too_long\"")).expect("a line");
+        for part in ["\"request\":\"r1\"", "\"server\":\"s1\"", "\"version\":\"v1\"", "\"bytes\":"]
+        {
+            assert!(line.contains(part), "{line}");
+        }
+        assert_eq!(total(&[world.entry.clone()], "pondwalk_answers_too_long_total"), 1);
+    });
+}
+
+#[test]
+fn version_with_endless_answers_is_reverted() {
+    for flood in [Flood::DeclaredBody, Flood::InformationalHeads, Flood::ChunkSize] {
+        run_test(|world| async move {
+            world.configure(catalog(1));
+            for n in 1..=4 {
+                world.start_server(n, "s", "v1", Behaviour::Answer(200, "made".into()));
+            }
+            world.start().await;
+            world.store.put("order/s", "v2 60");
+            for n in 5..=8 {
+                world.start_server(n, "s", "v2", Behaviour::Flood(flood, OFFERED_BYTES));
+            }
+            for n in 0..3_000 {
+                world.call(request("/again/x", &format!("r{n}"))).await;
+                sleep(Duration::from_millis(10)).await;
+            }
+            let progress = world.store.value("progress/s");
+            assert_eq!(progress.as_deref(), Some("v2 Reverted"), "{flood:?}");
+        });
+    }
+}
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -24,6 +24,8 @@
 
 /// Buffer size of a connection in each direction.
 const CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
+/// Size of the chunks of a response that is no stream.
+const CHUNK_BYTES: usize = 16 * 1024;
 
 /// Names of the headers that servers read and write, in lower case.
 #[derive(Debug, Clone)]
@@ -71,6 +73,14 @@
         /// Number of the event in whose middle the connection is closed, if any.
         cut_in: Option<u32>,
     },
+    /// Responds with this body in chunks, and closes the connection before the last one if it is not
+    /// whole.
+    ChunkedAnswer {
+        /// The body.
+        body: String,
+        /// Whether the response is complete.
+        is_whole: bool,
+    },
     /// Responds without an end, and offers this many bytes of it.
     Flood(Flood, usize),
     /// Rejects the request with this status, without running it.
@@ -457,6 +467,21 @@
             );
             io.write_all(head.as_bytes()).await
         }
+        Behaviour::ChunkedAnswer { body, is_whole } => {
+            let id = request_id(header_names, request);
+            let head = format!(
+                "HTTP/1.1 200 X\r\n{}: {id}\r\n{}: proof\r\n{extra_headers}transfer-encoding: chunked\r\n\r\n",
+                header_names.request_id, header_names.signature,
+            );
+            io.write_all(head.as_bytes()).await?;
+            for chunk in body.as_bytes().chunks(CHUNK_BYTES) {
+                io.write_all(format!("{:x}\r\n", chunk.len()).as_bytes()).await?;
+                io.write_all(chunk).await?;
+                io.write_all(b"\r\n").await?;
+            }
+            // An empty chunk ends the body.
+            if *is_whole { io.write_all(b"0\r\n\r\n").await } else { Ok(()) }
+        }
         Behaviour::Flood(flood, offered_bytes) => {
             let id = request_id(header_names, request);
             let lines = format!(
