--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -77,6 +77,9 @@
 const MIN_SOUND_SHARE: f64 = 0.5;
 const MIN_SOUND_REQUESTS: usize = 20;
 
+/// Memory that an entry may take beyond that when it became ready, in KB.
+const MAX_GROWTH_KB: u64 = 64 * 1024;
+
 /// Result of one check.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finding {
@@ -92,7 +95,9 @@
 pub type Check = fn(&Records) -> Finding;
 
 /// All checks.
-pub const CHECKS: [Check; 20] = [
+pub const CHECKS: [Check; 22] = [
+    check_processes,
+    check_memory,
     check_at_most_once,
     check_refusals,
     check_answers,
@@ -133,6 +138,27 @@
     Finding { promise, checked, broken }
 }
 
+/// No entry ends unless it is told to.
+pub fn check_processes(records: &Records) -> Finding {
+    let entries: BTreeSet<usize> = records.memory.keys().map(|(entry, _)| *entry).collect();
+    finding("entries end only when told to", entries, |entry| {
+        let has_ended = records.ended_by_themselves.contains(entry);
+        has_ended.then(|| format!("entry {entry} ended by itself"))
+    })
+}
+
+/// An entry takes little more memory than when it has just become ready, whatever is sent to it.
+pub fn check_memory(records: &Records) -> Finding {
+    finding("memory is bounded", &records.memory, |((entry, process), memory)| {
+        let calm_kb = memory.first()?.resident_kb;
+        let peak_kb = memory.iter().map(|memory| memory.peak_kb).max()?;
+        let is_broken = peak_kb > calm_kb + MAX_GROWTH_KB;
+        is_broken.then(|| {
+            format!("entry {entry}, process {process}: {peak_kb} KB after {calm_kb} KB when ready")
+        })
+    })
+}
+
 /// A request that may not be repeated runs at most once.
 pub fn check_at_most_once(records: &Records) -> Finding {
     let runs = records.runs_by_id();
@@ -194,9 +220,11 @@
         let runs = runs.get(exchange.id.as_str()).into_iter().flatten();
         // The exit of a server by itself is detected shortly after its callers see it.
         let until_us = exchange.ended_us + us(TOLERANCE);
-        let killed =
-            |run: &&&RunRecord| records.was_killed(&run.server, exchange.sent_us, until_us);
-        let ran = runs.clone().count() > 0 && runs.filter(killed).count() == 0;
+        // An answer without an end can only be cut once a part of it was passed on.
+        let failed = |run: &&&RunRecord| {
+            run.is_flooded || records.was_killed(&run.server, exchange.sent_us, until_us)
+        };
+        let ran = runs.clone().count() > 0 && runs.filter(failed).count() == 0;
         (exchange.outcome == Outcome::Cut && ended_before_deadline && ran)
             .then(|| format!("{} ran and was cut", exchange.id))
     })
--- a/crates/soak/src/child.rs
+++ b/crates/soak/src/child.rs
@@ -1,6 +1,10 @@
 //! Child processes of the soak.
 
-use std::{fs::File, path::Path, process::Stdio};
+use std::{
+    fs::{self, File},
+    path::Path,
+    process::Stdio,
+};
 
 use anyhow::Context;
 use nix::{
@@ -9,6 +13,8 @@
 };
 use tokio::process::{Child as Process, ChildStdout, Command};
 
+use crate::records::MemoryUse;
+
 /// A child process, killed when dropped.
 #[derive(Debug)]
 pub struct Child {
@@ -44,6 +50,21 @@
         let _ = self.process.wait().await;
     }
 
+    /// Returns a number that distinguishes the process from others of the run.
+    pub fn number(&self) -> u32 {
+        self.process.id().unwrap_or_default()
+    }
+
+    /// Returns the memory of the process; `None` if it has exited.
+    pub fn memory(&self) -> Option<MemoryUse> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id()?)).ok()?;
+        let field = |name: &str| -> Option<u64> {
+            let value = status.lines().find_map(|line| line.strip_prefix(name))?;
+            value.trim().trim_end_matches(" kB").parse().ok()
+        };
+        Some(MemoryUse { resident_kb: field("VmRSS:")?, peak_kb: field("VmHWM:")? })
+    }
+
     /// Returns whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
         !matches!(self.process.try_wait(), Ok(None))
--- a/crates/soak/src/deployment/entries.rs
+++ b/crates/soak/src/deployment/entries.rs
@@ -27,6 +27,12 @@
     retry_budget::{EXTRA, RATIO, WINDOW},
 };
 
+/// Number of signals that follow one another.
+const SIGNALS_IN_SERIES: usize = 4;
+/// Time between two of them.
+const SIGNAL_INTERVAL: Duration = Duration::from_millis(3);
+/// Time until a started program has begun.
+const PROGRAM_START_TIME: Duration = Duration::from_millis(25);
 /// Time for a process to exit after SIGTERM; then it is killed.
 const STOP_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time for which a resumed or started entry may still be catching up, in microseconds.
@@ -57,6 +63,34 @@
         Ok(())
     }
 
+    /// Sends several reload signals to an entry; does nothing if it is not running.
+    pub async fn reload(&self, entry: usize) {
+        for _ in 0..SIGNALS_IN_SERIES {
+            if let Some(child) = &*self.entries[entry].child.borrow() {
+                child.signal(Signal::SIGHUP);
+            }
+            sleep(SIGNAL_INTERVAL).await;
+        }
+    }
+
+    /// Kills an entry, starts it again and sends it reload signals during the start; does nothing if
+    /// it is not running.
+    pub async fn signal_during_start(&self, entry: usize) -> anyhow::Result<()> {
+        let slot = &self.entries[entry];
+        let Some(mut child) = slot.child.take() else { return Ok(()) };
+        let from_us = now_us();
+        slot.is_ready.set(false);
+        child.signal(Signal::SIGKILL);
+        child.wait().await;
+        self.start_entry(entry)?;
+        // A signal that arrives before the program has begun ends it, whatever the program does.
+        sleep(PROGRAM_START_TIME).await;
+        self.reload(entry).await;
+        self.wait_until_entry_is_ready(entry).await;
+        self.record_disturbance(entry, from_us);
+        Ok(())
+    }
+
     /// Kills an entry and starts it again; does nothing if it is not running.
     pub async fn kill(&self, entry: usize) -> anyhow::Result<()> {
         let Some(child) = self.entries[entry].child.take() else { return Ok(()) };
@@ -82,12 +116,16 @@
         child.signal(Signal::SIGKILL);
         child.wait().await;
         self.start_entry(entry)?;
+        self.wait_until_entry_is_ready(entry).await;
+        self.record_disturbance(entry, from_us);
+        Ok(())
+    }
+
+    async fn wait_until_entry_is_ready(&self, entry: usize) {
         let limit = Instant::now() + START_TIMEOUT;
-        while !slot.is_ready.get() && Instant::now() < limit {
+        while !self.entries[entry].is_ready.get() && Instant::now() < limit {
             sleep(READY_POLL).await;
         }
-        self.record_disturbance(entry, from_us);
-        Ok(())
     }
 
     fn record_disturbance(&self, entry: usize, from_us: TimeUs) {
@@ -103,11 +141,27 @@
         Ok(())
     }
 
+    /// Records whether the process of an entry has ended by itself, and its memory.
+    fn observe_process(&self, entry: usize) {
+        let slot = &self.entries[entry];
+        let mut child = slot.child.borrow_mut();
+        let Some(child) = child.as_mut() else { return };
+        let mut records = self.records.borrow_mut();
+        if child.has_exited() {
+            records.ended_by_themselves.insert(entry);
+            return;
+        }
+        if let (true, Some(memory)) = (slot.is_ready.get(), child.memory()) {
+            records.memory.entry((entry, child.number())).or_default().push(memory);
+        }
+    }
+
     /// Probes the readiness of an entry periodically, as a load balancer does.
     pub(super) async fn poll_readiness(self: Rc<Self>, entry: usize) {
         let slot = &self.entries[entry];
         let path = pondwalk_platform::dialect().readiness_path;
         loop {
+            self.observe_process(entry);
             let answer = call(slot.readiness_address, Method::GET, path, Bytes::new()).await;
             slot.is_ready.set(answer.is_ok());
             sleep(READY_POLL).await;
--- a/crates/soak/src/deployment/servers.rs
+++ b/crates/soak/src/deployment/servers.rs
@@ -35,6 +35,8 @@
 const EXIT_POLL: Duration = Duration::from_millis(20);
 /// Number of data centres, over which servers and entries are distributed round-robin.
 pub const DATA_CENTRES: usize = 3;
+/// Depth of a deeply nested value.
+const NESTING_DEPTH: usize = 100_000;
 /// Values of unreadable server records.
 const UNREADABLE_RECORDS: [&str; 5] = [
     "",
@@ -44,6 +46,25 @@
     r#"{"backend":"plain","address":"127.0.0.1:9","zone":"dc1","version":"v1","capacity":9,"state":"resting","warmup_left_ms":0,"sequence":1}"#,
 ];
 
+/// Values of unreadable server records, with those that are deeply nested or out of range.
+fn unreadable_records() -> Vec<String> {
+    let record = |address: &str, field: &str| {
+        format!(
+            r#"{{"backend":"plain","address":"{address}","zone":"dc1","version":"v1","state":"ready","sequence":1,{field}}}"#
+        )
+    };
+    let nested = "[".repeat(NESTING_DEPTH);
+    let mut records: Vec<String> = UNREADABLE_RECORDS.iter().map(|&text| text.into()).collect();
+    records.push(nested.clone());
+    records.extend([
+        record("127.0.0.1:9", &format!(r#""capacity":9,"warmup_left_ms":0,"more":{nested}"#)),
+        record("127.0.0.1:9", r#""capacity":1e300,"warmup_left_ms":0"#),
+        record("127.0.0.1:9", r#""capacity":9,"warmup_left_ms":1.8e22"#),
+        record("127.0.0.1:70000", r#""capacity":9,"warmup_left_ms":0"#),
+    ]);
+    records
+}
+
 /// A backend server process behind its proxy.
 pub struct ServerSlot {
     child: Child,
@@ -101,6 +122,13 @@
         }
     }
 
+    /// Makes a server's responses endless for a while.
+    pub fn flood_from_server(&self, index: usize) {
+        if let Some(server) = &self.servers.borrow()[index] {
+            server.child.signal(Signal::SIGWINCH);
+        }
+    }
+
     /// Makes a server announce a rate limit in its responses for a while.
     pub fn announce_limit(&self, index: usize) {
         if let Some(server) = &self.servers.borrow()[index] {
@@ -196,8 +224,8 @@
 
     /// Writes unreadable records among the servers' records.
     pub async fn write_unreadable_records(&self) -> anyhow::Result<()> {
-        for (number, value) in UNREADABLE_RECORDS.iter().enumerate() {
-            self.put(&format!("servers/litter-{number}"), (*value).to_owned()).await?;
+        for (number, value) in unreadable_records().into_iter().enumerate() {
+            self.put(&format!("servers/litter-{number}"), value).await?;
         }
         Ok(())
     }
--- a/crates/soak/src/deployment/store.rs
+++ b/crates/soak/src/deployment/store.rs
@@ -59,6 +59,15 @@
         Ok(())
     }
 
+    /// Makes the store's responses endless for `time`.
+    pub async fn flood_from_store(&self, time: Duration) {
+        let from_us = now_us();
+        self.store_proxy.flood(time).await;
+        // Connections that were flooded are closed by the entries, or here.
+        self.store_proxy.reset();
+        self.records.borrow_mut().store_disturbed.push(Span { from_us, to_us: now_us() });
+    }
+
     /// Stalls all open connections of entries to the store.
     pub fn silence_store(&self) {
         self.store_proxy.silence();
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -22,6 +22,11 @@
 /// Time after which the proxy closes a stalled connection. Both ends must have closed it long before.
 const SILENT_CONNECTION_TTL: Duration = Duration::from_secs(60);
 
+/// Beginning of a response without an end.
+const FLOOD_START: &[u8] = b"HTTP/1.1 200 OK\r\n\r\n{\"entries\":[";
+/// Bytes that a response without an end offers.
+const FLOOD_BYTES: usize = 64 * 1024 * 1024;
+
 /// Faults injected into one connection.
 #[derive(Debug, Default)]
 struct ConnectionState {
@@ -34,6 +39,8 @@
 #[derive(Debug)]
 pub struct Proxy {
     upstream: SocketAddr,
+    /// Whether connections are answered without an end in place of the upstream.
+    is_flooding: Cell<bool>,
     open: RefCell<Vec<Weak<ConnectionState>>>,
 }
 
@@ -41,11 +48,16 @@
     /// Listens at `listen_address` and forwards connections to `upstream`, on local tasks of the current thread.
     pub async fn start(listen_address: SocketAddr, upstream: SocketAddr) -> io::Result<Rc<Self>> {
         let listener = TcpListener::bind(listen_address).await?;
-        let proxy = Rc::new(Proxy { upstream, open: RefCell::default() });
+        let proxy =
+            Rc::new(Proxy { upstream, is_flooding: Cell::new(false), open: RefCell::default() });
         let weak_proxy = Rc::downgrade(&proxy);
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let Some(proxy) = weak_proxy.upgrade() else { return };
+                if proxy.is_flooding.get() {
+                    spawn_local(flood(stream));
+                    continue;
+                }
                 let state = Rc::new(ConnectionState::default());
                 proxy.open.borrow_mut().push(Rc::downgrade(&state));
                 spawn_local(forward(stream, proxy.upstream, state));
@@ -64,6 +76,14 @@
         self.update_all(|state| state.is_reset.set(true));
     }
 
+    /// Answers all connections without an end for `time`.
+    pub async fn flood(&self, time: Duration) {
+        self.is_flooding.set(true);
+        self.reset();
+        sleep(time).await;
+        self.is_flooding.set(false);
+    }
+
     fn update_all(&self, update: impl Fn(&ConnectionState)) {
         for state in self.open.borrow_mut().drain(..).filter_map(|state| state.upgrade()) {
             update(&state);
@@ -72,6 +92,24 @@
     }
 }
 
+/// Answers a request without an end.
+async fn flood(mut client: TcpStream) {
+    let mut request = [0; 4_096];
+    if !client.read(&mut request).await.is_ok_and(|bytes| bytes > 0) {
+        return;
+    }
+    let block = vec![b' '; BUFFER_BYTES];
+    let mut sent = client.write_all(FLOOD_START).await;
+    for _ in 0..FLOOD_BYTES / BUFFER_BYTES {
+        // The client may close the connection at any time.
+        if sent.is_err() {
+            return;
+        }
+        sent = client.write_all(&block).await;
+    }
+    sleep(SILENT_CONNECTION_TTL).await;
+}
+
 async fn forward(mut client: TcpStream, upstream: SocketAddr, state: Rc<ConnectionState>) {
     let Ok(mut server) = TcpStream::connect(upstream).await else {
         // The connection is accepted already: a reset comes closest to a refusal by the absent upstream.
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -1,6 +1,6 @@
 //! Records of a run: requests of callers, runs at backend servers, and disturbances.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 pub use pondwalk_standin::platform_server::{RunRecord, now_us};
 
@@ -80,6 +80,15 @@
     pub to_us: TimeUs,
 }
 
+/// Memory of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryUse {
+    /// Resident memory, in KB.
+    pub resident_kb: u64,
+    /// Maximum of the resident memory so far, in KB.
+    pub peak_kb: u64,
+}
+
 /// Input of all checks.
 #[derive(Debug, Clone, Default)]
 pub struct Records {
@@ -103,6 +112,10 @@
     pub evacuated: HashMap<String, Vec<Span>>,
     /// Spans in which each entry was killed, paused or starting.
     pub disturbed: HashMap<usize, Vec<Span>>,
+    /// Entries whose process ended without a signal of the run.
+    pub ended_by_themselves: BTreeSet<usize>,
+    /// Memory of the processes of each entry while they were ready, in order of time.
+    pub memory: BTreeMap<(usize, u32), Vec<MemoryUse>>,
     /// Spans in which the store was disturbed.
     pub store_disturbed: Vec<Span>,
     /// Start of the fault-free time at the end of the run.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use pondwalk_standin::{
-    platform_server::{RATE_LIMIT_DURATION, REJECTION_DURATION},
+    platform_server::{FLOOD_DURATION, RATE_LIMIT_DURATION, REJECTION_DURATION},
     platform_store::FaultModeOrder,
 };
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
@@ -72,6 +72,14 @@
     EndServers(Route, Duration),
     /// Sends, for this time, different requests that share a prompt part which crashes servers.
     CrashByPart(Duration),
+    /// Makes a server's responses endless for a while.
+    FloodFromServer(usize),
+    /// Makes the store's responses endless for this time.
+    FloodFromStore(Duration),
+    /// Sends several reload signals to an entry.
+    Reload(usize),
+    /// Kills an entry, starts it again and sends it reload signals during the start.
+    SignalDuringStart(usize),
     /// Concentrates the new connections of callers on one entry for this time.
     Concentrate(usize, Duration),
 }
@@ -109,7 +117,10 @@
 /// Returns the maximum time for which an action disturbs the deployment.
 fn max_duration(action: Action) -> Duration {
     match action {
-        Action::Pause(_, time) | Action::Weather(_, time) | Action::Evacuate(_, time) => time,
+        Action::Pause(_, time)
+        | Action::Weather(_, time)
+        | Action::FloodFromStore(time)
+        | Action::Evacuate(_, time) => time,
         Action::Restore(outage, _) => outage,
         // The server that crashes last must restart and warm up.
         Action::EndServers(_, time) | Action::CrashByPart(time) => {
@@ -121,14 +132,15 @@
         Action::Stop(_) | Action::Replace(_) | Action::Leave(_) => MAX_DRAIN_TIME,
         Action::TurnAway(_) => REJECTION_DURATION,
         Action::Limit(_) => RATE_LIMIT_DURATION,
-        Action::Kill(_) => ENTRY_RESTART,
-        Action::Forget | Action::Configure | Action::Litter => Duration::ZERO,
+        Action::FloodFromServer(_) => FLOOD_DURATION,
+        Action::Kill(_) | Action::SignalDuringStart(_) => ENTRY_RESTART,
+        Action::Forget | Action::Configure | Action::Litter | Action::Reload(_) => Duration::ZERO,
         Action::SilenceStore | Action::ResetStore | Action::SilenceServer(_) => Duration::ZERO,
     }
 }
 
 fn push_series(rng: &mut Pcg64Mcg, from: Duration, size: Size, steps: &mut Vec<Step>) {
-    let kinds: [fn(&mut Pcg64Mcg, Size) -> Action; 21] = [
+    let kinds: [fn(&mut Pcg64Mcg, Size) -> Action; 25] = [
         |rng, size| Action::Stop(rng.random_range(0..size.entries)),
         |rng, size| Action::Kill(rng.random_range(0..size.entries)),
         |rng, size| {
@@ -165,6 +177,13 @@
             let time = Duration::from_millis(rng.random_range(2_000..8_000));
             Action::Concentrate(rng.random_range(0..size.entries), time)
         },
+        |rng, size| Action::FloodFromServer(rng.random_range(0..2 * size.servers)),
+        |rng, _| {
+            let ms = rng.random_range(300..MAX_STORE_FAULT_MS);
+            Action::FloodFromStore(Duration::from_millis(ms))
+        },
+        |rng, size| Action::Reload(rng.random_range(0..size.entries)),
+        |rng, size| Action::SignalDuringStart(rng.random_range(0..size.entries)),
     ];
     let Some(kind) = kinds.choose(rng) else { return };
     let mut at = from;
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -79,6 +79,19 @@
             deployment.silence_server(index);
             Ok(())
         }
+        Action::FloodFromServer(index) => {
+            deployment.flood_from_server(index);
+            Ok(())
+        }
+        Action::FloodFromStore(time) => {
+            deployment.flood_from_store(time).await;
+            Ok(())
+        }
+        Action::Reload(entry) => {
+            deployment.reload(entry).await;
+            Ok(())
+        }
+        Action::SignalDuringStart(entry) => deployment.signal_during_start(entry).await,
         Action::Configure => deployment.configure().await,
         Action::Replace(index) => deployment.replace(index).await,
         Action::Leave(index) => deployment.drain_by_header(index).await,
--- a/crates/soak/tests/short_run.rs
+++ b/crates/soak/tests/short_run.rs
@@ -5,7 +5,7 @@
 use pondwalk_soak::{options::Size, schedule::generate};
 
 /// Seeds whose schedules together cover all actions.
-const SEEDS: [&str; 3] = ["3355", "994", "128"];
+const SEEDS: [&str; 3] = ["3010", "3214", "4347"];
 /// Length of one run in seconds.
 const SECONDS: u64 = 35;
 
@@ -15,7 +15,7 @@
         generate(seed.parse().expect("a number"), Duration::from_secs(SECONDS), Size::SMALL)
     });
     let kinds: HashSet<_> = steps.map(|step| discriminant(&step.action)).collect();
-    assert_eq!(kinds.len(), 21);
+    assert_eq!(kinds.len(), 25);
 }
 
 #[test]
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -110,6 +110,8 @@
     pub at: Option<Instant>,
     /// Whether the server ran the request.
     pub ran: bool,
+    /// Whether the response has no end.
+    pub is_flooded: bool,
     /// Extra headers of the response.
     pub extra_headers: Vec<(String, String)>,
     /// Whether the connection was closed before the whole response was sent.
@@ -383,6 +385,7 @@
     let extra_headers = server.response_headers.borrow().clone();
     server.requests.borrow_mut().push(ReceivedRequest {
         ran,
+        is_flooded: matches!(behaviour, Behaviour::Flood(..)),
         extra_headers,
         at: Some(Instant::now()),
         ..request.clone()
--- a/crates/standin/src/platform_server.rs
+++ b/crates/standin/src/platform_server.rs
@@ -1,7 +1,8 @@
 //! Backend server over TCP that prints each request it received to standard output, as a JSON line.
 //!
 //! Signals change its behaviour: `SIGUSR1` reports that it is draining, `SIGUSR2` rejects requests
-//! and asks for backoff for a while, and `SIGHUP` reports a rate limit for a while.
+//! and asks for backoff for a while, `SIGHUP` reports a rate limit for a while, and `SIGWINCH` makes
+//! its responses endless for a while.
 
 use std::{
     io::{self, Write},
@@ -17,10 +18,13 @@
     net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
     task::spawn_local,
-    time::sleep,
+    time::{Instant, sleep},
 };
 
-use crate::backends::{Backends, Behaviour, CrashRule, HeaderNames, ReceivedRequest, prompt_parts};
+use crate::{
+    backends::{Backends, Behaviour, CrashRule, HeaderNames, ReceivedRequest, prompt_parts},
+    floods::Flood,
+};
 
 /// Interval at which received requests are printed; a request is printed at most this much late.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -60,6 +64,13 @@
 /// Backoff requested with each rejection, in seconds.
 const RETRY_AFTER_S: &str = "2.5";
 
+/// Time for which the server's responses are endless after `SIGWINCH`.
+pub const FLOOD_DURATION: Duration = Duration::from_millis(2_500);
+/// Time until they are endless in another way.
+const FLOOD_INTERVAL: Duration = Duration::from_millis(100);
+/// Bytes that each of them offers. Callers may read all of it into the memory of one process.
+const FLOOD_BYTES: usize = 8 * 1024 * 1024;
+
 /// A request that a server received, as printed to standard output.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RunRecord {
@@ -71,6 +82,9 @@
     pub ran: bool,
     /// Unix time at which the request was printed, in microseconds.
     pub at_us: u64,
+    /// Whether the response has no end.
+    #[serde(default)]
+    pub is_flooded: bool,
     /// Whether the response reported that the server is draining.
     #[serde(default)]
     pub told_leaving: bool,
@@ -112,6 +126,7 @@
             server: server.to_owned(),
             request: request.headers.get(&header_names().request_id).cloned().unwrap_or_default(),
             ran: request.ran,
+            is_flooded: request.is_flooded,
             at_us: now_us(),
             told_leaving: header(DRAINING_HEADER).is_some(),
             asked_backoff_ms: backoff_s.map(|backoff_s| (backoff_s * 1_000.0) as u64),
@@ -135,10 +150,12 @@
     // await.
     let (drain, reject) =
         (signal(SignalKind::user_defined1())?, signal(SignalKind::user_defined2())?);
-    let limit = signal(SignalKind::hangup())?;
+    let (limit, flood) = (signal(SignalKind::hangup())?, signal(SignalKind::window_change())?);
     spawn_local(announce_draining(backends.clone(), address, drain));
-    spawn_local(reject_requests(backends.clone(), address, default_behaviour, reject));
+    let usual = default_behaviour.clone();
+    spawn_local(reject_requests(backends.clone(), address, usual, reject));
     spawn_local(announce_rate_limit(backends.clone(), address, limit));
+    spawn_local(send_floods(backends.clone(), address, default_behaviour.clone(), flood));
     let rule = CrashRule {
         applies: Rc::new(crashes_server),
         after: CRASH_DELAY,
@@ -210,6 +227,25 @@
     }
 }
 
+/// Responds without an end for [`FLOOD_DURATION`] after each signal, in all ways by turns.
+async fn send_floods(
+    backends: Backends,
+    address: SocketAddr,
+    default_behaviour: Behaviour,
+    mut signal: Signal,
+) {
+    let mut kinds = Flood::ALL.into_iter().cycle();
+    while signal.recv().await.is_some() {
+        let end = Instant::now() + FLOOD_DURATION;
+        while Instant::now() < end {
+            let kind = kinds.next().unwrap_or(Flood::UnframedBody);
+            backends.set_behaviour(address, Behaviour::Flood(kind, FLOOD_BYTES));
+            sleep(FLOOD_INTERVAL).await;
+        }
+        backends.set_behaviour(address, default_behaviour.clone());
+    }
+}
+
 /// Prints each received request once, a line each, and exits the process after a crash.
 async fn print_runs(backends: Backends, address: SocketAddr, id: String) {
     let mut printed = 0;
