--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -307,9 +307,13 @@
             source.has_survived = true;
             in_flight.record_survival();
         }
+        if whole.has_unidentified_data {
+            self.can_resume = false;
+        } else if whole.last_id.is_some() {
+            self.can_resume = true;
+        }
         if whole.last_id.is_some() {
             self.last_id = whole.last_id;
-            self.can_resume |= whole.ends_with_id;
         }
         self.send(whole.bytes).await?;
         Some(has_sample)
--- a/crates/direct/src/membership/message.rs
+++ b/crates/direct/src/membership/message.rs
@@ -19,7 +19,7 @@
 use super::GossipItem;
 
 /// Version of the message format; messages of other versions are rejected.
-pub const FORMAT: u16 = 8;
+pub const FORMAT: u16 = 9;
 /// Maximum size of a message. The store holds some hundred keys and one large configuration, which
 /// compress to a tenth of this.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
--- a/crates/direct/src/sse.rs
+++ b/crates/direct/src/sse.rs
@@ -28,8 +28,11 @@
     pub bytes: Bytes,
     /// Id of the last event that has one.
     pub last_id: Option<String>,
-    /// Whether the last event has an id, so that a resume after that id continues exactly.
+    /// Whether the last event has an id.
     pub ends_with_id: bool,
+    /// Whether data follows the last event that has an id, so that a resume after that id would
+    /// repeat it.
+    pub has_unidentified_data: bool,
 }
 
 /// Buffers bytes until events are complete.
@@ -71,12 +74,22 @@
         self.release();
         if std::mem::take(&mut self.is_within_split_event) {
             // The piece may begin within a line, so that its beginning may look like an id.
-            let events = CompleteEvents { bytes, last_id: None, ends_with_id: false };
-            return Some(RelayableBytes::Events(events));
+            return Some(RelayableBytes::Events(CompleteEvents {
+                bytes,
+                last_id: None,
+                ends_with_id: false,
+                has_unidentified_data: true,
+            }));
         }
         let last_id = last_id(&bytes);
         let ends_with_id = last_id_line(last_event(&bytes)).is_some();
-        Some(RelayableBytes::Events(CompleteEvents { bytes, last_id, ends_with_id }))
+        let has_unidentified_data = memmem::find(after_last_id(&bytes), DATA_FIELD).is_some();
+        Some(RelayableBytes::Events(CompleteEvents {
+            bytes,
+            last_id,
+            ends_with_id,
+            has_unidentified_data,
+        }))
     }
 
     /// Removes and returns a piece of an event that can't be buffered until it is complete.
@@ -120,6 +133,8 @@
 
 /// Ends of an event.
 const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
+/// Name of the field with the data of an event.
+const DATA_FIELD: &[u8] = b"data";
 /// Beginning of a line with the id of its event.
 const ID_LINE: &[u8] = b"id:";
 
@@ -149,11 +164,22 @@
 
 /// What follows the name in the last line that has an id.
 fn last_id_line(events: &[u8]) -> Option<&[u8]> {
+    let id = &events[last_id_position(events)? + ID_LINE.len()..];
+    id.split(|byte| *byte == b'\n').next()
+}
+
+/// Events behind the last one that has an id.
+fn after_last_id(events: &[u8]) -> &[u8] {
+    let Some(position) = last_id_position(events) else { return events };
+    &events[end_of_first_event(events, position).unwrap_or(events.len())..]
+}
+
+/// Position of the last line that has an id.
+fn last_id_position(events: &[u8]) -> Option<usize> {
     let mut end = events.len();
     while let Some(at) = memmem::rfind(&events[..end], ID_LINE) {
         if at == 0 || events[at - 1] == b'\n' {
-            let id = &events[at + ID_LINE.len()..];
-            return id.split(|byte| *byte == b'\n').next();
+            return Some(at);
         }
         end = at;
     }
--- a/crates/direct/tests/endless_answers.rs
+++ b/crates/direct/tests/endless_answers.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{World, address, catalog, request, run_test, total, with};
+use common::{World, address, catalog, request, run_test, stream, total, with};
 use http_body_util::BodyExt;
 use pondwalk_standin::{backends::Behaviour, floods::Flood};
 use tokio::time::{Instant, sleep};
@@ -191,3 +191,25 @@
         });
     }
 }
+
+#[test]
+fn stream_without_ids_is_not_continued_from_another_run() {
+    run_test(|world| async move {
+        world.configure(catalog(1));
+        for n in 1..=2 {
+            world.start_server(n, "s", "v1", stream(6, None));
+        }
+        world.start().await;
+        for n in 1..=2 {
+            world.backends.script(address(n), [Behaviour::Flood(Flood::Events, 1_000)]);
+        }
+        let mut cut = 0;
+        for n in 0..4 {
+            let response = world.call(request("/stream/x", &format!("r{n}"))).await;
+            let is_joined = response.body.contains("data: x") && response.body.contains("id:");
+            assert!(!is_joined, "{response:?}");
+            cut += usize::from(!response.is_complete);
+        }
+        assert_eq!(cut, 2);
+    });
+}
--- a/crates/direct/tests/event_splitting.rs
+++ b/crates/direct/tests/event_splitting.rs
@@ -91,3 +91,21 @@
     }
     QuickCheck::new().tests(2_000).quickcheck(relays_all as fn(Vec<Vec<u8>>, u16) -> bool);
 }
+
+#[test]
+fn data_behind_the_last_id_is_found() {
+    let cases: [(&[u8], bool); 6] = [
+        (b"id: 1\ndata: a\n\n", false),
+        (b"data: a\nid: 1\n\n", false),
+        (b"id: 1\ndata: a\n\ndata: b\n\n", true),
+        (b"id: 1\ndata: a\n\n: still here\n\n", false),
+        (b"data: a\n\n", true),
+        (b": still here\n\n", false),
+    ];
+    for (bytes, expected) in cases {
+        let mut splitter = EventSplitter::new(&BufferPool::new(POOL_BYTES));
+        splitter.push(bytes);
+        let Some(RelayableBytes::Events(events)) = splitter.pop() else { panic!("events") };
+        assert_eq!(events.has_unidentified_data, expected, "{events:?}");
+    }
+}
