--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -72,7 +72,7 @@
 pub use clock_estimate::ClockEstimate;
 pub use congestion::Congestion;
 pub use engine::{EngineEstimates, QuantileEstimate, ServiceModelIndex};
-pub use evidence_pool::{EvidencePool, Observation, Tally};
+pub use evidence_pool::{EvidencePool, Observation, Slowness, Tally};
 pub use fair_shares::{FairShares, capacity_ms_per_s};
 pub use fleet::{
     DataCentreRule, ExpectedWait, Fleet, Forecast, LoadError, LoanRequest, NextAvailability,
--- a/crates/decide/src/direct/evidence_pool.rs
+++ b/crates/decide/src/direct/evidence_pool.rs
@@ -42,14 +42,31 @@
 /// Failures: a few percent are normal.
 const FAILURES: FaultShares =
     FaultShares { min_good: 0.05, good_ratio: 1.5, min_bad: 0.25, bad_ratio: 3.0 };
-/// Answers slower than seven in ten of the old version's. Few answers of a slow version are much
-/// slower than normal, since most of the time to first byte is prefill; the slowest twentieth of
-/// the old version's answers would detect a bad version too late.
+/// Answers slower than seven in ten of the old version's. Many answers of a slow version are little
+/// slower than normal, where most of the time to first byte is prefill.
 const SLOWNESS: FaultShares =
     FaultShares { min_good: 0.33, good_ratio: 1.1, min_bad: 0.53, bad_ratio: 1.6 };
+/// Answers slower than nine in ten of the old version's. A version on trial has little load, so a
+/// good one gives few of them, while half of the answers of one that is several times slower are.
+const GREAT_SLOWNESS: FaultShares =
+    FaultShares { min_good: 0.12, good_ratio: 1.2, min_bad: 0.45, bad_ratio: 3.0 };
+/// Log-likelihood ratio from which a version gets no larger share at the end of its trial. A good
+/// version is rarely as high at that moment, and one faulty server does not suffice.
+const DOUBTFUL_LOG_RATIO: f64 = 4.5;
 /// Largest expected share of a bad version.
 const MAX_BAD_SHARE: f64 = 0.9;
 
+/// How slow an answer is, compared with those of the old version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Slowness {
+    /// Not slower than seven in ten.
+    Ordinary,
+    /// Slower than those.
+    Slow,
+    /// Slower than nine in ten.
+    VerySlow,
+}
+
 /// Counts of answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Tally {
@@ -59,6 +76,8 @@
     pub failed: u32,
     /// Slow answers, among the timed ones.
     pub slow: u32,
+    /// Very slow answers, among the slow ones.
+    pub very_slow: u32,
     /// Answers that could be classified as slow or not.
     pub timed: u32,
 }
@@ -68,6 +87,7 @@
         self.answers += other.answers;
         self.failed += other.failed;
         self.slow += other.slow;
+        self.very_slow += other.very_slow;
         self.timed += other.timed;
     }
 
@@ -146,6 +166,16 @@
     /// Whether the recent answers show that the new version is bad, for all kinds together or for
     /// one.
     pub fn is_bad(&mut self, now: Duration) -> bool {
+        self.log_ratio(now) >= BAD_LOG_RATIO
+    }
+
+    /// Whether the recent answers make it doubtful that the new version is good.
+    pub fn is_doubtful(&mut self, now: Duration) -> bool {
+        self.log_ratio(now) >= DOUBTFUL_LOG_RATIO
+    }
+
+    /// The largest log-likelihood ratio of all kinds together and of each.
+    fn log_ratio(&mut self, now: Duration) -> f64 {
         let first = now.saturating_sub(WINDOW).as_nanos() / SLOT.as_nanos();
         self.slots = self.slots.split_off(&first);
         let mut by_kind: BTreeMap<&str, KindCounts> = BTreeMap::new();
@@ -154,7 +184,8 @@
         }
         let mut all = KindCounts::default();
         by_kind.values().for_each(|counts| all.add(counts));
-        by_kind.values().chain([&all]).any(|counts| counts.log_ratio() >= BAD_LOG_RATIO)
+        let log_ratios = by_kind.values().chain([&all]).map(KindCounts::log_ratio);
+        log_ratios.fold(f64::NEG_INFINITY, f64::max)
     }
 }
 
@@ -171,13 +202,17 @@
         }
     }
 
-    /// The larger of the log-likelihood ratios of failures and of slowness.
+    /// The largest of the log-likelihood ratios of failures and of slowness.
     fn log_ratio(&self) -> f64 {
         let (old, new) = (&self.old, self.new.values());
         let failed = new.clone().map(|tally| (tally.failed, tally.answers));
-        let slow = new.map(|tally| (tally.slow, tally.timed));
+        let slow = new.clone().map(|tally| (tally.slow, tally.timed));
+        let very_slow = new.map(|tally| (tally.very_slow, tally.timed));
         let failures = FAILURES.log_likelihood_ratio((old.failed, old.answers), failed);
-        failures.max(SLOWNESS.log_likelihood_ratio((old.slow, old.timed), slow))
+        let old_very_slow = (old.very_slow, old.timed);
+        failures
+            .max(SLOWNESS.log_likelihood_ratio((old.slow, old.timed), slow))
+            .max(GREAT_SLOWNESS.log_likelihood_ratio(old_very_slow, very_slow))
     }
 }
 
@@ -207,12 +242,18 @@
 
 impl Observation {
     /// Creates the observation of one answer.
-    pub fn single(kind: &str, server: Option<&str>, failed: bool, slow: Option<bool>) -> Self {
+    pub fn single(
+        kind: &str,
+        server: Option<&str>,
+        failed: bool,
+        slowness: Option<Slowness>,
+    ) -> Self {
         let tally = Tally {
             answers: 1,
             failed: u32::from(failed),
-            slow: u32::from(slow == Some(true)),
-            timed: u32::from(slow.is_some()),
+            slow: u32::from(slowness >= Some(Slowness::Slow)),
+            very_slow: u32::from(slowness == Some(Slowness::VerySlow)),
+            timed: u32::from(slowness.is_some()),
         };
         Observation { kind: kind.to_owned(), server: server.map(str::to_owned), tally }
     }
@@ -223,6 +264,7 @@
         let tally = self.tally;
         !tally.is_empty()
             && tally.failed <= tally.answers
+            && tally.very_slow <= tally.slow
             && tally.slow <= tally.timed
             && tally.timed <= tally.answers
     }
--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -15,7 +15,7 @@
 
 use super::{
     SessionKey, VersionRule,
-    evidence_pool::{EvidencePool, Observation},
+    evidence_pool::{EvidencePool, Observation, Slowness},
 };
 
 pub use local_evidence::Evidence;
@@ -238,13 +238,18 @@
         // NB: with all traffic on the new version, the old one's times were taken under another
         // load.
         let is_comparable = self.share(now) < 1.0;
-        let slow = self.local_evidence.record(is_target, evidence, is_comparable);
-        // NB: when the share widens, the new version's servers have no cache for their new load
-        // yet.
-        let slow = slow.filter(|_| self.published_stage == Some(Stage::Trial));
+        let slowness = self.local_evidence.record(is_target, evidence, is_comparable);
+        let slowness = slowness.and_then(|slowness| match (self.published_stage, slowness) {
+            (Some(Stage::Trial), slowness) => Some(slowness),
+            // NB: when the share widens, the new version's servers have no cache for their new load
+            // yet, so many of a good version's answers are a little slower.
+            (Some(Stage::Widening), Slowness::Slow) => Some(Slowness::Ordinary),
+            (Some(Stage::Widening), slowness) => Some(slowness),
+            _ => None,
+        });
         let server = is_target.then_some(evidence.server);
         self.pool
-            .record_own(Observation::single(evidence.kind, server, evidence.failed, slow), now);
+            .record_own(Observation::single(evidence.kind, server, evidence.failed, slowness), now);
         let is_widening = self.published_stage == Some(Stage::Widening);
         is_target && self.may_trip() && {
             let is_bad = self.local_evidence.is_bad(evidence.kind, is_widening);
@@ -281,11 +286,20 @@
     /// newly reject the version.
     pub fn evaluate(&mut self, now: Duration) -> bool {
         self.may_trip() && {
-            let is_bad = self.pool.is_bad(now);
+            let is_bad = match self.is_trial_over(now) {
+                true => self.pool.is_doubtful(now),
+                false => self.pool.is_bad(now),
+            };
             self.trip_if(is_bad)
         }
     }
 
+    /// Whether the trial has lasted long enough for a decision on widening the share.
+    fn is_trial_over(&self, now: Duration) -> bool {
+        self.published_stage == Some(Stage::Trial)
+            && now.saturating_sub(self.ordered_at) >= self.within.mul_f64(TRIAL_FRACTION)
+    }
+
     /// Rejects the new version because its servers refuse every request, so that nothing can show
     /// whether it is good. Returns whether the version is newly rejected.
     pub fn trip_on_refusals(&mut self) -> bool {
@@ -310,9 +324,7 @@
             _ if self.tripped => Some(RollOutStep::Revert),
             None => Some(RollOutStep::Begin),
             Some(Stage::Trial) if self.is_kept_publication_due(now) => Some(RollOutStep::Keep),
-            Some(Stage::Trial) if elapsed >= self.within.mul_f64(TRIAL_FRACTION) => {
-                Some(RollOutStep::Widen)
-            }
+            Some(Stage::Trial) if self.is_trial_over(now) => Some(RollOutStep::Widen),
             Some(Stage::Trial) => None,
             Some(Stage::Widening) => {
                 let since = self.widening_started_at.unwrap_or(now);
--- a/crates/decide/src/direct/roll_out/local_evidence.rs
+++ b/crates/decide/src/direct/roll_out/local_evidence.rs
@@ -4,6 +4,8 @@
 
 use pondwalk_types::ServerId;
 
+use crate::direct::evidence_pool::Slowness;
+
 /// Number of latest answers that are evaluated.
 const WINDOW: usize = 24;
 /// Failures among those of one kind from which a version may be rejected.
@@ -26,6 +28,8 @@
 /// Quantile of them that bounds an ordinary answer, and the factor by which a slow answer exceeds
 /// it. The factor tolerates a change of load that delays all answers by less.
 const ORDINARY_QUANTILE: f64 = 0.7;
+/// Quantile of them that a very slow answer exceeds.
+const VERY_SLOW_QUANTILE: f64 = 0.9;
 const SLOW_FACTOR: f64 = 2.5;
 /// Slow answers among the latest of all kinds from which a version is rejected. Of an equal version
 /// 1 in 20 is slow.
@@ -72,19 +76,18 @@
 }
 
 impl LocalEvidence {
-    /// Records an answer of either version. Returns whether it was slower than an ordinary one of
-    /// the old version, if that is known.
+    /// Records an answer of either version. Returns how slow it was, if that is known.
     pub(super) fn record(
         &mut self,
         is_target: bool,
         evidence: &Evidence<'_>,
         is_comparable: bool,
-    ) -> Option<bool> {
+    ) -> Option<Slowness> {
         let slow = if is_comparable { self.is_slow(evidence) } else { None };
         if is_target && let Some(slow) = slow {
             self.slow.push(slow, evidence.server);
         }
-        let is_slower_answer = if is_comparable { self.is_slower(evidence) } else { None };
+        let slowness = if is_comparable { self.slowness(evidence) } else { None };
         if !is_target {
             self.old_of_all_kinds.record(evidence);
         }
@@ -95,7 +98,7 @@
         if let Some(record) = records.get_mut(evidence.kind) {
             record.record(evidence);
         }
-        is_slower_answer
+        slowness
     }
 
     /// Discards the answers of a server that has restarted.
@@ -113,12 +116,18 @@
         Some(!evidence.failed && evidence.slowness > bound)
     }
 
-    /// Whether an answer is slower than an ordinary one of the old version: of the same kind, or of
-    /// all kinds if too few of the kind are known.
-    fn is_slower(&self, evidence: &Evidence<'_>) -> Option<bool> {
-        let kind_bound = self.old.get(evidence.kind).and_then(Record::ordinary_bound);
-        let bound = kind_bound.or_else(|| self.old_of_all_kinds.ordinary_bound())?;
-        Some(!evidence.failed && evidence.slowness > bound)
+    /// How slow an answer is, compared with those of the old version: of the same kind, or of all
+    /// kinds if too few of the kind are known.
+    fn slowness(&self, evidence: &Evidence<'_>) -> Option<Slowness> {
+        let of_kind = self.old.get(evidence.kind).filter(|old| old.ordinary_bound().is_some());
+        let old = of_kind.unwrap_or(&self.old_of_all_kinds);
+        let (slow, very_slow) = (old.ordinary_bound()?, old.quantile(VERY_SLOW_QUANTILE)?);
+        Some(match evidence.slowness {
+            _ if evidence.failed => Slowness::Ordinary,
+            slowness if slowness > very_slow => Slowness::VerySlow,
+            slowness if slowness > slow => Slowness::Slow,
+            _ => Slowness::Ordinary,
+        })
     }
 
     /// Whether the new version is bad by its answers of a kind, or slow by all.
--- a/crates/decide/tests/evidence_pool.rs
+++ b/crates/decide/tests/evidence_pool.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use pondwalk_decide::direct::{Evidence, EvidencePool, Observation, RollOut, Stage};
+use pondwalk_decide::direct::{
+    Evidence, EvidencePool, Observation, RollOut, RollOutStep, Slowness, Stage,
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -32,6 +34,15 @@
     }
 }
 
+/// Of the answers that are slow, a third are very slow, as of the old version's.
+fn slowness(rng: &mut Pcg64Mcg, is_slow: bool) -> Slowness {
+    match is_slow {
+        true if rng.random_bool(1.0 / 3.0) => Slowness::VerySlow,
+        true => Slowness::Slow,
+        false => Slowness::Ordinary,
+    }
+}
+
 /// A trial: answers a second of the new version, its servers, and the number of answers until it
 /// ends.
 #[derive(Debug, Clone, Copy)]
@@ -51,12 +62,23 @@
         // NB: the old version has most of the traffic; its answers are reported as sums.
         for kind in kinds {
             let (failed, slow) = old.answer(&mut rng, 1);
-            pool.apply(Observation::single(kind, None, failed, Some(slow)), now);
+            pool.apply(
+                Observation::single(kind, None, failed, Some(slowness(&mut rng, slow))),
+                now,
+            );
         }
         let server = rng.random_range(0..trial.servers);
         let (failed, slow) = new.answer(&mut rng, server);
         let kind = kinds[rng.random_range(0..kinds.len())];
-        pool.apply(Observation::single(kind, Some(&format!("s{server}")), failed, Some(slow)), now);
+        pool.apply(
+            Observation::single(
+                kind,
+                Some(&format!("s{server}")),
+                failed,
+                Some(slowness(&mut rng, slow)),
+            ),
+            now,
+        );
         if number % 8 == 7 && pool.is_bad(now) {
             return Some(number + 1);
         }
@@ -124,9 +146,14 @@
             let version = if number < 1_000 { GOOD } else { late };
             let server = rng.random_range(0..60);
             let (failed, slow) = version.answer(&mut rng, server);
-            pool.apply(Observation::single("brief", None, false, Some(false)), now);
+            pool.apply(Observation::single("brief", None, false, Some(Slowness::Ordinary)), now);
             pool.apply(
-                Observation::single("brief", Some(&format!("s{server}")), failed, Some(slow)),
+                Observation::single(
+                    "brief",
+                    Some(&format!("s{server}")),
+                    failed,
+                    Some(slowness(&mut rng, slow)),
+                ),
                 now,
             );
             if number % 8 == 7 && pool.is_bad(now) {
@@ -147,8 +174,8 @@
         let kind = if number % 8 == 0 { "chat" } else { "brief" };
         let failed = kind == "chat" && rng.random_bool(0.6);
         let server = format!("s{}", number % 30);
-        pool.apply(Observation::single(kind, Some(&server), failed, Some(false)), now);
-        pool.apply(Observation::single(kind, None, false, Some(false)), now);
+        pool.apply(Observation::single(kind, Some(&server), failed, Some(Slowness::Ordinary)), now);
+        pool.apply(Observation::single(kind, None, false, Some(Slowness::Ordinary)), now);
     }
     assert!(pool.is_bad(ms(4_200)));
 }
@@ -190,3 +217,59 @@
     }
     assert!(!roll_out.evaluate(ms(1_000)));
 }
+
+/// Number of trials, of 300, that end with doubts about a version that gets four answers a second
+/// for five seconds, as a service with little traffic does; `very_slow` is the share of its answers
+/// that are slower than nine in ten of the old version's.
+fn count_doubtful(very_slow: f64, slow: f64) -> usize {
+    let is_doubtful = |seed: &u64| {
+        let mut rng = Pcg64Mcg::seed_from_u64(*seed);
+        let mut pool = EvidencePool::default();
+        let mut draw = |pool: &mut EvidencePool, server: Option<&str>, shares: (f64, f64), now| {
+            let drawn = rng.random_range(0.0..1.0);
+            let slowness = match drawn {
+                drawn if drawn < shares.0 => Slowness::VerySlow,
+                drawn if drawn < shares.1 => Slowness::Slow,
+                _ => Slowness::Ordinary,
+            };
+            pool.apply(Observation::single("chat", server, false, Some(slowness)), now);
+        };
+        for number in 0..20u64 {
+            let now = ms(number * 250);
+            (0..10).for_each(|_| draw(&mut pool, None, (0.1, 0.3), now));
+            let server = format!("s{}", number * 7 % 18);
+            draw(&mut pool, Some(&server), (very_slow, slow), now);
+        }
+        pool.is_doubtful(ms(5_000))
+    };
+    (0..300).filter(is_doubtful).count()
+}
+
+#[test]
+fn slow_version_is_doubtful_after_few_answers_and_a_good_one_is_not() {
+    let slow = count_doubtful(0.6, 0.8);
+    assert!(slow >= 294, "slow: {slow} of 300");
+    let equal = count_doubtful(0.1, 0.3);
+    assert!(equal <= 3, "equal: {equal} of 300");
+}
+
+#[test]
+fn doubtful_version_is_reverted_at_the_end_of_its_trial() {
+    let mut roll_out = RollOut::new("v2".to_owned(), ms(13_000), ms(0), 0.1, ms(300));
+    roll_out.apply_stage(Stage::Trial, ms(300));
+    let answer = |version: &str, server: &str, slowness: f64, roll_out: &mut RollOut, now| {
+        let evidence = Evidence { kind: "chat", server, failed: false, slowness };
+        roll_out.record_answer(version, &evidence, now);
+    };
+    for number in 0..200u64 {
+        let (now, slowness) = (ms(400 + number * 30), 1.0 + (number % 20) as f64 / 20.0);
+        answer("v1", "old", slowness, &mut roll_out, now);
+        if number > 100 && number % 14 == 0 {
+            answer("v2", &format!("s{number}"), 2.2, &mut roll_out, now);
+        }
+    }
+    assert!(!roll_out.evaluate(ms(6_500)), "the trial goes on");
+    assert_eq!(roll_out.next_step(ms(6_500)), Some(RollOutStep::Keep));
+    assert!(roll_out.evaluate(ms(6_900)), "its end decides");
+    assert_eq!(roll_out.next_step(ms(6_900)), Some(RollOutStep::Revert));
+}
