--- a/crates/decide/src/direct/roll_out/local_evidence.rs
+++ b/crates/decide/src/direct/roll_out/local_evidence.rs
@@ -122,12 +122,14 @@
         let of_kind = self.old.get(evidence.kind).filter(|old| old.ordinary_bound().is_some());
         let old = of_kind.unwrap_or(&self.old_of_all_kinds);
         let (slow, very_slow) = (old.ordinary_bound()?, old.quantile(VERY_SLOW_QUANTILE)?);
-        Some(match evidence.slowness {
-            _ if evidence.failed => Slowness::Ordinary,
-            slowness if slowness > very_slow => Slowness::VerySlow,
-            slowness if slowness > slow => Slowness::Slow,
-            _ => Slowness::Ordinary,
-        })
+        match evidence.slowness {
+            // NB: a request that got no answer in time counts too.
+            slowness if slowness > very_slow => Some(Slowness::VerySlow),
+            // A failure that comes soon says nothing about the time that an answer takes.
+            _ if evidence.failed => None,
+            slowness if slowness > slow => Some(Slowness::Slow),
+            _ => Some(Slowness::Ordinary),
+        }
     }
 
     /// Whether the new version is bad by its answers of a kind, or slow by all.
--- a/crates/decide/tests/evidence_pool.rs
+++ b/crates/decide/tests/evidence_pool.rs
@@ -273,3 +273,32 @@
     assert!(roll_out.evaluate(ms(6_900)), "its end decides");
     assert_eq!(roll_out.next_step(ms(6_900)), Some(RollOutStep::Revert));
 }
+
+#[test]
+fn requests_without_an_answer_in_time_count_as_very_slow() {
+    let mut roll_out = RollOut::new("v2".to_owned(), ms(15_000), ms(0), 0.1, ms(300));
+    roll_out.apply_stage(Stage::Trial, ms(300));
+    let mut rejected = false;
+    for number in 0..200u64 {
+        let now = ms(400 + number * 25);
+        // One in five of the old version's answers is a failure that comes soon.
+        let old = Evidence {
+            kind: "lookup",
+            server: "old",
+            failed: number % 5 == 0,
+            slowness: 1.0 + (number % 20) as f64 / 20.0,
+        };
+        roll_out.record_answer("v1", &old, now);
+        if number > 40 && number % 8 == 0 {
+            let server = format!("s{}", number / 24 % 3);
+            let (failed, slowness) = match number / 8 % 3 {
+                0 => (true, 4.5),
+                1 => (false, 5.0),
+                _ => (false, 1.2),
+            };
+            let new = Evidence { kind: "lookup", server: &server, failed, slowness };
+            rejected |= roll_out.record_answer("v2", &new, now);
+        }
+    }
+    assert!(rejected || roll_out.evaluate(ms(5_500)) || roll_out.evaluate(ms(8_000)));
+}
