--- a/crates/decide/src/direct/evidence_pool.rs
+++ b/crates/decide/src/direct/evidence_pool.rs
@@ -76,10 +76,12 @@
     pub failed: u32,
     /// Slow answers, among the timed ones.
     pub slow: u32,
-    /// Very slow answers, among the slow ones.
-    pub very_slow: u32,
     /// Answers that could be classified as slow or not.
     pub timed: u32,
+    /// Very slow answers, among the ranked ones.
+    pub very_slow: u32,
+    /// Answers that could be classified as very slow or not.
+    pub ranked: u32,
 }
 
 impl Tally {
@@ -87,8 +89,9 @@
         self.answers += other.answers;
         self.failed += other.failed;
         self.slow += other.slow;
-        self.very_slow += other.very_slow;
         self.timed += other.timed;
+        self.very_slow += other.very_slow;
+        self.ranked += other.ranked;
     }
 
     fn is_empty(&self) -> bool {
@@ -185,7 +188,7 @@
         let mut all = KindCounts::default();
         by_kind.values().for_each(|counts| all.add(counts));
         let log_ratios = by_kind.values().chain([&all]).map(KindCounts::log_ratio);
-        log_ratios.fold(f64::NEG_INFINITY, f64::max)
+        log_ratios.fold(all.great_slowness_log_ratio(), f64::max)
     }
 }
 
@@ -202,17 +205,22 @@
         }
     }
 
-    /// The largest of the log-likelihood ratios of failures and of slowness.
+    /// The larger of the log-likelihood ratios of failures and of slowness.
     fn log_ratio(&self) -> f64 {
         let (old, new) = (&self.old, self.new.values());
         let failed = new.clone().map(|tally| (tally.failed, tally.answers));
-        let slow = new.clone().map(|tally| (tally.slow, tally.timed));
-        let very_slow = new.map(|tally| (tally.very_slow, tally.timed));
+        let slow = new.map(|tally| (tally.slow, tally.timed));
         let failures = FAILURES.log_likelihood_ratio((old.failed, old.answers), failed);
-        let old_very_slow = (old.very_slow, old.timed);
-        failures
-            .max(SLOWNESS.log_likelihood_ratio((old.slow, old.timed), slow))
-            .max(GREAT_SLOWNESS.log_likelihood_ratio(old_very_slow, very_slow))
+        failures.max(SLOWNESS.log_likelihood_ratio((old.slow, old.timed), slow))
+    }
+
+    /// The log-likelihood ratio of great slowness.
+    ///
+    /// It is of use for all kinds together only: servers without a cache yet are very slow for the
+    /// kinds of request with much to cache.
+    fn great_slowness_log_ratio(&self) -> f64 {
+        let new = self.new.values().map(|tally| (tally.very_slow, tally.ranked));
+        GREAT_SLOWNESS.log_likelihood_ratio((self.old.very_slow, self.old.ranked), new)
     }
 }
 
@@ -252,20 +260,28 @@
             answers: 1,
             failed: u32::from(failed),
             slow: u32::from(slowness >= Some(Slowness::Slow)),
-            very_slow: u32::from(slowness == Some(Slowness::VerySlow)),
             timed: u32::from(slowness.is_some()),
+            very_slow: u32::from(slowness == Some(Slowness::VerySlow)),
+            ranked: u32::from(slowness.is_some()),
         };
         Observation { kind: kind.to_owned(), server: server.map(str::to_owned), tally }
     }
 
+    /// Leaves out whether the answer is slow, and keeps whether it is very slow.
+    pub fn without_slowness(mut self) -> Self {
+        (self.tally.slow, self.tally.timed) = (0, 0);
+        self
+    }
+
     /// Whether the counts are possible and not all zero; rejects invalid observations of other
     /// entries.
     pub fn is_valid(&self) -> bool {
         let tally = self.tally;
         !tally.is_empty()
             && tally.failed <= tally.answers
-            && tally.very_slow <= tally.slow
             && tally.slow <= tally.timed
             && tally.timed <= tally.answers
+            && tally.very_slow <= tally.ranked
+            && tally.ranked <= tally.answers
     }
 }
--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -15,7 +15,7 @@
 
 use super::{
     SessionKey, VersionRule,
-    evidence_pool::{EvidencePool, Observation, Slowness},
+    evidence_pool::{EvidencePool, Observation},
 };
 
 pub use local_evidence::Evidence;
@@ -239,17 +239,16 @@
         // load.
         let is_comparable = self.share(now) < 1.0;
         let slowness = self.local_evidence.record(is_target, evidence, is_comparable);
-        let slowness = slowness.and_then(|slowness| match (self.published_stage, slowness) {
-            (Some(Stage::Trial), slowness) => Some(slowness),
-            // NB: when the share widens, the new version's servers have no cache for their new load
-            // yet, so many of a good version's answers are a little slower.
-            (Some(Stage::Widening), Slowness::Slow) => Some(Slowness::Ordinary),
-            (Some(Stage::Widening), slowness) => Some(slowness),
-            _ => None,
-        });
+        let stage = self.published_stage;
+        let slowness = slowness.filter(|_| matches!(stage, Some(Stage::Trial | Stage::Widening)));
         let server = is_target.then_some(evidence.server);
-        self.pool
-            .record_own(Observation::single(evidence.kind, server, evidence.failed, slowness), now);
+        let observation = Observation::single(evidence.kind, server, evidence.failed, slowness);
+        // NB: when the share widens, the new version's servers have no cache for their new load yet.
+        let observation = match stage {
+            Some(Stage::Widening) => observation.without_slowness(),
+            _ => observation,
+        };
+        self.pool.record_own(observation, now);
         let is_widening = self.published_stage == Some(Stage::Widening);
         is_target && self.may_trip() && {
             let is_bad = self.local_evidence.is_bad(evidence.kind, is_widening);
--- a/crates/decide/tests/evidence_pool.rs
+++ b/crates/decide/tests/evidence_pool.rs
@@ -302,3 +302,39 @@
     }
     assert!(rejected || roll_out.evaluate(ms(5_500)) || roll_out.evaluate(ms(8_000)));
 }
+
+/// Outcome of a roll-out whose new version answers like the old one on trial, and while its share
+/// widens with this slowness to each second request of this kind.
+fn widen(kind: &str, slowness: f64) -> bool {
+    let mut roll_out = RollOut::new("v2".to_owned(), ms(15_000), ms(0), 0.1, ms(300));
+    roll_out.apply_stage(Stage::Trial, ms(300));
+    for number in 0..500u64 {
+        let now = ms(1_000 + number * 20);
+        if number == 350 {
+            roll_out.apply_stage(Stage::Widening, now);
+        }
+        let usual = 1.0 + (number % 20) as f64 / 20.0;
+        let is_new = number % 25 == 0 || number >= 350 && number % 4 < 2;
+        let server = if is_new { format!("s{}", number % 7) } else { "old".to_owned() };
+        let request_kind = ["brief", "digest", "chat", "draft", "note"][number as usize / 8 % 5];
+        let is_affected =
+            is_new && number >= 350 && number % 8 < 4 && (kind == "all" || kind == request_kind);
+        let slowness = if is_affected { slowness } else { usual };
+        let evidence = Evidence { kind: request_kind, server: &server, failed: false, slowness };
+        roll_out.record_answer(if is_new { "v2" } else { "v1" }, &evidence, now);
+        if roll_out.evaluate(now) || roll_out.is_tripped() {
+            return true;
+        }
+    }
+    false
+}
+
+#[test]
+fn version_that_turns_slow_while_its_share_widens_is_rejected() {
+    assert!(widen("all", 2.4));
+}
+
+#[test]
+fn version_without_a_cache_for_one_kind_of_request_is_not_rejected() {
+    assert!(!widen("draft", 2.4));
+}
