--- a/crates/decide/src/direct/evidence_pool.rs
+++ b/crates/decide/src/direct/evidence_pool.rs
@@ -76,12 +76,10 @@
     pub failed: u32,
     /// Slow answers, among the timed ones.
     pub slow: u32,
+    /// Very slow answers, among the slow ones.
+    pub very_slow: u32,
     /// Answers that could be classified as slow or not.
     pub timed: u32,
-    /// Very slow answers, among the ranked ones.
-    pub very_slow: u32,
-    /// Answers that could be classified as very slow or not.
-    pub ranked: u32,
 }
 
 impl Tally {
@@ -89,9 +87,8 @@
         self.answers += other.answers;
         self.failed += other.failed;
         self.slow += other.slow;
-        self.timed += other.timed;
         self.very_slow += other.very_slow;
-        self.ranked += other.ranked;
+        self.timed += other.timed;
     }
 
     fn is_empty(&self) -> bool {
@@ -219,8 +216,8 @@
     /// It is of use for all kinds together only: servers without a cache yet are very slow for the
     /// kinds of request with much to cache.
     fn great_slowness_log_ratio(&self) -> f64 {
-        let new = self.new.values().map(|tally| (tally.very_slow, tally.ranked));
-        GREAT_SLOWNESS.log_likelihood_ratio((self.old.very_slow, self.old.ranked), new)
+        let new = self.new.values().map(|tally| (tally.very_slow, tally.timed));
+        GREAT_SLOWNESS.log_likelihood_ratio((self.old.very_slow, self.old.timed), new)
     }
 }
 
@@ -260,28 +257,20 @@
             answers: 1,
             failed: u32::from(failed),
             slow: u32::from(slowness >= Some(Slowness::Slow)),
-            timed: u32::from(slowness.is_some()),
             very_slow: u32::from(slowness == Some(Slowness::VerySlow)),
-            ranked: u32::from(slowness.is_some()),
+            timed: u32::from(slowness.is_some()),
         };
         Observation { kind: kind.to_owned(), server: server.map(str::to_owned), tally }
     }
 
-    /// Leaves out whether the answer is slow, and keeps whether it is very slow.
-    pub fn without_slowness(mut self) -> Self {
-        (self.tally.slow, self.tally.timed) = (0, 0);
-        self
-    }
-
     /// Whether the counts are possible and not all zero; rejects invalid observations of other
     /// entries.
     pub fn is_valid(&self) -> bool {
         let tally = self.tally;
         !tally.is_empty()
             && tally.failed <= tally.answers
+            && tally.very_slow <= tally.slow
             && tally.slow <= tally.timed
             && tally.timed <= tally.answers
-            && tally.very_slow <= tally.ranked
-            && tally.ranked <= tally.answers
     }
 }
--- a/crates/decide/src/direct/roll_out.rs
+++ b/crates/decide/src/direct/roll_out.rs
@@ -240,14 +240,15 @@
         let is_comparable = self.share(now) < 1.0;
         let slowness = self.local_evidence.record(is_target, evidence, is_comparable);
         let stage = self.published_stage;
-        let slowness = slowness.filter(|_| matches!(stage, Some(Stage::Trial | Stage::Widening)));
+        let slowness = slowness.filter(|_| match stage {
+            Some(Stage::Trial) => true,
+            // NB: when the share widens, the new version's servers have no cache for their new load
+            // yet.
+            Some(Stage::Widening) => !evidence.is_cached,
+            _ => false,
+        });
         let server = is_target.then_some(evidence.server);
         let observation = Observation::single(evidence.kind, server, evidence.failed, slowness);
-        // NB: when the share widens, the new version's servers have no cache for their new load yet.
-        let observation = match stage {
-            Some(Stage::Widening) => observation.without_slowness(),
-            _ => observation,
-        };
         self.pool.record_own(observation, now);
         let is_widening = self.published_stage == Some(Stage::Widening);
         is_target && self.may_trip() && {
--- a/crates/decide/src/direct/roll_out/local_evidence.rs
+++ b/crates/decide/src/direct/roll_out/local_evidence.rs
@@ -47,6 +47,8 @@
     pub server: &'a str,
     /// Whether the answer was a failure.
     pub failed: bool,
+    /// Whether the time of the answer depends on what the server has cached.
+    pub is_cached: bool,
     /// Time to first byte, as a multiple of the time expected under the known load.
     pub slowness: f64,
 }
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -248,7 +248,13 @@
         let kind = self.kind();
         let slowness =
             self.elapsed().as_secs_f64() * 1_000.0 / self.ticket.expected_with_queue_ms();
-        let evidence = Evidence { kind: &kind, server: &self.ticket.server, failed, slowness };
+        let evidence = Evidence {
+            kind: &kind,
+            server: &self.ticket.server,
+            failed,
+            is_cached: self.model.is_some(),
+            slowness,
+        };
         roll_out.record_answer(&self.version, &evidence, now)
     }
 
--- a/crates/direct/src/quarantine/crashes.rs
+++ b/crates/direct/src/quarantine/crashes.rs
@@ -274,7 +274,13 @@
         for crash in servers.into_values().flatten() {
             let Some(VersionEvidence { version, kind }) = &crash.evidence else { continue };
             let Some(roll_out) = roll_outs.get_mut(&crash.service) else { continue };
-            let evidence = Evidence { kind, server: &crash.server, failed: true, slowness: 0.0 };
+            let evidence = Evidence {
+                kind,
+                server: &crash.server,
+                failed: true,
+                is_cached: false,
+                slowness: 0.0,
+            };
             if roll_out.record_answer(version, &evidence, now) {
                 tripped.push((crash, version));
             }
