--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -292,6 +292,11 @@
         MessageLimits { head_bytes: u64::MAX, message_bytes: u64::MAX, pace: None }
     }
 
+    /// Size up to which an answer that is not complete by its deadline is not too long.
+    pub fn max_kept_bytes(&self) -> u64 {
+        self.settings.inbound.kept_answer_bytes as u64
+    }
+
     /// Splits the exchange into the response's head and body, whose long part is read at a limited
     /// rate.
     pub fn split_response(&self, exchange: Exchange) -> (Parts, StreamBody) {
--- a/crates/direct/src/http/events.rs
+++ b/crates/direct/src/http/events.rs
@@ -45,7 +45,8 @@
         detail: String,
         after_ms: u64,
     },
-    /// A backend server's response was longer than allowed, and was not read to its end.
+    /// A backend server's response was longer than allowed, or too long to be complete by its
+    /// deadline, and was not read to its end.
     AnswerTooLong {
         request: &'a str,
         server: &'a str,
--- a/crates/direct/src/http/long_answer.rs
+++ b/crates/direct/src/http/long_answer.rs
@@ -77,7 +77,7 @@
             AnswerEnd::Broken(reason) => {
                 placement.on_connection_broken();
                 if body.meter.exceeded_in().is_some() {
-                    in_flight.record_endless_answer(placement, &body.meter);
+                    in_flight.record_answer_too_long(placement, &body.meter);
                 } else {
                     in_flight.record_broken_connection(placement);
                 }
@@ -85,6 +85,7 @@
             }
             AnswerEnd::TimedOut => {
                 placement.on_connection_broken();
+                in_flight.record_answer_too_long(placement, &body.meter);
                 self.record_cut("timed_out");
             }
         }
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -158,6 +158,11 @@
                     return;
                 }
                 StreamEnd::TimedOut => {
+                    let in_flight = &self.relayed.in_flight;
+                    if source.body.meter.bytes() > in_flight.core.max_kept_bytes() {
+                        source.placement.on_connection_broken();
+                        in_flight.record_answer_too_long(&source.placement, &source.body.meter);
+                    }
                     self.cut(&source, "timed_out");
                     return;
                 }
@@ -195,7 +200,7 @@
                     );
                     source.placement.on_connection_broken();
                     if source.body.meter.exceeded_in().is_some() {
-                        in_flight.record_endless_answer(&source.placement, &source.body.meter);
+                        in_flight.record_answer_too_long(&source.placement, &source.body.meter);
                     } else {
                         in_flight.record_broken_connection(&source.placement);
                     }
@@ -381,7 +386,7 @@
                     match error {
                         SendError::Broken(_) => in_flight.record_broken_connection(&placement),
                         SendError::HeadTooLong { bytes } => {
-                            in_flight.record_endless_head(&placement, bytes);
+                            in_flight.record_head_too_long(&placement, bytes);
                         }
                         _ => {}
                     }
--- a/crates/direct/src/http/reporting.rs
+++ b/crates/direct/src/http/reporting.rs
@@ -111,15 +111,16 @@
         self.core.record_server_crash(&self.job, placement, probed);
     }
 
-    /// Records a response that was longer than allowed, a failure of its server's version.
-    pub fn record_endless_answer(&self, placement: &Placement, meter: &Meter) {
+    /// Records a response that was longer than allowed, or too long to be complete by its deadline, a
+    /// failure of its server's version.
+    pub fn record_answer_too_long(&self, placement: &Placement, meter: &Meter) {
         let part = meter.exceeded_in().unwrap_or(MessagePart::Body);
         self.record_too_long(placement, part, meter.bytes());
     }
 
     /// Records a response whose head was longer than allowed, as
-    /// [`InFlightRequest::record_endless_answer`].
-    pub fn record_endless_head(&self, placement: &Placement, bytes: u64) {
+    /// [`InFlightRequest::record_answer_too_long`].
+    pub fn record_head_too_long(&self, placement: &Placement, bytes: u64) {
         self.record_too_long(placement, MessagePart::Head, bytes);
     }
 
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -128,7 +128,7 @@
                 self.handle_loss(&placement, "broken", detail)
             }
             Err(SendError::HeadTooLong { bytes }) => {
-                self.record_endless_head(&placement, bytes);
+                self.record_head_too_long(&placement, bytes);
                 self.handle_loss(&placement, "too_long", String::new())
             }
             Err(SendError::NoResponse) if until >= self.job.deadline => {
@@ -180,7 +180,7 @@
         let max_bytes = self.core.settings.inbound.max_answer_bytes as u64;
         let declared_bytes = exchange.response.body().size_hint().lower();
         if declared_bytes > max_bytes {
-            self.record_endless_answer(&placement, &exchange.meter);
+            self.record_answer_too_long(&placement, &exchange.meter);
             return self.handle_loss(&placement, "too_long", format!("{declared_bytes} declared"));
         }
         placement.on_response_started();
@@ -375,7 +375,7 @@
                 );
             }
             Ok(Err(_)) if body.meter.exceeded_in().is_some() => {
-                self.record_endless_answer(&placement, &body.meter);
+                self.record_answer_too_long(&placement, &body.meter);
                 return self.handle_loss(&placement, "too_long", String::new());
             }
             Ok(Err(error)) => {
--- a/crates/direct/tests/endless_answers.rs
+++ b/crates/direct/tests/endless_answers.rs
@@ -171,7 +171,9 @@
 
 #[test]
 fn version_with_endless_answers_is_reverted() {
-    for flood in [Flood::DeclaredBody, Flood::InformationalHeads, Flood::ChunkSize] {
+    let floods =
+        [Flood::UnframedBody, Flood::DeclaredBody, Flood::ChunkSize, Flood::InformationalHeads];
+    for flood in floods {
         run_test(|world| async move {
             world.configure(catalog(1));
             for n in 1..=4 {
@@ -183,7 +185,9 @@
                 world.start_server(n, "s", "v2", Behaviour::Flood(flood, OFFERED_BYTES));
             }
             for n in 0..3_000 {
-                world.call(request("/again/x", &format!("r{n}"))).await;
+                let sent = request("/again/x", &format!("r{n}"));
+                let sent = with(sent, "pondwalk-deadline-ms", "200");
+                read(world.send(sent).await, Duration::ZERO).await;
                 sleep(Duration::from_millis(10)).await;
             }
             let progress = world.store.value("progress/s");
