--- a/crates/direct/tests/endless_answers.rs
+++ b/crates/direct/tests/endless_answers.rs
@@ -50,7 +50,7 @@
         assert!(taken <= MAX_UNREAD_BYTES, "{flood:?} {path}: {taken} bytes");
         drop(response);
         sleep(GRACE).await;
-        let buffered = total(&[world.entry.clone()], "pondwalk_buffered_bytes");
+        let buffered = total(std::slice::from_ref(&world.entry), "pondwalk_buffered_bytes");
         assert_eq!(buffered, 0, "{flood:?} {path}");
     });
 }
@@ -127,7 +127,7 @@
                 assert_eq!(response.status().as_u16(), 200);
                 let read = read(response, Duration::from_millis(pause_ms)).await;
                 assert_eq!(read, (bytes, true));
-                let answered = total(&[world.entry.clone()], "pondwalk_answered_total");
+                let answered = total(std::slice::from_ref(&world.entry), "pondwalk_answered_total");
                 assert_eq!(answered, 1);
             });
         }
@@ -165,7 +165,7 @@
         {
             assert!(line.contains(part), "{line}");
         }
-        assert_eq!(total(&[world.entry.clone()], "pondwalk_answers_too_long_total"), 1);
+        assert_eq!(total(std::slice::from_ref(&world.entry), "pondwalk_answers_too_long_total"), 1);
     });
 }
 
--- a/crates/direct/tests/odd_values.rs
+++ b/crates/direct/tests/odd_values.rs
@@ -266,7 +266,7 @@
         let log = entry.buffered_log_lines();
         assert!(log.contains("\"task_restarted\",\"task\":\"follow\""), "{log}");
         assert!(log.contains("a fault of the test"), "{log}");
-        assert!(total(&[entry.clone()], "pondwalk_panics_total") > 0);
+        assert!(total(std::slice::from_ref(&entry), "pondwalk_panics_total") > 0);
         assert!(total(&[entry], "pondwalk_tasks_restarted_total") > 0);
     });
 }
