--- a/crates/direct/src/http/long_answer.rs
+++ b/crates/direct/src/http/long_answer.rs
@@ -118,7 +118,8 @@
                 Err(_) => return AnswerEnd::TimedOut,
                 Ok(None) if self.body.ends_with_connection => {
                     let in_flight = &self.relayed.in_flight;
-                    return match in_flight.has_server_ended(&self.placement).await {
+                    let placement = &self.placement;
+                    return match in_flight.has_server_ended_after_long_answer(placement).await {
                         true => AnswerEnd::Broken("ended_with_its_server"),
                         false => AnswerEnd::Whole,
                     };
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -255,7 +255,14 @@
                 }
                 Ok(None) if source.body.ends_with_connection => {
                     let in_flight = &self.relayed.in_flight;
-                    return match in_flight.has_server_ended(&source.placement).await {
+                    let is_long = source.body.meter.bytes() > in_flight.core.max_kept_bytes();
+                    let has_ended = match is_long {
+                        true => {
+                            in_flight.has_server_ended_after_long_answer(&source.placement).await
+                        }
+                        false => in_flight.has_server_ended(&source.placement).await,
+                    };
+                    return match has_ended {
                         true => StreamEnd::Broken("ended_with_its_server"),
                         false => StreamEnd::Whole,
                     };
--- a/crates/direct/src/http/reporting.rs
+++ b/crates/direct/src/http/reporting.rs
@@ -14,7 +14,7 @@
     metrics::{Counter, Timer},
     placement::Placement,
     server_signals::ServerSignals,
-    upstream::{ListenerState, check_listener},
+    upstream::{ListenerState, check_listener, keeps_connections},
 };
 
 impl InFlightRequest {
@@ -166,6 +166,13 @@
             && check_listener(&self.core.connect, placement.address).await == ListenerState::Refuses
     }
 
+    /// Like [`InFlightRequest::has_server_ended`], for an answer so long that a second look costs its
+    /// caller little: a server that does not keep connections has ended too.
+    pub async fn has_server_ended_after_long_answer(&self, placement: &Placement) -> bool {
+        !placement.may_be_leaving()
+            && !keeps_connections(&self.core.connect, placement.address).await
+    }
+
     /// Counts and logs a response that was passed on, of which the server has made `extent`.
     pub fn record_answered(
         &self,
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -28,7 +28,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::{
-    io::{AsyncRead, AsyncWrite},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite},
     net::TcpStream,
     task::{AbortHandle, spawn_local},
     time::{Instant, timeout, timeout_at},
@@ -39,6 +39,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of a check whether a server accepts connections.
 const LISTENER_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time in which a proxy closes a connection to a server that is down.
+const PROXY_CLOSE_TIMEOUT: Duration = Duration::from_millis(30);
 /// `TCP_USER_TIMEOUT` of a connection to a server.
 const SERVER_TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time before TCP keepalive probes, and interval between them.
@@ -236,6 +238,15 @@
     }
 }
 
+/// Checks whether a server keeps a connection open that it accepts. A proxy in front of a server
+/// accepts connections and closes them at once while the server is down.
+pub async fn keeps_connections(connect: &Connect, address: SocketAddr) -> bool {
+    match timeout(LISTENER_CHECK_TIMEOUT, connect(address)).await {
+        Ok(Ok(mut stream)) => timeout(PROXY_CLOSE_TIMEOUT, stream.read(&mut [0])).await.is_err(),
+        _ => false,
+    }
+}
+
 /// Whether a response has neither a length nor chunks, so that only its connection ends it.
 pub fn ends_with_connection<B>(response: &Response<B>) -> bool {
     let (status, headers) = (response.status(), response.headers());
--- a/crates/direct/tests/endless_answers.rs
+++ b/crates/direct/tests/endless_answers.rs
@@ -2,12 +2,16 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
-use common::{World, address, catalog, request, run_test, stream, total, with};
+use common::{World, address, catalog, request, run_test, settings, stream, total, with};
 use http_body_util::BodyExt;
+use pondwalk_direct::upstream::{BoxedDuplex, Connect};
 use pondwalk_standin::{backends::Behaviour, floods::Flood};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    io::duplex,
+    time::{Instant, sleep},
+};
 
 /// Bytes that a server offers.
 const OFFERED_BYTES: usize = 400_000_000;
@@ -217,3 +221,29 @@
         assert_eq!(cut, 2);
     });
 }
+
+#[test]
+fn endless_answer_of_a_crashed_server_behind_a_proxy_does_not_look_complete() {
+    for (path, flood) in [("/once/x", Flood::UnframedBody), ("/fixed/x", Flood::Events)] {
+        run_test(|world| async move {
+            world.configure(catalog(1));
+            world.start_server(1, "s", "v1", Behaviour::Flood(flood, OFFERED_BYTES));
+            let backends = world.backends.clone();
+            // The proxy accepts connections whether the server runs or not.
+            let connect: Connect = Rc::new(move |address| {
+                let stream = backends.connect(address).unwrap_or_else(|_| duplex(64).0);
+                Box::pin(async move { Ok(Box::new(stream) as BoxedDuplex) })
+            });
+            let entry = world.entry_with(settings("e2", None), connect);
+            entry.start();
+            sleep(Duration::from_millis(500)).await;
+            let call = world.call_at(&entry, request(path, "r1"));
+            let crash = async {
+                sleep(Duration::from_millis(300)).await;
+                world.backends.crash(address(1));
+            };
+            let (response, ()) = tokio::join!(call, crash);
+            assert!(!response.is_complete, "{flood:?}");
+        });
+    }
+}
