--- a/crates/direct/src/http/long_answer.rs
+++ b/crates/direct/src/http/long_answer.rs
@@ -65,15 +65,7 @@
                 );
                 sender.finish();
             }
-            AnswerEnd::CallerLeft => {
-                in_flight.core.metrics.count(Counter::Abandoned);
-                let event = RequestEvent::CallerLeft {
-                    request: &in_flight.job.id,
-                    server: placement.server(),
-                    after_ms: in_flight.after_ms(),
-                };
-                in_flight.core.event_log.record(LogPriority::Failure, &event);
-            }
+            AnswerEnd::CallerLeft => in_flight.record_caller_left(placement),
             AnswerEnd::Broken(reason) => {
                 placement.on_connection_broken();
                 if body.meter.exceeded_in().is_some() {
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -154,7 +154,7 @@
                     return;
                 }
                 StreamEnd::CallerLeft => {
-                    self.record_disconnect(&source);
+                    self.relayed.in_flight.record_caller_left(&source.placement);
                     return;
                 }
                 StreamEnd::TimedOut => {
@@ -430,17 +430,6 @@
         };
         in_flight.core.event_log.record(LogPriority::Failure, &event);
     }
-
-    fn record_disconnect(&self, source: &StreamSource) {
-        let in_flight = &self.relayed.in_flight;
-        in_flight.core.metrics.count(Counter::Abandoned);
-        let event = RequestEvent::CallerLeft {
-            request: &in_flight.job.id,
-            server: source.placement.server(),
-            after_ms: in_flight.after_ms(),
-        };
-        in_flight.core.event_log.record(LogPriority::Failure, &event);
-    }
 }
 
 /// Records why a request was not sent: the server is avoided for a while, or presumed cold if it
--- a/crates/direct/src/http/reporting.rs
+++ b/crates/direct/src/http/reporting.rs
@@ -173,6 +173,17 @@
             && !keeps_connections(&self.core.connect, placement.address).await
     }
 
+    /// Counts and logs that the caller disconnected before its answer was complete.
+    pub fn record_caller_left(&self, placement: &Placement) {
+        self.core.metrics.count(Counter::Abandoned);
+        let event = RequestEvent::CallerLeft {
+            request: &self.job.id,
+            server: placement.server(),
+            after_ms: self.after_ms(),
+        };
+        self.core.event_log.record(LogPriority::Failure, &event);
+    }
+
     /// Counts and logs a response that was passed on, of which the server has made `extent`.
     pub fn record_answered(
         &self,
--- a/crates/soak/tests/floods.rs
+++ b/crates/soak/tests/floods.rs
@@ -7,7 +7,7 @@
 use nix::sys::signal::{Signal, kill};
 use pondwalk_standin::floods::Flood;
 use site::{
-    FLOOD_DEADLINE_MS, HOST, KEY, START_TIMEOUT, Site, call, flood_service, routes_of,
+    FLOOD_DEADLINE_MS, START_TIMEOUT, Site, call, flood_service, request_head, routes_of,
     run_on_thread, run_test, start_entry, write_endlessly,
 };
 use tokio::{
@@ -93,37 +93,56 @@
     });
 }
 
+/// Starts floods of callers, peers and whoever reads the metrics.
+async fn flood_entry(site: &Site, floods: usize) {
+    let request = |path: &str, rest: &str| request_head(path, "f", rest);
+    let chunked = "transfer-encoding: chunked\r\n\r\n";
+    let kinds: [(SocketAddr, String, &[u8]); 8] = [
+        (site.callers, request("/plain/idempotent/x", chunked), b"4\r\nxxxx\r\n"),
+        (site.callers, request("/plain/idempotent/x", chunked), b"0"),
+        (site.callers, request("/plain/idempotent/x", ""), b"x-more: x\r\n"),
+        (site.callers, request("/plain/idempotent/x", "x-more: "), b"x"),
+        (site.peers, request("/news", chunked), b"4\r\nxxxx\r\n"),
+        (site.peers, request("/probe", "content-length: 900000000000\r\n\r\n"), b"x"),
+        (site.peers, request("/news", ""), b"x-more: x\r\n"),
+        (site.metrics, "GET /metrics HTTP/1.1\r\nx-more: ".to_owned(), b"x"),
+    ];
+    for number in 0..floods {
+        let (address, head, repeated) = &kinds[number % kinds.len()];
+        let stream = TcpStream::connect(address).await.expect("a connection");
+        let (head, repeated) = (head.clone(), *repeated);
+        let stream = stream.into_std().expect("a socket");
+        run_on_thread(move || async move {
+            let stream = TcpStream::from_std(stream).expect("a socket");
+            write_endlessly(stream, head.as_bytes(), repeated).await;
+        });
+    }
+}
+
 #[test]
 fn floods_of_callers_and_peers_do_not_fill_memory() {
     run_test(async {
         let site = Site::start("caller-floods").await;
         let calm_kb = calm_kb(&site).await;
-        let request = |path: &str, rest: &str| {
-            format!(
-                "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nx-pondwalk-attempt-id: f\r\n\
-                 authorization: Token {KEY}\r\n{rest}"
-            )
-        };
-        let chunked = "transfer-encoding: chunked\r\n\r\n";
-        let kinds: [(SocketAddr, String, &[u8]); 8] = [
-            (site.callers, request("/plain/idempotent/x", chunked), b"4\r\nxxxx\r\n"),
-            (site.callers, request("/plain/idempotent/x", chunked), b"0"),
-            (site.callers, request("/plain/idempotent/x", ""), b"x-more: x\r\n"),
-            (site.callers, request("/plain/idempotent/x", "x-more: "), b"x"),
-            (site.peers, request("/news", chunked), b"4\r\nxxxx\r\n"),
-            (site.peers, request("/probe", "content-length: 900000000000\r\n\r\n"), b"x"),
-            (site.peers, request("/news", ""), b"x-more: x\r\n"),
-            (site.metrics, "GET /metrics HTTP/1.1\r\nx-more: ".to_owned(), b"x"),
-        ];
-        for number in 0..FLOODS {
-            let (address, head, repeated) = &kinds[number % kinds.len()];
-            let stream = TcpStream::connect(address).await.expect("a connection");
-            let (head, repeated) = (head.clone(), *repeated);
-            let stream = stream.into_std().expect("a socket");
-            run_on_thread(move || async move {
-                let stream = TcpStream::from_std(stream).expect("a socket");
-                write_endlessly(stream, head.as_bytes(), repeated).await;
-            });
+        flood_entry(&site, FLOODS).await;
+        let (sent, served) = site.call_plain(Instant::now() + Duration::from_secs(3)).await;
+        assert_eq!((sent, served), (sent, sent));
+        check_memory(&site, calm_kb);
+    });
+}
+
+#[test]
+fn floods_from_all_sides_at_once_do_not_fill_memory() {
+    run_test(async {
+        let site = Site::start("all-floods").await;
+        let calm_kb = calm_kb(&site).await;
+        site.store_floods.set(true);
+        flood_entry(&site, FLOODS / 2).await;
+        let mut unread = Vec::new();
+        for number in 0..FLOODS / 2 {
+            let service = flood_service(number % Flood::ALL.len());
+            let path = format!("{}x", routes_of(service)[number % 3].0);
+            unread.push(site.call_without_reading(&path, &format!("f{number}")).await);
         }
         let (sent, served) = site.call_plain(Instant::now() + Duration::from_secs(3)).await;
         assert_eq!((sent, served), (sent, sent));
--- a/crates/soak/tests/site/mod.rs
+++ b/crates/soak/tests/site/mod.rs
@@ -150,11 +150,9 @@
     /// Sends a request and does not read the response.
     pub async fn call_without_reading(&self, path: &str, id: &str) -> TcpStream {
         let mut stream = TcpStream::connect(self.callers).await.expect("a connection");
-        let head = format!(
-            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nx-pondwalk-attempt-id: {id}\r\n\
-             x-pondwalk-deadline-ms: {FLOOD_DEADLINE_MS}\r\nauthorization: Token {KEY}\r\n\
-             content-length: 0\r\n\r\n"
-        );
+        let deadline = pondwalk_platform::dialect().deadline_ms;
+        let rest = format!("{deadline}: {FLOOD_DEADLINE_MS}\r\ncontent-length: 0\r\n\r\n");
+        let head = request_head(path, id, &rest);
         stream.write_all(head.as_bytes()).await.expect("it is written");
         stream
     }
@@ -186,6 +184,16 @@
     command.stdout(Stdio::piped()).stderr(Stdio::inherit()).spawn().expect("the entry starts")
 }
 
+/// Head of a request with the key, up to `rest`.
+pub fn request_head(path: &str, id: &str, rest: &str) -> String {
+    let dialect = pondwalk_platform::dialect();
+    let (request_id, scheme) = (dialect.request_id, dialect.key_scheme);
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: {HOST}\r\n{request_id}: {id}\r\n\
+         authorization: {scheme} {KEY}\r\n{rest}"
+    )
+}
+
 /// Serves the store at an address where it can be made to flood.
 pub async fn serve_store(store: &MemoryStore, floods: &Rc<Cell<bool>>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -287,11 +295,12 @@
     let stream = TcpStream::connect(address).await.ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     spawn_local(async move { connection.await.unwrap_or_default() });
+    let dialect = pondwalk_platform::dialect();
     let request = Request::post(path)
         .header("host", HOST)
-        .header("x-pondwalk-attempt-id", id)
-        .header("x-pondwalk-deadline-ms", deadline_ms.to_string())
-        .header("authorization", format!("Token {KEY}"))
+        .header(&dialect.request_id, id)
+        .header(&dialect.deadline_ms, deadline_ms.to_string())
+        .header("authorization", format!("{} {KEY}", dialect.key_scheme))
         .body(Full::<Bytes>::default())
         .ok()?;
     let response = sender.send_request(request).await.ok()?;
