--- a/crates/direct/tests/endless_answers.rs
+++ b/crates/direct/tests/endless_answers.rs
@@ -247,3 +247,18 @@
         });
     }
 }
+
+#[test]
+fn endless_answer_of_a_server_that_has_restarted_does_not_look_complete() {
+    run_test(|world| async move {
+        start(&world, Flood::UnframedBody).await;
+        let response = world.send(request("/once/x", "r1")).await;
+        sleep(Duration::from_millis(300)).await;
+        world.backends.crash(address(1));
+        sleep(Duration::from_millis(100)).await;
+        world.backends.start(address(1), "s1-2", Behaviour::Answer(200, "made".into()));
+        // What the server had sent is read only now, and the end of the connection behind it.
+        let (_, is_complete) = read(response, Duration::ZERO).await;
+        assert!(!is_complete);
+    });
+}
