--- a/crates/direct/src/http/in_flight.rs
+++ b/crates/direct/src/http/in_flight.rs
@@ -21,7 +21,7 @@
     metrics::Counter,
     placement::Placement,
     quarantine::ProbeLease,
-    request::{Job, is_key_valid},
+    request::{Job, is_key_held},
     upstream::{self, Exchange, SendError},
 };
 
@@ -70,6 +70,8 @@
     pub failed_version: Option<VersionId>,
     /// Whether any send may have run.
     pub may_have_run: bool,
+    /// Whether the latest send names the workspace.
+    names_workspace: bool,
     /// Whether the request counts in its workspace's usage: a server has begun to run it.
     pub is_counted: bool,
     /// Placement of the next send, if reserved in advance.
@@ -95,6 +97,7 @@
             discarded: Vec::new(),
             failed_version: None,
             may_have_run: false,
+            names_workspace: false,
             is_counted: false,
             reserved: None,
             further_send: None,
@@ -114,6 +117,7 @@
             discarded: Vec::new(),
             failed_version: self.failed_version.clone(),
             may_have_run: true,
+            names_workspace: self.names_workspace,
             is_counted: self.is_counted,
             reserved: None,
             further_send: None,
@@ -123,9 +127,9 @@
     }
 
     /// Records that a server has begun to run the request. However often it runs, it counts once in
-    /// its workspace's usage.
+    /// the usage of the workspace in whose name it runs.
     pub fn record_begun(&mut self) {
-        if std::mem::replace(&mut self.is_counted, true) {
+        if !self.names_workspace || std::mem::replace(&mut self.is_counted, true) {
             return;
         }
         if let Some(workspace) = &self.job.workspace {
@@ -197,12 +201,13 @@
         if let Some(probe) = &self.probe {
             placement.mark_probe(probe.probed());
         }
+        self.names_workspace = self.job.requires_key || self.is_key_in_force();
         let request = self.build_request(placement, last_event_id);
         let until = self.core.clock.instant(until);
         let connect = &self.core.connect;
         let further_send = Cell::new(self.further_send.take());
         let may_send = || {
-            self.is_key_valid()
+            (!self.names_workspace || self.is_key_in_force())
                 && self.is_sendable()
                 && self.may_make(&further_send)
                 && placement.may_dispatch()
@@ -239,15 +244,16 @@
         }
     }
 
-    /// Whether the request may still be sent: its key must be valid in a fresh state.
-    pub fn is_key_valid(&self) -> bool {
-        if self.job.key.is_none() {
-            return true;
-        }
+    /// Whether the request may not be sent any more since its key is not in force.
+    pub fn has_lost_key(&self) -> bool {
+        self.job.requires_key && !self.is_key_in_force()
+    }
+
+    /// Whether the workspace holds the key that the request presents, in a fresh state.
+    fn is_key_in_force(&self) -> bool {
         let state = self.core.state.borrow();
-        let is_known =
-            state.catalog.as_ref().is_some_and(|catalog| is_key_valid(&self.job, catalog));
-        is_known && state.freshness.accepts_keys(self.core.clock.now())
+        let is_held = state.catalog.as_ref().is_some_and(|catalog| is_key_held(&self.job, catalog));
+        is_held && state.freshness.accepts_keys(self.core.clock.now())
     }
 
     /// Takes one send from the request's own limit and from the shared budget, unless one that was
@@ -305,7 +311,7 @@
             job.deadline.saturating_sub(self.core.clock.now()).saturating_sub(RESPONSE_MARGIN);
         set_header(headers, &dialect.deadline_ms, &remaining.as_millis().max(1).to_string());
         set_header(headers, &dialect.expected_server, placement.server());
-        if let Some(workspace) = &job.workspace {
+        if let Some(workspace) = job.workspace.as_ref().filter(|_| self.names_workspace) {
             set_header(headers, &dialect.workspace, &workspace.name);
         }
         if let Some(model) = &placement.model {
--- a/crates/direct/src/http/request_reader.rs
+++ b/crates/direct/src/http/request_reader.rs
@@ -17,6 +17,7 @@
 use crate::{
     catalog::{Catalog, Route, Service, Workspace},
     core::{Core, ShutdownPhase},
+    credentials::{presented_key, strip_keys},
     metrics::Timer,
     request::{Job, Prompt, Refusal, allowed_data_centres_of, strip_hop_by_hop_headers},
 };
@@ -73,8 +74,9 @@
     id: String,
     route: Rc<Route>,
     service: Rc<Service>,
-    workspace: Option<Rc<Workspace>>,
     key: Option<String>,
+    requires_key: bool,
+    workspace: Option<Rc<Workspace>>,
 }
 
 fn check(core: &Core, parts: &Parts, arrived: Duration) -> Result<CheckedHead, Refusal> {
@@ -93,16 +95,14 @@
     if requires_key && !state.freshness.accepts_keys(arrived) {
         return Err(Refusal::Stale);
     }
-    let key = bearer_key(core, &parts.headers);
+    let key = presented_key(&parts.headers, core.dialect.key_scheme);
     let workspace = key.as_deref().and_then(|key| catalog.workspace_of(key)).cloned();
     if requires_key && workspace.is_none() {
         return Err(if is_fresh { Refusal::UnknownKey } else { Refusal::Stale });
     }
     let draw = state.rng.random_range(0.0..1.0);
     let service = pick_service(&catalog, &route, draw).ok_or(Refusal::NoServer)?;
-    let key = if requires_key { key } else { None };
-    let workspace = if requires_key { workspace } else { None };
-    Ok(CheckedHead { id: id.to_owned(), route, service, workspace, key, catalog })
+    Ok(CheckedHead { id: id.to_owned(), route, service, key, requires_key, workspace, catalog })
 }
 
 /// Picks a service by the weights of the route's shares; `draw` is a random number from 0 to 1.
@@ -158,9 +158,8 @@
     for name in &dialect.reserved {
         parts.headers.remove(name);
     }
-    if checked.key.is_some() {
-        parts.headers.remove(header::AUTHORIZATION);
-    }
+    let is_key = |text: &str| checked.catalog.workspace_of(text).is_some();
+    strip_keys(&mut parts.headers, dialect.key_scheme, is_key);
     let allowed_data_centres = allowed_data_centres_of(
         &checked.route,
         checked.workspace.as_deref(),
@@ -177,6 +176,7 @@
         service: checked.service,
         workspace: checked.workspace,
         key: checked.key,
+        requires_key: checked.requires_key,
         arrived,
         deadline,
         chooses_model,
@@ -197,12 +197,6 @@
     prompt.parts.last().map(|part| pondwalk_decide::direct::session_key(&part.id.to_string()))
 }
 
-fn bearer_key(core: &Core, headers: &HeaderMap) -> Option<String> {
-    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
-    let (scheme, key) = value.trim().split_once(' ')?;
-    scheme.eq_ignore_ascii_case(core.dialect.key_scheme).then(|| key.trim().to_owned())
-}
-
 fn host_of(uri: &Uri, headers: &HeaderMap) -> Option<String> {
     let host = match uri.host() {
         Some(host) => host,
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -115,7 +115,7 @@
             Err(SendError::Withheld) => {
                 placement.mark_finished();
                 self.log_failed_send(&placement, "withheld", String::new());
-                if !self.is_key_valid() {
+                if self.has_lost_key() {
                     AttemptResult::Refuse(Refusal::Stale)
                 } else if self.has_lost_send() {
                     AttemptResult::Refuse(self.rejection_refusal())
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod content;
 mod coordinator;
 mod core;
+mod credentials;
 pub mod dialect;
 mod draining_servers;
 mod entry;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -244,10 +244,12 @@
 const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Hop-by-hop headers.
-const HOP_BY_HOP_HEADERS: [HeaderName; 9] = [
+const HOP_BY_HOP_HEADERS: [HeaderName; 11] = [
     header::CONNECTION,
     HeaderName::from_static("keep-alive"),
     HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
     header::TRANSFER_ENCODING,
     header::CONTENT_LENGTH,
     header::TE,
@@ -287,10 +289,12 @@
     pub route: Rc<Route>,
     /// Service that runs the request.
     pub service: Rc<Service>,
-    /// Workspace of the key, if the route requires one.
+    /// Workspace that held the key when the request arrived, if any did.
     pub workspace: Option<Rc<Workspace>>,
-    /// The key, if the route requires one.
+    /// The key that the caller presented.
     pub key: Option<String>,
+    /// Whether the request may be sent only while its key is in force.
+    pub requires_key: bool,
     /// Time of arrival.
     pub arrived: Duration,
     /// Time by which the request must be answered.
@@ -433,7 +437,7 @@
 }
 
 /// Whether the job's key still belongs to the same workspace.
-pub fn is_key_valid(job: &Job, catalog: &Catalog) -> bool {
-    let (Some(key), Some(workspace)) = (&job.key, &job.workspace) else { return true };
+pub fn is_key_held(job: &Job, catalog: &Catalog) -> bool {
+    let (Some(key), Some(workspace)) = (&job.key, &job.workspace) else { return false };
     catalog.workspace_of(key).is_some_and(|holder| holder.name == workspace.name)
 }
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -102,7 +102,7 @@
 pub struct ReceivedRequest {
     /// Request line.
     pub request_line: String,
-    /// Headers, with names in lower case.
+    /// Headers, with names in lower case; several lines of a name are joined by commas.
     pub headers: HashMap<String, String>,
     /// Body.
     pub body: Vec<u8>,
@@ -594,9 +594,12 @@
     let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
     let mut lines = head.split("\r\n");
     let request_line = lines.next()?.to_owned();
-    let pairs = lines.filter_map(|line| line.split_once(':'));
-    let headers: HashMap<String, String> =
-        pairs.map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned())).collect();
+    let mut headers: HashMap<String, String> = HashMap::new();
+    for (name, value) in lines.filter_map(|line| line.split_once(':')) {
+        let lines = headers.entry(name.to_ascii_lowercase()).or_default();
+        let separator = if lines.is_empty() { "" } else { ", " };
+        *lines += &format!("{separator}{}", value.trim());
+    }
     let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     let mut body = bytes.split_off(end + 4);
     while body.len() < length {
