--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     clock::Clock,
+    deliveries::Deliveries,
     dialect::Dialect,
     event_log::EventLog,
     loans::Lenders,
@@ -93,6 +94,8 @@
     pub state_changed: Notify,
     /// Number of requests in flight.
     pub in_flight: Cell<usize>,
+    /// Answers that are not written to their connections yet.
+    pub deliveries: Deliveries,
     /// Crashes observed recently and not yet published.
     pub observed_crashes: ObservedCrashes,
     /// Contents to clear at other entries.
@@ -151,6 +154,7 @@
             outbox: Outbox::default(),
             state_changed: Notify::new(),
             in_flight: Cell::new(0),
+            deliveries: Deliveries::default(),
             observed_crashes: ObservedCrashes::default(),
             pending_clearances: PendingClearances::default(),
             lenders: Lenders::default(),
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -15,6 +15,7 @@
     clock::Clock,
     coordinator::Coordinator,
     core::{Core, ShutdownPhase},
+    deliveries::UnwrittenAnswer,
     dialect::Dialect,
     draining_servers::watch_draining_servers,
     event_log::{EventLog, LogPriority},
@@ -108,10 +109,11 @@
 /// Phase of a graceful shutdown, as logged.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
-enum StopEvent {
-    Leaving { under_way: usize },
-    Closed { under_way: usize },
-    Stopped { under_way: usize },
+enum StopEvent<'a> {
+    Leaving { under_way: usize, not_written: usize },
+    Closed { under_way: usize, not_written: usize },
+    AnswerNotWritten { request: &'a str, written_bytes: u64, left_bytes: u64 },
+    Stopped { under_way: usize, not_written: usize },
 }
 
 /// An entry.
@@ -272,24 +274,31 @@
         self.core.event_log.buffered()
     }
 
-    /// Directs callers elsewhere, finishes the work in flight, and returns within the grace period.
+    /// Directs callers elsewhere, finishes the work in flight, writes all answers to their
+    /// connections, and returns within the grace period.
     pub async fn drain(&self) {
         let core = &self.core;
         let signalled_at = core.clock.now();
         let end = signalled_at + core.settings.grace.mul_f64(GRACE_FRACTION);
         core.shutdown.set(ShutdownPhase::Draining);
-        let under_way = core.in_flight.get();
-        core.event_log.record(LogPriority::State, &StopEvent::Leaving { under_way });
+        let (under_way, not_written) = (core.in_flight.get(), core.deliveries.count());
+        core.event_log.record(LogPriority::State, &StopEvent::Leaving { under_way, not_written });
         sleep_until(core.clock.instant((signalled_at + DRAIN_NOTICE).min(end))).await;
         core.shutdown.set(ShutdownPhase::Closing { end });
         self.gate.close();
-        let under_way = core.in_flight.get();
-        core.event_log.record(LogPriority::State, &StopEvent::Closed { under_way });
-        while core.in_flight.get() > 0 && core.clock.now() < end {
+        let (under_way, not_written) = (core.in_flight.get(), core.deliveries.count());
+        core.event_log.record(LogPriority::State, &StopEvent::Closed { under_way, not_written });
+        while (core.in_flight.get() > 0 || core.deliveries.count() > 0) && core.clock.now() < end {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
-        let under_way = core.in_flight.get();
-        core.event_log.record(LogPriority::State, &StopEvent::Stopped { under_way });
+        let unwritten = core.deliveries.unwritten();
+        for UnwrittenAnswer { request, written_bytes, left_bytes } in &unwritten {
+            let (written_bytes, left_bytes) = (*written_bytes, *left_bytes);
+            let event = StopEvent::AnswerNotWritten { request, written_bytes, left_bytes };
+            core.event_log.record(LogPriority::Failure, &event);
+        }
+        let (under_way, not_written) = (core.in_flight.get(), unwritten.len());
+        core.event_log.record(LogPriority::State, &StopEvent::Stopped { under_way, not_written });
         core.event_log.flush();
     }
 }
--- a/crates/direct/src/http/listen.rs
+++ b/crates/direct/src/http/listen.rs
@@ -3,7 +3,9 @@
 use std::{cell::Cell, convert::Infallible, panic::AssertUnwindSafe, rc::Rc, time::Duration};
 
 use futures::FutureExt;
-use hyper::{Request, body::Incoming, header, server::conn::http1, service::service_fn};
+use hyper::{
+    HeaderMap, Request, Response, body::Incoming, header, server::conn::http1, service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use pondwalk_inbound::{Meter, MeteredStream};
 use serde::Serialize;
@@ -16,7 +18,7 @@
     time::sleep,
 };
 
-use super::serve;
+use super::{body::ResponseBody, serve};
 use crate::{
     core::{Core, ShutdownPhase},
     entry::Entry,
@@ -100,12 +102,21 @@
     let limits = core.state.borrow().catalog.as_ref().map(|catalog| catalog.limits);
     let limits = limits.unwrap_or_default();
     let meter = Meter::new(core.request_limits());
-    let service = service_fn(|request| respond(Rc::clone(&core), meter.clone(), request));
+    let deliveries = core.deliveries.connection();
+    let service = service_fn(|request| {
+        let (core, meter, deliveries) = (Rc::clone(&core), meter.clone(), deliveries.clone());
+        async move {
+            let id = id_text(&core, request.headers());
+            let response = respond(core, meter, request).await;
+            Ok::<_, Infallible>(deliveries.follow(id, response))
+        }
+    });
+    let io = deliveries.count_writes(MeteredStream::new(io, &meter));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout * IDLE_TIMEOUT_FACTOR)
         .max_buf_size(limits.max_header_bytes + BODY_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(MeteredStream::new(io, &meter)), service);
+        .serve_connection(TokioIo::new(io), service);
     pin!(connection);
     if gate.is_closed.get() {
         // A late caller is served once, which closes the connection too. A graceful shutdown here
@@ -121,11 +132,17 @@
     let _ = connection.await;
 }
 
+/// Id of a request, or nothing if it has none.
+fn id_text(core: &Core, headers: &HeaderMap) -> String {
+    let id = headers.get(&core.dialect.request_id).and_then(|id| id.to_str().ok());
+    id.unwrap_or_default().to_owned()
+}
+
 async fn respond(
     core: Rc<Core>,
     meter: Meter,
     request: Request<Incoming>,
-) -> Result<hyper::Response<super::body::ResponseBody>, Infallible> {
+) -> Response<ResponseBody> {
     core.metrics.count(Counter::Requests);
     meter.begin_message();
     meter.on_head();
@@ -141,5 +158,5 @@
             .headers_mut()
             .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
     }
-    Ok(response)
+    response
 }
--- a/crates/direct/src/http/side_listeners.rs
+++ b/crates/direct/src/http/side_listeners.rs
@@ -52,16 +52,19 @@
 }
 
 async fn serve_connection(core: Rc<Core>, stream: TcpStream, handler: Handler) {
-    let service = service_fn(|request| {
-        let response = handler(&core, &request);
+    let deliveries = core.deliveries.connection();
+    let service = service_fn(|request: Request<Incoming>| {
+        let path = request.uri().path().to_owned();
+        let response = deliveries.follow(path, handler(&core, &request));
         async move { Ok::<_, Infallible>(response) }
     });
+    let io = deliveries.count_writes(stream);
     // The client reopens a connection that breaks.
     let _ = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(READ_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(io), service)
         .await;
 }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 mod coordinator;
 mod core;
 mod credentials;
+mod deliveries;
 pub mod dialect;
 mod draining_servers;
 mod entry;
--- a/crates/direct/src/membership/server.rs
+++ b/crates/direct/src/membership/server.rs
@@ -102,9 +102,11 @@
     I: AsyncRead + AsyncWrite + Unpin + 'static,
 {
     let meter = Meter::new(core.request_limits());
+    let deliveries = core.deliveries.connection();
     let service = service_fn(|request: Request<Incoming>| {
-        let (core, meter) = (Rc::clone(&core), meter.clone());
+        let (core, meter, deliveries) = (Rc::clone(&core), meter.clone(), deliveries.clone());
         async move {
+            let path = request.uri().path().to_owned();
             meter.begin_message();
             meter.on_head();
             let response = match request.uri().path() {
@@ -131,15 +133,16 @@
                 _ => with_status(StatusCode::NOT_FOUND, Bytes::new()),
             };
             meter.begin_message();
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(deliveries.follow(path, response))
         }
     });
+    let io = deliveries.count_writes(MeteredStream::new(io, &meter));
     // The peer reopens a connection that breaks.
     let _ = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(READ_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(MeteredStream::new(io, &meter)), service)
+        .serve_connection(TokioIo::new(io), service)
         .await;
 }
 
