--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -20,6 +20,7 @@
     deliveries::Deliveries,
     dialect::Dialect,
     event_log::EventLog,
+    latch::Latch,
     loans::Lenders,
     membership::{
         ChangeSource, GossipLog, LoadExchange, MIN_GOSSIP_TARGETS, Members, Outbox, root_count,
@@ -46,7 +47,7 @@
     Draining,
     /// Only work whose deadline lies before the end is accepted.
     Closing {
-        /// When the process ends, on its own clock.
+        /// When requests in flight get their final answer, on the process's clock.
         end: Duration,
     },
 }
@@ -75,6 +76,8 @@
     pub metrics: Metrics,
     /// Phase of the shutdown.
     pub shutdown: Cell<ShutdownPhase>,
+    /// Set when the process is about to end: what is still in flight gets its final answer.
+    pub ending: Latch,
     /// The listed entries.
     pub members: Members,
     /// Random id of this incarnation of the process, which distinguishes it from others of the same
@@ -145,6 +148,7 @@
             event_log,
             metrics: Metrics::default(),
             shutdown: Cell::new(ShutdownPhase::Running),
+            ending: Latch::default(),
             members,
             incarnation,
             initial_source: Cell::new(None),
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -20,7 +20,8 @@
     draining_servers::watch_draining_servers,
     event_log::{EventLog, LogPriority},
     follow::follow,
-    http::{self, Gate},
+    http,
+    latch::Latch,
     membership,
     metrics::Counter,
     panics::{self, PanicRecord},
@@ -39,8 +40,10 @@
 /// more closes a gap in which none accepts work. A stream accepted later than three seconds after
 /// the signal would have too little time left.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_900);
-/// Fraction of the grace period after which the process has ended.
+/// Fraction of the grace period after which requests in flight get their final answer.
 const GRACE_FRACTION: f64 = 0.95;
+/// Fraction of the grace period after which the process has ended, whatever is not written.
+const END_FRACTION: f64 = 0.97;
 /// Poll interval for the end of all work.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -121,7 +124,7 @@
 pub struct Entry {
     core: Rc<Core>,
     coordinator: Rc<Coordinator>,
-    gate: Rc<Gate>,
+    closing: Rc<Latch>,
     port: Port,
 }
 
@@ -147,7 +150,7 @@
             seed,
         ));
         let coordinator = Rc::new(Coordinator::new(Rc::clone(&core), port.clone()));
-        Entry { core, coordinator, gate: Rc::default(), port }
+        Entry { core, coordinator, closing: Rc::default(), port }
     }
 
     /// Starts the background tasks as local tasks of the current thread.
@@ -206,7 +209,7 @@
     where
         I: AsyncRead + AsyncWrite + Unpin + 'static,
     {
-        http::serve_connection(Rc::clone(&self.core), io, Rc::clone(&self.gate)).await;
+        http::serve_connection(Rc::clone(&self.core), io, Rc::clone(&self.closing)).await;
     }
 
     /// Serves the requests on a connection from another entry.
@@ -285,11 +288,13 @@
         core.event_log.record(LogPriority::State, &StopEvent::Leaving { under_way, not_written });
         sleep_until(core.clock.instant((signalled_at + DRAIN_NOTICE).min(end))).await;
         core.shutdown.set(ShutdownPhase::Closing { end });
-        self.gate.close();
+        self.closing.set();
         let (under_way, not_written) = (core.in_flight.get(), core.deliveries.count());
         core.event_log.record(LogPriority::State, &StopEvent::Closed { under_way, not_written });
-        while (core.in_flight.get() > 0 || core.deliveries.count() > 0) && core.clock.now() < end {
-            sleep(DRAIN_POLL_INTERVAL).await;
+        if !self.wait_until_idle(end).await {
+            core.ending.set();
+            let end = signalled_at + core.settings.grace.mul_f64(END_FRACTION);
+            self.wait_until_idle(end).await;
         }
         let unwritten = core.deliveries.unwritten();
         for UnwrittenAnswer { request, written_bytes, left_bytes } in &unwritten {
@@ -301,4 +306,15 @@
         core.event_log.record(LogPriority::State, &StopEvent::Stopped { under_way, not_written });
         core.event_log.flush();
     }
+
+    /// Waits until no request is in flight and all answers are written, at most until `end`.
+    /// Returns whether that is so.
+    async fn wait_until_idle(&self, end: Duration) -> bool {
+        let core = &self.core;
+        let is_idle = || core.in_flight.get() == 0 && core.deliveries.count() == 0;
+        while !is_idle() && core.clock.now() < end {
+            sleep(DRAIN_POLL_INTERVAL).await;
+        }
+        is_idle()
+    }
 }
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -18,5 +18,5 @@
 mod side_listeners;
 mod stream_progress;
 
-pub use listen::{Gate, accept, serve_connection};
+pub use listen::{accept, serve_connection};
 pub use side_listeners::{serve_metrics, serve_peers, serve_readiness};
--- a/crates/direct/src/http/in_flight.rs
+++ b/crates/direct/src/http/in_flight.rs
@@ -70,6 +70,8 @@
     pub failed_version: Option<VersionId>,
     /// Whether any send may have run.
     pub may_have_run: bool,
+    /// Whether the latest send has begun, and no server has reported that it was not run.
+    is_dispatched: Cell<bool>,
     /// Whether the latest send names the workspace.
     names_workspace: bool,
     /// Whether the request counts in its workspace's usage: a server has begun to run it.
@@ -97,6 +99,7 @@
             discarded: Vec::new(),
             failed_version: None,
             may_have_run: false,
+            is_dispatched: Cell::new(false),
             names_workspace: false,
             is_counted: false,
             reserved: None,
@@ -117,6 +120,7 @@
             discarded: Vec::new(),
             failed_version: self.failed_version.clone(),
             may_have_run: true,
+            is_dispatched: Cell::new(true),
             names_workspace: self.names_workspace,
             is_counted: self.is_counted,
             reserved: None,
@@ -211,7 +215,7 @@
                 && self.is_sendable()
                 && self.may_make(&further_send)
                 && placement.may_dispatch()
-                && mark_made(&further_send)
+                && self.mark_dispatched(&further_send)
         };
         let extend = || Some(self.core.clock.instant(extend()?));
         let limits = self.core.response_limits.clone();
@@ -281,6 +285,23 @@
         may_make
     }
 
+    /// Records that the request's first byte is sent next.
+    fn mark_dispatched(&self, further_send: &Cell<Option<FurtherSend>>) -> bool {
+        further_send.take().into_iter().for_each(FurtherSend::mark_made);
+        self.set_dispatched(true);
+        true
+    }
+
+    /// Records whether the latest send may be run by its server.
+    pub fn set_dispatched(&self, is_dispatched: bool) {
+        self.is_dispatched.set(is_dispatched);
+    }
+
+    /// Whether the latest send may be run by its server.
+    pub fn is_dispatched(&self) -> bool {
+        self.is_dispatched.get()
+    }
+
     /// Whether one more send is available.
     pub fn can_send_again(&self) -> bool {
         let now = self.core.clock.now();
@@ -372,12 +393,6 @@
     }
 }
 
-/// Records that the request's first byte is sent next.
-fn mark_made(further_send: &Cell<Option<FurtherSend>>) -> bool {
-    further_send.take().into_iter().for_each(FurtherSend::mark_made);
-    true
-}
-
 /// Sets a header. Values that are not valid in a header were rejected where they came from.
 fn set_header(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/crates/direct/src/http/listen.rs
+++ b/crates/direct/src/http/listen.rs
@@ -1,6 +1,6 @@
 //! Accepts callers' connections and serves the requests on them.
 
-use std::{cell::Cell, convert::Infallible, panic::AssertUnwindSafe, rc::Rc, time::Duration};
+use std::{convert::Infallible, panic::AssertUnwindSafe, rc::Rc, time::Duration};
 
 use futures::FutureExt;
 use hyper::{
@@ -13,7 +13,6 @@
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
     pin, select,
-    sync::Notify,
     task::spawn_local,
     time::sleep,
 };
@@ -23,6 +22,7 @@
     core::{Core, ShutdownPhase},
     entry::Entry,
     event_log::LogPriority,
+    latch::Latch,
     metrics::Counter,
     upstream::set_tcp_timeouts,
 };
@@ -45,28 +45,6 @@
     AcceptFailed { error: String },
 }
 
-/// Signals open connections to accept no further requests.
-#[derive(Debug, Default)]
-pub struct Gate {
-    is_closed: Cell<bool>,
-    changed: Notify,
-}
-
-impl Gate {
-    /// Lets each connection close after its current request.
-    pub fn close(&self) {
-        self.is_closed.set(true);
-        self.changed.notify_waiters();
-    }
-
-    async fn wait_closed(&self) {
-        let changed = self.changed.notified();
-        if !self.is_closed.get() {
-            changed.await;
-        }
-    }
-}
-
 /// Accepts callers' connections until the process ends.
 pub async fn accept(entry: Entry, listener: TcpListener) {
     let core = Rc::clone(entry.core());
@@ -94,8 +72,8 @@
     }
 }
 
-/// Serves the requests on one connection.
-pub async fn serve_connection<I>(core: Rc<Core>, io: I, gate: Rc<Gate>)
+/// Serves the requests on one connection, and no further ones once `closing` is set.
+pub async fn serve_connection<I>(core: Rc<Core>, io: I, closing: Rc<Latch>)
 where
     I: AsyncRead + AsyncWrite + Unpin + 'static,
 {
@@ -118,7 +96,7 @@
         .max_buf_size(limits.max_header_bytes + BODY_BUFFER_BYTES)
         .serve_connection(TokioIo::new(io), service);
     pin!(connection);
-    if gate.is_closed.get() {
+    if closing.is_set() {
         // A late caller is served once, which closes the connection too. A graceful shutdown here
         // would close it before its request arrives.
         let _ = connection.await;
@@ -127,7 +105,7 @@
     select! {
         // The end of the connection ends its request too, which logs it.
         _ = connection.as_mut() => return,
-        () = gate.wait_closed() => connection.as_mut().graceful_shutdown(),
+        () = closing.wait() => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
 }
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -9,7 +9,7 @@
 };
 use pondwalk_decide::direct::{Congestion, QuarantineStatus, RouteModelIndex, RunExtent};
 use pondwalk_inbound::{BodyStart, Meter, read_start};
-use tokio::time::timeout_at;
+use tokio::{select, time::timeout_at};
 
 use super::{
     body::ResponseBody,
@@ -43,8 +43,13 @@
     let arrived = core.clock.now();
     let guard = InFlightGuard::enter(core);
     let id = request.headers().get(&core.dialect.request_id).cloned();
-    match request_reader::read_request(core, request, meter, arrived).await {
-        Ok(job) => InFlightRequest::new(core, job, guard).process().await,
+    let read = select! {
+        biased;
+        read = request_reader::read_request(core, request, meter, arrived) => read,
+        () = core.ending.wait() => Err(Refusal::Closing),
+    };
+    match read {
+        Ok(job) => InFlightRequest::new(core, job, guard).process_until_end().await,
         Err(refusal) => {
             let request = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
             refuse(core, &RefusedRequest { request, route: None, arrived, sends: 0 }, refusal)
@@ -69,7 +74,19 @@
 }
 
 impl InFlightRequest {
-    async fn process(mut self) -> Response<ResponseBody> {
+    /// Processes the request, or gives it its final answer when the process is about to end.
+    async fn process_until_end(mut self) -> Response<ResponseBody> {
+        let core = Rc::clone(&self.core);
+        select! {
+            biased;
+            response = self.process() => return response,
+            () = core.ending.wait() => {}
+        }
+        self.may_have_run |= self.is_dispatched();
+        self.refuse(Refusal::Closing)
+    }
+
+    async fn process(&mut self) -> Response<ResponseBody> {
         // A request that may not run anyway takes no place in the queue.
         if let QuarantineStatus::Quarantined { until } = self.core.quarantine_status(&self.job) {
             return self.refuse(self.quarantine_refusal(until));
@@ -235,6 +252,7 @@
     ) -> AttemptResult {
         self.core.metrics.count(Counter::NotRun);
         self.set_probe_reached(false);
+        self.set_dispatched(false);
         // The request did not run, so it must not count as involved if the server crashes shortly
         // after.
         placement.mark_finished();
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,7 @@
 mod follow;
 mod forecasts;
 mod http;
+mod latch;
 pub mod load;
 mod loans;
 pub mod membership;
--- a/crates/direct/tests/stopping_entry.rs
+++ b/crates/direct/tests/stopping_entry.rs
@@ -17,9 +17,11 @@
 const CONNECTION_BYTES: usize = 512;
 /// Interval between two reads of a slow caller.
 const READ_INTERVAL: Duration = Duration::from_millis(100);
-/// The grace period of the settings, and when an entry ends at the latest.
+/// The grace period of the settings, when requests under way get an answer, and when an entry has
+/// ended.
 const GRACE: Duration = Duration::from_secs(8);
-const LATEST_END: Duration = Duration::from_millis(7_600);
+const LATEST_ANSWER: Duration = Duration::from_millis(7_600);
+const LATEST_END: Duration = Duration::from_millis(7_760);
 /// When an entry with nothing to do ends.
 const IDLE_END: Duration = Duration::from_millis(2_900);
 /// What a test's clock and an entry's polls may add.
@@ -119,7 +121,7 @@
                     let is_whole = response.ends_with(&text(bytes)[bytes - 1_000..])
                         || response.ends_with("9\r\n0\r\n\r\n");
                     assert!(is_whole, "{path}, kind {kind}: {} of {bytes}", response.len());
-                    assert!(after > IDLE_END && after < LATEST_END, "{after:?}");
+                    assert!(after > IDLE_END && after < LATEST_ANSWER, "{after:?}");
                 });
             }
         }
@@ -185,6 +187,43 @@
     });
 }
 
+/// Guards against a stop that ends requests under way without an answer.
+#[test]
+fn requests_under_way_at_the_end_of_a_stop_get_an_answer() {
+    run_test(|world| async move {
+        start_one_server(&world, Behaviour::Silent).await;
+        world.start_server(2, "s", "v1", Behaviour::Silent);
+        let connections = Connections::default();
+        let (entry, stopped) = (world.entry.clone(), connections.clone());
+        let stopping = spawn_local(async move { stopped.stop(entry).await });
+        sleep(Duration::from_millis(1_000)).await;
+        let mut readers = Vec::new();
+        for path in ["/once/", "/again/", "/stream/"] {
+            let headers = format!("{KEY}pondwalk-deadline-ms: 8000\r\n");
+            let caller = connections.send(&world, path, &headers).await;
+            readers.push((
+                "HTTP/1.1 50",
+                "\"ran\":\"unknown\"}",
+                spawn_local(read_slowly(caller, 500)),
+            ));
+        }
+        sleep(Duration::from_millis(2_500)).await;
+        let mut caller = connections.open(&world, CONNECTION_BYTES);
+        let head = format!(
+            "POST /once/ HTTP/1.1\r\nhost: h.example\r\nx-request-id: r\r\n{KEY}\
+             content-length: 9\r\n\r\npart"
+        );
+        caller.write_all(head.as_bytes()).await.expect("sent");
+        readers.push(("HTTP/1.1 503", "\"ran\":false}", spawn_local(read_slowly(caller, 500))));
+        for (status, end, reader) in readers {
+            let response = reader.await.expect("it ends");
+            let response = String::from_utf8_lossy(&response).into_owned();
+            assert!(response.starts_with(status) && response.ends_with(end), "{response}");
+        }
+        assert!(stopping.await.expect("it ends") < LATEST_END + TOLERANCE);
+    });
+}
+
 /// Guards against callers that never read and hold a stop up beyond its end.
 #[test]
 fn caller_that_never_reads_holds_a_stop_until_the_end_and_is_logged() {
@@ -241,8 +280,8 @@
         for (deadline_ms, reader) in readers {
             let response = reader.await.expect("it ends");
             let response = String::from_utf8_lossy(&response).into_owned();
-            let is_in_time =
-                started_at + Duration::from_millis(3_200 + deadline_ms) <= started_at + LATEST_END;
+            let is_in_time = started_at + Duration::from_millis(3_200 + deadline_ms)
+                <= started_at + LATEST_ANSWER;
             let status = if is_in_time { "HTTP/1.1 200" } else { "HTTP/1.1 503" };
             assert!(response.starts_with(status), "{deadline_ms}: {}", &response[..40]);
             let whole = if is_in_time { "0123456789" } else { "\"ran\":false}" };
