--- a/crates/direct/src/deliveries.rs
+++ b/crates/direct/src/deliveries.rs
@@ -29,6 +29,8 @@
 struct Registry {
     next_number: Cell<u64>,
     answers: RefCell<BTreeMap<u64, Rc<Answer>>>,
+    /// Number of connections whose close now would reset them.
+    lingering: Cell<usize>,
 }
 
 /// An answer that is being written.
@@ -67,6 +69,11 @@
         self.registry.answers.borrow().len()
     }
 
+    /// Whether all answers are written, and none would be lost if its connection were closed now.
+    pub fn is_idle(&self) -> bool {
+        self.count() == 0 && self.registry.lingering.get() == 0
+    }
+
     /// The answers that are not written yet, oldest first.
     pub fn unwritten(&self) -> Vec<UnwrittenAnswer> {
         let answers = self.registry.answers.borrow();
@@ -128,6 +135,14 @@
         Response::from_parts(head, Followed { body, answer })
     }
 
+    /// Records that the connection would be reset if it were closed now, until the result is
+    /// dropped.
+    pub fn linger(&self) -> Lingering {
+        let registry = Rc::clone(&self.shared.deliveries.registry);
+        registry.lingering.set(registry.lingering.get() + 1);
+        Lingering { registry }
+    }
+
     /// Counts what is written to `stream`.
     pub fn count_writes<T>(&self, stream: T) -> CountedWrites<T> {
         CountedWrites { stream, shared: Rc::clone(&self.shared) }
@@ -156,6 +171,18 @@
     }
 }
 
+/// A connection whose close now would reset it.
+#[derive(Debug)]
+pub struct Lingering {
+    registry: Rc<Registry>,
+}
+
+impl Drop for Lingering {
+    fn drop(&mut self) {
+        self.registry.lingering.set(self.registry.lingering.get() - 1);
+    }
+}
+
 /// The body of an answer that is followed.
 #[derive(Debug)]
 pub struct Followed<B> {
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -311,7 +311,7 @@
     /// Returns whether that is so.
     async fn wait_until_idle(&self, end: Duration) -> bool {
         let core = &self.core;
-        let is_idle = || core.in_flight.get() == 0 && core.deliveries.count() == 0;
+        let is_idle = || core.in_flight.get() == 0 && core.deliveries.is_idle();
         while !is_idle() && core.clock.now() < end {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -7,6 +7,7 @@
 mod further_send;
 mod head_wait;
 mod in_flight;
+mod lingering_close;
 mod listen;
 mod long_answer;
 mod placement_wait;
--- a/crates/direct/src/http/listen.rs
+++ b/crates/direct/src/http/listen.rs
@@ -17,7 +17,7 @@
     time::sleep,
 };
 
-use super::{body::ResponseBody, serve};
+use super::{body::ResponseBody, lingering_close::LingeringClose, serve};
 use crate::{
     core::{Core, ShutdownPhase},
     entry::Entry,
@@ -90,6 +90,7 @@
         }
     });
     let io = deliveries.count_writes(MeteredStream::new(io, &meter));
+    let io = LingeringClose::new(io, &deliveries);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout * IDLE_TIMEOUT_FACTOR)
--- a/crates/direct/tests/slow_callers_sockets.rs
+++ b/crates/direct/tests/slow_callers_sockets.rs
@@ -50,3 +50,30 @@
         assert!(text.ends_with("0\r\n\r\n"), "not complete");
     });
 }
+
+/// Guards against refusals that are lost because the rest of the request was not read: the
+/// connection was reset.
+#[test]
+fn refusal_reaches_a_caller_that_is_still_sending_its_body() {
+    run_test_on_sockets(|world| async move {
+        world.configure(catalog(1));
+        world.start_server(1, "s", "v1", Behaviour::Echo);
+        world.start().await;
+        for n in 0..20 {
+            let mut caller = connect(&world).await;
+            let head = format!(
+                "POST /nowhere/ HTTP/1.1\r\nhost: h.example\r\nx-request-id: r{n}\r\n\
+                 content-length: 200000\r\n\r\n"
+            );
+            caller.write_all(head.as_bytes()).await.expect("sent");
+            for _ in 0..10 {
+                caller.write_all(&[b'x'; 20_000]).await.expect("an open connection");
+                sleep(Duration::from_millis(5)).await;
+            }
+            let mut response = Vec::new();
+            caller.read_to_end(&mut response).await.expect("an open connection");
+            let text = String::from_utf8_lossy(&response);
+            assert!(text.starts_with("HTTP/1.1 404") && text.ends_with("false}"), "{text}");
+        }
+    });
+}
--- a/crates/soak/tests/site/mod.rs
+++ b/crates/soak/tests/site/mod.rs
@@ -87,6 +87,11 @@
 impl Site {
     /// Starts all parts, and waits until the entry is ready.
     pub async fn start(name: &str) -> Site {
+        Site::start_with(name, &[]).await
+    }
+
+    /// Like [`Site::start`], with further services of one server each.
+    pub async fn start_with(name: &str, further: &[(&'static str, Behaviour)]) -> Site {
         let folder = std::env::temp_dir().join(format!("pondwalk-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder");
         let store = MemoryStore::default();
@@ -97,7 +102,11 @@
         for (flood, service) in Flood::ALL.into_iter().zip(&services) {
             start_server(&store, service, Behaviour::Flood(flood, OFFERED_BYTES)).await;
         }
-        let services = services.iter().chain([&"plain"]);
+        for (service, behaviour) in further {
+            start_server(&store, service, behaviour.clone()).await;
+        }
+        let further = further.iter().map(|(service, _)| service);
+        let services = services.iter().chain([&"plain"]).chain(further);
         let routes: Vec<RouteSpec> = services
             .flat_map(|service| routes_of(service).map(|(path, kind)| route(&path, kind, service)))
             .collect();
@@ -136,11 +145,18 @@
     pub async fn wait_until_served(&self) {
         let limit = Instant::now() + START_TIMEOUT;
         while self.call("/plain/idempotent/x", "start", 1_000).await != Some(200) {
-            assert!(Instant::now() < limit, "the entry serves nothing");
+            assert!(Instant::now() < limit, "the entry serves nothing: {}", self.state());
             sleep(Duration::from_millis(20)).await;
         }
     }
 
+    /// Whether the process runs, and what it has logged.
+    fn state(&self) -> String {
+        let is_running = self.status_kb("VmRSS") > 0;
+        let log = fs::read_to_string(self.folder.join("entry.log")).unwrap_or_default();
+        format!("running: {is_running}\n{log}")
+    }
+
     /// Sends a request and reads the whole response; returns its status if it is complete.
     pub async fn call(&self, path: &str, id: &str, deadline_ms: u64) -> Option<u16> {
         let limit = Duration::from_millis(deadline_ms + 2_000);
@@ -179,9 +195,11 @@
 }
 
 pub fn start_entry(settings: &Path) -> Child {
+    let log = fs::File::create(settings.with_extension("log")).expect("a log");
+    let errors = log.try_clone().expect("a file");
     let mut command = Command::new(env!("CARGO_BIN_EXE_soak"));
     command.arg("entry").arg(settings).stdin(Stdio::null());
-    command.stdout(Stdio::piped()).stderr(Stdio::inherit()).spawn().expect("the entry starts")
+    command.stdout(log).stderr(errors).spawn().expect("the entry starts")
 }
 
 /// Head of a request with the key, up to `rest`.
