--- a/crates/direct/src/http/in_flight.rs
+++ b/crates/direct/src/http/in_flight.rs
@@ -361,6 +361,8 @@
         let id = headers.get(&dialect.request_id);
         let is_own_id = id.is_some_and(|id| id.as_bytes() == self.job.id.as_bytes());
         is_own_id
+            // No request asks for another protocol, so none has an answer of this kind.
+            && !response.status().is_informational()
             && headers.contains_key(&dialect.signature)
             && !self.has_unrequested_encoding(headers)
     }
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -81,6 +81,8 @@
         /// Whether the response is complete.
         is_whole: bool,
     },
+    /// Writes these bytes, with the request's id for each `{id}`, waits and closes the connection.
+    Raw(String, Duration),
     /// Responds without an end, and offers this many bytes of it.
     Flood(Flood, usize),
     /// Rejects the request with this status, without running it.
@@ -485,6 +487,12 @@
             // An empty chunk ends the body.
             if *is_whole { io.write_all(b"0\r\n\r\n").await } else { Ok(()) }
         }
+        Behaviour::Raw(text, pause) => {
+            let id = request_id(header_names, request);
+            io.write_all(text.replace("{id}", id).as_bytes()).await?;
+            sleep(*pause).await;
+            Ok(())
+        }
         Behaviour::Flood(flood, offered_bytes) => {
             let id = request_id(header_names, request);
             let lines = format!(
