--- a/crates/soak/tests/floods.rs
+++ b/crates/soak/tests/floods.rs
@@ -5,7 +5,7 @@
 use std::{fs, net::SocketAddr, time::Duration};
 
 use nix::sys::signal::{Signal, kill};
-use pondwalk_standin::floods::Flood;
+use pondwalk_standin::{floods::Flood, memory_store::MemoryStore};
 use site::{
     FLOOD_DEADLINE_MS, START_TIMEOUT, Site, call, flood_service, request_head, routes_of,
     run_on_thread, run_test, start_entry, write_endlessly,
@@ -150,6 +150,28 @@
     });
 }
 
+/// Guards against an entry that never becomes ready beside long records of another writer.
+#[test]
+fn entry_starts_and_follows_beside_long_records_of_another_writer() {
+    run_test(async {
+        let store = MemoryStore::default();
+        let long = "[".repeat(400_000);
+        for number in 0..80 {
+            store.put(&format!("servers/long-{number}"), &long);
+        }
+        let site = Site::start_on(store.clone(), "long-records", &[]).await;
+        let peak_kb = site.status_kb("VmHWM");
+        assert!((1..=MAX_FLOOD_KB).contains(&peak_kb), "{peak_kb} KB");
+        for number in 0..80 {
+            store.put(&format!("servers/more-{number}"), &long);
+        }
+        sleep(Duration::from_secs(3)).await;
+        let (sent, served) = site.call_plain(Instant::now() + Duration::from_secs(1)).await;
+        assert_eq!((sent, served), (sent, sent));
+        assert!(site.status_kb("VmHWM") <= MAX_FLOOD_KB, "{} KB", site.status_kb("VmHWM"));
+    });
+}
+
 /// Starts an entry whose settings are not readable yet, sends it a signal, and then lets it read.
 async fn start_signalled(name: &str, signals: &[Signal]) -> Site {
     let folder = std::env::temp_dir().join(format!("pondwalk-{name}-fifo-{}", std::process::id()));
--- a/crates/soak/tests/site/mod.rs
+++ b/crates/soak/tests/site/mod.rs
@@ -92,9 +92,17 @@
 
     /// Like [`Site::start`], with further services of one server each.
     pub async fn start_with(name: &str, further: &[(&'static str, Behaviour)]) -> Site {
+        Site::start_on(MemoryStore::default(), name, further).await
+    }
+
+    /// Like [`Site::start_with`], on a store that has records of other writers.
+    pub async fn start_on(
+        store: MemoryStore,
+        name: &str,
+        further: &[(&'static str, Behaviour)],
+    ) -> Site {
         let folder = std::env::temp_dir().join(format!("pondwalk-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder");
-        let store = MemoryStore::default();
         let store_floods = Rc::new(Cell::new(false));
         let store_address = serve_store(&store, &store_floods).await;
         let services: Vec<&'static str> = (0..Flood::ALL.len()).map(flood_service).collect();
