--- a/crates/direct/src/event_log.rs
+++ b/crates/direct/src/event_log.rs
@@ -10,7 +10,9 @@
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
+        mpsc,
     },
+    thread,
     time::Duration,
 };
 
@@ -27,6 +29,8 @@
 const MAX_QUEUED_BATCHES: NonZeroUsize = NonZeroUsize::new(8).unwrap();
 /// Buffered bytes above which a batch is submitted early.
 const BATCH_BYTES: usize = 16 * 1024;
+/// Maximum time that the end of a process waits for its last lines.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Fraction of the lines per second available to successes.
 const SUCCESS_SHARE: f64 = 0.5;
 
@@ -70,7 +74,8 @@
 
 /// Passes batches of lines to a thread of its own.
 struct Writer {
-    logger: Logger,
+    /// `None` while the writer is dropped.
+    logger: Option<Logger>,
     /// Whether the thread rejected the latest batch.
     rejected: Arc<AtomicBool>,
 }
@@ -176,16 +181,32 @@
         // Without a handler the library reports each loss on standard error, which may block.
         let on_error = move |_: spdlog::Error| rejected_flag.store(true, Ordering::Relaxed);
         let logger = Logger::builder().sink(queue).error_handler(on_error).build()?;
-        Ok(Writer { logger, rejected })
+        Ok(Writer { logger: Some(logger), rejected })
     }
 
     /// Submits a batch; returns whether the thread accepted it.
     fn try_submit(&self, batch: &str) -> bool {
-        spdlog::info!(logger: self.logger, "{batch}");
+        let Some(logger) = &self.logger else { return false };
+        spdlog::info!(logger: logger, "{batch}");
         !self.rejected.swap(false, Ordering::Relaxed)
     }
 }
 
+impl Drop for Writer {
+    /// Waits until the last lines are written, but not for a sink that is blocked.
+    fn drop(&mut self) {
+        let logger = self.logger.take();
+        let (closed, is_closed) = mpsc::channel();
+        // Dropping the logger waits for its thread.
+        thread::spawn(move || {
+            drop(logger);
+            // Nobody waits any more if this took too long.
+            let _ = closed.send(());
+        });
+        let _ = is_closed.recv_timeout(CLOSE_TIMEOUT);
+    }
+}
+
 impl Buffer {
     fn admits(&mut self, priority: LogPriority, at: Duration, lines_per_s: u32) -> bool {
         if at.as_secs() != self.second {
--- a/crates/soak/tests/site/mod.rs
+++ b/crates/soak/tests/site/mod.rs
@@ -205,9 +205,14 @@
 pub fn start_entry(settings: &Path) -> Child {
     let log = fs::File::create(settings.with_extension("log")).expect("a log");
     let errors = log.try_clone().expect("a file");
+    start_entry_with(settings, log.into(), errors.into())
+}
+
+/// Starts an entry with this standard output and error.
+pub fn start_entry_with(settings: &Path, output: Stdio, errors: Stdio) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_soak"));
     command.arg("entry").arg(settings).stdin(Stdio::null());
-    command.stdout(log).stderr(errors).spawn().expect("the entry starts")
+    command.stdout(output).stderr(errors).spawn().expect("the entry starts")
 }
 
 /// Head of a request with the key, up to `rest`.
--- a/crates/soak/tests/stops.rs
+++ b/crates/soak/tests/stops.rs
@@ -3,11 +3,11 @@
 #[path = "site/mod.rs"]
 mod site;
 
-use std::time::Duration;
+use std::{process::Stdio, time::Duration};
 
 use nix::sys::signal::{Signal, kill};
 use pondwalk_standin::backends::Behaviour;
-use site::{Site, request_head, routes_of, run_test};
+use site::{Site, request_head, routes_of, run_test, start_entry_with};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
@@ -117,3 +117,21 @@
         }
     });
 }
+
+/// Guards against a stop that waits for whoever reads the log.
+#[test]
+fn stop_does_not_wait_for_an_unread_log() {
+    run_test(async {
+        let mut site = Site::start("unread-log").await;
+        site.child.kill().expect("it runs");
+        site.child.wait().expect("it ends");
+        let settings = site.folder.join("entry.ini");
+        site.child = start_entry_with(&settings, Stdio::piped(), Stdio::null());
+        site.wait_until_served().await;
+        let until = Instant::now() + Duration::from_secs(2);
+        let callers = (0..8).map(|_| site.call_plain(until));
+        futures::future::join_all(callers).await;
+        let after = stop(&mut site).await;
+        assert!(after < Duration::from_secs(4), "{after:?}");
+    });
+}
