--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -50,6 +50,8 @@
         /// When requests in flight get their final answer, on the process's clock.
         end: Duration,
     },
+    /// No work is accepted: it would not be in the usage published last.
+    Ending,
 }
 
 /// State and services shared by all tasks of an entry.
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -44,6 +44,8 @@
 const GRACE_FRACTION: f64 = 0.95;
 /// Fraction of the grace period after which the process has ended, whatever is not written.
 const END_FRACTION: f64 = 0.97;
+/// Maximum time that an entry without work waits for its last gossip to be forwarded.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Poll interval for the end of all work.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -283,6 +285,7 @@
         let core = &self.core;
         let signalled_at = core.clock.now();
         let end = signalled_at + core.settings.grace.mul_f64(GRACE_FRACTION);
+        let latest_end = signalled_at + core.settings.grace.mul_f64(END_FRACTION);
         core.shutdown.set(ShutdownPhase::Draining);
         let (under_way, not_written) = (core.in_flight.get(), core.deliveries.count());
         core.event_log.record(LogPriority::State, &StopEvent::Leaving { under_way, not_written });
@@ -293,9 +296,15 @@
         core.event_log.record(LogPriority::State, &StopEvent::Closed { under_way, not_written });
         if !self.wait_until_idle(end).await {
             core.ending.set();
-            let end = signalled_at + core.settings.grace.mul_f64(END_FRACTION);
-            self.wait_until_idle(end).await;
+            self.wait_until_idle(latest_end).await;
         }
+        core.shutdown.set(ShutdownPhase::Ending);
+        core.publish_last_counts();
+        let forwarded_by = (core.clock.now() + FORWARD_TIMEOUT).min(latest_end);
+        while !core.outbox.is_empty() && core.clock.now() < forwarded_by {
+            sleep(DRAIN_POLL_INTERVAL).await;
+        }
+        self.wait_until_idle(forwarded_by).await;
         let unwritten = core.deliveries.unwritten();
         for UnwrittenAnswer { request, written_bytes, left_bytes } in &unwritten {
             let (written_bytes, left_bytes) = (*written_bytes, *left_bytes);
--- a/crates/direct/src/http/request_reader.rs
+++ b/crates/direct/src/http/request_reader.rs
@@ -51,6 +51,7 @@
         ShutdownPhase::Closing { end } if job.deadline > end || !late_calls => {
             Err(Refusal::Closing)
         }
+        ShutdownPhase::Ending => Err(Refusal::Closing),
         _ => Ok(job),
     }
 }
--- a/crates/direct/src/membership/forward.rs
+++ b/crates/direct/src/membership/forward.rs
@@ -27,6 +27,8 @@
 #[derive(Debug, Default)]
 pub struct Outbox {
     items: RefCell<Vec<GossipItem>>,
+    /// Shared with each batch that is being forwarded.
+    forwarding: Rc<()>,
     filled: Notify,
 }
 
@@ -43,6 +45,11 @@
         sleep(BATCH_INTERVAL).await;
         self.items.take()
     }
+
+    /// Whether all gossip so far has been forwarded, or given up.
+    pub fn is_empty(&self) -> bool {
+        self.items.borrow().is_empty() && Rc::strong_count(&self.forwarding) == 1
+    }
 }
 
 /// Log events of gossip.
@@ -228,7 +235,11 @@
             continue;
         }
         // In a task of its own, so that a slow or failed peer does not delay later batches.
-        spawn_local(forward_batch(Rc::clone(&core), items));
+        let (core, forwarding) = (Rc::clone(&core), Rc::clone(&core.outbox.forwarding));
+        spawn_local(async move {
+            forward_batch(core, items).await;
+            drop(forwarding);
+        });
     }
 }
 
--- a/crates/direct/src/usage.rs
+++ b/crates/direct/src/usage.rs
@@ -238,6 +238,13 @@
         (PUBLISH_INTERVAL_PER_ENTRY * self.members.count() as u32).max(MIN_PUBLISH_INTERVAL)
     }
 
+    /// Publishes the counts since the last publication, before the process ends.
+    pub fn publish_last_counts(&self) {
+        if let Some(usage) = &self.usage {
+            self.publish_counts(usage);
+        }
+    }
+
     /// Publishes the counts that have changed.
     fn publish_counts(&self, usage: &Usage) {
         let Some(unix_ms) = usage.time.borrow().local_unix_ms(self.clock.now()) else { return };
--- a/crates/direct/tests/request_forwarding.rs
+++ b/crates/direct/tests/request_forwarding.rs
@@ -122,13 +122,21 @@
     [short, request("/once/", "long")]
 }
 
+/// Sends a request whose answer takes longer than a shutdown.
+async fn keep_running(world: &World) -> hyper::Response<hyper::body::Incoming> {
+    let gap = Duration::from_millis(100);
+    let long = Behaviour::Stream { last: 100, gap, confidence: None, cut_in: None };
+    world.backends.script(address(1), [long]);
+    world.send(request("/stream/", "keeps the entry running")).await
+}
+
 #[test]
 fn late_in_a_shutdown_only_short_requests_are_accepted() {
     run_test(|world| async move {
         start_one_server(&world, Behaviour::Answer(200, "made".into())).await;
         let entry = world.entry.clone();
         tokio::task::spawn_local(async move { entry.drain().await });
-        let stream = world.send(request("/stream/", "keeps the entry running")).await;
+        let stream = keep_running(&world).await;
         sleep(Duration::from_millis(3_000)).await;
         let [short, long] = short_and_long();
         assert_eq!(world.call(short).await.status, 200);
@@ -148,7 +156,7 @@
         start_one_server(&world, Behaviour::Answer(200, "made".into())).await;
         let entry = world.entry.clone();
         tokio::task::spawn_local(async move { entry.drain().await });
-        let stream = world.send(request("/stream/", "keeps the entry running")).await;
+        let stream = keep_running(&world).await;
         sleep(Duration::from_millis(3_000)).await;
         let [short, _] = short_and_long();
         assert_eq!(world.call(short).await.status, 503);
--- a/crates/direct/tests/usage_reports.rs
+++ b/crates/direct/tests/usage_reports.rs
@@ -4,14 +4,21 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use common::{World, catalog, net::Net, request, run_test, total};
+use common::{
+    World, catalog,
+    net::{Net, peer_address},
+    request, run_test, total,
+};
 use pondwalk_direct::Entry;
 use pondwalk_standin::{
     backends::Behaviour,
     memory_store::{FaultMode, StoreSnapshot},
     usage_sink::SinkFaultMode,
 };
-use tokio::time::{Instant, sleep};
+use tokio::{
+    task::spawn_local,
+    time::{Instant, sleep},
+};
 
 const USAGE_SETTINGS: &str = "[usage]\naddress=127.0.0.1:4\ntasks=metering,autoscaling\nlease_ms=3000\n\
     report_interval_s=5\nusage_delay_s=10\n";
@@ -80,8 +87,7 @@
     /// Stops an entry without notice.
     fn stop_entry(&mut self, position: usize) -> Entry {
         let entry = self.entries.remove(position);
-        let number = entry.name().trim_start_matches('e').parse().expect("a number");
-        self.net.stop(number);
+        self.net.stop(number_of(&entry));
         self.world.set_store_fault(&entry, FaultMode::Silent(Duration::from_secs(3_600)));
         self.world.usage_sink.drop_calls_from(Some(entry.name()));
         entry
@@ -104,6 +110,11 @@
     }
 }
 
+/// Number of an entry.
+fn number_of(entry: &Entry) -> u16 {
+    entry.name().trim_start_matches('e').parse().expect("a number")
+}
+
 const NO_WINDOWS: Vec<(u64, u64, Option<u64>)> = Vec::new();
 
 #[test]
@@ -256,7 +267,7 @@
             let later = deployment.net.start_with(
                 &world,
                 100 + n,
-                &format!("[membership]\nseeds={}\n{USAGE_SETTINGS}", common::net::peer_address(0)),
+                &format!("[membership]\nseeds={}\n{USAGE_SETTINGS}", peer_address(0)),
             );
             later.simulate_unix_ms(START_MS + 8_000);
         }
@@ -383,3 +394,36 @@
         });
     }
 }
+
+/// Guards against usage that is lost when an entry stops as planned.
+#[test]
+fn requests_served_until_the_end_of_a_stop_are_reported() {
+    for count in [2, 3, 24] {
+        run_test(|world| async move {
+            let mut deployment = Deployment::start(&world, count).await;
+            deployment.send_load(Duration::from_secs(10), 20).await;
+            for _ in 0..2 {
+                let leaving = deployment.entries.len() - 1;
+                let entry = deployment.entries[leaving].clone();
+                let stopping = spawn_local(async move { entry.drain().await });
+                let others = deployment.entries.drain(..leaving).collect::<Vec<_>>();
+                while !stopping.is_finished() {
+                    deployment.send_load(Duration::from_millis(20), 50).await;
+                }
+                // What the process has not sent by now it will never send.
+                let ended = deployment.stop_entry(0);
+                let from = peer_address(number_of(&ended));
+                let peers = (1..=count).map(|n| (from, peer_address(n)));
+                deployment.net.cut_one_way.borrow_mut().extend(peers);
+                deployment.entries = others;
+                if deployment.entries.len() == 1 {
+                    break;
+                }
+            }
+            deployment.send_load(Duration::from_secs(10), 20).await;
+            deployment.wait_until_due().await;
+            assert_eq!(deployment.wrong_windows(0.0), NO_WINDOWS, "{count} entries");
+            deployment.assert_consistent_reports();
+        });
+    }
+}
