--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -14,6 +14,7 @@
     records::{Exchange, Outcome, Records, Route, RunRecord, Span, TimeUs},
     repeater::repeater_number,
     retry_budget::check_retry_budget,
+    stop_callers::SLOW_DEADLINE,
 };
 
 /// Time within which a change must be in force.
@@ -95,7 +96,7 @@
 pub type Check = fn(&Records) -> Finding;
 
 /// All checks.
-pub const CHECKS: [Check; 22] = [
+pub const CHECKS: [Check; 23] = [
     check_processes,
     check_memory,
     check_at_most_once,
@@ -103,6 +104,7 @@
     check_answers,
     check_answered_by_deadline,
     check_no_cuts,
+    check_slow_reads,
     check_propagation,
     check_no_reversion,
     check_key_revocation,
@@ -230,6 +232,30 @@
     })
 }
 
+/// An answer that its server has made is whole for a caller that reads it slowly, also while its
+/// entry stops.
+pub fn check_slow_reads(records: &Records) -> Finding {
+    let runs = records.runs_by_id();
+    let due = records.slow_reads.iter().filter(|read| {
+        // The entry starts again after the stop, which disturbs the read no more.
+        let stops = records.stopped.get(&read.entry).into_iter().flatten();
+        let mut ends = stops.filter(|stop| (read.sent_us..read.ended_us).contains(&stop.from_us));
+        let until_us = ends.next().map_or(read.ended_us, |stop| stop.to_us.min(read.ended_us));
+        !records.was_disturbed(read.entry, read.sent_us, until_us)
+    });
+    finding("answers read slowly are whole", due, |read| {
+        let until_us = read.ended_us + us(TOLERANCE);
+        let failed = |run: &&&RunRecord| {
+            run.is_flooded || records.was_killed(&run.server, read.sent_us, until_us)
+        };
+        let runs = runs.get(read.id.as_str()).into_iter().flatten();
+        let is_made = runs.clone().count() > 0 && runs.filter(failed).count() == 0;
+        let ended_before_deadline = read.ended_us < read.sent_us + us(SLOW_DEADLINE);
+        (read.is_cut && is_made && ended_before_deadline)
+            .then(|| format!("{} was cut after {} bytes", read.id, read.bytes))
+    })
+}
+
 /// An entry accepts a key in time after the configuration that added it.
 pub fn check_propagation(records: &Records) -> Finding {
     let due = records.exchanges.iter().filter(|exchange| {
--- a/crates/soak/src/deployment/entries.rs
+++ b/crates/soak/src/deployment/entries.rs
@@ -27,6 +27,9 @@
     retry_budget::{EXTRA, RATIO, WINDOW},
 };
 
+/// Signals of a stop, one after the other.
+const STOP_SIGNALS: [Signal; 4] =
+    [Signal::SIGTERM, Signal::SIGHUP, Signal::SIGTERM, Signal::SIGHUP];
 /// Number of signals that follow one another.
 const SIGNALS_IN_SERIES: usize = 4;
 /// Time between two of them.
@@ -53,12 +56,19 @@
 }
 
 impl Deployment {
-    /// Stops an entry gracefully and starts it again; does nothing if it is not running.
+    /// Stops an entry gracefully, with further signals meanwhile, and starts it again; does nothing
+    /// if it is not running.
     pub async fn stop(&self, entry: usize) -> anyhow::Result<()> {
         let Some(mut child) = self.entries[entry].child.take() else { return Ok(()) };
-        child.signal(Signal::SIGTERM);
+        let from_us = now_us();
+        for signal in STOP_SIGNALS {
+            child.signal(signal);
+            sleep(SIGNAL_INTERVAL).await;
+        }
         let ended_in_time = timeout(STOP_TIMEOUT, child.wait()).await.is_ok();
-        self.restart(entry, child, now_us()).await?;
+        let span = Span { from_us, to_us: now_us() };
+        self.records.borrow_mut().stopped.entry(entry).or_default().push(span);
+        self.restart(entry, child, span.to_us).await?;
         ensure!(ended_in_time, "entry {entry} did not exit within {STOP_TIMEOUT:?}");
         Ok(())
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod roles;
 pub mod schedule;
 pub mod soak;
+mod stop_callers;
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -71,6 +71,23 @@
     pub outcome: Outcome,
 }
 
+/// An answer that its caller reads slowly while its entry stops.
+#[derive(Debug, Clone)]
+pub struct SlowRead {
+    /// Id of the request.
+    pub id: String,
+    /// Entry that the request was sent to.
+    pub entry: usize,
+    /// Time at which the request was sent.
+    pub sent_us: TimeUs,
+    /// Time at which the read ended.
+    pub ended_us: TimeUs,
+    /// Bytes received.
+    pub bytes: usize,
+    /// Whether a successful answer ended early.
+    pub is_cut: bool,
+}
+
 /// Time span of a disturbance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Span {
@@ -110,6 +127,10 @@
     pub data_centre_of: HashMap<String, String>,
     /// Spans in which each data centre was evacuated, from the store's acknowledgement on.
     pub evacuated: HashMap<String, Vec<Span>>,
+    /// Answers that were read slowly while their entry stopped.
+    pub slow_reads: Vec<SlowRead>,
+    /// Spans from the signal to stop each entry to its end.
+    pub stopped: HashMap<usize, Vec<Span>>,
     /// Spans in which each entry was killed, paused or starting.
     pub disturbed: HashMap<usize, Vec<Span>>,
     /// Entries whose process ended without a signal of the run.
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -17,6 +17,7 @@
     records::now_us,
     repeater::run_repeaters,
     schedule::{Action, FAULT_FREE_END, Step, generate},
+    stop_callers,
 };
 
 /// Time for the last requests to finish.
@@ -58,7 +59,15 @@
 
 async fn execute(deployment: Rc<Deployment>, step: Step, seed: u64) -> anyhow::Result<()> {
     match step.action {
-        Action::Stop(entry) => deployment.stop(entry).await,
+        Action::Stop(entry) => {
+            let callers = stop_callers::start(&deployment, entry, seed);
+            sleep(stop_callers::LEAD_TIME).await;
+            deployment.stop(entry).await?;
+            for caller in callers {
+                caller.await?;
+            }
+            Ok(())
+        }
         Action::Kill(entry) => deployment.kill(entry).await,
         Action::Pause(entry, time) => {
             deployment.pause(entry, time).await;
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -4,7 +4,7 @@
 
 use pondwalk_soak::{
     checks::{self, CHECKS, Check},
-    records::{Exchange, Outcome, Records, Route, RunRecord, Span, TimeUs},
+    records::{Exchange, Outcome, Records, Route, RunRecord, SlowRead, Span, TimeUs},
     retry_budget::check_retry_budget,
 };
 
@@ -409,3 +409,34 @@
     add_sound(&mut records, 15);
     assert_eq!(broken(checks::check_sound_requests, &records), 0, "half may be refused");
 }
+
+#[test]
+fn slow_reads_that_are_cut_by_a_stop_are_detected() {
+    let read = |is_cut| SlowRead {
+        id: "r3".to_owned(),
+        entry: 0,
+        sent_us: at(13.0),
+        ended_us: at(17.0),
+        bytes: 100,
+        is_cut,
+    };
+    let stop = |records: &mut Records| {
+        let (end, ready) = (at(16.0), at(18.0));
+        let stopped = Span { from_us: at(13.4), to_us: end };
+        records.stopped.insert(0, vec![stopped]);
+        records.disturbed.insert(0, vec![Span { from_us: end, to_us: ready }]);
+    };
+    assert_detects(checks::check_slow_reads, |records| {
+        stop(records);
+        records.slow_reads.push(read(true));
+    });
+    let mut records = passing_records();
+    stop(&mut records);
+    records.slow_reads.push(read(false));
+    assert_eq!(checks::check_slow_reads(&records).checked, 1);
+    assert_eq!(broken(checks::check_slow_reads, &records), 0);
+    // A server that was killed may have cut the answer.
+    records.slow_reads.push(read(true));
+    records.killed_us.insert("s0".to_owned(), vec![at(14.0)]);
+    assert_eq!(broken(checks::check_slow_reads, &records), 0);
+}
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -24,6 +24,8 @@
 
 /// Buffer size of a connection in each direction.
 const CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
+/// Beginning of the body of a request for a long response.
+pub const REPEAT_BODY: &str = "repeat ";
 /// Size of the chunks of a response that is no stream.
 const CHUNK_BYTES: usize = 16 * 1024;
 
@@ -49,7 +51,8 @@
 pub enum Behaviour {
     /// Responds with this status and body.
     Answer(u16, String),
-    /// Responds with the request's id, so that callers can verify that the response is theirs.
+    /// Responds with the request's id, so that callers can verify that the response is theirs; as
+    /// often as a body of [`REPEAT_BODY`] and a number says.
     Echo,
     /// Streams the events after the caller's last event.
     Stream {
@@ -407,6 +410,12 @@
     server.requests.borrow_mut()[index].cancelled = !is_complete;
 }
 
+/// How often a request wants its id in the response.
+fn repetitions(request: &ReceivedRequest) -> usize {
+    let body = str::from_utf8(&request.body).unwrap_or_default();
+    body.strip_prefix(REPEAT_BODY).and_then(|number| number.parse().ok()).unwrap_or(1)
+}
+
 /// Formats a server's extra headers as lines of a response head.
 fn header_lines(server: &Server) -> String {
     let response_headers = server.response_headers.borrow();
@@ -431,7 +440,8 @@
     let Reply { header_names, request, extra_headers, .. } = reply;
     match behaviour {
         Behaviour::Echo => {
-            io.write_all(&format_response(reply, 200, request_id(header_names, request))).await
+            let body = request_id(header_names, request).repeat(repetitions(request));
+            io.write_all(&format_response(reply, 200, &body)).await
         }
         Behaviour::Answer(status, body) => {
             io.write_all(&format_response(reply, *status, body)).await
