--- a/crates/soak/src/stop_callers.rs
+++ b/crates/soak/src/stop_callers.rs
@@ -6,6 +6,7 @@
 use pondwalk_standin::backends::REPEAT_BODY;
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64Mcg;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
@@ -31,13 +32,18 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Receive buffer of a caller that reads slowly.
 const RECEIVE_BUFFER_BYTES: u32 = 4_096;
-/// Number of times that the answer of a slow read repeats its id.
+/// Segment size of its connection, as on an Ethernet link. With the segments of a loopback interface
+/// the sender's buffer holds megabytes.
+const SEGMENT_BYTES: u32 = 1_460;
+/// Number of times that the answer of a slow read repeats its id: more than a connection holds.
 const REPETITIONS: usize = 80_000;
 /// Deadline of a slow read.
 pub const SLOW_DEADLINE: Duration = Duration::from_millis(8_000);
 /// Time in which a slow read ends, and the interval between its parts.
-const READ_TIME: Duration = Duration::from_millis(4_500);
+const READ_TIME: Duration = Duration::from_millis(4_800);
 const READ_INTERVAL: Duration = Duration::from_millis(50);
+/// Share of that time for which every other caller reads nothing at first.
+const PAUSE_SHARE: f64 = 0.75;
 
 /// Starts callers of an entry that is about to stop, if it is ready.
 pub fn start(deployment: &Rc<Deployment>, entry: usize, seed: u64) -> Vec<JoinHandle<()>> {
@@ -110,8 +116,11 @@
         return;
     }
     let (mut answer, answer_bytes) = (Vec::new(), REPETITIONS * id.len());
-    let part_bytes = answer_bytes / (READ_TIME.as_millis() / READ_INTERVAL.as_millis()) as usize;
+    let pause_share = if number.is_multiple_of(2) { PAUSE_SHARE } else { 0.0 };
+    let reads = READ_TIME.mul_f64(1.0 - pause_share).div_duration_f64(READ_INTERVAL);
+    let part_bytes = (answer_bytes as f64 / reads) as usize;
     let mut part = vec![0; part_bytes];
+    sleep(READ_TIME.mul_f64(pause_share)).await;
     // A connection that breaks or stalls ends the read too.
     while let Ok(Ok(bytes)) = timeout(SLOW_DEADLINE, stream.read(&mut part)).await {
         if bytes == 0 || answer.len() >= answer_bytes {
@@ -129,5 +138,6 @@
 async fn open_slowly(address: SocketAddr) -> Option<TcpStream> {
     let socket = TcpSocket::new_v4().ok()?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).ok()?;
+    SockRef::from(&socket).set_tcp_mss(SEGMENT_BYTES).ok()?;
     timeout(CONNECT_TIMEOUT, socket.connect(address)).await.ok()?.ok()
 }
