--- a/crates/decide/src/direct/reporter.rs
+++ b/crates/decide/src/direct/reporter.rs
@@ -103,6 +103,8 @@
     pub oldest_in_time: WindowId,
     /// Newest window for which all counts should have arrived.
     pub newest_complete: WindowId,
+    /// Newest window that has ended. An entry whose counts are complete sooner may have reported it.
+    pub newest_ended: WindowId,
 }
 
 /// Time for which this entry leaves due reports to others.
@@ -143,7 +145,7 @@
     written_at: Option<Duration>,
     /// Whether this entry, and no other, held the task at the end of the previous era.
     held_previous_era: bool,
-    /// Whether an unknown holder may have reported the windows that are complete by now.
+    /// Whether an unknown holder may have reported the windows that have ended by now.
     has_unknown_reports: bool,
     /// Newest window that is omitted.
     left_out_to: WindowId,
@@ -303,7 +305,7 @@
             return None;
         }
         if std::mem::take(&mut self.has_unknown_reports) {
-            self.left_out_to = self.left_out_to.max(windows.newest_complete);
+            self.left_out_to = self.left_out_to.max(windows.newest_ended);
         }
         if let Some(step) = self.finish_report(windows, now) {
             return Some(step);
--- a/crates/decide/tests/reporter.rs
+++ b/crates/decide/tests/reporter.rs
@@ -21,7 +21,8 @@
 }
 
 fn due(newest_complete: WindowId) -> DueWindows {
-    DueWindows { oldest_in_time: newest_complete.saturating_sub(1), newest_complete }
+    let oldest_in_time = newest_complete.saturating_sub(1);
+    DueWindows { oldest_in_time, newest_complete, newest_ended: newest_complete }
 }
 
 fn counts(count: u64) -> UsageCounts {
@@ -210,6 +211,24 @@
     }
 }
 
+/// Guards against a second report of a window by an entry that knows nothing of the first, and has
+/// all counts of the window later than the entry that made it.
+#[test]
+fn windows_that_had_ended_before_an_unknown_era_are_omitted() {
+    let mut restarted = Reporter::new("e1", 2, LEASE);
+    restarted.enter_era(1, at(0));
+    let step = |reporter: &mut Reporter, newest_complete, newest_ended, now| {
+        let windows = DueWindows { oldest_in_time: 1, newest_complete, newest_ended };
+        reporter.next_step(windows, NO_WAIT, now, |_| counts(1))
+    };
+    assert_eq!(step(&mut restarted, 3, 4, at(0)), None);
+    assert_eq!(step(&mut restarted, 4, 4, at(4_000)), None);
+    let Some(ReporterStep::Write(record, None)) = step(&mut restarted, 5, 5, at(5_000)) else {
+        panic!("no write");
+    };
+    assert_eq!((record.window, record.left_out_to), (5, 4));
+}
+
 /// State of the entries, the store and the platform.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct ModelState {
@@ -267,7 +286,7 @@
 
     fn windows(&self) -> DueWindows {
         let newest_complete = DUE_AT.iter().filter(|at| **at <= self.tick).count() as u64;
-        DueWindows { oldest_in_time: 1, newest_complete }
+        DueWindows { oldest_in_time: 1, newest_complete, newest_ended: newest_complete }
     }
 
     /// All states that may follow.
--- a/crates/direct/src/usage.rs
+++ b/crates/direct/src/usage.rs
@@ -131,7 +131,8 @@
             && self.has_complete_counts(latest, now, unix_ms);
         let newest_complete =
             if is_whole { latest } else { self.window_of(waited_for).saturating_sub(1) };
-        DueWindows { oldest_in_time: self.oldest_in_time(unix_ms), newest_complete }
+        let oldest_in_time = self.oldest_in_time(unix_ms);
+        DueWindows { oldest_in_time, newest_complete, newest_ended: latest }
     }
 
     /// The first window that can still be reported and has no stored record.
--- a/crates/direct/tests/usage_reports.rs
+++ b/crates/direct/tests/usage_reports.rs
@@ -395,6 +395,42 @@
     }
 }
 
+/// Guards against a second report of a window with other counts, after all entries were killed right
+/// after the first and the store came back from a copy without its record.
+#[test]
+fn window_whose_report_the_store_has_lost_is_not_reported_again() {
+    for (count, copy_age_ms) in [(1, 3_000), (2, 3_000), (2, 1_000), (5, 6_000)] {
+        run_test(|world| async move {
+            let mut deployment = Deployment::start(&world, count).await;
+            deployment.send_load(Duration::from_secs(12), 20).await;
+            let reports = world.usage_sink.accepted().len();
+            let mut copies = Vec::new();
+            while world.usage_sink.accepted().len() == reports {
+                copies.push((Instant::now(), world.store.snapshot()));
+                deployment.send_load(Duration::from_millis(100), 20).await;
+            }
+            while !deployment.entries.is_empty() {
+                deployment.stop_entry(0);
+            }
+            let is_old = |at: &Instant| at.elapsed() >= Duration::from_millis(copy_age_ms);
+            let old = copies.iter().rev().find(|(at, _)| is_old(at)).or(copies.first());
+            world.store.set_fault_mode(FaultMode::Refused);
+            sleep(Duration::from_millis(500)).await;
+            world.store.restore(old.expect("a copy").1.clone());
+            world.store.set_fault_mode(FaultMode::Normal);
+            deployment.entries = (10..10 + count)
+                .map(|n| deployment.net.start_with(&world, n, USAGE_SETTINGS))
+                .collect();
+            let now_ms = START_MS + deployment.started.elapsed().as_millis() as u64;
+            deployment.entries.iter().for_each(|entry| entry.simulate_unix_ms(now_ms));
+            deployment.send_load(Duration::from_secs(20), 20).await;
+            deployment.wait_until_due().await;
+            deployment.assert_consistent_reports();
+            assert!(world.usage_sink.accepted().len() > reports + 2, "reports go on");
+        });
+    }
+}
+
 /// Guards against usage that is lost when an entry stops as planned.
 #[test]
 fn requests_served_until_the_end_of_a_stop_are_reported() {
