--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -33,6 +33,8 @@
 pub const COLD_OVERSHOOT: f64 = 1.5;
 /// Allowed requests per second on top of that.
 pub const COLD_TOLERANCE: f64 = 5.0;
+/// Time from the signal to stop until which an entry writes answers: .95 of its grace period.
+pub const DELIVERY_TIME: Duration = Duration::from_millis(5_700);
 /// Undisturbed time after which the time bounds apply.
 pub const SETTLING_TIME: Duration = Duration::from_secs(4);
 /// Tolerance of all time bounds: the processes share a few processors, and runs are reported by polling.
@@ -233,15 +235,17 @@
 }
 
 /// An answer that its server has made is whole for a caller that reads it slowly, also while its
-/// entry stops.
+/// entry stops. What a caller has not read by the end of the grace period may be cut.
 pub fn check_slow_reads(records: &Records) -> Finding {
     let runs = records.runs_by_id();
     let due = records.slow_reads.iter().filter(|read| {
         // The entry starts again after the stop, which disturbs the read no more.
         let stops = records.stopped.get(&read.entry).into_iter().flatten();
-        let mut ends = stops.filter(|stop| (read.sent_us..read.ended_us).contains(&stop.from_us));
-        let until_us = ends.next().map_or(read.ended_us, |stop| stop.to_us.min(read.ended_us));
-        !records.was_disturbed(read.entry, read.sent_us, until_us)
+        let mut stops = stops.filter(|stop| (read.sent_us..read.ended_us).contains(&stop.from_us));
+        let stop = stops.next();
+        let until_us = stop.map_or(read.ended_us, |stop| stop.to_us.min(read.ended_us));
+        let was_in_time = stop.is_none_or(|stop| read.ended_us < stop.from_us + us(DELIVERY_TIME));
+        was_in_time && !records.was_disturbed(read.entry, read.sent_us, until_us)
     });
     finding("answers read slowly are whole", due, |read| {
         let until_us = read.ended_us + us(TOLERANCE);
--- a/crates/soak/src/stop_callers.rs
+++ b/crates/soak/src/stop_callers.rs
@@ -39,9 +39,10 @@
 const REPETITIONS: usize = 80_000;
 /// Deadline of a slow read.
 pub const SLOW_DEADLINE: Duration = Duration::from_millis(8_000);
-/// Time in which a slow read ends, and the interval between its parts.
+/// Time in which a slow read ends, the pause between its parts, and their size.
 const READ_TIME: Duration = Duration::from_millis(4_800);
-const READ_INTERVAL: Duration = Duration::from_millis(50);
+const READ_INTERVAL: Duration = Duration::from_millis(10);
+const READ_BYTES: usize = 8 * 1024;
 /// Share of that time for which every other caller reads nothing at first.
 const PAUSE_SHARE: f64 = 0.75;
 
@@ -116,18 +117,20 @@
         return;
     }
     let (mut answer, answer_bytes) = (Vec::new(), REPETITIONS * id.len());
-    let pause_share = if number.is_multiple_of(2) { PAUSE_SHARE } else { 0.0 };
-    let reads = READ_TIME.mul_f64(1.0 - pause_share).div_duration_f64(READ_INTERVAL);
-    let part_bytes = (answer_bytes as f64 / reads) as usize;
-    let mut part = vec![0; part_bytes];
-    sleep(READ_TIME.mul_f64(pause_share)).await;
-    // A connection that breaks or stalls ends the read too.
-    while let Ok(Ok(bytes)) = timeout(SLOW_DEADLINE, stream.read(&mut part)).await {
-        if bytes == 0 || answer.len() >= answer_bytes {
-            break;
+    let pause = READ_TIME.mul_f64(if number.is_multiple_of(2) { PAUSE_SHARE } else { 0.0 });
+    let bytes_per_s = answer_bytes as f64 / (READ_TIME - pause).as_secs_f64();
+    sleep(pause).await;
+    let (started_at, mut part) = (Instant::now(), vec![0; READ_BYTES]);
+    while answer.len() < answer_bytes {
+        if answer.len() as f64 > started_at.elapsed().as_secs_f64() * bytes_per_s {
+            sleep(READ_INTERVAL).await;
+            continue;
+        }
+        // A connection that breaks or stalls ends the read too.
+        match timeout(SLOW_DEADLINE, stream.read(&mut part)).await {
+            Ok(Ok(bytes)) if bytes > 0 => answer.extend_from_slice(&part[..bytes]),
+            _ => break,
         }
-        answer.extend_from_slice(&part[..bytes]);
-        sleep(READ_INTERVAL.mul_f64(bytes as f64 / part_bytes as f64)).await;
     }
     let is_cut = answer.starts_with(b"HTTP/1.1 200") && answer.len() < answer_bytes;
     let read = SlowRead { id, entry, sent_us, ended_us: now_us(), bytes: answer.len(), is_cut };
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -435,6 +435,10 @@
     records.slow_reads.push(read(false));
     assert_eq!(checks::check_slow_reads(&records).checked, 1);
     assert_eq!(broken(checks::check_slow_reads, &records), 0);
+    // What is not read by the end of the grace period may be cut.
+    let late = SlowRead { ended_us: at(13.4) + 5_700_000, ..read(true) };
+    records.slow_reads.push(late);
+    assert_eq!(broken(checks::check_slow_reads, &records), 0);
     // A server that was killed may have cut the answer.
     records.slow_reads.push(read(true));
     records.killed_us.insert("s0".to_owned(), vec![at(14.0)]);
