--- a/crates/direct/tests/caller_credentials.rs
+++ b/crates/direct/tests/caller_credentials.rs
@@ -303,3 +303,33 @@
         assert_eq!(seen.body, b"body");
     });
 }
+
+/// Guards against a key that is shown while its route, or the need for keys, comes and goes.
+#[test]
+fn key_is_not_shown_while_routes_turn_anonymous_and_workspaces_come_and_go() {
+    run_test(|world| async move {
+        let workspace = pondwalk_direct::catalog::Workspace {
+            name: "w1".into(),
+            keys: vec!["k1".to_owned()],
+            priority: None,
+            allowed_regions: Vec::new(),
+        };
+        let phases = [(false, true), (true, true), (true, false), (false, false), (false, true)];
+        for (version, (anonymous, has_workspaces)) in (1..).zip(phases) {
+            let route = Route { anonymous, ..open_route(version, RouteKind::Repeatable) };
+            let workspaces = if has_workspaces { vec![workspace.clone()] } else { Vec::new() };
+            let limits = Limits::default();
+            let catalog = Catalog::new(version, limits, vec![route], vec![service()], workspaces);
+            if version == 1 {
+                start_one_server(&world, catalog).await;
+            } else {
+                world.configure(catalog);
+                sleep(Duration::from_secs(1)).await;
+            }
+            let seen = headers_seen(&world, "/open/", &[b"Bearer k1"]).await;
+            assert_eq!(seen.get("authorization"), None, "version {version}");
+            let named = seen.get("pondwalk-workspace").map(String::as_str);
+            assert_eq!(named, has_workspaces.then_some("w1"), "version {version}");
+        }
+    });
+}
