--- /dev/null
+++ b/review/standins-2/roll_out.rs
@@ -0,0 +1,264 @@
+//! Two cases of roll-outs, with two entries and 18 model workers of version 1.0. The operator orders
+//! version 2.0, and the platform starts workers of it beside the old ones. At `completed` it stops
+//! the old workers at once, as the pages say. Callers send one stream of 3 s after the other on kept
+//! channels. A stream that a worker began, and whose channel closes without its end, is lost.
+//!
+//! `empty`: 4 workers of version 2.0 start. With the disruption these 4 (of 22, a share of 0.18)
+//! crash for good a second after the order. Streams may be resumed.
+//!
+//! `cut`: 18 sound workers of version 2.0 start, and nothing fails. The disruption is the roll-out
+//! itself: without it there is no order. Streams may not be resumed.
+
+mod common;
+use common::*;
+use std::{
+    io,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+const OLD_WORKERS: usize = 18;
+const EVENTS: u32 = 30;
+const EVENT_GAP: Duration = Duration::from_millis(100);
+/// Time of the roll-out's order, and of the whole play from there.
+const ROLL_OUT_S: u32 = 16;
+const PLAY: Duration = Duration::from_secs(30);
+
+/// One request as its caller saw it.
+struct Call {
+    id: String,
+    /// Whether the channel had brought an answer before.
+    is_kept: bool,
+    at: Duration,
+    status: u16,
+    is_whole: bool,
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let is_cut = match arguments.get(1).map(String::as_str) {
+        Some("empty") => false,
+        Some("cut") => true,
+        _ => cannot_run("the first argument is empty or cut"),
+    };
+    let (new_workers, callers) = if is_cut { (18, 60) } else { (4, 24) };
+    let (is_ordered, crashes) = (!is_cut || has_trouble(), !is_cut && has_trouble());
+    let record = Record::new();
+    let folder = temporary_folder();
+    let store = Store::start();
+    // Requests that workers began to run, by id.
+    let begun: Arc<Mutex<Vec<(String, String)>>> = Arc::default();
+    let start = |n: usize| {
+        let (record, begun) = (Arc::clone(&record), Arc::clone(&begun));
+        let version = if n < OLD_WORKERS { "old" } else { "new" };
+        Worker::start(
+            &format!("i-{version}{n:04x}"),
+            "pool",
+            Arc::new(move |worker, request, conn| run(&record, &begun, worker, &request, conn)),
+        )
+    };
+    let zones = ["regina-hall", "saskatoon-hall", "brandon-hall"];
+    let put = |worker: &Worker, n: usize, version: &str| {
+        let (key, value) = worker.entry(zones[n % 3], version, "ready");
+        store.put(&key, &value);
+    };
+    let old: Vec<Arc<Worker>> = (0..OLD_WORKERS).map(start).collect();
+    old.iter().enumerate().for_each(|(n, worker)| put(worker, n, "1.0"));
+    let route = "{\"name\":\"advisor-chat\",\"hostname\":\"ficu95.example\",\
+                 \"path_prefix\":\"/lohu930/\",\"type\":\"streaming\",\"timeout_ms\":25000,\
+                 \"target_latency_ms\":4000,\"target_itl_ms\":1000,\"priority\":2,\"backend\":\"pool\",\
+                 \"max_attempts\":3,\"stream_resume\":RESUME,\"session_affinity\":true}";
+    let route = route.replace("RESUME", if is_cut { "false" } else { "true" });
+    let service = "{\"name\":\"pool\",\"max_connections\":360}";
+    store.put("op/config", &configuration(7, &[route], &[service.into()], &["k1"]));
+
+    let mut entries = prepare_entries(2, &zones, store.address, &folder);
+    entries.iter_mut().for_each(Entry::start);
+    entries.iter_mut().for_each(|entry| entry.wait_until_ready(Duration::from_secs(10)));
+    thread::sleep(Duration::from_secs(5));
+
+    let is_over = Arc::new(AtomicBool::new(false));
+    let calls: Arc<Mutex<Vec<Call>>> = Arc::default();
+    let senders: Vec<thread::JoinHandle<()>> = (0..callers)
+        .map(|n| {
+            let (record, calls, is_over) =
+                (Arc::clone(&record), Arc::clone(&calls), Arc::clone(&is_over));
+            let address = entries[n % 2].callers;
+            thread::sleep(Duration::from_millis(40));
+            thread::spawn(move || send_streams(&record, &calls, &is_over, n, address))
+        })
+        .collect();
+
+    // The order, and the new workers beside the old ones.
+    let order =
+        format!("{{\"backend\":\"pool\",\"target_version\":\"2.0\",\"duration_s\":{ROLL_OUT_S}}}");
+    let mut new: Vec<Arc<Worker>> = Vec::new();
+    if is_ordered {
+        store.put("op/rollout/pool", &order);
+        record.add("the operator orders version 2.0");
+        new.extend((OLD_WORKERS..OLD_WORKERS + new_workers).map(start));
+        thread::sleep(Duration::from_millis(300));
+        new.iter().enumerate().for_each(|(n, worker)| put(worker, n, "2.0"));
+        record.add(format!("{new_workers} workers of version 2.0 are there"));
+    }
+    if crashes {
+        thread::sleep(Duration::from_millis(700));
+        new.iter().for_each(|worker| worker.crash());
+        record.add("the workers of version 2.0 crash for good");
+        let (store, keys) = (Arc::clone(&store), new.iter().map(|worker| worker.id.clone()));
+        let keys: Vec<String> = keys.collect();
+        let record = Arc::clone(&record);
+        // Their entries go after three heartbeats of silence.
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(3_600));
+            keys.iter().for_each(|id| store.remove(&format!("servers/{id}")));
+            record.add("their entries have gone");
+        });
+    }
+
+    // The platform does what the status says.
+    let mut completed_at = None;
+    let end = record.now() + PLAY;
+    let mut last = String::new();
+    while record.now() < end {
+        let status = store.get("status/rollout/pool").unwrap_or_default();
+        if status != last {
+            record.add(format!("status/rollout/pool: {status}"));
+            last.clone_from(&status);
+        }
+        if status.contains("\"completed\"") && completed_at.is_none() {
+            completed_at = Some(record.now());
+            old.iter().for_each(|worker| worker.crash());
+            record.add("completed: the platform stops the old workers at once");
+            for worker in &old {
+                store.remove(&format!("servers/{}", worker.id));
+            }
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    is_over.store(true, Ordering::SeqCst);
+    senders.into_iter().for_each(|caller| drop(caller.join()));
+
+    let calls = calls.lock().unwrap();
+    let begun = begun.lock().unwrap();
+    let lost: Vec<&Call> = calls
+        .iter()
+        .filter(|call| call.is_kept && !call.is_whole && (call.status == 200 || call.status == 0))
+        .filter(|call| begun.iter().any(|(id, _)| *id == call.id))
+        .collect();
+    for call in &lost {
+        let workers: Vec<&str> =
+            begun.iter().filter(|(id, _)| *id == call.id).map(|(_, worker)| &**worker).collect();
+        record.add(format!(
+            "{} of {:.3} was passed on to {workers:?}, and its channel closed without its answer",
+            call.id,
+            call.at.as_secs_f64()
+        ));
+    }
+    let late = |call: &&Call| completed_at.is_some_and(|at| call.at > at + Duration::from_secs(3));
+    let (after, served_after) = (
+        calls.iter().filter(late).count(),
+        calls.iter().filter(late).filter(|call| call.is_whole && call.status == 200).count(),
+    );
+    let verdict = lost.len() > 3;
+    record.add(format!(
+        "{} requests, {} lost (allowed: 3); of {after} sent later than 3 s after `completed`, \
+         {served_after} were served",
+        calls.len(),
+        lost.len()
+    ));
+    record.add(if verdict { "LOST is broken" } else { "LOST holds" });
+    println!("requests {} lost {} after {after} served {served_after}", calls.len(), lost.len());
+    record.write(&PathBuf::from(arguments.get(2).cloned().unwrap_or("record.txt".into())));
+    let has_ended = entries.iter_mut().any(|entry| !entry.is_running());
+    drop(entries);
+    let _ = std::fs::remove_dir_all(&folder);
+    if has_ended || calls.len() < callers {
+        cannot_run("an entry has ended, or too few requests were sent");
+    }
+    std::process::exit(i32::from(verdict));
+}
+
+fn run(
+    record: &Record,
+    begun: &Mutex<Vec<(String, String)>>,
+    worker: &Arc<Worker>,
+    request: &Message,
+    conn: &mut Conn,
+) -> io::Result<()> {
+    let id = request.id();
+    let first: u32 =
+        request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+    record.add(format!("worker {} runs {id} from event {}", worker.id, first + 1));
+    begun.lock().unwrap().push((id.clone(), worker.id.clone()));
+    thread::sleep(Duration::from_millis(50));
+    let head = success_head(&id, "text/event-stream") + "transfer-encoding: chunked\r\n\r\n";
+    conn.send(head.as_bytes())?;
+    for event in first + 1..=EVENTS {
+        if worker.has_crashed.load(Ordering::SeqCst) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        conn.send_chunk(format!("id: {event}\ndata: t{event}\n\n").as_bytes())?;
+        thread::sleep(EVENT_GAP);
+    }
+    conn.send(b"0\r\n\r\n")
+}
+
+/// Sends one stream after the other on a kept channel; opens another when it has closed.
+fn send_streams(
+    record: &Record,
+    calls: &Mutex<Vec<Call>>,
+    is_over: &AtomicBool,
+    n: usize,
+    entry: SocketAddr,
+) {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let mut kept: Option<Conn> = None;
+    while !is_over.load(Ordering::SeqCst) {
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let id = format!("s-{n}-{number}");
+        let is_kept = kept.is_some();
+        let Some(mut conn) = kept.take().or_else(|| Conn::connect(entry).ok()) else { continue };
+        let _ = conn.stream.set_read_timeout(Some(Duration::from_secs(25)));
+        let at = record.now();
+        let (status, is_whole) = exchange(&mut conn, &id, number).unwrap_or((0, false));
+        record.add(format!("{id}: {status} {}", if is_whole { "whole" } else { "cut" }));
+        calls.lock().unwrap().push(Call { id, is_kept, at, status, is_whole });
+        if is_whole {
+            kept = Some(conn);
+        }
+        // Clients wait as told after a refusal.
+        thread::sleep(Duration::from_millis(if status == 200 { 20 } else { 300 }));
+    }
+}
+
+fn exchange(conn: &mut Conn, id: &str, number: usize) -> io::Result<(u16, bool)> {
+    let request = format!(
+        "POST /lohu930/2f HTTP/1.1\r\nhost: ficu95.example\r\nx-pondwalk-attempt-id: {id}\r\n\
+         x-pondwalk-model: daka510000\r\nx-pondwalk-token-usage: 715,120\r\n\
+         x-pondwalk-prefix-hash: {:x}:172,{:x}:543\r\nx-pondwalk-deadline-ms: 25000\r\n\
+         authorization: Token k1\r\ncontent-length: {}\r\n\r\n{id}",
+        0x5c1e_07a2 + number % 8,
+        (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        id.len()
+    );
+    conn.send(request.as_bytes())?;
+    let head = conn.read_head()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    if head.header("transfer-encoding").is_none() {
+        conn.read_body(&head, false)?;
+        return Ok((head.status(), true));
+    }
+    loop {
+        match conn.read_chunk() {
+            Ok(chunk) if chunk.is_empty() => return Ok((head.status(), true)),
+            Ok(_) => {}
+            Err(_) => return Ok((head.status(), false)),
+        }
+    }
+}
