--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for program in other_model revoked_key roll_out taken_away; do
+for program in back_again revoked_key roll_out taken_away; do
     rustc --edition 2024 -O -o "target/review-2/$program" "review/standins-2/$program.rs"
 done
