A configuration that can't be read no longer confirms the one before it

Entries that started beside such a configuration refused with "retry-after: 0.050", held each request for a quarter of a second, and never said why.

Cause: a reply of the store confirmed the whole state, also if the reply had brought a configuration that was not put in force. `Freshness` then took the older configuration for the current one. The same held after a panic in decoding or applying it, and for a later configuration with a lower version.

The log said `entry_unreadable` and nothing else; the metrics said nothing.

Why this works: the age of the configuration is now kept apart from the age of the rest of the state. While the configuration in the store is another than the one in force, replies confirm the rest alone, so keys are refused after the bound for keys, as without contact to the store, and 404 and 401 turn into 503. Anonymous routes are served on. The next configuration that can be read ends it.

Operators see `configuration_unreadable` in the log, and in the metrics the version and revision in force beside those written, since when, and the age of the last confirmation.

--- a/crates/decide/src/direct/freshness.rs
+++ b/crates/decide/src/direct/freshness.rs
@@ -7,6 +7,10 @@
 //! A deployment that prefers availability to strictness gives keys a longer bound. Permanent
 //! refusals, of an unknown key or route, always require the shorter bound, since an older state may
 //! lack recent additions.
+//!
+//! While the configuration in the store is another than the one in force, since it can't be read, a
+//! reply of the store confirms the rest of the state only: the configuration in force ages, as it
+//! does without contact.
 
 use std::time::Duration;
 
@@ -16,19 +20,35 @@
     bound: Duration,
     key_bound: Duration,
     confirmed_at: Option<Duration>,
+    configuration_confirmed_at: Option<Duration>,
+    is_configuration_held: bool,
 }
 
 impl Freshness {
     /// Creates a state without confirmation. After a confirmation the state counts as current for
     /// `bound`, and keys may be accepted for `key_bound`.
     pub fn new(bound: Duration, key_bound: Duration) -> Self {
-        Freshness { bound, key_bound, confirmed_at: None }
+        Freshness {
+            bound,
+            key_bound,
+            confirmed_at: None,
+            configuration_confirmed_at: None,
+            is_configuration_held: true,
+        }
     }
 
     /// Records that the store confirmed the state by a call sent at `sent_at`; the timestamp never
     /// moves back.
     pub fn confirm(&mut self, sent_at: Duration) {
         self.confirmed_at = self.confirmed_at.max(Some(sent_at));
+        if self.is_configuration_held {
+            self.configuration_confirmed_at = self.configuration_confirmed_at.max(Some(sent_at));
+        }
+    }
+
+    /// Records whether the configuration in the store is the one in force.
+    pub fn set_configuration_held(&mut self, is_held: bool) {
+        self.is_configuration_held = is_held;
     }
 
     /// When the call that last confirmed the state was sent, if any did.
@@ -41,13 +61,18 @@
         self.confirmed_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Whether the state is recent enough for permanent refusals.
+    /// Age of the configuration in force; `None` if it was never confirmed.
+    pub fn configuration_age(&self, now: Duration) -> Option<Duration> {
+        self.configuration_confirmed_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether the configuration in force is recent enough for permanent refusals.
     pub fn is_current(&self, now: Duration) -> bool {
-        self.age(now).is_some_and(|age| age < self.bound)
+        self.configuration_age(now).is_some_and(|age| age < self.bound)
     }
 
-    /// Whether the state is recent enough to accept keys.
+    /// Whether the configuration in force is recent enough to accept keys.
     pub fn accepts_keys(&self, now: Duration) -> bool {
-        self.age(now).is_some_and(|age| age < self.key_bound)
+        self.configuration_age(now).is_some_and(|age| age < self.key_bound)
     }
 }
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -297,6 +297,13 @@
         if let Some(age) = self.state_age() {
             gauges.push(("state_age_ms", age.as_millis() as u64));
         }
+        let state = self.state.borrow();
+        if let Some(age) = state.freshness.configuration_age(self.clock.now()) {
+            gauges.push(("configuration_confirmed_age_ms", age.as_millis() as u64));
+        }
+        let version = state.catalog.as_ref().map(|catalog| catalog.version);
+        state.configuration.write_metrics(version, self.clock.now(), &mut text);
+        drop(state);
         if let Some(age) = self.load_exchange.view_age(self.clock.now()) {
             gauges.push(("load_view_age_ms", age.as_millis() as u64));
         }
--- a/crates/direct/src/follow/apply.rs
+++ b/crates/direct/src/follow/apply.rs
@@ -5,12 +5,12 @@
     panic::{AssertUnwindSafe, catch_unwind},
 };
 
-use pondwalk_store::{StoreEntry, StoreEvent};
+use pondwalk_store::{Position, StoreEntry, StoreEvent};
 use pondwalk_types::DataCentreId;
 
 use super::{Follower, events::FollowEvent};
 use crate::{
-    catalog::{BackendServer, Catalog, ServerState},
+    catalog::{BackendServer, Catalog, CatalogVersion, ServerState},
     event_log::LogPriority,
     membership::{ENTRY_PREFIX, Listing},
     outage::RELISTING_TIME,
@@ -32,10 +32,17 @@
     pub(super) fn apply_written(&self, entry: &StoreEntry) {
         let applied = catch_unwind(AssertUnwindSafe(|| self.apply_entry(entry)));
         if applied.is_err() {
-            let reason = "applying it failed";
-            let event = FollowEvent::EntryUnreadable { key: &entry.key, reason };
-            self.core.event_log.record(LogPriority::State, &event);
+            self.record_unreadable(&entry.key, entry.revision, "applying it failed");
+        }
+    }
+
+    /// Records that the value of a key can't be applied.
+    fn record_unreadable(&self, key: &str, revision: u64, reason: &str) {
+        if key == self.port.configuration_key {
+            return self.reject_configuration(revision, None, reason);
         }
+        let event = FollowEvent::EntryUnreadable { key, reason };
+        self.core.event_log.record(LogPriority::State, &event);
     }
 
     fn apply_entry(&self, entry: &StoreEntry) {
@@ -43,10 +50,7 @@
         self.apply_entry_listing(&entry.key, Some(&entry.value));
         match self.port.decode_entry(entry) {
             Ok(record) => self.apply_record(record, entry.revision),
-            Err(error) => {
-                let event = FollowEvent::EntryUnreadable { key: &error.key, reason: &error.reason };
-                self.core.event_log.record(LogPriority::State, &event);
-            }
+            Err(error) => self.record_unreadable(&error.key, entry.revision, &error.reason),
         }
     }
 
@@ -212,16 +216,31 @@
     /// incarnation.
     fn install(&self, catalog: Catalog, store_revision: u64) {
         let mut state = self.core.state.borrow_mut();
+        let store_era = state.replica.position().era;
+        let position = Position { era: store_era, revision: store_revision };
+        let in_force = state.configuration.in_force();
         let held = state.catalog.as_ref().map_or(0, |catalog| catalog.version);
+        // Within an era the store's revisions order all configurations; a restored store may hold
+        // an older one.
+        let is_same_era = in_force.is_none_or(|in_force| in_force.era == store_era);
         let version = catalog.version;
         if held > version {
             drop(state);
-            let event = FollowEvent::OlderConfigurationIgnored { version, held };
+            let event = FollowEvent::OlderConfigurationIgnored { version, held, store_revision };
             self.core.event_log.record(LogPriority::State, &event);
+            if is_same_era && in_force.is_some_and(|in_force| in_force < position) {
+                let reason = "its version is lower than that of the one in force";
+                self.reject_configuration(store_revision, Some(version), reason);
+            }
             return;
         }
+        if !is_same_era && held == version && state.configuration.is_rejected() {
+            // The copy lacks the configuration that could not be read, which is newer.
+            return;
+        }
+        state.configuration.record_in_force(position, version);
+        state.freshness.set_configuration_held(true);
         state.install(catalog);
-        let store_era = state.replica.position().era;
         drop(state);
         let origin = self.origin;
         let event =
@@ -229,6 +248,27 @@
         self.core.event_log.record(LogPriority::State, &event);
     }
 
+    /// Leaves the configuration in force as it is, without counting it as confirmed: the one in the
+    /// store may take away keys.
+    fn reject_configuration(
+        &self,
+        store_revision: u64,
+        version: Option<CatalogVersion>,
+        reason: &str,
+    ) {
+        let mut state = self.core.state.borrow_mut();
+        state.freshness.set_configuration_held(false);
+        let position = Position { era: state.replica.position().era, revision: store_revision };
+        let now = self.core.clock.now();
+        let is_new = state.configuration.record_rejected(position, version, now);
+        let in_force = state.catalog.as_ref().map(|catalog| catalog.version);
+        drop(state);
+        if is_new {
+            let event = FollowEvent::ConfigurationUnreadable { store_revision, in_force, reason };
+            self.core.event_log.record(LogPriority::State, &event);
+        }
+    }
+
     /// Removes the servers and evacuations that are missing from a snapshot.
     pub(super) fn retain_listed(&self, entries: &[StoreEntry]) {
         let mut listed = HashSet::new();
--- a/crates/direct/src/follow/events.rs
+++ b/crates/direct/src/follow/events.rs
@@ -19,6 +19,13 @@
     OlderConfigurationIgnored {
         version: u64,
         held: u64,
+        store_revision: u64,
+    },
+    ConfigurationUnreadable {
+        store_revision: u64,
+        /// Version that stays in force, if there is one.
+        in_force: Option<u64>,
+        reason: &'a str,
     },
     ServerKnown {
         server: &'a str,
--- a/crates/direct/src/http/refusals.rs
+++ b/crates/direct/src/http/refusals.rs
@@ -162,7 +162,7 @@
 fn log_refusal(core: &Core, refused: &RefusedRequest<'_>, refusal: Refusal) {
     let now = core.clock.now();
     let state = core.state.borrow();
-    let age = state.freshness.age(now);
+    let age = state.freshness.configuration_age(now);
     let event = RequestEvent::RequestRefused {
         request: refused.request,
         route: refused.route,
--- a/crates/direct/src/http/request_reader.rs
+++ b/crates/direct/src/http/request_reader.rs
@@ -61,14 +61,21 @@
     let end = core.clock.instant(core.clock.now() + INITIAL_STATE_TIMEOUT);
     loop {
         let state_changed = core.state_changed.notified();
-        let is_configured = core.state.borrow().catalog.is_some();
-        if is_configured || core.outage().is_some() || timeout_at(end, state_changed).await.is_err()
+        if is_configuration_known(core)
+            || core.outage().is_some()
+            || timeout_at(end, state_changed).await.is_err()
         {
             return;
         }
     }
 }
 
+/// Whether there is a configuration, or one that can't be read.
+fn is_configuration_known(core: &Core) -> bool {
+    let state = core.state.borrow();
+    state.catalog.is_some() || state.configuration.is_rejected()
+}
+
 /// What the head of a request resolves to.
 struct CheckedHead {
     catalog: Rc<Catalog>,
@@ -82,8 +89,12 @@
 
 fn check(core: &Core, parts: &Parts, arrived: Duration) -> Result<CheckedHead, Refusal> {
     let mut state = core.state.borrow_mut();
-    let catalog = state.catalog.clone().ok_or(Refusal::NotConfigured)?;
-    if let Some(age) = state.freshness.age(arrived) {
+    let no_catalog = match state.configuration.is_rejected() {
+        true => Refusal::ConfigurationUnreadable,
+        false => Refusal::NotConfigured,
+    };
+    let catalog = state.catalog.clone().ok_or(no_catalog)?;
+    if let Some(age) = state.freshness.configuration_age(arrived) {
         core.metrics.time(Timer::ConfigurationAge, age);
     }
     let is_fresh = state.freshness.is_current(arrived);
@@ -159,8 +170,9 @@
     for name in &dialect.reserved {
         parts.headers.remove(name);
     }
-    let is_key = |text: &str| checked.catalog.workspace_of(text).is_some();
-    strip_keys(&mut parts.headers, dialect.key_scheme, is_key);
+    strip_keys(&mut parts.headers, dialect.key_scheme, |text| {
+        checked.catalog.workspace_of(text).is_some()
+    });
     let allowed_data_centres = allowed_data_centres_of(
         &checked.route,
         checked.workspace.as_deref(),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod catalog;
 mod clock;
+mod configuration_status;
 pub mod content;
 mod coordinator;
 mod core;
--- a/crates/direct/src/port.rs
+++ b/crates/direct/src/port.rs
@@ -127,6 +127,8 @@
 pub struct Port {
     /// Store calls.
     pub store: StorePort,
+    /// Key of the configuration.
+    pub configuration_key: &'static str,
     /// Decodes a record.
     pub decode: DecodeRecord,
     /// Encodes roll-out progress.
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -25,6 +25,9 @@
     /// No configuration is held yet.
     #[error("no configuration is held yet")]
     NotConfigured,
+    /// What the configuration says about the request can't be read.
+    #[error("the configuration can't be read where it concerns this request")]
+    ConfigurationUnreadable,
     /// The configuration was last confirmed too long ago to accept keys.
     #[error("the configuration was last confirmed too long ago")]
     Stale,
@@ -126,6 +129,7 @@
             Refusal::OutcomeUnknown | Refusal::CrashedServers => StatusCode::BAD_GATEWAY,
             Refusal::CrashesServers { .. } => StatusCode::TOO_MANY_REQUESTS,
             Refusal::NotConfigured
+            | Refusal::ConfigurationUnreadable
             | Refusal::Stale
             | Refusal::Closing
             | Refusal::BuffersFull
@@ -146,6 +150,7 @@
     pub fn code(self) -> &'static str {
         match self {
             Refusal::NotConfigured => "not_configured",
+            Refusal::ConfigurationUnreadable => "configuration_unreadable",
             Refusal::Stale => "stale",
             Refusal::Closing => "closing",
             Refusal::Malformed => "malformed",
@@ -186,6 +191,7 @@
                 let (min, max) = START_RETRY_AFTER;
                 Some(outage.clamp(min, max))
             }
+            (Refusal::ConfigurationUnreadable, _) => Some(CORRECTION_RETRY_AFTER),
             (Refusal::Stale, _) => Some(Duration::from_millis(500)),
             (Refusal::Closing, _) => Some(Duration::from_millis(50)),
             (Refusal::AllCold { available_in }, _) => {
@@ -218,6 +224,9 @@
 
 /// `Retry-After` while an entry loads its first configuration.
 const LOADING_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// `Retry-After` until the operator has corrected the configuration. Only another entry, of another
+/// release, might serve the request sooner.
+const CORRECTION_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Minimum and maximum `Retry-After` of an entry that started during a store outage. An outage is
 /// expected to last about as long again as it has lasted. A caller that retries only once is not
 /// served if it returns too early, but merely late if it returns too late.
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     catalog::{BackendServer, Catalog, ServerState, ServiceId},
+    configuration_status::ConfigurationStatus,
     membership::Replica,
     outage::OutageLog,
 };
@@ -35,6 +36,8 @@
 pub struct State {
     /// The configuration in force, if one is held.
     pub catalog: Option<Rc<Catalog>>,
+    /// Which configuration the store holds, compared with the one in force.
+    pub configuration: ConfigurationStatus,
     /// When the store last confirmed the state.
     pub freshness: Freshness,
     /// Whether the last call to the store failed.
@@ -92,6 +95,7 @@
         };
         State {
             catalog: None,
+            configuration: ConfigurationStatus::default(),
             freshness: Freshness::new(settings.state_bound, settings.key_bound),
             store_call_failed: false,
             store_latency: Duration::ZERO,
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -85,6 +85,7 @@
     let platform = platform.clone();
     Port {
         store: store.port(),
+        configuration_key: "catalog",
         decode: Rc::new(move |key, value| read(&catalogs_by_version.borrow(), key, value)),
         encode_progress: Rc::new(write_progress),
         buffers: BufferPool::new(CONTROL_BYTES),
@@ -405,14 +406,14 @@
 ) -> Result<StoreRecord, UnreadableRecord> {
     let value = value.map(|value| String::from_utf8_lossy(value).into_owned());
     let bad = |reason: &str| UnreadableRecord { key: key.to_owned(), reason: reason.to_owned() };
+    // A fault of the decoder.
+    assert_ne!(value.as_deref(), Some("panic"));
     if key == "catalog" {
         let version =
             value.and_then(|text| text.trim_end().parse().ok()).ok_or(bad("not a number"))?;
         let catalog = catalogs.get(&version).ok_or(bad("unknown catalog"))?;
         return Ok(StoreRecord::Catalog(Box::new(catalog.clone())));
     }
-    // A fault of the decoder.
-    assert_ne!(value.as_deref(), Some("panic"));
     if let Some(id) = key.strip_prefix("server/") {
         let server = value.map(|text| server(id, &text).ok_or(bad("invalid server"))).transpose();
         return Ok(match server {
--- /dev/null
+++ b/crates/direct/tests/unreadable_configurations.rs
@@ -0,0 +1,218 @@
+//! Configurations that can't be put in force as they were written.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    TestResponse, World, catalog, catalog_with_keys, request, run_test, run_test_with, total, with,
+};
+use pondwalk_standin::{backends::Behaviour, memory_store::FaultMode};
+use tokio::time::sleep;
+
+/// Time within which a change must be in force.
+const PROPAGATION: Duration = Duration::from_secs(2);
+/// Time after which a key that was taken away must not be accepted.
+const KEY_BOUND: Duration = Duration::from_secs(5);
+
+async fn start_one_server(world: &World) {
+    world.configure(catalog(1));
+    world.start_server(1, "s", "v1", Behaviour::Answer(200, "made".into()));
+    world.start().await;
+}
+
+async fn call(world: &World, path: &str, key: &str) -> TestResponse {
+    let sent = with(request(path, "r"), "authorization", &format!("Bearer {key}"));
+    world.call(sent).await
+}
+
+async fn status(world: &World, key: &str) -> u16 {
+    call(world, "/once/", key).await.status.as_u16()
+}
+
+async fn open_status(world: &World, path: &str) -> u16 {
+    let mut open = request(path, "r1");
+    open.headers_mut().remove("authorization");
+    world.call(open).await.status.as_u16()
+}
+
+fn log(world: &World) -> String {
+    world.entry.buffered_log_lines()
+}
+
+/// Replies that brought an unreadable configuration confirmed the older one, whose keys stayed in
+/// force for as long as the process ran.
+#[test]
+fn unreadable_configuration_does_not_confirm_keys() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        sleep(Duration::from_secs(5)).await;
+        world.store.put("catalog", "no configuration");
+        sleep(KEY_BOUND).await;
+        for _ in 0..20 {
+            assert_eq!(status(&world, "k1").await, 503);
+            sleep(Duration::from_secs(1)).await;
+        }
+        assert!(!world.entry.is_ready());
+    });
+}
+
+/// The same where decoding or applying the configuration fails in the program.
+#[test]
+fn configuration_that_panics_does_not_confirm_keys() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        world.store.put("catalog", "panic");
+        sleep(KEY_BOUND).await;
+        assert_eq!(status(&world, "k1").await, 503);
+    });
+}
+
+#[test]
+fn deployment_that_is_not_strict_honours_keys_longer_beside_an_unreadable_configuration() {
+    run_test_with("strict_keys=false\nlenient_key_bound_ms=20000", |world| async move {
+        start_one_server(&world).await;
+        world.store.put("catalog", "no configuration");
+        sleep(Duration::from_secs(15)).await;
+        assert_eq!(status(&world, "k1").await, 200);
+        assert_eq!(status(&world, "unknown").await, 503, "the key may have been added");
+        sleep(Duration::from_secs(6)).await;
+        assert_eq!(status(&world, "k1").await, 503);
+    });
+}
+
+#[test]
+fn anonymous_requests_are_served_beside_an_unreadable_configuration() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        world.store.put("catalog", "no configuration");
+        sleep(Duration::from_secs(30)).await;
+        assert_eq!(open_status(&world, "/open/").await, 200);
+        assert_eq!(open_status(&world, "/nowhere/").await, 503, "the route may have been added");
+    });
+}
+
+#[test]
+fn readable_configuration_ends_the_effects_of_an_unreadable_one() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        world.store.put("catalog", "no configuration");
+        sleep(Duration::from_secs(20)).await;
+        world.configure(catalog_with_keys(2, &["k1"]));
+        sleep(PROPAGATION).await;
+        assert_eq!(status(&world, "k1").await, 200);
+        assert_eq!(status(&world, "k2").await, 401);
+        assert!(world.entry.is_ready());
+        assert_eq!(
+            total(std::slice::from_ref(&world.entry), "pondwalk_configuration_unreadable "),
+            0
+        );
+    });
+}
+
+#[test]
+fn keys_stay_refused_while_unreadable_configurations_follow_one_another() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        for round in 0..20 {
+            world.store.put("catalog", &format!("no configuration {round}"));
+            sleep(Duration::from_millis(500)).await;
+        }
+        assert_eq!(status(&world, "k1").await, 503);
+        // A store that forgets its history is read anew.
+        world.store.drop_history();
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(status(&world, "k1").await, 503);
+    });
+}
+
+/// An entry without an older configuration told callers to come back within milliseconds.
+#[test]
+fn entry_that_starts_beside_an_unreadable_configuration_refuses_at_once() {
+    run_test(|world| async move {
+        world.store.put("catalog", "no configuration");
+        world.start_server(1, "s", "v1", Behaviour::Answer(200, "made".into()));
+        world.start().await;
+        let before = tokio::time::Instant::now();
+        let refused = call(&world, "/once/", "k1").await;
+        assert!(before.elapsed() < Duration::from_millis(50), "{:?}", before.elapsed());
+        assert_eq!(refused.status.as_u16(), 503);
+        assert!(refused.body.contains("configuration_unreadable"), "{}", refused.body);
+        let retry_after: f64 = refused.headers["retry-after"]
+            .to_str()
+            .ok()
+            .and_then(|text| text.parse().ok())
+            .expect("seconds");
+        assert!(retry_after >= 1.0, "{retry_after}");
+        world.configure(catalog(2));
+        sleep(PROPAGATION).await;
+        assert_eq!(status(&world, "k1").await, 200);
+    });
+}
+
+#[test]
+fn operator_sees_what_is_not_in_force_and_since_when() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        world.store.put("catalog", "no configuration");
+        sleep(Duration::from_secs(10)).await;
+        let lines = log(&world);
+        let line = lines.lines().find(|line| line.contains("\"configuration_unreadable\""));
+        let line = line.unwrap_or_else(|| panic!("no line in {lines}"));
+        assert!(line.contains("\"in_force\":1") && line.contains("not a number"), "{line}");
+        let metrics = world.entry.metrics_text();
+        assert!(metrics.contains("pondwalk_configuration_unreadable 1\n"), "{metrics}");
+        assert!(metrics.contains("pondwalk_configuration_version 1\n"), "{metrics}");
+        let value = |name: &str| total(std::slice::from_ref(&world.entry), name);
+        let revisions =
+            ["pondwalk_configuration_revision ", "pondwalk_configuration_revision_written "];
+        assert!(value(revisions[0]) < value(revisions[1]), "{metrics}");
+        assert!(value("pondwalk_configuration_confirmed_age_ms ") >= 9_000, "{metrics}");
+        assert!(value("pondwalk_configuration_unreadable_age_ms ") >= 9_000, "{metrics}");
+    });
+}
+
+/// A later document with a lower version neither comes into force nor confirms the one that is.
+#[test]
+fn later_configuration_with_a_lower_version_does_not_confirm_keys() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        world.configure(catalog_with_keys(u64::MAX, &["k1", "k2"]));
+        sleep(PROPAGATION).await;
+        assert_eq!(status(&world, "k2").await, 200);
+        world.configure(catalog_with_keys(9, &["k1"]));
+        sleep(KEY_BOUND).await;
+        assert_eq!(status(&world, "k2").await, 503);
+        assert!(log(&world).contains("older_configuration_ignored"));
+    });
+}
+
+/// A store restored from a copy brings the older configuration again until the operator writes.
+#[test]
+fn older_configuration_of_a_restored_store_leaves_the_newer_one_confirmed() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        let copy = world.store.snapshot();
+        world.configure(catalog_with_keys(2, &["k1"]));
+        sleep(PROPAGATION).await;
+        world.store.restore(copy);
+        sleep(Duration::from_secs(20)).await;
+        assert_eq!(status(&world, "k1").await, 200);
+        assert_ne!(status(&world, "k2").await, 200);
+    });
+}
+
+#[test]
+fn unreadable_configuration_and_an_outage_add_up() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        world.store.set_fault_mode(FaultMode::Refused);
+        sleep(Duration::from_secs(2)).await;
+        world.store.put("catalog", "no configuration");
+        world.store.set_fault_mode(FaultMode::Normal);
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(status(&world, "k1").await, 503);
+        sleep(Duration::from_secs(20)).await;
+        assert_eq!(status(&world, "k1").await, 503);
+    });
+}
