A value of a configuration that can't be used concerns its own field alone

Entries that started beside it never became ready.

Cause: the configuration was decoded in one piece, by derived decoders that fail as a whole. `priority: 1000` in a u8 is one of many such values.

Numbers out of range are clamped, values without a meaning take their defaults, elements that can't be identified are left out alone. What decides who may pass fails closed, element by element: a workspace without a usable name or with unreadable regions has its keys withheld (503), an unreadable list of workspaces opens no route, unreadable regions restrict to none. A request that may belong to what could not be read gets 503 `configuration_unreadable` and no final 404 or 401. A configuration without a readable version is ordered by the store's revisions. Each such value is logged once (`configuration_defect`) and has a gauge with its age; values that may be keys are not shown.

--- a/crates/direct/src/catalog.rs
+++ b/crates/direct/src/catalog.rs
@@ -1,9 +1,15 @@
 //! The configuration in force: routes, services, workspaces and limits.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    fmt,
+    rc::Rc,
+    time::Duration,
+};
 
 use pondwalk_decide::direct::WarmUp;
 use pondwalk_types::{ModelId, RegionId, ServerId, VersionId, WorkspaceId};
+use serde::Serialize;
 
 /// Name of a group of backend servers that serve the same routes.
 pub type ServiceId = Rc<str>;
@@ -125,6 +131,87 @@
     pub allowed_regions: Vec<RegionId>,
 }
 
+/// Timeout of a route whose own can't be read. Callers that state a deadline don't wait longer than
+/// that.
+pub const DEFAULT_ROUTE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Maximum number of defects of a configuration that are listed.
+pub const MAX_DEFECTS_LISTED: usize = 64;
+
+/// What a configuration says that can't be put in force as it was written.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Defects {
+    /// The first [`MAX_DEFECTS_LISTED`] defects.
+    pub list: Vec<Defect>,
+    /// Number of defects.
+    pub count: usize,
+    /// Whether the version is unknown.
+    pub lacks_version: bool,
+    /// Whether some routes are missing, so that a request without a route may have one.
+    pub lacks_routes: bool,
+    /// Whether some keys are missing, or it is unknown whether a route needs one, so that a request
+    /// without a known key may be allowed.
+    pub lacks_access: bool,
+}
+
+impl Defects {
+    /// Adds a defect.
+    pub fn push(&mut self, defect: Defect) {
+        self.count += 1;
+        if self.list.len() < MAX_DEFECTS_LISTED {
+            self.list.push(defect);
+        }
+    }
+}
+
+/// A value of a configuration that can't be used as it was written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Defect {
+    /// Element that the value belongs to.
+    pub element: String,
+    /// Field of the element.
+    pub field: String,
+    /// The value, shortened. Only its type is given where it may contain a key.
+    pub value: String,
+    /// What holds in its place.
+    pub effect: DefectEffect,
+}
+
+impl fmt::Display for Defect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Defect { element, field, value, effect } = self;
+        let effect = match effect {
+            DefectEffect::Clamped => "is out of range and was clamped",
+            DefectEffect::Default => "can't be used and counts as left out",
+            DefectEffect::LeftOut => "can't be used and was left out with its element",
+        };
+        write!(f, "{element}: {field} {value} {effect}")
+    }
+}
+
+/// What holds in place of a value that can't be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DefectEffect {
+    /// The nearest value that can be used.
+    Clamped,
+    /// The default of the field.
+    Default,
+    /// The element that the value belongs to is not in force.
+    LeftOut,
+}
+
+impl DefectEffect {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            DefectEffect::Clamped => "clamped",
+            DefectEffect::Default => "default",
+            DefectEffect::LeftOut => "left_out",
+        }
+    }
+}
+
 /// Limits on callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -157,10 +244,14 @@
     pub version: CatalogVersion,
     /// Limits on callers.
     pub limits: Limits,
+    /// What can't be put in force as it was written.
+    pub defects: Defects,
     by_host: HashMap<String, Vec<Rc<Route>>>,
     services: HashMap<ServiceId, Rc<Service>>,
     workspaces: Vec<Rc<Workspace>>,
     by_key: HashMap<String, usize>,
+    /// Keys of workspaces that can't be served.
+    withheld_keys: HashSet<String>,
 }
 
 impl Catalog {
@@ -187,27 +278,47 @@
         Catalog {
             version,
             limits,
+            defects: Defects::default(),
             by_host,
             services: services.collect(),
             by_key,
+            withheld_keys: HashSet::new(),
             workspaces: workspaces.into_iter().map(Rc::new).collect(),
         }
     }
 
+    /// Adds keys of workspaces that exist and can't be served.
+    pub fn withhold_keys(&mut self, keys: impl IntoIterator<Item = String>) {
+        self.withheld_keys.extend(keys);
+    }
+
     /// The route with the longest prefix of `path` at `host`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         let routes = self.by_host.get(host)?;
         routes.iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
-    /// The workspace that holds a key.
+    /// The workspace that holds a key, if it can be served.
     pub fn workspace_of(&self, key: &str) -> Option<&Rc<Workspace>> {
+        if self.is_withheld(key) {
+            return None;
+        }
         self.by_key.get(key).map(|index| &self.workspaces[*index])
     }
 
+    /// Whether a key belongs to a workspace that can't be served.
+    pub fn is_withheld(&self, key: &str) -> bool {
+        self.withheld_keys.contains(key)
+    }
+
+    /// Whether a text is the key of a workspace.
+    pub fn is_key(&self, text: &str) -> bool {
+        self.by_key.contains_key(text) || self.is_withheld(text)
+    }
+
     /// Whether callers must present keys.
     pub fn requires_keys(&self) -> bool {
-        !self.workspaces.is_empty()
+        !self.workspaces.is_empty() || !self.withheld_keys.is_empty() || self.defects.lacks_access
     }
 
     /// All services.
--- a/crates/direct/src/follow/apply.rs
+++ b/crates/direct/src/follow/apply.rs
@@ -10,7 +10,7 @@
 
 use super::{Follower, events::FollowEvent};
 use crate::{
-    catalog::{BackendServer, Catalog, CatalogVersion, ServerState},
+    catalog::{BackendServer, Catalog, CatalogVersion, Defect, ServerState},
     event_log::LogPriority,
     membership::{ENTRY_PREFIX, Listing},
     outage::RELISTING_TIME,
@@ -214,7 +214,7 @@
 
     /// Puts a configuration in force unless a newer one is held; versions never go back within one
     /// incarnation.
-    fn install(&self, catalog: Catalog, store_revision: u64) {
+    fn install(&self, mut catalog: Catalog, store_revision: u64) {
         let mut state = self.core.state.borrow_mut();
         let store_era = state.replica.position().era;
         let position = Position { era: store_era, revision: store_revision };
@@ -223,6 +223,14 @@
         // Within an era the store's revisions order all configurations; a restored store may hold
         // an older one.
         let is_same_era = in_force.is_none_or(|in_force| in_force.era == store_era);
+        if catalog.defects.lacks_version {
+            if !is_same_era {
+                drop(state);
+                let reason = "a restored store holds it, and it has no version";
+                return self.reject_configuration(store_revision, None, reason);
+            }
+            catalog.version = held;
+        }
         let version = catalog.version;
         if held > version {
             drop(state);
@@ -238,14 +246,27 @@
             // The copy lacks the configuration that could not be read, which is newer.
             return;
         }
-        state.configuration.record_in_force(position, version);
+        let now = self.core.clock.now();
+        let defects = catalog.defects.count;
+        let new_defects =
+            state.configuration.record_in_force(position, version, &catalog.defects, now);
         state.freshness.set_configuration_held(true);
         state.install(catalog);
         drop(state);
         let origin = self.origin;
-        let event =
-            FollowEvent::ConfigurationInForce { version, store_era, store_revision, origin };
+        let event = FollowEvent::ConfigurationInForce {
+            version,
+            store_era,
+            store_revision,
+            defects,
+            origin,
+        };
         self.core.event_log.record(LogPriority::State, &event);
+        for Defect { element, field, value, effect } in &new_defects {
+            let effect = *effect;
+            let event = FollowEvent::ConfigurationDefect { version, element, field, value, effect };
+            self.core.event_log.record(LogPriority::State, &event);
+        }
     }
 
     /// Leaves the configuration in force as it is, without counting it as confirmed: the one in the
--- a/crates/direct/src/follow/events.rs
+++ b/crates/direct/src/follow/events.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::origin::ChangeOrigin;
+use crate::catalog::DefectEffect;
 
 /// A change of the entry's state.
 #[derive(Debug, Serialize)]
@@ -13,6 +14,8 @@
         version: u64,
         store_era: Era,
         store_revision: u64,
+        /// Number of values that are not in force as they were written.
+        defects: usize,
         #[serde(flatten)]
         origin: ChangeOrigin,
     },
@@ -27,6 +30,13 @@
         in_force: Option<u64>,
         reason: &'a str,
     },
+    ConfigurationDefect {
+        version: u64,
+        element: &'a str,
+        field: &'a str,
+        value: &'a str,
+        effect: DefectEffect,
+    },
     ServerKnown {
         server: &'a str,
         service: &'a str,
--- a/crates/direct/src/http/request_reader.rs
+++ b/crates/direct/src/http/request_reader.rs
@@ -100,8 +100,13 @@
     let is_fresh = state.freshness.is_current(arrived);
     let id = header_text(&parts.headers, &core.dialect.request_id).ok_or(Refusal::Malformed)?;
     let host = host_of(&parts.uri, &parts.headers).ok_or(Refusal::Malformed)?;
-    // A permanent refusal must not be based on a stale configuration.
-    let no_route = if is_fresh { Refusal::NoRoute } else { Refusal::Stale };
+    // A permanent refusal must not be based on a configuration that is stale or was read in part.
+    let refusal = |permanent, is_read_in_part| match (is_fresh, is_read_in_part) {
+        (false, _) => Refusal::Stale,
+        (true, true) => Refusal::ConfigurationUnreadable,
+        (true, false) => permanent,
+    };
+    let no_route = refusal(Refusal::NoRoute, catalog.defects.lacks_routes);
     let route = catalog.route(&host, parts.uri.path()).cloned().ok_or(no_route)?;
     let requires_key = catalog.requires_keys() && !route.anonymous;
     if requires_key && !state.freshness.accepts_keys(arrived) {
@@ -110,7 +115,12 @@
     let key = presented_key(&parts.headers, core.dialect.key_scheme);
     let workspace = key.as_deref().and_then(|key| catalog.workspace_of(key)).cloned();
     if requires_key && workspace.is_none() {
-        return Err(if is_fresh { Refusal::UnknownKey } else { Refusal::Stale });
+        let is_withheld = key.as_deref().is_some_and(|key| catalog.is_withheld(key));
+        let is_read_in_part = is_withheld || catalog.defects.lacks_access;
+        return Err(refusal(Refusal::UnknownKey, is_read_in_part));
+    }
+    if route.shares.is_empty() {
+        return Err(Refusal::ConfigurationUnreadable);
     }
     let draw = state.rng.random_range(0.0..1.0);
     let service = pick_service(&catalog, &route, draw).ok_or(Refusal::NoServer)?;
@@ -170,9 +180,7 @@
     for name in &dialect.reserved {
         parts.headers.remove(name);
     }
-    strip_keys(&mut parts.headers, dialect.key_scheme, |text| {
-        checked.catalog.workspace_of(text).is_some()
-    });
+    strip_keys(&mut parts.headers, dialect.key_scheme, |text| checked.catalog.is_key(text));
     let allowed_data_centres = allowed_data_centres_of(
         &checked.route,
         checked.workspace.as_deref(),
--- a/crates/direct/src/port.rs
+++ b/crates/direct/src/port.rs
@@ -56,7 +56,7 @@
 /// A decoded store record, or the absence of one.
 #[derive(Debug, Clone)]
 pub enum StoreRecord {
-    /// A complete configuration.
+    /// A complete configuration, with what of it can't be put in force as it was written.
     Catalog(Box<Catalog>),
     /// A backend server; `None` if it was removed.
     Server(ServerId, Option<BackendServer>),
--- a/crates/direct/tests/unreadable_configurations.rs
+++ b/crates/direct/tests/unreadable_configurations.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use common::{
-    TestResponse, World, catalog, catalog_with_keys, request, run_test, run_test_with, total, with,
+    TestResponse, World, address, catalog, catalog_with_keys, request, run_test, run_test_with,
+    total, with,
 };
+use pondwalk_direct::catalog::{Catalog, Defects, Limits, Route, Service, Workspace};
 use pondwalk_standin::{backends::Behaviour, memory_store::FaultMode};
 use tokio::time::sleep;
 
@@ -172,6 +174,110 @@
     });
 }
 
+/// Catalog of which some values could not be read.
+fn defective(mut catalog: Catalog, lacks: impl FnOnce(&mut Defects)) -> Catalog {
+    lacks(&mut catalog.defects);
+    catalog
+}
+
+/// Catalog with routes of the service `s` and, for `/none/`, of no service.
+fn catalog_of(version: u64, workspaces: Vec<Workspace>) -> Catalog {
+    let like = catalog(version);
+    let route = |path: &str| Route::clone(like.route("h.example", path).expect(path));
+    let without_service =
+        Route { path_prefix: "/none/".to_owned(), shares: Vec::new(), ..route("/once/") };
+    let routes = vec![route("/once/"), route("/again/"), route("/open/"), without_service];
+    let services = like.services().map(|service| Service::clone(service)).collect();
+    Catalog::new(version, Limits::default(), routes, services, workspaces)
+}
+
+#[test]
+fn refusals_are_not_final_where_something_could_not_be_read() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        assert_eq!(open_status(&world, "/nowhere/").await, 404);
+        world.configure(defective(catalog(2), |defects| defects.lacks_routes = true));
+        sleep(PROPAGATION).await;
+        assert_eq!(open_status(&world, "/nowhere/").await, 503);
+        assert_eq!(status(&world, "k1").await, 200);
+        assert_eq!(status(&world, "unknown").await, 401);
+        world.configure(defective(catalog(3), |defects| defects.lacks_access = true));
+        sleep(PROPAGATION).await;
+        assert_eq!(open_status(&world, "/nowhere/").await, 404);
+        assert_eq!(status(&world, "k1").await, 200);
+        assert_eq!(status(&world, "unknown").await, 503);
+        assert_eq!(open_status(&world, "/open/").await, 200);
+    });
+}
+
+#[test]
+fn workspaces_that_could_not_be_read_open_no_route() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        let without = catalog_of(2, Vec::new());
+        world.configure(defective(without, |defects| defects.lacks_access = true));
+        sleep(PROPAGATION).await;
+        assert_eq!(status(&world, "k1").await, 503);
+        assert_eq!(open_status(&world, "/once/").await, 503);
+        assert_eq!(open_status(&world, "/open/").await, 200);
+    });
+}
+
+#[test]
+fn withheld_keys_are_refused_for_now_and_not_shown() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        let mut withholding = catalog_with_keys(2, &["k1"]);
+        withholding.withhold_keys(["k2".to_owned()]);
+        world.configure(withholding);
+        sleep(PROPAGATION).await;
+        assert_eq!(status(&world, "k1").await, 200);
+        assert_eq!(status(&world, "k2").await, 503);
+        assert_eq!(status(&world, "k3").await, 401);
+        // In another scheme too, on a route that needs none.
+        let sent = with(request("/open/", "shown"), "authorization", "Basic k2");
+        assert_eq!(world.call(sent).await.status.as_u16(), 200);
+        let received = world.backends.requests(address(1));
+        let shown = received.last().expect("a request");
+        assert!(!shown.headers.contains_key("authorization"));
+    });
+}
+
+#[test]
+fn route_without_a_service_refuses_at_once_and_for_now() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        let keys = vec!["k1".to_owned()];
+        let allowed_regions = Vec::new();
+        let workspace = Workspace { name: "w1".into(), keys, priority: None, allowed_regions };
+        world.configure(catalog_of(2, vec![workspace]));
+        sleep(PROPAGATION).await;
+        let refused = call(&world, "/none/", "k1").await;
+        assert_eq!(refused.status.as_u16(), 503);
+        assert!(refused.body.contains("configuration_unreadable"), "{}", refused.body);
+        assert_eq!(call(&world, "/again/", "k1").await.status.as_u16(), 200);
+    });
+}
+
+/// A configuration without a version is ordered by the store's revisions.
+#[test]
+fn configuration_without_a_version_takes_the_place_of_the_older_one() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        world.configure(catalog_with_keys(7, &["k1", "k2"]));
+        sleep(PROPAGATION).await;
+        let without = catalog_with_keys(0, &["k1"]);
+        world.configure(defective(without, |defects| defects.lacks_version = true));
+        sleep(PROPAGATION).await;
+        assert_eq!((status(&world, "k1").await, status(&world, "k2").await), (200, 401));
+        sleep(Duration::from_secs(20)).await;
+        assert_eq!(status(&world, "k1").await, 200);
+        world.configure(catalog_with_keys(8, &["k3"]));
+        sleep(PROPAGATION).await;
+        assert_eq!((status(&world, "k1").await, status(&world, "k3").await), (401, 200));
+    });
+}
+
 /// A later document with a lower version neither comes into force nor confirms the one that is.
 #[test]
 fn later_configuration_with_a_lower_version_does_not_confirm_keys() {
