A roll-out order with an odd time limit is still an order

What callers saw: an order whose `duration_s` was missing, negative, beyond any clock or no number was not taken at all, and servers of its version got requests without a trial.

An order without a target is refused as before.

--- a/crates/direct/src/coordinator/apply.rs
+++ b/crates/direct/src/coordinator/apply.rs
@@ -9,7 +9,7 @@
     records::{RollOutEvent, StageRecord},
 };
 use crate::{
-    catalog::ServiceId,
+    catalog::{Defect, ServiceId},
     event_log::LogPriority,
     port::{Outcome, Progress, RollOutOrder},
     quarantine::QUARANTINE_KEY,
@@ -67,6 +67,10 @@
         let within_ms = order.within.as_millis() as u64;
         let event = RollOutEvent::Ordered { service, target: &order.target, within_ms };
         self.core.event_log.record(LogPriority::State, &event);
+        for Defect { field, value, effect, .. } in &order.defects.list {
+            let event = RollOutEvent::OrderDefect { service, field, value, effect: *effect };
+            self.core.event_log.record(LogPriority::State, &event);
+        }
         self.core.reapply_gossip_of(service);
         self.apply_stored_state(service);
     }
--- a/crates/direct/src/coordinator/records.rs
+++ b/crates/direct/src/coordinator/records.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::membership::WireStage;
+use crate::{catalog::DefectEffect, membership::WireStage};
 
 /// Stage of a roll-out as stored.
 #[derive(Debug, Serialize, Deserialize)]
@@ -20,6 +20,9 @@
     /// An order was received.
     #[serde(rename = "roll_out_ordered")]
     Ordered { service: &'a str, target: &'a str, within_ms: u64 },
+    /// A value of an order can't be put in force as it was written.
+    #[serde(rename = "roll_out_order_defect")]
+    OrderDefect { service: &'a str, field: &'a str, value: &'a str, effect: DefectEffect },
     /// A stage was received.
     #[serde(rename = "roll_out_stage")]
     Stage { service: &'a str, target: &'a str, stage: &'a str },
--- a/crates/direct/src/port.rs
+++ b/crates/direct/src/port.rs
@@ -9,7 +9,10 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::catalog::{BackendServer, Catalog, ServiceId};
+use crate::catalog::{BackendServer, Catalog, Defects, ServiceId};
+
+/// Time limit of a roll-out whose own can't be read.
+pub const DEFAULT_ROLL_OUT_TIME: Duration = Duration::from_secs(60);
 
 /// An operator's order to roll out a version.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,6 +23,8 @@
     pub target: VersionId,
     /// Time limit of the roll-out.
     pub within: Duration,
+    /// What can't be put in force as it was written.
+    pub defects: Defects,
 }
 
 /// Whether the backend servers of a data centre get requests.
--- a/crates/direct/tests/server_backoff.rs
+++ b/crates/direct/tests/server_backoff.rs
@@ -13,7 +13,7 @@
 use std::{rc::Rc, time::Duration};
 
 use common::{TestResponse, World, address, catalog, request, run_test, stream, with, with_body};
-use pondwalk_direct::port::RollOutOrder;
+use pondwalk_direct::{catalog::Defects, port::RollOutOrder};
 use pondwalk_standin::backends::Behaviour;
 use tokio::{
     task::{JoinHandle, spawn_local},
@@ -280,6 +280,7 @@
             service: "m".into(),
             target: "v2".into(),
             within: Duration::from_secs(60),
+            defects: Defects::default(),
         };
         world.store.put("order/m", &format!("{} {}", order.target, order.within.as_secs()));
         sleep(Duration::from_millis(900)).await;
