--- a/crates/direct/src/follow/apply.rs
+++ b/crates/direct/src/follow/apply.rs
@@ -294,7 +294,9 @@
     pub(super) fn retain_listed(&self, entries: &[StoreEntry]) {
         let mut listed = HashSet::new();
         let mut evacuated = HashSet::new();
-        for entry in entries {
+        // The configuration is long, and names neither.
+        let others = entries.iter().filter(|entry| entry.key != self.port.configuration_key);
+        for entry in others {
             // A record that can't be decoded without a panic is logged when it is applied.
             let decoded = catch_unwind(AssertUnwindSafe(|| self.port.decode_entry(entry)));
             let Ok(decoded) = decoded else { continue };
