The soak writes configurations with odd values, and some that can't be read

Odd configurations come in a series of their own, with random numbers of their own, so the other steps of a seed stay as they are. Each writes two of 24 odd values that concern nobody's requests, so that all checks hold as before; one in four can't be read at all for 6.5 to 9 s, and a new check asks that no request runs later than the bound for keys meanwhile. While no entry is ready, callers use all of them, as a load balancer does.

--- a/crates/direct/tests/unreadable_configurations.rs
+++ b/crates/direct/tests/unreadable_configurations.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use common::{
-    TestResponse, World, address, catalog, catalog_with_keys, request, run_test, run_test_with,
-    total, with,
+    TestResponse, World, address, catalog, catalog_with_keys, net::Net, request, run_test,
+    run_test_with, total, with,
 };
 use pondwalk_direct::catalog::{Catalog, Defects, Limits, Route, Service, Workspace};
 use pondwalk_standin::{backends::Behaviour, memory_store::FaultMode};
@@ -322,3 +322,32 @@
         assert_eq!(status(&world, "k1").await, 503);
     });
 }
+
+/// Entries pass configurations on as they were written, so each reads them for itself.
+#[test]
+fn entries_that_hear_of_an_unreadable_configuration_from_others_confirm_no_keys() {
+    run_test(|world| async move {
+        let net = Net::default();
+        world.configure(catalog(1));
+        world.start_server(1, "s", "v1", Behaviour::Answer(200, "made".into()));
+        let mut entries: Vec<_> = (0..5).map(|n| net.start_later(&world, n)).collect();
+        sleep(Duration::from_secs(10)).await;
+        world.store.put("catalog", "no configuration");
+        sleep(KEY_BOUND).await;
+        // The first state of this one comes from the others.
+        entries.push(net.start_later(&world, 5));
+        sleep(Duration::from_secs(10)).await;
+        let statuses = async || {
+            let mut statuses = Vec::new();
+            for entry in &entries {
+                let answer = world.call_at(entry, request("/once/", "r")).await;
+                statuses.push(answer.status.as_u16());
+            }
+            statuses
+        };
+        assert_eq!(statuses().await, [503; 6]);
+        world.configure(catalog(2));
+        sleep(PROPAGATION).await;
+        assert_eq!(statuses().await, [200; 6]);
+    });
+}
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -93,7 +93,10 @@
         let first = concentrated.unwrap_or(self.preferred_entry);
         let entries = (0..count).map(|step| (first + step) % count);
         let mut ready = entries.filter_map(|entry| Some((entry, deployment.ready_address(entry)?)));
-        ready.next()
+        // Beside an unreadable configuration no entry is ready, and a load balancer uses all of them.
+        ready.next().or_else(|| {
+            deployment.is_unreadable().then(|| (first, deployment.caller_address(first)))
+        })
     }
 }
 
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -98,7 +98,7 @@
 pub type Check = fn(&Records) -> Finding;
 
 /// All checks.
-pub const CHECKS: [Check; 23] = [
+pub const CHECKS: [Check; 24] = [
     check_processes,
     check_memory,
     check_at_most_once,
@@ -110,6 +110,7 @@
     check_propagation,
     check_no_reversion,
     check_key_revocation,
+    check_unreadable_configurations,
     check_draining,
     check_draining_headers,
     check_backoff,
@@ -320,6 +321,24 @@
     Finding { checked, ..found }
 }
 
+/// No request runs later than the bound for keys while nothing of the newest configuration can be
+/// read, since it may have removed any key.
+pub fn check_unreadable_configurations(records: &Records) -> Finding {
+    let in_span = |at_us: TimeUs, late_us: TimeUs| {
+        let mut spans = records.unreadable.iter();
+        spans.any(|span| at_us > span.from_us + late_us && at_us < span.to_us)
+    };
+    let late_attempts =
+        records.exchanges.iter().filter(|exchange| in_span(exchange.sent_us, us(KEY_BOUND)));
+    let checked = late_attempts.count();
+    let runs = records.runs.iter().filter(|run| run.ran);
+    let found = finding("unreadable configurations end keys", runs, |run| {
+        in_span(run.at_us, us(KEY_BOUND + TOLERANCE))
+            .then(|| format!("{} ran after the bound", run.request))
+    });
+    Finding { checked, ..found }
+}
+
 /// A draining server gets no new requests after the bound.
 pub fn check_draining(records: &Records) -> Finding {
     let by_id = records.by_id();
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -1,6 +1,7 @@
 //! The processes of a run and the faults injected into them.
 
 mod addresses;
+mod configurations;
 mod entries;
 mod servers;
 mod store;
@@ -16,14 +17,13 @@
 };
 
 use anyhow::ensure;
-use pondwalk_standin::platform_store::{
-    FaultModeOrder, RouteSpec, WarmUpSpec, configuration_entry,
-};
+use pondwalk_standin::platform_store::{FaultModeOrder, WarmUpSpec};
 use tokio::{
     task::spawn_local,
     time::{Instant, sleep},
 };
 
+pub use configurations::ODD_VALUE_COUNT;
 pub use servers::{DATA_CENTRES, SERVER_RESTART, data_centre_of};
 
 use addresses::Addresses;
@@ -34,7 +34,7 @@
     checks::{COLD_REQUESTS_PER_S, WARM_UP_TIME},
     child::Child,
     options::Plan,
-    records::{ConfigVersion, Records, Route, now_us},
+    records::{ConfigVersion, Records, Route, TimeUs},
 };
 
 /// Host of all routes.
@@ -60,6 +60,8 @@
     /// Data centres that are being evacuated.
     evacuated: RefCell<HashSet<usize>>,
     config_version: Cell<ConfigVersion>,
+    /// Since when the newest configuration has been one of which nothing can be read.
+    unreadable_from: Cell<Option<TimeUs>>,
     /// Entry to which most new connections of callers go, if any.
     pub concentrated_on: Cell<Option<usize>>,
     /// Records of the run.
@@ -89,6 +91,7 @@
             repeaters: Cell::new(0),
             evacuated: RefCell::default(),
             config_version: Cell::new(0),
+            unreadable_from: Cell::new(None),
             concentrated_on: Cell::new(None),
             records: Rc::default(),
         });
@@ -120,6 +123,11 @@
         slot.is_ready.get().then_some(slot.caller_address)
     }
 
+    /// Returns the address of an entry for callers.
+    pub fn caller_address(&self, entry: usize) -> SocketAddr {
+        self.entries[entry].caller_address
+    }
+
     /// Returns the number of the next repeater.
     pub fn next_repeater_number(&self) -> usize {
         let number = self.repeaters.get();
@@ -132,24 +140,6 @@
         self.config_version.get()
     }
 
-    /// Writes a configuration that adds a key and removes the oldest one.
-    pub async fn configure(&self) -> anyhow::Result<()> {
-        let config_version = self.config_version.get() + 1;
-        let route = |route: Route| RouteSpec {
-            prefix: route.path().to_owned(),
-            kind: kind_of(route),
-            service: service_of(route),
-        };
-        let keys: Vec<String> =
-            [config_version, config_version.saturating_sub(1)].map(key_text).to_vec();
-        let routes = Route::ALL.map(route);
-        let (key, value) = configuration_entry(config_version, HOST_NAME, &routes, &keys, WARM_UP);
-        self.put(&key, value.to_string()).await?;
-        self.records.borrow_mut().configured_us.insert(config_version, now_us());
-        self.config_version.set(config_version);
-        Ok(())
-    }
-
     async fn wait_until_ready(&self) -> anyhow::Result<()> {
         let limit = Instant::now() + START_TIMEOUT;
         while !self.entries.iter().all(|slot| slot.is_ready.get()) {
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -115,6 +115,8 @@
     pub runs: Vec<RunRecord>,
     /// Time at which the store acknowledged each configuration.
     pub configured_us: HashMap<ConfigVersion, TimeUs>,
+    /// Spans in which nothing of the newest configuration could be read.
+    pub unreadable: Vec<Span>,
     /// Time at which the store acknowledged that a server drains.
     pub draining_us: HashMap<String, TimeUs>,
     /// Servers that were replaced, whether they announced it in the store or in response headers.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     checks::WARM_UP_TIME,
-    deployment::{DATA_CENTRES, SERVER_RESTART},
+    deployment::{DATA_CENTRES, ODD_VALUE_COUNT, SERVER_RESTART},
     options::Size,
     proxy::Rejection,
     records::Route,
@@ -29,6 +29,15 @@
 const ENTRY_RESTART: Duration = Duration::from_secs(3);
 /// Distinguishes the random numbers of rejections from those of the other steps.
 const REJECTION_SEED: u64 = 0x7265_6a65_6374;
+/// Distinguishes the random numbers of odd configurations from those of the other steps.
+const ODD_CONFIGURATION_SEED: u64 = 0x636f_6e66_6967;
+/// Mean time between two odd configurations.
+const MEAN_ODD_INTERVAL: Duration = Duration::from_secs(6);
+/// Share of them of which nothing can be read.
+const UNREADABLE_SHARE: f64 = 0.25;
+/// Time for which such a configuration stays, in milliseconds: longer than keys are accepted.
+const MIN_UNREADABLE_MS: u64 = 6_500;
+const MAX_UNREADABLE_MS: u64 = 9_000;
 /// Maximum length of a store fault, in milliseconds. Entries refuse keys after 4.5 s.
 const MAX_STORE_FAULT_MS: u64 = 6_000;
 
@@ -49,6 +58,11 @@
     Restore(Duration, Duration),
     /// Writes a configuration that adds a key and removes the oldest one.
     Configure,
+    /// Like [`Action::Configure`], with odd values, the first of which has this index.
+    ConfigureOddly(usize),
+    /// Writes a configuration of which nothing can be read, the one of this index, and after this time one that can
+    /// be read.
+    ConfigureUnreadably(usize, Duration),
     /// Stalls all open connections to the store; new ones work.
     SilenceStore,
     /// Resets all open connections to the store.
@@ -118,6 +132,7 @@
         at += MEAN_SERIES_INTERVAL.mul_f64(rng.random_range(0.2..1.8));
     }
     push_rejections(seed, size, end, &mut steps);
+    push_odd_configurations(seed, end, &mut steps);
     steps.retain(|step| step.at + max_duration(step.action) < end);
     steps.sort_by_key(|step| step.at);
     steps
@@ -131,6 +146,7 @@
         | Action::FloodFromStore(time)
         | Action::Evacuate(_, time) => time,
         Action::Restore(outage, _) => outage,
+        Action::ConfigureUnreadably(_, time) => time,
         // The server that crashes last must restart and warm up.
         Action::EndServers(_, time) | Action::CrashByPart(time) => {
             time + SERVER_RESTART + WARM_UP_TIME
@@ -146,6 +162,7 @@
         Action::FloodFromServer(_) => FLOOD_DURATION,
         Action::Kill(_) | Action::SignalDuringStart(_) => ENTRY_RESTART,
         Action::Forget | Action::Configure | Action::Litter | Action::Reload(_) => Duration::ZERO,
+        Action::ConfigureOddly(_) => Duration::ZERO,
         Action::SilenceStore | Action::ResetStore | Action::SilenceServer(_) => Duration::ZERO,
     }
 }
@@ -225,6 +242,28 @@
     }
 }
 
+/// Adds configurations with odd values, and some of which nothing can be read.
+///
+/// They have random numbers of their own, like [`push_rejections`].
+fn push_odd_configurations(seed: u64, end: Duration, steps: &mut Vec<Step>) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ ODD_CONFIGURATION_SEED);
+    let mut at = FAULT_FREE_START;
+    while at < end {
+        let index = rng.random_range(0..ODD_VALUE_COUNT);
+        let action = match rng.random_bool(UNREADABLE_SHARE) {
+            true => {
+                let ms = rng.random_range(MIN_UNREADABLE_MS..MAX_UNREADABLE_MS);
+                Action::ConfigureUnreadably(index, Duration::from_millis(ms))
+            }
+            false => Action::ConfigureOddly(index),
+        };
+        steps.push(Step { at, action });
+        // The next one would end its effects.
+        at += max_duration(action);
+        at += MEAN_ODD_INTERVAL.mul_f64(rng.random_range(0.2..1.8));
+    }
+}
+
 fn restoration_action(rng: &mut Pcg64Mcg) -> Action {
     let outage = Duration::from_millis(rng.random_range(0..MAX_STORE_FAULT_MS / 2));
     let age = Duration::from_millis(rng.random_range(500..MAX_STORE_FAULT_MS));
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -102,6 +102,10 @@
         }
         Action::SignalDuringStart(entry) => deployment.signal_during_start(entry).await,
         Action::Configure => deployment.configure().await,
+        Action::ConfigureOddly(index) => deployment.configure_oddly(index).await,
+        Action::ConfigureUnreadably(index, time) => {
+            deployment.configure_unreadably(index, time).await
+        }
         Action::Replace(index) => deployment.replace(index).await,
         Action::Leave(index) => deployment.drain_by_header(index).await,
         Action::TurnAway(index) => {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -156,6 +156,15 @@
     });
 }
 
+#[test]
+fn detects_key_accepted_beside_an_unreadable_configuration() {
+    assert_detects(checks::check_unreadable_configurations, |records| {
+        records.unreadable.push(Span { from_us: at(0.0), to_us: at(9.9) });
+        records.exchanges.push(exchange("late", 8.0, answered(200)));
+        records.runs.push(run("late", 8.0));
+    });
+}
+
 #[test]
 fn detects_request_at_draining_server() {
     assert_detects(checks::check_draining, |records| {
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -20,7 +20,7 @@
 fn fifty_seeds_cover_all_actions_and_keep_the_end_fault_free() {
     let steps: Vec<_> = (0..50).flat_map(|seed| generate(seed, LENGTH, Size::SMALL)).collect();
     let kinds: HashSet<_> = steps.iter().map(|step| discriminant(&step.action)).collect();
-    assert_eq!(kinds.len(), 27);
+    assert_eq!(kinds.len(), 29);
     for step in steps {
         let duration = match step.action {
             Action::Pause(_, time) | Action::Weather(_, time) | Action::Evacuate(_, time) => time,
--- a/crates/soak/tests/short_run.rs
+++ b/crates/soak/tests/short_run.rs
@@ -15,7 +15,7 @@
         generate(seed.parse().expect("a number"), Duration::from_secs(SECONDS), Size::SMALL)
     });
     let kinds: HashSet<_> = steps.map(|step| discriminant(&step.action)).collect();
-    assert_eq!(kinds.len(), 27);
+    assert_eq!(kinds.len(), 29);
 }
 
 #[test]
