No final refusals beside a configuration that can't be read

What callers saw: for up to the bound for state after an unreadable configuration, a route or key that it may have added got a final 404 or 401.

Cause: permanent refusals asked only how old the configuration in force was, not whether it is known to be superseded. The test failed before.

--- a/crates/decide/src/direct/freshness.rs
+++ b/crates/decide/src/direct/freshness.rs
@@ -66,9 +66,11 @@
         self.configuration_confirmed_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Whether the configuration in force is recent enough for permanent refusals.
+    /// Whether the configuration in force is the newest known, and recent enough for permanent
+    /// refusals.
     pub fn is_current(&self, now: Duration) -> bool {
-        self.configuration_age(now).is_some_and(|age| age < self.bound)
+        let is_recent = self.configuration_age(now).is_some_and(|age| age < self.bound);
+        is_recent && self.is_configuration_held
     }
 
     /// Whether the configuration in force is recent enough to accept keys.
--- a/crates/direct/tests/unreadable_configurations.rs
+++ b/crates/direct/tests/unreadable_configurations.rs
@@ -112,6 +112,20 @@
     });
 }
 
+/// Routes and keys that an unreadable configuration may have added got 404 and 401 until the state
+/// was old.
+#[test]
+fn refusals_are_not_final_beside_an_unreadable_configuration() {
+    run_test(|world| async move {
+        start_one_server(&world).await;
+        world.store.put("catalog", "no configuration");
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!(open_status(&world, "/nowhere/").await, 503);
+        assert_eq!(status(&world, "unknown").await, 503);
+        assert_eq!(status(&world, "k1").await, 200);
+    });
+}
+
 #[test]
 fn keys_stay_refused_while_unreadable_configurations_follow_one_another() {
     run_test(|world| async move {
