A server whose answers are none is left alone, and 600 to 999 is no status

What callers saw: with two of six servers that answer with a status such as 000, a stream route whose prompts prefer one of them lost 18 of 60 requests in a minute (502), and 11 more were refused with 429, since their prompt parts were held to crash servers. A status from 600 on reached callers as it was, 22 of 60 on a plain route, and a version that answered with 999 was completed. 000 itself never reached a caller.

Cause: what the parser rejects counted as a broken connection: a crash under the request, and a small and short-lived cost of the server. From 600 on an answer counted as sound unless it was 5xx.

Why this works: such an answer is a failure of its own, of the server and its version. The server gets a backoff of 2 s that doubles to 32 s until an answer is one; no request is blamed. Statuses outside of 200 to 599 are handled so.

--- a/crates/decide/src/direct/fleet.rs
+++ b/crates/decide/src/direct/fleet.rs
@@ -330,6 +330,13 @@
         }
     }
 
+    /// Records an answer that is none in the protocol, which starts a backoff.
+    pub fn on_invalid_answer(&mut self, ticket: &Ticket, now: Duration) {
+        if let Some(server) = self.server_of(ticket) {
+            server.on_invalid_answer(now);
+        }
+    }
+
     /// Records that another server listens at the address, or that the server has another identity.
     pub fn mark_replaced(&mut self, ticket: &Ticket) {
         if let Some(server) = self.server_of(ticket) {
--- a/crates/decide/src/direct/fleet/server.rs
+++ b/crates/decide/src/direct/fleet/server.rs
@@ -34,6 +34,12 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest such backoff.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_600);
+/// Initial backoff after an answer that is none; doubles with each further one. Longer than the
+/// others, since a request that can't be repeated is lost to find out whether the server has
+/// recovered.
+const INITIAL_INVALID_BACKOFF: Duration = Duration::from_secs(2);
+/// Number of times that it doubles at most.
+const MAX_INVALID_DOUBLINGS: u32 = 4;
 /// Time for which a prompt part is assumed to stay in a server's cache after its last use.
 const PART_CACHE_TTL: Duration = Duration::from_secs(20);
 /// Number of cached parts of one server from which expired ones are swept.
@@ -102,6 +108,8 @@
     failure_share: f64,
     failure_recorded_at: Duration,
     refusals: u32,
+    /// Consecutive answers that were none.
+    invalid_answers: u32,
     backoff_until: Duration,
     /// Mean delay of answers beyond the expected time, in milliseconds, when last recorded.
     delay_ms: f64,
@@ -133,6 +141,7 @@
             failure_share: 0.0,
             failure_recorded_at: Duration::ZERO,
             refusals: 0,
+            invalid_answers: 0,
             backoff_until: Duration::ZERO,
             delay_ms: 0.0,
             delay_recorded_at: Duration::ZERO,
@@ -307,6 +316,17 @@
             self.failure_share_now(now) * (1.0 - FAILURE_GAIN) + outcome * FAILURE_GAIN;
         self.failure_recorded_at = now;
         self.refusals = 0;
+        if !failed {
+            self.invalid_answers = 0;
+        }
+    }
+
+    /// Starts a backoff after an answer that is none in the protocol.
+    pub fn on_invalid_answer(&mut self, now: Duration) {
+        let doublings = self.invalid_answers.min(MAX_INVALID_DOUBLINGS);
+        let backoff = INITIAL_INVALID_BACKOFF * 2u32.pow(doublings);
+        self.backoff_until = self.backoff_until.max(now + backoff);
+        self.invalid_answers = self.invalid_answers.saturating_add(1);
     }
 
     /// Starts a backoff after the server could not be reached, or refused without running the
--- a/crates/direct/src/http/in_flight.rs
+++ b/crates/direct/src/http/in_flight.rs
@@ -22,7 +22,7 @@
     placement::Placement,
     quarantine::ProbeLease,
     request::{Job, is_key_held},
-    upstream::{self, Exchange, SendError},
+    upstream::{self, Exchange, SendError, is_final_status},
 };
 
 /// Part of the deadline reserved for returning the response to the caller.
@@ -361,8 +361,7 @@
         let id = headers.get(&dialect.request_id);
         let is_own_id = id.is_some_and(|id| id.as_bytes() == self.job.id.as_bytes());
         is_own_id
-            // No request asks for another protocol, so none has an answer of this kind.
-            && !response.status().is_informational()
+            && is_final_status(response.status())
             && headers.contains_key(&dialect.signature)
             && !self.has_unrequested_encoding(headers)
     }
--- a/crates/direct/src/http/relay.rs
+++ b/crates/direct/src/http/relay.rs
@@ -20,7 +20,7 @@
     metrics::Counter,
     placement::Placement,
     sse::{CompleteEvents, EventSplitter, RelayableBytes},
-    upstream::{Exchange, SendError, StreamBody},
+    upstream::{Exchange, SendError, StreamBody, is_final_status},
 };
 
 /// Silence after which a stream is resumed elsewhere, as a multiple of the route's event pause.
@@ -383,6 +383,8 @@
                     in_flight.log_failed_send(&placement, "not_resumed", status);
                     if in_flight.is_not_run(&exchange.response) {
                         placement.mark_finished();
+                    } else if !is_final_status(exchange.response.status()) {
+                        in_flight.record_invalid_answer(&placement);
                     }
                     if in_flight.signals(&exchange.response).backoff.is_none() {
                         placement.on_rejected();
@@ -392,6 +394,7 @@
                     in_flight.log_failed_send(&placement, "not_resumed", error.to_string());
                     match error {
                         SendError::Broken(_) => in_flight.record_broken_connection(&placement),
+                        SendError::Invalid(_) => in_flight.record_invalid_answer(&placement),
                         SendError::HeadTooLong { bytes } => {
                             in_flight.record_head_too_long(&placement, bytes);
                         }
--- a/crates/direct/src/http/reporting.rs
+++ b/crates/direct/src/http/reporting.rs
@@ -111,6 +111,14 @@
         self.core.record_server_crash(&self.job, placement, probed);
     }
 
+    /// Records a response that is none in the protocol, a failure of its server's version.
+    pub fn record_invalid_answer(&self, placement: &Placement) {
+        self.core.metrics.count(Counter::AnswersInvalid);
+        if placement.on_invalid_answer() {
+            self.log_tripped(placement);
+        }
+    }
+
     /// Records a response that was longer than allowed, or too long to be complete by its deadline, a
     /// failure of its server's version.
     pub fn record_answer_too_long(&self, placement: &Placement, meter: &Meter) {
--- a/crates/direct/src/http/serve.rs
+++ b/crates/direct/src/http/serve.rs
@@ -28,7 +28,7 @@
     metrics::{Counter, Timer},
     placement::Placement,
     request::{Refusal, strip_hop_by_hop_headers},
-    upstream::{Exchange, SendError},
+    upstream::{Exchange, SendError, is_final_status},
 };
 
 /// Share of the retry budget that escalations leave for retries.
@@ -144,6 +144,7 @@
                 self.record_broken_connection(&placement);
                 self.handle_loss(&placement, "broken", detail)
             }
+            Err(SendError::Invalid(detail)) => self.handle_invalid_answer(&placement, detail),
             Err(SendError::HeadTooLong { bytes }) => {
                 self.record_head_too_long(&placement, bytes);
                 self.handle_loss(&placement, "too_long", String::new())
@@ -163,6 +164,12 @@
         }
     }
 
+    /// Handles a request whose server sent something that is no answer.
+    fn handle_invalid_answer(&mut self, placement: &Placement, detail: String) -> AttemptResult {
+        self.record_invalid_answer(placement);
+        self.handle_loss(placement, "invalid_answer", detail)
+    }
+
     /// Handles a request that may have run, but has no response that can be passed on.
     fn handle_loss(
         &mut self,
@@ -191,6 +198,9 @@
             let requested_backoff = self.signals(&exchange.response).backoff.is_some();
             return self.handle_not_run(status, &placement, requested_backoff);
         }
+        if !is_final_status(status) {
+            return self.handle_invalid_answer(&placement, status.to_string());
+        }
         if !self.is_authentic(&exchange.response) {
             return self.handle_loss(&placement, "not_its_answer", status.to_string());
         }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -80,6 +80,8 @@
     StreamsMoved,
     /// Responses of backend servers that were longer than allowed.
     AnswersTooLong,
+    /// Responses of backend servers that are none in the protocol.
+    AnswersInvalid,
     /// Panics, each of which ended a task.
     Panics,
     /// Background tasks restarted after a panic.
@@ -138,6 +140,7 @@
             Counter::Resumes => "resumes_total",
             Counter::StreamsMoved => "streams_moved_total",
             Counter::AnswersTooLong => "answers_too_long_total",
+            Counter::AnswersInvalid => "answers_invalid_total",
             Counter::Panics => "panics_total",
             Counter::TasksRestarted => "tasks_restarted_total",
             Counter::StoreFailures => "store_failures_total",
--- a/crates/direct/src/placement.rs
+++ b/crates/direct/src/placement.rs
@@ -267,6 +267,18 @@
         }
     }
 
+    /// Records an answer that is none in the protocol, a failure of the server's version; returns
+    /// whether it trips a roll-out. The server has not crashed, so the request is not to blame.
+    pub fn on_invalid_answer(&self) -> bool {
+        let now = self.core.clock.now();
+        let mut state = self.core.state.borrow_mut();
+        if let Some(fleet) = state.fleets.get_mut(&self.job.service.name) {
+            fleet.on_invalid_answer(&self.ticket, now);
+        }
+        drop(state);
+        self.record_evidence(true)
+    }
+
     /// Whether the request may still be sent now that the connection is open.
     pub fn may_dispatch(&self) -> bool {
         let now = self.core.clock.now();
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -93,6 +93,9 @@
     /// The request was sent; whether it ran is unknown.
     #[error("the connection broke: {0}")]
     Broken(String),
+    /// The server sent something that is no response; whether the request ran is unknown.
+    #[error("no response in the protocol: {0}")]
+    Invalid(String),
     /// The response became longer than allowed before its head was complete; whether the request ran
     /// is unknown.
     #[error("no response head within {bytes} bytes")]
@@ -199,7 +202,16 @@
     if error.is_parse_too_large() || meter.exceeded_in() == Some(MessagePart::Head) {
         return SendError::HeadTooLong { bytes: meter.bytes() };
     }
-    SendError::Broken(error.to_string())
+    match error.is_parse() {
+        true => SendError::Invalid(error.to_string()),
+        false => SendError::Broken(error.to_string()),
+    }
+}
+
+/// Whether a response may have this status. Others are no answer for callers: informational ones
+/// announce one, and those from 600 on are undefined.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
 }
 
 /// Limits of responses with bodies of at most `max_body_bytes`, of which `unpaced_bytes` are read at
