A withheld key is refused on anonymous routes too

A request with a key in force runs in its workspace's name on any route. One whose workspace has no usable name would have run in no name where the route needs no key. The metrics no longer show a version as written that could not be read.

--- a/crates/direct/src/configuration_status.rs
+++ b/crates/direct/src/configuration_status.rs
@@ -44,7 +44,7 @@
     ) -> Vec<Defect> {
         self.in_force = Some(position);
         self.written = Some(position);
-        self.written_version = Some(version);
+        self.written_version = (!defects.lacks_version).then_some(version);
         self.rejected_since = None;
         self.defect_count = defects.count;
         let previous = std::mem::take(&mut self.defects);
--- a/crates/direct/src/http/request_reader.rs
+++ b/crates/direct/src/http/request_reader.rs
@@ -101,12 +101,12 @@
     let id = header_text(&parts.headers, &core.dialect.request_id).ok_or(Refusal::Malformed)?;
     let host = host_of(&parts.uri, &parts.headers).ok_or(Refusal::Malformed)?;
     // A permanent refusal must not be based on a configuration that is stale or was read in part.
-    let refusal = |permanent, is_read_in_part| match (is_fresh, is_read_in_part) {
+    let unless_known = |permanent, is_read_in_part| match (is_fresh, is_read_in_part) {
         (false, _) => Refusal::Stale,
         (true, true) => Refusal::ConfigurationUnreadable,
         (true, false) => permanent,
     };
-    let no_route = refusal(Refusal::NoRoute, catalog.defects.lacks_routes);
+    let no_route = unless_known(Refusal::NoRoute, catalog.defects.lacks_routes);
     let route = catalog.route(&host, parts.uri.path()).cloned().ok_or(no_route)?;
     let requires_key = catalog.requires_keys() && !route.anonymous;
     if requires_key && !state.freshness.accepts_keys(arrived) {
@@ -114,10 +114,12 @@
     }
     let key = presented_key(&parts.headers, core.dialect.key_scheme);
     let workspace = key.as_deref().and_then(|key| catalog.workspace_of(key)).cloned();
+    // On any route, a request runs in the name of the workspace that holds its key.
+    if key.as_deref().is_some_and(|key| catalog.is_withheld(key)) {
+        return Err(Refusal::ConfigurationUnreadable);
+    }
     if requires_key && workspace.is_none() {
-        let is_withheld = key.as_deref().is_some_and(|key| catalog.is_withheld(key));
-        let is_read_in_part = is_withheld || catalog.defects.lacks_access;
-        return Err(refusal(Refusal::UnknownKey, is_read_in_part));
+        return Err(unless_known(Refusal::UnknownKey, catalog.defects.lacks_access));
     }
     if route.shares.is_empty() {
         return Err(Refusal::ConfigurationUnreadable);
--- a/crates/direct/tests/unreadable_configurations.rs
+++ b/crates/direct/tests/unreadable_configurations.rs
@@ -248,6 +248,8 @@
         assert_eq!(status(&world, "k1").await, 200);
         assert_eq!(status(&world, "k2").await, 503);
         assert_eq!(status(&world, "k3").await, 401);
+        // A request with a key runs in its workspace's name on any route, or not at all.
+        assert_eq!(call(&world, "/open/", "k2").await.status.as_u16(), 503);
         // In another scheme too, on a route that needs none.
         let sent = with(request("/open/", "shown"), "authorization", "Basic k2");
         assert_eq!(world.call(sent).await.status.as_u16(), 200);
