--- a/crates/direct/tests/invalid_status.rs
+++ b/crates/direct/tests/invalid_status.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use common::{World, address, catalog, request, run_test, stream, with, with_body};
+use common::{World, address, catalog, events, request, run_test, stream, with, with_body};
 use pondwalk_direct::catalog::{Catalog, Limits, Route, Service, Share, Workspace};
 use pondwalk_standin::backends::Behaviour;
 use tokio::time::sleep;
@@ -85,6 +85,54 @@
     }
 }
 
+/// Guards against an invalid status behind informational heads, which a parser passes over.
+#[test]
+fn invalid_status_behind_informational_heads_is_never_passed_on() {
+    for status_line in ["000", "999"] {
+        let Behaviour::Raw(answer, pause) = answer_with(status_line) else { panic!("raw bytes") };
+        for heads in ["HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n"] {
+            let behaviour = Behaviour::Raw(format!("{heads}{heads}{answer}"), pause);
+            run_test(|world| async move {
+                world.configure(catalog(1));
+                world.start_server(1, "s", "v1", behaviour);
+                world.start().await;
+                for path in ["/once/", "/again/", "/stream/", "/fixed/"] {
+                    let answer = world.call(request(path, "r")).await;
+                    assert_eq!(answer.status.as_u16(), 502, "{heads:?} {status_line} {path}");
+                }
+            });
+        }
+    }
+}
+
+/// Guards against a stream that ends since the server that should resume it sends no answer.
+#[test]
+fn stream_is_resumed_elsewhere_after_an_invalid_status() {
+    for status_line in ["000", "101 X", "999"] {
+        let asked_to_resume = Rc::new(Cell::new(0));
+        // Which server is asked first, and which next, is not known.
+        for roles in [[1, 2, 3], [1, 3, 2], [2, 1, 3], [2, 3, 1], [3, 1, 2], [3, 2, 1]] {
+            let asked_to_resume = Rc::clone(&asked_to_resume);
+            run_test(|world| async move {
+                let [cutting, faulty, sound] = roles;
+                let gap = Duration::from_millis(10);
+                let cut = Behaviour::Stream { last: 6, gap, confidence: None, cut_in: Some(4) };
+                world.configure(catalog(1));
+                world.start_server(cutting, "s", "v1", cut);
+                world.start_server(faulty, "s", "v1", answer_with(status_line));
+                world.start_server(sound, "s", "v1", stream(6, None));
+                world.start().await;
+                let answer = world.call(request("/stream/", "r")).await;
+                assert_eq!((answer.body, answer.is_complete), (events(1..=6), true), "{roles:?}");
+                let seen = world.backends.requests(address(faulty));
+                let resumes = seen.iter().filter(|seen| seen.headers.contains_key("last-event-id"));
+                asked_to_resume.set(asked_to_resume.get() + resumes.count());
+            });
+        }
+        assert!(asked_to_resume.get() > 0, "{status_line}");
+    }
+}
+
 /// A model service with a stream that can't be resumed.
 fn catalog_with_fixed_stream() -> Catalog {
     let like = catalog(1);
