--- a/crates/decide/src/direct.rs
+++ b/crates/decide/src/direct.rs
@@ -80,7 +80,7 @@
     RateLimitState, ReportedRateLimit, ScoringTerms, ServerIncarnation, ServerIndex, ServerInfo,
     ServerLoad, Ticket, UnavailableReason, UnreachableReason, VersionRule, backoff_jitter,
 };
-pub use freshness::Freshness;
+pub use freshness::{Freshness, StoredConfiguration};
 pub use load_summary::{
     Demand, HALF_WINDOWS, LoadKey, LoadSummary, LoadSummaryError, ServerWork, ServiceWork,
     name_key, server_key,
--- a/crates/decide/src/direct/freshness.rs
+++ b/crates/decide/src/direct/freshness.rs
@@ -14,6 +14,17 @@
 
 use std::time::Duration;
 
+/// The newest configuration in the store, compared with the one in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoredConfiguration {
+    /// It is the one in force.
+    InForce,
+    /// It has a lower version than the one in force.
+    Older,
+    /// It can't be read.
+    Unreadable,
+}
+
 /// When the local state was last confirmed.
 #[derive(Debug, Clone, Copy)]
 pub struct Freshness {
@@ -21,7 +32,7 @@
     key_bound: Duration,
     confirmed_at: Option<Duration>,
     configuration_confirmed_at: Option<Duration>,
-    is_configuration_held: bool,
+    stored_configuration: StoredConfiguration,
 }
 
 impl Freshness {
@@ -33,7 +44,7 @@
             key_bound,
             confirmed_at: None,
             configuration_confirmed_at: None,
-            is_configuration_held: true,
+            stored_configuration: StoredConfiguration::InForce,
         }
     }
 
@@ -41,14 +52,14 @@
     /// moves back.
     pub fn confirm(&mut self, sent_at: Duration) {
         self.confirmed_at = self.confirmed_at.max(Some(sent_at));
-        if self.is_configuration_held {
+        if self.stored_configuration == StoredConfiguration::InForce {
             self.configuration_confirmed_at = self.configuration_confirmed_at.max(Some(sent_at));
         }
     }
 
-    /// Records whether the configuration in the store is the one in force.
-    pub fn set_configuration_held(&mut self, is_held: bool) {
-        self.is_configuration_held = is_held;
+    /// Records which configuration the store holds.
+    pub fn set_stored_configuration(&mut self, stored: StoredConfiguration) {
+        self.stored_configuration = stored;
     }
 
     /// When the call that last confirmed the state was sent, if any did.
@@ -66,11 +77,11 @@
         self.configuration_confirmed_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Whether the configuration in force is the newest known, and recent enough for permanent
-    /// refusals.
+    /// Whether the configuration in force is recent enough for permanent refusals. One that can't
+    /// be read may have added what is asked for.
     pub fn is_current(&self, now: Duration) -> bool {
         let is_recent = self.configuration_age(now).is_some_and(|age| age < self.bound);
-        is_recent && self.is_configuration_held
+        is_recent && self.stored_configuration != StoredConfiguration::Unreadable
     }
 
     /// Whether the configuration in force is recent enough to accept keys.
--- a/crates/direct/src/follow/apply.rs
+++ b/crates/direct/src/follow/apply.rs
@@ -5,6 +5,7 @@
     panic::{AssertUnwindSafe, catch_unwind},
 };
 
+use pondwalk_decide::direct::StoredConfiguration;
 use pondwalk_store::{Position, StoreEntry, StoreEvent};
 use pondwalk_types::DataCentreId;
 
@@ -39,7 +40,8 @@
     /// Records that the value of a key can't be applied.
     fn record_unreadable(&self, key: &str, revision: u64, reason: &str) {
         if key == self.port.configuration_key {
-            return self.reject_configuration(revision, None, reason);
+            let unreadable = StoredConfiguration::Unreadable;
+            return self.reject_configuration(unreadable, revision, None, reason);
         }
         let event = FollowEvent::EntryUnreadable { key, reason };
         self.core.event_log.record(LogPriority::State, &event);
@@ -227,7 +229,8 @@
             if !is_same_era {
                 drop(state);
                 let reason = "a restored store holds it, and it has no version";
-                return self.reject_configuration(store_revision, None, reason);
+                let unreadable = StoredConfiguration::Unreadable;
+                return self.reject_configuration(unreadable, store_revision, None, reason);
             }
             catalog.version = held;
         }
@@ -238,7 +241,8 @@
             self.core.event_log.record(LogPriority::State, &event);
             if is_same_era && in_force.is_some_and(|in_force| in_force < position) {
                 let reason = "its version is lower than that of the one in force";
-                self.reject_configuration(store_revision, Some(version), reason);
+                let older = StoredConfiguration::Older;
+                self.reject_configuration(older, store_revision, Some(version), reason);
             }
             return;
         }
@@ -250,7 +254,7 @@
         let defects = catalog.defects.count;
         let new_defects =
             state.configuration.record_in_force(position, version, &catalog.defects, now);
-        state.freshness.set_configuration_held(true);
+        state.freshness.set_stored_configuration(StoredConfiguration::InForce);
         state.install(catalog);
         drop(state);
         let origin = self.origin;
@@ -273,12 +277,13 @@
     /// store may take away keys.
     fn reject_configuration(
         &self,
+        stored: StoredConfiguration,
         store_revision: u64,
         version: Option<CatalogVersion>,
         reason: &str,
     ) {
         let mut state = self.core.state.borrow_mut();
-        state.freshness.set_configuration_held(false);
+        state.freshness.set_stored_configuration(stored);
         let position = Position { era: state.replica.position().era, revision: store_revision };
         let now = self.core.clock.now();
         let is_new = state.configuration.record_rejected(position, version, now);
